Serve on real sockets: the relay lynxscale round the decision module

The settings' reader moves out of the adapter into gannetshift/reader.py and takes a dict; Settings gains the names of kinds, zones and report columns; Message gains attempts and maybe_at for tries of an earlier life.

--- a/gannetshift/adapter.py
+++ b/gannetshift/adapter.py
@@ -9,6 +9,7 @@
 from typing import Any, BinaryIO
 
 from gannetshift import interface as api
+from gannetshift import reader
 from gannetshift.brain import Sender
 
 BATCH_HEAD = struct.Struct("<IId")
@@ -29,11 +30,6 @@
 PEER = struct.Struct("<HII")
 U32 = struct.Struct("<I")
 
-EFFECTS = {
-    "idempotent": api.Effect.IDEMPOTENT,
-    "deduplicated": api.Effect.KEYED,
-    "at_most_once": api.Effect.UNSAFE,
-}
 HINT, AGAIN, WRITE, INHERITED = 1, 2, 4, 16
 EVERY_PEER = 0xFFFFFFFF
 MAX_TABLE = 15
@@ -43,121 +39,14 @@
     """The other side sent something that is not on the wire's terms."""
 
 
-# Settings ----------------------------------------------------------------------------------
-
-
-def _number(table: dict, path: str, name: str, needed: bool = False) -> float | None:
-    value = table.get(name)
-    if value is None:
-        if needed:
-            raise WireError(f"setting {path}{name} is missing")
-        return None
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < float("inf"):
-        raise WireError(f"setting {path}{name} is not a number of use: {value!r}")
-    return float(value)
-
-
-def _part(table: dict, name: str, kind: type) -> Any:
-    value = table.get(name)
-    if value is None:
-        return kind()
-    if not isinstance(value, kind):
-        raise WireError(f"setting {name} has the wrong form")
-    return value
-
-
-def _message_class(row: Any, place: int) -> api.MessageClass:
-    path = f"grades[{place}]."
-    if not isinstance(row, dict):
-        raise WireError(f"setting grades[{place}] has the wrong form")
-    effect = row.get("effect")
-    if effect not in EFFECTS:
-        raise WireError(f"setting {path}effect is missing or unknown: {effect!r}")
-    worth = _number(row, path, "value", needed=True)
-    return api.MessageClass(
-        name=str(row.get("name", place)),
-        aim_ms=_number(row, path, "goal_time_ms", needed=True),
-        deadline_ms=_number(row, path, "deadline_ms", needed=True),
-        worth=worth,
-        late_worth=_number(row, path, "late_worth") or 0.0,
-        effect=EFFECTS[effect],
-        group=str(row.get("group", "all")),
-        memory_span_ms=_number(row, path, "memory_span_ms"),
-        ordered=bool(row.get("serial_by_key", False)),
-        aim_stretch=_number(row, path, "aim_stretch"),
-    )
-
-
-def _tenant(row: dict, place: int) -> api.Tenant:
-    path = f"orgs[{place}]."
-    return api.Tenant(
-        name=str(row.get("name", place)),
-        quota_per_s=_number(row, path, "quota_per_s"),
-        share=_number(row, path, "share"),
-    )
-
-
-def _numbers(table: dict, name: str) -> list:
-    values = _part(table, name, list)
-    if not all(isinstance(v, (int, float)) for v in values):
-        raise WireError(f"setting family_info.{name} has the wrong form")
-    return values
-
-
 def settings_from(text: bytes) -> api.Settings:
     """The settings of one instance, from the wire's JSON."""
     try:
-        conf = json.loads(text)
+        return reader.settings_from(json.loads(text))
+    except reader.SettingsError as error:
+        raise WireError(str(error)) from error
     except ValueError as error:
         raise WireError("the settings are not JSON") from error
-    if not isinstance(conf, dict):
-        raise WireError("the settings are not a JSON object")
-    allowed, rules = _part(conf, "allowed", dict), _part(conf, "obligations", dict)
-    info, prices = _part(conf, "family_info", dict), _part(conf, "prices", dict)
-    columns = _part(_part(conf, "load_info", dict), "columns", list)
-    grades = _part(conf, "grades", list)
-    if not grades:
-        raise WireError("setting grades is missing")
-    slots = _number(info, "family_info.", "max_calls", needed=True)
-    if slots < 1:
-        raise WireError("setting family_info.max_calls is not a number of use: below 1")
-    held, cap = _number(allowed, "allowed.", "most_held"), _number(allowed, "allowed.", "attempts_cap")
-    return api.Settings(
-        slots=int(slots),
-        senders=int(_number(conf, "", "balancers", needed=True)),
-        me=int(_number(conf, "", "me") or 0),
-        classes=[_message_class(row, place) for place, row in enumerate(grades)],
-        tenants=[_tenant(row, place) for place, row in enumerate(_part(conf, "orgs", list))],
-        most_held=None if held is None else int(held),
-        attempts_cap=None if cap is None else int(cap),
-        may_cancel=bool(allowed.get("cancel", False)),
-        idle_close_ms=_number(allowed, "allowed.", "idle_close_ms"),
-        max_retry_after_ms=_number(allowed, "allowed.", "max_retry_after_ms"),
-        may_advise_retry=bool(allowed.get("retry_after", False)),
-        may_probe=bool(allowed.get("probes", False)),
-        second_copies=bool(allowed.get("second_copies", False)),
-        connect_timeout_ms=_number(allowed, "allowed.", "dial_timeout_ms"),
-        marks_again=bool(_part(conf, "clients", dict).get("marks_retry", False)),
-        asks_for_members=conf.get("membership_mode") == "ask",
-        ask_within_ms=_number(rules, "obligations.", "ask_within_ms"),
-        per_call=[int(v) for v in _numbers(info, "per_call")],
-        routes_apart=[bool(v) for v in _numbers(info, "routes_apart")],
-        route_fee=[float(v) for v in _numbers(info, "route_fee")],
-        handshake_price=_number(prices, "prices.", "handshake"),
-        probe_price=_number(prices, "prices.", "probe"),
-        refused_price=_number(info, "family_info.", "turned_away_price"),
-        over_share_worth=_number(conf, "", "over_share_worth"),
-        late_halves=info.get("late") == "halving",
-        report_left=columns.index("x0") if "x0" in columns else None,
-        report_limit=columns.index("x1") if "x1" in columns else None,
-        weights=str(conf.get("weight_source", "off")),
-        drain_grace_ms=_number(rules, "obligations.", "drain_grace_ms"),
-        cold_share=_number(rules, "obligations.", "cold_share"),
-        ramp_time_ms=_number(rules, "obligations.", "ramp_time_ms"),
-        tip_multiple=_number(rules, "obligations.", "tip_multiple"),
-        tip_after_ms=_number(rules, "obligations.", "tip_after_ms"),
-        key_rest_ms=_number(rules, "obligations.", "key_rest_ms"),
-    )
 
 
 # Events ------------------------------------------------------------------------------------
--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -127,8 +127,9 @@
     def __init__(self, event: api.Message, dest: Dest, seq: int) -> None:
         self.id, self.cls, self.key, self.expires = event.id, event.cls, event.key, event.expires
         self.dest, self.seq = dest, seq
-        self.aim_at = self.maybe_at = self.rest_from = 0.0
-        self.attempts = self.restarts = self.version = 0
+        self.aim_at = self.rest_from = 0.0
+        self.attempts, self.maybe_at = event.attempts, event.maybe_at
+        self.restarts = self.version = 0
         self.over = self.queued = self.dead = False
         self.out = self.zone = self.last = None  # the try under way, the zone to stay in, the last endpoint
 
@@ -490,7 +491,8 @@
     def hopeless(self, msg: Held) -> bool:
         """Too little time for a usual call, or it may have run and its repeat would not be dropped."""
         late = msg.expires - self.now <= self.usual(msg)
-        return late or (bool(msg.maybe_at) and not self.repeatable(msg, msg.maybe_at))
+        spent = msg.attempts >= (self.s.attempts_cap or INF)  # all made in an earlier life
+        return late or spent or (bool(msg.maybe_at) and not self.repeatable(msg, msg.maybe_at))
 
     def enqueue(self, msg: Held) -> None:
         """Queue at its destination: in aim and in share by aim, the rest by worth for slot time."""
--- a/gannetshift/interface.py
+++ b/gannetshift/interface.py
@@ -88,6 +88,9 @@
     connect_timeout_ms: float | None = None
     marks_again: bool = False
     asks_for_members: bool = False
+    kinds: list[str] = field(default_factory=list)
+    zones: list[str] = field(default_factory=list)
+    report_columns: list[str] = field(default_factory=list)
     ask_within_ms: float | None = None
     per_call: list[int] = field(default_factory=list)
     routes_apart: list[bool] = field(default_factory=list)
@@ -144,6 +147,9 @@
     write: bool = False
     inherited: bool = False
     work_hint: float | None = None
+    # Of an earlier life of this sender, which took the message and kept a record of it:
+    attempts: int = 0  # made so far
+    maybe_at: float = 0.0  # when the first of them that may have run was sent; 0: none
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/lynxscale/__main__.py
@@ -0,0 +1,126 @@
+"""Start, signals, exit code, and the counters at the exit."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import sys
+
+from twisted.internet import reactor
+from twisted.internet.error import CannotListenError
+
+from lynxscale import config
+from lynxscale.counters import Counters
+from lynxscale.deadlines import Deadlines, Loop
+from lynxscale.journal import Journal
+from lynxscale.net.clients import Clients
+from lynxscale.net.group import Group
+from lynxscale.net.notices import Notices
+from lynxscale.net.peers import Peers
+from lynxscale.relay import Relay
+
+log = logging.getLogger("lynxscale")
+
+OWN_SOCKETS = 32  # discovery, notices, the journal's two files, the loop's own, the standard streams
+PEER_SHARE = 3  # one descriptor in so many is for peers at most
+# From a SIGTERM on, in microseconds:
+LISTEN_FOR = 450_000  # connections still come in
+TRY_FOR = 2_200_000  # tries still go out
+LEAVE_AT = 3_200_000  # the rest stays in the journal
+LOOK_EVERY = 50_000
+
+
+class Program:
+    """The parts of one relay, wired together."""
+
+    def __init__(self, conf: config.Config) -> None:
+        self.conf = conf
+        self.counters = Counters()
+        self.loop = Loop(reactor.callLater)
+        self.deadlines = Deadlines(self.loop, reactor.callLater)
+        self.journal = Journal(conf.state, conf.disk_bytes)
+        relay = self.relay = Relay(
+            conf.settings, conf.seed, self.loop, self.deadlines, self.journal, self.counters
+        )
+        self.loop.at_end = relay.turn
+        peer_sockets = max(conf.settings.slots, conf.sockets // PEER_SHARE)
+        self.group = relay.group = Group(
+            reactor, self.loop, self.deadlines, conf.discovery, conf.settings, relay.put, self.counters
+        )
+        self.peers = relay.tries = Peers(
+            reactor, self.loop, self.deadlines, relay, self.group.address_of, peer_sockets
+        )
+        self.notices = relay.notices = Notices(
+            reactor, self.deadlines, conf.discovery, relay.notified, self.counters
+        )
+        most_clients = max(8, conf.sockets - peer_sockets - OWN_SOCKETS)
+        self.clients = Clients(self.loop, self.deadlines, relay, most_clients)
+        self._stop_begun = 0
+
+    def start(self) -> None:
+        """Ready only once all that an earlier process left open is taken over."""
+        entries = self.journal.open()
+        self.group.begin(self.conf.known)
+        self.relay.replay(entries)
+        self.clients.listen(reactor, self.conf.listen)
+        log.info("ready name=%s open=%d", self.conf.name, len(entries))
+
+    # The end -------------------------------------------------------------------------------------
+
+    def stop(self) -> None:
+        if self._stop_begun:
+            return
+        log.info("stopping, %d open", len(self.relay.held))
+        self._stop_begun = self.loop.now()
+        self.clients.stopping = True
+        self.deadlines.after(LISTEN_FOR, self.clients.stop_accepting)
+        self.deadlines.after(TRY_FOR, self._stop_trying)
+        self.deadlines.after(LISTEN_FOR + LOOK_EVERY, self._look)
+
+    def _stop_trying(self) -> None:
+        self.relay.sending = False
+
+    def _look(self) -> None:
+        idle = not len(self.relay.held) or not (self.relay.sending or self.relay.out or len(self.notices))
+        if idle or self.loop.now() - self._stop_begun >= LEAVE_AT:
+            reactor.stop()
+        else:
+            self.deadlines.after(LOOK_EVERY, self._look)
+
+    def leave(self) -> None:
+        for line in self.counters.lines():
+            log.info("%s", line)
+        log.info("ended, %d left in the journal", len(self.relay.held))
+        self.journal.close()
+
+    def on_signal(self, act) -> None:
+        # Signals come between two instructions of anything: only a call from the loop may touch the parts.
+        reactor.callFromThread(act)
+
+    def print_counters(self) -> None:
+        for line in self.counters.lines():
+            log.info("%s", line)
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(message)s")
+    try:
+        program = Program(config.load())
+    except config.ConfigError as error:
+        print(f"lynxscale: {error}", file=sys.stderr)
+        return 2
+    try:
+        program.start()
+    except (OSError, CannotListenError) as error:
+        print(f"lynxscale: cannot start: {error}", file=sys.stderr)
+        return 1
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: program.on_signal(program.stop))
+    signal.signal(signal.SIGUSR1, lambda *_: program.on_signal(program.print_counters))
+    reactor.addSystemEventTrigger("after", "shutdown", program.leave)
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lynxscale/config.py
@@ -0,0 +1,112 @@
+"""The one place where the environment and NODE_CONFIG are read, checked and given defaults."""
+
+from __future__ import annotations
+
+import os
+import resource
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from gannetshift import interface as api
+from gannetshift.reader import SettingsError, settings_from
+
+SOCKETS, DISK_MB = 1024, 3.0
+LEAST_SOCKETS = 64
+
+
+class ConfigError(Exception):
+    """A key is missing or not of use; the text names it."""
+
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    state: Path
+    seed: int
+    sockets: int
+    disk_bytes: int
+    known: dict
+    settings: api.Settings
+
+
+def address(text: Any, key: str) -> Address:
+    """A host and a port from ``host:port``."""
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not (colon and host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise ConfigError(f"{key}: want host:port, not {text!r}")
+    return host, int(port)
+
+
+def _object(table: dict, key: str) -> dict:
+    value = table.get(key, {})
+    if not isinstance(value, dict):
+        raise ConfigError(f"{key}: want an object, not {value!r}")
+    return value
+
+
+def _limit(limits: dict, key: str, default: float, least: float) -> float:
+    value = limits.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < float("inf"):
+        raise ConfigError(f"limits.{key}: want a number of at least {least:g}, not {value!r}")
+    return value
+
+
+def _seed(value: Any) -> int:
+    if isinstance(value, str):
+        try:
+            return int(value, 16)
+        except ValueError:
+            return zlib.crc32(value.encode())
+    if isinstance(value, int) and not isinstance(value, bool):
+        return value
+    raise ConfigError(f"seed: want a text or a whole number, not {value!r}")
+
+
+def load(env: Mapping[str, str] = os.environ) -> Config:
+    """What this relay is told; a variable of its own goes before the same key in the file."""
+    path = env.get("NODE_CONFIG")
+    if not path:
+        raise ConfigError("NODE_CONFIG: not set")
+    try:
+        table = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"NODE_CONFIG: {error}") from error
+    except ValueError as error:
+        raise ConfigError(f"NODE_CONFIG: {path} is not JSON: {error}") from error
+    if not isinstance(table, dict):
+        raise ConfigError(f"NODE_CONFIG: {path} does not hold an object")
+    limits = _object(table, "limits")
+    state = env.get("NODE_STATE") or table.get("state")
+    if not isinstance(state, str) or not Path(state).is_dir():
+        raise ConfigError(f"NODE_STATE: want a folder that is there, not {state!r}")
+    if not os.access(state, os.W_OK | os.X_OK):
+        raise ConfigError(f"NODE_STATE: {state} is not writable")
+    if "settings" not in table:
+        raise ConfigError("settings: missing")
+    try:
+        settings = settings_from(table["settings"])
+    except SettingsError as error:
+        raise ConfigError(f"settings: {error}") from error
+    told = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    sockets = int(_limit(limits, "sockets", SOCKETS, LEAST_SOCKETS))
+    return Config(
+        name=str(env.get("NODE_NAME") or table.get("name") or "relay"),
+        listen=address(env.get("NODE_LISTEN") or table.get("listen"), "NODE_LISTEN"),
+        discovery=address(env.get("NODE_DISCOVERY") or table.get("discovery"), "NODE_DISCOVERY"),
+        state=Path(state),
+        seed=_seed(table.get("seed", 0)),
+        sockets=sockets if told == resource.RLIM_INFINITY else min(sockets, told),
+        disk_bytes=int(_limit(limits, "disk_mb", DISK_MB, 0.01) * 1_000_000),
+        known=_object(table, "known"),
+        settings=settings,
+    )
--- /dev/null
+++ b/lynxscale/counters.py
@@ -0,0 +1,30 @@
+"""Counters of what the relay takes in, sends and answers, by reason."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+
+class Counters:
+    """Groups of counts; a group is what was done, a reason is how it came out."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[tuple[str, str]] = Counter()
+
+    def add(self, group: str, reason: str, by: int = 1) -> None:
+        self._counts[group, reason] += by
+
+    def get(self, group: str, reason: str) -> int:
+        return self._counts[group, reason]
+
+    def table(self) -> dict[str, dict[str, int]]:
+        table: dict[str, dict[str, int]] = {}
+        for (group, reason), number in sorted(self._counts.items()):
+            table.setdefault(group, {})[reason] = number
+        return table
+
+    def lines(self) -> list[str]:
+        return [
+            f"counters {group}: " + " ".join(f"{reason}={number}" for reason, number in row.items())
+            for group, row in self.table().items()
+        ]
--- /dev/null
+++ b/lynxscale/net/link.py
@@ -0,0 +1,156 @@
+"""One connection out, which carries one call at a time: used for peers and for discovery."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+
+from twisted.internet import endpoints, interfaces
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from lynxscale.deadlines import Deadlines
+from lynxscale.http import BadHttp, Response, ResponseParser
+
+log = logging.getLogger("lynxscale")
+
+# Reason codes of ended connections, as they stand in the log.
+FAR_CLOSED, RESET, IDLE, CROWDED, CANCELLED, TIMED_OUT, MALFORMED, STOPPING, MOVED = (
+    "far_closed", "reset", "idle", "crowded", "cancelled", "timed_out", "malformed", "stopping", "moved"
+)
+
+
+class Broken(Exception):
+    """The connection ended with no answer; ``written``: the call's last byte had left."""
+
+    def __init__(self, written: bool) -> None:
+        super().__init__("connection ended")
+        self.written = written
+
+
+@implementer(interfaces.IPullProducer)
+class Link(Protocol):
+    """A connection to one address. As a pull producer it learns when its last byte has left."""
+
+    def __init__(self, kind: str, on_lost: Callable[[Link], None] | None = None) -> None:
+        self.kind, self.on_lost = kind, on_lost
+        self.up = False
+        self.calls = 0
+        self.since = 0  # idle since then, on the loop's clock
+        self.written = False
+        self._data: bytes | None = None
+        self._answer: Deferred | None = None
+        self._parser = ResponseParser()
+        self._reason: str | None = None
+
+    def connectionMade(self) -> None:
+        self.up = True
+        self.transport.setTcpNoDelay(True)
+
+    def call(self, data: bytes) -> Deferred:
+        """Write one request; fires with its Response or fails with Broken."""
+        self.calls += 1
+        self.written, self._data = False, data
+        self._answer = Deferred()
+        answer = self._answer
+        self.transport.registerProducer(self, False)
+        return answer
+
+    def resumeProducing(self) -> None:
+        if self._data is not None:
+            data, self._data = self._data, None
+            self.transport.write(data)
+        else:  # asked for more: all that there was has left
+            self.written = True
+            self.transport.unregisterProducer()
+
+    def stopProducing(self) -> None:
+        pass
+
+    @property
+    def busy(self) -> bool:
+        return self._answer is not None
+
+    def stale(self) -> bool:
+        """Has the far end closed it, though the loop has not come to read that?
+
+        Guards against a call written to a closed connection: it would count as one that may have run.
+        """
+        try:
+            return self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) is not None
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._answer is None:
+            self.drop(MALFORMED)  # bytes that answer no call
+            return
+        try:
+            answers = self._parser.feed(data)
+        except BadHttp as error:
+            log.warning("%s connection: %s", self.kind, error)
+            self.drop(MALFORMED)
+            return
+        if answers:
+            if len(answers) > 1 or not self._parser.idle or answers[0].close or not self.written:
+                self.drop(FAR_CLOSED if answers[0].close else MALFORMED, answers[0])
+            else:
+                self._fire(answers[0])
+
+    def drop(self, reason: str, response: Response | None = None) -> None:
+        """Close at once. The far end must see the end of this call before any later one."""
+        if self._reason is not None:
+            return
+        self._reason, self.up = reason, False
+        if response is not None:
+            self._fire(response)
+        # The shutdown goes out now; the abort waits for the loop's next turn.
+        with suppress(OSError):
+            self.transport.getHandle().shutdown(socket.SHUT_RDWR)
+        self.transport.abortConnection()
+
+    def forsake(self) -> None:
+        """Nobody waits for this call's answer any more."""
+        self._answer = None
+
+    def connectionLost(self, reason: Failure) -> None:
+        self.up = False
+        code = self._reason or (FAR_CLOSED if reason.check(ConnectionDone) else RESET)
+        log.info("connection kind=%s reason=%s calls=%d", self.kind, code, self.calls)
+        if self._answer is not None:
+            response = self._parser.end()
+            if response is not None:
+                self._fire(response)
+            else:
+                answer, self._answer = self._answer, None
+                answer.errback(Broken(self.written))
+        if self.on_lost is not None:
+            self.on_lost(self)
+
+    def _fire(self, response: Response) -> None:
+        answer, self._answer = self._answer, None
+        if answer is not None:
+            answer.callback(response)
+
+
+def dial(reactor, deadlines: Deadlines, micros: int, address: tuple[str, int],
+         make: Callable[[], Link]) -> Deferred:
+    """Open a connection, within that time."""
+    where = endpoints.TCP4ClientEndpoint(reactor, *address, timeout=None)
+    factory = Factory.forProtocol(make)
+    factory.noisy = False
+    dialled = where.connect(factory)
+    late = deadlines.after(micros, dialled.cancel)
+
+    def settled(result):
+        deadlines.cancel(late)
+        return result
+
+    return dialled.addBoth(settled)
--- /dev/null
+++ b/lynxscale/net/peers.py
@@ -0,0 +1,256 @@
+"""Peer connections, tries and probes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from gannetshift import interface as api
+from gannetshift.interface import Result
+from lynxscale import http
+from lynxscale.deadlines import Deadline, Deadlines, Loop
+from lynxscale.net import link
+from lynxscale.net.link import Broken, Link
+from lynxscale.slots import Slots
+
+if TYPE_CHECKING:
+    from lynxscale.relay import Held, Relay
+
+IDLE_SHARE = 0.9  # of the time after which a peer closes an idle connection: ours goes first
+IDLE_MS = 15_000.0  # where the settings tell none
+DIAL_MS, PROBE_MS = 1500.0, 1500.0
+NEVER_RAN_STATUS = {429: Result.FULL, 503: Result.FULL, 504: Result.MOOT, 410: Result.MOOT}
+
+
+def seconds(text: str | None) -> float:
+    """Seconds with decimals as milliseconds; 0 where absent or malformed."""
+    try:
+        value = float(text or "0") * 1000
+    except ValueError:
+        return 0.0
+    return value if 0 <= value < float("inf") else 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Try:
+    """One attempt, from its order to its outcome. ``held`` is None for a probe."""
+
+    number: int
+    attempt: int
+    endpoint: int
+    held: Held | None
+    begun: int
+    ends: int
+    place: int = 0
+    deadline: Deadline | None = None
+    link: Link | None = None
+    recorded: bool = False
+    done: bool = False
+
+
+class Peers:
+    def __init__(self, reactor, loop: Loop, deadlines: Deadlines, relay: Relay,
+                 address_of: Callable[[int], tuple[str, int] | None], idle_most: int) -> None:
+        self._reactor, self._loop, self._deadlines, self._relay = reactor, loop, deadlines, relay
+        self._address_of, self._idle_most = address_of, idle_most
+        settings = relay.settings
+        self._idle_for = int((settings.idle_close_ms or IDLE_MS) * IDLE_SHARE * 1000)
+        self._dial_for = int((settings.connect_timeout_ms or DIAL_MS) * 1000)
+        self._columns = settings.report_columns
+        self._tries: Slots = Slots()
+        self._by_key: dict[tuple[int, int], Try] = {}
+        self._idle: dict[int, list[Link]] = {}  # by endpoint, the one used last at the end
+        self._home: dict[Link, tuple[int, tuple[str, int]]] = {}
+        self._sweep_at: Deadline | None = None
+
+    # Orders of the module ------------------------------------------------------------------------
+
+    def start(self, number: int, attempt: int, held: Held, endpoint: int, timeout: int) -> None:
+        now = self._loop.now()
+        self._begin(Try(number, attempt, endpoint, held, now, now + max(0, timeout)))
+
+    def probe(self, endpoint: int) -> None:
+        now = self._loop.now()
+        self._begin(Try(0, 0, endpoint, None, now, now + int(PROBE_MS * 1000)))
+
+    def cancel(self, number: int, attempt: int) -> None:
+        if (work := self._by_key.get((number, attempt))) is not None:
+            # Guards against a second copy: the connection is closed before another try can be written.
+            self._give_up(work, Result.CANCELLED, link.CANCELLED)
+
+    def close_idle(self, endpoint: int) -> None:
+        for idle in self._idle.pop(endpoint, []):
+            idle.drop(link.CROWDED)
+
+    def stop(self) -> None:
+        for endpoint in list(self._idle):
+            for idle in self._idle.pop(endpoint):
+                idle.drop(link.STOPPING)
+
+    # A try ---------------------------------------------------------------------------------------
+
+    def _begin(self, work: Try) -> None:
+        work.place = self._tries.add(work)
+        if work.held is not None:
+            self._by_key[work.number, work.attempt] = work
+        address = self._address_of(work.endpoint)
+        if address is None:
+            self._end(work, Result.CONNECT_FAILED)
+            return
+        work.deadline = self._deadlines.at(work.ends, self._late, work.place)
+        ready = self._take_idle(work.endpoint, address)
+        if ready is not None:
+            self._write(work, ready)
+            return
+        self._relay.counters.add("connections", "peer_opened")
+        dialled = link.dial(self._reactor, self._deadlines, self._dial_for, address,
+                            lambda: Link("peer", self._lost))
+        dialled.addCallbacks(self._connected, self._failed, (work, address), None, (work,))
+
+    def _take_idle(self, endpoint: int, address: tuple[str, int]) -> Link | None:
+        links = self._idle.get(endpoint)
+        while links:
+            ready = links.pop()
+            if not ready.up:
+                continue
+            if self._home[ready][1] != address:
+                ready.drop(link.MOVED)
+            elif ready.stale():
+                ready.drop(link.FAR_CLOSED)
+            else:
+                return ready
+        return None
+
+    def _connected(self, ready: Link, work: Try, address: tuple[str, int]) -> None:
+        self._home[ready] = (work.endpoint, address)
+        if work.done:
+            self._pool(ready)  # its try was given up meanwhile; the next one finds it open
+        else:
+            self._write(work, ready)
+
+    def _failed(self, _failure: Failure, work: Try) -> None:
+        self._end(work, Result.CONNECT_FAILED)
+
+    def _write(self, work: Try, ready: Link) -> None:
+        now = self._loop.now()
+        host = "{}:{}".format(*self._home[ready][1])
+        if work.held is None:
+            data = http.request("GET", "/_load", host)
+        else:
+            if not self._relay.going(work.number):
+                self._end(work, Result.MOOT)
+                self._pool(ready)
+                return
+            work.recorded = True
+            entry = work.held.entry
+            headers = [("Req-Id", entry.id), ("Req-Deadline", f"{max(0, work.ends - now) / 1e6:.3f}")]
+            if entry.key:
+                headers.append(("Idempotency-Key", entry.key))
+            data = http.request("POST", "/events", host, tuple(headers), entry.body)
+        work.link = ready
+        answer: Deferred = ready.call(data)
+        answer.addCallbacks(self._answered, self._broke, (work, ready), None, (work,))
+
+    def _late(self, place: int) -> None:
+        if (work := self._tries.get(place)) is not None:
+            self._give_up(work, Result.TIMEOUT, link.TIMED_OUT)
+
+    def _give_up(self, work: Try, result: Result, reason: str) -> None:
+        used = work.link
+        if used is None:
+            # Not written: it never ran. A dial goes on, its connection serves a later try.
+            self._end(work, Result.CONNECT_FAILED if result == Result.TIMEOUT else Result.MOOT)
+            return
+        used.forsake()
+        used.drop(reason)
+        self._end(work, result)
+
+    def _broke(self, failure: Failure, work: Try) -> None:
+        failure.trap(Broken)
+        self._end(work, Result.RESET if failure.value.written else Result.CONNECT_FAILED)
+
+    def _answered(self, response: http.Response, work: Try, used: Link) -> None:
+        if used.up:
+            self._pool(used)
+        status, headers = response.status, response.headers
+        result = Result.OK if status == 200 else NEVER_RAN_STATUS.get(status, Result.ERROR)
+        wait = 0.0
+        if result == Result.FULL:
+            if "x-no-slot" in headers:
+                result = Result.MOOT
+                self._relay.counters.add("tries", "no_slot")
+            else:
+                wait = seconds(headers.get("retry-after"))
+        if wait and work.held is not None:
+            self._hold_back(work.held.entry.dest)
+        self._end(work, result, over=status == 410, wait=wait, report=self._report(headers))
+
+    def _hold_back(self, dest: int) -> None:
+        """Guards against a try that was ordered before the wait was told and would be written in it."""
+        for work in list(self._by_key.values()):
+            if work.link is None and work.held.entry.dest == dest:
+                self._end(work, Result.MOOT)
+
+    def _report(self, headers: dict[str, str]) -> tuple[float, ...]:
+        text = headers.get("srv-load")
+        if not text:
+            return ()
+        told = dict(part.strip().partition("=")[::2] for part in text.split(","))
+        try:
+            return tuple(float(told[name]) for name in self._columns)
+        except (KeyError, ValueError):
+            return ()  # not the fields that the settings name
+
+    def _end(self, work: Try, result: Result, *, over: bool = False, wait: float = 0.0,
+             report: tuple[float, ...] = ()) -> None:
+        if work.done:
+            return
+        work.done = True
+        self._deadlines.cancel(work.deadline)
+        self._tries.remove(work.place)
+        spent = self._loop.now() - work.begun
+        if work.held is None:
+            self._relay.counters.add("probes", result.name.lower())
+            self._relay.put(api.Probed(work.endpoint, int(result), spent / 1000, report))
+            return
+        self._by_key.pop((work.number, work.attempt))
+        self._relay.outcome(work.number, work.attempt, work.endpoint, result, spent, work.recorded,
+                            over=over, wait_ms=wait, report=report)
+
+    # Idle connections ----------------------------------------------------------------------------
+
+    def _pool(self, ready: Link) -> None:
+        if not ready.up:
+            return
+        ready.since = self._loop.now()
+        self._idle.setdefault(self._home[ready][0], []).append(ready)
+        if len(self._home) > self._idle_most:
+            self._drop_oldest()
+        if self._sweep_at is None:
+            self._sweep_at = self._deadlines.after(self._idle_for, self._sweep)
+
+    def _drop_oldest(self) -> None:
+        """Guards against the descriptor limit: beyond the budget the longest idle connection goes."""
+        first = min((links[0] for links in self._idle.values() if links), key=lambda one: one.since)
+        self._idle[self._home[first][0]].remove(first)
+        first.drop(link.CROWDED)
+
+    def _sweep(self) -> None:
+        """Close what has been idle for long, before the peer does and a call is lost on it."""
+        self._sweep_at, now, oldest = None, self._loop.now(), None
+        for links in self._idle.values():
+            while links and (not links[0].up or links[0].since + self._idle_for <= now):
+                links.pop(0).drop(link.IDLE)
+            if links and (oldest is None or links[0].since < oldest):
+                oldest = links[0].since
+        if oldest is not None:
+            self._sweep_at = self._deadlines.at(oldest + self._idle_for, self._sweep)
+
+    def _lost(self, gone: Link) -> None:
+        home = self._home.pop(gone, None)
+        if home is not None and gone in (links := self._idle.get(home[0], [])):
+            links.remove(gone)
--- /dev/null
+++ b/lynxscale/relay.py
@@ -0,0 +1,313 @@
+"""The relay's core: events into the decision module, its actions out to ports.
+
+It knows neither HTTP nor the loop: a protocol offers messages and is told what became of them, and the
+ports carry out what the module wants. Times are whole microseconds on the loop's clock; only here are they
+turned into the module's milliseconds and the journal's Unix time.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from gannetshift import interface as api
+from gannetshift.brain import Sender
+from gannetshift.interface import Result
+from lynxscale.counters import Counters
+from lynxscale.deadlines import Deadlines, Loop
+from lynxscale.journal import Entry, Journal, JournalFull
+from lynxscale.slots import Slots
+
+log = logging.getLogger("lynxscale")
+
+BUSY_RETRY_MS = 1000.0  # when to come again where the module was not asked: no room here
+NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
+
+
+class Verdict(Enum):
+    """What became of an offer."""
+
+    TAKEN = "taken"
+    REJECTED = "rejected"  # by the decision module
+    NO_ROOM = "no_room"  # as many held as may be
+    DISK_FULL = "disk_full"
+
+
+Answer = Callable[[Verdict, float], None]
+
+
+@dataclass(slots=True)
+class Envelope:
+    """A message as a client hands it in, free of any protocol."""
+
+    id: str
+    cls: int
+    tenant: int
+    key: str
+    dest: int
+    time_left: int  # µs
+    body: bytes
+
+
+@dataclass(slots=True)
+class Held:
+    """A message that the relay has taken on, until nothing more is owed."""
+
+    entry: Entry
+    number: int = 0
+    cls: int = 0
+    tenant: int = 0
+    answer: Answer | None = None  # until admission is over
+    taken: bool = False
+    ended: bool = False  # the module has ended it, or it is delivered
+    attempts: int = 0
+
+
+class TryPort(Protocol):
+    def start(self, number: int, attempt: int, held: Held, endpoint: int, timeout: int) -> None: ...
+    def cancel(self, number: int, attempt: int) -> None: ...
+    def close_idle(self, endpoint: int) -> None: ...
+    def probe(self, endpoint: int) -> None: ...
+
+
+class GroupPort(Protocol):
+    def watch(self, active: bool) -> None: ...
+    def fetch(self) -> None: ...
+
+
+class NoticePort(Protocol):
+    def owe(self, number: int, id: str, status: str, again_ms: int) -> None: ...
+
+
+class Relay:
+    def __init__(self, settings: api.Settings, seed: int, loop: Loop, deadlines: Deadlines,
+                 journal: Journal, counters: Counters) -> None:
+        self.settings, self.loop, self.deadlines = settings, loop, deadlines
+        self.journal, self.counters = journal, counters
+        self.sender = Sender(settings, seed)
+        self.held: Slots = Slots()
+        self.by_id: dict[str, int] = {}
+        self.tries: TryPort
+        self.group: GroupPort
+        self.notices: NoticePort
+        self.out = 0  # tries that are under way
+        self.sending = True
+        self._events: list = []
+        self._offered: list[Held] = []
+        self._classes = {grade.name: place for place, grade in enumerate(settings.classes)}
+        self._tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
+        self._most = settings.most_held
+        self._unix_zero = time.time_ns() // 1000 - loop.now()
+
+    # Names ---------------------------------------------------------------------------------------
+
+    def class_number(self, name: str) -> int | None:
+        return self._classes.get(name)
+
+    def tenant_number(self, name: str) -> int | None:
+        """Its place in the settings; where these name no tenants, all are alike."""
+        return self._tenants.get(name) if self._tenants else 0
+
+    # Events --------------------------------------------------------------------------------------
+
+    def put(self, event) -> None:
+        """An event for the module, at the end of this turn."""
+        self._events.append(event)
+        self.loop.now()
+
+    def offer(self, envelope: Envelope, answer: Answer) -> None:
+        """A new message; ``answer`` is called in this turn, before any try goes."""
+        if envelope.id in self.by_id:
+            # A request sent again because its connection broke: it is held already.
+            self.counters.add("taken", "again")
+            answer(Verdict.TAKEN, 0.0)
+            return
+        if self._most is not None and len(self.held) >= self._most:
+            self.counters.add("reject", "no_room")
+            answer(Verdict.NO_ROOM, BUSY_RETRY_MS)
+            return
+        now = self.loop.now()
+        entry = Entry(
+            envelope.id, self.settings.classes[envelope.cls].name,
+            self.settings.tenants[envelope.tenant].name if self.settings.tenants else "",
+            envelope.key, envelope.dest, self._unix() + envelope.time_left, envelope.body,
+        )
+        held = Held(entry, cls=envelope.cls, tenant=envelope.tenant, answer=answer)
+        held.number = self.held.add(held)
+        self.by_id[entry.id] = held.number
+        self._offered.append(held)
+        self.put(api.Message(held.number, envelope.dest, envelope.cls, envelope.tenant,
+                             (now + envelope.time_left) / 1000))
+
+    def going(self, number: int) -> bool:
+        """A try is about to be written: keep that first. Where that fails, it must not go."""
+        if (held := self.held.get(number)) is None:
+            return False
+        try:
+            self.journal.tried(number, self._unix())
+        except JournalFull as error:
+            log.warning("try of %s not sent: %s", held.entry.id, error)
+            self.counters.add("tries", "not_recorded")
+            return False
+        return True
+
+    def outcome(self, number: int, attempt: int, endpoint: int, result: Result, spent: int, recorded: bool,
+                *, over: bool = False, wait_ms: float = 0.0, report: tuple[float, ...] = ()) -> None:
+        """How a try ended; ``recorded``: ``going`` was told of it; ``over``: nothing more is owed."""
+        self.out -= 1
+        self.counters.add("tries", result.name.lower())
+        held = self.held.get(number)
+        finished = held is None or held.ended
+        if not finished and (result == Result.OK or over):
+            self.counters.add("ends", "delivered" if result == Result.OK else "over")
+            finished = held.ended = True
+            self._forget(held)
+        elif not finished and result in NEVER_RAN:
+            self._keep(self.journal.not_run, number, recorded)
+        self.put(api.Outcome(number, attempt, endpoint, result, spent / 1000, finished, wait_ms, report))
+
+    def notified(self, number: int) -> None:
+        """The platform has the notice: nothing more is owed."""
+        if (held := self.held.get(number)) is not None:
+            self._forget(held)
+
+    # A turn --------------------------------------------------------------------------------------
+
+    def turn(self) -> None:
+        """Everything of this turn, in one step of the module."""
+        if not self._events:
+            return
+        events, self._events = self._events, []
+        offered, self._offered = self._offered, []
+        now = self.loop.now()
+        actions = self.sender.step(now / 1000, events)
+        if offered:
+            self._admit(offered, actions)
+        for action in actions:
+            self._act(action, now)
+
+    def _admit(self, offered: list[Held], actions: list) -> None:
+        """Answer each new message before anything else is done: rejected, or kept and taken."""
+        ended = {action.id: action for action in actions if type(action) in (api.Refuse, api.Fail)}
+        for held in offered:
+            answer, held.answer = held.answer, None
+            if (end := ended.get(held.number)) is not None:
+                self._drop(held, "module")
+                answer(Verdict.REJECTED, getattr(end, "retry_after", 0.0))
+                continue
+            try:
+                self.journal.take(held.number, held.entry)
+            except JournalFull as error:
+                log.warning("message %s rejected: %s", held.entry.id, error)
+                self._drop(held, "disk_full")
+                self.put(api.Withdrawn(held.number))
+                answer(Verdict.DISK_FULL, BUSY_RETRY_MS)
+                continue
+            held.taken = True
+            self.counters.add("taken", held.entry.cls)
+            answer(Verdict.TAKEN, 0.0)
+
+    def _act(self, action, now: int) -> None:
+        kind = type(action)
+        if kind is api.Attempt:
+            self._attempt(action)
+        elif kind is api.SetTimer:
+            # Rounded up: the module ignores what comes before its time.
+            self.deadlines.at(int(action.at * 1000) + 1, self.put, api.TimerDue(action.mark))
+        elif kind is api.Refuse:
+            self._end(action.id, "deferred", int(action.retry_after))
+        elif kind is api.Fail:
+            self._end(action.id, "undeliverable", 0)
+        elif kind is api.Cancel:
+            self.tries.cancel(action.id, action.attempt)
+        elif kind is api.CloseIdle:
+            self.tries.close_idle(action.endpoint)
+        elif kind is api.Subscribe:
+            self.group.watch(action.active)
+        elif kind is api.FetchList:
+            self.group.fetch()
+        elif kind is api.Probe:
+            self.tries.probe(action.endpoint)
+        elif kind is api.Note:
+            log.info("module: %s", action.text)
+
+    def _attempt(self, action: api.Attempt) -> None:
+        held = self.held.get(action.id)
+        if held is None or held.ended:
+            # Rejected in this very turn, as the journal is full: its first and only try gives back its slot.
+            self.out += 1
+            self.outcome(action.id, 0, action.endpoint, Result.MOOT, 0, False)
+            return
+        attempt, held.attempts = held.attempts, held.attempts + 1
+        if not self.sending:
+            return  # left in the journal for the next process
+        self.out += 1
+        self.tries.start(action.id, attempt, held, action.endpoint, int(action.timeout * 1000))
+
+    # Ends ----------------------------------------------------------------------------------------
+
+    def _end(self, number: int, status: str, again_ms: int) -> None:
+        held = self.held.get(number)
+        if held is None or held.ended:
+            return
+        held.ended = True
+        self.counters.add("ends", status)
+        self._keep(self.journal.final, number, status, again_ms)
+        self.notices.owe(number, held.entry.id, status, again_ms)
+
+    def _drop(self, held: Held, reason: str) -> None:
+        self.counters.add("reject", reason)
+        held.ended = True
+        self.held.remove(held.number)
+        self.by_id.pop(held.entry.id, None)
+
+    def _forget(self, held: Held) -> None:
+        self._keep(self.journal.end, held.number)
+        self.held.remove(held.number)
+        self.by_id.pop(held.entry.id, None)
+
+    def _keep(self, write: Callable, *args) -> None:
+        try:
+            write(*args)
+        except JournalFull as error:
+            # Nothing is lost in this process; the next rewrite of the file brings it in.
+            log.warning("not in the journal: %s", error)
+            self.counters.add("journal", "not_written")
+
+    # Start ---------------------------------------------------------------------------------------
+
+    def replay(self, entries: Iterable[Entry]) -> None:
+        """Take over what an earlier process left open: each is still owed its end."""
+        now, unix = self.loop.now(), self._unix()
+        numbered: dict[int, Entry] = {}
+        owed: list[Held] = []
+        for entry in entries:
+            cls, tenant = self.class_number(entry.cls), self.tenant_number(entry.tenant)
+            held = Held(entry, cls=cls or 0, tenant=tenant or 0, taken=True, attempts=entry.tries)
+            held.number = self.held.add(held)
+            self.by_id[entry.id] = held.number
+            numbered[held.number] = entry
+            if cls is None and entry.final is None:
+                entry.final = ("undeliverable", 0)  # its class has left the settings: nobody can judge it
+            if entry.final is not None:
+                owed.append(held)
+                continue
+            expires = now + entry.expires - unix
+            maybe = (now + min(entry.maybe) - unix) / 1000 if entry.maybe else 0.0
+            self.put(api.Message(held.number, entry.dest, held.cls, held.tenant, expires / 1000,
+                                 attempts=entry.tries, maybe_at=maybe))
+        self.journal.begin(numbered)
+        for held in owed:
+            held.ended = True
+            self.notices.owe(held.number, held.entry.id, *held.entry.final)
+        if numbered:
+            self.counters.add("taken", "replayed", len(numbered))
+            log.info("replayed %d open messages, %d with a notice owed", len(numbered), len(owed))
+
+    def _unix(self) -> int:
+        """This turn's time as Unix time, for what outlasts the process."""
+        return self._unix_zero + self.loop.now()
