Test the program as a process, and always tell a refused client when to come again

Seen: the new tests start the relay and talk to it as client, peers and discovery. One failed at once: a refusal of the module carried no Retry-After where its destination was not closed. The line at fault was give_up in gannetshift/brain.py, which advised closed_for(dest), nought in that case; it now advises 750 ms at least, the middle of what clients wait by themselves (390 to 1100 ms).

Ruled out: the relay's own rejects, which carried the header already.

--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -57,6 +57,7 @@
 # Order, queue and membership
 TENANT_BURST_S = 2.0  # seconds of its quota that a tenant may send at once and stay within share
 SHED_AT, SHED_TO = 0.95, 0.85  # shares of the messages held: shed from the first down to the second
+LEAST_ADVICE_MS = 750.0  # a refused client is always told when to come again: at once would be too soon
 ASK_FIRST_MS, ASK_MOST_MS, ASK_UNHEARD_MS = 300.0, 4000.0, 8000.0  # asking again after a failure, or silence
 STALE = 0.5  # of its worth in time: tried in vain and worth less, it leaves the room to fresher ones
 LOOK = 12  # oldest calls looked at for stuck ones
@@ -547,7 +548,8 @@
             self.actions.append(api.Fail(msg.id))
         else:
             most = (self.s.max_retry_after_ms or 0.0) if self.s.may_advise_retry else 0.0
-            self.actions.append(api.Refuse(msg.id, min(self.closed_for(msg.dest), most)))
+            advice = max(LEAST_ADVICE_MS, self.closed_for(msg.dest))
+            self.actions.append(api.Refuse(msg.id, min(advice, most)))
         self.end(msg)
 
     def end(self, msg: Held) -> None:  # answered: the next of its key may go
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,374 @@
+"""The real program, spoken to as a client, as peers and as discovery would."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import unittest
+
+from tests.node import PATIENCE, ROOT, NodeCase, Server, message, reply, row, until
+
+
+def never(_call):
+    """A peer that takes calls and answers none."""
+    return b""
+
+
+class Serving(NodeCase):
+    def test_a_message_reaches_its_peer_unchanged(self):
+        self.start()
+        body = bytes(range(256)) * 4
+        self.assertEqual(self.client().hand_in("m1", "keyed", body=body, Idempotency_Key="k-1")[0], 202)
+        first, headers, sent = until(lambda: self.calls("m1"), "the call")[0]
+        self.assertEqual((first, headers["idempotency-key"], sent), ("POST /events HTTP/1.1", "k-1", body))
+        self.assertLessEqual(float(headers["req-deadline"]), 16.0)
+        self.delivered(1)
+        self.assertEqual(self.discovery.notices, {})
+
+    def test_connections_are_used_again(self):
+        self.start()
+        client = self.client()
+        for number in range(20):
+            self.assertEqual(client.hand_in(f"m{number}")[0], 202)
+            self.delivered(number + 1)
+        self.assertEqual((len(self.calls()), self.peer.opened), (20, 1))
+
+    def test_a_request_sent_again_is_taken_once(self):
+        self.act = never
+        self.start()
+        for _ in range(2):
+            self.assertEqual(self.client().hand_in("m1")[0], 202)
+        self.assertEqual(self.counters()["taken"], {"again": 1, "safe": 1})
+
+    def test_more_clients_than_descriptors(self):
+        """The longest idle connections go, and everybody is served."""
+        self.limits["sockets"] = 64
+        self.start()
+        clients = [self.client() for _ in range(100)]
+        self.assertEqual(clients[-1].hand_in("last")[0], 202)
+        for number in range(40):
+            self.assertEqual(self.client().hand_in(f"m{number}")[0], 202)
+        until(lambda: "kind=client reason=crowded" in self.log.read_text(), "a crowded connection's line")
+        self.assertLess(len(os.listdir(f"/proc/{self.process.pid}/fd")), 64)
+
+
+class Rejecting(NodeCase):
+    def test_a_body_over_the_bound_is_answered_and_the_connection_lives(self):
+        self.start()
+        client = self.client()
+        self.assertEqual(client.hand_in("big", body=b"x" * (64 * 1024 + 1))[0], 413)
+        self.assertEqual(client.hand_in("most", body=b"x" * (64 * 1024))[0], 202)
+
+    def test_malformed_input_is_answered(self):
+        self.start()
+        for data, status in [
+            (b"nonsense\r\n\r\n", 400),
+            (b"POST /api HTTP/1.1\r\nno colon\r\n\r\n", 400),
+            (b"POST /api HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+            (b"POST /api HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+            (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 411),
+            (b"GET / HTTP/1.1\r\nX: " + b"x" * 20000, 431),
+            (b"GET / HTTP/2.0\r\n\r\n", 505),
+            (b"GET /nowhere HTTP/1.1\r\n\r\n", 404),
+            (b"GET /api HTTP/1.1\r\n\r\n", 405),
+            (message("m", cls="unknown"), 400),
+            (message("m", Req_Owner="nobody"), 400),
+            (message("m", Req_Deadline="soon"), 400),
+            (message("m", X_Envelope="dest=x"), 400),
+            (message(""), 400),
+        ]:
+            with self.subTest(data=data[:60]):
+                self.assertEqual(self.client().ask(data)[0], status)
+        self.assertEqual(self.client().hand_in("fine")[0], 202)
+
+    def test_as_many_as_may_be_held(self):
+        self.act = never
+        self.allowed["most_held"] = 5
+        self.start()
+        client = self.client()
+        answers = [client.hand_in(f"m{number}") for number in range(8)]
+        self.assertIn(202, [status for status, _, _ in answers])
+        status, headers, _ = answers[-1]
+        self.assertIn(status, (429, 503))
+        self.assertGreater(float(headers["retry-after"]), 0)
+
+    def test_the_module_says_when_to_come_again(self):
+        """Given up in the step that takes it: refused at once, and told when to come back."""
+        self.act = lambda call: reply(200)
+        self.start()
+        status, headers, _ = self.client().hand_in("late", left=0.0)
+        self.assertEqual(status, 429)
+        self.assertGreater(float(headers["retry-after"]), 0)
+
+    def test_a_full_folder(self):
+        """Rejected while the journal has no room, taken again once it has, and never over the limit."""
+        self.limits["disk_mb"] = 0.2
+        self.act = never
+        self.start()
+        client, statuses = self.client(), []
+        for number in range(10):
+            statuses.append(client.hand_in(f"m{number}", left=1.5, body=b"x" * 20000)[0])
+        self.assertEqual((statuses[0], statuses[-1]), (202, 503))
+        for number in range(statuses.count(202)):
+            self.notice(f"m{number}")
+        self.act = lambda call: reply(200)
+        until(lambda: client.hand_in(f"n{time.monotonic()}", body=b"x" * 20000)[0] == 202, "room again")
+        self.assertLess(sum(path.stat().st_size for path in self.state.iterdir()), 200_000)
+
+
+class Tries(NodeCase):
+    def test_refusals_are_tried_again(self):
+        answers = [reply(503), reply(503, b"", "X-No-Slot: 1"), reply(200)]
+        self.act = lambda call: answers.pop(0)
+        self.start()
+        self.client().hand_in("m1", "once")
+        self.delivered(1)
+        self.assertEqual(len(self.calls("m1")), 3)
+
+    def test_a_told_wait_binds_the_destination(self):
+        answers = [reply(429, b"", "Retry-After: 0.700")]
+        self.act = lambda call: answers.pop() if answers else reply(200)
+        self.start()
+        client = self.client()
+        client.hand_in("m0")
+        until(lambda: self.counters().get("tries", {}).get("full"), "the refusal")
+        told = self.peer.calls[0][0]
+        for number in range(1, 6):
+            client.hand_in(f"m{number}")
+        self.delivered(6)
+        self.assertGreaterEqual(min(at for at, _ in self.peer.calls[1:]) - told, 0.7)
+
+    def test_what_may_have_run_is_not_sent_twice(self):
+        self.act = lambda call: None
+        self.start()
+        self.client().hand_in("m1", "once")
+        self.assertEqual(self.notice("m1"), {"id": "m1", "status": "undeliverable"})
+        self.assertEqual(len(self.calls("m1")), 1)
+
+    def test_what_may_be_repeated_is(self):
+        self.act = lambda call: None if len(self.peer.calls) == 1 else reply(200)
+        self.start()
+        self.client().hand_in("m1", "safe")
+        self.delivered(1)
+        self.assertEqual(len(self.calls("m1")), 2)
+
+    def test_time_is_up(self):
+        self.act = never
+        self.start()
+        begun = time.monotonic()
+        self.client().hand_in("m1", "once", left=1.0)
+        self.client().hand_in("m2", "safe", left=1.0)
+        self.assertEqual(self.notice("m1")["status"], "undeliverable")
+        self.assertEqual(self.notice("m2")["status"], "deferred")
+        self.assertGreaterEqual(time.monotonic() - begun, 0.9)
+        until(lambda: not self.peer.open, "the end of the connections of what timed out")
+
+    def test_a_peer_that_refuses_connections_has_run_nothing(self):
+        gone = Server(never)
+        gone.close()
+        self.discovery.rows = [row("s-1", gone.at, 1)]
+        self.start()
+        self.client().hand_in("m1", "once")
+        until(lambda: self.counters().get("tries", {}).get("connect_failed"), "a failed connect")
+        self.discovery.change(row("s-1", self.peer.at, 1))
+        self.delivered(1)
+
+    def test_410_ends_a_message(self):
+        self.act = lambda call: reply(410)
+        self.start()
+        self.client().hand_in("m1", "once")
+        until(lambda: self.counters().get("ends", {}).get("over"), "the end")
+        self.assertEqual((len(self.calls("m1")), self.discovery.notices), (1, {}))
+
+    def test_a_connection_closed_meanwhile_is_not_written_to(self):
+        """The peer closes an idle connection; a message that must not run twice still gets through."""
+        self.start()
+        client = self.client()
+        for number in range(10):
+            client.hand_in(f"m{number}", "once")
+            self.delivered(number + 1)
+            for link in list(self.peer.open):
+                link.shutdown(socket.SHUT_RDWR)
+        self.assertEqual((len(self.calls()), self.discovery.notices), (10, {}))
+
+
+class Restarts(NodeCase):
+    def restart(self) -> None:
+        self.kill()
+        self.start()
+
+    def test_each_open_message_is_owed_its_end(self):
+        self.act = never
+        self.start()
+        client = self.client()
+        for cls in ("once", "keyed", "safe"):
+            client.hand_in(cls, cls, Idempotency_Key=cls)
+            until(lambda cls=cls: self.calls(cls), "the call")
+            until(lambda: self.peer.open, "an open call")
+        client.hand_in("untried", "once", dest=9)
+        self.kill()
+        self.act = lambda call: reply(200)
+        self.discovery.rows.append(row("s-9", self.peer.at, 9))
+        begun = time.monotonic()
+        self.start()
+        self.assertEqual(self.notice("once")["status"], "undeliverable")
+        self.assertLess(time.monotonic() - begun, 1.5 + 1.5)
+        self.delivered(3)
+        self.assertEqual({id: len(self.calls(id)) for id in ("once", "keyed", "safe", "untried")},
+                         {"once": 1, "keyed": 2, "safe": 2, "untried": 1})
+        self.assertEqual(self.calls("keyed")[1][1]["idempotency-key"], "keyed")
+
+    def test_a_refused_try_proves_that_it_never_ran(self):
+        self.act = lambda call: reply(429, b"", "Retry-After: 3")
+        self.start()
+        self.client().hand_in("m1", "once")
+        until(lambda: self.counters().get("tries", {}).get("full"), "the refusal")
+        self.kill()
+        self.act = lambda call: reply(200)
+        self.start()
+        self.delivered(1)
+        self.assertEqual(self.discovery.notices, {})
+
+    def test_attempts_count_on(self):
+        self.allowed["attempts_cap"] = 3
+        self.act = lambda call: reply(503)
+        self.start()
+        self.client().hand_in("m1", "safe")
+        until(lambda: self.counters().get("tries", {}).get("full") == 2, "two refusals")
+        self.restart()
+        self.assertEqual(self.notice("m1")["status"], "deferred")
+        self.assertEqual(len(self.calls("m1")), 3)
+
+    def test_a_torn_tail_costs_only_itself(self):
+        self.act = never
+        self.start()
+        self.client().hand_in("m1", "safe")
+        until(lambda: self.calls("m1"), "the call")
+        self.kill()
+        with (self.state / "journal").open("ab") as file:
+            file.write(b"\1\2\3\4\xff\0\0\0\1torn")
+        self.act = lambda call: reply(200)
+        self.start()
+        self.delivered(1)
+
+    def test_a_notice_is_owed_until_it_is_heard(self):
+        self.discovery.refusals = 10**6
+        self.act = lambda call: None
+        self.start()
+        self.client().hand_in("m1", "once")
+        until(lambda: self.counters().get("notices", {}).get("sent_again", 0) > 2, "notices sent again")
+        self.restart()
+        self.discovery.refusals = 3
+        self.notice("m1")
+        until(lambda: self.counters().get("notices", {}).get("delivered") == 1, "the notice's end")
+        self.restart()
+        self.assertNotIn("taken", self.counters())
+        self.assertEqual(len(self.calls("m1")), 1)
+
+    def test_the_journal_stays_small(self):
+        self.limits["disk_mb"] = 0.2
+        self.start()
+        client = self.client()
+        for number in range(60):
+            self.assertEqual(client.hand_in(f"m{number}", body=b"x" * 8000)[0], 202)
+            self.delivered(number + 1)
+            self.assertLess(sum(path.stat().st_size for path in self.state.iterdir()), 200_000)
+
+
+class Stopping(NodeCase):
+    def test_sigterm_finishes_what_it_can(self):
+        go = threading.Event()
+        self.act = lambda call: reply(200) if go.wait(PATIENCE) else None
+        self.start()
+        client, other = self.client(), self.client()
+        client.hand_in("m1", "once")
+        until(lambda: self.calls("m1"), "the call")
+        self.process.send_signal(signal.SIGTERM)
+        until(lambda: "stopping" in self.log.read_text(), "the stop")
+        status, headers, _ = client.hand_in("m2")
+        self.assertEqual((status, headers["connection"]), (202, "close"))
+        self.assertEqual(self.client().hand_in("m3")[0], 202)  # new connections still come
+        self.assertEqual(other.stream.read(), b"")  # an idle one is closed
+        go.set()
+        self.assertEqual(self.process.wait(PATIENCE), 0)
+        self.assertEqual(sorted({call[1]["req-id"] for call in self.calls()}), ["m1", "m2", "m3"])
+        self.assertIn("counters ends: delivered=3", self.log.read_text())
+
+    def test_sigterm_leaves_the_rest_in_the_journal(self):
+        self.act = never
+        self.start()
+        self.client().hand_in("m1", "safe")
+        until(lambda: self.calls("m1"), "the call")
+        begun = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(self.process.wait(PATIENCE), 0)
+        self.assertLess(time.monotonic() - begun, 3.7)
+        self.act = lambda call: reply(200)
+        self.start()
+        self.delivered(1)
+
+    def test_counters_on_request(self):
+        self.start()
+        self.client().hand_in("m1")
+        self.delivered(1)
+        self.process.send_signal(signal.SIGUSR1)
+        until(lambda: "counters taken: safe=1" in self.log.read_text(), "the counters")
+
+
+class UpstreamGroup(NodeCase):
+    def test_nothing_new_goes_to_a_draining_peer(self):
+        second = Server(lambda call: reply(200))
+        self.addCleanup(second.close)
+        self.start()
+        until(lambda: len(self.discovery.calls) >= 2, "the watch")
+        self.discovery.change(row("s-1", self.peer.at, 1, "draining"), row("s-2", second.at, 1))
+        until(lambda: any("after=2" in call[0] for _, call in list(self.discovery.calls)), "the next watch")
+        client = self.client()
+        for number in range(5):
+            client.hand_in(f"m{number}")
+        self.delivered(5)
+        self.assertEqual((len(self.calls()), len(second.calls)), (0, 5))
+
+    def test_the_watch_goes_on_at_once_and_after_failures(self):
+        self.start()
+        until(lambda: len(self.discovery.calls) >= 2, "the watch")
+        answered = time.monotonic()
+        self.discovery.change()
+        until(lambda: any("after=2" in call[0] for _, call in list(self.discovery.calls)), "the next call")
+        self.assertLess(self.discovery.calls[-1][0] - answered, 0.2)
+        self.discovery.failing = True
+        self.discovery.change()
+        until(lambda: self.counters()["group"].get("failed", 0) >= 2, "failures")
+        self.discovery.failing = False
+        number = self.counters()["group"]["answers"]
+        until(lambda: self.counters()["group"]["answers"] > number, "an answer")
+        self.assertEqual(self.client().hand_in("m1")[0], 202)
+        self.delivered(1)
+
+    def test_a_line_of_no_use_does_not_take_the_list_with_it(self):
+        self.discovery.rows.insert(0, {"instanceId": "s-0", "lifecycle": "ready", "hostPort": "nowhere"})
+        self.start()
+        self.client().hand_in("m1")
+        self.delivered(1)
+
+
+class Configuration(unittest.TestCase):
+    def test_the_faulty_key_is_named(self):
+        for text, key in [("{}", "NODE_STATE"), ("[", "NODE_CONFIG"),
+                          ('{"state":"/tmp"}', "settings"),
+                          ('{"state":"/tmp","limits":{"sockets":"many"},"settings":{"balancers":1,"grades":'
+                           '[{"effect":"idempotent","goal_time_ms":1,"deadline_ms":2,"value":1}],'
+                           '"family_info":{"max_calls":4}}}', "limits.sockets"),
+                          ('{"state":"/tmp","settings":{"balancers":1,"family_info":{"max_calls":4},"grades":[{"effect":"odd"}]}}',
+                           "grades[0].effect")]:
+            with self.subTest(key=key):
+                env = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")}
+                run = subprocess.run(
+                    [sys.executable, "-m", "lynxscale"], cwd=ROOT, capture_output=True, text=True, input=text,
+                    env=env | {"NODE_CONFIG": "/dev/stdin"}, timeout=PATIENCE,
+                )
+                self.assertEqual((run.returncode, run.stderr.count("\n")), (2, 1), run.stderr)
+                self.assertIn(key, run.stderr)
