Keep serving through a fault of the module, and answer an id twice in one turn alike

Seen on reading relay.py again: an exception in Sender.step would have left the messages of that turn without an answer, and an id that came twice in one turn was answered 202 for the second before the first was decided. Relay._step now keeps what the module did before the fault, and a backstop 100 ms after a message's time ends what was lost track of. A client that sends and never reads no longer grows the write buffer.

--- a/lynxscale/net/clients.py
+++ b/lynxscale/net/clients.py
@@ -89,6 +89,8 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        # Guards against a client that sends and never reads: while answers pile up, nothing more is read.
+        self.transport.registerProducer(self.transport, True)
         self._desk.joined(self)
         self._wait_for_next()
 
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -18,13 +18,14 @@
 from gannetshift.brain import Sender
 from gannetshift.interface import Result
 from lynxscale.counters import Counters
-from lynxscale.deadlines import Deadlines, Loop
+from lynxscale.deadlines import Deadline, Deadlines, Loop
 from lynxscale.journal import Entry, Journal, JournalFull
 from lynxscale.slots import Slots
 
 log = logging.getLogger("lynxscale")
 
 BUSY_RETRY_MS = 1000.0  # when to come again where the module was not asked: no room here
+BACKSTOP = 100_000  # µs after a message's time; the module has ended it by then
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 
 
@@ -61,10 +62,10 @@
     number: int = 0
     cls: int = 0
     tenant: int = 0
-    answer: Answer | None = None  # until admission is over
-    taken: bool = False
+    answers: list[Answer] | None = None  # who waits for admission; None once it is over
     ended: bool = False  # the module has ended it, or it is delivered
     attempts: int = 0
+    backstop: Deadline | None = None
 
 
 class TryPort(Protocol):
@@ -121,10 +122,13 @@
 
     def offer(self, envelope: Envelope, answer: Answer) -> None:
         """A new message; ``answer`` is called in this turn, before any try goes."""
-        if envelope.id in self.by_id:
-            # A request sent again because its connection broke: it is held already.
+        if (known := self.held.get(self.by_id.get(envelope.id, -1))) is not None:
+            # A request sent again because its connection broke: it is held already, or is about to be.
             self.counters.add("taken", "again")
-            answer(Verdict.TAKEN, 0.0)
+            if known.answers is None:
+                answer(Verdict.TAKEN, 0.0)
+            else:
+                known.answers.append(answer)
             return
         if self._most is not None and len(self.held) >= self._most:
             self.counters.add("reject", "no_room")
@@ -136,7 +140,7 @@
             self.settings.tenants[envelope.tenant].name if self.settings.tenants else "",
             envelope.key, envelope.dest, self._unix() + envelope.time_left, envelope.body,
         )
-        held = Held(entry, cls=envelope.cls, tenant=envelope.tenant, answer=answer)
+        held = Held(entry, cls=envelope.cls, tenant=envelope.tenant, answers=[answer])
         held.number = self.held.add(held)
         self.by_id[entry.id] = held.number
         self._offered.append(held)
@@ -184,20 +188,32 @@
         events, self._events = self._events, []
         offered, self._offered = self._offered, []
         now = self.loop.now()
-        actions = self.sender.step(now / 1000, events)
+        actions = self._step(now / 1000, events)
         if offered:
             self._admit(offered, actions)
         for action in actions:
             self._act(action, now)
 
+    def _step(self, now_ms: float, events: list) -> list:
+        """The module's actions. Guards against a fault in it: what it did before counts, and service goes on.
+
+        A message that it lost track of that way is ended by its backstop.
+        """
+        try:
+            return self.sender.step(now_ms, events)
+        except Exception:
+            log.exception("the decision module failed")
+            self.counters.add("module", "failed")
+            return list(self.sender.actions)
+
     def _admit(self, offered: list[Held], actions: list) -> None:
         """Answer each new message before anything else is done: rejected, or kept and taken."""
         ended = {action.id: action for action in actions if type(action) in (api.Refuse, api.Fail)}
         for held in offered:
-            answer, held.answer = held.answer, None
+            answers, held.answers = held.answers, None
             if (end := ended.get(held.number)) is not None:
                 self._drop(held, "module")
-                answer(Verdict.REJECTED, getattr(end, "retry_after", 0.0))
+                self._tell(answers, Verdict.REJECTED, getattr(end, "retry_after", 0.0))
                 continue
             try:
                 self.journal.take(held.number, held.entry)
@@ -205,11 +221,16 @@
                 log.warning("message %s rejected: %s", held.entry.id, error)
                 self._drop(held, "disk_full")
                 self.put(api.Withdrawn(held.number))
-                answer(Verdict.DISK_FULL, BUSY_RETRY_MS)
+                self._tell(answers, Verdict.DISK_FULL, BUSY_RETRY_MS)
                 continue
-            held.taken = True
             self.counters.add("taken", held.entry.cls)
-            answer(Verdict.TAKEN, 0.0)
+            self._backstop(held)
+            self._tell(answers, Verdict.TAKEN, 0.0)
+
+    @staticmethod
+    def _tell(answers: list[Answer], verdict: Verdict, retry_after_ms: float) -> None:
+        for answer in answers:
+            answer(verdict, retry_after_ms)
 
     def _act(self, action, now: int) -> None:
         kind = type(action)
@@ -255,10 +276,24 @@
         if held is None or held.ended:
             return
         held.ended = True
+        self.deadlines.cancel(held.backstop)
         self.counters.add("ends", status)
         self._keep(self.journal.final, number, status, again_ms)
         self.notices.owe(number, held.entry.id, status, again_ms)
 
+    def _backstop(self, held: Held) -> None:
+        """Whatever happens, a message gets its end once its time is up."""
+        at = held.entry.expires - self._unix_zero + BACKSTOP
+        held.backstop = self.deadlines.at(at, self._overdue, held.number)
+
+    def _overdue(self, number: int) -> None:
+        held = self.held.get(number)
+        if held is not None and not held.ended:
+            self.counters.add("module", "overdue")
+            log.error("message %s was left without an end", held.entry.id)
+            self._end(number, "undeliverable", 0)
+            self.put(api.Withdrawn(number))
+
     def _drop(self, held: Held, reason: str) -> None:
         self.counters.add("reject", reason)
         held.ended = True
@@ -266,6 +301,7 @@
         self.by_id.pop(held.entry.id, None)
 
     def _forget(self, held: Held) -> None:
+        self.deadlines.cancel(held.backstop)
         self._keep(self.journal.end, held.number)
         self.held.remove(held.number)
         self.by_id.pop(held.entry.id, None)
@@ -287,7 +323,7 @@
         owed: list[Held] = []
         for entry in entries:
             cls, tenant = self.class_number(entry.cls), self.tenant_number(entry.tenant)
-            held = Held(entry, cls=cls or 0, tenant=tenant or 0, taken=True, attempts=entry.tries)
+            held = Held(entry, cls=cls or 0, tenant=tenant or 0, attempts=entry.tries)
             held.number = self.held.add(held)
             self.by_id[entry.id] = held.number
             numbered[held.number] = entry
@@ -296,6 +332,7 @@
             if entry.final is not None:
                 owed.append(held)
                 continue
+            self._backstop(held)
             expires = now + entry.expires - unix
             maybe = (now + min(entry.maybe) - unix) / 1000 if entry.maybe else 0.0
             self.put(api.Message(held.number, entry.dest, held.cls, held.tenant, expires / 1000,
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,148 @@
+"""The core without sockets: another protocol than HTTP could stand before it in the same way."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from gannetshift import interface as api
+from gannetshift.reader import settings_from
+from lynxscale import journal
+from lynxscale.counters import Counters
+from lynxscale.deadlines import Deadlines, Loop
+from lynxscale.relay import Envelope, Relay, Verdict
+from lynxscale.slots import Slots
+from tests.node import settings
+
+
+class Ports:
+    """Stands for tries, group and notices: keeps what it was told."""
+
+    def __init__(self) -> None:
+        self.told = []
+
+    def __getattr__(self, name):
+        return lambda *args: self.told.append((name, *args))
+
+
+class Turns:
+    """A loop cranked by hand."""
+
+    def __init__(self) -> None:
+        self.planned = []
+
+    def call_later(self, seconds, act):
+        entry = [seconds, act]
+        self.planned.append(entry)
+        return type("Timer", (), {"cancel": lambda _self: self.planned.remove(entry)})()
+
+    def run(self, within: float = 0.0) -> None:
+        due = [entry for entry in self.planned if entry[0] <= within]
+        for entry in due:
+            if entry in self.planned:
+                self.planned.remove(entry)
+                entry[1]()
+
+
+class Core(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.turns, self.ports, self.answers = Turns(), Ports(), []
+        loop = Loop(self.turns.call_later)
+        self.journal = journal.Journal(Path(folder.name), 1_000_000)
+        self.addCleanup(self.journal.close)
+        self.relay = Relay(settings_from(settings()), 1, loop, Deadlines(loop, self.turns.call_later),
+                           self.journal, Counters())
+        loop.at_end = self.relay.turn
+        self.relay.tries = self.relay.group = self.relay.notices = self.ports
+        self.relay.replay(self.journal.open())
+        member = api.Member(7, api.Lifecycle.READY, 1, 0, 0, 20.0)
+        self.relay.put(api.Membership(api.ListKind.FULL, 1, [member]))
+        self.turns.run()
+
+    def offer(self, id: str, left: float = 16.0) -> None:
+        self.relay.offer(Envelope(id, 0, 0, "", 1, int(left * 1e6), b"body"),
+                         lambda verdict, _again: self.answers.append((id, verdict)))
+
+    def told(self, name: str) -> list:
+        return [row for row in self.ports.told if row[0] == name]
+
+    def test_answered_before_the_try_goes(self):
+        self.ports.start = lambda *args: self.answers.append("try")
+        self.offer("m1")
+        self.assertEqual(self.answers, [])
+        self.turns.run()
+        self.assertEqual(self.answers, [("m1", Verdict.TAKEN), "try"])
+
+    def test_twice_in_one_turn_is_answered_twice_and_taken_once(self):
+        self.offer("m1", left=0.0)
+        self.offer("m1", left=0.0)
+        self.turns.run()
+        self.assertEqual(self.answers, [("m1", Verdict.REJECTED)] * 2)
+        self.assertEqual(len(self.relay.held), 0)
+
+    def test_a_fault_of_the_module_loses_no_message(self):
+        """What it lost track of is taken, kept, and ended once its time is up."""
+        def fault(_now, _events):
+            self.relay.sender.actions = []
+            raise ZeroDivisionError
+
+        step, self.relay.sender.step = self.relay.sender.step, fault
+        with self.assertLogs("lynxscale", "ERROR"):
+            self.offer("m1", left=0.001)
+            self.turns.run()
+        self.relay.sender.step = step
+        self.assertEqual(self.answers, [("m1", Verdict.TAKEN)])
+        with self.assertLogs("lynxscale", "ERROR"):
+            while not self.told("owe"):
+                self.turns.run(within=1.0)
+        self.assertEqual(self.told("owe")[0][2:4], ("m1", "undeliverable"))
+
+
+class Journals(unittest.TestCase):
+    def test_every_cut_of_the_log_reads_as_far_as_it_is_whole(self):
+        with tempfile.TemporaryDirectory() as name:
+            log = journal.Journal(Path(name), 1_000_000)
+            log.begin({})
+            ends = [0]
+            for number in range(1, 4):
+                log.take(number, journal.Entry(f"m{number}", "safe", "acme", "", 1, 99, bytes([0, 10, 255])))
+                ends.append(log.size)
+            log.tried(2, 55)
+            log.final(2, "deferred", 500)
+            log.end(1)
+            log.close()
+            data = Path(name, "journal").read_bytes()
+        for cut in range(len(data)):
+            entries, whole = journal.read(data[:cut])
+            self.assertEqual(len(entries), sum(end <= cut for end in ends[1:]))
+            self.assertLessEqual(whole, cut)
+        entries, whole = journal.read(data)
+        self.assertEqual((sorted(entries), whole), ([2, 3], len(data)))
+        self.assertEqual((entries[2].maybe, entries[2].final), ([55], ("deferred", 500)))
+
+    def test_what_is_written_anew_reads_the_same(self):
+        with tempfile.TemporaryDirectory() as name:
+            log = journal.Journal(Path(name), 20_000)
+            log.begin({})
+            log.take(1, journal.Entry("m1", "safe", "acme", "k", 1, 99, b"body"))
+            for round_ in range(400):
+                log.tried(1, round_)
+                log.not_run(1, True)
+            log.tried(1, 777)
+            log.not_run(1, False)
+            log.close()
+            entry = journal.read(Path(name, "journal").read_bytes())[0][1]
+        self.assertGreater(log.rewrites, 1)
+        self.assertEqual((entry.tries, entry.maybe, entry.key, entry.body), (402, [777], "k", b"body"))
+
+
+class Tables(unittest.TestCase):
+    def test_an_old_number_finds_nothing(self):
+        table = Slots()
+        first = table.add("a")
+        table.remove(first)
+        second = table.add("b")
+        self.assertNotEqual(first, second)
+        self.assertEqual((table.get(first), table.get(second), len(table)), (None, "b", 1))
+        self.assertIsNone(table.remove(first))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,6 +1,7 @@
 """The real program, spoken to as a client, as peers and as discovery would."""
 
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -9,7 +10,7 @@
 import time
 import unittest
 
-from tests.node import PATIENCE, ROOT, NodeCase, Server, message, reply, row, until
+from tests.node import PATIENCE, ROOT, Client, NodeCase, Server, message, reply, row, until
 
 
 def never(_call):
@@ -55,6 +56,29 @@
         self.assertLess(len(os.listdir(f"/proc/{self.process.pid}/fd")), 64)
 
 
+    def test_no_descriptor_left(self):
+        """Neither connections nor tries that get no descriptor end the relay; later ones are served."""
+        self.start()
+        client = self.client()
+        client.hand_in("m1")
+        self.delivered(1)
+        pid = self.process.pid
+        before = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        used = max(int(name) for name in os.listdir(f"/proc/{pid}/fd")) + 1
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (used, before[1]))
+        waiting = [Client(self.port) for _ in range(10)]
+        self.act = lambda call: b""  # the open connection stays taken: the next try needs a new one
+        client.hand_in("m2")
+        until(lambda: self.calls("m2"), "the call")
+        client.hand_in("m3")
+        for one in waiting:
+            one.close()
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, before)
+        self.act = lambda call: reply(200)
+        self.delivered(2)
+        self.assertIsNone(self.process.poll())
+
+
 class Rejecting(NodeCase):
     def test_a_body_over_the_bound_is_answered_and_the_connection_lives(self):
         self.start()
