Let a turn follow for events that come while one ends, and time by the monotonic clock

Seen on a read of deadlines.py: Relay.put leaned on Loop.now to plan the end of the turn, but during that end the clock is still held and nothing was planned. A try that ended as it was ordered (no address, taken back) was heard of only with the next event of another kind. Loop.wake now plans a turn by itself. The new test in tests/test_core.py fails on the code before. Also, the loop timed its calls by the wall clock (reactor.seconds is time.time): a step back would have stopped every deadline.

--- a/lynxscale/__main__.py
+++ b/lynxscale/__main__.py
@@ -5,6 +5,7 @@
 import logging
 import signal
 import sys
+import time
 
 from twisted.internet import reactor
 from twisted.internet.error import CannotListenError
@@ -103,6 +104,8 @@
 
 
 def main() -> int:
+    # Guards against a stepped wall clock, by which the loop would keep its timers: they would stand still.
+    reactor.seconds = time.monotonic
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(message)s")
     try:
         program = Program(config.load())
--- a/lynxscale/deadlines.py
+++ b/lynxscale/deadlines.py
@@ -17,15 +17,23 @@
     def __init__(self, call_later: Callable, at_end: Callable[[], None] | None = None) -> None:
         self._call_later, self.at_end = call_later, at_end
         self._now: int | None = None
+        self._planned = False
 
     def now(self) -> int:
         """Whole microseconds on the monotonic clock; the same for the rest of this turn."""
         if self._now is None:
             self._now = time.monotonic_ns() // 1000
-            self._call_later(0, self._end)
+            self.wake()
         return self._now
 
+    def wake(self) -> None:
+        """Let a turn end soon. What is gathered while one ends is handled at the end of the next."""
+        if not self._planned:
+            self._planned = True
+            self._call_later(0, self._end)
+
     def _end(self) -> None:
+        self._planned = False
         try:
             if self.at_end is not None:
                 self.at_end()
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -118,7 +118,7 @@
     def put(self, event) -> None:
         """An event for the module, at the end of this turn."""
         self._events.append(event)
-        self.loop.now()
+        self.loop.wake()
 
     def offer(self, envelope: Envelope, answer: Answer) -> None:
         """A new message; ``answer`` is called in this turn, before any try goes."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -74,6 +74,15 @@
         self.turns.run()
         self.assertEqual(self.answers, [("m1", Verdict.TAKEN), "try"])
 
+    def test_an_outcome_that_comes_at_once_reaches_the_module(self):
+        """A try can end as it is ordered: no later event may be needed for the module to hear of it."""
+        self.ports.start = lambda number, attempt, _held, endpoint, _timeout: self.relay.outcome(
+            number, attempt, endpoint, api.Result.CONNECT_FAILED, 0, False)
+        self.offer("m1")
+        self.turns.run()
+        self.turns.run()
+        self.assertEqual((self.relay.sender.tries, self.relay.out), ({}, 0))
+
     def test_twice_in_one_turn_is_answered_twice_and_taken_once(self):
         self.offer("m1", left=0.0)
         self.offer("m1", left=0.0)
