--- a/lynxscale/__main__.py
+++ b/lynxscale/__main__.py
@@ -46,7 +46,7 @@
         self.loop.at_end = relay.turn
         peer_sockets = max(conf.settings.slots, conf.sockets // PEER_SHARE)
         self.group = relay.group = Group(
-            reactor, self.loop, self.deadlines, conf.discovery, conf.settings, relay.put, self.counters
+            reactor, self.deadlines, conf.discovery, conf.settings, relay.put, self.counters
         )
         self.peers = relay.tries = Peers(
             reactor, self.loop, self.deadlines, relay, self.group.address_of, peer_sockets
@@ -89,6 +89,9 @@
             self.deadlines.after(LOOK_EVERY, self._look)
 
     def leave(self) -> None:
+        self.group.stop()
+        self.peers.stop()
+        self.notices.stop()
         for line in self.counters.lines():
             log.info("%s", line)
         log.info("ended, %d left in the journal", len(self.relay.held))
--- a/lynxscale/net/clients.py
+++ b/lynxscale/net/clients.py
@@ -258,7 +258,7 @@
         if path == TASK_PATH:
             self._hand_in(connection, request)
         elif path == READY_PATH and request.method == "GET":
-            connection.answer(200)
+            connection.answer(503 if self.stopping else 200)
         elif path == COUNTERS_PATH and request.method == "GET":
             connection.answer(200, body=orjson.dumps(self.relay.counters.table()), kind="application/json")
         else:
--- a/lynxscale/net/link.py
+++ b/lynxscale/net/link.py
@@ -14,7 +14,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from lynxscale.deadlines import Deadlines
+from lynxscale.deadlines import Deadline, Deadlines
 from lynxscale.http import BadHttp, Response, ResponseParser
 
 log = logging.getLogger("lynxscale")
@@ -154,3 +154,72 @@
         return result
 
     return dialled.addBoth(settled)
+
+
+class Caller:
+    """Calls to one address, over one connection that is opened when needed; one call at a time."""
+
+    def __init__(self, reactor, deadlines: Deadlines, where: tuple[str, int], kind: str) -> None:
+        self._reactor, self._deadlines, self._where, self._kind = reactor, deadlines, where, kind
+        self.host = f"{where[0]}:{where[1]}"
+        self._link: Link | None = None
+        self._answer: Deferred | None = None
+        self._round = 0  # what belongs to an earlier call is not heard any more
+        self._deadline: Deadline | None = None
+
+    def call(self, data: bytes, micros: int) -> Deferred:
+        """The Response within that time, else a failure. An earlier call is dropped and never fires."""
+        self.drop(CANCELLED)
+        answer = self._answer = Deferred()
+        number = self._round
+        self._deadline = self._deadlines.after(micros, self._late, number)
+        ready = self._link
+        if ready is not None and ready.up and not ready.stale():
+            self._send(ready, data, number)
+            return answer
+        if ready is not None:
+            ready.drop(FAR_CLOSED)
+        dialled = dial(self._reactor, self._deadlines, micros, self._where, lambda: Link(self._kind))
+        dialled.addCallbacks(self._connected, self._failed, (data, number), None, (number,))
+        return answer
+
+    def drop(self, reason: str) -> None:
+        """End the call that is under way, if any."""
+        self._round += 1
+        self._answer = None
+        self._deadlines.cancel(self._deadline)
+        if self._link is not None and self._link.busy:
+            self._link.forsake()
+            self._link.drop(reason)
+
+    def close_idle(self, reason: str) -> None:
+        if self._link is not None and not self._link.busy:
+            self._link.drop(reason)
+
+    def _connected(self, ready: Link, data: bytes, number: int) -> None:
+        if number != self._round:
+            ready.drop(CANCELLED)
+            return
+        self._link = ready
+        self._send(ready, data, number)
+
+    def _send(self, ready: Link, data: bytes, number: int) -> None:
+        ready.call(data).addCallbacks(self._answered, self._failed, (number,), None, (number,))
+
+    def _answered(self, response: Response, number: int) -> None:
+        if number == self._round:
+            answer, self._answer = self._answer, None
+            self._deadlines.cancel(self._deadline)
+            answer.callback(response)
+
+    def _failed(self, failure: Failure, number: int) -> None:
+        if number == self._round:
+            answer = self._answer
+            self.drop(RESET)
+            answer.errback(failure)
+
+    def _late(self, number: int) -> None:
+        if number == self._round:
+            answer = self._answer
+            self.drop(TIMED_OUT)
+            answer.errback(Broken(False))
--- a/tests/node.py
+++ b/tests/node.py
@@ -96,6 +96,7 @@
         self.version, self.rows, self.changed = 1, [], []
         self.notices: dict[str, dict] = {}
         self.refusals = 0  # so many notices are answered 503 first
+        self.unreadable = ""  # a notice with this text in it is answered 400
         self.failing = False
         super().__init__(self._act)
 
@@ -105,6 +106,8 @@
             if self.refusals:
                 self.refusals -= 1
                 return reply(503)
+            if self.unreadable and self.unreadable.encode() in body:
+                return reply(400)
             for line in body.splitlines():
                 row = json.loads(line)
                 self.notices[row["id"]] = row
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -292,6 +292,17 @@
         self.assertNotIn("taken", self.counters())
         self.assertEqual(len(self.calls("m1")), 1)
 
+    def test_a_notice_that_cannot_be_read_does_not_hold_up_the_others(self):
+        self.discovery.unreadable = "odd"
+        self.act = lambda call: None
+        self.start()
+        for id in ("odd", "m1", "m2"):
+            self.client().hand_in(id, "once")
+        for id in ("m1", "m2"):
+            self.notice(id)
+        self.discovery.unreadable = ""
+        self.notice("odd")
+
     def test_the_journal_stays_small(self):
         self.limits["disk_mb"] = 0.2
         self.start()
