--- a/lynxscale/__main__.py
+++ b/lynxscale/__main__.py
@@ -56,7 +56,7 @@
             reactor, self.deadlines, conf.discovery, relay.notified, self.counters
         )
         most_clients = max(8, conf.sockets - peer_sockets - OWN_SOCKETS)
-        self.clients = Clients(self.loop, self.deadlines, relay, most_clients)
+        self.clients = Clients(self.deadlines, relay, most_clients)
         self._stop_begun = 0
 
     def start(self) -> None:
--- a/lynxscale/counters.py
+++ b/lynxscale/counters.py
@@ -14,9 +14,6 @@
     def add(self, group: str, reason: str, by: int = 1) -> None:
         self._counts[group, reason] += by
 
-    def get(self, group: str, reason: str) -> int:
-        return self._counts[group, reason]
-
     def table(self) -> dict[str, dict[str, int]]:
         table: dict[str, dict[str, int]] = {}
         for (group, reason), number in sorted(self._counts.items()):
--- a/lynxscale/net/clients.py
+++ b/lynxscale/net/clients.py
@@ -12,7 +12,7 @@
 from twisted.python.failure import Failure
 
 from lynxscale import http
-from lynxscale.deadlines import Deadline, Deadlines, Loop
+from lynxscale.deadlines import Deadline, Deadlines
 from lynxscale.net import link
 from lynxscale.relay import Envelope, Relay, Verdict
 from lynxscale.slots import Slots
@@ -195,8 +195,8 @@
 
     noisy = False
 
-    def __init__(self, loop: Loop, deadlines: Deadlines, relay: Relay, most: int) -> None:
-        self.loop, self.deadlines, self.relay, self._most = loop, deadlines, relay, most
+    def __init__(self, deadlines: Deadlines, relay: Relay, most: int) -> None:
+        self.deadlines, self.relay, self._most = deadlines, relay, most
         self.stopping = False
         self._connections: Slots = Slots()
         self._idle: OrderedDict[int, ClientConnection] = OrderedDict()  # the longest idle first
--- a/lynxscale/slots.py
+++ b/lynxscale/slots.py
@@ -20,9 +20,6 @@
     def __len__(self) -> int:
         return self._used
 
-    def __iter__(self):
-        return iter([item for item in self._items if item is not None])
-
     def add(self, item: Any) -> int:
         if self._free:
             place = self._free.pop()
