SIGHUP reads the configuration anew and moves discovery and notices to the new address

Changed: config.load(again=True) checks the whole file; Group.move asks the whole list, as versions belong to the old address, and then watches; Notices.move sends again what was on its way; handlers stand before the parts are made. A call to discovery counts as failed after its wait and 1.5 s, 2.5 s before: two tries fit into the 4 s.

--- a/lynxscale/__main__.py
+++ b/lynxscale/__main__.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from dataclasses import replace
 
 from twisted.internet import reactor
 from twisted.internet.error import CannotListenError
@@ -30,6 +31,10 @@
 TRY_FOR = 2_200_000  # tries still go out
 LEAVE_AT = 3_200_000  # the rest stays in the journal
 LOOK_EVERY = 50_000
+RESTART_KEYS = ("name", "listen", "state", "sockets", "disk_bytes", "settings")  # kept until a restart
+
+SIGNALS = {signal.SIGTERM: "stop", signal.SIGINT: "stop", signal.SIGHUP: "reload",
+           signal.SIGUSR1: "print_counters"}
 
 
 class Program:
@@ -67,6 +72,23 @@
         self.clients.listen(reactor, self.conf.listen)
         log.info("ready name=%s open=%d", self.conf.name, len(entries))
 
+    # A new configuration ------------------------------------------------------------------------
+
+    def reload(self) -> None:
+        """Read the file anew. What may change without a restart does, at once; a bad file changes nothing."""
+        try:
+            conf = config.load(again=True)
+        except config.ConfigError as error:
+            log.error("not reloaded: %s", error)
+            return
+        if conf.discovery != self.conf.discovery:
+            self.group.move(conf.discovery)
+            self.notices.move(conf.discovery)
+        kept = [key for key in RESTART_KEYS if getattr(conf, key) != getattr(self.conf, key)]
+        log.info("reloaded discovery=%s:%d%s", *conf.discovery,
+                 f", for a restart: {' '.join(kept)}" if kept else "")
+        self.conf = replace(self.conf, discovery=conf.discovery)
+
     # The end -------------------------------------------------------------------------------------
 
     def stop(self) -> None:
@@ -99,10 +121,6 @@
         log.info("ended, %d left in the journal", len(self.relay.held))
         self.journal.close()
 
-    def on_signal(self, act) -> None:
-        # Signals come between two instructions of anything: only a call from the loop may touch the parts.
-        reactor.callFromThread(act)
-
     def print_counters(self) -> None:
         for line in self.counters.lines():
             log.info("%s", line)
@@ -112,6 +130,15 @@
     # Guards against a stepped wall clock, by which the loop would keep its timers: they would stand still.
     reactor.seconds = time.monotonic
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(message)s")
+    program: Program | None = None
+
+    def on_signal(name: str) -> None:
+        # Signals come between two instructions of anything, also while the parts are made: only a call from
+        # the loop may touch them.
+        reactor.callFromThread(lambda: getattr(program, name)())
+
+    for number, name in SIGNALS.items():
+        signal.signal(number, lambda *_, name=name: on_signal(name))
     try:
         program = Program(config.load())
     except config.ConfigError as error:
@@ -122,9 +149,6 @@
     except (OSError, CannotListenError) as error:
         print(f"lynxscale: cannot start: {error}", file=sys.stderr)
         return 1
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: program.on_signal(program.stop))
-    signal.signal(signal.SIGUSR1, lambda *_: program.on_signal(program.print_counters))
     reactor.addSystemEventTrigger("after", "shutdown", program.leave)
     reactor.run(installSignalHandlers=False)
     return 0
--- a/lynxscale/config.py
+++ b/lynxscale/config.py
@@ -72,8 +72,11 @@
     raise ConfigError(f"seed: want a text or a whole number, not {value!r}")
 
 
-def load(env: Mapping[str, str] = os.environ) -> Config:
-    """What this relay is told; a variable of its own goes before the same key in the file."""
+def load(env: Mapping[str, str] = os.environ, *, again: bool = False) -> Config:
+    """What this relay is told; a variable of its own goes before the same key in the file.
+
+    Read ``again`` the file may name another discovery than at the start, and it is the newer word then.
+    """
     path = env.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG: not set")
@@ -97,12 +100,15 @@
         settings = settings_from(table["settings"])
     except SettingsError as error:
         raise ConfigError(f"settings: {error}") from error
+    discovery = env.get("NODE_DISCOVERY")
+    if not discovery or (again and "discovery" in table):
+        discovery = table.get("discovery")
     told = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = int(_limit(limits, "sockets", SOCKETS, LEAST_SOCKETS))
     return Config(
         name=str(env.get("NODE_NAME") or table.get("name") or "relay"),
         listen=address(env.get("NODE_LISTEN") or table.get("listen"), "NODE_LISTEN"),
-        discovery=address(env.get("NODE_DISCOVERY") or table.get("discovery"), "NODE_DISCOVERY"),
+        discovery=address(discovery, "discovery" if again else "NODE_DISCOVERY"),
         state=Path(state),
         seed=_seed(table.get("seed", 0)),
         sockets=sockets if told == resource.RLIM_INFINITY else min(sockets, told),
--- a/lynxscale/net/group.py
+++ b/lynxscale/net/group.py
@@ -21,7 +21,7 @@
 PATH = "/catalog/members"
 FIRST_WAIT_MS = 1  # a new watch is answered at once: what was missed comes first
 WAIT_MS = 10_000  # of each further call; short enough to notice a discovery that says nothing
-SLACK_MS = 2500  # beyond the wait, until a call counts as failed
+SLACK_MS = 1500  # beyond the wait, until a call counts as failed; discovery itself gives up sooner
 LIFECYCLES = {
     "ready": api.Lifecycle.READY, "draining": api.Lifecycle.DRAINING, "gone": api.Lifecycle.GONE,
 }
@@ -30,6 +30,7 @@
 class Group:
     def __init__(self, reactor, deadlines: Deadlines, where: Address, settings: api.Settings,
                  put: Callable[[object], None], counters: Counters) -> None:
+        self._reactor, self._deadlines = reactor, deadlines
         self._caller = Caller(reactor, deadlines, where, "group")
         self._put, self._counters = put, counters
         self._kinds = {name: place for place, name in enumerate(settings.kinds)}
@@ -39,6 +40,7 @@
         self._version = 0
         self._asked = False  # the module waits for the answer to its order
         self._watching = False
+        self._moved = False  # the versions so far are another address's; the next answer must be whole
 
     def address_of(self, endpoint: int) -> Address | None:
         return self._addresses.get(endpoint)
@@ -53,7 +55,9 @@
 
     def watch(self, active: bool) -> None:
         self._watching = active
-        if active:
+        if active and self._moved:
+            self.fetch()
+        elif active:
             self._asked = True
             self._call(f"{PATH}?after={self._version}&wait_ms={FIRST_WAIT_MS}", FIRST_WAIT_MS)
         else:
@@ -63,9 +67,16 @@
         self._asked = True
         self._call(PATH, 0)
 
+    def move(self, where: Address) -> None:
+        """Discovery is at another address from now on: the whole list from there, then the watch."""
+        self._caller.close(link.MOVED)
+        self._caller = Caller(self._reactor, self._deadlines, where, "group")
+        self._moved = True
+        self.watch(True)
+
     def stop(self) -> None:
         self._watching = False
-        self._caller.drop(link.STOPPING)
+        self._caller.close(link.STOPPING)
 
     # Calls ---------------------------------------------------------------------------------------
 
@@ -86,11 +97,14 @@
             table = orjson.loads(response.body)
             members = self._members(table["instances"])
             version, whole = int(table["generation"]), bool(table["reset"])
+            if self._moved and not whole:
+                raise ValueError("changes, where the whole list was asked for")
         except (ValueError, KeyError, TypeError) as error:
             log.warning("discovery: %s", error)
             self._failed(None)
             return
         self._counters.add("group", "answers")
+        self._moved = False
         if self._watching:
             # At once: the watch goes on only if the next call follows closely.
             self._call(f"{PATH}?after={version}&wait_ms={WAIT_MS}", WAIT_MS)
--- a/lynxscale/net/link.py
+++ b/lynxscale/net/link.py
@@ -129,7 +129,8 @@
 
     def connectionLost(self, reason: Failure) -> None:
         self.up = False
-        code = self._reason or (FAR_CLOSED if reason.check(ConnectionDone) else RESET)
+        # Kept, so that a later ``drop`` finds nothing left to close.
+        code = self._reason = self._reason or (FAR_CLOSED if reason.check(ConnectionDone) else RESET)
         log.info("connection kind=%s reason=%s calls=%d", self.kind, code, self.calls)
         if self._answer is not None:
             response = self._parser.end()
@@ -199,6 +200,11 @@
             self._link.forsake()
             self._link.drop(reason)
 
+    def close(self, reason: str) -> None:
+        """Nothing more is called here."""
+        self.drop(reason)
+        self.close_idle(reason)
+
     def close_idle(self, reason: str) -> None:
         if self._link is not None and not self._link.busy:
             self._link.drop(reason)
--- a/lynxscale/net/notices.py
+++ b/lynxscale/net/notices.py
@@ -27,7 +27,7 @@
 class Notices:
     def __init__(self, reactor, deadlines: Deadlines, where: Address,
                  on_done: Callable[[int], None], counters: Counters) -> None:
-        self._deadlines = deadlines
+        self._reactor, self._deadlines = reactor, deadlines
         self._caller = Caller(reactor, deadlines, where, "notices")
         self._on_done, self._counters = on_done, counters
         self._owed: dict[int, bytes] = {}  # by message, oldest first
@@ -47,8 +47,17 @@
         self._owed[number] = orjson.dumps(notice) + b"\n"
         self._plan(0)
 
+    def move(self, where: Address) -> None:
+        """The platform listens elsewhere from now on. What was on its way may not be heard: it goes again."""
+        self._caller.close(link.MOVED)
+        self._deadlines.cancel(self._idle)
+        self._caller = Caller(self._reactor, self._deadlines, where, "notices")
+        self._batch, self._rest = [], FIRST_REST_MS
+        if self._owed:
+            self._plan(0)
+
     def stop(self) -> None:
-        self._caller.drop(link.STOPPING)
+        self._caller.close(link.STOPPING)
 
     def _plan(self, micros: int) -> None:
         if not self._planned and not self._batch:
--- a/tests/node.py
+++ b/tests/node.py
@@ -203,16 +203,27 @@
         self.allowed: dict = {}
         self.process = self.port = None
 
+    def configure(self, **more) -> Path:
+        """Write the configuration file, with these keys besides."""
+        table = {"name": "n1", "seed": "8c1f", "limits": self.limits, "settings": settings(**self.allowed),
+                 "known": {"generation": 1, "reset": True, "instances": self.discovery.rows}}
+        path = Path(self.folder.name, "config.json")
+        path.write_text(json.dumps(table | more))
+        return path
+
+    def reload(self, seen: str) -> None:
+        """SIGHUP, and its line in the log."""
+        before = self.log.read_text().count(seen)
+        self.process.send_signal(signal.SIGHUP)
+        until(lambda: self.log.read_text().count(seen) > before, seen)
+
     def start(self) -> None:
         # Held, but not listening, until the relay has it: nobody else is given this port meanwhile.
         held = socket.socket()
         held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         held.bind(("127.0.0.1", 0))
         self.port = held.getsockname()[1]
-        table = {"name": "n1", "seed": "8c1f", "limits": self.limits, "settings": settings(**self.allowed),
-                 "known": {"generation": 1, "reset": True, "instances": self.discovery.rows}}
-        path = Path(self.folder.name, "config.json")
-        path.write_text(json.dumps(table))
+        path = self.configure()
         env = os.environ | {"NODE_CONFIG": str(path), "NODE_STATE": str(self.state), "NODE_NAME": "n1",
                             "NODE_LISTEN": f"127.0.0.1:{self.port}", "NODE_DISCOVERY": self.discovery.at}
         self.log = Path(self.folder.name, "log")
