Close idle connections only where tables are full or connections were dropped unseen

Checked: not the budget of descriptors, as 60 to 75 of 85 were in use; so CloseIdle, which the module orders in two places. (1) step(): after one failed connect the share of CROWDED_SHARE was exceeded for 350 calls, and a released endpoint fails several. (2) doubt_reuse(): one reset under a running call halved the age of that connection, often a few ms, and no connection older than that was used again for 30 s. Changed: a failed connect counts as crowding only once a connection older than it has served there, as a share of connects, from 5 % on; a reset condemns idle connections only if its own had been idle for 2 s.

--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -34,9 +34,10 @@
 REST_GROWTH, REST_STEPS = 2.0, 6  # longer with each refusal in a row, so many times
 REST_CALLS = 1.0  # a rest is no longer than so many usual successes of this node there take
 REUSE_SHARE, REUSE_MEMORY_MS = 0.5, 30_000.0  # of the idle age that failed: older connections are not reused
+REUSE_LEAST_MS = 2000.0  # idle for less, a connection that fails was reset with its endpoint
 CLASS_REST_MS, CLASS_REST_MOST_MS = 2000.0, 20_000.0  # an endpoint that fails one class rests for that class
 ENDPOINT_REST_MS = 500.0  # an endpoint that failed rests this long while others of its lane serve
-CROWDED_SHARE, CONNECT_WEIGHT = 0.001, 0.002  # of failed connects: what tells of full tables; smoothing
+CROWDED_SHARE, CONNECT_WEIGHT = 0.05, 0.02  # of connects that full tables failed: too many; smoothing
 # Outage and return
 HARD_STREAK = 2  # failures in a row that make a lane failing: a lone error is chance
 DARK_MS = 2500.0  # no success, and first bad, so long ago: an outage, not a limit or a short gap
@@ -83,9 +84,9 @@
     def __init__(self, number: int) -> None:
         self.number, self.ready, self.kind = number, False, 0
         self.healths: tuple[Health, ...] = ()  # its lane's and, where lanes have several endpoints, its own
-        self.zone = self.inflight = 0
+        self.zone = self.inflight = self.unconnected = 0  # unconnected: failed connects since a success
         self.per_call, self.fee = 1, 0.0
-        self.weight = self.rest_until = 0.0
+        self.weight = self.rest_until = self.unconnected_at = 0.0
         self.idle = []  # since when each of its connections is idle
         self.avoid: dict[int, tuple[float, float]] = {}  # by class failed here: until when, how long
         self.lane = self.call = None  # call: the last one
@@ -164,7 +165,7 @@
         self.reuse, self.reuse_at = INF, -INF  # idle age from which connections fail, and when one failed
         self.armed, self.rest = INF, SOFT_WAIT_MS  # rest: after a refusal, learned from all calls
         self.used = self.silents = self.sick_calls = 0
-        self.unconnected: dict[int, float] = {}  # by kind: share of calls of late that got no connection
+        self.unconnected: dict[int, float] = {}  # by kind: share of connects of late that full tables failed
         self.ask_gap, self.ask_at = ASK_FIRST_MS, INF
         self.class_mean = [[0.0, 0] for _ in settings.classes]
         self.buckets = [[INF, 0.0] for _ in settings.tenants]
@@ -399,6 +400,18 @@
                     self.bad(call.endpoint, health, False, call.sent)
                     health.hard -= 1
 
+    def note_connects(self, call: Call, result: Result) -> None:
+        """Full tables refuse new connections while older ones serve; one that is gone serves on none."""
+        endpoint, full = call.endpoint, 0
+        if result == Result.CONNECT_FAILED:
+            endpoint.unconnected, endpoint.unconnected_at = endpoint.unconnected + 1, self.now
+        elif result == Result.OK and call.sent >= endpoint.unconnected_at:
+            older = call.idle and call.sent - call.idle <= endpoint.unconnected_at
+            full, endpoint.unconnected = endpoint.unconnected if older else 0, 0
+        if full or not call.idle:
+            share = self.unconnected.get(endpoint.kind, 0.0)
+            self.unconnected[endpoint.kind] = min(1.0, share + (full - share) * CONNECT_WEIGHT)
+
     def judge(self, call: Call, result: Result, wait: float) -> None:  # once a call
         endpoint, lane = call.endpoint, call.endpoint.lane
         if result == Result.FULL:
@@ -418,8 +431,7 @@
         if call.judged or result in (Result.CANCELLED, Result.MOOT):
             return
         call.judged = True
-        share = self.unconnected.get(endpoint.kind, 0.0)
-        self.unconnected[endpoint.kind] = share + ((result == Result.CONNECT_FAILED) - share) * CONNECT_WEIGHT
+        self.note_connects(call, result)
         if result == Result.OK:
             lane.window = min(lane.window + 1, self.most_calls)
             self.rest = max(SOFT_WAIT_MS, self.rest * REST_FALL)
@@ -439,7 +451,7 @@
             rare = self.now - lane.health.last_ok > DARK_MS
             rest = TRY_FIRST_MS * self.random.uniform(1.0, 3.0) if rare else ENDPOINT_REST_MS
             endpoint.rest_until = self.now + rest
-            if result != Result.ERROR:
+            if result == Result.RESET:
                 endpoint.idle.clear()
         if not call.silent:
             for health in endpoint.healths:
@@ -723,9 +735,10 @@
     def doubt_reuse(self, call: Call) -> None:
         """Connections dropped unseen (by a box on the way or the far end): what is sent on one is lost.
 
-        Silence does not count: a stall looks alike. Hurts after a crash: handshakes for a while.
+        Silence does not count, as a stall looks alike, nor what failed while it was young. Hurts after a
+        crash: handshakes for a while.
         """
-        if call.idle > 0:
+        if call.idle >= REUSE_LEAST_MS:
             self.reuse, self.reuse_at = min(self.reuse, REUSE_SHARE * call.idle), self.now
 
     # Outcomes ----------------------------------------------------------------------------------
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -87,6 +87,18 @@
     assert len(closes(d)) == 1
 
 
+def test_a_reset_on_a_busy_connection_condemns_no_idle_ones():
+    d = Driver(idle_close_ms=60000.0)
+    d.warm_up(20)
+    d.finish(use_after(d, 40.0), RESET)
+    d.pass_time(700)
+    for number, _ in list(d.out):
+        d.finish(number)
+    for _ in range(3):
+        d.finish(use_after(d, 400.0))
+    assert not closes(d)
+
+
 def test_reuse_is_tried_again_once_resets_are_old():
     d = Driver(idle_close_ms=60000.0)
     d.warm_up(20)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -305,17 +305,35 @@
 
 def test_idle_connections_are_closed_where_tables_run_full():
     d = Driver(members=[member(11, 1), member(12, 2, kind=1)], per_call=[1, 1])
-    d.warm_up(3)
-    assert not [a for _, a in d.log if isinstance(a, api.CloseIdle)]
-    number = d.message(SAFE)
-    d.finish(number, api.Result.CONNECT_FAILED)
-    d.pass_time(900)
-    d.finish(number)
+    d.warm_up(6)
+    for number in [d.message(SAFE), d.message(SAFE)]:
+        d.finish(number)
+    for _ in range(3):
+        for number in [d.message(SAFE), d.message(SAFE)]:
+            d.finish(number)
+        first = d.message(SAFE)
+        d.finish(first, api.Result.CONNECT_FAILED)
+        assert not [a for _, a in d.log if isinstance(a, api.CloseIdle)]
+        d.pass_time(900)
+        d.finish(first)  # on a connection older than the failure
     d.warm_up(3)
     d.warm_up(3, dest=2)
     assert {a.endpoint for _, a in d.log if isinstance(a, api.CloseIdle)} == {11}
 
 
+def test_connects_that_a_dead_endpoint_failed_close_no_connections():
+    d = Driver(members=[member(11, 1), member(12, 2)])
+    d.warm_up(3, dest=2)
+    for _ in range(3):
+        number = d.message(SAFE)
+        d.finish(number, api.Result.CONNECT_FAILED)
+        d.pass_time(2500)
+        d.finish(number)  # it is back
+    d.warm_up(3)
+    d.warm_up(3, dest=2)
+    assert not [a for _, a in d.log if isinstance(a, api.CloseIdle)]
+
+
 def test_slow_answers_are_not_an_outage():
     d = Driver()
     d.warm_up(40)
