--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -61,6 +61,7 @@
 LEAST_ADVICE_MS = 750.0  # a refused client is always told when to come again: at once would be too soon
 ASK_FIRST_MS, ASK_MOST_MS, ASK_UNHEARD_MS = 300.0, 4000.0, 8000.0  # asking again after a failure, or silence
 STALE = 0.5  # of its worth in time: tried in vain and worth less, it leaves the room to fresher ones
+DEST_KEEP_MS = 60_000.0  # a destination whose last endpoint left is remembered for so long
 LOOK = 12  # oldest calls looked at for stuck ones
 INF = math.inf
 OK, FAILING, WARMING = "ok", "failing", "warming"
@@ -82,7 +83,7 @@
 
 class Endpoint:
     def __init__(self, number: int) -> None:
-        self.number, self.ready, self.kind = number, False, 0
+        self.number, self.ready, self.gone, self.kind = number, False, False, 0
         self.healths: tuple[Health, ...] = ()  # its lane's and, where lanes have several endpoints, its own
         self.zone = self.inflight = self.unconnected = 0  # unconnected: failed connects since a success
         self.per_call, self.fee = 1, 0.0
@@ -103,6 +104,9 @@
         self.fresh = self.inflight = self.silent = 0
         self.wait_until = self.median = self.recent = self.limit = 0.0
 
+    def weight(self) -> float:  # the rate that the list tells
+        return max((e.weight for e in self.endpoints), default=0.0)
+
     def slow(self) -> bool:
         return self.median > 0 and self.recent > SLOW_MULTIPLE * self.median
 
@@ -219,14 +223,17 @@
             return
         if event.kind != api.ListKind.DELTA:
             for endpoint in self.endpoints.values():
-                endpoint.ready = False
+                endpoint.ready, endpoint.gone = False, True
         for m in event.members:
             endpoint = self.endpoints.get(m.endpoint)
             if m.lifecycle != api.Lifecycle.GONE and endpoint is None:
                 endpoint = self.join(m)
             if endpoint:
                 endpoint.ready = m.lifecycle == api.Lifecycle.READY
+                endpoint.gone = m.lifecycle == api.Lifecycle.GONE
                 endpoint.weight = m.weight if self.s.weights != "off" and m.weight > 0 else 0.0
+        for endpoint in [e for e in self.endpoints.values() if e.gone]:
+            self.leave(endpoint)
         if event.kind == api.ListKind.CACHED and self.s.asks_for_members:
             self.subscribe(self.ask_at)
         elif event.kind != api.ListKind.CACHED:
@@ -258,6 +265,26 @@
         endpoint.healths = (endpoint.lane.health, *own)
         return endpoint
 
+    def leave(self, endpoint: Endpoint) -> None:
+        """Forget what has gone, once no call is out there: else tables grow with every endpoint that was."""
+        if endpoint.gone and not endpoint.inflight and endpoint.number in self.endpoints:
+            del self.endpoints[endpoint.number]
+            lane, dest = endpoint.lane, endpoint.lane.dest
+            lane.endpoints.remove(endpoint)
+            if not lane.endpoints and len(dest.lanes) > 1:
+                dest.lanes.remove(lane)
+            if not any(lane.endpoints for lane in dest.lanes):
+                self.timer(self.now + DEST_KEEP_MS, self.forget, dest)
+
+    def forget(self, dest: Dest) -> None:
+        """A destination long without endpoints; until then its waits, health and pace hold for new ones."""
+        used = dest.waiting or dest.inflight or any(msg.dest is dest for msg in self.held.values())
+        if used or any(lane.wait_until > self.now for lane in dest.lanes):
+            self.timer(self.now + DEST_KEEP_MS, self.forget, dest)
+        elif not any(lane.endpoints for lane in dest.lanes):
+            self.dests.pop(dest.number, None)
+            self.active.pop(dest.number, None)
+
     # Sample and time-out -----------------------------------------------------------------------
 
     def ratio(self, cls: int) -> float:
@@ -317,8 +344,8 @@
     def base_rate(self, endpoint: Endpoint, health: Health) -> float:
         """Calls a second that this node may count on there: its own evidence, or its part of a rate."""
         lane = endpoint.lane
-        among = self.s.senders * (1 if health is lane.health else len(lane.endpoints))
-        part = max(lane.limit, max(e.weight for e in lane.endpoints) / WEIGHT_ERROR) / among
+        among = self.s.senders * (1 if health is lane.health else max(1, len(lane.endpoints)))
+        part = max(lane.limit, lane.weight() / WEIGHT_ERROR) / among
         return max(health.base, PART_SHARE * part, 1000 / self.span / self.s.senders)
 
     def pace(self, endpoint: Endpoint, health: Health) -> float:
@@ -382,7 +409,7 @@
 
     def most_gap(self, lane: Lane, health: Health) -> float:
         """Gap at which all senders together load a cold destination as it bears, by own or told rate."""
-        told = max(lane.limit, max(e.weight for e in lane.endpoints) / WEIGHT_ERROR, LEAST_RATE)
+        told = max(lane.limit, lane.weight() / WEIGHT_ERROR, LEAST_RATE)
         rate = max(told / self.s.senders, health.base, health.rate(self.now))
         return 1000 / (self.tip * self.cold * rate)
 
@@ -421,7 +448,7 @@
             age = self.now + wait - (lane.health.first_bad if lane.health.streak else self.now)
             most = REST_CALLS * 1000 / max(lane.health.rate(self.now), 0.01)
             least = TRY_FIRST_MS if self.now - lane.health.last_ok > DARK_MS else 0.0
-            told = lane.limit or max(e.weight for e in lane.endpoints)
+            told = lane.limit or lane.weight()
             fair = 1000 * self.s.senders / told if told else 0.0
             rest = max(least, self.rest) * REST_GROWTH ** min(lane.health.streak, REST_STEPS)
             rest = min(most, max(rest, fair))
@@ -762,6 +789,7 @@
                 msg.zone = call.endpoint.zone
         if result in RESTING:
             msg.rest_from = self.now
+        self.leave(call.endpoint)
         if msg.dead:
             if msg.key:
                 self.leave_line(msg)
--- a/lynxscale/__main__.py
+++ b/lynxscale/__main__.py
@@ -15,6 +15,7 @@
 from lynxscale.counters import Counters
 from lynxscale.deadlines import Deadlines, Loop
 from lynxscale.journal import Journal
+from lynxscale.net import link
 from lynxscale.net.clients import Clients
 from lynxscale.net.group import Group
 from lynxscale.net.notices import Notices
@@ -28,8 +29,8 @@
 # From a SIGTERM on, in microseconds:
 PART_AT = 450_000  # connections came in so far; idle ones are closed now
 LISTEN_FOR = 1_000_000  # for requests that crossed that and are sent again
-TRY_FOR = 2_200_000  # tries still go out
-LEAVE_AT = 3_200_000  # the rest stays in the journal
+TRY_FOR = 3_000_000  # tries still go out
+LEAVE_AT = 3_500_000  # the rest stays in the journal
 LOOK_EVERY = 50_000
 RESTART_KEYS = ("name", "listen", "state", "sockets", "disk_bytes", "settings")  # kept until a restart
 
@@ -52,7 +53,8 @@
         self.loop.at_end = relay.turn
         peer_sockets = max(conf.settings.slots, conf.sockets // PEER_SHARE)
         self.group = relay.group = Group(
-            reactor, self.deadlines, conf.discovery, conf.settings, relay.put, self.counters
+            reactor, self.deadlines, conf.discovery, conf.settings, relay.put, self.counters,
+            lambda endpoint: self.peers.close_idle(endpoint, link.GONE),
         )
         self.peers = relay.tries = Peers(
             reactor, self.loop, self.deadlines, relay, self.group.address_of, peer_sockets
--- a/lynxscale/deadlines.py
+++ b/lynxscale/deadlines.py
@@ -60,6 +60,9 @@
     def __len__(self) -> int:
         return len(self._heap) - self._dead
 
+    def now(self) -> int:
+        return self._loop.now()
+
     def at(self, when: int, act: Callable, *args: Any) -> Deadline:
         entry = Deadline(when, act, args)
         heappush(self._heap, (when, next(self._order), entry))
--- a/lynxscale/http.py
+++ b/lynxscale/http.py
@@ -2,13 +2,24 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 
 HEAD_MOST = 16 * 1024
 BODY_MOST = 64 * 1024
-ANSWER_MOST = 8 * 1024 * 1024  # discovery's whole list
+LIST_MOST = 1024 * 1024  # discovery's whole list
+SKIP_MOST = 1024 * 1024  # of a body over the bound, read past to keep the connection
 HEADERS_MOST = 100
 LINE_MOST = 1024  # a chunk's size line
+BLANKS_MOST = 4
+INTERIM_MOST = 16  # 1xx answers in front of one answer
+AT_ONCE_MOST = 16  # messages in one reading: each party has one call on a connection at a time
+
+TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+UNFIT = re.compile(rb"[\0\r\n]")  # in a header's value: another reader may take it for a line's end
+HEX = re.compile(rb"[0-9A-Fa-f]{1,8}")  # Python's own reading takes signs, 0x and underscores besides
+STATUS_LINE = re.compile(r"HTTP/1\.[01] ([1-5][0-9][0-9])(?:\s.*)?")
+FRAMING = frozenset(("content-length", "transfer-encoding"))
 
 REASONS = {
     200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
@@ -44,17 +55,20 @@
     body: bytes = b""
 
 
-def _headers(lines: list[bytes]) -> dict[str, str]:
+def _headers(lines: list[bytes], once: frozenset[str]) -> dict[str, str]:
     if len(lines) > HEADERS_MOST:
         raise BadHttp(431, "too many header lines")
     headers: dict[str, str] = {}
     for line in lines:
         name, colon, value = line.partition(b":")
-        if not colon or not name or name != name.strip() or line[:1] in b" \t":
+        if not colon or not TOKEN.fullmatch(name) or UNFIT.search(value):
             raise BadHttp(400, "a header line is malformed")
         key, text = name.decode("latin-1").lower(), value.strip(b" \t").decode("latin-1")
-        if key == "content-length" and headers.get(key, text) != text:
-            raise BadHttp(400, "two content lengths")  # guards against smuggling by differing lengths
+        if key in headers:
+            if key in once:
+                # Guards against smuggling: another reader may take the other one.
+                raise BadHttp(400, f"{key} is there twice")
+            text = f"{headers[key]}, {text}"
         headers[key] = text
     return headers
 
@@ -76,20 +90,32 @@
 class _Parser:
     """Head, then a body of known length; subclasses read the first line and choose the body's form."""
 
-    def __init__(self) -> None:
+    def __init__(self, once: frozenset[str] = FRAMING) -> None:
+        self._once = once  # headers that may be there once only
         self._data = bytearray()
         self._scanned = 0
         self._skip = 0
+        self._blanks = 0
+        self.first: str | None = None  # the first line of the message that is being read
         self.item = None  # the message whose head has been read
+        self.fault: BadHttp | None = None  # why nothing more can be read
         self._step = self._head
 
     def feed(self, data: bytes) -> list:
-        """The messages that are complete with these bytes; raises BadHttp."""
+        """The messages that are complete with these bytes; they count whatever ``fault`` follows them."""
+        if self.fault is not None:
+            return []
         self._data += data
         done = []
-        while (item := self._step()) is not None:
-            if item is not True:
-                done.append(item)
+        try:
+            while (item := self._step()) is not None:
+                if item is not True:
+                    done.append(item)
+                    if len(done) > AT_ONCE_MOST:
+                        raise BadHttp(429, "too many at once")
+        except BadHttp as error:
+            self.fault = error
+            self._data.clear()
         return done
 
     @property
@@ -98,9 +124,15 @@
         return self.item is None and not self._data
 
     def _head(self):
-        # Empty lines before a first line are let pass, as RFC 9112 asks.
+        # An empty line or two before a first line is let pass, as RFC 9112 asks; no endless row of them.
         while self._data[:2] == b"\r\n":
             del self._data[:2]
+            self._blanks += 1
+            if self._blanks > BLANKS_MOST:
+                raise BadHttp(400, "nothing but empty lines")
+        line = self._data.find(b"\n", 0, HEAD_MOST) if self.first is None else -1
+        if line >= 0:
+            self.first = self._data[:line].rstrip(b"\r").decode("latin-1")
         end = self._data.find(b"\r\n\r\n", max(0, self._scanned - 3))
         if end < 0:
             self._scanned = len(self._data)
@@ -112,14 +144,14 @@
         first, *lines = bytes(self._data[:end]).split(b"\r\n")
         del self._data[: end + 4]
         self._scanned = 0
-        self.item = self._begin(first.decode("latin-1"), _headers(lines))
+        self.item = self._begin(first.decode("latin-1"), _headers(lines, self._once))
         return True
 
     def _begin(self, first: str, headers: dict[str, str]):
         raise NotImplementedError
 
     def _finish(self):
-        item, self.item = self.item, None
+        item, self.item, self.first, self._blanks = self.item, None, None, 0
         self._step = self._head
         return item
 
@@ -138,7 +170,7 @@
 
 
 class RequestParser(_Parser):
-    """Requests with a Content-Length; a body over the bound is read past and marked."""
+    """Requests with a Content-Length; a body somewhat over the bound is read past and marked."""
 
     expects_continue = False
 
@@ -149,9 +181,14 @@
         method, target, version = parts
         if version not in ("HTTP/1.1", "HTTP/1.0"):
             raise BadHttp(505 if version.startswith("HTTP/") else 400, "not HTTP/1.1")
+        if "transfer-encoding" in headers and "content-length" in headers:
+            # Guards against a request hidden in the body: nothing that follows is read.
+            raise BadHttp(400, "both Content-Length and Transfer-Encoding")
         if "transfer-encoding" in headers:
             raise BadHttp(411, "a body needs a Content-Length")
         length = _length(headers) or 0
+        if length > SKIP_MOST:
+            raise BadHttp(413, "the body is too long")  # guards against reading past it for nothing
         item = Request(method, target, headers, _closes(version, headers))
         if length > BODY_MOST:
             # Guards against an answer lost to a reset: the sender hears 413 after its last byte.
@@ -165,35 +202,49 @@
 class ResponseParser(_Parser):
     """Answers with a length, in chunks, or up to the end of the connection."""
 
+    def __init__(self, most: int = BODY_MOST) -> None:
+        super().__init__()
+        self._most, self._interims = most, 0
+
+    @property
+    def said_ok(self) -> bool:
+        """The answer's first line says 200, whatever becomes of the rest."""
+        match = STATUS_LINE.fullmatch(self.first or "")
+        return match is not None and match[1] == "200"
+
     def _begin(self, first: str, headers: dict[str, str]) -> Response:
-        version, _, rest = first.partition(" ")
-        code = rest[:3]
-        proper = len(code) == 3 and code.isascii() and code.isdigit()
-        if version not in ("HTTP/1.1", "HTTP/1.0") or not proper:
+        match = STATUS_LINE.fullmatch(first)
+        if match is None:
             raise BadHttp(400, "the status line is malformed")
-        item = Response(int(code), headers, _closes(version, headers))
+        item = Response(int(match[1]), headers, _closes(first[:8], headers))
+        if "transfer-encoding" in headers and ("content-length" in headers
+                                               or headers["transfer-encoding"].lower() != "chunked"):
+            raise BadHttp(400, "the body's form is not clear")
         length = _length(headers)
         self._body = bytearray()
         if item.status < 200:
             self._step = self._interim
         elif item.status in (204, 304):
             self._need, self._step = 0, self._fixed
-        elif headers.get("transfer-encoding", "").lower() == "chunked":
+        elif "transfer-encoding" in headers:
             self._step = self._chunk_size
         elif length is None:
             item.close, self._step = True, self._until_end
-        elif length > ANSWER_MOST:
+        elif length > self._most:
             raise BadHttp(413, "the answer is too long")
         else:
             self._need, self._step = length, self._fixed
         return item
 
     def _interim(self):
+        self._interims += 1
+        if self._interims > INTERIM_MOST or self.item.status == 101:
+            raise BadHttp(400, "no answer behind the interim ones")
         self._finish()
         return True
 
     def _until_end(self):
-        if len(self._data) > ANSWER_MOST:
+        if len(self._data) > self._most:
             raise BadHttp(413, "the answer is too long")
         return None
 
@@ -211,11 +262,11 @@
         line = self._line()
         if line is None:
             return None
-        try:
-            size = int(line.partition(b";")[0].strip(), 16)
-        except ValueError:
-            raise BadHttp(400, "a chunk's size is malformed") from None
-        if size < 0 or len(self._body) + size > ANSWER_MOST:
+        digits = line.partition(b";")[0].rstrip(b" \t")
+        if not HEX.fullmatch(digits):
+            raise BadHttp(400, "a chunk's size is malformed")
+        size = int(digits, 16)
+        if len(self._body) + size > self._most:
             raise BadHttp(413, "the answer is too long")
         self._need = size
         self._step = self._chunk if size else self._trailer
@@ -224,6 +275,8 @@
     def _chunk(self):
         if len(self._data) < self._need + 2:
             return None
+        if self._data[self._need : self._need + 2] != b"\r\n":
+            raise BadHttp(400, "a chunk does not end where it says")
         self._body += self._data[: self._need]
         del self._data[: self._need + 2]
         self._step = self._chunk_size
@@ -239,12 +292,10 @@
         return self._finish()
 
     def end(self) -> Response | None:
-        """The connection has ended: the answer that it completes or, with its head read, cuts short."""
-        if self.item is None or self.item.status < 200:
+        """The far end has closed: the answer that this completes. What it cuts short is none."""
+        if self.fault is not None or self._step != self._until_end:
             return None
-        if self._step == self._until_end:
-            self.item.body = bytes(self._data)
-        self.item.close = True
+        self.item.body = bytes(self._data)
         return self._finish()
 
 
--- a/lynxscale/net/clients.py
+++ b/lynxscale/net/clients.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-import math
+import re
 from collections import OrderedDict, deque
 
 import orjson
@@ -13,27 +13,39 @@
 
 from lynxscale import http
 from lynxscale.deadlines import Deadline, Deadlines
+from lynxscale.http import FRAMING
 from lynxscale.net import link
-from lynxscale.relay import Envelope, Relay, Verdict
+from lynxscale.relay import BUSY_RETRY_MS, Envelope, Relay, Verdict
 from lynxscale.slots import Slots
 
 log = logging.getLogger("lynxscale")
 
 TASK_PATH, READY_PATH, COUNTERS_PATH = "/api", "/_health", "/_counters"
-IDLE_MS = 120_000  # a client connection with no request for so long is closed
-READ_MS = 20_000  # from a request's first byte to its last
-LINGER_MS = 1000  # after our last byte, for the client to read it and close
-QUEUED_MOST = 16  # requests read ahead on one connection
+FIRST_MS = 2000  # from connecting to the first request's last byte
+IDLE_MS = 15_000  # a connection at rest after its answers is kept for so long, as a new one costs time
+READ_MS = 2000  # from a later request's first byte to its last
+LINGER_MS = 500  # after our last byte, for the client to read it and close
+PAST_MOST = 256 * 1024  # read past after our last byte; then the client is left to wait for the close
+YOUNG_MS, RESTED_MS = 50, 2000  # silent, or at rest, for so long: closed for room before all others
+FRESH_MS = 200  # at the stop a connection this young may still bring its request
+FAULT_REST_MS, FAULT_REST_MOST_MS = 20, 1000  # what was no message delays its client's next request
 NAME_MOST = 200  # characters of an id or a key
+DEADLINE_SLACK = 2.0  # a message's time left may be so many times its class's deadline
+NUMBER = re.compile(r"[0-9]{1,6}(?:\.[0-9]{1,9})?")  # Python's own reading takes nan, inf, signs and 1_0
+ONCE = FRAMING | {"host", "req-id", "req-kind", "req-owner", "req-deadline", "idempotency-key", "x-envelope"}
 STATUS = {
     Verdict.TAKEN: 202, Verdict.REJECTED: 429, Verdict.NO_ROOM: 503, Verdict.DISK_FULL: 503,
 }
-SERVED, SLOW = "served", "slow"
+SERVED, SLOW, SILENT = "served", "slow", "silent"
 
 
 class BadMessage(Exception):
     """A request that can be no message; the text names the header at fault."""
 
+    def __init__(self, text: str, status: int = 400) -> None:
+        super().__init__(text)
+        self.status = status
+
 
 def _name(headers: dict[str, str], key: str, needed: bool = True) -> str:
     text = headers.get(key, "")
@@ -51,17 +63,20 @@
     tenant = relay.tenant_number(headers.get("req-owner", ""))
     if tenant is None:
         raise BadMessage("req-owner: not a tenant of the settings")
-    try:
-        left = float(headers.get("req-deadline", ""))
-    except ValueError:
-        left = math.nan
-    if not 0 <= left < 1e6:
+    seconds = headers.get("req-deadline", "")
+    if not NUMBER.fullmatch(seconds):
         raise BadMessage("req-deadline: want seconds")
+    left = float(seconds)
+    if left * 1000 > relay.settings.classes[cls].deadline_ms * DEADLINE_SLACK:
+        raise BadMessage("req-deadline: beyond what its class may have")
     parts = headers.get("x-envelope", "").replace(";", ",").split(",")
-    fields = dict(part.strip().partition("=")[::2] for part in parts)
-    dest = fields.get("dest", "")
+    dests = [value for name, _, value in (part.strip().partition("=") for part in parts) if name == "dest"]
+    dest = dests[0] if len(dests) == 1 else ""
     if not (dest.isascii() and dest.isdigit()) or len(dest) > 9:
         raise BadMessage("x-envelope: want dest=NUMBER")
+    if not relay.group.knows(int(dest)):
+        # Until discovery has told what is new, the list that is known may be old: come again then.
+        raise BadMessage("x-envelope: no such destination in the list", 404 if relay.group.told else 503)
     return Envelope(
         _name(headers, "req-id"), cls, tenant, _name(headers, "idempotency-key", needed=False), int(dest),
         int(left * 1e6), request.body,
@@ -74,14 +89,22 @@
     def __init__(self, desk: Clients) -> None:
         self._desk = desk
         self.place = 0
-        self._parser = http.RequestParser()
+        self._parser = http.RequestParser(ONCE)
         self._waiting: deque[http.Request] = deque()
         self._request: http.Request | None = None
         self._deadline: Deadline | None = None
         self._reason: str | None = None
         self._closing = False
         self._paused = False
+        self._past = 0  # bytes read past since our last
+        self._faults = 0  # requests in a row that were no message
         self.served = 0
+        self.since = 0  # connected then or, with an answer, at rest since then
+
+    @property
+    def silent(self) -> bool:
+        """It has asked for nothing yet, or not to the end."""
+        return not self.served and self._request is None and not self._waiting and not self._closing
 
     @property
     def idle(self) -> bool:
@@ -91,12 +114,9 @@
         self.transport.setTcpNoDelay(True)
         # Guards against a client that sends and never reads: while answers pile up, nothing more is read.
         self.transport.registerProducer(self.transport, True)
+        self.since = self._desk.deadlines.now()
+        self._set_deadline(FIRST_MS, SILENT)
         self._desk.joined(self)
-        self._wait_for_next()
-
-    def _wait_for_next(self) -> None:
-        self._set_deadline(IDLE_MS, link.IDLE)
-        self._desk.rests(self)
 
     def _set_deadline(self, ms: int, reason: str) -> None:
         deadlines = self._desk.deadlines
@@ -104,39 +124,63 @@
         self._deadline = deadlines.after(ms * 1000, self._late, reason)
 
     def _late(self, reason: str) -> None:
-        if reason == SLOW:
+        # Guards against heads that never end and against silence, which would hold a descriptor for nothing.
+        if reason == SLOW or (reason == SILENT and not self._parser.idle):
             self._refuse(http.BadHttp(408, "the request did not come in time"))
         else:
             self.abandon(reason)
 
     def dataReceived(self, data: bytes) -> None:
         if self._closing:
-            return  # read past, so that the answer is not lost to a reset
-        was_idle = self.idle
-        try:
-            self._waiting.extend(self._parser.feed(data))
-        except http.BadHttp as error:
-            self._refuse(error)
+            # Read past, so that the answer is not lost to a reset. Guards against one that sends without end.
+            self._past += len(data)
+            if self._past > PAST_MOST:
+                self._pause()
             return
-        if was_idle:
+        was_idle = self.idle
+        self._waiting.extend(self._parser.feed(data))
+        if self._parser.fault is not None and self._parser.fault.status == 429:
+            # Hundreds of requests at once: clients send one at a time. None of them is served.
+            self._waiting.clear()
+        if was_idle and self.served:
             self._desk.works(self)
             self._set_deadline(READ_MS, SLOW)
         if self._parser.expects_continue and self._parser.item is not None:
             self._parser.expects_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if len(self._waiting) > QUEUED_MOST and not self._paused:
-            self._paused = True
-            self.transport.pauseProducing()
         self._next()
 
     def _next(self) -> None:
         while self._request is None and self._waiting and not self._closing:
             self._request = self._waiting.popleft()
             self._desk.serve(self, self._request)
-        if self._paused and not self._waiting:
+        if self._parser.fault is not None and self._request is None and not self._closing:
+            self._refuse(self._parser.fault)  # what came before it has been answered
+
+    def _pause(self) -> None:
+        if not self._paused:
+            self._paused = True
+            self.transport.pauseProducing()
+
+    def _resume(self) -> None:
+        if self._paused:
             self._paused = False
             self.transport.resumeProducing()
 
+    def reject(self, status: int, text: str) -> None:
+        """The request is no message, and is answered so at once.
+
+        Guards against the same thing again and again at full speed: this client's next request is read later.
+        """
+        self._desk.relay.counters.add("reject", f"status_{status}")
+        again = BUSY_RETRY_MS if status == 503 else 0.0
+        self.answer(status, body=f"{text}\n".encode(), retry_after_ms=again)
+        self._faults += 1
+        if not self._closing:
+            self._pause()
+            rest = min(FAULT_REST_MOST_MS, FAULT_REST_MS * self._faults)
+            self._desk.deadlines.after(rest * 1000, self._resume)
+
     def answer(self, status: int, *, body: bytes = b"", kind: str = "text/plain",
                retry_after_ms: float = 0.0) -> None:
         request, self._request = self._request, None
@@ -150,11 +194,13 @@
         if close:
             self._finish(link.STOPPING if self._desk.stopping else SERVED)
         elif self.idle:
-            self._wait_for_next()
+            self._set_deadline(IDLE_MS, link.IDLE)
+            self._desk.rests(self)
         else:
             self._set_deadline(READ_MS, SLOW)
 
     def answer_verdict(self, verdict: Verdict, retry_after_ms: float) -> None:
+        self._faults = 0
         self.answer(STATUS[verdict], retry_after_ms=retry_after_ms)
         self._next()
 
@@ -171,16 +217,17 @@
         """Our side is done. The far side closes, or time does: a reset would tear up the answer."""
         self._closing, self._reason = True, reason
         self._desk.works(self)
-        if self._paused:
-            self._paused = False
-            self.transport.resumeProducing()
+        self._resume()
         self.transport.loseWriteConnection()
         self._set_deadline(LINGER_MS, reason)
 
     def abandon(self, reason: str) -> None:
         self._reason = self._reason or reason
-        self._closing = True
-        self.transport.loseConnection()
+        if self._closing:
+            self.transport.abortConnection()  # guards against a client that never reads its last answer
+        else:
+            self._closing = True
+            self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure) -> None:
         self._desk.deadlines.cancel(self._deadline)
@@ -200,6 +247,7 @@
         self.stopping = False
         self._connections: Slots = Slots()
         self._idle: OrderedDict[int, ClientConnection] = OrderedDict()  # the longest idle first
+        self._new: OrderedDict[int, ClientConnection] = OrderedDict()  # with no answer yet, the oldest first
         self._port = None
         self._full = False
 
@@ -213,24 +261,46 @@
 
     def joined(self, connection: ClientConnection) -> None:
         connection.place = self._connections.add(connection)
+        self._new[connection.place] = connection
         self.relay.counters.add("connections", "client_opened")
         self._make_room()
 
     def _make_room(self) -> None:
-        """Guards against the descriptor limit: an idle connection goes; with none, new ones wait."""
+        """Guards against the descriptor limit: one that has asked for nothing goes, else one that is idle.
+
+        The youngest of either go last. With none, new ones wait in the listen queue.
+        """
         if len(self._connections) < self._most:
             self._accept(True)
-        elif not self._close_idle(link.CROWDED, 1):
+        elif not (self._close_new(link.CROWDED, YOUNG_MS) or self._close_idle(link.CROWDED, 1, RESTED_MS)
+                  or self._close_new(link.CROWDED) or self._close_idle(link.CROWDED, 1)):
             self._accept(False)
 
-    def _close_idle(self, reason: str, most: int) -> int:
+    def _close_new(self, reason: str, age_ms: int = 0) -> bool:
+        """Close the oldest that is silent or stays in the middle of its first request, if it is so old.
+
+        Guards against connections by the hundred that say nothing and keep usual clients out: these have sent
+        their request before so many others have come.
+        """
+        newest = self.deadlines.now() - age_ms * 1000
+        last = next(reversed(self._new), None)  # has just come
+        for place, connection in self._new.items():
+            if connection.since > newest or place == last:
+                return False
+            if connection.silent and not link.unread(connection.transport):
+                self._new.pop(place)
+                connection.abandon(reason)
+                return True
+        return False
+
+    def _close_idle(self, reason: str, most: int, rested_ms: int = 0) -> int:
         """Close so many of the longest idle; how many it were.
 
         Guards against a request lost in the crossing: what the loop has still to read is answered first.
         """
         closed = 0
         for connection in list(self._idle.values()):
-            if closed == most:
+            if closed == most or connection.since > self.deadlines.now() - rested_ms * 1000:
                 break
             if not link.unread(connection.transport):
                 self.works(connection)
@@ -248,6 +318,8 @@
             self._port.stopReading()
 
     def rests(self, connection: ClientConnection) -> None:
+        connection.since = self.deadlines.now()
+        self._new.pop(connection.place, None)
         self._idle[connection.place] = connection
         self._idle.move_to_end(connection.place)
         if self._full:
@@ -258,6 +330,7 @@
 
     def left(self, connection: ClientConnection) -> None:
         self.works(connection)
+        self._new.pop(connection.place, None)
         self._connections.remove(connection.place)
         if self._full:
             self._make_room()
@@ -273,22 +346,17 @@
         elif path == COUNTERS_PATH and request.method == "GET":
             connection.answer(200, body=orjson.dumps(self.relay.counters.table()), kind="application/json")
         else:
-            connection.answer(405 if path in (READY_PATH, COUNTERS_PATH) else 404)
+            connection.reject(405 if path in (READY_PATH, COUNTERS_PATH) else 404, "no such thing here")
 
     def _hand_in(self, connection: ClientConnection, request: http.Request) -> None:
-        status, text = 0, ""
-        if request.method != "POST":
-            status = 405
-        elif request.too_large:
-            status = 413
-        else:
-            try:
-                envelope = envelope_from(request, self.relay)
-            except BadMessage as error:
-                status, text = 400, f"{error}\n"
-        if status:
-            self.relay.counters.add("reject", f"status_{status}")
-            connection.answer(status, body=text.encode())
+        try:
+            if request.method != "POST":
+                raise BadMessage("want POST", 405)
+            if request.too_large:
+                raise BadMessage("the body is too long", 413)
+            envelope = envelope_from(request, self.relay)
+        except BadMessage as error:
+            connection.reject(error.status, str(error))
             return
         self.relay.offer(envelope, connection.answer_verdict)
 
@@ -296,6 +364,8 @@
 
     def part(self) -> None:
         """Send away whoever has nothing to ask: the front deals out no more of us."""
+        while self._close_new(link.STOPPING, FRESH_MS):
+            pass
         self._close_idle(link.STOPPING, len(self._idle))
 
     def stop_accepting(self) -> None:
--- a/lynxscale/net/link.py
+++ b/lynxscale/net/link.py
@@ -15,22 +15,27 @@
 from zope.interface import implementer
 
 from lynxscale.deadlines import Deadline, Deadlines
-from lynxscale.http import BadHttp, Response, ResponseParser
+from lynxscale.http import BODY_MOST, LIST_MOST, Response, ResponseParser
 
 log = logging.getLogger("lynxscale")
 
 # Reason codes of ended connections, as they stand in the log.
-FAR_CLOSED, RESET, IDLE, CROWDED, CANCELLED, TIMED_OUT, MALFORMED, STOPPING, MOVED = (
-    "far_closed", "reset", "idle", "crowded", "cancelled", "timed_out", "malformed", "stopping", "moved"
+FAR_CLOSED, RESET, IDLE, CROWDED, CANCELLED, TIMED_OUT, MALFORMED, STOPPING, MOVED, GONE = (
+    "far_closed", "reset", "idle", "crowded", "cancelled", "timed_out", "malformed", "stopping", "moved",
+    "gone",
 )
 
 
+REST_MS = 500  # from an answer's first byte to its last
+
+
 class Broken(Exception):
-    """The connection ended with no answer; ``written``: the call's last byte had left."""
+    """No whole answer. ``written``: the call's last byte had left; ``spoilt``: something came that is none;
+    ``said_ok``: its first line was read, and says 200."""
 
-    def __init__(self, written: bool) -> None:
+    def __init__(self, written: bool, spoilt: bool = False, said_ok: bool = False) -> None:
         super().__init__("connection ended")
-        self.written = written
+        self.written, self.spoilt, self.said_ok = written, spoilt, said_ok
 
 
 def unread(transport) -> bytes | None:
@@ -47,8 +52,9 @@
 class Link(Protocol):
     """A connection to one address. As a pull producer it learns when its last byte has left."""
 
-    def __init__(self, kind: str, on_lost: Callable[[Link], None] | None = None) -> None:
-        self.kind, self.on_lost = kind, on_lost
+    def __init__(self, kind: str, deadlines: Deadlines, on_lost: Callable[[Link], None] | None = None,
+                 most: int = BODY_MOST) -> None:
+        self.kind, self.on_lost, self._deadlines = kind, on_lost, deadlines
         self.up = False
         self.calls = 0
         self.since = 0  # idle since then, on the loop's clock
@@ -57,7 +63,8 @@
         self.written = False
         self._data: bytes | None = None
         self._answer: Deferred | None = None
-        self._parser = ResponseParser()
+        self._parser = ResponseParser(most)
+        self._rest: Deadline | None = None
         self._reason: str | None = None
 
     def connectionMade(self) -> None:
@@ -99,17 +106,31 @@
         if self._answer is None:
             self.drop(MALFORMED)  # bytes that answer no call
             return
-        try:
-            answers = self._parser.feed(data)
-        except BadHttp as error:
-            log.warning("%s connection: %s", self.kind, error)
-            self.drop(MALFORMED)
-            return
+        answers, parser = self._parser.feed(data), self._parser
         if answers:
-            if len(answers) > 1 or not self._parser.idle or answers[0].close or not self.written:
-                self.drop(FAR_CLOSED if answers[0].close else MALFORMED, answers[0])
+            # A whole answer counts, whatever follows it; the connection is of no further use then.
+            more = len(answers) > 1 or parser.fault is not None or not parser.idle
+            if more or answers[0].close or not self.written:
+                self.drop(MALFORMED if more else FAR_CLOSED, answers[0])
             else:
                 self._fire(answers[0])
+        elif parser.fault is not None:
+            self._spoil()
+        elif self._rest is None:
+            # Guards against an answer that never ends: its call would keep a slot until its time is up.
+            self._rest = self._deadlines.after(REST_MS * 1000, self._spoil)
+
+    @property
+    def said_ok(self) -> bool:
+        return self._parser.said_ok
+
+    def _spoil(self) -> None:
+        """What has come is no answer and will be none."""
+        self._rest = None
+        answer, self._answer = self._answer, None
+        self.drop(MALFORMED)
+        if answer is not None:
+            answer.errback(Broken(self.written, True, self.said_ok))
 
     def drop(self, reason: str, response: Response | None = None) -> None:
         """Close at once. The far end must see the end of this call before any later one."""
@@ -126,6 +147,7 @@
     def forsake(self) -> None:
         """Nobody waits for this call's answer any more."""
         self._answer = None
+        self._deadlines.cancel(self._rest)
 
     def connectionLost(self, reason: Failure) -> None:
         self.up = False
@@ -133,16 +155,19 @@
         code = self._reason = self._reason or (FAR_CLOSED if reason.check(ConnectionDone) else RESET)
         log.info("connection kind=%s reason=%s calls=%d", self.kind, code, self.calls)
         if self._answer is not None:
-            response = self._parser.end()
+            response = self._parser.end() if code == FAR_CLOSED else None
             if response is not None:
                 self._fire(response)
             else:
                 answer, self._answer = self._answer, None
-                answer.errback(Broken(self.written))
+                self._deadlines.cancel(self._rest)
+                answer.errback(Broken(self.written, False, self.said_ok))
         if self.on_lost is not None:
             self.on_lost(self)
 
     def _fire(self, response: Response) -> None:
+        self._deadlines.cancel(self._rest)
+        self._rest = None
         answer, self._answer = self._answer, None
         if answer is not None:
             answer.callback(response)
@@ -187,7 +212,7 @@
             return answer
         if ready is not None:
             ready.drop(FAR_CLOSED)
-        dialled = dial(self._reactor, self._deadlines, micros, self._where, lambda: Link(self._kind))
+        dialled = dial(self._reactor, self._deadlines, micros, self._where, self._make)
         dialled.addCallbacks(self._connected, self._failed, (data, number), None, (number,))
         return answer
 
@@ -209,6 +234,9 @@
         if self._link is not None and not self._link.busy:
             self._link.drop(reason)
 
+    def _make(self) -> Link:
+        return Link(self._kind, self._deadlines, most=LIST_MOST)
+
     def _connected(self, ready: Link, data: bytes, number: int) -> None:
         if number != self._round:
             ready.drop(CANCELLED)
--- a/lynxscale/net/peers.py
+++ b/lynxscale/net/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -26,13 +27,14 @@
 NEVER_RAN_STATUS = {429: Result.FULL, 503: Result.FULL, 504: Result.MOOT, 410: Result.MOOT}
 
 
+NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")  # Python's own reading takes nan, inf, signs and 1_0
+LONGEST_WAIT_MS = 3_600_000.0  # guards against a wait by which a destination would never be called again
+
+
 def seconds(text: str | None) -> float:
     """Seconds with decimals as milliseconds; 0 where absent or malformed."""
-    try:
-        value = float(text or "0") * 1000
-    except ValueError:
-        return 0.0
-    return value if 0 <= value < float("inf") else 0.0
+    value = float(text) if text and NUMBER.fullmatch(text) else 0.0
+    return min(value * 1000, LONGEST_WAIT_MS)
 
 
 @dataclass(slots=True, eq=False)
@@ -82,9 +84,9 @@
             # Guards against a second copy: the connection is closed before another try can be written.
             self._give_up(work, Result.CANCELLED, link.CANCELLED)
 
-    def close_idle(self, endpoint: int) -> None:
+    def close_idle(self, endpoint: int, reason: str = link.CROWDED) -> None:
         for idle in self._idle.pop(endpoint, []):
-            idle.drop(link.CROWDED)
+            idle.drop(reason)
 
     def stop(self) -> None:
         for endpoint in list(self._idle):
@@ -108,9 +110,12 @@
             return
         self._relay.counters.add("connections", "peer_opened")
         dialled = link.dial(self._reactor, self._deadlines, self._dial_for, address,
-                            lambda: Link("peer", self._lost))
+                            self._make)
         dialled.addCallbacks(self._connected, self._failed, (work, address), None, (work,))
 
+    def _make(self) -> Link:
+        return Link("peer", self._deadlines, self._lost)
+
     def _take_idle(self, endpoint: int, address: tuple[str, int]) -> Link | None:
         links = self._idle.get(endpoint)
         while links:
@@ -168,11 +173,21 @@
             return
         used.forsake()
         used.drop(reason)
-        self._end(work, result)
+        self._end(work, Result.OK if used.said_ok else result)
 
     def _broke(self, failure: Failure, work: Try) -> None:
+        """No whole answer: true all the same where its first line says 200, else the try may have run."""
         failure.trap(Broken)
-        self._end(work, Result.RESET if failure.value.written else Result.CONNECT_FAILED)
+        broken = failure.value
+        if broken.said_ok:
+            result = Result.OK
+        elif not broken.written:
+            result = Result.CONNECT_FAILED
+        else:
+            result = Result.ERROR if broken.spoilt else Result.RESET
+        if broken.spoilt:
+            self._relay.counters.add("tries", "spoilt")
+        self._end(work, result)
 
     def _answered(self, response: http.Response, work: Try, used: Link) -> None:
         if used.up:
@@ -201,10 +216,10 @@
         if not text:
             return ()
         told = dict(part.strip().partition("=")[::2] for part in text.split(","))
-        try:
-            return tuple(float(told[name]) for name in self._columns)
-        except (KeyError, ValueError):
-            return ()  # not the fields that the settings name
+        fields = [told.get(name, "") for name in self._columns]
+        if not all(NUMBER.fullmatch(field) for field in fields):
+            return ()  # not the fields that the settings name, or no numbers
+        return tuple(float(field) for field in fields)
 
     def _end(self, work: Try, result: Result, *, over: bool = False, wait: float = 0.0,
              report: tuple[float, ...] = ()) -> None:
@@ -227,6 +242,9 @@
     def _pool(self, ready: Link) -> None:
         if not ready.up:
             return
+        if self._address_of(ready.home[0]) is None:
+            ready.drop(link.GONE)  # its endpoint has left the list
+            return
         ready.since = self._loop.now()
         self._idle.setdefault(ready.home[0], []).append(ready)
         if len(self._links) > self._idle_most:
@@ -253,5 +271,8 @@
 
     def _lost(self, gone: Link) -> None:
         self._links.remove(gone.place)
-        if gone in (links := self._idle.get(gone.home[0], [])):
+        links = self._idle.get(gone.home[0], [])
+        if gone in links:
             links.remove(gone)
+            if not links:
+                del self._idle[gone.home[0]]
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -76,6 +76,9 @@
 
 
 class GroupPort(Protocol):
+    told: bool
+
+    def knows(self, cell: int) -> bool: ...
     def watch(self, active: bool) -> None: ...
     def fetch(self) -> None: ...
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -226,6 +226,7 @@
 
     def test_each_open_message_is_owed_its_end(self):
         self.act = never
+        self.discovery.rows.append(row("s-9", self.peer.at, 9, "draining"))  # nothing new goes there
         self.start()
         client = self.client()
         for cls in ("once", "keyed", "safe"):
@@ -235,7 +236,7 @@
         client.hand_in("untried", "once", dest=9)
         self.kill()
         self.act = lambda call: reply(200)
-        self.discovery.rows.append(row("s-9", self.peer.at, 9))
+        self.discovery.rows[1]["lifecycle"] = "ready"
         self.start()
         ready = time.monotonic()
         self.assertEqual(self.notice("once")["status"], "undeliverable")
--- /dev/null
+++ b/tests/test_rude.py
@@ -0,0 +1,148 @@
+"""Clients that send what is no message, too much, or nothing; usual ones beside them."""
+
+import json
+import socket
+import time
+
+from tests.node import Client, NodeCase, message, until
+
+
+class BadClients(NodeCase):
+    def ends(self, data: bytes, within: float) -> int | None:
+        """The status of the answer to these bytes, or None for a close; within seconds from connecting."""
+        begun = time.monotonic()
+        client = self.client()
+        answer = client.ask(data)
+        self.assertLess(time.monotonic() - begun, within, data[:80])
+        return answer and answer[0]
+
+    def test_silence_and_endless_heads_end_soon(self):
+        self.start()
+        self.assertIsNone(self.ends(b"", 3.0))
+        self.assertEqual(self.ends(b"POST /api HT", 3.0), 408)
+        self.assertEqual(self.ends(message("m1")[:-1], 3.0), 408)
+        self.assertEqual(self.ends(b"POST /api HTTP/1.1\r\n" + b"X: y\r\n" * 101 + b"\r\n", 3.0), 431)
+        self.assertIn("kind=client reason=silent", self.log.read_text())
+
+    def test_after_an_answer_a_connection_may_rest(self):
+        """Longer than one may stay silent at first: a new one would cost its client time."""
+        self.start()
+        client = self.client()
+        client.hand_in("m1")
+        self.assertIsNone(self.ends(b"", 3.0))
+        self.assertEqual(client.hand_in("m2")[0], 202)
+
+    def test_what_is_no_message(self):
+        self.start()
+        until(lambda: "group" in self.counters(), "the list")
+        two = message("m").replace(b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for data, status in [
+            (two, 400),
+            (message("m", left=40.0), 400),
+            (message("m", Req_Deadline="1_0"), 400),
+            (message("m", Req_Deadline="nan"), 400),
+            (message("m", Req_Deadline="-1"), 400),
+            (message("m", Req_Deadline="+1"), 400),
+            (message("m", Req_Deadline="1e1"), 400),
+            (message("m", dest=77), 404),
+            (message("m", X_Envelope="dest=1, dest=2"), 400),
+            (message("m", Content_Length="+5"), 400),
+            (message("m", Content_Length="5_0"), 400),
+            (message("m", Content_Length="9" * 30), 400),
+            (message("m", Content_Length=str(60 << 20)), 413),
+            (message("m").replace(b"Req-Id", b"Req-Id: other\r\nReq-Id"), 400),
+            (message("m").replace(b"Req-Kind", b"req-kind: once\r\nReq-Kind"), 400),
+            (message("m").replace(b"Req-Kind", b"Req-Kind : x\r\nX"), 400),
+            (message("m").replace(b"Req-Kind", b"X: a\nReq-Kind"), 400),
+            (message("m") * 40, 429),
+            (b"\r\n" * 200 + message("m"), 400),
+        ]:
+            with self.subTest(data=data[:300]):
+                self.assertEqual(self.ends(data, 3.0), status)
+        self.assertEqual((self.counters().get("taken"), self.calls()), (None, []))
+
+    def test_what_is_hidden_in_a_body_is_not_read(self):
+        self.start()
+        client = self.client()
+        hidden = message("hidden")
+        client.socket.sendall(message("m", body=hidden).replace(
+            b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n", 1) + hidden)
+        self.assertEqual(client.stream.read().count(b"HTTP/1.1 "), 1)
+        self.assertNotIn("taken", self.counters())
+
+    def test_a_body_of_60_mb(self):
+        """Answered before its end, and what is read past it is bounded."""
+        self.start()
+        client = self.client()
+        client.socket.sendall(message("m", Content_Length=str(60 << 20)))
+        until(lambda: self.counters().get("reject", {}).get("status_413"), "the reject")
+        sent = 0
+        try:
+            while sent < 60 << 20:
+                sent += client.socket.send(bytes(1 << 16))
+        except OSError:
+            pass
+        self.assertLess(sent, 60 << 20)
+
+    def test_the_same_again_and_again_is_slowed_down(self):
+        self.start()
+        client, begun = self.client(), time.monotonic()
+        for _ in range(10):
+            self.assertEqual(client.hand_in("m", cls="unknown")[0], 400)
+        self.assertGreater(time.monotonic() - begun, 0.8)
+        begun = time.monotonic()
+        self.assertEqual(self.client().hand_in("m1")[0], 202)
+        self.assertLess(time.monotonic() - begun, 0.4)
+
+    def test_silent_connections_yield_to_usual_clients(self):
+        self.limits["sockets"] = 64
+        self.start()
+        usual = [self.client() for _ in range(5)]
+        for number, client in enumerate(usual):
+            client.hand_in(f"u{number}")
+        waiting = [self.client() for _ in range(150)]
+        for number in range(10):
+            begun, client = time.monotonic(), Client(self.port)
+            self.assertEqual(client.hand_in(f"m{number}")[0], 202)
+            self.assertLess(time.monotonic() - begun, 0.4)
+            client.close()
+        for number, client in enumerate(usual):  # they are still open
+            self.assertEqual(client.hand_in(f"v{number}")[0], 202)
+        self.assertEqual(len(waiting), 150)
+
+    def test_a_client_that_never_reads_does_not_keep_its_descriptor(self):
+        self.start()
+        client = Client(self.port)
+        self.addCleanup(client.close)
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+        client.socket.sendall(b"GET /_counters HTTP/1.1\r\n\r\n" * 10 + b"nonsense\r\n\r\n")
+        until(lambda: "kind=client reason=malformed" in self.log.read_text(), "its end")
+
+    def test_an_unknown_destination_before_the_list_has_come(self):
+        """What is known may be old then: it is put off, not failed."""
+        self.discovery.failing = True
+        self.start()
+        status, headers, _ = self.client().hand_in("m1", dest=77)
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["retry-after"]), 0)
+        self.discovery.failing = False
+        until(lambda: self.client().hand_in("m1", dest=77)[0] == 404, "the reject")
+
+
+class Tables(NodeCase):
+    def test_replaced_endpoints_leave_nothing_behind(self):
+        """Forty of them, each in the place of the one before; health, numbers and connections go with it."""
+        self.start()
+        until(lambda: len(self.discovery.calls) >= 2, "the watch")
+        client, at = self.client(), self.peer.at
+        for number in range(2, 42):
+            gone = json.loads(json.dumps(self.discovery.rows[0])) | {"lifecycle": "gone"}
+            new = gone | {"instanceId": f"s-{number}", "lifecycle": "ready"}
+            self.discovery.rows = [new]
+            self.discovery.change(gone, new)
+            until(lambda v=number: any(f"after={v}&" in call[0] for _, call in list(self.discovery.calls)),
+                  "the next watch")
+            self.assertEqual(client.hand_in(f"m{number}")[0], 202)
+            self.delivered(number - 1)
+        self.assertEqual((self.peer.opened, self.peer.at), (40, at))
+        until(lambda: len(self.peer.open) <= 1, "the end of the connections of those that left")
--- /dev/null
+++ b/tests/test_spoilt.py
@@ -0,0 +1,133 @@
+"""Answers that cannot be read, or that bring more than belongs to them."""
+
+import socket
+import unittest
+
+from lynxscale.http import ResponseParser
+from lynxscale.net.peers import seconds
+from tests.node import NodeCase, reply, row, until
+
+OK = b"HTTP/1.1 200 OK\r\n"
+SPOILT = [  # behind a first line
+    b"no colon\r\n\r\n",
+    b"Content-Length: -5\r\n\r\n",
+    b"Content-Length: 3000000000\r\n\r\n" + b"x" * 5000,
+    b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\n\r\n-1\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\n\r\n0x1\r\nx\r\n0\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\n\r\n+1\r\nx\r\n0\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\n\r\n1\r\nxy\r\n0\r\n\r\n",
+    b"X: " + b"x" * 20_000,
+    b"Content-Length: 50\r\n\r\nshort",  # and stays open
+    b"Content-Le",
+]
+
+
+class SpoiltAnswers(NodeCase):
+    def answers(self, *answers: bytes) -> None:
+        """These in turn, then whole ones."""
+        left = list(answers)
+        self.act = lambda call: left.pop(0) if left else reply(200)
+
+    def test_a_first_line_with_200_is_true_whatever_follows(self):
+        self.answers(*[OK + rest for rest in SPOILT])
+        self.start()
+        client = self.client()
+        for number in range(len(SPOILT)):
+            client.hand_in(f"m{number}", "once")
+            self.delivered(number + 1)
+        self.assertEqual((len(self.calls()), self.peer.opened), (len(SPOILT), len(SPOILT)))
+        self.assertEqual(self.discovery.notices, {})
+
+    def test_any_other_spoilt_answer_has_run_maybe(self):
+        spoilt = [b"\x16\x03\x01noise\r\n\r\n"] + [
+            b"HTTP/1.1 %d X\r\n" % status + rest
+            for status, rest in zip((429, 503, 504, 410) * 3, SPOILT, strict=False)
+        ]
+        self.answers(*spoilt)
+        # Each to a destination of its own: one that fails rests.
+        self.discovery.rows = [row(f"s-{number}", self.peer.at, number) for number in range(len(spoilt))]
+        self.start()
+        for number in range(len(spoilt)):
+            self.client().hand_in(f"m{number}", "once", dest=number)
+            self.assertEqual(self.notice(f"m{number}"), {"id": f"m{number}", "status": "undeliverable"})
+        self.assertEqual((len(self.calls()), self.peer.opened), (len(spoilt), len(spoilt)))
+
+    def test_a_refusal_cut_short_has_run_maybe(self):
+        def act(_call):
+            link = next(iter(self.peer.open))
+            link.sendall(b"HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\nxyz")
+            link.shutdown(socket.SHUT_RDWR)
+
+        self.act = act
+        self.start()
+        self.client().hand_in("m1", "once")
+        self.assertEqual(self.notice("m1")["status"], "undeliverable")
+        self.assertEqual(len(self.calls("m1")), 1)
+
+    def test_a_whole_answer_counts_whatever_is_behind_it(self):
+        """And no other call is written to that connection, whose next answer would be noise."""
+        behind = [reply(200), b"\x00noise", b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", b"HTTP/9.9"]
+        self.answers(*[reply(200) + more for more in behind])
+        self.start()
+        client = self.client()
+        for number in range(len(behind)):
+            client.hand_in(f"m{number}", "once")
+            self.delivered(number + 1)
+        self.assertEqual((len(self.calls()), self.peer.opened), (len(behind), len(behind)))
+
+    def test_interim_answers_in_front_are_passed_over(self):
+        self.answers(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: x\r\n\r\n" + reply(503))
+        self.start()
+        self.client().hand_in("m1", "once")
+        self.delivered(1)
+        self.assertEqual((len(self.calls()), self.peer.opened), (2, 1))
+
+    def test_reports_and_waits_that_are_no_numbers(self):
+        reports = ["x0=nan,x1=inf", "x0=-1,x1=-1e400", "x0=1e999,x1=1_0", "=,,=;", "x0"]
+        waits = ["nan", "-inf", "-1", "1e9", "0x1"]
+        self.answers(*[reply(503, b"", f"Srv-Load: {report}", f"Retry-After: {wait}")
+                       for report, wait in zip(reports, waits, strict=True)])
+        self.discovery.rows = [row(f"s-{number}", self.peer.at, number) for number in range(len(waits))]
+        self.start()
+        for number in range(len(waits)):
+            self.client().hand_in(f"m{number}", "once", dest=number)
+        self.delivered(len(waits))
+        self.assertNotIn("failed", self.counters().get("module", {}))
+        self.assertEqual(seconds("9" * 9), 3_600_000.0)
+
+    def test_a_list_that_cannot_be_read(self):
+        whole = self.discovery._list
+        spoilt = [reply(200, b"[]"), reply(200, b'{"generation":"x","reset":true,"instances":[]}'),
+                  reply(200, b'{"generation":2,"reset":true,"instances":{"a":1}}'), b"\0noise\r\n\r\n",
+                  reply(200, b'{"generation":2,"reset":false,"instances":[{"instanceId":[]},7,null]}')]
+        self.discovery._list = lambda *args: spoilt.pop(0) if spoilt else whole(*args)
+        self.start()
+        until(lambda: not spoilt, "all answers")
+        self.client().hand_in("m1")
+        self.delivered(1)
+
+    def test_an_endpoint_absent_from_a_whole_list_is_forgotten(self):
+        """Its address is another's now: no connection of the old one carries over."""
+        self.start()
+        until(lambda: len(self.discovery.calls) >= 2, "the watch")
+        self.client().hand_in("m1")
+        self.delivered(1)
+        list_, self.discovery._list = self.discovery._list, lambda _whole, rows: list_(True, rows)
+        self.discovery.change(row("s-2", self.peer.at, 1))
+        until(lambda: "kind=peer reason=gone" in self.log.read_text(), "the end of its connection")
+        self.client().hand_in("m2")
+        self.delivered(2)
+        self.assertEqual(self.peer.opened, 2)
+
+
+class Parser(unittest.TestCase):
+    def test_cut_anywhere_reads_the_same(self):
+        data = (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"3;x=y\r\nabc\r\n0\r\nT: x\r\n\r\nHTTP/1.1 nonsense\r\n\r\n")
+        for cut in range(len(data)):
+            parser = ResponseParser()
+            got = parser.feed(data[:cut]) + parser.feed(data[cut:])
+            self.assertEqual([(one.status, one.body) for one in got], [(503, b"abc")])
+            self.assertIsNotNone(parser.fault)
+            self.assertIsNone(parser.end())
