Restart calls that later ones have overtaken: they are lost, and beyond the ration of slow ones

A trace of every call showed what by: of 76 slots 68 were held by calls that ended cancelled (257 of 1130 calls, while those that were answered took 141 ms in the median, as ever). About a quarter of the calls to most endpoints got no answer, on new and on used connections alike, for ten seconds. Checked and ruled out: descriptors, windows (28 of 28), waits, health (ok), cold endpoints (old ones lost as many), the relay's own CPU (0.13 s in the busiest second). Cause: cut() spends a budget of 0.1 restart a success, made for slow calls, so that half of the repeatable ones waited until cut_stuck() found them silent after 2 to 4 s, and cut_stuck() left a quarter of the slots to silent ones for up to 12 s.

--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -24,6 +24,8 @@
 RELEARN_EVERY = 8  # new tries between two computations of the time-out, to spare CPU
 RESTART_SHARE = 0.1  # restarts earned by a success: cut calls may run on, so they are rationed
 RESTART_BANK = 3.0  # restarts saved up at most, so that a bad spell meets no hoard
+LOST_MULTIPLE = 4.0  # usual latencies after which a call that others have overtaken is taken for lost
+LOST_SHARE, LOST_BANK = 0.4, 5.0  # restarts of lost calls earned by a success, and saved up at most
 RESTARTS_EACH = 2  # restarts of one message; a message slow by nature is slow again
 SPAN_MARGIN = 0.9  # share of a key's memory that is used: a call takes time to arrive
 SLOW_MULTIPLE = 3.0  # recent latency over the usual one that counts as slow
@@ -88,6 +90,7 @@
         self.zone = self.inflight = self.unconnected = 0  # unconnected: failed connects since a success
         self.per_call, self.fee = 1, 0.0
         self.weight = self.rest_until = self.unconnected_at = 0.0
+        self.answered = -INF  # when the latest of its answered calls was sent
         self.idle = []  # since when each of its connections is idle
         self.avoid: dict[int, tuple[float, float]] = {}  # by class failed here: until when, how long
         self.lane = self.call = None  # call: the last one
@@ -101,6 +104,7 @@
         self.endpoints = []
         self.sample: deque[tuple[float, float]] = deque(maxlen=SAMPLE_SIZE)  # (when, latency or INF)
         self.window, self.restarts, self.tau = 1, 1.0, INF
+        self.lost_restarts = LOST_BANK
         self.fresh = self.inflight = self.silent = 0
         self.wait_until = self.median = self.recent = self.limit = 0.0
 
@@ -326,11 +330,33 @@
         spent = msg.restarts >= RESTARTS_EACH or msg.attempts + 1 >= (self.s.attempts_cap or INF)
         # Slow or sick: the next try is no faster there, and cut calls would pile up (docs/design.md).
         useless = lane.health.state != OK or lane.slow() or msg.expires - self.now < 2 * self.usual(msg)
-        if spent or useless or lane.restarts < 1:
+        if spent or useless:
             return
-        lane.restarts, msg.restarts, out.cut = lane.restarts - 1, msg.restarts + 1, True
+        if lane.restarts >= 1:
+            lane.restarts -= 1
+        elif not self.restarts_lost(out):
+            return
+        msg.restarts, out.cut = msg.restarts + 1, True
         self.actions.append(api.Cancel(msg.id, out.number))
 
+    def restarts_lost(self, out: Try) -> bool:
+        """Beyond the budget for slow calls: is this one lost, or its answer? Else it is looked at later.
+
+        A lost call runs on nowhere, so that its restart costs the destination nothing. Hurts in the first
+        moments of a slow spell, when long calls are overtaken by short ones: these earn what it may spend.
+        """
+        call, lane = out.call, out.call.endpoint.lane
+        usual = max(1.0, max(lane.median, lane.recent) * self.ratio(out.msg.cls))
+        due = call.sent + LOST_MULTIPLE * usual
+        if self.now < due or not self.overtaken(call) or lane.lost_restarts < 1:
+            self.timer(max(due, self.now + usual), self.cut, out)
+            return False
+        lane.lost_restarts -= 1
+        return True
+
+    def overtaken(self, call: Call) -> bool:  # has its endpoint answered one that was sent later?
+        return call.endpoint.answered > call.sent
+
     def repeatable(self, msg: Held, first: float) -> bool:
         """May it be sent (again) although an attempt first sent then may have run?"""
         grade = self.s.classes[msg.cls]
@@ -463,6 +489,8 @@
             lane.window = min(lane.window + 1, self.most_calls)
             self.rest = max(SOFT_WAIT_MS, self.rest * REST_FALL)
             lane.restarts = min(RESTART_BANK, lane.restarts + RESTART_SHARE)
+            lane.lost_restarts = min(LOST_BANK, lane.lost_restarts + LOST_SHARE)
+            endpoint.answered = max(endpoint.answered, call.sent)
             for health in endpoint.healths:
                 self.good(endpoint, health, not call.silent)
             return
@@ -636,11 +664,11 @@
             self.cut_stuck()
 
     def cut_stuck(self) -> None:  # no slot is left
-        """Cut the oldest silent calls (hang, lost reply, dead link); unsafe messages are then failed."""
+        """Cut silent calls: all that are lost, and the oldest of a hang; unsafe messages are then failed."""
         most = max(0, self.silents - self.sick_slots) if self.s.may_cancel else 0
-        look = islice(self.tries.values(), LOOK)
-        for out in [t for t in look if t.call.silent][:most]:
-            if not out.cut:
+        look = [t for t in islice(self.tries.values(), LOOK) if t.call.silent] if self.s.may_cancel else []
+        for place, out in enumerate(look):
+            if not out.cut and (place < most or self.overtaken(out.call)):
                 out.cut = True
                 self.actions.append(api.Cancel(out.msg.id, out.number))
 
--- a/tests/test_timeout.py
+++ b/tests/test_timeout.py
@@ -5,7 +5,7 @@
 from gannetshift import brain
 from gannetshift import interface as api
 from gannetshift.brain import best_timeout
-from tests.driver import SAFE, UNSAFE, Driver
+from tests.driver import SAFE, UNSAFE, Driver, member
 
 
 def test_cold_start_has_no_timeout():
@@ -87,3 +87,47 @@
     before = len(d.sent())
     number = d.message(SAFE, left=60.0)
     assert isinstance(d.finals[number][0], api.Refuse) and len(d.sent()) == before
+
+
+def lose(d: Driver, calls: int, cls: int = SAFE) -> list[int]:
+    """So many calls without an answer, each overtaken by one that is answered in the usual time."""
+    lost = []
+    for _ in range(calls):
+        lost.append(d.message(cls))
+        d.pass_time(1)
+        d.warm_up(1)
+    return lost
+
+
+def cut(d: Driver) -> list[int]:
+    return [a.id for _, a in d.log if isinstance(a, api.Cancel)]
+
+
+def test_lost_calls_are_restarted_beyond_the_ration():
+    d = Driver()
+    d.warm_up(60)
+    lost = lose(d, 5)
+    d.pass_time(500)
+    assert cut(d) == lost and len(lost) > brain.RESTART_BANK
+
+
+def test_slow_calls_are_not_taken_for_lost():
+    """None is overtaken: all are slow alike."""
+    d = Driver()
+    d.warm_up(60)
+    for _ in range(12):
+        d.message(SAFE)
+    d.pass_time(900)
+    assert len(cut(d)) <= brain.RESTART_BANK
+
+
+def test_lost_calls_that_must_not_be_repeated_give_way_when_no_slot_is_left():
+    d = Driver(members=[member(11, 1), member(12, 2)], slots=6)
+    d.warm_up(30, dest=2)
+    d.warm_up(60)
+    lost = lose(d, 2, UNSAFE)
+    d.pass_time(2000)
+    assert not cut(d)
+    for dest in (1, 1, 2, 2, 2, 2):
+        d.message(SAFE, dest=dest)
+    assert sorted(cut(d)) == lost
