Take calls for lost only at endpoints that answer at their usual pace

So cut_stuck() did it: in a slow spell short calls overtake long ones, and what must not run twice was cut and failed.

--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -24,7 +24,7 @@
 RELEARN_EVERY = 8  # new tries between two computations of the time-out, to spare CPU
 RESTART_SHARE = 0.1  # restarts earned by a success: cut calls may run on, so they are rationed
 RESTART_BANK = 3.0  # restarts saved up at most, so that a bad spell meets no hoard
-LOST_MULTIPLE = 4.0  # usual latencies after which a call that others have overtaken is taken for lost
+LOST_MULTIPLE, LOST_PACE = 4.0, 1.7  # usual latencies until an overtaken call is lost; at such a pace at most
 LOST_SHARE, LOST_BANK = 0.4, 5.0  # restarts of lost calls earned by a success, and saved up at most
 RESTARTS_EACH = 2  # restarts of one message; a message slow by nature is slow again
 SPAN_MARGIN = 0.9  # share of a key's memory that is used: a call takes time to arrive
@@ -92,7 +92,7 @@
         self.zone = self.inflight = self.unconnected = 0  # unconnected: failed connects since a success
         self.per_call, self.fee = 1, 0.0
         self.weight = self.rest_until = self.unconnected_at = 0.0
-        self.answered = -INF  # when the latest of its answered calls was sent
+        self.answered, self.pace = -INF, 1.0  # when the latest call answered was sent; recent over usual time
         self.idle = []  # since when each of its connections is idle
         self.avoid: dict[int, tuple[float, float]] = {}  # by class failed here: until when, how long
         self.lane = self.call = None  # call: the last one
@@ -344,22 +344,22 @@
         self.actions.append(api.Cancel(msg.id, out.number))
 
     def restarts_lost(self, out: Try) -> bool:
-        """Beyond the budget for slow calls: is this one lost, or its answer? Else it is looked at later.
-
-        A lost call runs on nowhere, so that its restart costs the destination nothing. Hurts in the first
-        moments of a slow spell, when long calls are overtaken by short ones: these earn what it may spend.
-        """
+        """Beyond the budget for slow calls: is this one lost, or its answer? Else it is looked at later."""
         call, lane = out.call, out.call.endpoint.lane
         usual = max(1.0, max(lane.median, lane.recent) * self.ratio(out.msg.cls))
         due = call.sent + LOST_MULTIPLE * usual
-        if self.now < due or not self.overtaken(call) or lane.lost_restarts < 1:
-            self.timer(max(due, self.now + usual), self.cut, out)
-            return False
-        lane.lost_restarts -= 1
-        return True
+        if self.now >= due and self.lost(call):
+            return True
+        self.timer(max(due, self.now + usual), self.cut, out)
+        return False
 
-    def overtaken(self, call: Call) -> bool:  # has its endpoint answered one that was sent later?
-        return call.endpoint.answered > call.sent
+    def lost(self, call: Call) -> bool:
+        """Has its endpoint answered one that was sent later, at the usual pace? Else it may be slow."""
+        lane = call.endpoint.lane
+        overtaken = call.endpoint.answered > call.sent and call.endpoint.pace <= LOST_PACE
+        known = overtaken and lane.lost_restarts >= 1
+        lane.lost_restarts -= known
+        return known
 
     def repeatable(self, msg: Held, first: float) -> bool:
         """May it be sent (again) although an attempt first sent then may have run?"""
@@ -498,6 +498,7 @@
             lane.restarts = min(RESTART_BANK, lane.restarts + RESTART_SHARE)
             lane.lost_restarts = min(LOST_BANK, lane.lost_restarts + LOST_SHARE)
             endpoint.answered = max(endpoint.answered, call.sent)
+            endpoint.pace += ((self.now - call.sent) / max(1.0, lane.median) - endpoint.pace) * RECENT_WEIGHT
             for health in endpoint.healths:
                 self.good(endpoint, health, not call.silent)
             return
@@ -673,7 +674,7 @@
         most = max(0, self.silents - self.sick_slots) if self.s.may_cancel else 0
         look = [t for t in islice(self.tries.values(), LOOK) if t.call.silent] if self.s.may_cancel else []
         for place, out in enumerate(look):
-            if not out.cut and (place < most or self.overtaken(out.call)):
+            if not out.cut and (place < most or self.lost(out.call)):
                 out.cut = True
                 self.actions.append(api.Cancel(out.msg.id, out.number))
 
