Let client connections at rest make room early, so that usual clients can open theirs

Checked and ruled out, by replays with traces and the kernel's socket table: unknown destinations (the list was whole), full slots, shedding, the listen queue (empty), requests late on silent connections (left open for 20 s they never speak). The table shows 193 to 223 client connections open at each node, of 384 descriptors. Cause: clients that ask once and stay, and silent ones, 105 a second. Clients hold a third of the descriptors for requests, and those at rest were closed only when the relay's own, larger table was full (_make_room) or after 15 s, so that usual clients could open no more.

--- a/lynxscale/__main__.py
+++ b/lynxscale/__main__.py
@@ -25,6 +25,7 @@
 log = logging.getLogger("lynxscale")
 
 OWN_SOCKETS = 32  # discovery, notices, the journal's two files, the loop's own, the standard streams
+EASY_SHARE = 6  # with more than one in so many for clients, those at rest go
 PEER_SHARE = 3  # one descriptor in so many is for peers at most
 # From a SIGTERM on, in microseconds:
 PART_AT = 450_000  # connections came in so far; idle ones are closed now
@@ -63,7 +64,7 @@
             reactor, self.deadlines, conf.discovery, relay.notified, self.counters
         )
         most_clients = max(8, conf.sockets - peer_sockets - OWN_SOCKETS)
-        self.clients = Clients(self.deadlines, relay, most_clients)
+        self.clients = Clients(self.deadlines, relay, most_clients, conf.sockets // EASY_SHARE)
         self._stop_begun = 0
 
     def start(self) -> None:
--- a/lynxscale/net/clients.py
+++ b/lynxscale/net/clients.py
@@ -26,7 +26,7 @@
 READ_MS = 2000  # from a later request's first byte to its last
 LINGER_MS = 500  # after our last byte, for the client to read it and close
 PAST_MOST = 256 * 1024  # read past after our last byte; then the client is left to wait for the close
-YOUNG_MS, RESTED_MS = 50, 2000  # silent, or at rest, for so long: closed for room before all others
+YOUNG_MS, RESTED_MS = 50, 500  # silent, or at rest, for so long: closed for room before all others
 FRESH_MS = 200  # at the stop a connection this young may still bring its request
 FAULT_REST_MS, FAULT_REST_MOST_MS = 20, 1000  # what was no message delays its client's next request
 NAME_MOST = 200  # characters of an id or a key
@@ -242,8 +242,8 @@
 
     noisy = False
 
-    def __init__(self, deadlines: Deadlines, relay: Relay, most: int) -> None:
-        self.deadlines, self.relay, self._most = deadlines, relay, most
+    def __init__(self, deadlines: Deadlines, relay: Relay, most: int, easy: int) -> None:
+        self.deadlines, self.relay, self._most, self._easy = deadlines, relay, most, easy
         self.stopping = False
         self._connections: Slots = Slots()
         self._idle: OrderedDict[int, ClientConnection] = OrderedDict()  # the longest idle first
@@ -272,6 +272,10 @@
         """
         if len(self._connections) < self._most:
             self._accept(True)
+            if len(self._connections) > self._easy:
+                # Guards against clients that ask once and stay: usual ones may have no more connections left
+                # to open than a third of the descriptors, long before the table is full.
+                self._close_idle(link.CROWDED, 2, RESTED_MS)
         elif not (self._close_new(link.CROWDED, YOUNG_MS) or self._close_idle(link.CROWDED, 1, RESTED_MS)
                   or self._close_new(link.CROWDED) or self._close_idle(link.CROWDED, 1)):
             self._accept(False)
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -110,6 +110,22 @@
             self.assertEqual(client.hand_in(f"v{number}")[0], 202)
         self.assertEqual(len(waiting), 150)
 
+    def test_clients_that_ask_once_and_stay_make_room_before_the_table_is_full(self):
+        self.limits["sockets"] = 192  # 96 client connections at most
+        self.start()
+        stay = [self.client() for _ in range(60)]
+        for number, client in enumerate(stay):
+            self.assertEqual(client.hand_in(f"m{number}")[0], 202)
+
+        def one_more() -> bool:
+            client = Client(self.port)
+            self.assertEqual(client.hand_in(f"n{time.monotonic()}")[0], 202)
+            client.close()
+            return self.log.read_text().count("kind=client reason=crowded") >= 20
+
+        until(one_more, "the end of those at rest")
+        self.assertEqual(stay[-1].hand_in("last")[0], 202)  # the longest at rest went first
+
     def test_a_client_that_never_reads_does_not_keep_its_descriptor(self):
         self.start()
         client = Client(self.port)
