Tests: poll the counters without leaving connections open, and call once where calls count

Cause: NodeCase.counters opened a client connection for each look and kept it to the end of the test. The relay did as it should; the answer of None was taken for an acceptance. Also seen, with four suites at once: 41 peer connections instead of 40 in test_replaced_endpoints_leave_nothing_behind, 1 of 60. Its messages were of a class that is cut and restarted at the time-out, which a slow machine reaches; they go at most once now.

--- a/tests/node.py
+++ b/tests/node.py
@@ -262,7 +262,9 @@
         return until(lambda: self.discovery.notices.get(id), f"a notice for {id}")
 
     def counters(self) -> dict:
-        return json.loads(self.client().ask(b"GET /_counters HTTP/1.1\r\n\r\n")[2])
+        # Closed after use: with dozens at rest the relay would close the test's own client for room.
+        with contextlib.closing(Client(self.port)) as client:
+            return json.loads(client.ask(b"GET /_counters HTTP/1.1\r\n\r\n")[2])
 
     def delivered(self, number: int) -> None:
         until(lambda: self.counters().get("ends", {}).get("delivered", 0) >= number, f"{number} delivered")
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -158,7 +158,8 @@
             self.discovery.change(gone, new)
             until(lambda v=number: any(f"after={v}&" in call[0] for _, call in list(self.discovery.calls)),
                   "the next watch")
-            self.assertEqual(client.hand_in(f"m{number}")[0], 202)
+            # At most once, as a slow machine's late answer would have another class called a second time.
+            self.assertEqual(client.hand_in(f"m{number}", "once")[0], 202)
             self.delivered(number - 1)
         self.assertEqual((self.peer.opened, self.peer.at), (40, at))
         until(lambda: len(self.peer.open) <= 1, "the end of the connections of those that left")
