A destination under its even share of the slots is served before others in aim

One busy destination holds 13 to 23 of them while its latency rises from 216 to 575 ms with no more successes a second: it queues at its far end. Meanwhile quick destinations (70 ms) have up to 32 messages waiting with one or two calls out. Ruled out: their windows (23, open), health (ok), waits (none). At fault: Sender.offer ranked every message in aim before all others, so each free slot went back to the busy one. Now a destination with fewer calls out than slots over destinations comes first; the rest as before.

--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -656,7 +656,7 @@
     # Dispatch ----------------------------------------------------------------------------------
 
     def dispatch(self) -> None:
-        """Serve destinations in turn: in aim first, then the one with the fewest calls out."""
+        """Serve destinations in turn: in aim or below an even share of slots first, then the fewest calls."""
         heap: list[tuple] = []
         for dest in list(self.active.values()) if self.used < self.s.slots else ():
             self.offer(heap, dest)
@@ -679,9 +679,10 @@
                 self.actions.append(api.Cancel(out.msg.id, out.number))
 
     def offer(self, heap: list, dest: Dest) -> None:
-        row = self.head(dest)
-        if row is not None:
-            heappush(heap, (row[0], dest.inflight, row[1], dest.number, dest))
+        if (row := self.head(dest)) is not None:
+            # Holds against a busy and slow destination, whose messages in aim would take every slot.
+            below = dest.inflight * len(self.dests) < self.s.slots
+            heappush(heap, (0 if below else row[0], dest.inflight, row[1], dest.number, dest))
         else:
             del self.active[dest.number]
 
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -270,3 +270,20 @@
             d.pass_time(50)
         rests.append(d.now - start)
     assert min(rests) > 4000 and sum(rests) / len(rests) > 10000
+
+
+# Slots
+
+
+def test_a_destination_under_its_share_of_the_slots_goes_before_others_in_aim():
+    """A quick one with messages past their aim must not wait for all those of a busy one that is slow."""
+    d = Driver([member(10 + dest, dest=dest) for dest in (1, 2, 3)], slots=8)
+    for dest in (1, 2, 3):
+        d.warm_up(10, dest=dest)
+    busy = [d.message(UNSAFE, dest=1) for _ in range(9)]
+    for _ in range(3):
+        d.message(UNSAFE, dest=3)
+    assert len(d.out) == 8
+    late = d.message(UNSAFE, dest=2, left=5000.0)  # past its aim
+    d.finish(busy[0])
+    assert d.is_out(late)
