Begin no call with less than two usual latencies left, nor judge health by its time-out

Ruled out: silence (calls of 100 to 250 ms), the endpoint itself (the next calls are answered in 30 to 150 ms), slots (free at times), a fall under load (no refusals). At fault: Sender.judge took every time-out for a failure, hopeless and watch let a call begin with one median latency left, which half of the calls exceed. Now a time-out counts by its silence alone, and two are wanted.

--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -28,7 +28,7 @@
 LOST_SHARE, LOST_BANK = 0.4, 5.0  # restarts of lost calls earned by a success, and saved up at most
 RESTARTS_EACH = 2  # restarts of one message; a message slow by nature is slow again
 SPAN_MARGIN = 0.9  # share of a key's memory that is used: a call takes time to arrive
-SLOW_MULTIPLE = 3.0  # recent latency over the usual one that counts as slow
+SLOW_MULTIPLE, LEAST_LEFT = 3.0, 2.0  # usual latencies that count as slow, and that a call must have left
 RECENT_WEIGHT = 0.2  # weight of the newest latency in the recent mean
 # Window and refusals
 SOFT_WAIT_MS, SOFT_WAIT_MOST_MS = 150.0, 12_000.0  # rest after a refusal, besides a told wait
@@ -514,7 +514,7 @@
             endpoint.rest_until = self.now + rest
             if result == Result.RESET:
                 endpoint.idle.clear()
-        if not call.silent:
+        if not call.silent and result != Result.TIMEOUT:  # one begun with little time left tells nothing
             for health in endpoint.healths:
                 self.bad(endpoint, health, result == Result.FULL, call.sent)
 
@@ -536,7 +536,7 @@
             self.enqueue(msg)
 
     def watch(self, msg: Held) -> None:  # given up once hopeless; set anew when it is queued again
-        until, grade = msg.expires - self.usual(msg), self.s.classes[msg.cls]
+        until, grade = msg.expires - LEAST_LEFT * self.usual(msg), self.s.classes[msg.cls]
         if msg.maybe_at and grade.effect == Effect.KEYED:
             until = min(until, msg.maybe_at + (grade.memory_span_ms or 0.0) * SPAN_MARGIN)
         self.timer(until, self.give_up, msg)
@@ -563,8 +563,8 @@
         return grade.worth * share
 
     def hopeless(self, msg: Held) -> bool:
-        """Too little time for a usual call, or it may have run and its repeat would not be dropped."""
-        late = msg.expires - self.now <= self.usual(msg)
+        """Too little time, as half of the calls take longer than usual; or run, maybe, and not repeatable."""
+        late = msg.expires - self.now <= LEAST_LEFT * self.usual(msg)
         spent = msg.attempts >= (self.s.attempts_cap or INF)  # all made in an earlier life
         return late or spent or (bool(msg.maybe_at) and not self.repeatable(msg, msg.maybe_at))
 
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -272,6 +272,29 @@
     assert min(rests) > 4000 and sum(rests) / len(rests) > 10000
 
 
+# Little time left
+
+
+def test_time_outs_of_calls_with_little_time_left_tell_nothing_of_health():
+    """A queue drained at its deadlines must not make a destination that answers look failing."""
+    d = Driver()
+    d.warm_up(40)
+    for _ in range(4):
+        d.message(SAFE, left=300.0)
+        d.pass_time(301.0)
+    assert len(d.sent()) == 44 and not d.out
+    assert not any(text.endswith("failing") for text in notes(d))
+
+
+def test_nothing_is_sent_with_less_than_two_usual_calls_left():
+    d = Driver()
+    d.warm_up(40)
+    number = d.message(SAFE, left=190.0)
+    assert isinstance(d.finals[number][0], api.Refuse)
+    d.message(SAFE, left=210.0)
+    assert len(d.sent()) == 41
+
+
 # Slots
 
 
