Notice the end of an outage within a second, and pace a return by its destination alone

Destination 5 then has up to ten tokens saved while 80 messages wait and slots are free: each of its endpoints has a pace of its own, computed as if all of them took part, and so the lane's is never used up. Ruled out: slots, windows, waits; the real capacity (no refusals, 30 to 150 ms an answer). At fault: TRY_MOST_MS of 2.5 s, while most_gap bounds tries by the told rate already; Sender.good, which put an endpoint into the warm-up beside its lane; WEIGHT_ERROR, which took a nominal rate for a rough one. As tries are more now, send_next takes a message that may be repeated before one that may not: a try that fails may have run.

--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -34,7 +34,6 @@
 SOFT_WAIT_MS, SOFT_WAIT_MOST_MS = 150.0, 12_000.0  # rest after a refusal, besides a told wait
 REST_RISE, REST_FALL = 1.3, 0.985  # of the rest that all destinations share, a refusal and a success
 REST_GROWTH, REST_STEPS = 2.0, 6  # longer with each refusal in a row, so many times
-REST_CALLS = 1.0  # a rest is no longer than so many usual successes of this node there take
 REUSE_SHARE, REUSE_MEMORY_MS = 0.5, 30_000.0  # of the idle age that failed: older connections are not reused
 REUSE_LEAST_MS = 2000.0  # idle for less, one that fails was likely reset with its endpoint: counted
 REUSE_RISK, REUSE_RISK_UNSAFE = 0.35, 0.03  # more resets than on new connections: too old for reuse, and for
@@ -46,17 +45,14 @@
 HARD_STREAK = 2  # failures in a row that make a lane failing: a lone error is chance
 DARK_MS = 2500.0  # no success, and first bad, so long ago: an outage, not a limit or a short gap
 WAKE_STEP_MS = 20.0  # a wake timer is set anew only if so much earlier: timers would breed timers
-SILENT_LEAST_MS = 1000.0  # a call unanswered for this long, and for the next figure, is silence
-SILENT_MULTIPLE = 6.0  # times the usual latency
+SILENT_LEAST_MS, SILENT_MULTIPLE = 1000.0, 6.0  # unanswered so long, and so many usual latencies: silence
 SICK_PART = 4  # one slot in so many: what silent calls keep when others need it, and all tries in outages
-TRY_FIRST_MS, TRY_MOST_MS = 600.0, 2500.0  # spacing of single tries in an outage; the most of a lone node
+TRY_FIRST_MS, TRY_MOST_MS = 600.0, 1000.0  # spacing of single tries in an outage; the most of a lone node
 TRY_AGE = 2.0  # spacing in ages of the outage, over cold share and multiple: as more senders hold messages
-LEAST_RATE = 1.0  # calls a second where no rate is told
-RATE_MS = 10_000.0  # memory of the success rate that sizes the load on a returning destination
-PACE_SHARE = 0.8  # share of the bearable load that is used
-BURST_SHARE = 0.25  # of the load of one tipping span that may go at once
+LEAST_RATE, RATE_MS = 1.0, 10_000.0  # calls a second where no rate is told; memory of the success rate
+PACE_SHARE, BURST_SHARE = 0.8, 0.25  # of the load that a return bears; of that of a tipping span, at once
 PART_SHARE = 0.6  # of this node's part of a told rate, as other nodes may take more than theirs
-WEIGHT_ERROR = 1.5  # a rough weight may be this much too high
+WEIGHT_ERROR = 1.5  # a rough weight may be this much too high; a nominal one is as told
 ITEM_WEIGHT = 0.25  # what each further message of a call adds to its weight
 COLD_SHARE, RAMP_MS, TIP_MULTIPLE, TIP_MS = 0.15, 15_000.0, 1.5, 3000.0  # where the settings tell none
 # Order, queue and membership
@@ -110,7 +106,7 @@
         self.fresh = self.inflight = self.silent = 0
         self.wait_until = self.median = self.recent = self.limit = 0.0
 
-    def weight(self) -> float:  # the rate that the list tells
+    def weight(self) -> float:  # the rate that the list tells, at least
         return max((e.weight for e in self.endpoints), default=0.0)
 
     def slow(self) -> bool:
@@ -233,13 +229,12 @@
             for endpoint in self.endpoints.values():
                 endpoint.ready, endpoint.gone = False, True
         for m in event.members:
-            endpoint = self.endpoints.get(m.endpoint)
-            if m.lifecycle != api.Lifecycle.GONE and endpoint is None:
-                endpoint = self.join(m)
+            endpoint = self.endpoints.get(m.endpoint) or m.lifecycle != api.Lifecycle.GONE and self.join(m)
             if endpoint:
                 endpoint.ready = m.lifecycle == api.Lifecycle.READY
                 endpoint.gone = m.lifecycle == api.Lifecycle.GONE
-                endpoint.weight = m.weight if self.s.weights != "off" and m.weight > 0 else 0.0
+                error = {"nominal": 1.0, "rough": WEIGHT_ERROR}.get(self.s.weights, INF)
+                endpoint.weight = max(0.0, m.weight) / error
         for endpoint in [e for e in self.endpoints.values() if e.gone]:
             self.leave(endpoint)
         if event.kind == api.ListKind.CACHED and self.s.asks_for_members:
@@ -375,7 +370,7 @@
         """Calls a second that this node may count on there: its own evidence, or its part of a rate."""
         lane = endpoint.lane
         among = self.s.senders * (1 if health is lane.health else max(1, len(lane.endpoints)))
-        part = max(lane.limit, lane.weight() / WEIGHT_ERROR) / among
+        part = max(lane.limit, lane.weight()) / among
         return max(health.base, PART_SHARE * part, 1000 / self.span / self.s.senders)
 
     def pace(self, endpoint: Endpoint, health: Health) -> float:
@@ -405,8 +400,9 @@
         # Quick while earlier calls stay unanswered: it hung. A late answer: it was slow, and is not cold.
         outage = (health.hard > 1 or quick) and age > DARK_MS and self.now - health.last_ok > DARK_MS
         returned = outage and (health.state == FAILING or (health.state == OK and health.streak > 1))
-        health.count = health.count * math.exp((health.count_at - self.now) / RATE_MS) + 1
-        health.count_at = self.now
+        # Where the lane warms, its pace bounds them all: their own ones would hold it under what it bears.
+        returned &= health is endpoint.lane.health or endpoint.lane.health.state != WARMING
+        health.count, health.count_at = 1 + health.rate(self.now) * RATE_MS / 1000, self.now
         if returned:
             waiting = endpoint.lane.dest.waiting
             health.warm_from, health.tokens_at, health.tokens = self.now, self.now, 0.0 if waiting else 1.0
@@ -439,7 +435,7 @@
 
     def most_gap(self, lane: Lane, health: Health) -> float:
         """Gap at which all senders together load a cold destination as it bears, by own or told rate."""
-        told = max(lane.limit, lane.weight() / WEIGHT_ERROR, LEAST_RATE)
+        told = max(lane.limit, lane.weight(), LEAST_RATE)
         rate = max(told / self.s.senders, health.base, health.rate(self.now))
         return 1000 / (self.tip * self.cold * rate)
 
@@ -476,10 +472,9 @@
             # sends much there learns fast and need not rest for long. Refused calls may use up the limit, so
             # the rest is this node's part of it at least. Hurts where few of the senders call there.
             age = self.now + wait - (lane.health.first_bad if lane.health.streak else self.now)
-            most = REST_CALLS * 1000 / max(lane.health.rate(self.now), 0.01)
+            most = 1000 / max(lane.health.rate(self.now), 0.01)  # this node's usual success takes so long
             least = TRY_FIRST_MS if self.now - lane.health.last_ok > DARK_MS else 0.0
-            told = lane.limit or lane.weight()
-            fair = 1000 * self.s.senders / told if told else 0.0
+            fair = 1000 * self.s.senders / (lane.limit or lane.weight() or INF)
             rest = max(least, self.rest) * REST_GROWTH ** min(lane.health.streak, REST_STEPS)
             rest = min(most, max(rest, fair))
             spread = min(self.most_gap(lane, lane.health), self.try_age * age) if age > DARK_MS else 0.0
@@ -701,6 +696,11 @@
                 dest.wake_at = max(opens, self.now) + 1
                 self.timer(dest.wake_at, self.rouse, dest)
             return False
+        if endpoint.lane.health.state == FAILING and not self.repeatable(msg, self.now):
+            # In an outage what may be repeated is tried first: a try that fails may have run.
+            able = [r for r in dest.queue if r[3] == r[4].version and r[4].zone in (None, endpoint.zone)
+                    and self.repeatable(r[4], self.now) and not self.hopeless(r[4])]
+            msg = min(able, default=(msg,))[-1]
         self.send(msg, endpoint)
         return True
 
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -59,6 +59,41 @@
     assert any(text.endswith("warming") for text in notes(d))
 
 
+def outage(d: Driver, ms: float, cls: int = SAFE) -> None:
+    """Every try fails for so long, while messages come four times a second."""
+    end = d.now + ms
+    while d.now < end:
+        d.message(cls)
+        d.pass_time(250)
+        for number, _ in list(d.out):
+            d.finish(number, ERROR)
+
+
+def test_tries_in_an_outage_are_a_second_apart_and_spare_what_may_not_be_repeated():
+    d = Driver([member(11, weight=20.0)], weights="nominal", attempts_cap=50)
+    d.warm_up(40)
+    outage(d, 6000.0)
+    once, begin = d.message(UNSAFE), len(d.sent())
+    outage(d, 6000.0)
+    assert 4 <= len(d.sent()) - begin <= 8
+    assert once in d.sender.held and d.count.get(once, 0) == 0
+
+
+def test_a_return_is_paced_for_the_destination_not_for_each_endpoint_besides():
+    """One of two endpoints drains: the other may take what the destination bears, not half of it."""
+    d = Driver([member(11, weight=40.0), member(12, weight=40.0)], weights="nominal", attempts_cap=50)
+    d.warm_up(40)
+    outage(d, 8000.0)
+    d.give(api.Membership(api.ListKind.DELTA, 2, [member(12, life=2, weight=40.0)]))
+    begin, end = len(d.sent()), d.now + 6000.0
+    while d.now < end:
+        d.message(SAFE)
+        d.pass_time(20)
+        for number, _ in list(d.out):
+            d.finish(number)
+    assert 36 <= len(d.sent()) - begin <= 60
+
+
 # Connections dropped unseen
 
 
