Record what the relay saw and decided in trace files, with the tools that read them

Need: after a bad weekend nobody can say what the relays saw and decided.

Change: lynxscale/trace/ holds the format (records with self-contained names, version 1 of framed records, version 2 of zstandard blocks with summaries and an index), the recorder as a port on the core with files rotated in a budget, and selection, merge, anonymising, summary and replay; lynxscale/cli/trace/ the commands. Off by default.

--- /dev/null
+++ b/lynxscale/cli/trace/write.py
@@ -0,0 +1,131 @@
+"""Commands that write trace files: cut, merge, anonymise, convert, reindex."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import click
+
+from lynxscale.cli import Misused, example
+from lynxscale.cli.common import (
+    Losses,
+    output_file,
+    progress,
+)
+from lynxscale.cli.trace.shared import (
+    checked,
+    files,
+    frames_of,
+    gathered,
+    group,
+    open_reader,
+    selection,
+    to_file,
+    wanted_from,
+)
+from lynxscale.trace import anonymise as anon
+from lynxscale.trace.merge import Merge
+from lynxscale.trace.select import kept
+from lynxscale.trace.writer import Output
+
+
+@example("lynxscale trace cut --from 2026-05-02T14:00:00 --to 2026-05-02T14:01:00 -o minute.lxt relay-a.lxt")
+@group.command()
+@files
+@selection
+@to_file
+def cut(files: tuple[str, ...], output: str, **words: Any) -> None:
+    """Write the records that are wanted to a file; only blocks that may hold any are read."""
+    paths = checked(files)
+    target, losses = output_file(output, paths), Losses()
+    wanted = gathered(wanted_from(**words), paths)
+    with Output(target) as out:
+        for frame in progress(frames_of(paths, wanted, losses), "cutting"):
+            for part in kept(frame, wanted):
+                out.put(part)
+    click.echo(f"{target}: {out.records} records in {out.frames} frames")
+
+
+@example("lynxscale trace merge -o weekend.lxt relay-a/ relay-b/")
+@group.command()
+@files
+@to_file
+def merge(files: tuple[str, ...], output: str) -> None:
+    """Join files into one, ordered by time; what several files hold is written once."""
+    paths = checked(files)
+    target, losses = output_file(output, paths), Losses()
+    stream = Merge(paths, losses)
+    with Output(target) as out:
+        for frame in progress(stream, "merging"):
+            out.put(frame)
+    click.echo(f"{target}: {out.records} records of {len(paths)} files, {stream.doubles} doubles left out")
+
+
+@example("head -c 32 /dev/urandom | base64 > names.key\n"
+         "lynxscale trace anonymise --key names.key -o partner.lxt weekend.lxt")
+@group.command()
+@files
+@to_file
+@click.option("--key", "key_file", required=True, type=click.Path(), help="A file with a secret of 16 bytes or more.")
+def anonymise(files: tuple[str, ...], output: str, key_file: str) -> None:
+    """Write files without the names of tenants, messages, endpoints, addresses, relays and destinations.
+
+    The same key gives the same name in every file. Keep the key: who has it can try names.
+    """
+    try:
+        key = anon.read_key(key_file)
+    except anon.BadKey as error:
+        raise Misused(str(error)) from error
+    paths = checked(files)
+    target, losses = output_file(output, paths), Losses()
+    names = anon.Anonymiser(key)
+    with Output(target) as out:
+        for frame in progress(Merge(paths, losses), "anonymising"):
+            for part in names.frames(frame):
+                out.put(part)
+    left = f", {names.left_out} of unknown form left out" if names.left_out else ""
+    click.echo(f"{target}: {out.records} records{left}")
+
+
+@example("lynxscale trace convert --to-version 1 -o old.lxt new.lxt")
+@group.command()
+@click.argument("file", type=click.Path())
+@to_file
+@click.option("--to-version", type=click.IntRange(1, 2), default=2, show_default=True)
+def convert(file: str, output: str, to_version: int) -> None:
+    """Write a file in another version of the format; nothing is lost either way."""
+    path = checked((file,))[0]
+    target, losses = output_file(output, [path]), Losses()
+    with open_reader(path) as reader:
+        with Output(target, to_version, reader.head.created, reader.head.writer) as out:
+            for frame in progress(reader.frames(), "converting"):
+                out.put(frame)
+        for loss in reader.losses:
+            losses(loss)
+    click.echo(f"{target}: {out.records} records, version {to_version}")
+
+
+@example("lynxscale trace reindex crashed.lxt")
+@group.command()
+@files
+def reindex(files: tuple[str, ...]) -> None:
+    """Write each file anew in its place, with every record that can be read and an index.
+
+    A file that its relay still writes is left alone: this is for those that a crash left behind.
+    """
+    for path in checked(files):
+        losses = Losses()
+        with open_reader(path) as reader:
+            if reader.head.major == 1:
+                raise Misused(f"{path}: version 1 has no index: convert it")
+            if reader.index() is not None:
+                click.echo(f"{path}: has its index")
+                continue
+            with Output(path, 2, reader.head.created, reader.head.writer) as out:
+                for frame in progress(reader.frames(), "reindexing"):
+                    out.put(frame)
+            for loss in reader.losses:
+                losses(loss)
+        click.echo(f"{path}: {out.records} records, indexed")
+
+
--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 import structlog
 from twisted.internet import reactor
@@ -24,6 +25,9 @@
 from lynxscale.net.peers import Peers
 from lynxscale.relay import Relay
 
+if TYPE_CHECKING:
+    from lynxscale.trace.recorder import Recorder
+
 log = structlog.get_logger()
 
 OWN_SOCKETS = 32  # discovery, notices, the journal's two files, the loop's own, the standard streams
@@ -47,6 +51,7 @@
     def __init__(self, conf: platform.Config, own: Conf) -> None:
         self.conf = conf
         self.counters = Counters()
+        self.trace: Recorder | None = None
         self.loop = Loop(reactor.callLater)
         self.deadlines = Deadlines(self.loop, reactor.callLater)
         self.journal = Journal(conf.state, conf.disk_bytes)
@@ -67,8 +72,18 @@
         )
         most_clients = max(8, conf.sockets - peer_sockets - OWN_SOCKETS)
         self.clients = Clients(self.deadlines, relay, most_clients, conf.sockets // EASY_SHARE)
+        if own.trace.folder is not None:
+            relay.trace = self.trace = self._recorder(own)
         self._stop_begun = 0
 
+    def _recorder(self, own: Conf) -> Recorder:
+        # Guards the memory of relays that record nothing: only here are the recorder's libraries imported.
+        from lynxscale.trace.recorder import Recorder
+
+        conf = self.conf
+        return Recorder(own.trace, conf.settings, conf.name, conf.seed, self.group.name_of,
+                        lambda event, **fields: log.warning(event, **fields))
+
     def start(self) -> None:
         """Ready only once all that an earlier process left open is taken over."""
         entries = self.journal.open()
@@ -121,6 +136,8 @@
         self.peers.stop()
         self.notices.stop()
         self.print_counters()
+        if self.trace is not None:
+            self.trace.stop(self.loop.now(), len(self.relay.held))
         log.info("ended", left=len(self.relay.held))
         self.journal.close()
 
--- a/lynxscale/net/group.py
+++ b/lynxscale/net/group.py
@@ -42,6 +42,7 @@
         # Of what is listed now. Guards against tables that grow with every endpoint that ever was: one that
         # has left is forgotten, and gets a new number should it come again.
         self._numbers: dict[str, int] = {}  # instanceId to the module's number
+        self._names: dict[int, str] = {}
         self._addresses: dict[int, Address] = {}
         self._cells: dict[int, int] = {}  # the destination of each
         self._left: dict[int, int] = {}  # destinations with nobody listed, and since when
@@ -58,6 +59,11 @@
             del self._left[cell]
         return cell in self._left or cell in self._cells.values()
 
+    def name_of(self, endpoint: int) -> tuple[str, str] | None:
+        """Its instanceId and address, while it is listed."""
+        name, at = self._names.get(endpoint), self._addresses.get(endpoint)
+        return (name, "{}:{}".format(*at)) if name is not None and at is not None else None
+
     def address_of(self, endpoint: int) -> Address | None:
         return self._addresses.get(endpoint)
 
@@ -158,6 +164,7 @@
     def _forget(self, gone: set[int]) -> None:
         self._numbers = {name: number for name, number in self._numbers.items() if number not in gone}
         for number in gone:
+            self._names.pop(number, None)
             self._addresses.pop(number, None)
             cell = self._cells.pop(number, None)
             if cell is not None and cell not in self._cells.values():
@@ -179,7 +186,7 @@
             at = address(row["hostPort"], "hostPort")
             if number is None:
                 number = self._numbers[name] = self._next_number()
-            self._addresses[number], self._cells[number] = at, cell
+            self._names[number], self._addresses[number], self._cells[number] = name, at, cell
         return api.Member(
             number, life, cell, self._zones.get(row.get("zone"), 0),
             self._kinds.get(row.get("machineType"), 0), weight,
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -89,6 +89,28 @@
     def owe(self, number: int, id: str, status: str, again_ms: int) -> None: ...
 
 
+class TracePort(Protocol):
+    """Hears what the relay sees and decides; it answers nothing. Times are the loop's µs."""
+
+    decisions: bool  # it wants each step of the module
+
+    def message(self, now: int, number: int, envelope: Envelope | Entry, cls: int, tenant: int, left: int,
+                tries: int = 0) -> None: ...
+    def turned_away(self, now: int, envelope: Envelope, verdict: str, again_ms: float) -> None: ...
+    def admitted(self, now: int, number: int, verdict: str, again_ms: float) -> None: ...
+    def ended(self, now: int, number: int, status: str, again_ms: float = 0.0) -> None: ...
+    def forgotten(self, number: int) -> None: ...
+    def try_started(self, now: int, number: int, attempt: int, endpoint: int, timeout: int, fresh: bool) -> None: ...
+    def try_ended(self, now: int, number: int, attempt: int, endpoint: int, result: int, spent: int, wait_ms: float,
+                  over: bool, report: tuple[float, ...]) -> None: ...
+    def probe_started(self, now: int, endpoint: int) -> None: ...
+    def noticed(self, now: int, number: int, status: str, again_ms: int) -> None: ...
+    def notice_heard(self, now: int, number: int) -> None: ...
+    def events(self, now: int, events: list) -> None: ...
+    def step(self, now: int, events: list, actions: list, failed: bool) -> None: ...
+    def turn(self) -> None: ...
+
+
 class Relay:
     def __init__(self, settings: api.Settings, seed: int, loop: Loop, deadlines: Deadlines,
                  journal: Journal, counters: Counters) -> None:
@@ -100,6 +122,7 @@
         self.tries: TryPort
         self.group: GroupPort
         self.notices: NoticePort
+        self.trace: TracePort | None = None
         self.out = 0  # tries that are under way
         self.sending = True
         self._events: list = []
@@ -137,6 +160,8 @@
             return
         if self._most is not None and len(self.held) >= self._most:
             self.counters.add("reject", "no_room")
+            if self.trace is not None:
+                self.trace.turned_away(self.loop.now(), envelope, Verdict.NO_ROOM.value, BUSY_RETRY_MS)
             answer(Verdict.NO_ROOM, BUSY_RETRY_MS)
             return
         now = self.loop.now()
@@ -149,6 +174,8 @@
         held.number = self.held.add(held)
         self.by_id[entry.id] = held.number
         self._offered.append(held)
+        if self.trace is not None:
+            self.trace.message(now, held.number, envelope, envelope.cls, envelope.tenant, envelope.time_left)
         self.put(api.Message(held.number, envelope.dest, envelope.cls, envelope.tenant,
                              (now + envelope.time_left) / 1000))
 
@@ -171,9 +198,14 @@
         self.counters.add("tries", result.name.lower())
         held = self.held.get(number)
         finished = held is None or held.ended
+        if self.trace is not None:
+            self.trace.try_ended(self.loop.now(), number, attempt, endpoint, result, spent, wait_ms, over, report)
         if not finished and (result == Result.OK or over):
-            self.counters.add("ends", "delivered" if result == Result.OK else "over")
+            status = "delivered" if result == Result.OK else "over"
+            self.counters.add("ends", status)
             finished = held.ended = True
+            if self.trace is not None:
+                self.trace.ended(self.loop.now(), number, status)
             self._forget(held)
         elif not finished and result in NEVER_RAN:
             self._keep(self.journal.not_run, number, recorded)
@@ -182,43 +214,55 @@
     def notified(self, number: int) -> None:
         """The platform has the notice: nothing more is owed."""
         if (held := self.held.get(number)) is not None:
+            if self.trace is not None:
+                self.trace.notice_heard(self.loop.now(), number)
             self._forget(held)
 
     # A turn --------------------------------------------------------------------------------------
 
     def turn(self) -> None:
         """Everything of this turn, in one step of the module."""
-        if not self._events:
-            return
-        events, self._events = self._events, []
-        offered, self._offered = self._offered, []
-        now = self.loop.now()
-        actions = self._step(now / 1000, events)
+        if self._events:
+            events, self._events = self._events, []
+            offered, self._offered = self._offered, []
+            self._one_step(self.loop.now(), events, offered)
+        if self.trace is not None:
+            self.trace.turn()
+
+    def _one_step(self, now: int, events: list, offered: list[Held]) -> None:
+        if self.trace is not None:
+            self.trace.events(now, events)
+        actions, failed = self._step(now / 1000, events)
+        if self.trace is not None and self.trace.decisions:
+            self.trace.step(now, events, actions, failed)
         if offered:
-            self._admit(offered, actions)
+            self._admit(offered, actions, now)
         for action in actions:
             self._act(action, now)
 
-    def _step(self, now_ms: float, events: list) -> list:
-        """The module's actions. Guards against a fault in it: what it did before counts, and service goes on.
+    def _step(self, now_ms: float, events: list) -> tuple[list, bool]:
+        """The module's actions, and whether it failed.
 
-        A message that it lost track of that way is ended by its backstop.
+        Guards against a fault in it: what it did before counts, and service goes on. A message that it lost
+        track of that way is ended by its backstop.
         """
         try:
-            return self.sender.step(now_ms, events)
+            return self.sender.step(now_ms, events), False
         except Exception:
             log.exception("module_failed")
             self.counters.add("module", "failed")
-            return list(self.sender.actions)
+            return list(self.sender.actions), True
 
-    def _admit(self, offered: list[Held], actions: list) -> None:
+    def _admit(self, offered: list[Held], actions: list, now: int) -> None:
         """Answer each new message before anything else is done: rejected, or kept and taken."""
         ended = {action.id: action for action in actions if type(action) in (api.Refuse, api.Fail)}
         for held in offered:
             answers, held.answers = held.answers, None
             if (end := ended.get(held.number)) is not None:
                 self._drop(held, "module")
-                self._tell(answers, Verdict.REJECTED, getattr(end, "retry_after", 0.0))
+                again = getattr(end, "retry_after", 0.0)
+                self._trace_verdict(held, Verdict.REJECTED, again, now)
+                self._tell(answers, Verdict.REJECTED, again)
                 continue
             try:
                 self.journal.take(held.number, held.entry)
@@ -226,12 +270,18 @@
                 log.warning("message_rejected", id=held.entry.id, error=str(error))
                 self._drop(held, "disk_full")
                 self.put(api.Withdrawn(held.number))
+                self._trace_verdict(held, Verdict.DISK_FULL, BUSY_RETRY_MS, now)
                 self._tell(answers, Verdict.DISK_FULL, BUSY_RETRY_MS)
                 continue
             self.counters.add("taken", held.entry.cls)
             self._backstop(held)
+            self._trace_verdict(held, Verdict.TAKEN, 0.0, now)
             self._tell(answers, Verdict.TAKEN, 0.0)
 
+    def _trace_verdict(self, held: Held, verdict: Verdict, again_ms: float, now: int) -> None:
+        if self.trace is not None:
+            self.trace.admitted(now, held.number, verdict.value, again_ms)
+
     @staticmethod
     def _tell(answers: list[Answer], verdict: Verdict, retry_after_ms: float) -> None:
         for answer in answers:
@@ -257,6 +307,8 @@
         elif kind is api.FetchList:
             self.group.fetch()
         elif kind is api.Probe:
+            if self.trace is not None:
+                self.trace.probe_started(now, action.endpoint)
             self.tries.probe(action.endpoint)
         elif kind is api.Note:
             log.info("module", text=action.text)
@@ -272,6 +324,9 @@
         if not self.sending:
             return  # left in the journal for the next process
         self.out += 1
+        if self.trace is not None:
+            self.trace.try_started(self.loop.now(), action.id, attempt, action.endpoint, int(action.timeout * 1000),
+                                   action.fresh)
         self.tries.start(action.id, attempt, held, action.endpoint, int(action.timeout * 1000), action.fresh)
 
     # Ends ----------------------------------------------------------------------------------------
@@ -284,6 +339,10 @@
         self.deadlines.cancel(held.backstop)
         self.counters.add("ends", status)
         self._keep(self.journal.final, number, status, again_ms)
+        if self.trace is not None:
+            now = self.loop.now()
+            self.trace.ended(now, number, status, again_ms)
+            self.trace.noticed(now, number, status, again_ms)
         self.notices.owe(number, held.entry.id, status, again_ms)
 
     def _backstop(self, held: Held) -> None:
@@ -308,6 +367,8 @@
     def _forget(self, held: Held) -> None:
         self.deadlines.cancel(held.backstop)
         self._keep(self.journal.end, held.number)
+        if self.trace is not None:
+            self.trace.forgotten(held.number)
         self.held.remove(held.number)
         self.by_id.pop(held.entry.id, None)
 
@@ -332,6 +393,8 @@
             held.number = self.held.add(held)
             self.by_id[entry.id] = held.number
             numbered[held.number] = entry
+            if self.trace is not None:
+                self.trace.message(now, held.number, entry, held.cls, held.tenant, entry.expires - unix, entry.tries)
             if cls is None and entry.final is None:
                 entry.final = ("undeliverable", 0)  # its class has left the settings: nobody can judge it
             if entry.final is not None:
--- /dev/null
+++ b/lynxscale/trace/summary.py
@@ -0,0 +1,210 @@
+"""Counts and latencies of a trace: per class, tenant, destination and window. No I/O.
+
+Memory is that of the rows and of the messages that are open; a message whose end is not in the trace leaves when too
+many are.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+from hdrh.histogram import HdrHistogram
+
+from lynxscale.trace import records as r
+from lynxscale.trace.frames import Frame
+from lynxscale.trace.select import Wanted
+
+OPEN_MOST = 200_000  # messages without an end: beyond them the oldest is counted as unfinished
+ROWS_MOST = 5_000  # of a summary: guards against a window of a millisecond over a day
+LONGEST_MS = 3_600_000  # of a latency; two digits
+DIGITS = 2
+BY = ("class", "tenant", "destination")
+
+
+class TooManyRows(Exception):
+    """The words ask for more rows than a summary is meant for."""
+
+
+@dataclass(slots=True)
+class Grade:
+    """What a class's messages are worth, by when; ms."""
+
+    aim: float
+    deadline: float
+    worth: float
+    late_worth: float
+    halves: bool
+
+    def worth_at(self, spent_ms: float) -> float:
+        """Worth of a delivery so long after the client sent it (docs/design.md; the operators' counting)."""
+        if spent_ms <= self.aim:
+            return self.worth
+        if spent_ms >= self.deadline:
+            return 0.0
+        if self.halves:
+            return self.worth * 0.5 ** (spent_ms / self.aim - 1)
+        share = (spent_ms - self.aim) / max(1e-9, self.deadline - self.aim)
+        return self.worth * (1 - share * (1 - self.late_worth))
+
+
+@dataclass(slots=True)
+class Row:
+    """One line of the summary. Latencies are from the relay taking a message in to its delivery."""
+
+    key: tuple
+    messages: int = 0
+    replayed: int = 0  # of them, taken over from an earlier process
+    verdicts: Counter = field(default_factory=Counter)
+    ends: Counter = field(default_factory=Counter)
+    tries: int = 0
+    results: Counter = field(default_factory=Counter)
+    unfinished: int = 0
+    worth_asked: float = 0.0
+    worth_in_aim: float = 0.0
+    worth_late: float = 0.0
+    latencies: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, LONGEST_MS, DIGITS))
+
+    def table(self, by: tuple[str, ...]) -> dict[str, Any]:
+        """As a JSON object: percentiles in ms, worth in the settings' units."""
+        spread = {f"p{str(share).replace('.0', '')}_ms": self.latencies.get_value_at_percentile(share)
+                  for share in (50.0, 90.0, 99.0)} if self.latencies.get_total_count() else {}
+        return dict(zip(by, self.key, strict=True)) | {
+            "messages": self.messages, "replayed": self.replayed, "verdicts": dict(sorted(self.verdicts.items())),
+            "ends": dict(sorted(self.ends.items())), "unfinished": self.unfinished,
+            "tries": self.tries, "tries_each": round(self.tries / self.messages, 3) if self.messages else 0.0,
+            "results": dict(sorted(self.results.items())), **spread,
+            "worth_asked": round(self.worth_asked, 3), "worth_in_aim": round(self.worth_in_aim, 3),
+            "worth_late": round(self.worth_late, 3),
+        }
+
+
+@dataclass(slots=True)
+class _Open:
+    row: Row
+    unix: int
+    left: int
+    tries: int = 0
+
+
+class Summariser:
+    """Takes frames in order of time; ``rows`` and ``totals`` tell what they hold.
+
+    ``by``: some of ``class``, ``tenant``, ``destination``; ``window``: µs, 0 for the whole time.
+    """
+
+    def __init__(self, by: Iterable[str] = ("class",), window: int = 0, wanted: Wanted | None = None) -> None:
+        self._by, self._window, self._wanted = tuple(by), window, wanted or Wanted()
+        self._rows: dict[tuple, Row] = {}
+        self._open: OrderedDict[tuple[str, int], _Open] = OrderedDict()
+        self._grades: dict[str, Grade] = {}
+        self.first: int | None = None
+        self.last: int | None = None
+        self.sources: set[str] = set()
+        self.types: Counter = Counter()
+        self.dropped = 0  # records that a recorder says it could not write
+
+    @property
+    def columns(self) -> tuple[str, ...]:
+        return (("window",) if self._window else ()) + self._by
+
+    def add(self, frame: Frame) -> None:
+        unix = frame.unix
+        if not self._wanted.timely(unix):
+            return
+        self.first = unix if self.first is None else min(self.first, unix)
+        self.last = unix if self.last is None else max(self.last, unix)
+        self.sources.add(frame.source)
+        for number, values in frame.records:
+            self.types[r.BY_NUMBER[number].name if number in r.BY_NUMBER else f"type_{number}"] += 1
+            if number == r.START:
+                self._settings(values)
+            elif number == r.DROPPED:
+                self.dropped += values[0]
+            elif number in HANDLED and self._wanted.message(values[0]):
+                HANDLED[number](self, frame.source, unix, values)
+
+    def rows(self) -> Iterator[Row]:
+        """The rows, in the order of their keys; what is still open counts as unfinished."""
+        for one in self._open.values():
+            one.row.unfinished += 1
+        self._open.clear()
+        yield from (self._rows[key] for key in sorted(self._rows, key=lambda key: tuple(map(str, key)) if not
+                                                      self._window else (key[0], *map(str, key[1:]))))
+
+    # Records -------------------------------------------------------------------------------------
+
+    def _settings(self, values: list) -> None:
+        try:
+            table = orjson.loads(values[7])
+            for row in table["classes"]:
+                self._grades[row["name"]] = Grade(row["aim_ms"], row["deadline_ms"], row["worth"], row["late_worth"],
+                                                  table["late_halves"])
+        except (ValueError, KeyError, TypeError, IndexError):
+            pass  # without them there is no worth in the summary, and all else is
+
+    def _row(self, unix: int, msg: r.Msg) -> Row:
+        parts = {"class": msg.cls[1], "tenant": msg.tenant[1], "destination": msg.dest}
+        key = tuple(parts[name] for name in self._by)
+        if self._window:
+            key = (unix - unix % self._window, *key)
+        row = self._rows.get(key)
+        if row is None:
+            if len(self._rows) >= ROWS_MOST:
+                raise TooManyRows(f"more than {ROWS_MOST} rows: ask for a longer window or fewer columns")
+            row = self._rows[key] = Row(key)
+        return row
+
+    def _message(self, source: str, unix: int, values: list) -> None:
+        msg, left, _size, tries = values[:4]
+        row = self._row(unix, msg)
+        row.messages += 1
+        row.replayed += tries > 0
+        grade = self._grades.get(msg.cls[1])
+        row.worth_asked += grade.worth if grade else 0.0
+        self._open[source, msg.number] = _Open(row, unix, left)
+        if len(self._open) > OPEN_MOST:
+            self._open.popitem(last=False)[1].row.unfinished += 1
+
+    def _admit(self, source: str, _unix: int, values: list) -> None:
+        one = self._open.get((source, values[0].number))
+        if one is not None:
+            one.row.verdicts[values[1][1]] += 1
+            if values[1][1] != "taken":
+                del self._open[source, values[0].number]
+
+    def _try(self, source: str, _unix: int, values: list) -> None:
+        one = self._open.get((source, values[0].number))
+        if one is not None:
+            one.row.tries += 1
+
+    def _tried(self, source: str, _unix: int, values: list) -> None:
+        one = self._open.get((source, values[0].number))
+        if one is not None:
+            one.row.results[values[3][1]] += 1
+
+    def _end(self, source: str, unix: int, values: list) -> None:
+        one = self._open.pop((source, values[0].number), None)
+        if one is None:
+            return  # it came in before the trace begins
+        one.row.ends[values[1][1]] += 1
+        if values[1][1] != "delivered":
+            return
+        spent = max(0, unix - one.unix) / 1000
+        one.row.latencies.record_value(max(1, min(LONGEST_MS, round(spent))))
+        grade = self._grades.get(values[0].cls[1])
+        if grade is not None:
+            # The time left tells how long ago the client sent it.
+            since = spent + max(0.0, grade.deadline - one.left / 1000)
+            worth = grade.worth_at(since)
+            if since <= grade.aim:
+                one.row.worth_in_aim += worth
+            else:
+                one.row.worth_late += worth
+
+
+HANDLED = {r.MESSAGE: Summariser._message, r.ADMIT: Summariser._admit, r.TRY_START: Summariser._try,
+           r.TRY_END: Summariser._tried, r.END: Summariser._end}
