--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -82,7 +82,7 @@
 
         conf = self.conf
         return Recorder(own.trace, conf.settings, conf.name, conf.seed, self.group.name_of,
-                        lambda event, **fields: log.warning(event, **fields))
+                        lambda event, **fields: log.warning(event, **fields), self.deadlines.after)
 
     def start(self) -> None:
         """Ready only once all that an earlier process left open is taken over."""
--- a/lynxscale/trace/anonymise.py
+++ b/lynxscale/trace/anonymise.py
@@ -15,7 +15,7 @@
 import orjson
 
 from lynxscale.trace import records as r
-from lynxscale.trace.frames import PUTS, Frame
+from lynxscale.trace.frames import Frame
 
 KEY_LEAST = 16  # bytes: guards against a key that could be guessed
 CACHE_MOST = 1 << 16
@@ -91,7 +91,7 @@
 
     def _values(self, number: int, values: list) -> list:
         fields = r.BY_NUMBER[number].fields
-        if len(values) > len(PUTS[number]):
+        if len(values) > len(fields):
             self.left_out += 1
         return [self._value(number, name, kind, value)
                 for (name, kind), value in zip(fields, values, strict=False)]
--- a/lynxscale/trace/fields.py
+++ b/lynxscale/trace/fields.py
@@ -18,6 +18,13 @@
 
 
 def put_uint(out: bytearray, value: int) -> None:
+    if value < 0x4000:
+        if value > 0x7F:
+            out.append(value & 0x7F | 0x80)
+            out.append(value >> 7)
+            return
+        if value < 0:  # guards against a loop without end
+            raise ValueError(f"want a number of at least 0, not {value}")
     while value > 0x7F:
         out.append(value & 0x7F | 0x80)
         value >>= 7
--- a/lynxscale/trace/frames.py
+++ b/lynxscale/trace/frames.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import struct
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
@@ -57,7 +58,7 @@
 
     def reset(self) -> None:
         """What comes next may be read by itself."""
-        self._known: dict[int, dict[tuple[int, int], Any]] = {}
+        self._known: dict[int, list[dict[int, Any]]] = {}  # by source and table, messages last
         self._anchors: dict[int, int] = {}
         self.fresh: list[r.Msg] = []  # messages named since then
 
@@ -66,115 +67,123 @@
 
         Raises ValueError where a value does not fit its field.
         """
-        source = self._sources.setdefault(frame.source, len(self._sources))
-        out, body = bytearray(), bytearray()
+        source = self._sources.get(frame.source)
+        if source is None:
+            source = self._sources[frame.source] = len(self._sources)
+        self.head = out = bytearray()
         put_uint(out, source)
         put_int(out, frame.time - base_time)
         put_int(out, frame.seq - base_seq)
-        self._head, self._time = out, frame.time
         known = self._known.get(source)
         if known is None:
-            known = self._known[source] = {}
-            self._name(r.SOURCE, (source, frame.source))
-        self._names = known
+            known = self._known[source] = [{} for _ in range(len(r.TABLES) + 1)]
+            self.name(r.SOURCE, (source, frame.source), {})
         if frame.offset is not None and self._anchors.get(source) != frame.offset:
             self._anchors[source] = frame.offset
-            self._context(r.ANCHOR, lambda part: put_int(part, frame.offset))
+            part = bytearray()
+            put_int(part, frame.offset)
+            self._context(r.ANCHOR, part)
+        self.known = known
         if frame.names is not None:
             for table, rows in frame.names.items():
                 for row in rows.values():
-                    self._message(row) if table < 0 else self._handle(table, row)
-        part = bytearray()
+                    self.message(row) if table < 0 else self.name(table, row, known[table])
+        body = bytearray()
         for number, values in frame.records:
+            put_uint(body, number)
+            body.append(0)
+            start = len(body)
             if type(values) is bytes:
-                part += values
+                body += values
             else:
-                for put, value in zip(PUTS[number], values, strict=False):
-                    put(self, part, value)
-                if len(values) > len(PUTS[number]):
-                    part += values[-1]
-            put_uint(body, number)
-            put_uint(body, len(part))
-            body += part
-            part.clear()
+                PUT_RECORD[number](self, body, values, known, frame.time)
+            size = len(body) - start
+            if size < 0x80:
+                body[start - 1] = size
+            else:
+                length = bytearray()
+                put_uint(length, size)
+                body[start - 1:start] = length
         return bytes(out + body)
 
-    def _context(self, number: int, fill: Callable[[bytearray], None]) -> None:
-        part = bytearray()
-        fill(part)
-        self._head.append(number)
-        put_uint(self._head, len(part))
-        self._head += part
-
-    def _name(self, table: int, handle: r.Handle) -> None:
-        part = bytearray([table])
-        put_uint(part, handle[0])
-        put_text(part, handle[1])
-        self._head.append(r.NAME)
-        put_uint(self._head, len(part))
-        self._head += part
-
-    def _handle(self, table: int, handle: r.Handle) -> int:
+    def _context(self, number: int, part: bytearray) -> None:
+        self.head.append(number)
+        put_uint(self.head, len(part))
+        self.head += part
+
+    def name(self, table: int, handle: r.Handle, known: dict[int, Any]) -> None:
+        """Tell a handle's text, if it has one and this is not known."""
         number, text = handle
-        key = (table, number)
-        if text and self._names.get(key) != text:
-            self._names[key] = text
-            self._name(table, handle)
-        return number
-
-    def _message(self, msg: r.Msg) -> int:
-        key = (-1, msg[0])
-        if msg[1] and self._names.get(key) != msg:
-            self._names[key] = msg
-            cls, tenant = self._handle(r.CLASS, msg[2]), self._handle(r.TENANT, msg[3])
+        if text and known.get(number, ("", ""))[1] != text:
+            known[number] = handle
+            part = bytearray([table])
+            put_uint(part, number)
+            put_text(part, text)
+            self._context(r.NAME, part)
+
+    def message(self, msg: r.Msg) -> None:
+        """Tell a message's id and what it is, if it has an id and this is not known."""
+        if msg.id and self.known[-1].get(msg.number) != msg:
+            self.known[-1][msg.number] = msg
+            self.name(r.CLASS, msg.cls, self.known[r.CLASS])
+            self.name(r.TENANT, msg.tenant, self.known[r.TENANT])
             part = bytearray()
-            put_uint(part, msg[0])
-            put_text(part, msg[1])
-            put_uint(part, cls)
-            put_uint(part, tenant)
-            put_uint(part, msg[4])
-            self._head.append(r.MSG)
-            put_uint(self._head, len(part))
-            self._head += part
+            put_uint(part, msg.number)
+            put_text(part, msg.id)
+            put_uint(part, msg.cls[0])
+            put_uint(part, msg.tenant[0])
+            put_uint(part, msg.dest)
+            self._context(r.MSG, part)
             self.fresh.append(msg)
-        return msg[0]
-
-
-def _put_floats(_encoder: Encoder, out: bytearray, values: Any) -> None:
-    put_uint(out, len(values))
-    for value in values:
-        put_float(out, value)
 
 
 def _put_members(encoder: Encoder, out: bytearray, rows: Any) -> None:
     put_uint(out, len(rows))
+    known = encoder.known
     for row in rows:
-        put_uint(out, encoder._handle(r.ENDPOINT, row[0]))
-        put_uint(out, row[1])
-        put_uint(out, row[2])
-        put_uint(out, encoder._handle(r.ZONE, row[3]))
-        put_uint(out, encoder._handle(r.KIND, row[4]))
-        put_float(out, row[5])
-        put_text(out, row[6])
-
-
-def _put_table(table: int) -> Callable:
-    return lambda encoder, out, value: put_uint(out, encoder._handle(table, value))
-
-
-_PUT: dict[str, Callable] = {
-    "u": lambda _e, out, value: put_uint(out, value),
-    "i": lambda _e, out, value: put_int(out, value),
-    "t": lambda _e, out, value: put_text(out, value),
-    "b": lambda _e, out, value: out.append(1 if value else 0),
-    "x": lambda _e, out, value: put_ms(out, value),
-    "a": lambda e, out, value: put_ms(out, value, e._time),
-    "f": lambda _e, out, value: put_float(out, value),
-    "F": _put_floats,
-    "L": _put_members,
-    "M": lambda e, out, value: put_uint(out, e._message(value)),
-} | {kind: _put_table(table) for kind, table in r.TABLE_OF.items()}
-PUTS = {one.number: tuple(_PUT[kind] for _, kind in one.fields) for one in r.TYPES}
+        for table, handle in ((r.ENDPOINT, row.endpoint), (r.ZONE, row.zone), (r.KIND, row.kind)):
+            encoder.name(table, handle, known[table])
+        put_uint(out, row.endpoint[0])
+        put_uint(out, row.lifecycle)
+        put_uint(out, row.dest)
+        put_uint(out, row.zone[0])
+        put_uint(out, row.kind[0])
+        put_float(out, row.weight)
+        put_text(out, row.address)
+
+
+# How a field of each kind is written, as source: a record's fields are one function, made once. The daemon writes
+# five records a message, and a call a field took half of the time. ``v`` is the value, ``n`` a number to write.
+_UINT = "if 0 <= n < 128: out.append(n)\nelse: put_uint(out, n)"
+_PUT = {
+    "u": f"n = v\n{_UINT}",
+    "i": "put_int(out, v)",
+    "t": "put_text(out, v)",
+    "b": "out.append(1 if v else 0)",
+    "x": "if v: put_ms(out, v)\nelse: out.append(0)",
+    "a": "put_ms(out, v, time)",
+    "f": "put_float(out, v)",
+    "F": f"n = len(v)\n{_UINT}\nif n: out += pack(f'<{{n}}d', *v)",
+    "L": "put_members(encoder, out, v)",
+    "M": f"n = v[0]\nif known[-1].get(n) is not v: encoder.message(v)\n{_UINT}",
+} | {kind: f"n = v[0]\nif known[{table}].get(n) is not v: encoder.name({table}, v, known[{table}])\n{_UINT}"
+     for kind, table in r.TABLE_OF.items()}
+
+
+def _compiled(one: r.Type) -> Callable:
+    """The function that writes one type's record: its known fields, as many as there are, then what is behind them."""
+    lines = ["def put(encoder, out, values, known, time):", "    count = len(values)"]
+    for place, (_name, kind) in enumerate(one.fields):
+        lines += [f"    if count == {place}: return", f"    v = values[{place}]"]
+        lines += [f"    {line}" for line in _PUT[kind].split("\n")]
+    lines.append(f"    if count > {len(one.fields)}: out += values[-1]")
+    space: dict[str, Any] = {"put_uint": put_uint, "put_int": put_int, "put_text": put_text, "put_ms": put_ms,
+                             "put_float": put_float, "put_members": _put_members, "pack": struct.pack}
+    exec("\n".join(lines), space)  # the text is made of the constants above alone
+    return space["put"]
+
+
+PUT_RECORD = {one.number: _compiled(one) for one in r.TYPES}
 
 
 # Reading ---------------------------------------------------------------------------------------------
@@ -238,7 +247,9 @@
                 strange = True
                 found.append((number, payload[at:end]))
             at = end
-        origin = names[r.SOURCE].get(source, (source, f"unknown/{source}"))[1]
+        if source not in names[r.SOURCE]:
+            raise Cut("its relay is not named, as what was before it is damaged")
+        origin = names[r.SOURCE][source][1]
         kept = {table: dict(rows) for table, rows in names.items() if table != r.SOURCE} if strange else None
         return Frame(origin, self._time, seq, self._anchors.get(source), found, kept)
 
--- a/lynxscale/trace/recorder.py
+++ b/lynxscale/trace/recorder.py
@@ -28,7 +28,8 @@
 STEPPED = 1000  # µs between the clocks from which on a new anchor is told
 LOOK_EVERY = 1_000_000  # µs between two looks at the wall clock
 AWAY = 1 << 40  # numbers of messages that were turned away before the core gave them one
-RECORD_BYTES = 48  # of a record that waits, for the bound on memory; measured at level tries: 8 to 30
+RECORD_BYTES = 256  # of memory that one thing told takes until it is written
+STARTED, GONE = 0, -1  # told, and no record: the process has started; a message is over
 RESULTS = tuple(r.reason(result.name.lower()) if result else r.UNKNOWN for result in (0, *api.Result))
 
 
@@ -52,155 +53,237 @@
 
 
 class Recorder:
-    """What the core tells, as records. ``names`` gives an endpoint's id and address by its number."""
+    """What the core tells, as records.
+
+    A hook does no more than keep what it was told: the records are made and written together, ``flush`` µs later
+    (at once where that is 0), as code that runs in one go costs a fifth of what it costs a few lines at a time between
+    other work. ``later`` calls after so many µs; ``names`` gives an endpoint's id and address by its number; ``told``
+    hears of what the files do.
+    """
 
     def __init__(self, conf: TraceConf, settings: api.Settings, relay: str, seed: int,
                  names: Callable[[int], tuple[str, str] | None], told: Callable[..., None],
+                 later: Callable[[int, Callable[[], None]], object],
                  clock: Callable[[], int] = lambda: time.monotonic_ns() // 1000) -> None:
-        self._conf, self._settings, self._names = conf, settings, names
-        self.tries = conf.level != "ends"
+        self._conf, self._names, self._later, self._clock = conf, names, later, clock
         self.decisions = conf.level == "decisions"
         process = os.urandom(6).hex()
         self._source = f"{relay}/{process}"
-        self._files = Files(conf, relay, told)
-        self._clock = clock
+        self._files = Files(conf, relay, told, clock)
         self._classes = [(place, one.name) for place, one in enumerate(settings.classes)]
         self._tenants = [(place, one.name) for place, one in enumerate(settings.tenants)] or [r.UNKNOWN]
         self._kinds = list(enumerate(settings.kinds)) or [r.UNKNOWN]
         self._zones = list(enumerate(settings.zones)) or [r.UNKNOWN]
         self._all = conf.sample >= 1 and not conf.classes
+        self._tries = conf.level != "ends"
         self._endpoints: dict[int, r.Handle] = {}
         self._kept: dict[int, r.Msg] = {}
-        self._over: list[int] = []  # ended in this turn
+        self._over: list[int] = []  # ended in the frame that is being made
         self._away = AWAY
-        self._records: list[tuple[int, list]] = []
-        self._time = self._seq = self._look_at = 0
+        self._told: list[tuple] = []  # (time, what, ...), of the turns since the last flush
+        self._tell = self._told.append
+        self._planned = False
+        self._seq = self._look_at = 0
         self._offset = time.time_ns() // 1000 - clock()
         self._most = conf.memory // RECORD_BYTES
+        self._unkept = 0  # what was told beyond that, since the last flush
         self._start = (r.START, [
             relay, process, _version(), conf.level, float(conf.sample), " ".join(conf.classes), str(seed),
             orjson.dumps(dataclasses.asdict(settings)).decode(), policy_hash(),
         ])
+        self._make = {
+            r.MESSAGE: self._message, r.ADMIT: self._admit, r.END: self._end, r.TRY_START: self._try_start,
+            r.TRY_END: self._try_end, r.PROBE_START: self._probe_start, r.PROBE_END: self._probe_end,
+            r.NOTICE: self._notice, r.NOTICE_HEARD: self._notice_heard, r.LIST: self._list, r.STEP: self._step,
+            r.STOP: self._stop, GONE: self._gone,
+        }
+        self._tell((clock(), STARTED))
 
     # What the core tells -------------------------------------------------------------------------
 
     def message(self, now: int, number: int, envelope: Any, cls: int, tenant: int, left: int, tries: int = 0) -> None:
         """A message that the core has numbered. ``envelope``: its id, dest and body."""
-        if not self._all and not self._wanted(envelope.id, cls):
-            return
-        msg = r.Msg(number, envelope.id, self._classes[cls], self._tenants[tenant], envelope.dest)
-        self._kept[number] = msg
-        self._add(now, r.MESSAGE, [msg, max(0, left), len(envelope.body), tries])
+        self._tell((now, r.MESSAGE, number, envelope.id, envelope.dest, len(envelope.body), cls, tenant, left, tries))
 
     def turned_away(self, now: int, envelope: Any, verdict: str, again_ms: float) -> None:
         """A message that the core did not get as far as numbering."""
-        if self._all or self._wanted(envelope.id, envelope.cls):
-            self._away += 1
-            self.message(now, self._away, envelope, envelope.cls, envelope.tenant, envelope.time_left)
-            self.admitted(now, self._away, verdict, again_ms)
-            self._over.append(self._away)
+        self._away += 1
+        self.message(now, self._away, envelope, envelope.cls, envelope.tenant, envelope.time_left)
+        self.admitted(now, self._away, verdict, again_ms)
 
     def admitted(self, now: int, number: int, verdict: str, again_ms: float) -> None:
-        if (msg := self._kept.get(number)) is not None:
-            self._add(now, r.ADMIT, [msg, r.reason(verdict), again_ms])
-            if verdict != "taken":
-                self._over.append(number)
+        self._tell((now, r.ADMIT, number, verdict, again_ms))
 
     def ended(self, now: int, number: int, status: str, again_ms: float = 0.0) -> None:
-        if (msg := self._kept.get(number)) is not None:
-            self._add(now, r.END, [msg, r.reason(status), again_ms])
+        self._tell((now, r.END, number, status, again_ms))
 
-    def forgotten(self, number: int) -> None:
+    def forgotten(self, now: int, number: int) -> None:
         """Nothing more is owed."""
-        if number in self._kept:
-            self._over.append(number)
+        self._tell((now, GONE, number))
 
     def try_started(self, now: int, number: int, attempt: int, endpoint: int, timeout: int, fresh: bool) -> None:
-        if self.tries and (msg := self._kept.get(number)) is not None:
-            self._add(now, r.TRY_START, [msg, attempt, self._endpoint(endpoint), max(0, timeout), fresh])
+        if self._tries:
+            self._tell((now, r.TRY_START, number, attempt, endpoint, timeout, fresh))
 
     def try_ended(self, now: int, number: int, attempt: int, endpoint: int, result: int, spent: int, wait_ms: float,
                   over: bool, report: tuple[float, ...]) -> None:
-        if self.tries and (msg := self._kept.get(number)) is not None:
-            self._add(now, r.TRY_END, [msg, attempt, self._endpoint(endpoint), RESULTS[result], max(0, spent), wait_ms,
-                                       over, report])
+        if self._tries:
+            self._tell((now, r.TRY_END, number, attempt, endpoint, result, spent, wait_ms, over, report))
 
     def probe_started(self, now: int, endpoint: int) -> None:
-        if self.tries:
-            self._add(now, r.PROBE_START, [self._endpoint(endpoint)])
+        if self._tries:
+            self._tell((now, r.PROBE_START, endpoint))
 
     def noticed(self, now: int, number: int, status: str, again_ms: int) -> None:
-        if self.tries and (msg := self._kept.get(number)) is not None:
-            self._add(now, r.NOTICE, [msg, r.reason(status), again_ms])
+        if self._tries:
+            self._tell((now, r.NOTICE, number, status, again_ms))
 
     def notice_heard(self, now: int, number: int) -> None:
-        if self.tries and (msg := self._kept.get(number)) is not None:
-            self._add(now, r.NOTICE_HEARD, [msg])
+        if self._tries:
+            self._tell((now, r.NOTICE_HEARD, number))
 
     def events(self, now: int, events: Iterable) -> None:
         """What goes into the module; lists and probes are records of their own at lower levels too."""
         for event in events:
             kind = type(event)
             if kind is api.Membership:
-                rows = self._members(event)
-                self._add(now, r.LIST, [int(event.kind), event.version, len(rows)])
-                if self.tries and rows:
-                    self._add(now, r.MEMBERS, [rows])
-            elif kind is api.Probed and self.tries:
-                self._add(now, r.PROBE_END, [self._endpoint(event.endpoint), RESULTS[event.result],
-                                             round(event.spent * 1000), event.report])
+                # Named at once: an endpoint that leaves has no name any more when the record is made.
+                self._tell((now, r.LIST, event, self._members(event)))
+            elif kind is api.Probed and self._tries:
+                self._tell((now, r.PROBE_END, event))
 
     def step(self, now: int, events: list, actions: list, failed: bool) -> None:
         """One step of the module, to the last bit."""
-        self._add(now, r.STEP, [len(events), len(actions), failed])
-        for event in events:
-            self._add(now, *self._event(event))
-        for action in actions:
-            self._add(now, *self._action(action))
+        self._tell((now, r.STEP, events, actions, failed))
 
     def turn(self) -> None:
-        """The end of a turn: what it gave is written."""
-        if not self._records:
+        """The end of a turn."""
+        if len(self._told) > self._most:
+            # Guards the memory, should more come in until the next flush than is meant to wait.
+            self._unkept += len(self._told) - self._most
+            del self._told[self._most:]
+        if not self._told or self._planned:
+            return
+        if self._conf.flush:
+            self._planned = True
+            self._later(self._conf.flush, self.flush)
+        else:
+            self.flush()
+
+    def stop(self, now: int, left: int) -> None:
+        self._tell((now, r.STOP, left))
+        self.flush()
+        self._files.close()
+
+    # Writing -------------------------------------------------------------------------------------
+
+    def flush(self) -> None:
+        """Make records of what was told and write them, a frame a turn."""
+        self._planned = False
+        if not self._told:
             return
-        records, self._records = self._records, []
-        if self._time >= self._look_at:
-            self._look_at = self._time + LOOK_EVERY
-            offset = time.time_ns() // 1000 - self._clock()
+        told = self._told.copy()
+        self._told.clear()
+        now = self._clock()
+        if now >= self._look_at:
+            self._look_at = now + LOOK_EVERY
+            offset = time.time_ns() // 1000 - now
             if abs(offset - self._offset) > STEPPED:
                 self._offset = offset
-        files = self._files
-        told = files.dropped
-        if files.begins:
-            records.insert(0, self._start)  # each file tells whose it is, and the settings
-        frame = Frame(self._source, self._time, self._seq, self._offset, records)
-        self._seq += len(records)
-        if told.records and not files.failing:
-            records.append((r.DROPPED, [told.records, told.bytes, told.first, told.last, r.reason(told.reason)]))
-            self._seq += 1
-        if len(records) > self._most:
-            files.drop(frame, "memory")
-        elif files.put(frame) and told.records:
+        files, frames = self._files, []
+        time_ = told[0][0]
+        records: list[tuple[int, list]] = [self._start] if files.begins else []  # each file tells whose it is
+        dropped = files.dropped
+        if dropped.records and not files.failing:
+            records.append((r.DROPPED, [dropped.records, dropped.bytes, dropped.first, dropped.last,
+                                        r.reason(dropped.reason)]))
+        for what in told:
+            if what[0] != time_:
+                self._frame(frames, time_, records)
+                time_, records = what[0], []
+            if what[1] is not STARTED:
+                self._make[what[1]](records, *what[2:])
+        self._frame(frames, time_, records)
+        failing = files.failing
+        if files.put(frames) and dropped.records and not failing:
             files.recovered()
+        if self._unkept:
+            files.drop(self._unkept, told[-1][0], "memory")
+            self._unkept = 0
+
+    def _frame(self, frames: list[Frame], time_: int, records: list[tuple[int, list]]) -> None:
+        if records:
+            frames.append(Frame(self._source, time_, self._seq, self._offset, records))
+            self._seq += len(records)
         for number in self._over:
             self._kept.pop(number, None)
         self._over.clear()
 
-    def stop(self, now: int, left: int) -> None:
-        self._add(now, r.STOP, [left])
-        self.turn()
-        self._files.close()
-
     # Records -------------------------------------------------------------------------------------
 
+    def _message(self, records: list, number: int, id_: str, dest: int, size: int, cls: int, tenant: int, left: int,
+                 tries: int) -> None:
+        if not self._all and not self._wanted(id_, cls):
+            return
+        msg = self._kept[number] = r.Msg(number, id_, self._classes[cls], self._tenants[tenant], dest)
+        records.append((r.MESSAGE, [msg, left if left > 0 else 0, size, tries]))
+
+    def _admit(self, records: list, number: int, verdict: str, again_ms: float) -> None:
+        if (msg := self._kept.get(number)) is not None:
+            records.append((r.ADMIT, [msg, r.reason(verdict), again_ms]))
+            if verdict != "taken":
+                self._over.append(number)
+
+    def _end(self, records: list, number: int, status: str, again_ms: float) -> None:
+        if (msg := self._kept.get(number)) is not None:
+            records.append((r.END, [msg, r.reason(status), again_ms]))
+
+    def _gone(self, _records: list, number: int) -> None:
+        self._over.append(number)
+
+    def _try_start(self, records: list, number: int, attempt: int, endpoint: int, timeout: int, fresh: bool) -> None:
+        if (msg := self._kept.get(number)) is not None:
+            left = timeout if timeout > 0 else 0
+            records.append((r.TRY_START, [msg, attempt, self._endpoint(endpoint), left, fresh]))
+
+    def _try_end(self, records: list, number: int, attempt: int, endpoint: int, result: int, spent: int,
+                 wait_ms: float, over: bool, report: tuple[float, ...]) -> None:
+        if (msg := self._kept.get(number)) is not None:
+            records.append((r.TRY_END, [msg, attempt, self._endpoint(endpoint), RESULTS[result],
+                                        spent if spent > 0 else 0, wait_ms, over, report]))
+
+    def _probe_start(self, records: list, endpoint: int) -> None:
+        records.append((r.PROBE_START, [self._endpoint(endpoint)]))
+
+    def _probe_end(self, records: list, event: api.Probed) -> None:
+        records.append((r.PROBE_END, [self._endpoint(event.endpoint), RESULTS[event.result],
+                                      max(0, round(event.spent * 1000)), event.report]))
+
+    def _notice(self, records: list, number: int, status: str, again_ms: int) -> None:
+        if (msg := self._kept.get(number)) is not None:
+            records.append((r.NOTICE, [msg, r.reason(status), max(0, int(again_ms))]))
+
+    def _notice_heard(self, records: list, number: int) -> None:
+        if (msg := self._kept.get(number)) is not None:
+            records.append((r.NOTICE_HEARD, [msg]))
+
+    def _list(self, records: list, event: api.Membership, rows: list[r.Member]) -> None:
+        records.append((r.LIST, [int(event.kind), event.version, len(rows)]))
+        if self._tries and rows:
+            records.append((r.MEMBERS, [rows]))
+
+    def _step(self, records: list, events: list, actions: list, failed: bool) -> None:
+        records.append((r.STEP, [len(events), len(actions), failed]))
+        records += [self._event(event) for event in events]
+        records += [self._action(action) for action in actions]
+
+    def _stop(self, records: list, left: int) -> None:
+        records.append((r.STOP, [left]))
+
     def _wanted(self, id_: str, cls: int) -> bool:
         wanted = not self._conf.classes or self._classes[cls][1] in self._conf.classes
         return wanted and sampled(id_, self._conf.sample)
 
-    def _add(self, now: int, number: int, values: list) -> None:
-        if not self._records:
-            self._time = now
-        self._records.append((number, values))
-
     def _endpoint(self, number: int) -> r.Handle:
         handle = self._endpoints.get(number)
         if handle is None:
--- a/lynxscale/trace/rotation.py
+++ b/lynxscale/trace/rotation.py
@@ -65,45 +65,53 @@
         """The next frame is the first of a file."""
         return self._fd < 0 and self._clock() >= self._try_at
 
-    def put(self, frame: Frame) -> bool:
-        """Write a frame; false where it was dropped, and counted."""
+    def put(self, frames: list[Frame]) -> bool:
+        """Write frames to one file; false where any was dropped, and counted."""
         now = self._clock()
         if self._fd < 0 and now < self._try_at:
-            self.drop(frame, "disk")
+            self._drop(frames)
             return False
+        written = 0  # so many frames are in the file
         try:
             if self._fd < 0:
                 self._open(now)
-            first = not self._packer.raw
-            data = h.pack_frame(self._packer.add(frame))
-            if first:
-                self._block_at = self._end
-                data = self._packer.head() + data
-            self._write(data, self._end)
-            self._end += len(data)
-        except (OSError, ValueError) as error:
-            self._failed(error, now)
-            self.drop(frame, "disk")
-            return False
-        try:
-            if self._packer.full:
-                self._seal()
+            data, packer = bytearray(), self._packer
+            for place, frame in enumerate(frames, 1):
+                first = not packer.raw
+                payload = packer.add(frame)
+                if first:
+                    self._block_at = self._end
+                    data += packer.head()
+                data += h.pack_frame(payload)
+                if packer.full or place == len(frames):
+                    self._write(data, self._end)
+                    self._end += len(data)
+                    written = place
+                    data.clear()
+                    if packer.full:
+                        self._seal()
             if self._end >= self._conf.file_size or now - self._opened >= self._conf.file_age:
                 self.close()
             self._make_room()
-        except OSError as error:
+        except (OSError, ValueError) as error:
             self._failed(error, now)
+            self._drop(frames[written:])
+            return False
         if (spent := self._clock() - now) > SLOW:
             self._told("trace_slow", spent_ms=spent // 1000)
             self._leave(self._clock())
         return True
 
-    def drop(self, frame: Frame, reason: str) -> None:
-        """Count a frame that is not written."""
+    def _drop(self, frames: list[Frame]) -> None:
+        for frame in frames:
+            self.drop(len(frame.records), frame.time, "disk")
+
+    def drop(self, records: int, time_: int, reason: str) -> None:
+        """Count records of that time which are not written."""
         one = self.dropped
-        one.first = one.first if one.records else frame.time
-        one.last, one.reason = frame.time, reason
-        one.records += len(frame.records)
+        one.first = one.first if one.records else time_
+        one.last, one.reason = time_, reason
+        one.records += records
 
     # The file ------------------------------------------------------------------------------------
 
@@ -140,10 +148,10 @@
             path.unlink(missing_ok=True)
             self._told("trace_file_removed", file=path.name, bytes=size)
 
-    def _write(self, data: bytes, at: int) -> None:
+    def _write(self, data: bytes | bytearray, at: int) -> None:
         written = os.pwrite(self._fd, data, at)
         if written != len(data):
-            raise OSError("the disk took only part of a frame")
+            raise OSError("the disk took only part of it")
 
     def _seal(self) -> None:
         data, size = self._packer.seal(), self._end - self._block_at
--- a/lynxscale/trace/v2.py
+++ b/lynxscale/trace/v2.py
@@ -10,7 +10,7 @@
 import struct
 import sys
 from array import array
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import BinaryIO
 
@@ -57,15 +57,22 @@
     any_id: bool = False
     context: bool = False  # it tells whose file it is, of lists or of what was dropped
 
-    def add(self, frame: Frame, fresh: Iterable[Msg]) -> None:
+    def add(self, frame: Frame, fresh: list[Msg]) -> None:
         """Take in a frame, and the messages that its block names for the first time."""
         unix = frame.unix
-        self.first = unix if not self.frames else min(self.first, unix)
-        self.last = unix if not self.frames else max(self.last, unix)
+        if not self.frames:
+            self.first = self.last = unix
+        elif unix > self.last:
+            self.last = unix
+        elif unix < self.first:
+            self.first = unix
         self.frames += 1
         self.records += len(frame.records)
         self.sources.add(frame.source)
-        self.context = self.context or any(number in CONTEXT for number, _ in frame.records)
+        if not self.context:
+            for number, _values in frame.records:
+                if number in CONTEXT:
+                    self.context = True
         for msg in fresh:
             self.classes.add(msg.cls[1])
             self.tenants.add(msg.tenant[1])
@@ -208,8 +215,10 @@
         if not self._payloads:
             self.base_time, self.base_seq = max(0, frame.time), frame.seq
         payload = self._encoder.payload(frame, self.base_time, self.base_seq)
-        self.summary.add(frame, self._encoder.fresh)
-        self._encoder.fresh.clear()
+        fresh = self._encoder.fresh
+        self.summary.add(frame, fresh)
+        if fresh:
+            fresh.clear()
         self._payloads.append(payload)
         self.raw += len(payload) + 2
         return payload
--- a/lynxscale/trace/writer.py
+++ b/lynxscale/trace/writer.py
@@ -12,7 +12,6 @@
 from lynxscale.trace import v2
 from lynxscale.trace.frames import Encoder, Frame
 
-CHAPTER = 64 << 10  # bytes of version 1 after which names are told again, so that a damaged frame costs few
 FILE_MODE = 0o640
 
 
@@ -30,7 +29,7 @@
         head = h.pack_head(h.Head(version, 0, created if created is not None else time.time_ns() // 1000, writer))
         self._file.write(head)
         self._at = len(head)
-        self._version, self._encoder, self._chapter = version, Encoder(), 0
+        self._version, self._encoder = version, Encoder()
         self._packer, self._index = v2.Packer(), v2.IndexBuilder()
         self.frames = self.records = 0
 
@@ -41,13 +40,8 @@
         self.frames += 1
         self.records += len(frame.records)
         if self._version == 1:
-            payload = self._encoder.payload(frame)
-            self._encoder.fresh.clear()
-            self._write(h.pack_frame(payload))
-            self._chapter += len(payload)
-            if self._chapter > CHAPTER:
-                self._encoder.reset()
-                self._chapter = 0
+            self._encoder.reset()  # each frame is read by itself
+            self._write(h.pack_frame(self._encoder.payload(frame)))
             return
         self._packer.add(frame)
         if self._packer.full:
