--- a/lynxscale/cli/__init__.py
+++ b/lynxscale/cli/__init__.py
@@ -29,6 +29,10 @@
     exit_code = USAGE
 
 
+class ReaderLeft(Exception):
+    """Who read our output wants no more of it."""
+
+
 class Lazy(click.Group):
     """A group whose members are imported when they are asked for."""
 
@@ -41,6 +45,12 @@
         module, _, attribute = GROUPS[name].partition(":")
         return getattr(importlib.import_module(module), attribute)
 
+    def invoke(self, ctx: click.Context) -> Any:
+        try:
+            return super().invoke(ctx)
+        except BrokenPipeError as error:
+            raise ReaderLeft from error  # before click makes a failure of it
+
 
 def example(text: str) -> Any:
     """Give a command's help an example, shown as it would be typed."""
@@ -71,7 +81,7 @@
     except click.ClickException as error:
         error.show()
         code = error.exit_code
-    except BrokenPipeError:
+    except (BrokenPipeError, ReaderLeft):
         # Who read us has gone: nothing is wrong. Guards against a second error as the interpreter flushes.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         code = 0
--- a/lynxscale/cli/trace/replay.py
+++ b/lynxscale/cli/trace/replay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
@@ -43,9 +42,7 @@
         raise Failed(str(error)) from error
     different = any(one.difference for one in played)
     if as_json:
-        write_json([{**asdict(one), "difference": one.difference and {
-            **asdict(one.difference), "recorded": repr(one.difference.recorded),
-            "replayed": repr(one.difference.replayed)}} for one in played])
+        write_json([one.table() for one in played])
     else:
         for one in played:
             _tell_replay(one, module, policy_hash())
--- a/lynxscale/trace/replay.py
+++ b/lynxscale/trace/replay.py
@@ -112,6 +112,19 @@
     moved: Counter = field(default_factory=Counter)  # messages that another module ended otherwise or sent elsewhere
 
 
+    def table(self) -> dict[str, Any]:
+        """As a JSON object."""
+        first = self.difference
+        return {
+            "source": self.source, "policy": self.policy, "steps": self.steps, "events": self.events,
+            "actions": self.actions, "messages": self.messages, "whole": self.whole, "anonymised": self.anonymised,
+            "recorded": dict(self.recorded), "replayed": dict(self.replayed), "moved": dict(self.moved),
+            "difference": first and {"step": first.step, "unix": first.unix, "action": first.place,
+                                     "recorded": repr(first.recorded), "replayed": repr(first.replayed),
+                                     "led_up": first.led_up},
+        }
+
+
 class _Process:
     def __init__(self, frame: Frame, values: list, make: Callable[[api.Settings, int], Any], strict: bool) -> None:
         if values[3] != "decisions":
--- a/lynxscale/trace/v2.py
+++ b/lynxscale/trace/v2.py
@@ -27,7 +27,7 @@
 BLOCK = struct.Struct("<8sB3xIQQIIIIII")
 OPEN, ZSTD, PLAIN = 0, 1, 2
 INDEX_MARK = b"\xa7LXI\r\n\x1a\n"
-INDEX = struct.Struct("<8sQQI")  # mark, blocks, length, checksum; then rows, in zstandard frames
+INDEX = struct.Struct("<8sQQI")  # mark, blocks, length, checksum of these and of the rows behind them
 TRAILER = struct.Struct("<QI8s")  # offset of the index, checksum of these eight bytes, mark
 TRAILER_MARK = b"LXT2END\n"
 
@@ -37,6 +37,7 @@
 NAMES_MOST = 1024  # destinations, classes, tenants or sources named in a summary; beyond them it names none
 IDS_MOST = 8192  # of 65,536 marks: beyond so many the filter tells nothing
 INDEX_CHUNK = 64 << 10
+CRC_BYTES = 4
 LEVEL = 3  # of zstandard: 0.4 us a message, a tenth smaller than level 1
 
 
@@ -318,7 +319,8 @@
         self._flush()
         stored = bytes(self._stored)
         where = offset.to_bytes(8, "little")
-        return (INDEX.pack(INDEX_MARK, self._count, len(stored), crc32c(stored)) + stored
+        head = INDEX.pack(INDEX_MARK, self._count, len(stored), 0)[:-CRC_BYTES]
+        return (head + crc32c(stored, crc32c(head)).to_bytes(CRC_BYTES, "little") + stored
                 + TRAILER.pack(offset, crc32c(where), TRAILER_MARK))
 
 
@@ -344,7 +346,7 @@
             raise Cut("no index stands there")
         _mark, self.count, self._left, checksum = INDEX.unpack(head)
         self._file, self._start = file, offset + INDEX.size
-        found, left = 0, self._left
+        found, left = crc32c(head[:-CRC_BYTES]), self._left
         while left:
             data = file.read(min(left, INDEX_CHUNK))
             if not data:
--- /dev/null
+++ b/tests/test_trace_recorder.py
@@ -0,0 +1,270 @@
+"""The recorder in the real relay: kills, restarts, replay, sampling, and disks that fill or fail."""
+
+import errno
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from unittest.mock import patch
+
+from gannetshift.brain import Sender
+from gannetshift.reader import settings_from
+from lynxscale.conf.table import TraceConf
+from lynxscale.trace import records as r
+from lynxscale.trace.merge import Merge
+from lynxscale.trace.reader import Reader
+from lynxscale.trace.recorder import Recorder, sampled
+from lynxscale.trace.replay import NotReplayable, replay
+from lynxscale.trace.rotation import Files
+from tests import traces
+from tests.node import PATIENCE, ROOT, NodeCase, reply, row, settings, until
+
+
+class Recording(NodeCase):
+    """A relay that records to ``self.traces``."""
+
+    def record(self, *lines: str) -> None:
+        self.traces = Path(self.folder.name, "trace")
+        conf = Path(self.folder.name, "lynxscale.conf")
+        conf.write_text("\n".join(["begin trace", f"folder '{self.traces}'", *lines, "end trace", ""]))
+        patched = patch.dict(os.environ, LYNXSCALE_CONF=str(conf))
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    def files(self) -> list[Path]:
+        return sorted(self.traces.glob("*.lxt"), key=lambda path: path.stat().st_mtime_ns)
+
+    def told(self, name: str) -> list[list]:
+        number = r.BY_NAME[name].number
+        return [values for frame in Merge(self.files()) for kind, values in frame.records if kind == number]
+
+    def end(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+        self.process.wait(PATIENCE)
+
+    def test_a_day_with_faults_kills_and_new_lists_replays_without_a_difference(self):
+        self.record("level decisions", "block 4k", "file-size 64k", "flush 0us")
+        chance = random.Random(3)
+        answers = [reply(200, b"", "Srv-Load: x0=0.4,x1=25")] * 40 + [
+            reply(500), reply(429, b"", "Retry-After: 0.05"), reply(503), None, b""]
+        self.act = lambda call: chance.choice(answers)
+        self.discovery.rows.append(row("s-2", self.peer.at, 2))
+        number = 0
+        for life in range(3):
+            self.start()
+            client = self.client()
+            for _ in range(150):
+                number += 1
+                client.hand_in(f"{number:016x}", ("safe", "keyed", "once")[number % 3], left=4.0, dest=1 + number % 2)
+                if number % 60 == 0:
+                    self.discovery.change(row(f"s-{number}", self.peer.at, 1), row("s-2", self.peer.at, 2, "draining"))
+            if life < 2:
+                self.kill()
+        # Quick answers and then none: what may be repeated is cut and restarted.
+        self.act = lambda call: reply(200)
+        self.discovery.change(row("s-9", self.peer.at, 9))
+        until(lambda: client.hand_in("0" * 15 + "9", dest=9)[0] == 202, "the new destination")
+        for place in range(40):
+            self.assertEqual(client.hand_in(f"{place:08x}99999999", dest=9)[0], 202)
+            until(lambda place=place: self.calls(f"{place:08x}99999999"), "its call")
+        self.act = lambda call: b""
+        client.hand_in("f" * 16, left=10.0, dest=9)
+        until(lambda: self.counters()["tries"].get("cancelled"), "a cut")
+        self.act = lambda call: reply(200)
+        self.end()
+        played = replay(Merge(self.files()), Sender)
+        self.assertEqual([one.difference for one in played], [None] * 3)
+        self.assertEqual([one.whole for one in sorted(played, key=lambda one: one.whole)], [False, False, True])
+        self.assertGreaterEqual(sum(one.messages for one in played), 450)
+        kinds = {kind for frame in Merge(self.files()) for kind, _ in frame.records}
+        self.assertLessEqual({r.IN_OUTCOME, r.IN_TIMER, r.IN_LIST, r.OUT_CANCEL, r.OUT_REFUSE}, kinds)
+        self.other_modules()
+
+    def other_modules(self) -> None:
+        """A module that does something else once is found there, and as another version it is counted."""
+        path = Path(self.folder.name, "other.py")
+        path.write_text("from gannetshift import brain, interface as api\n\nclass Sender(brain.Sender):\n"
+                        "    def step(self, now, events):\n        actions = super().step(now, events)\n"
+                        "        if self.steps == 40:\n            actions.append(api.Note('odd'))\n"
+                        "        return actions\n")
+        command = [sys.executable, "-m", "lynxscale", "trace", "replay"]
+        done = subprocess.run([*command, "--json", "--module", path, self.traces], cwd=ROOT, capture_output=True)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        told = json.loads(done.stdout)
+        self.assertEqual({one["replayed"].get("Note", 0) - one["recorded"].get("Note", 0) for one in told}, {1})
+        space: dict = {}
+        exec(path.read_text(), space)
+        for one in replay(Merge(self.files()), space["Sender"]):
+            self.assertEqual((one.difference.step, one.difference.replayed.text), (40, "odd"))
+            self.assertEqual(len(one.difference.led_up), 12)
+        frames = list(Merge(self.files()[:1]))
+        for part, why in ((frames[1:], "does not begin"), (frames[:5] + frames[6:], "records .* are missing")):
+            with self.assertRaisesRegex(NotReplayable, why):
+                replay(part, Sender)
+
+    def test_a_kill_loses_nothing_of_what_was_written_before(self):
+        """The same six times here; fifty in ``make soak-trace``."""
+        self.record("level tries", "block 4k", "flush 0us")
+        for life in range(int(os.environ.get("TRACE_KILLS", "6"))):
+            self.start()
+            client = self.client()
+            for number in range(60 + 7 * life):
+                client.hand_in(f"{life:08x}{number:08x}")
+            self.delivered(number + 1)
+            self.kill()
+            path = self.files()[-1]
+            with Reader(path) as reader:
+                frames = list(reader.frames())
+                self.assertEqual([loss for loss in reader.losses if not loss.torn], [])
+            ends = {values[0].id for frame in frames for kind, values in frame.records if kind == r.END}
+            # The counters told of each end, after the turn in which it was written.
+            self.assertEqual(len(ends), number + 1)
+            self.assertEqual([frame.seq for frame in frames],
+                             [sum(len(one.records) for one in frames[:k]) for k in range(len(frames))])
+
+    def test_a_message_is_followed_through_rotation_and_restart(self):
+        self.record("level tries", "block 4k", "file-size 64k", "file-age 1s")
+        self.act = lambda call: b""
+        self.start()
+        self.client().hand_in("00000000feedbeef", left=14.0)
+        until(lambda: self.calls("00000000feedbeef"), "the call")
+        until(lambda: self.client().hand_in(os.urandom(8).hex(), left=0.5) and len(self.files()) > 1, "a second file")
+        self.kill()
+        self.act = lambda call: reply(200)
+        self.start()
+        until(lambda: self.counters().get("ends", {}).get("delivered"), "its delivery")
+        self.end()
+        done = subprocess.run([sys.executable, "-m", "lynxscale", "trace", "message", "00000000feedbeef", self.traces],
+                              cwd=ROOT, capture_output=True, text=True)
+        self.assertIn("1 tries by an earlier process", done.stdout)
+        self.assertIn("end: delivered", done.stdout.splitlines()[-1])
+
+    def test_a_folder_that_cannot_be_made_costs_records_and_nothing_else(self):
+        self.record("level decisions")
+        self.traces.write_text("a file where the folder should be")
+        self.start()
+        self.assertEqual(self.client().hand_in("m1")[0], 202)
+        self.delivered(1)
+        until(lambda: "event=trace_failed" in self.log.read_text(), "the log's line")
+        self.end()
+        self.assertEqual(self.process.returncode, 0)
+
+    def test_without_a_folder_none_of_it_is_imported(self):
+        self.start()
+        maps = Path(f"/proc/{self.process.pid}/maps").read_text()
+        self.assertFalse([name for name in ("zstandard", "crc32c", "hdrh") if name in maps])
+
+
+def recorder(folder: Path, clock=lambda: 0, **changes) -> Recorder:
+    conf = TraceConf(folder=str(folder), flush=0, **changes)
+    return Recorder(conf, settings_from(settings()), "n1", 1, lambda number: (f"s-{number}", "10.0.0.1:1"),
+                    lambda *_a, **_k: None, lambda *_a: None, clock)
+
+
+class Envelope:
+    def __init__(self, id_: str, cls: int = 0) -> None:
+        self.id, self.cls, self.tenant, self.dest, self.body, self.time_left = id_, cls, 0, 1, b"secret body", 1000
+
+
+def tell(one: Recorder, count: int, first: int = 0) -> None:
+    for number in range(first, first + count):
+        now = 1_000_000 + number * 1000
+        one.message(now, number, Envelope(f"{number:016x}", number % 3), number % 3, 0, 1000)
+        one.admitted(now, number, "taken", 0.0)
+        one.ended(now, number, "delivered")
+        one.forgotten(now, number)
+        one.turn()
+
+
+def kept(folder: Path) -> list[tuple]:
+    return [(kind, values) for frame in Merge(sorted(folder.glob("*.lxt"))) for kind, values in frame.records]
+
+
+def test_a_sample_keeps_the_same_messages_whole_at_every_relay(tmp_path):
+    found = []
+    for name in "ab":
+        one = recorder(tmp_path / name, sample=0.25, classes=("safe", "once"))
+        tell(one, 600)
+        one.stop(1, 0)
+        by_id: dict = {}
+        for kind, values in kept(tmp_path / name):
+            if isinstance(values[0], r.Msg):
+                by_id.setdefault(values[0].id, []).append(kind)
+        found.append(by_id)
+    assert found[0] == found[1]
+    assert set(map(tuple, found[0].values())) == {(r.MESSAGE, r.ADMIT, r.END)}
+    assert 60 < len(found[0]) < 140
+    assert all(sampled(id_, 0.25) and int(id_, 16) % 3 != 1 for id_ in found[0])
+
+
+def test_bodies_and_keys_are_never_written(tmp_path):
+    one = recorder(tmp_path, level="decisions")
+    tell(one, 50)
+    one.stop(1, 0)
+    assert all(b"secret" not in path.read_bytes() for path in tmp_path.iterdir())
+    assert "secret" not in repr(kept(tmp_path))
+
+
+def test_a_disk_that_fills_drops_records_counts_them_and_is_used_again(tmp_path):
+    now = [0]
+    one = recorder(tmp_path, lambda: now[0])
+    tell(one, 20)
+    write, full = os.pwrite, [True]
+
+    def pwrite(fd, data, at):
+        if not full[0]:
+            return write(fd, data, at)
+        write(fd, data[:3], at)  # as much as there is room for
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    with patch.object(os, "pwrite", pwrite):
+        tell(one, 30, 20)
+        now[0] += 10_000_000
+        tell(one, 5, 50)  # tried again, and full still
+        full[0] = False
+        now[0] += 100_000_000
+        tell(one, 10, 55)
+    one.stop(1, 0)
+    told = kept(tmp_path)
+    dropped = [values for kind, values in told if kind == r.DROPPED]
+    assert len(dropped) == 1
+    assert dropped[0][0] >= 35 * 3
+    assert dropped[0][4][1] == "disk"
+    ids = [int(values[0].id, 16) for kind, values in told if kind == r.END]
+    assert ids == [*range(20), *range(55, 65)]
+
+
+def test_more_than_may_wait_is_dropped_and_counted(tmp_path):
+    one = recorder(tmp_path, memory=16 << 10)
+    for number in range(200):
+        one.message(5, number, Envelope(f"{number:016x}"), 0, 0, 1000)
+    one.turn()
+    tell(one, 1, 900)
+    one.stop(9, 0)
+    told = kept(tmp_path)
+    assert sum(kind == r.MESSAGE for kind, _ in told) == 64
+    assert [values[0] for kind, values in told if kind == r.DROPPED] == [200 + 1 - 64]
+
+
+def test_files_stay_within_their_total_and_the_oldest_go(tmp_path):
+    files = Files(TraceConf(folder=str(tmp_path), block=4096, file_size=64 << 10, total=256 << 10), "a",
+                  lambda *_a, **_k: None)
+    most = 0
+    for seed in range(60):
+        for frame in traces.frames(60, process=f"{seed:012x}", seed=seed):
+            files.put([frame])
+        most = max(most, sum(path.stat().st_size for path in tmp_path.iterdir()))
+    files.close()
+    assert 128 << 10 < most <= 256 << 10
+    names = [name for name in sorted(tmp_path.iterdir())]
+    assert len(names) > 2
+    assert not [loss for path in names for loss in _losses(path)]
+
+
+def _losses(path: Path) -> list:
+    with Reader(path) as reader:
+        list(reader.frames())
+        return reader.losses
