Read trace records by one compiled function a type

Need: verify read 170,000 records a second, a minute for 120 MB. Change: a type's fields are read by one function made from the table, as they are written.

--- a/lynxscale/trace/frames.py
+++ b/lynxscale/trace/frames.py
@@ -218,20 +218,23 @@
         found: list[tuple[int, Any]] = []
         strange = False
         size = len(payload)
+        time = self._time
         while at < size:
-            number, at = get_uint(payload, at)
+            number = payload[at]
+            if number < 0x80:
+                at += 1
+            else:
+                number, at = get_uint(payload, at)
             length, at = get_uint(payload, at)
             end = at + length
             if end > size:
                 raise Cut("a record is cut short")
-            gets = GETS.get(number)
-            if gets is not None:
-                values: list = []
-                for get in gets:
-                    if at >= end:
-                        break  # written before that field was there
-                    value, at = get(self, payload, at)
-                    values.append(value)
+            get = GET_RECORD.get(number)
+            if get is not None:
+                try:
+                    values, at = get(payload, at, end, names, time)
+                except IndexError:
+                    raise Cut("a record is cut short") from None
                 if at > end:
                     raise Cut("a record's fields are longer than it is")
                 if at < end:
@@ -271,19 +274,16 @@
                                   names[r.TENANT].get(tenant) or (tenant, ""), dest)
 
 
-def _get_floats(_decoder: Decoder, data: bytes, at: int) -> tuple[tuple[float, ...], int]:
-    count, at = get_uint(data, at)
+def _get_floats(data: bytes, at: int, count: int) -> tuple[tuple[float, ...], int]:
     if count > FLOATS_MOST:
         raise Cut("too many numbers")
-    values = []
-    for _ in range(count):
-        value, at = get_float(data, at)
-        values.append(value)
-    return tuple(values), at
+    try:
+        return struct.unpack_from(f"<{count}d", data, at), at + 8 * count
+    except struct.error:
+        raise Cut("a number is cut short") from None
 
 
-def _get_members(decoder: Decoder, data: bytes, at: int) -> tuple[list[r.Member], int]:
-    names = decoder._names
+def _get_members(data: bytes, at: int, names: dict[int, dict[int, Any]]) -> tuple[list[r.Member], int]:
     count, at = get_uint(data, at)
     rows = []
     for _ in range(count):
@@ -301,37 +301,37 @@
     return rows, at
 
 
-def _get_table(table: int) -> Callable:
-    def get(decoder: Decoder, data: bytes, at: int) -> tuple[r.Handle, int]:
-        number, at = get_uint(data, at)
-        return decoder._names[table].get(number) or (number, ""), at
-
-    return get
-
-
-def _get_msg(decoder: Decoder, data: bytes, at: int) -> tuple[r.Msg, int]:
-    number, at = get_uint(data, at)
-    return decoder._names[-1].get(number) or r.Msg(number, "", r.UNKNOWN, r.UNKNOWN, 0), at
-
-
-def _get_flag(_decoder: Decoder, data: bytes, at: int) -> tuple[bool, int]:
-    value, at = get_uint(data, at)
-    return value != 0, at
+# How a field of each kind is read, as source: as with writing, one function a type. ``n`` is a number read.
+_NUMBER = "n = data[at]\nif n < 128: at += 1\nelse: n, at = get_uint(data, at)"
+_GET = {
+    "u": f"{_NUMBER}\nadd(n)",
+    "i": "n, at = get_int(data, at)\nadd(n)",
+    "t": "n, at = get_text(data, at)\nadd(n)",
+    "b": f"{_NUMBER}\nadd(n != 0)",
+    "x": "if data[at]: n, at = get_ms(data, at)\nelse: n = 0.0; at += 1\nadd(n)",
+    "a": "n, at = get_ms(data, at, time)\nadd(n)",
+    "f": "n, at = get_float(data, at)\nadd(n)",
+    "F": f"{_NUMBER}\nif n: n, at = get_floats(data, at, n)\nelse: n = ()\nadd(n)",
+    "L": "n, at = get_members(data, at, names)\nadd(n)",
+    "M": f"{_NUMBER}\nadd(names[-1].get(n) or Msg(n, '', UNKNOWN, UNKNOWN, 0))",
+} | {kind: f"{_NUMBER}\nadd(names[{table}].get(n) or (n, ''))" for kind, table in r.TABLE_OF.items()}
+
+
+def _compiled_get(one: r.Type) -> Callable:
+    """The function that reads one type's fields up to ``end``: fewer than are known where it was written before."""
+    lines = ["def get(data, at, end, names, time):", "    values = []", "    add = values.append"]
+    for _name, kind in one.fields:
+        lines.append("    if at >= end: return values, at")
+        lines += [f"    {line}" for line in _GET[kind].split("\n")]
+    lines.append("    return values, at")
+    space: dict[str, Any] = {"get_uint": get_uint, "get_int": get_int, "get_text": get_text, "get_ms": get_ms,
+                             "get_float": get_float, "get_floats": _get_floats, "get_members": _get_members,
+                             "Msg": r.Msg, "UNKNOWN": r.UNKNOWN}
+    exec("\n".join(lines), space)  # the text is made of the constants above alone
+    return space["get"]
 
 
-_GET: dict[str, Callable] = {
-    "u": lambda _d, data, at: get_uint(data, at),
-    "i": lambda _d, data, at: get_int(data, at),
-    "t": lambda _d, data, at: get_text(data, at),
-    "b": _get_flag,
-    "x": lambda _d, data, at: get_ms(data, at),
-    "a": lambda d, data, at: get_ms(data, at, d._time),
-    "f": lambda _d, data, at: get_float(data, at),
-    "F": _get_floats,
-    "L": _get_members,
-    "M": _get_msg,
-} | {kind: _get_table(table) for kind, table in r.TABLE_OF.items()}
-GETS = {one.number: tuple(_GET[kind] for _, kind in one.fields) for one in r.TYPES}
+GET_RECORD = {one.number: _compiled_get(one) for one in r.TYPES}
 
 
 def messages(frame: Frame) -> Iterator[r.Msg]:
