Keep what the recorder is told in one flat list, which the garbage collector passes over

Change: one flat list of words, cut at whole entries where the memory's bound is met; a test that follow waits for a block of which it sees old and new bytes.

--- a/lynxscale/trace/recorder.py
+++ b/lynxscale/trace/recorder.py
@@ -28,8 +28,11 @@
 STEPPED = 1000  # µs between the clocks from which on a new anchor is told
 LOOK_EVERY = 1_000_000  # µs between two looks at the wall clock
 AWAY = 1 << 40  # numbers of messages that were turned away before the core gave them one
-RECORD_BYTES = 256  # of memory that one thing told takes until it is written
+WORD_BYTES = 32  # of memory that each word told takes until it is written
 STARTED, GONE = 0, -1  # told, and no record: the process has started; a message is over
+# Words told of each: the time, what it is, and what the maker of its record takes.
+WORDS = {STARTED: 2, GONE: 3, r.MESSAGE: 10, r.ADMIT: 5, r.END: 5, r.TRY_START: 7, r.TRY_END: 10, r.PROBE_START: 3,
+         r.PROBE_END: 3, r.NOTICE: 5, r.NOTICE_HEARD: 3, r.LIST: 4, r.STEP: 5, r.STOP: 3}
 RESULTS = tuple(r.reason(result.name.lower()) if result else r.UNKNOWN for result in (0, *api.Result))
 
 
@@ -80,12 +83,14 @@
         self._kept: dict[int, r.Msg] = {}
         self._over: list[int] = []  # ended in the frame that is being made
         self._away = AWAY
-        self._told: list[tuple] = []  # (time, what, ...), of the turns since the last flush
-        self._tell = self._told.append
+        # Time, what, and more, one behind the other, of the turns since the last flush. Flat, as the garbage collector
+        # would walk a tuple for each again and again until it is written: that cost as much as writing it.
+        self._told: list = []
+        self._tell = self._told.extend
         self._planned = False
         self._seq = self._look_at = 0
         self._offset = time.time_ns() // 1000 - clock()
-        self._most = conf.memory // RECORD_BYTES
+        self._most = conf.memory // WORD_BYTES
         self._unkept = 0  # what was told beyond that, since the last flush
         self._start = (r.START, [
             relay, process, _version(), conf.level, float(conf.sample), " ".join(conf.classes), str(seed),
@@ -159,9 +164,7 @@
     def turn(self) -> None:
         """The end of a turn."""
         if len(self._told) > self._most:
-            # Guards the memory, should more come in until the next flush than is meant to wait.
-            self._unkept += len(self._told) - self._most
-            del self._told[self._most:]
+            self._cut()
         if not self._told or self._planned:
             return
         if self._conf.flush:
@@ -170,6 +173,17 @@
         else:
             self.flush()
 
+    def _cut(self) -> None:
+        """Guards the memory, should more come in until the next flush than is meant to wait: the latest goes."""
+        at, told = 0, self._told
+        while at + WORDS[told[at + 1]] <= self._most:
+            at += WORDS[told[at + 1]]
+        end = at
+        while at < len(told):
+            at += WORDS[told[at + 1]]
+            self._unkept += 1
+        del told[end:]
+
     def stop(self, now: int, left: int) -> None:
         self._tell((now, r.STOP, left))
         self.flush()
@@ -191,24 +205,28 @@
             if abs(offset - self._offset) > STEPPED:
                 self._offset = offset
         files, frames = self._files, []
-        time_ = told[0][0]
+        time_ = told[0]
         records: list[tuple[int, list]] = [self._start] if files.begins else []  # each file tells whose it is
         dropped = files.dropped
         if dropped.records and not files.failing:
             records.append((r.DROPPED, [dropped.records, dropped.bytes, dropped.first, dropped.last,
                                         r.reason(dropped.reason)]))
-        for what in told:
-            if what[0] != time_:
+        at, end, make = 0, len(told), self._make
+        while at < end:
+            if told[at] != time_:
                 self._frame(frames, time_, records)
-                time_, records = what[0], []
-            if what[1] is not STARTED:
-                self._make[what[1]](records, *what[2:])
+                time_, records = told[at], []
+            what = told[at + 1]
+            behind = at + WORDS[what]
+            if what != STARTED:
+                make[what](records, *told[at + 2:behind])
+            at = behind
         self._frame(frames, time_, records)
         failing = files.failing
         if files.put(frames) and dropped.records and not failing:
             files.recovered()
         if self._unkept:
-            files.drop(self._unkept, told[-1][0], "memory")
+            files.drop(self._unkept, time_, "memory")
             self._unkept = 0
 
     def _frame(self, frames: list[Frame], time_: int, records: list[tuple[int, list]]) -> None:
--- a/tests/test_trace_tools.py
+++ b/tests/test_trace_tools.py
@@ -282,3 +282,22 @@
             files.put(told[place:place + 7])
 
     assert traces.flat(list(follow(files._path, wait))) == traces.flat(told)
+
+
+def test_follow_waits_for_a_block_of_which_it_sees_old_and_new_bytes(tmp_path):
+    told = traces.frames(40)
+    files, _sizes = recorded(tmp_path, told)
+    path, middle = files._path, files._end // 2
+    files.close()
+    whole = path.read_bytes()
+    files, _sizes = recorded(tmp_path / "open", told)
+    half = files._path.read_bytes()
+    path.write_bytes(half[:middle] + bytes(300) + half[middle + 300:])
+    looks = []
+
+    def wait():
+        looks.append(1)
+        path.write_bytes(whole)
+
+    assert traces.flat(list(follow(path, wait))) == traces.flat(told)
+    assert looks
