--- a/lynxscale/conf/table.py
+++ b/lynxscale/conf/table.py
@@ -188,7 +188,7 @@
         ("memory", "size", "Bytes that may wait to be written; beyond them records are dropped and counted.",
          {"least": 16 << 10, "most": 64 << 20}),
         ("flush", "time", "How long records wait to be written together: a crash loses no more. 0us writes each turn "
-         "of the loop at its end, and costs four times the CPU.", {"most": 5_000_000}),
+         "of the loop at its end, and costs two to three times the CPU.", {"most": 5_000_000}),
         ("classes", "names", "Only messages of these classes."),
         ("sample", "share", "Share of the messages that is kept, each whole, the same ones at every relay.",
          {"least": 0, "most": 1}),
