--- a/lynxscale/trace/recorder.py
+++ b/lynxscale/trace/recorder.py
@@ -60,8 +60,8 @@
 
     A hook does no more than keep what it was told: the records are made and written together, ``flush`` µs later
     (at once where that is 0), as code that runs in one go costs less than half of what it costs a few lines at a time
-    between other work. ``later`` calls after so many µs; ``names`` gives an endpoint's id and address by its number; ``told``
-    hears of what the files do.
+    between other work. ``later`` calls after so many µs; ``names`` gives an endpoint's id and address by its number;
+    ``told`` hears of what the files do.
     """
 
     def __init__(self, conf: TraceConf, settings: api.Settings, relay: str, seed: int,
