Join latencies by a line on the page only where the rows are moments

Need: lines between classes told of an order that there is none of. Change: points alone there, and no point where nothing was delivered.

--- a/lynxscale/trace/plot.py
+++ b/lynxscale/trace/plot.py
@@ -20,7 +20,10 @@
     figure, axes = pyplot.subplots(3, 1, figsize=(11, 12), constrained_layout=True)
     places = range(len(rows))
     for name, colour in (("p99_ms", "#b5483a"), ("p90_ms", "#d9a441"), ("p50_ms", "#3a6ea5")):
-        axes[0].plot(places, [row.get(name, 0) for row in rows], "o-", color=colour, label=name[:-3], markersize=4)
+        # A line joins moments only: rows of other names have no order to be joined in.
+        style = "o-" if columns == ("window",) else "o"
+        axes[0].plot(places, [row.get(name, float("nan")) for row in rows], style, color=colour, label=name[:-3],
+                     markersize=4)
     axes[0].set(title="Latency of delivered messages", ylabel="ms")
     kinds = sorted({kind for row in rows for kind in row["ends"]})
     bottom = [0.0] * len(rows)
