Show folders by relative names, and take out code that nothing calls

Cause: examples named folders of a machine, and the first form of the trace left functions behind that nothing calls.

Behaviour and bounds stay.

--- a/lab/bench_trace.py
+++ b/lab/bench_trace.py
@@ -22,7 +22,7 @@
 
 from gannetshift.reader import settings_from
 from lab.traffic import CLASSES, TENANTS, Load, fresh_folder, one_run, settings, with_trace
-from lynxscale.conf.table import SIZES, TraceConf, _amount
+from lynxscale.conf.table import SIZES, TraceConf, amount
 from lynxscale.trace import records as r
 from lynxscale.trace import v2
 from lynxscale.trace.frames import Frame
@@ -244,7 +244,7 @@
             if wanted("cut"):
                 minute_of_an_hour(folder, hour)
             if wanted("memory"):
-                memory(folder, hour, _amount(small, SIZES), _amount(big, SIZES), tools)
+                memory(folder, hour, amount(small, SIZES), amount(big, SIZES), tools)
 
 
 if __name__ == "__main__":
--- a/lynxscale/cli/conf.py
+++ b/lynxscale/cli/conf.py
@@ -110,7 +110,7 @@
 
     # a comment
     begin trace
-        folder "/var/lib/relay/trace"    # words with blanks stand in quotes
+        folder "relay a/traces"    # words with blanks stand in quotes
         level tries
         file-size 16m
     end trace
--- a/lynxscale/cli/trace/shared.py
+++ b/lynxscale/cli/trace/shared.py
@@ -96,7 +96,7 @@
     return Merge(paths, losses, wanted.block, one)
 
 
-@example("lynxscale trace summarise /var/lib/lynxscale/trace")
+@example("lynxscale trace summarise traces/")
 @click.group(cls=Plain)
 def group() -> None:
     """Read, cut, join and replay trace files. A folder stands for the *.lxt files in it."""
--- a/lynxscale/cli/trace/show.py
+++ b/lynxscale/cli/trace/show.py
@@ -152,14 +152,14 @@
 @to_json
 def summarise(files: tuple[str, ...], by: str, window: str, plot: str | None, as_json: bool, **words: Any) -> None:
     """Count messages, ends, tries and worth, with percentiles of latency (ms), by class, tenant and destination."""
-    from lynxscale.conf.table import TIMES, _amount
+    from lynxscale.conf.table import TIMES, amount
     from lynxscale.trace.summary import BY, Summariser, TooManyRows
 
     columns = tuple(name for name in by.split(",") if name)
     if not set(columns) <= set(BY):
         raise Misused(f"--by: want some of {', '.join(BY)}, not {by}")
     try:
-        span = _amount(window, TIMES) if window else 0
+        span = amount(window, TIMES) if window else 0
     except ValueError as error:
         raise Misused(f"--window: want a time such as 10s, not {window}") from error
     if plot is not None and Path(plot).suffix not in (".png", ".svg"):
--- a/lynxscale/conf/table.py
+++ b/lynxscale/conf/table.py
@@ -15,7 +15,8 @@
 AMOUNT = re.compile(r"([0-9]{1,15})([a-z]*)")
 
 
-def _amount(text: str, units: dict[str, int]) -> int:
+def amount(text: str, units: dict[str, int]) -> int:
+    """A whole number with one of these units, such as ``64k`` by ``SIZES``; ValueError where it is none."""
     match = AMOUNT.fullmatch(text.lower())
     if match is None or match.group(2) not in units:
         raise ValueError(text)
@@ -97,7 +98,7 @@
         if self.kind == "share":
             value: float = float(text) if re.fullmatch(r"[0-9]{1,9}(\.[0-9]{1,9})?", text) else -1.0
         else:
-            value = _amount(text, {"size": SIZES, "time": TIMES, "count": {"": 1}}[self.kind])
+            value = amount(text, {"size": SIZES, "time": TIMES, "count": {"": 1}}[self.kind])
         if not self.least <= value <= self.most:
             raise ValueError(text)
         return value
@@ -143,9 +144,6 @@
     directives: tuple[Directive, ...]
     check: Callable[[Any], list[tuple[str, str]]] = lambda _settings: []  # directive and what is wanted
 
-    def default(self, name: str) -> Any:
-        return next(field.default for field in fields(self.type) if field.name == name.replace("-", "_"))
-
 
 def _check_trace(conf: TraceConf) -> list[tuple[str, str]]:
     faults = []
--- a/lynxscale/trace/frames.py
+++ b/lynxscale/trace/frames.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from lynxscale.trace import records as r
@@ -341,11 +341,3 @@
 
 
 GET_RECORD = {one.number: _compiled_get(one) for one in r.TYPES}
-
-
-def messages(frame: Frame) -> Iterator[r.Msg]:
-    """Every message that a frame's records name, with its repeats."""
-    for number, values in frame.records:
-        one = r.BY_NUMBER.get(number)
-        if one is not None and one.fields and one.fields[0][1] == "M" and values:
-            yield values[0]
--- a/lynxscale/trace/v2.py
+++ b/lynxscale/trace/v2.py
@@ -19,7 +19,6 @@
 
 from lynxscale.trace.fields import Cut, get_int, get_text, get_uint, put_int, put_text, put_uint
 from lynxscale.trace.frames import Encoder, Frame
-from lynxscale.trace.head import pack_frame
 from lynxscale.trace.records import Msg
 
 BLOCK_MARK = b"\xa7LXB\r\n\x1a\n"
@@ -244,10 +243,6 @@
         self.number += 1
         self._begin()
 
-    def plain(self, payload: bytes) -> bytes:
-        """A payload as it stands in the open block."""
-        return pack_frame(payload)
-
 
 def payloads_in(head: BlockHead, stored: bytes) -> Iterator[bytes]:
     """The payloads of a sealed block.
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -41,9 +41,9 @@
 begin log
     format json
 end log
-""", HOME="/h")
+""", HOME="h")
     trace = conf.trace
-    assert (trace.folder, trace.level, trace.file_size, trace.total) == ('/h/a "b" #c', "decisions", 2 << 20, 1 << 30)
+    assert (trace.folder, trace.level, trace.file_size, trace.total) == ('h/a "b" #c', "decisions", 2 << 20, 1 << 30)
     assert (trace.file_age, trace.flush, trace.block, conf.log.format) == (90_000_000, 0, 64 << 10, "json")
     assert read(tmp_path, "begin trace\nfolder '${HOME}'\nend trace\n").trace.folder == "${HOME}"
 
@@ -86,7 +86,7 @@
 
 def test_what_is_shown_gives_the_same_when_it_is_read(tmp_path, capfd):
     path = tmp_path / "a.conf"
-    path.write_text("begin trace\nfolder '/a b/c'\nclasses 'one two' three\nsample 0.25\nflush 250ms\nend trace\n")
+    path.write_text("begin trace\nfolder 'a b/c'\nclasses 'one two' three\nsample 0.25\nflush 250ms\nend trace\n")
     with pytest.raises(SystemExit):
         cli.main(["conf", "show", str(path)])
     again = tmp_path / "b.conf"
--- a/tests/test_trace_format.py
+++ b/tests/test_trace_format.py
@@ -197,6 +197,15 @@
 # Damaged ------------------------------------------------------------------------------------------
 
 
+def read_flipped(path: Path, data: bytes, at: int, bit: int) -> tuple[list, list]:
+    """Which frames are read, and what is lost, of these bytes with one bit turned."""
+    spoilt = bytearray(data)
+    spoilt[at] ^= 1 << bit
+    path.write_bytes(spoilt)
+    with Reader(path) as reader:
+        return [(frame.source, frame.seq) for frame in reader.frames()], reader.losses
+
+
 @pytest.mark.parametrize("closed", [True, False])
 @pytest.mark.parametrize("version", [1, 2])
 def test_a_flipped_bit_costs_one_block_and_is_told(tmp_path, version, closed, monkeypatch):
@@ -216,13 +225,7 @@
     @given(st.integers(start, len(data) - 1), st.integers(0, 7))
     @settings(max_examples=200, deadline=None, derandomize=True)
     def flip(at, bit):
-        spoilt = bytearray(data)
-        spoilt[at] ^= 1 << bit
-        path.write_bytes(spoilt)
-        with Reader(path) as reader:
-            got = list(reader.frames())
-            losses = reader.losses
-        found = [(frame.source, frame.seq) for frame in got]
+        found, losses = read_flipped(path, data, at, bit)
         missing = [frame for frame, key in zip(told, keys, strict=True) if key not in set(found)]
         assert found == [key for key in keys if key in set(found)]
         assert len(missing) <= most
@@ -247,12 +250,8 @@
     @given(st.integers(start, len(data) - 1), st.integers(0, 7))
     @settings(max_examples=200, deadline=None, derandomize=True)
     def flip(at, bit):
-        spoilt = bytearray(data)
-        spoilt[at] ^= 1 << bit
-        path.write_bytes(spoilt)
-        with Reader(path) as reader:
-            found = [(frame.source, frame.seq) for frame in reader.frames()]
-            assert reader.losses
+        found, losses = read_flipped(path, data, at, bit)
+        assert losses
         assert found[:sealed] == keys[:sealed]
         assert found == [key for key in keys if key in set(found)]
 
