Split membership from discovery: one list in force, sources, verdicts without I/O

Cause: lists came from discovery's HTTP alone, and one class called, read, numbered and told the module.

Change: lynxscale/membership/ holds the model, the file's format and checks, the decision on a new version, the table in force, weights on their way and the group that the core asks; net/discovery.py is a source over it. An id at another address or destination is another endpoint with a new number, so that no health, wait or connection carries over. Whether a destination is known is a look-up, no walk over all endpoints.

--- a/lynxscale/conf/lexer.py
+++ b/lynxscale/conf/lexer.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from glob import glob
 from pathlib import Path
@@ -45,6 +45,28 @@
         return Fault(self.file, self.number, word, wanted)
 
 
+class Unclosed(ValueError):
+    """A quote is not closed; the text is what is there."""
+
+
+def split(raw: str, fill: Callable[[str], str] = str) -> list[str]:
+    """The words of a line; ``fill`` is given what stands outside single quotes. Raises Unclosed."""
+    words, at = [], 0
+    while at < len(raw):
+        if raw[at].isspace():
+            at += 1
+            continue
+        if raw[at] == "#":
+            break
+        match = WORD.match(raw, at)
+        if match is None or (match.end() < len(raw) and not raw[match.end()].isspace()):
+            raise Unclosed(raw[at:at + 20])
+        words.append("".join(literal or fill(re.sub(r"\\(.)", r"\1", quoted) if quoted else plain)
+                             for quoted, literal, plain in PIECE.findall(match.group())))
+        at = match.end()
+    return words
+
+
 class Lexer:
     """Lines of a file and of all that it includes; what is wrong is gathered in ``faults``."""
 
@@ -89,29 +111,11 @@
                 yield from self.lines(name, _above=here)
 
     def _words(self, file: str, number: int, raw: str) -> tuple[str, ...]:
-        words, at = [], 0
-        while at < len(raw):
-            if raw[at].isspace():
-                at += 1
-                continue
-            if raw[at] == "#":
-                break
-            match = WORD.match(raw, at)
-            if match is None or (match.end() < len(raw) and not raw[match.end()].isspace()):
-                self.faults.append(Fault(file, number, raw[at:at + 20], "want a closing quote"))
-                return ()
-            words.append(self._word(file, number, match.group()))
-            at = match.end()
-        return tuple(words)
-
-    def _word(self, file: str, number: int, raw: str) -> str:
-        parts = []
-        for quoted, literal, plain in PIECE.findall(raw):
-            if literal:
-                parts.append(literal)
-            else:
-                parts.append(self._filled(file, number, re.sub(r"\\(.)", r"\1", quoted) if quoted else plain))
-        return "".join(parts)
+        try:
+            return tuple(split(raw, lambda text: self._filled(file, number, text)))
+        except Unclosed as error:
+            self.faults.append(Fault(file, number, str(error), "want a closing quote"))
+            return ()
 
     def _filled(self, file: str, number: int, text: str) -> str:
         def value(match: re.Match) -> str:
--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -18,9 +18,10 @@
 from lynxscale.counters import Counters
 from lynxscale.deadlines import Deadlines, Loop
 from lynxscale.journal import Journal
+from lynxscale.membership.group import DISCOVERY, Group
 from lynxscale.net import link
 from lynxscale.net.clients import Clients
-from lynxscale.net.group import Group
+from lynxscale.net.discovery import Discovery
 from lynxscale.net.notices import Notices
 from lynxscale.net.peers import Peers
 from lynxscale.relay import Relay
@@ -61,9 +62,10 @@
         self.loop.at_end = relay.turn
         peer_sockets = max(conf.settings.slots, conf.sockets // PEER_SHARE)
         self.group = relay.group = Group(
-            reactor, self.deadlines, conf.discovery, conf.settings, relay.put, self.counters,
-            lambda endpoint: self.peers.close_idle(endpoint, link.GONE),
+            conf.settings, self.deadlines, relay.put, lambda endpoint: self.peers.close_idle(endpoint, link.GONE),
         )
+        self.discovery = Discovery(reactor, self.deadlines, conf.discovery, self.group, self.counters)
+        self.group.add(DISCOVERY, self.discovery)
         self.peers = relay.tries = Peers(
             reactor, self.loop, self.deadlines, relay, self.group.address_of, peer_sockets
         )
@@ -87,7 +89,7 @@
     def start(self) -> None:
         """Ready only once all that an earlier process left open is taken over."""
         entries = self.journal.open()
-        self.group.begin(self.conf.known)
+        self.discovery.begin(self.conf.known)
         self.relay.replay(entries)
         self.clients.listen(reactor, self.conf.listen)
         log.info("ready", name=self.conf.name, open=len(entries))
@@ -102,7 +104,7 @@
             log.error("not_reloaded", error=str(error))
             return
         if conf.discovery != self.conf.discovery:
-            self.group.move(conf.discovery)
+            self.discovery.move(conf.discovery)
             self.notices.move(conf.discovery)
         kept = [key for key in RESTART_KEYS if getattr(conf, key) != getattr(self.conf, key)]
         log.info("reloaded", discovery="{}:{}".format(*conf.discovery), for_a_restart=" ".join(kept))
@@ -132,7 +134,7 @@
             self.deadlines.after(LOOK_EVERY, self._look)
 
     def leave(self) -> None:
-        self.group.stop()
+        self.discovery.stop()
         self.peers.stop()
         self.notices.stop()
         self.print_counters()
--- /dev/null
+++ b/lynxscale/membership/group.py
@@ -0,0 +1,198 @@
+"""The upstream group of a running relay: one list in force, from one or two sources.
+
+Each destination has one owner: the first source, in the order of precedence, that lists it. An endpoint of another
+source for the same destination, or under an id that the owner's list has, is passed over: two generations of one
+partner never mix.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Protocol
+
+from gannetshift import interface as api
+from lynxscale.deadlines import Deadlines
+from lynxscale.membership.model import SLICE, Entry, Slices
+from lynxscale.membership.ramp import Ramps
+from lynxscale.membership.table import Table
+
+FILES, DISCOVERY = "files", "discovery"
+SOURCES = (FILES, DISCOVERY)
+MEMBERS_MOST = 256  # told to the module in one event: guards the loop against a step that is as long as the list
+
+
+class Source(Protocol):
+    """Where lists come from. It hands its list to ``Group.take`` (changes) or ``Group.replace`` (all of it)."""
+
+    def watch(self, active: bool) -> None:
+        """Tell changes from now on, or no more."""
+
+    def fetch(self) -> None:
+        """Tell the whole list once."""
+
+
+class Group:
+    """What the core, the peers and the clients ask of the list."""
+
+    def __init__(self, settings: api.Settings, deadlines: Deadlines, put: Callable[[object], None],
+                 on_gone: Callable[[int], None], order: Iterable[str] = SOURCES, ramp: int = 0) -> None:
+        self._deadlines, self._put, self._on_gone = deadlines, put, on_gone
+        self._ramps = Ramps(ramp)
+        self.table = Table(settings.kinds, settings.zones, self._ramps)
+        self._order = tuple(order)
+        self._lists: dict[str, dict[str, Entry]] = {}
+        self._listed: dict[str, dict[int, int]] = {}  # by source: destinations and how many endpoints
+        self._sources: dict[str, Source] = {}
+        self.told = False  # some source has told its list in this process's life
+        self._rising = False
+
+    def add(self, name: str, source: Source) -> None:
+        """A source, by one of the names in the order of precedence."""
+        self._sources[name] = source
+        self._lists[name], self._listed[name] = {}, {}
+
+    # What others ask -----------------------------------------------------------------------------
+
+    def knows(self, cell: int) -> bool:
+        """Does a list name this destination, or did one until lately?"""
+        return self.table.knows(cell, self._deadlines.now())
+
+    def name_of(self, endpoint: int) -> tuple[str, str] | None:
+        """Its id and address, while it is listed."""
+        entry = self.table.entry(endpoint)
+        return (entry.id, "{}:{}".format(*entry.address)) if entry is not None else None
+
+    def address_of(self, endpoint: int) -> tuple[str, int] | None:
+        entry = self.table.entry(endpoint)
+        return entry.address if entry is not None else None
+
+    def watch(self, active: bool) -> None:
+        for source in self._sources.values():
+            source.watch(active)
+
+    def fetch(self) -> None:
+        for source in self._sources.values():
+            source.fetch()
+
+    # What sources tell ---------------------------------------------------------------------------
+
+    def list_of(self, name: str) -> Mapping[str, Entry]:
+        """What a source has told."""
+        return self._lists[name]
+
+    def failed(self, version: int) -> None:
+        """A source could not be asked: the module asks again."""
+        self._put(api.Membership(api.ListKind.FAILED, version, []))
+
+    def take(self, name: str, kind: api.ListKind, version: int, changes: Iterable[tuple[str, Entry | None]],
+             always: bool = False) -> None:
+        """Changes of a source's list, each an id and its entry, None where it goes.
+
+        A list of kind FULL or CACHED holds all that the source has. ``always``: the module waits for an answer, and is
+        told of it even where nothing is new.
+        """
+        changes = list(changes)
+        if kind != api.ListKind.CACHED:
+            self.told = True
+        if kind != api.ListKind.DELTA:
+            named = {id_ for id_, _entry in changes}
+            changes += [(id_, None) for id_ in self._lists[name] if id_ not in named]
+        members = self._apply(self._effective(name, changes))
+        if kind != api.ListKind.DELTA and len(self._sources) == 1:
+            self._put(api.Membership(kind, version, self.table.members()))
+            return
+        if kind == api.ListKind.FULL:
+            kind = api.ListKind.DELTA  # the other source's endpoints are not in it
+        for at in range(0, len(members), MEMBERS_MOST):
+            self._put(api.Membership(kind, version, members[at:at + MEMBERS_MOST]))
+        if not members and (always or kind == api.ListKind.CACHED):
+            self._put(api.Membership(kind, version, []))
+
+    def replace(self, name: str, version: int, old: Mapping[str, Entry], new: Mapping[str, Entry]) -> Slices[None]:
+        """In slices: what was ``old`` of a source's list is ``new`` from now on; drains and ends go first."""
+        self.told = True
+        late, early = [], []
+        for place, (id_, entry) in enumerate(new.items()):
+            if not place % SLICE:
+                yield
+            before = old.get(id_)
+            if before is entry or before == entry:
+                continue
+            (early if entry.lifecycle == api.Lifecycle.DRAINING else late).append((id_, entry))
+        for place, id_ in enumerate(old):
+            if not place % SLICE:
+                yield
+            if id_ not in new:
+                early.append((id_, None))
+        for changes in (early, late):
+            for at in range(0, len(changes), MEMBERS_MOST):
+                members = self._apply(self._effective(name, changes[at:at + MEMBERS_MOST]))
+                if members:
+                    self._put(api.Membership(api.ListKind.DELTA, version, members))
+                yield
+
+    # Precedence ----------------------------------------------------------------------------------
+
+    def _owner(self, destination: int) -> str | None:
+        for name in self._order:
+            if destination in self._listed.get(name, ()):
+                return name
+        return None
+
+    def _of(self, id_: str) -> Entry | None:
+        """The entry in force under an id."""
+        for name in self._order:
+            entry = self._lists.get(name, {}).get(id_)
+            if entry is not None and self._owner(entry.destination) == name:
+                return entry
+        return None
+
+    def _effective(self, name: str, changes: list[tuple[str, Entry | None]]) -> list[tuple[str, Entry | None]]:
+        """Take changes into a source's list; what they change in the list in force."""
+        own, listed = self._lists[name], self._listed[name]
+        if len(self._sources) == 1:
+            for id_, entry in changes:
+                self._keep(own, listed, id_, entry)
+            return changes
+        touched = {id_: None for id_, _entry in changes}
+        before = {}
+        for id_, entry in changes:
+            for one in (own.get(id_), entry):
+                if one is not None and one.destination not in before:
+                    before[one.destination] = self._owner(one.destination)
+        for id_, entry in changes:
+            self._keep(own, listed, id_, entry)
+        turned = {number for number, owner in before.items() if self._owner(number) != owner}
+        if turned:
+            # A destination has another owner: all that any source lists there is looked at anew.
+            for rows in self._lists.values():
+                touched.update((id_, None) for id_, entry in rows.items() if entry.destination in turned)
+        return [(id_, self._of(id_)) for id_ in touched]
+
+    @staticmethod
+    def _keep(own: dict[str, Entry], listed: dict[int, int], id_: str, entry: Entry | None) -> None:
+        before = own.pop(id_, None)
+        if before is not None:
+            listed[before.destination] -= 1
+            if not listed[before.destination]:
+                del listed[before.destination]
+        if entry is not None:
+            own[id_] = entry
+            listed[entry.destination] = listed.get(entry.destination, 0) + 1
+
+    def _apply(self, changes: list[tuple[str, Entry | None]]) -> list[api.Member]:
+        members, gone = self.table.apply(changes, self._deadlines.now())
+        for number in gone:
+            self._on_gone(number)
+        if len(self._ramps) and not self._rising:
+            self._rising = True
+            self._deadlines.after(self._ramps.every, self._rise)
+        return members
+
+    def _rise(self) -> None:
+        members = self.table.rise(self._deadlines.now())
+        for at in range(0, len(members), MEMBERS_MOST):
+            self._put(api.Membership(api.ListKind.DELTA, 0, members[at:at + MEMBERS_MOST]))
+        self._rising = len(self._ramps) > 0
+        if self._rising:
+            self._deadlines.after(self._ramps.every, self._rise)
--- /dev/null
+++ b/lynxscale/membership/table.py
@@ -0,0 +1,106 @@
+"""The list in force: every endpoint's number in the decision module, name, address and weight.
+
+A number stands for one endpoint, that is an id at an address for a destination. Another address under the same id, or
+another id at the same address, gets a new number, so that no health, wait, window or connection carries over. What has
+left is forgotten, and gets a new number should it come again: guards against tables that grow with every endpoint that
+ever was.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from itertools import count
+
+from gannetshift import interface as api
+from lynxscale.membership.model import Entry
+from lynxscale.membership.ramp import Ramps
+
+LEFT_MS = 60_000  # a destination whose last endpoint left so long ago is one that no list knows
+
+
+class Table:
+    """``kinds`` and ``zones`` as the settings name them; what they don't name counts as the first."""
+
+    def __init__(self, kinds: list[str], zones: list[str], ramps: Ramps) -> None:
+        self._kinds = {name: place for place, name in enumerate(kinds)}
+        self._zones = {name: place for place, name in enumerate(zones)}
+        self.ramps = ramps
+        self.entries: dict[str, Entry] = {}
+        self._numbers: dict[str, int] = {}
+        self._by_number: dict[int, Entry] = {}
+        self._weights: dict[int, float] = {}  # as the module has them: on their way to the list's
+        self._listed: dict[int, int] = {}  # destinations and how many endpoints each has
+        self._left: dict[int, int] = {}  # destinations with nobody listed, and since when
+        self._next_number = count(1).__next__
+
+    def __len__(self) -> int:
+        return len(self.entries)
+
+    def knows(self, destination: int, now: int) -> bool:
+        """Does the list name this destination, or did it until lately?"""
+        if destination in self._listed:
+            return True
+        if destination in self._left and now - self._left[destination] > LEFT_MS * 1000:
+            del self._left[destination]
+        return destination in self._left
+
+    def entry(self, number: int) -> Entry | None:
+        """What the module knows by this number, while it is listed."""
+        return self._by_number.get(number)
+
+    def apply(self, changes: Iterable[tuple[str, Entry | None]], now: int) -> tuple[list[api.Member], list[int]]:
+        """Take changes over, each an id and its entry, None where it goes.
+
+        Returns the module's members, drains and ends first, and the numbers that have gone.
+        """
+        first, last, gone = [], [], []
+        for id_, entry in changes:
+            before = self.entries.get(id_)
+            if before is not None and (entry is None or not entry.same_place(before)):
+                number = self._remove(id_, before, now)
+                gone.append(number)
+                first.append(self._member(number, before, api.Lifecycle.GONE))
+                before = None
+            if entry is None or entry is before:
+                continue
+            number = self._numbers[id_] if before is not None else self._add(id_, entry)
+            self.entries[id_] = self._by_number[number] = entry
+            current = self._weights.get(number)
+            self._weights[number] = self.ramps.aim(number, now, current, entry.weight)
+            (first if entry.lifecycle == api.Lifecycle.DRAINING else last).append(
+                self._member(number, entry, entry.lifecycle))
+        return first + last, gone
+
+    def members(self) -> list[api.Member]:
+        """All of it."""
+        return [self._member(number, entry, entry.lifecycle) for number, entry in self._by_number.items()]
+
+    def rise(self, now: int) -> list[api.Member]:
+        """The members whose weight has come a step nearer to the list's."""
+        found = []
+        for number, weight in self.ramps.step(now):
+            self._weights[number] = weight
+            entry = self._by_number[number]
+            found.append(self._member(number, entry, entry.lifecycle))
+        return found
+
+    def _add(self, id_: str, entry: Entry) -> int:
+        number = self._numbers[id_] = self._next_number()
+        self._listed[entry.destination] = self._listed.get(entry.destination, 0) + 1
+        self._left.pop(entry.destination, None)
+        return number
+
+    def _remove(self, id_: str, entry: Entry, now: int) -> int:
+        number = self._numbers.pop(id_)
+        del self.entries[id_], self._by_number[number]
+        self.ramps.forget(number)
+        self._listed[entry.destination] -= 1
+        if not self._listed[entry.destination]:
+            del self._listed[entry.destination]
+            self._left[entry.destination] = now
+        return number
+
+    def _member(self, number: int, entry: Entry, life: api.Lifecycle) -> api.Member:
+        weight = self._weights.pop(number) if life == api.Lifecycle.GONE else self._weights[number]
+        return api.Member(number, life, entry.destination, self._zones.get(entry.zone, 0),
+                          self._kinds.get(entry.kind, 0), weight)
--- /dev/null
+++ b/lynxscale/net/discovery.py
@@ -0,0 +1,145 @@
+"""Discovery as a source of lists: calls, its answers' form, and the watch for changes."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import orjson
+import structlog
+from twisted.python.failure import Failure
+
+from gannetshift import interface as api
+from lynxscale import http
+from lynxscale.conf.platform import Address, PlatformError, address
+from lynxscale.counters import Counters
+from lynxscale.deadlines import Deadlines
+from lynxscale.membership.group import DISCOVERY, Group
+from lynxscale.membership.model import DESTINATION_MOST, Entry
+from lynxscale.net import link
+from lynxscale.net.link import Caller
+
+log = structlog.get_logger()
+
+PATH = "/catalog/members"
+FIRST_WAIT_MS = 1  # a new watch is answered at once: what was missed comes first
+WAIT_MS = 10_000  # of each further call; short enough to notice a discovery that says nothing
+SLACK_MS = 1500  # beyond the wait, until a call counts as failed; discovery itself gives up sooner
+LIFECYCLES = {"ready": api.Lifecycle.READY, "draining": api.Lifecycle.DRAINING}
+GONE = "gone"
+
+
+class Discovery:
+    """Calls the directory at ``where`` and tells the group what it answers."""
+
+    def __init__(self, reactor, deadlines: Deadlines, where: Address, group: Group, counters: Counters) -> None:
+        self._reactor, self._deadlines = reactor, deadlines
+        self._caller = Caller(reactor, deadlines, where, "group")
+        self._group, self._counters = group, counters
+        self._version = 0
+        self._asked = False  # the module waits for the answer to its order
+        self._watching = False
+        self._moved = False  # the versions so far are another address's; the next answer must be whole
+
+    def begin(self, known: dict) -> None:
+        """The list as this relay last held it."""
+        rows = known.get("instances")
+        changes = self._changes(rows if isinstance(rows, list) else [])
+        self._version = known.get("generation", 0)
+        self._group.take(DISCOVERY, api.ListKind.CACHED, self._version, changes)
+
+    def watch(self, active: bool) -> None:
+        self._watching = active
+        if active and self._moved:
+            self.fetch()
+        elif active:
+            self._asked = True
+            self._call(f"{PATH}?after={self._version}&wait_ms={FIRST_WAIT_MS}", FIRST_WAIT_MS)
+        else:
+            self._caller.drop(link.CANCELLED)
+
+    def fetch(self) -> None:
+        self._asked = True
+        self._call(PATH, 0)
+
+    def move(self, where: Address) -> None:
+        """Discovery is at another address from now on: the whole list from there, then the watch."""
+        self._caller.close(link.MOVED)
+        self._caller = Caller(self._reactor, self._deadlines, where, "group")
+        self._moved = True
+        self.watch(True)
+
+    def stop(self) -> None:
+        self._watching = False
+        self._caller.close(link.STOPPING)
+
+    # Calls ---------------------------------------------------------------------------------------
+
+    def _call(self, target: str, wait_ms: int) -> None:
+        data = http.request("GET", target, self._caller.host)
+        answer = self._caller.call(data, (wait_ms + SLACK_MS) * 1000)
+        answer.addCallbacks(self._answered, self._failed)
+
+    def _failed(self, _failure: Failure | None) -> None:
+        self._watching = self._asked = False
+        self._counters.add("group", "failed")
+        self._group.failed(self._version)
+
+    def _answered(self, response: http.Response) -> None:
+        try:
+            if response.status != 200:
+                raise ValueError(f"status {response.status}")
+            table = orjson.loads(response.body)
+            version, whole, rows = table["generation"], table["reset"], table["instances"]
+            if not (isinstance(version, int) and isinstance(whole, bool) and isinstance(rows, list)):
+                raise ValueError("the answer's form is not a list's")
+            if self._moved and not whole:
+                raise ValueError("changes, where the whole list was asked for")
+            changes = self._changes(rows)
+        except (ValueError, KeyError, TypeError) as error:
+            log.warning("list_unread", error=str(error))
+            self._failed(None)
+            return
+        self._counters.add("group", "answers")
+        self._moved = False
+        if self._watching:
+            # At once: the watch goes on only if the next call follows closely.
+            self._call(f"{PATH}?after={version}&wait_ms={WAIT_MS}", WAIT_MS)
+        self._version = version
+        asked, self._asked = self._asked, False
+        if asked or changes or whole:
+            kind = api.ListKind.FULL if whole else api.ListKind.DELTA
+            self._group.take(DISCOVERY, kind, version, changes, asked)
+        else:
+            self._group.told = True
+
+    # Lists ---------------------------------------------------------------------------------------
+
+    def _changes(self, rows: Iterable) -> list[tuple[str, Entry | None]]:
+        found: list[tuple[str, Entry | None]] = []
+        for row in rows:
+            try:
+                found.append(_entry(row))
+            except (KeyError, TypeError, ValueError, PlatformError) as error:
+                # Guards against one line of no use taking the whole list with it: what is known under its id stays.
+                log.warning("list_line_unread", row=repr(row), error=str(error))
+                self._counters.add("group", "bad_lines")
+                name = row.get("instanceId") if isinstance(row, dict) else None
+                known = self._group.list_of(DISCOVERY).get(name) if isinstance(name, str) else None
+                if known is not None:
+                    found.append((known.id, known))
+        return found
+
+
+def _entry(row: dict) -> tuple[str, Entry | None]:
+    name, life = row["instanceId"], row["lifecycle"]
+    if not isinstance(name, str):
+        raise ValueError("instanceId is not a text")
+    if life == GONE:
+        return name, None
+    weight, cell = float(row.get("weight", 0.0)), row.get("cell", 0)
+    if not (math.isfinite(weight) and isinstance(cell, int) and 0 <= cell < DESTINATION_MOST):
+        raise ValueError("weight or cell is out of range")
+    zone, kind = row.get("zone"), row.get("machineType")
+    return name, Entry(name, address(row["hostPort"], "hostPort"), cell, zone if isinstance(zone, str) else "",
+                       kind if isinstance(kind, str) else "", LIFECYCLES[life], weight)
