Take lists from watched files, and run a relay without the platform

Need: where no partner directory exists the relay could not run at all.

Sections relay, names, limits, finals and members of the configuration fill the same settings as the platform's JSON, by the same reader; finals go to a file of JSON lines or an address.

--- a/lab/bench_trace.py
+++ b/lab/bench_trace.py
@@ -22,7 +22,8 @@
 
 from gannetshift.reader import settings_from
 from lab.traffic import CLASSES, TENANTS, Load, fresh_folder, one_run, settings, with_trace
-from lynxscale.conf.table import SIZES, TraceConf, amount
+from lynxscale.conf.directive import SIZES, amount
+from lynxscale.conf.table import TraceConf
 from lynxscale.trace import records as r
 from lynxscale.trace import v2
 from lynxscale.trace.frames import Frame
--- a/lynxscale/cli/conf.py
+++ b/lynxscale/cli/conf.py
@@ -10,6 +10,7 @@
 
 from lynxscale.cli import USAGE, Misused, example
 from lynxscale.conf import reader
+from lynxscale.conf.directive import field_of
 from lynxscale.conf.table import SECTIONS, Conf
 
 
@@ -69,17 +70,32 @@
         click.echo(f"begin {section.name}")
         settings = getattr(conf, section.name)
         for directive in section.directives:
-            value = getattr(settings, directive.name.replace("-", "_"))
+            value = getattr(settings, field_of(directive.name))
+            if directive.kind == "row":
+                for row in value:
+                    click.echo(f"    {directive.name} {_row(directive, row)}")
+                continue
             unset = value is None or value == ()
             shown = f"# {directive.name}  (not set)" if unset else f"{directive.name} {_quoted(directive, value)}"
             click.echo(f"    {shown}")
         click.echo(f"end {section.name}\n")
 
 
+def _row(directive, row: dict) -> str:
+    words = [_word(row["name"])]
+    for column in directive.columns:
+        if (value := row.get(field_of(column.name))) is not None:
+            words += [column.name, column.shown(value)]
+    return " ".join(words)
+
+
+def _word(text: str) -> str:
+    return text if text.replace("-", "").replace("/", "").replace(".", "").replace("_", "").isalnum() else f"'{text}'"
+
+
 def _quoted(directive, value) -> str:
     words = value if directive.kind == "names" else (directive.shown(value),)
-    return " ".join(word if word.replace("-", "").replace("/", "").replace(".", "").replace("_", "").isalnum()
-                    else "'" + word + "'" for word in words)
+    return " ".join(map(_word, words))
 
 
 @example("lynxscale conf manual > docs/operators/configuration.md")
--- /dev/null
+++ b/lynxscale/conf/directive.py
@@ -0,0 +1,165 @@
+"""One directive of the configuration: what may follow its word, how that is read, and how a value is written."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, fields
+from typing import Any
+
+SIZES = {"": 1, "k": 1 << 10, "m": 1 << 20, "g": 1 << 30}
+TIMES = {"us": 1, "ms": 1000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000, "d": 86_400_000_000}
+AMOUNT = re.compile(r"([0-9]{1,15})([a-z]*)")
+
+
+def amount(text: str, units: dict[str, int]) -> int:
+    """A whole number with one of these units, such as ``64k`` by ``SIZES``; ValueError where it is none."""
+    match = AMOUNT.fullmatch(text.lower())
+    if match is None or match.group(2) not in units:
+        raise ValueError(text)
+    return int(match.group(1)) * units[match.group(2)]
+
+
+def _written(value: int, units: dict[str, int]) -> str:
+    if value == 0:
+        return "0" + next(iter(units))
+    unit, size = max(((u, s) for u, s in units.items() if value % s == 0), key=lambda pair: pair[1])
+    return f"{value // size}{unit}"
+
+
+@dataclass(frozen=True, slots=True)
+class Directive:
+    """One word of the file and what may follow it.
+
+    ``kind``: ``size`` (bytes), ``time`` (whole µs), ``count``, ``share`` (0 to 1), ``flag`` (yes, no),
+    ``choice`` (one of ``among``), ``path`` (a text), ``text``, ``names`` (one or more words), ``address``
+    (HOST:PORT), ``row`` (a name and pairs of a column's name and value; the directive may stand many times).
+    """
+
+    name: str
+    kind: str
+    default: Any
+    help: str
+    least: float = 0
+    most: float = float("inf")
+    among: tuple[str, ...] = ()
+    columns: tuple[Directive, ...] = ()
+
+    def wanted(self) -> str:
+        """What the words may be, as the error and the manual say it."""
+        if self.kind == "choice":
+            return "one of " + ", ".join(self.among)
+        if self.kind == "flag":
+            return "yes or no"
+        if self.kind == "names":
+            return "one or more names"
+        if self.kind == "row":
+            return "NAME " + " ".join(f"[{one.name} {one.place()}]" for one in self.columns)
+        if self.kind in ("path", "text"):
+            return f"a {self.kind}"
+        if self.kind == "address":
+            return "HOST:PORT"
+        what = {"size": "a size such as 64k", "time": "a time such as 250ms", "count": "a whole number",
+                "share": "a number"}[self.kind]
+        return f"{what}, {self.shown(self.least)} to {self.shown(self.most)}"
+
+    def place(self) -> str:
+        """What stands for its value in a row's pattern."""
+        return {"choice": ",".join(self.among), "flag": "yes,no", "time": "TIME", "count": "COUNT"}.get(
+            self.kind, "NUMBER")
+
+    def shown(self, value: Any) -> str:
+        """A value as it would be written in the file."""
+        if value is None:
+            return "none"
+        if value == float("inf"):
+            return "any"
+        if self.kind == "size":
+            return _written(int(value), SIZES)
+        if self.kind == "time":
+            return _written(int(value), TIMES)
+        if self.kind == "flag":
+            return "yes" if value else "no"
+        if self.kind == "names":
+            return " ".join(value) or "none"
+        if self.kind == "row":
+            return "none"
+        return f"{value:g}" if isinstance(value, float) else str(value)
+
+    def read(self, words: tuple[str, ...]) -> Any:
+        """The value in these words; ValueError where they are none."""
+        if self.kind == "names":
+            if not words:
+                raise ValueError("no names")
+            return words
+        if self.kind == "row":
+            return self._row(words)
+        if len(words) != 1:
+            raise ValueError("want one word")
+        text = words[0]
+        if self.kind in ("path", "text"):
+            if not text or "\0" in text:
+                raise ValueError(text)
+            return text
+        if self.kind == "address":
+            host, colon, port = text.rpartition(":")
+            if not (colon and host and port.isascii() and port.isdigit() and 0 <= int(port) < 65536):
+                raise ValueError(text)
+            return text
+        if self.kind == "choice":
+            if text not in self.among:
+                raise ValueError(text)
+            return text
+        if self.kind == "flag":
+            return {"yes": True, "no": False}[text]
+        if self.kind == "share":
+            value: float = float(text) if re.fullmatch(r"[0-9]{1,9}(\.[0-9]{1,9})?", text) else -1.0
+        else:
+            value = amount(text, {"size": SIZES, "time": TIMES, "count": {"": 1}}[self.kind])
+        if not self.least <= value <= self.most:
+            raise ValueError(text)
+        return value
+
+
+    def _row(self, words: tuple[str, ...]) -> dict[str, Any]:
+        """A name and its columns, those that are told."""
+        if len(words) % 2 != 1 or not words[0].isprintable():
+            raise ValueError("want a name and pairs")
+        known = {one.name: one for one in self.columns}
+        found: dict[str, Any] = {"name": words[0]}
+        for name, text in zip(words[1::2], words[2::2], strict=True):
+            key = name.replace("-", "_")
+            if name not in known or key in found:
+                raise ValueError(name)
+            found[key] = known[name].read((text,))
+        return found
+
+
+@dataclass(frozen=True, slots=True)
+class Section:
+    name: str
+    type: type
+    help: str
+    directives: tuple[Directive, ...]
+    check: Callable[[Any], list[tuple[str, str]]] = lambda _settings: []  # directive and what is wanted
+
+
+FIELDS = {"class": "cls"}  # of directives whose name is a word of the language
+
+
+def field_of(name: str) -> str:
+    """The settings' field that a directive fills."""
+    return FIELDS.get(name, name.replace("-", "_"))
+
+
+def column(name: str, kind: str, **more: Any) -> Directive:
+    return Directive(name, kind, None, "", **more)
+
+
+def directives(type_: type, *rows: tuple) -> tuple[Directive, ...]:
+    """Rows of name, kind, help and range; the default stands in the settings' own type."""
+    defaults = {field.name: field.default for field in fields(type_)}
+    return tuple(
+        Directive(name, kind, defaults[field_of(name)], help_, **(more[0] if more else {}))
+        for name, kind, help_, *more in rows
+    )
--- a/lynxscale/conf/platform.py
+++ b/lynxscale/conf/platform.py
@@ -30,13 +30,14 @@
 class Config:
     name: str
     listen: Address
-    discovery: Address
+    discovery: Address | None
     state: Path
     seed: int
     sockets: int
     disk_bytes: int
     known: dict
     settings: api.Settings
+    by_platform: bool = True
 
 
 def address(text: Any, key: str) -> Address:
@@ -61,7 +62,8 @@
     return value
 
 
-def _seed(value: Any) -> int:
+def seed(value: Any) -> int:
+    """A number from a text or a number."""
     if isinstance(value, str):
         try:
             return int(value, 16)
@@ -110,7 +112,7 @@
         listen=address(env.get("NODE_LISTEN") or table.get("listen"), "NODE_LISTEN"),
         discovery=address(discovery, "discovery" if again else "NODE_DISCOVERY"),
         state=Path(state),
-        seed=_seed(table.get("seed", 0)),
+        seed=seed(table.get("seed", 0)),
         sockets=sockets if told == resource.RLIM_INFINITY else min(sockets, told),
         disk_bytes=int(_limit(limits, "disk_mb", DISK_MB, 0.01) * 1_000_000),
         known=_object(table, "known"),
--- a/lynxscale/conf/reader.py
+++ b/lynxscale/conf/reader.py
@@ -8,8 +8,10 @@
 from difflib import get_close_matches
 from pathlib import Path
 
+from lynxscale.conf import own
+from lynxscale.conf.directive import Section, field_of
 from lynxscale.conf.lexer import Fault, Lexer, Line
-from lynxscale.conf.table import SECTIONS, Conf, Section
+from lynxscale.conf.table import SECTIONS, Conf
 
 VARIABLE = "LYNXSCALE_CONF"
 
@@ -80,12 +82,15 @@
             wanted = f"want a directive of {section.name}: " + ", ".join(known)
             self.faults.append(line.fault(name, wanted + _near(name, known)))
             return
-        if (before := self.seen.get((section.name, name))) is not None:
+        rows = directive.kind == "row"
+        if (before := self.seen.get((section.name, name))) is not None and not rows:
             self.faults.append(line.fault(name, f"want it once: {_place(before)}"))
             return
         self.seen[section.name, name] = line
         try:
-            self.values[section.name][name.replace("-", "_")] = directive.read(tuple(words))
+            value = directive.read(tuple(words))
+            values, field = self.values[section.name], field_of(name)
+            values[field] = (*values.get(field, ()), value) if rows else value
         except (ValueError, KeyError):
             given = " ".join(words) or "nothing"
             self.faults.append(line.fault(name, f"want {directive.wanted()}, not {given}"))
@@ -119,6 +124,8 @@
     for line in lexer.lines(path):
         reading.line(line)
     conf = reading.end()
+    if not (lexer.faults or reading.faults):
+        reading.faults += own.faults(conf, str(path))
     faults = sorted(lexer.faults + reading.faults, key=lambda fault: (fault.file, fault.line))
     if faults:
         raise ConfFaults(faults)
--- a/lynxscale/conf/table.py
+++ b/lynxscale/conf/table.py
@@ -5,103 +5,9 @@
 
 from __future__ import annotations
 
-import re
-from collections.abc import Callable
-from dataclasses import dataclass, fields
-from typing import Any
+from dataclasses import dataclass
 
-SIZES = {"": 1, "k": 1 << 10, "m": 1 << 20, "g": 1 << 30}
-TIMES = {"us": 1, "ms": 1000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000, "d": 86_400_000_000}
-AMOUNT = re.compile(r"([0-9]{1,15})([a-z]*)")
-
-
-def amount(text: str, units: dict[str, int]) -> int:
-    """A whole number with one of these units, such as ``64k`` by ``SIZES``; ValueError where it is none."""
-    match = AMOUNT.fullmatch(text.lower())
-    if match is None or match.group(2) not in units:
-        raise ValueError(text)
-    return int(match.group(1)) * units[match.group(2)]
-
-
-def _written(value: int, units: dict[str, int]) -> str:
-    if value == 0:
-        return "0" + next(iter(units))
-    unit, size = max(((u, s) for u, s in units.items() if value % s == 0), key=lambda pair: pair[1])
-    return f"{value // size}{unit}"
-
-
-@dataclass(frozen=True, slots=True)
-class Directive:
-    """One word of the file and what may follow it.
-
-    ``kind``: ``size`` (bytes), ``time`` (whole µs), ``count``, ``share`` (0 to 1), ``flag`` (yes, no),
-    ``choice`` (one of ``among``), ``path`` (a text), ``names`` (one or more words).
-    """
-
-    name: str
-    kind: str
-    default: Any
-    help: str
-    least: float = 0
-    most: float = float("inf")
-    among: tuple[str, ...] = ()
-
-    def wanted(self) -> str:
-        """What the words may be, as the error and the manual say it."""
-        if self.kind == "choice":
-            return "one of " + ", ".join(self.among)
-        if self.kind == "flag":
-            return "yes or no"
-        if self.kind == "names":
-            return "one or more names"
-        if self.kind == "path":
-            return "a path"
-        what = {"size": "a size such as 64k", "time": "a time such as 250ms", "count": "a whole number",
-                "share": "a number"}[self.kind]
-        return f"{what}, {self.shown(self.least)} to {self.shown(self.most)}"
-
-    def shown(self, value: Any) -> str:
-        """A value as it would be written in the file."""
-        if value is None:
-            return "none"
-        if value == float("inf"):
-            return "any"
-        if self.kind == "size":
-            return _written(int(value), SIZES)
-        if self.kind == "time":
-            return _written(int(value), TIMES)
-        if self.kind == "flag":
-            return "yes" if value else "no"
-        if self.kind == "names":
-            return " ".join(value) or "all"
-        return f"{value:g}" if isinstance(value, float) else str(value)
-
-    def read(self, words: tuple[str, ...]) -> Any:
-        """The value in these words; ValueError where they are none."""
-        if self.kind == "names":
-            if not words:
-                raise ValueError("no names")
-            return words
-        if len(words) != 1:
-            raise ValueError("want one word")
-        text = words[0]
-        if self.kind == "path":
-            if not text or "\0" in text:
-                raise ValueError(text)
-            return text
-        if self.kind == "choice":
-            if text not in self.among:
-                raise ValueError(text)
-            return text
-        if self.kind == "flag":
-            return {"yes": True, "no": False}[text]
-        if self.kind == "share":
-            value: float = float(text) if re.fullmatch(r"[0-9]{1,9}(\.[0-9]{1,9})?", text) else -1.0
-        else:
-            value = amount(text, {"size": SIZES, "time": TIMES, "count": {"": 1}}[self.kind])
-        if not self.least <= value <= self.most:
-            raise ValueError(text)
-        return value
+from lynxscale.conf.directive import TIMES, Section, column, directives
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,21 +34,92 @@
     sample: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class MembersConf:
+    """Watched files of endpoints; without ``files`` nothing is watched."""
+
+    files: tuple[str, ...] = ()
+    precedence: str = "files"
+    allow: tuple[str, ...] = ("127.0.0.0/8",)
+    deny: tuple[str, ...] = ()
+    checksum: bool = False
+    entries: int = 65_536
+    most_removed: float = 1.0
+    last_endpoint: str = "allow"
+    most_moved: float = 1.0
+    on_guard: str = "hold"
+    ramp: int = 0  # µs
+    poll: int = 500_000  # µs
+
+
+@dataclass(frozen=True, slots=True)
+class RelayConf:
+    """A relay without the platform; without ``listen`` the platform's variables tell all of this."""
+
+    listen: str | None = None
+    name: str = "relay"
+    state: str = "state"
+    seed: str = "0"
+    discovery: str | None = None
+    sockets: int = 1024
+    disk: int = 64 << 20
+    relays: int = 1
+    place: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class FinalsConf:
+    """Where the ends of messages go that were not delivered."""
+
+    file: str | None = None
+    size: int = 16 << 20
+    files: int = 4
+    http: str | None = None
+    path: str = "/v2/finals"
+
+
+@dataclass(frozen=True, slots=True)
+class LimitsConf:
+    """Bounds on what is held and under way, and what peers allow."""
+
+    slots: int = 64
+    held: int = 400
+    tries: int = 12
+    cancel: bool = True
+    probes: bool = False
+    idle_close: int = 15_000_000  # µs
+    dial: int = 1_500_000
+    retry_after_most: int = 3_000_000
+    drain_grace: int = 2_000_000
+    cold_share: float = 0.2
+    warm_up: int = 10_000_000
+    tip_multiple: float = 2.0
+    tip_after: int = 3_000_000
+    late: str = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class NamesConf:
+    """Classes, tenants, kinds and zones, in their order."""
+
+    cls: tuple[dict, ...] = ()
+    tenant: tuple[dict, ...] = ()
+    kind: tuple[dict, ...] = ()
+    zone: tuple[dict, ...] = ()
+    report: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Conf:
     """The whole of the product's own settings."""
 
     log: LogConf = LogConf()
     trace: TraceConf = TraceConf()
-
-
-@dataclass(frozen=True, slots=True)
-class Section:
-    name: str
-    type: type
-    help: str
-    directives: tuple[Directive, ...]
-    check: Callable[[Any], list[tuple[str, str]]] = lambda _settings: []  # directive and what is wanted
+    relay: RelayConf = RelayConf()
+    names: NamesConf = NamesConf()
+    limits: LimitsConf = LimitsConf()
+    finals: FinalsConf = FinalsConf()
+    members: MembersConf = MembersConf()
 
 
 def _check_trace(conf: TraceConf) -> list[tuple[str, str]]:
@@ -154,23 +131,46 @@
     return faults
 
 
-def _directives(type_: type, *rows: tuple) -> tuple[Directive, ...]:
-    """Rows of name, kind, help and range; the default stands in the settings' own type."""
-    defaults = {field.name: field.default for field in fields(type_)}
-    return tuple(
-        Directive(name, kind, defaults[name.replace("-", "_")], help_, **(more[0] if more else {}))
-        for name, kind, help_, *more in rows
-    )
+def _check_members(conf: MembersConf) -> list[tuple[str, str]]:
+    from lynxscale.membership.files import nets
+
+    faults = []
+    for name in ("allow", "deny"):
+        try:
+            nets(getattr(conf, name), ())
+        except ValueError as error:
+            faults.append((name, f"want IPv4 networks such as 10.1.0.0/16, not {error}"))
+    if len(set(conf.files)) != len(conf.files):
+        faults.append(("files", "want each path once"))
+    return faults
+
+
+def _check_names(conf: NamesConf) -> list[tuple[str, str]]:
+    faults = []
+    for what in ("cls", "tenant", "kind", "zone"):
+        names = [row["name"] for row in getattr(conf, what)]
+        for name in sorted({name for name in names if names.count(name) > 1}):
+            faults.append(("class" if what == "cls" else what, f"want {name} once"))
+    for row in conf.cls:
+        faults += [("class", f"want {needed} for {row['name']}") for needed in ("effect", "aim", "deadline")
+                   if needed not in row]
+        if row.get("effect") == "deduplicated" and "span" not in row:
+            faults.append(("class", f"want span for {row['name']}, as its key is kept so long"))
+    return faults
+
+
+def _check_finals(conf: FinalsConf) -> list[tuple[str, str]]:
+    return [("file", "want a file or http, not both")] if conf.file and conf.http else []
 
 
 SECTIONS = (
-    Section("log", LogConf, "The daemon's log on standard error: one event a line.", _directives(
+    Section("log", LogConf, "The daemon's log on standard error: one event a line.", directives(
         LogConf,
         ("format", "choice", "How a line is written.", {"among": ("logfmt", "json")}),
         ("level", "choice", "The least level that is written.", {"among": ("debug", "info", "warning", "error")}),
     )),
     Section("trace", TraceConf, "The recorder: what the relay saw and decided, in files for `lynxscale trace`.",
-            _directives(
+            directives(
         TraceConf,
         ("folder", "path", "Where the files go; it is made if it is missing. Without it nothing is recorded."),
         ("level", "choice", "`ends`: messages and their ends; `tries`: tries, probes, lists and notices too; "
@@ -187,8 +187,90 @@
          {"least": 16 << 10, "most": 64 << 20}),
         ("flush", "time", "How long records wait to be written together: a crash loses no more. 0us writes each turn "
          "of the loop at its end, and costs two to three times the CPU.", {"most": 5_000_000}),
-        ("classes", "names", "Only messages of these classes."),
+        ("classes", "names", "Only messages of these classes; without it all."),
         ("sample", "share", "Share of the messages that is kept, each whole, the same ones at every relay.",
          {"least": 0, "most": 1}),
     ), _check_trace),
+    Section("relay", RelayConf, "A relay without the platform, for `lynxscale run`. With "
+            "`NODE_CONFIG` set the platform's file and variables tell all that the sections from here to `finals` do.",
+            directives(
+        RelayConf,
+        ("listen", "address", "Where clients connect. Without it the relay needs the platform."),
+        ("name", "text", "What this relay is called in logs and traces."),
+        ("state", "path", "Folder of the journal and the last good lists; it is made if it is missing."),
+        ("seed", "text", "A text from which random numbers are drawn."),
+        ("discovery", "address", "A directory that tells endpoints over HTTP, if there is one."),
+        ("sockets", "count", "Descriptors that may be open.", {"least": 64, "most": 1 << 20}),
+        ("disk", "size", "Bytes of the journal.", {"least": 10_000, "most": 1 << 40}),
+        ("relays", "count", "Relays that share the same partners; a told rate is parted among them.",
+         {"least": 1, "most": 1000}),
+        ("place", "count", "This one's place among them, from 0.", {"most": 999}),
+    )),
+    Section("names", NamesConf, "What messages and lists may name. The order of the lines counts.", directives(
+        NamesConf,
+        ("class", "row", "A class of messages. `effect` tells whether it may be repeated: `idempotent` freely, "
+         "`deduplicated` under its key for `span`, `at_most_once` never. `worth` in time, `late-worth` after the aim.",
+         {"columns": (
+             column("effect", "choice", among=("idempotent", "deduplicated", "at_most_once")),
+             column("aim", "time", least=1000, most=TIMES["h"]),
+             column("deadline", "time", least=1000, most=TIMES["h"]),
+             column("span", "time", least=1000, most=TIMES["d"]), column("worth", "share", most=1e6),
+             column("late-worth", "share", most=1e6))}),
+        ("tenant", "row", "Who hands in; `quota` in messages a second. Without any line all are one tenant.",
+         {"columns": (column("quota", "share", most=1e6), column("share", "share", most=1.0))}),
+        ("kind", "row", "A kind of endpoint; `apart` where each endpoint has a limit of its own.",
+         {"columns": (column("per-call", "count", least=1, most=1000), column("apart", "flag"))}),
+        ("zone", "row", "A zone; `fee` of a call there.", {"columns": (column("fee", "share", most=1e6),)}),
+        ("report", "names", "The columns of the load that partners report in `Srv-Load`."),
+    ), _check_names),
+    Section("limits", LimitsConf, "Bounds on what is held and under way, and what partners allow.", directives(
+        LimitsConf,
+        ("slots", "count", "Tries under way at once.", {"least": 1, "most": 100_000}),
+        ("held", "count", "Messages held at once.", {"least": 1, "most": 1_000_000}),
+        ("tries", "count", "Tries of one message at most.", {"least": 1, "most": 1000}),
+        ("cancel", "flag", "A try may be cut by closing its connection."),
+        ("probes", "flag", "Endpoints may be asked for their load."),
+        ("idle-close", "time", "After so long partners close a connection at rest.",
+         {"least": 100_000, "most": TIMES["h"]}),
+        ("dial", "time", "How long a connection may take to open.", {"least": 10_000, "most": 60_000_000}),
+        ("retry-after-most", "time", "The latest time to come again that clients are told.", {"most": TIMES["h"]}),
+        ("drain-grace", "time", "How long calls that are under way may go on at a draining endpoint.",
+         {"most": TIMES["h"]}),
+        ("cold-share", "share", "Share of its load that a partner bears as it comes back.", {"least": 0.01, "most": 1}),
+        ("warm-up", "time", "How long it takes until it bears all of it.", {"most": TIMES["h"]}),
+        ("tip-multiple", "share", "So many times its load knocks a partner over.", {"least": 1, "most": 100}),
+        ("tip-after", "time", "If it lasts for so long.", {"most": TIMES["h"]}),
+        ("late", "choice", "What a message is worth after its aim: `late-worth`, or less and less.",
+         {"among": ("lost", "halving")}),
+    )),
+    Section("finals", FinalsConf, "Where it is told that a message was given up: a file of JSON lines or an address.",
+            directives(
+        FinalsConf,
+        ("file", "path", "A file of JSON lines: id, status, and again_ms where the client may come again."),
+        ("size", "size", "Size at which the file is closed and the next begun.", {"least": 4 << 10, "most": 1 << 40}),
+        ("files", "count", "Files kept besides the one that is written.", {"most": 1000}),
+        ("http", "address", "An address that takes JSON lines by POST and answers 204."),
+        ("path", "text", "The path there."),
+    ), _check_finals),
+    Section("members", MembersConf, "Endpoints from watched files; docs/operators/membership.md.", directives(
+        MembersConf,
+        ("files", "names", "Files, and folders of files that end in `.list` or `.json`. Without it none are watched."),
+        ("precedence", "choice", "Who owns a destination that both discovery and a file list.",
+         {"among": ("files", "discovery")}),
+        ("allow", "names", "Networks in which endpoints may be."),
+        ("deny", "names", "Networks within those in which they may not be."),
+        ("checksum", "flag", "A file needs a checksum in its closing line."),
+        ("entries", "count", "Endpoints of one file at most.", {"least": 1, "most": 1 << 20}),
+        ("most-removed", "share", "Share of a destination's ready endpoints that a version may remove unasked.",
+         {"most": 1}),
+        ("last-endpoint", "choice", "Whether a version may remove a destination's last endpoint unasked.",
+         {"among": ("allow", "ask")}),
+        ("most-moved", "share", "Share of a destination's weight that may move at once unasked.", {"most": 100}),
+        ("on-guard", "choice", "What becomes of a version that a guard asks about: it waits for `lynxscale list "
+         "approve`, or is rejected. Drains in it pass at once in either case.", {"among": ("hold", "reject")}),
+        ("ramp", "time", "How long a higher weight takes to be reached, in steps; a lower one holds at once.",
+         {"most": TIMES["h"]}),
+        ("poll", "time", "How often files are looked at besides what the system tells at once.",
+         {"least": 50_000, "most": 1_000_000}),
+    ), _check_members),
 )
--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 import time
 from dataclasses import replace
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import structlog
@@ -13,12 +15,13 @@
 from twisted.internet.error import CannotListenError
 
 from lynxscale import logs
+from lynxscale.conf import own as own_conf
 from lynxscale.conf import platform, reader
 from lynxscale.conf.table import Conf
 from lynxscale.counters import Counters
 from lynxscale.deadlines import Deadlines, Loop
 from lynxscale.journal import Journal
-from lynxscale.membership.group import DISCOVERY, Group
+from lynxscale.membership.group import DISCOVERY, FILES, SOURCES, Group
 from lynxscale.net import link
 from lynxscale.net.clients import Clients
 from lynxscale.net.discovery import Discovery
@@ -27,6 +30,8 @@
 from lynxscale.relay import Relay
 
 if TYPE_CHECKING:
+    from lynxscale.finals import FinalsFile
+    from lynxscale.membership.watch import Watch
     from lynxscale.trace.recorder import Recorder
 
 log = structlog.get_logger()
@@ -61,17 +66,20 @@
         )
         self.loop.at_end = relay.turn
         peer_sockets = max(conf.settings.slots, conf.sockets // PEER_SHARE)
+        order = SOURCES if own.members.precedence == FILES else SOURCES[::-1]
         self.group = relay.group = Group(
             conf.settings, self.deadlines, relay.put, lambda endpoint: self.peers.close_idle(endpoint, link.GONE),
+            order, own.members.ramp,
         )
-        self.discovery = Discovery(reactor, self.deadlines, conf.discovery, self.group, self.counters)
-        self.group.add(DISCOVERY, self.discovery)
+        self.discovery: Discovery | None = None
+        if conf.discovery is not None:
+            self.discovery = Discovery(reactor, self.deadlines, conf.discovery, self.group, self.counters)
+            self.group.add(DISCOVERY, self.discovery)
+        self.watch = self._watch(own) if own.members.files else None
         self.peers = relay.tries = Peers(
             reactor, self.loop, self.deadlines, relay, self.group.address_of, peer_sockets
         )
-        self.notices = relay.notices = Notices(
-            reactor, self.deadlines, conf.discovery, relay.notified, self.counters
-        )
+        self.notices = relay.notices = self._notices(own)
         most_clients = max(8, conf.sockets - peer_sockets - OWN_SOCKETS)
         self.clients = Clients(self.deadlines, relay, most_clients, conf.sockets // EASY_SHARE)
         if own.trace.folder is not None:
@@ -86,10 +94,38 @@
         return Recorder(own.trace, conf.settings, conf.name, conf.seed, self.group.name_of,
                         lambda event, **fields: log.warning(event, **fields), self.deadlines.after)
 
+    def _watch(self, own: Conf) -> Watch:
+        # As above: only here are its libraries imported.
+        from lynxscale.membership.state import Lists
+        from lynxscale.membership.verdicts import Teller
+        from lynxscale.membership.watch import Watch, rules_of
+
+        settings = self.conf.settings
+        teller = Teller(self.loop.now, lambda: self.trace)
+        watch = Watch(reactor, self.deadlines, own.members, rules_of(own.members, settings.kinds, settings.zones),
+                      self.group, Lists(self.conf.state), teller, self.counters)
+        self.group.add(FILES, watch)
+        return watch
+
+    def _notices(self, own: Conf) -> Notices | FinalsFile:
+        done, finals = self.relay.notified, own.finals
+        if own.relay.listen is not None and not self.conf.by_platform:
+            if finals.file is not None:
+                from lynxscale.finals import FinalsFile
+
+                return FinalsFile(Path(finals.file), finals.size, finals.files, self.deadlines, done, self.counters,
+                                  time.time)
+            return Notices(reactor, self.deadlines, platform.address(finals.http, "http"), done, self.counters,
+                           finals.path)
+        return Notices(reactor, self.deadlines, self.conf.discovery, done, self.counters)
+
     def start(self) -> None:
         """Ready only once all that an earlier process left open is taken over."""
         entries = self.journal.open()
-        self.discovery.begin(self.conf.known)
+        if self.watch is not None:
+            self.watch.start()
+        if self.discovery is not None:
+            self.discovery.begin(self.conf.known)
         self.relay.replay(entries)
         self.clients.listen(reactor, self.conf.listen)
         log.info("ready", name=self.conf.name, open=len(entries))
@@ -98,6 +134,11 @@
 
     def reload(self) -> None:
         """Read the file anew. What may change without a restart does, at once; a bad file changes nothing."""
+        if self.watch is not None:
+            self.watch.poke()
+        if not self.conf.by_platform:
+            log.info("reloaded", lists="looked at", for_a_restart="all else")
+            return
         try:
             conf = platform.load(again=True)
         except platform.PlatformError as error:
@@ -134,7 +175,9 @@
             self.deadlines.after(LOOK_EVERY, self._look)
 
     def leave(self) -> None:
-        self.discovery.stop()
+        for source in (self.discovery, self.watch):
+            if source is not None:
+                source.stop()
         self.peers.stop()
         self.notices.stop()
         self.print_counters()
@@ -148,6 +191,13 @@
             log.info("counters", group=group, **row)
 
 
+def _settings(own: Conf) -> platform.Config:
+    """The platform's word where there is a platform, else the file's."""
+    if own.relay.listen is not None and not os.environ.get("NODE_CONFIG"):
+        return own_conf.load(own)
+    return platform.load()
+
+
 def main(conf_path: str | None = None) -> int:
     """Run one relay until it is told to stop; the exit code: 0, 1 where it cannot start, 2 for settings."""
     # Guards against a stepped wall clock, by which the loop would keep its timers: they would stand still.
@@ -164,7 +214,7 @@
     try:
         own = reader.from_environment(path=conf_path)
         logs.configure(own.log)
-        program = Program(platform.load(), own)
+        program = Program(_settings(own), own)
     except (platform.PlatformError, reader.ConfFaults) as error:
         print(f"lynxscale: {error}", file=sys.stderr)
         return 2
--- a/lynxscale/net/notices.py
+++ b/lynxscale/net/notices.py
@@ -26,8 +26,8 @@
 
 class Notices:
     def __init__(self, reactor, deadlines: Deadlines, where: Address,
-                 on_done: Callable[[int], None], counters: Counters) -> None:
-        self._reactor, self._deadlines = reactor, deadlines
+                 on_done: Callable[[int], None], counters: Counters, path: str = PATH) -> None:
+        self._reactor, self._deadlines, self._path = reactor, deadlines, path
         self._caller = Caller(reactor, deadlines, where, "notices")
         self._on_done, self._counters = on_done, counters
         self._owed: dict[int, bytes] = {}  # by message, oldest first
@@ -71,7 +71,7 @@
         self._batch = list(self._owed)[: self._most]
         body = b"".join(self._owed[number] for number in self._batch)
         kind = ("Content-Type", "application/x-ndjson")
-        data = http.request("POST", PATH, self._caller.host, (kind,), body)
+        data = http.request("POST", self._path, self._caller.host, (kind,), body)
         self._deadlines.cancel(self._idle)
         answer = self._caller.call(data, TIMEOUT_MS * 1000)
         answer.addCallbacks(self._answered, self._failed)
--- a/lynxscale/trace/anonymise.py
+++ b/lynxscale/trace/anonymise.py
@@ -110,7 +110,9 @@
             return self._name("relay", value)
         if number == r.START and name == "settings":
             return self._settings(value)
-        if number == r.OUT_NOTE:
+        if number == r.VERDICT and name in ("unit", "digest"):
+            return self._name(name, value)
+        if number == r.OUT_NOTE or (number == r.VERDICT and name == "reasons"):
             return ""  # free text may name anything
         return value
 
--- a/lynxscale/trace/recorder.py
+++ b/lynxscale/trace/recorder.py
@@ -28,11 +28,12 @@
 STEPPED = 1000  # µs between the clocks from which on a new anchor is told
 LOOK_EVERY = 1_000_000  # µs between two looks at the wall clock
 AWAY = 1 << 40  # numbers of messages that were turned away before the core gave them one
+REASONS_MOST = 4096  # characters of why a list was rejected
 WORD_BYTES = 32  # of memory that each word told takes until it is written
 STARTED, GONE = 0, -1  # told, and no record: the process has started; a message is over
 # Words told of each: the time, what it is, and what the maker of its record takes.
 WORDS = {STARTED: 2, GONE: 3, r.MESSAGE: 10, r.ADMIT: 5, r.END: 5, r.TRY_START: 7, r.TRY_END: 10, r.PROBE_START: 3,
-         r.PROBE_END: 3, r.NOTICE: 5, r.NOTICE_HEARD: 3, r.LIST: 4, r.STEP: 5, r.STOP: 3}
+         r.PROBE_END: 3, r.NOTICE: 5, r.NOTICE_HEARD: 3, r.LIST: 4, r.VERDICT: 9, r.STEP: 5, r.STOP: 3}
 RESULTS = tuple(r.reason(result.name.lower()) if result else r.UNKNOWN for result in (0, *api.Result))
 
 
@@ -99,7 +100,8 @@
         self._make = {
             r.MESSAGE: self._message, r.ADMIT: self._admit, r.END: self._end, r.TRY_START: self._try_start,
             r.TRY_END: self._try_end, r.PROBE_START: self._probe_start, r.PROBE_END: self._probe_end,
-            r.NOTICE: self._notice, r.NOTICE_HEARD: self._notice_heard, r.LIST: self._list, r.STEP: self._step,
+            r.NOTICE: self._notice, r.NOTICE_HEARD: self._notice_heard, r.LIST: self._list, r.VERDICT: self._verdict,
+            r.STEP: self._step,
             r.STOP: self._stop, GONE: self._gone,
         }
         self._tell((clock(), STARTED))
@@ -157,6 +159,11 @@
             elif kind is api.Probed and self._tries:
                 self._tell((now, r.PROBE_END, event))
 
+    def verdict(self, now: int, source: str, unit: str, version: int, digest: str, outcome: str,
+                counts: dict[str, int], reasons: str) -> None:
+        """What became of a version of a list."""
+        self._tell((now, r.VERDICT, source, unit, version, digest, outcome, counts, reasons))
+
     def step(self, now: int, events: list, actions: list, failed: bool) -> None:
         """One step of the module, to the last bit."""
         self._tell((now, r.STEP, events, actions, failed))
@@ -290,6 +297,11 @@
         if self._tries and rows:
             records.append((r.MEMBERS, [rows]))
 
+    def _verdict(self, records: list, source: str, unit: str, version: int, digest: str, outcome: str,
+                 counts: dict[str, int], reasons: str) -> None:
+        changed = [counts[name] for name in ("added", "drained", "resumed", "gone", "reweighted", "moved")]
+        records.append((r.VERDICT, [source, unit, version, digest, outcome, *changed, reasons[:REASONS_MOST]]))
+
     def _step(self, records: list, events: list, actions: list, failed: bool) -> None:
         records.append((r.STEP, [len(events), len(actions), failed]))
         records += [self._event(event) for event in events]
--- a/lynxscale/trace/records.py
+++ b/lynxscale/trace/records.py
@@ -71,6 +71,8 @@
     _type(12, "admit", "ends", "msg:M verdict:r again:x"),
     _type(13, "end", "ends", "msg:M status:r again:x"),
     _type(14, "list", "ends", "kind:u version:u members:u"),
+    _type(15, "verdict", "ends", "source:t unit:t version:u digest:t outcome:t added:u drained:u resumed:u gone:u "
+          "reweighted:u moved:u reasons:t"),
     _type(16, "try_start", "tries", "msg:M attempt:u endpoint:e timeout:u fresh:b"),
     _type(17, "try_end", "tries", "msg:M attempt:u endpoint:e result:r latency:u wait:x over:b report:F"),
     _type(18, "probe_start", "tries", "endpoint:e"),
@@ -100,13 +102,13 @@
 BY_NAME = {one.name: one for one in TYPES}
 LEVELS = ("ends", "tries", "decisions")
 
-START, STOP, DROPPED, MESSAGE, ADMIT, END, LIST = 8, 9, 10, 11, 12, 13, 14
+START, STOP, DROPPED, MESSAGE, ADMIT, END, LIST, VERDICT = 8, 9, 10, 11, 12, 13, 14, 15
 TRY_START, TRY_END, PROBE_START, PROBE_END, MEMBERS, NOTICE, NOTICE_HEARD = 16, 17, 18, 19, 20, 21, 22
 STEP, IN_MESSAGE, IN_OUTCOME, IN_TIMER, IN_WITHDRAWN, IN_PROBED, IN_LIST = 32, 33, 34, 35, 36, 37, 38
 OUT_ATTEMPT, OUT_CANCEL, OUT_REFUSE, OUT_FAIL, OUT_TIMER, OUT_SUBSCRIBE, OUT_FETCH = 48, 49, 50, 51, 52, 53, 54
 OUT_CLOSE_IDLE, OUT_PROBE, OUT_NOTE = 55, 56, 57
 
-CONTEXT = (START, STOP, DROPPED, LIST)  # of no message, and kept whatever a tool is asked for
+CONTEXT = (START, STOP, DROPPED, LIST, VERDICT)  # of no message, and kept whatever a tool is asked for
 
 TABLE_OF = {"c": CLASS, "e": ENDPOINT, "n": TENANT, "r": REASON, "k": KIND, "z": ZONE}
 
