Add lynxscale list: check, show, diff, log, approve and generate

Need: operators must see what a list would change, what was rejected and why, and confirm what a guard holds back.

Change: one click group over the same reader, checks and guards as the relay's; approval is a file in the state folder.

--- a/lynxscale/cli/__init__.py
+++ b/lynxscale/cli/__init__.py
@@ -12,7 +12,8 @@
 
 import click
 
-GROUPS = {"conf": "lynxscale.cli.conf:group", "run": "lynxscale.cli.run:command",
+GROUPS = {"conf": "lynxscale.cli.conf:group", "demo": "lynxscale.cli.demo:command",
+          "list": "lynxscale.cli.lists:group", "run": "lynxscale.cli.run:command",
           "trace": "lynxscale.cli.trace:group"}
 FAILED, USAGE = 1, 2
 
--- /dev/null
+++ b/lynxscale/cli/lists.py
@@ -0,0 +1,320 @@
+"""``lynxscale list``: check, show, compare, confirm and write lists of endpoints."""
+
+from __future__ import annotations
+
+import getpass
+import os
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import click
+
+from lynxscale.cli import FAILED, Failed, Misused, example
+from lynxscale.cli.common import write_json, write_table
+
+if TYPE_CHECKING:
+    from lynxscale.conf.table import Conf
+    from lynxscale.membership.files import Reading, Rules
+    from lynxscale.membership.model import Candidate, Entry
+    from lynxscale.membership.state import Lists
+
+conf_option = click.option("--conf", "conf_path", type=click.Path(dir_okay=False),
+                           help="The configuration file (else LYNXSCALE_CONF); its section members rules lists.")
+json_option = click.option("--json", "as_json", is_flag=True, help="As JSON.")
+
+
+def _conf(path: str | None) -> Conf:
+    from lynxscale.conf import reader
+
+    try:
+        return reader.from_environment(path=path)
+    except reader.ConfFaults as error:
+        raise Misused("\n" + str(error)) from error
+
+
+def _read(path: str, conf: Conf) -> Reading:
+    from lynxscale.membership import files, sight
+    from lynxscale.membership.model import finish
+
+    seen = sight.look(path)
+    if seen.what != sight.BYTES:
+        raise Failed(f"{path}: {seen.reason}")
+    return finish(files.read(seen.data, path, _rules(conf), digest=seen.digest))
+
+
+def _rules(conf: Conf) -> Rules:
+    from lynxscale.membership.rules import rules_of
+
+    return rules_of(conf.members, (row["name"] for row in conf.names.kind), (row["name"] for row in conf.names.zone))
+
+
+def _candidate(path: str, conf: Conf) -> Candidate:
+    """A file's list; Failed with its faults where it has any."""
+    reading = _read(path, conf)
+    if not reading.whole:
+        raise Failed(f"{path}: half-written: want a closing line, end COUNT, as its last")
+    if reading.candidate is None:
+        raise Failed("\n".join(map(str, reading.faults)))
+    return reading.candidate
+
+
+def _lists(conf: Conf, state: str | None) -> Lists:
+    from lynxscale.membership.state import Lists
+
+    folder = Path(state or conf.relay.state)
+    if not folder.is_dir():
+        raise Failed(f"{folder}: no such state folder")
+    return Lists(folder)
+
+
+state_option = click.option("--state", type=click.Path(file_okay=False), help="The relay's state folder.")
+
+
+@example("lynxscale list check --conf deploy/lynxscale.conf lists/partners.list")
+@click.group()
+def group() -> None:
+    """Lists of endpoints in files: check, show, compare, confirm, write."""
+
+
+@example("lynxscale list check lists/partners.list")
+@group.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path())
+@conf_option
+@json_option
+@click.pass_context
+def check(ctx: click.Context, files: tuple[str, ...], conf_path: str | None, as_json: bool) -> None:
+    """Check FILES by themselves and against each other, as the relay would; exit code 1 with every fault."""
+    from lynxscale.conf.lexer import Fault
+    from lynxscale.membership.decide import Owners, conflicts
+    from lynxscale.membership.model import finish
+
+    conf, owners, faults, rows = _conf(conf_path), Owners(), [], []
+    for path in files:
+        reading = _read(path, conf)
+        found = list(reading.faults)
+        if not reading.whole:
+            found.append(Fault(path, 0, "end", "want a closing line as its last: this file is half-written"))
+        if reading.candidate is not None:
+            one = reading.candidate
+            found += finish(conflicts(one, owners))
+            finish(owners.replace(path, {}, one.entries, one.destinations))
+            rows.append({"file": path, "generation": one.version, "endpoints": len(one.entries),
+                         "destinations": len(one.destinations), "digest": one.digest})
+        faults += found
+    if as_json:
+        write_json({"lists": rows, "faults": [{"file": one.file, "line": one.line, "word": one.word,
+                                               "wanted": one.wanted} for one in faults]})
+    else:
+        for fault in faults:
+            click.echo(str(fault), err=True)
+        if rows:
+            write_table(["file", "generation", "endpoints", "destinations", "digest"],
+                        [[*list(row.values())[:-1], row["digest"][:16]] for row in rows])
+    if faults:
+        ctx.exit(FAILED)
+
+
+def _row(entry: Entry) -> dict[str, Any]:
+    from gannetshift.interface import Lifecycle
+
+    return {"endpoint": entry.id, "address": "{}:{}".format(*entry.address), "destination": entry.destination,
+            "zone": entry.zone or "-", "kind": entry.kind or "-", "weight": entry.weight,
+            "state": "draining" if entry.lifecycle == Lifecycle.DRAINING else "ready"}
+
+
+@example("lynxscale list show --state state")
+@group.command()
+@click.argument("file", required=False, type=click.Path())
+@click.option("--destination", type=int, help="Only of this destination.")
+@conf_option
+@state_option
+@json_option
+def show(file: str | None, destination: int | None, conf_path: str | None, state: str | None, as_json: bool) -> None:
+    """Show FILE, or else the last good lists that a relay keeps in its state folder, and what waits for a word."""
+    conf = _conf(conf_path)
+    units: list[tuple[str, Any]] = []
+    held: list[str] = []
+    if file is not None:
+        units.append((file, _candidate(file, conf)))
+    else:
+        lists = _lists(conf, state)
+        units += _kept(lists, conf)
+        held = sorted(lists.held())
+    if as_json:
+        write_json({"lists": [{"unit": unit, "generation": one.version, "digest": one.digest,
+                               "endpoints": [_row(entry) for entry in one.entries.values()
+                                             if destination in (None, entry.destination)]}
+                              for unit, one in units], "held": held})
+        return
+    for unit, one in units:
+        click.echo(f"{unit}: generation {one.version}, {len(one.entries)} endpoints, digest {one.digest[:16]}")
+        rows = [_row(entry) for entry in one.entries.values() if destination in (None, entry.destination)]
+        if rows:
+            write_table(list(rows[0]), [list(row.values()) for row in rows])
+    for digest in held:
+        click.echo(f"held: {digest}")
+
+
+def _kept(lists: Lists, conf: Conf) -> list[tuple[str, Candidate]]:
+    from lynxscale.membership import files
+    from lynxscale.membership.model import finish
+    from lynxscale.membership.state import Spoilt
+
+    rules = _rules(conf)
+    found = []
+    for good in lists.good():
+        if isinstance(good, Spoilt):
+            click.echo(f"spoilt: {good}", err=True)
+            continue
+        reading = finish(files.read(good.data, good.unit, rules, digest=good.digest))
+        if reading.candidate is None:
+            for fault in reading.faults:
+                click.echo(str(fault), err=True)
+            continue
+        found.append((good.unit, reading.candidate))
+    return found
+
+
+@example("lynxscale list diff lists/partners.list lists/partners.next")
+@group.command()
+@click.argument("old", type=click.Path())
+@click.argument("new", type=click.Path())
+@conf_option
+@json_option
+def diff(old: str, new: str, conf_path: str | None, as_json: bool) -> None:
+    """What NEW would change where OLD is in force, and which guard of the configuration would ask."""
+    from lynxscale.membership.decide import compare, guarded
+    from lynxscale.membership.model import finish
+    from lynxscale.membership.rules import guards_of
+
+    conf = _conf(conf_path)
+    before, after = _candidate(old, conf), _candidate(new, conf)
+    changes = finish(compare(before.entries, after.entries))
+    asked = finish(guarded(before.entries, after, changes, guards_of(conf.members)))
+    if as_json:
+        write_json({name: getattr(changes, name) for name in changes.counts()}
+                   | {"guards": [str(fault) for fault in asked]})
+        return
+    rows = [[name, id_, _told(before.entries.get(id_)), _told(after.entries.get(id_))]
+            for name in changes.counts() for id_ in getattr(changes, name)]
+    if rows:
+        write_table(["change", "endpoint", "before", "after"], rows)
+    else:
+        click.echo("no change")
+    for fault in asked:
+        click.echo(f"guard: {fault}")
+
+
+def _told(entry: Entry | None) -> str:
+    if entry is None:
+        return "-"
+    row = _row(entry)
+    return f"{row['address']} destination {row['destination']} weight {entry.weight:g} {row['state']}"
+
+
+@example("lynxscale list log --state state --last 20")
+@group.command()
+@click.option("--last", default=20, type=click.IntRange(1), help="So many verdicts, the latest.")
+@conf_option
+@state_option
+@json_option
+def log(last: int, conf_path: str | None, state: str | None, as_json: bool) -> None:
+    """The verdicts on versions of lists, oldest first; with each rejection its reasons."""
+    rows = list(_lists(_conf(conf_path), state).logged())[-last:]
+    if as_json:
+        write_json(rows)
+        return
+    for row in rows:
+        when = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(row["ts"]))
+        changed = " ".join(f"{name} {row[name]}" for name in ("added", "gone", "drained", "resumed", "reweighted",
+                                                              "moved") if row.get(name))
+        click.echo(f"{when}  {row['outcome']:8}  {row['unit']}  generation {row['version']}  "
+                   f"{row['digest'][:16]}  {changed}".rstrip())
+        for reason in row["reasons"]:
+            click.echo(f"    {reason}")
+
+
+@example("lynxscale list approve --state state 9f86d081884c7d65")
+@group.command()
+@click.argument("digest")
+@conf_option
+@state_option
+def approve(digest: str, conf_path: str | None, state: str | None) -> None:
+    """Confirm the version that a guard holds back; DIGEST or its first 8 digits or more. The relay takes it within a
+    second."""
+    lists = _lists(_conf(conf_path), state)
+    held = lists.held()
+    found = [one for one in held if one.startswith(digest.lower())]
+    if len(digest) < 8 or len(found) != 1:
+        waiting = ", ".join(one[:16] for one in held) or "none"
+        raise Failed(f"{digest}: want 8 digits or more of one version that waits; waiting: {waiting}")
+    try:
+        by = getpass.getuser()
+    except (KeyError, OSError):  # no such user in the system's table
+        by = str(os.getuid())
+    lists.approve(found[0], by)
+    click.echo(f"approved {found[0]}")
+
+
+@example("lynxscale list generate --from lists/partners.list --drain s-0004 -o lists/partners.list")
+@group.command()
+@click.option("--from", "source", type=click.Path(), help="A list in lines or in discovery's JSON to begin with.")
+@click.option("--endpoint", "added", multiple=True, metavar="LINE",
+              help="An endpoint as in the file: ID ADDRESS:PORT destination NUMBER ... ready")
+@click.option("--remove", multiple=True, metavar="ID")
+@click.option("--drain", multiple=True, metavar="ID")
+@click.option("--weight", "weights", multiple=True, metavar="ID=CALLS")
+@click.option("--generation", type=click.IntRange(0), help="Else one above that of --from, or 1.")
+@click.option("--output", "-o", type=click.Path(), help="Written whole or not at all (else to standard output).")
+@conf_option
+def generate(source: str | None, added: tuple[str, ...], remove: tuple[str, ...], drain: tuple[str, ...],
+             weights: tuple[str, ...], generation: int | None, output: str | None, conf_path: str | None) -> None:
+    """Write a list, with its checksum, from another one and changes; it is checked before it is written."""
+    from gannetshift.interface import Lifecycle
+    from lynxscale.membership import files
+    from lynxscale.membership.model import Destination, finish
+
+    conf = _conf(conf_path)
+    entries: dict[str, Entry] = {}
+    destinations: dict[int, Destination] = {}
+    if source is not None:
+        before = _candidate(source, conf)
+        entries, destinations = dict(before.entries), before.destinations
+        generation = before.version + 1 if generation is None else generation
+    for id_ in remove:
+        entries.pop(_known(entries, id_), None)
+    for id_ in drain:
+        entries[id_] = entries[_known(entries, id_)]._replace(lifecycle=Lifecycle.DRAINING)
+    for pair in weights:
+        id_, _, text = pair.rpartition("=")
+        try:
+            entries[id_] = entries[_known(entries, id_)]._replace(weight=float(text))
+        except ValueError:
+            raise Misused(f"{pair}: want ID=CALLS, calls a second as a number") from None
+    told = [one for one in destinations.values() if one.rate is not None or one.kind is not None]
+    data = files.write(entries.values(), 1 if generation is None else generation, told)
+    if added:
+        head, _, _end = data.rpartition(b"end ")
+        lines = "".join(f"endpoint {line}\n" for line in added)
+        data = head + lines.encode() + f"end {len(entries) + len(added)}\n".encode()
+    rules = _rules(conf)
+    reading = finish(files.read(data, output or "list", rules))
+    if reading.candidate is None:
+        raise Failed("\n".join(map(str, reading.faults)))
+    data = files.write(reading.candidate.entries.values(), reading.candidate.version, told)
+    if output is None:
+        click.echo(data.decode(), nl=False)
+        return
+    new = Path(f"{output}.new")
+    new.write_bytes(data)
+    os.replace(new, output)
+    click.echo(f"{output}: generation {reading.candidate.version}, {len(reading.candidate.entries)} endpoints")
+
+
+def _known(entries: dict[str, Entry], id_: str) -> str:
+    if id_ not in entries:
+        raise Misused(f"{id_}: no such endpoint in the list")
+    return id_
+
+
--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -96,9 +96,10 @@
 
     def _watch(self, own: Conf) -> Watch:
         # As above: only here are its libraries imported.
+        from lynxscale.membership.rules import rules_of
         from lynxscale.membership.state import Lists
         from lynxscale.membership.verdicts import Teller
-        from lynxscale.membership.watch import Watch, rules_of
+        from lynxscale.membership.watch import Watch
 
         settings = self.conf.settings
         teller = Teller(self.loop.now, lambda: self.trace)
--- /dev/null
+++ b/lynxscale/membership/rules.py
@@ -0,0 +1,20 @@
+"""The configuration's section members as rules and guards."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from lynxscale.conf.table import MembersConf
+from lynxscale.membership import files
+from lynxscale.membership.decide import Guards
+
+
+def rules_of(conf: MembersConf, kinds: Iterable[str], zones: Iterable[str]) -> files.Rules:
+    """What a list may say, by the configuration and the settings' names."""
+    return files.Rules(files.nets(conf.allow, conf.deny), frozenset(kinds), frozenset(zones), conf.entries,
+                       conf.checksum)
+
+
+def guards_of(conf: MembersConf) -> Guards:
+    """What passes unasked, by the configuration."""
+    return Guards(conf.most_removed, conf.last_endpoint == "allow", conf.most_moved, conf.on_guard == "hold")
--- a/lynxscale/membership/sight.py
+++ b/lynxscale/membership/sight.py
@@ -4,14 +4,9 @@
 
 import os
 import stat
-import threading
 import time
 from collections.abc import Callable, Iterable, Mapping
-from queue import SimpleQueue
-from typing import Any, NamedTuple
-
-from twisted.internet.defer import Deferred
-from twisted.python.failure import Failure
+from typing import NamedTuple
 
 from lynxscale.membership.files import FILE_MOST, digest_of
 
@@ -113,31 +108,3 @@
         sights.append(look(unit, marks.get(unit, ())) if room > 0 else Sight(unit, LATER))
         room -= len(sights[-1].data)
     return Round(sights, folders, faults, approved())
-
-
-class Worker:
-    """One thread for what may block. Its end is not waited for: a disk that hangs must not keep the process."""
-
-    def __init__(self, reactor: Any) -> None:
-        self._reactor = reactor
-        self._work: SimpleQueue = SimpleQueue()
-        self._thread: threading.Thread | None = None
-
-    def call(self, work: Callable, *args: Any) -> Deferred:
-        """``work(*args)`` in the thread, one after the other; its result or failure in the loop."""
-        if self._thread is None:
-            self._thread = threading.Thread(target=self._run, name="lists", daemon=True)
-            self._thread.start()
-        done: Deferred = Deferred()
-        self._work.put((done, work, args))
-        return done
-
-    def _run(self) -> None:
-        while True:
-            done, work, args = self._work.get()
-            try:
-                result: Any = work(*args)
-            except Exception:
-                result = Failure()
-            self._reactor.callFromThread(done.callback, result)
-            del done, result, args  # guards the memory: the last bytes read would stay until the next call
--- a/lynxscale/membership/watch.py
+++ b/lynxscale/membership/watch.py
@@ -24,10 +24,11 @@
 from lynxscale.membership.decide import Guards, InForce, Owners, judge
 from lynxscale.membership.group import FILES, Group
 from lynxscale.membership.model import Candidate, Destination, Entry, Outcome, Slices, Verdict, finish
-from lynxscale.membership.sight import Round, Sight, Worker
-from lynxscale.membership.slicer import Slicer
+from lynxscale.membership.rules import guards_of
+from lynxscale.membership.sight import Round, Sight
 from lynxscale.membership.state import Lists, Spoilt
 from lynxscale.membership.verdicts import Teller
+from lynxscale.membership.work import Slicer, Worker
 
 log = structlog.get_logger()
 
@@ -59,16 +60,6 @@
         return InForce(self.version, self.digest, self.entries)
 
 
-def rules_of(conf: MembersConf, kinds: list[str], zones: list[str]) -> files.Rules:
-    """What a list may say, by the configuration and the settings' names."""
-    return files.Rules(files.nets(conf.allow, conf.deny), frozenset(kinds), frozenset(zones), conf.entries,
-                       conf.checksum)
-
-
-def guards_of(conf: MembersConf) -> Guards:
-    return Guards(conf.most_removed, conf.last_endpoint == "allow", conf.most_moved, conf.on_guard == "hold")
-
-
 class Watch:
     """The source: ``start`` it once; ``poke`` makes it look at once."""
 
--- a/lynxscale/membership/slicer.py
+++ b/lynxscale/membership/work.py
@@ -1,12 +1,16 @@
-"""Long works in the loop, a bounded time a turn."""
+"""What takes long: works in the loop, a bounded time a turn, and calls that may block, in a thread."""
 
 from __future__ import annotations
 
 import gc
+import threading
 import time
+from collections.abc import Callable
+from queue import SimpleQueue
 from typing import Any
 
 from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
 from lynxscale.deadlines import Deadlines
 from lynxscale.membership.model import Slices
@@ -59,3 +63,31 @@
         if large:
             gc.freeze()
             gc.enable()
+
+
+class Worker:
+    """One thread for what may block. Its end is not waited for: a disk that hangs must not keep the process."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._work: SimpleQueue = SimpleQueue()
+        self._thread: threading.Thread | None = None
+
+    def call(self, work: Callable, *args: Any) -> Deferred:
+        """``work(*args)`` in the thread, one after the other; its result or failure in the loop."""
+        if self._thread is None:
+            self._thread = threading.Thread(target=self._run, name="lists", daemon=True)
+            self._thread.start()
+        done: Deferred = Deferred()
+        self._work.put((done, work, args))
+        return done
+
+    def _run(self) -> None:
+        while True:
+            done, work, args = self._work.get()
+            try:
+                result: Any = work(*args)
+            except Exception:
+                result = Failure()
+            self._reactor.callFromThread(done.callback, result)
+            del done, result, args  # guards the memory: the last bytes read would stay until the next call
