Add lynxscale demo, and stand-ins, clients and a rule checker in lab

Need: a newcomer sees in one command what the relay does; tests, the demo and measurements share their stand-ins.

Change: lab/partner.py records every call and effect, lab/clients.py hands in, lab/rules.py judges from what both saw; lab/standins.py takes over the hand-cranked ones of tests/node.py. The demo plays a slow, refusing, failing and draining partner against a relay from deploy/lynxscale.conf.

--- a/lab/bench_trace.py
+++ b/lab/bench_trace.py
@@ -21,7 +21,8 @@
 from crc32c import crc32c
 
 from gannetshift.reader import settings_from
-from lab.traffic import CLASSES, TENANTS, Load, fresh_folder, one_run, settings, with_trace
+from lab.clients import CLASSES, TENANTS
+from lab.traffic import Load, fresh_folder, one_run, settings, with_trace
 from lynxscale.conf.directive import SIZES, amount
 from lynxscale.conf.table import TraceConf
 from lynxscale.trace import records as r
--- a/lab/traffic.py
+++ b/lab/traffic.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import os
-import random
 import signal
 import socket
 import sys
@@ -19,11 +18,10 @@
 
 import orjson
 
+from lab.clients import CLASSES, TENANTS, Desk, request_of
+from lab.partner import Mood, Partner
+
 ROOT = Path(__file__).parent.parent
-CLASSES = (("aviso-ronda", "idempotent", 3000.0, 16000.0, 1.0, 0.4, 0.55),
-           ("inscripcion", "deduplicated", 3000.0, 28000.0, 1.0, 0.5, 0.26),
-           ("pago-premio", "at_most_once", 2000.0, 28000.0, 3.0, 0.3, 0.19))
-TENANTS = ("club-donostia", "club-oviedo", "club-santander")
 START_WITHIN = 20.0
 
 
@@ -72,7 +70,6 @@
 
     def __init__(self, folder: Path, load: Load, conf: str | None = None) -> None:
         self.folder, self.load, self.conf = folder, load, conf
-        self.random = random.Random(load.seed)
         self.servers: list[asyncio.Server] = []
         self.process: asyncio.subprocess.Process | None = None
         self.port = 0
@@ -81,7 +78,9 @@
         self.ending = asyncio.Event()
 
     async def __aenter__(self) -> Stage:
-        at = await self._serve(self._endpoint)
+        load = self.load
+        self.partner = Partner(load.seed, mood=Mood(load.latency_ms, load.failing, load.failing))
+        at = "{}:{}".format(*await self.partner.open("all"))
         self.discovery = await self._serve(self._directory)
         self.rows = [{"instanceId": f"s-{k:04x}", "hostPort": at, "zone": "a",
                       "machineType": ("club-reservas", "pasarela-pago")[k % 2], "cell": k % self.load.destinations,
@@ -127,6 +126,7 @@
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
+        self.partner.close_all()
         for server in self.servers:
             server.close()
 
@@ -155,28 +155,9 @@
         self.servers.append(server)
         return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
-    async def _endpoint(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        chance = random.Random(self.random.getrandbits(32))
-        try:
-            while await _request(reader):
-                await asyncio.sleep(self.load.latency_ms / 1000 * chance.lognormvariate(0, 0.4))
-                draw = chance.random()
-                if draw < self.load.failing:
-                    answer = b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"
-                elif draw < 2 * self.load.failing:
-                    answer = b"HTTP/1.1 429 X\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n"
-                else:
-                    report = b"x0=%.3f,x1=500" % chance.random()
-                    answer = b"HTTP/1.1 200 X\r\nSrv-Load: %s\r\nContent-Length: 0\r\n\r\n" % report
-                writer.write(answer)
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
-
     async def _directory(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
-            while request := await _request(reader):
+            while request := await request_of(reader):
                 if request.startswith(b"POST"):
                     writer.write(b"HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n")
                     continue
@@ -196,45 +177,12 @@
 
     async def run(self, outcome: Outcome, first: int = 0) -> None:
         """Hand in the load's messages, numbered from ``first``."""
-        load, loop = self.load, asyncio.get_running_loop()
-        queue: asyncio.Queue = asyncio.Queue()
-        clients = [asyncio.create_task(self._client(queue, outcome)) for _ in range(load.connections)]
-        begun = loop.time()
-        for k in range(load.messages):
-            await asyncio.sleep(max(0.0, begun + k / load.rate - loop.time()))
-            queue.put_nowait(self._message(first + k))
-        for _ in clients:
-            queue.put_nowait(None)
-        await asyncio.gather(*clients)
-
-    def _message(self, number: int) -> bytes:
-        chance = random.Random(f"{self.load.seed} {number}")
-        grade = chance.choices(CLASSES, [row[-1] for row in CLASSES])[0]
-        body = bytes(chance.randrange(100, 300))
-        tenant = chance.choices(TENANTS, (40, 36, 24))[0]
-        return (f"POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: {chance.getrandbits(64):016x}\r\nReq-Kind: {grade[0]}\r\n"
-                f"Req-Owner: {tenant}\r\nReq-Deadline: {grade[3] / 1000 - 0.1:.3f}\r\n"
-                f"Idempotency-Key: {chance.getrandbits(128):032x}\r\n"
-                f"X-Envelope: dest={chance.randrange(self.load.destinations)}\r\nContent-Length: {len(body)}\r\n\r\n"
-                ).encode() + body
-
-    async def _client(self, queue: asyncio.Queue, outcome: Outcome) -> None:
-        reader = writer = None
-        while (data := await queue.get()) is not None:
-            try:
-                if writer is None:
-                    reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-                writer.write(data)
-                head = await _request(reader)
-                if head.split()[1:2] == [b"202"]:
-                    outcome.taken += 1
-                else:
-                    outcome.rejected += 1
-            except (OSError, asyncio.IncompleteReadError):
-                writer = None
-                outcome.rejected += 1
-        if writer is not None:
-            writer.close()
+        load = self.load
+        desk = Desk(self.port, load.seed, load.destinations, load.connections)
+        await desk.run(range(first, first + load.messages), load.rate)
+        taken = sum(one.status == 202 for one in desk.sent.values())
+        outcome.taken += taken
+        outcome.rejected += len(desk.sent) - taken
 
     async def counters(self) -> dict:
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -254,18 +202,6 @@
             await asyncio.sleep(0.05)
 
 
-async def _request(reader: asyncio.StreamReader) -> bytes:
-    """The head of a request or answer whose body has been read past; empty at the end."""
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-    except asyncio.IncompleteReadError:
-        return b""
-    size = head.lower().partition(b"content-length:")[2].split()
-    if size:
-        await reader.readexactly(int(size[0]))
-    return head
-
-
 def one_run(load: Load, conf: str | None, folder: Path) -> Outcome:
     """One relay, one load, from a cold start to its last end."""
     async def run() -> Outcome:
--- /dev/null
+++ b/lynxscale/cli/demo.py
@@ -0,0 +1,45 @@
+"""``lynxscale demo``: a relay, a partner that has troubles, and what became of the messages."""
+
+from __future__ import annotations
+
+import click
+
+from lynxscale.cli import FAILED, example
+from lynxscale.cli.common import write_json, write_table
+
+COLUMNS = ("handed in", "rejected", "taken", "delivered", "deferred", "undeliverable", "lost", "twice")
+
+
+@example("lynxscale demo --messages 400 --seed 7")
+@click.command()
+@click.option("--messages", default=400, show_default=True, type=click.IntRange(10, 5000))
+@click.option("--seed", default=1, show_default=True, type=int, help="Messages and troubles are drawn from it.")
+@click.option("--json", "as_json", is_flag=True, help="The table as JSON.")
+@click.pass_context
+def command(ctx: click.Context, messages: int, seed: int, as_json: bool) -> None:
+    """Run a relay from deploy/lynxscale.conf against a stand-in partner on loopback that slows down, refuses, fails
+    and drains, for some ten seconds; print what became of each class. Nothing outside a temporary folder is touched.
+
+    Exit code 1 where a rule was broken.
+    """
+    import asyncio
+    from pathlib import Path
+
+    from lab.demo import play
+    from lab.traffic import fresh_folder
+
+    with fresh_folder() as folder:
+        judged = asyncio.run(play(Path(folder), messages, seed, lambda text: click.echo(text, err=as_json)))
+    if as_json:
+        write_json({"classes": judged.table, "breaches": judged.breaches})
+    else:
+        click.echo()
+        write_table(["class", *COLUMNS], [[cls, *(row[name] for name in COLUMNS)]
+                                          for cls, row in sorted(judged.table.items())])
+        click.echo()
+        click.echo("deferred: given up with a time to come again; undeliverable: given up for good; twice: an effect "
+                   "more than once, which only aviso-ronda may have")
+    for breach in judged.breaches:
+        click.echo(f"rule broken: {breach}", err=True)
+    if judged.breaches:
+        ctx.exit(FAILED)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,12 +8,12 @@
 
 from gannetshift import interface as api
 from gannetshift.reader import settings_from
+from lab.standins import settings
 from lynxscale import journal
 from lynxscale.counters import Counters
 from lynxscale.deadlines import Deadlines, Loop
 from lynxscale.relay import Envelope, Relay, Verdict
 from lynxscale.slots import Slots
-from tests.node import settings
 
 
 class Ports:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,7 +10,8 @@
 import time
 import unittest
 
-from tests.node import PATIENCE, ROOT, Client, NodeCase, Server, message, reply, row, until
+from lab.standins import PATIENCE, Client, Server, message, reply, row, until
+from tests.node import ROOT, NodeCase
 
 
 def never(_call):
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -2,7 +2,8 @@
 
 import signal
 
-from tests.node import PATIENCE, Discovery, NodeCase, Server, reply, row, until
+from lab.standins import PATIENCE, Discovery, Server, reply, row, until
+from tests.node import NodeCase
 
 
 class Reload(NodeCase):
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -4,7 +4,8 @@
 import socket
 import time
 
-from tests.node import Client, NodeCase, message, until
+from lab.standins import Client, message, until
+from tests.node import NodeCase
 
 
 class BadClients(NodeCase):
--- a/tests/test_spoilt.py
+++ b/tests/test_spoilt.py
@@ -3,9 +3,10 @@
 import socket
 import unittest
 
+from lab.standins import reply, row, until
 from lynxscale.http import ResponseParser
 from lynxscale.net.peers import seconds
-from tests.node import NodeCase, reply, row, until
+from tests.node import NodeCase
 
 OK = b"HTTP/1.1 200 OK\r\n"
 SPOILT = [  # behind a first line
--- a/tests/test_trace_recorder.py
+++ b/tests/test_trace_recorder.py
@@ -12,6 +12,7 @@
 
 from gannetshift.brain import Sender
 from gannetshift.reader import settings_from
+from lab.standins import PATIENCE, reply, row, settings, until
 from lynxscale.conf.table import TraceConf
 from lynxscale.trace import records as r
 from lynxscale.trace.merge import Merge
@@ -20,7 +21,7 @@
 from lynxscale.trace.replay import NotReplayable, replay
 from lynxscale.trace.rotation import Files
 from tests import traces
-from tests.node import PATIENCE, ROOT, NodeCase, reply, row, settings, until
+from tests.node import ROOT, NodeCase
 
 
 class Recording(NodeCase):
