--- a/lynxscale/membership/files.py
+++ b/lynxscale/membership/files.py
@@ -40,7 +40,7 @@
 GENERATION_MOST = 1 << 62
 CLOSED = re.compile(rb"(?:\A|\n)end [0-9]+(?: crc32c [0-9a-f]{8})?\r?\n\Z")
 CONTROL = re.compile(rb"[\x00-\x08\x0b-\x1f\x7f]")
-NUMBER = re.compile(r"[0-9]{1,18}")
+NUMBER = re.compile(r"[0-9]{1,19}")
 DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 LIFECYCLES = {"ready": Lifecycle.READY, "draining": Lifecycle.DRAINING}
 KEYS = ("destination", "zone", "kind", "weight", "since")
@@ -342,7 +342,8 @@
         entry = Entry(id_, address, dest, self.named("zone", told["zone"], self.rules.zones) if "zone" in told else "",
                       kind, life, calls if own.rate is None else min(calls, own.rate),
                       _whole("since", told["since"], GENERATION_MOST) if "since" in told else 0)
-        self.reading.known[raw] = entry
+        if not self.rated:
+            self.reading.known[raw] = entry
         self.add(number, entry)
 
     def _end(self, number: int, last: bytes, checksum: int) -> None:
