--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON := .venv/bin/python
 
-.PHONY: build test lint run bench-trace soak-trace
+.PHONY: build test lint run bench-trace soak-trace bench-list soak-list
 
 build: .venv/ready
 
@@ -25,3 +25,10 @@
 soak-trace: build
 	TRACE_KILLS=50 $(PYTHON) -m pytest -q -p no:cacheprovider tests/test_trace_recorder.py -k kill
 	$(PYTHON) -m lab.bench_trace --only memory --big 1g
+
+bench-list: build
+	$(PYTHON) -m lab.bench_lists
+
+soak-list: build
+	for seed in 1 2 3 4 5; do LISTS_SEED=$$seed LISTS_REWRITES=4000 \
+		$(PYTHON) -m pytest -q -p no:cacheprovider tests/test_membership_live.py -k "rewrites or middle" -s || exit 1; done
