Tell verdicts on discovery's lists as on those of files

Need: every verdict is a log event and a trace record, whatever its source. Change: Discovery tells what an answer changed or why it was not taken; log lines are bounded as for files.

--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -22,6 +22,7 @@
 from lynxscale.deadlines import Deadlines, Loop
 from lynxscale.journal import Journal
 from lynxscale.membership.group import DISCOVERY, FILES, SOURCES, Group
+from lynxscale.membership.verdicts import Teller
 from lynxscale.net import link
 from lynxscale.net.clients import Clients
 from lynxscale.net.discovery import Discovery
@@ -71,11 +72,13 @@
             conf.settings, self.deadlines, relay.put, lambda endpoint: self.peers.close_idle(endpoint, link.GONE),
             order, own.members.ramp,
         )
+        teller = Teller(self.loop.now, lambda: self.trace)
         self.discovery: Discovery | None = None
         if conf.discovery is not None:
-            self.discovery = Discovery(reactor, self.deadlines, conf.discovery, self.group, self.counters)
+            self.discovery = Discovery(reactor, self.deadlines, conf.discovery, self.group, self.counters,
+                                       teller)
             self.group.add(DISCOVERY, self.discovery)
-        self.watch = self._watch(own) if own.members.files else None
+        self.watch = self._watch(own, teller) if own.members.files else None
         self.peers = relay.tries = Peers(
             reactor, self.loop, self.deadlines, relay, self.group.address_of, peer_sockets
         )
@@ -94,15 +97,13 @@
         return Recorder(own.trace, conf.settings, conf.name, conf.seed, self.group.name_of,
                         lambda event, **fields: log.warning(event, **fields), self.deadlines.after)
 
-    def _watch(self, own: Conf) -> Watch:
+    def _watch(self, own: Conf, teller: Teller) -> Watch:
         # As above: only here are its libraries imported.
         from lynxscale.membership.rules import rules_of
         from lynxscale.membership.state import Lists
-        from lynxscale.membership.verdicts import Teller
         from lynxscale.membership.watch import Watch
 
         settings = self.conf.settings
-        teller = Teller(self.loop.now, lambda: self.trace)
         watch = Watch(reactor, self.deadlines, own.members, rules_of(own.members, settings.kinds, settings.zones),
                       self.group, Lists(self.conf.state), teller, self.counters)
         self.group.add(FILES, watch)
--- a/lynxscale/net/discovery.py
+++ b/lynxscale/net/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
 from collections.abc import Iterable
 
@@ -11,11 +12,14 @@
 
 from gannetshift import interface as api
 from lynxscale import http
+from lynxscale.conf.lexer import Fault
 from lynxscale.conf.platform import Address, PlatformError, address
 from lynxscale.counters import Counters
 from lynxscale.deadlines import Deadlines
+from lynxscale.membership.decide import compare
 from lynxscale.membership.group import DISCOVERY, Group
-from lynxscale.membership.model import DESTINATION_MOST, Entry
+from lynxscale.membership.model import DESTINATION_MOST, Candidate, Changes, Entry, Outcome, Verdict, finish
+from lynxscale.membership.verdicts import Teller
 from lynxscale.net import link
 from lynxscale.net.link import Caller
 
@@ -32,10 +36,11 @@
 class Discovery:
     """Calls the directory at ``where`` and tells the group what it answers."""
 
-    def __init__(self, reactor, deadlines: Deadlines, where: Address, group: Group, counters: Counters) -> None:
+    def __init__(self, reactor, deadlines: Deadlines, where: Address, group: Group, counters: Counters,
+                 teller: Teller) -> None:
         self._reactor, self._deadlines = reactor, deadlines
         self._caller = Caller(reactor, deadlines, where, "group")
-        self._group, self._counters = group, counters
+        self._group, self._counters, self._teller = group, counters, teller
         self._version = 0
         self._asked = False  # the module waits for the answer to its order
         self._watching = False
@@ -97,7 +102,7 @@
                 raise ValueError("changes, where the whole list was asked for")
             changes = self._changes(rows)
         except (ValueError, KeyError, TypeError) as error:
-            log.warning("list_unread", error=str(error))
+            self._tell(Outcome.REJECTED, 0, response.body, [Fault(DISCOVERY, 0, "answer", str(error))], Changes())
             self._failed(None)
             return
         self._counters.add("group", "answers")
@@ -108,11 +113,20 @@
         self._version = version
         asked, self._asked = self._asked, False
         if asked or changes or whole:
+            known = self._group.list_of(DISCOVERY)
+            new = {id_: entry for id_, entry in changes if entry is not None}
+            found = finish(compare(known if whole else {id_: known[id_] for id_, _ in changes if id_ in known}, new))
+            if found:
+                self._tell(Outcome.APPLIED, version, response.body, [], found)
             kind = api.ListKind.FULL if whole else api.ListKind.DELTA
             self._group.take(DISCOVERY, kind, version, changes, asked)
         else:
             self._group.told = True
 
+    def _tell(self, outcome: Outcome, version: int, body: bytes, reasons: list[Fault], changes: Changes) -> None:
+        candidate = Candidate(DISCOVERY, version, hashlib.sha256(body).hexdigest(), {}, {})
+        self._teller.verdict(DISCOVERY, Verdict(candidate, outcome, reasons, changes))
+
     # Lists ---------------------------------------------------------------------------------------
 
     def _changes(self, rows: Iterable) -> list[tuple[str, Entry | None]]:
