Test moved endpoints and a disk that does not answer

Need: an id at another address, or another id at an old one, must carry nothing over; a look that hangs must be told. Change: a test of each. Result: old connections are closed and a new id is tried at once; the hanging look is told once after a second.

--- a/lab/partner.py
+++ b/lab/partner.py
@@ -70,6 +70,10 @@
         self.addresses[name] = server.sockets[0].getsockname()[:2]
         return self.addresses[name]
 
+    def connections(self, name: str) -> int:
+        """How many are open there."""
+        return len(self._writers.get(name, ()))
+
     def close(self, name: str) -> None:
         """Listen no more, and end the connections."""
         self._servers.pop(name).close()
--- a/tests/test_membership_live.py
+++ b/tests/test_membership_live.py
@@ -9,15 +9,23 @@
 from pathlib import Path
 
 import pytest
+from twisted.internet.defer import Deferred
 
 from lab.clients import Desk
 from lab.demo import CONF, Own, entries_of
 from lab.partner import Mood, Partner
 from lab.rules import judge
 from lab.standins import Discovery, row
-from lynxscale.membership import files
+from lynxscale.conf.table import MembersConf
+from lynxscale.counters import Counters
+from lynxscale.deadlines import Deadlines, Loop
+from lynxscale.membership import files, watch
+from lynxscale.membership.group import Group
 from lynxscale.membership.model import Entry
+from lynxscale.membership.rules import rules_of
 from lynxscale.membership.state import Lists
+from lynxscale.membership.verdicts import Teller
+from tests.driver import settings as module_settings
 
 SEED = int(os.environ.get("LISTS_SEED", "1"))
 REWRITES = int(os.environ.get("LISTS_REWRITES", "400"))
@@ -370,6 +378,35 @@
         discovery.close()
 
 
+def test_an_id_at_another_address_and_an_id_at_an_old_one_are_new_endpoints(tmp_path):
+    """No connection carries over, and the outage of what was there before is not held against what is there now."""
+    async def play():
+        async with Scene(tmp_path, OPEN) as scene:
+            relay, rows = scene.relay, scene.entries("s-00", "s-01")
+            relay.put(rows[:1], 1, "a.list")
+            await relay.start()
+            assert await scene.served_by() == {"s-00"}
+            assert scene.partner.connections("s-00")
+            # The same id at another address.
+            relay.put([rows[0]._replace(address=rows[1].address)], 2, "a.list")
+            await scene.verdict((relay.lists / "a.list").read_bytes())
+            await until(lambda: not scene.partner.connections("s-00"), "the old connections to be closed")
+            assert await scene.served_by() == {"s-01"}
+            # Another id at that address, which fails every call for a while: it rests. A new id there is tried at once.
+            scene.partner.moods["s-01"] = Mood(latency_ms=1, failing=1.0)
+            desk = Desk(relay.port, 99, 1, 4, 3.0)
+            await desk.run(range(20), 100.0)
+            scene.partner.moods.clear()
+            relay.put([rows[1]._replace(id="t-9")], 3, "a.list")
+            await scene.verdict((relay.lists / "a.list").read_bytes())
+            moved = (await relay.counters())["lists"]
+            assert moved["applied"] == 3 and await scene.served_by() == {"s-01"}
+            row = scene.verdicts()[-2]
+            assert (row.get("moved"), scene.verdicts()[-1].get("added"), scene.verdicts()[-1].get("gone")) == (1, 1, 1)
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("how", [signal.SIGHUP, signal.SIGTERM, signal.SIGKILL])
 def test_an_end_or_a_reload_in_the_middle_of_a_large_update(tmp_path, how):
     async def play():
@@ -402,3 +439,39 @@
             json.loads((await relay.get("/_counters"))[1])
 
     asyncio.run(play())
+
+
+def test_a_disk_that_does_not_answer_is_told_and_holds_up_neither_the_loop_nor_the_end(tmp_path):
+    class Hand(Loop):
+        at = 0
+
+        def now(self) -> int:
+            return self.at
+
+    class Stuck:
+        def call(self, _work, *_args) -> Deferred:
+            return Deferred()
+
+    timers: list = []
+
+    class Timer:
+        def cancel(self) -> None:
+            timers.clear()
+
+    loop, counters = Hand(lambda *_: None), Counters()
+    deadlines = Deadlines(loop, lambda after, act: timers.append(act) or Timer())
+    group = Group(module_settings(), deadlines, lambda _: None, lambda _: None)
+    conf = MembersConf(files=(str(tmp_path / "a.list"),))
+    one = watch.Watch(None, deadlines, conf, rules_of(conf, (), ()), group, Lists(tmp_path),
+                      Teller(loop.now, lambda: None), counters)
+    group.add("files", one)
+    one._worker = Stuck()
+    one._look()
+    for at in (500_000, 1_100_000, 5_000_000):
+        loop.at = at
+        for act in list(timers):
+            timers.clear()
+            act()
+    assert counters.table() == {"lists": {"slow_looks": 1}} and not group.told
+    one.poke()  # while it looks: no second look is begun
+    one.stop()
