Forget files that held nothing, and bound how many may hold a list

Cause: a writer of ever new file names would have made the relay's tables grow without end. Change: a file that held nothing is forgotten with what it owned once it has left its folder; at most 1,024 files may have a list in force. Result: a test on a real relay, in which another file takes over the destination.

--- a/lynxscale/membership/state.py
+++ b/lynxscale/membership/state.py
@@ -65,6 +65,10 @@
         head = orjson.dumps({"good": 1, "unit": os.path.abspath(unit), "sha256": digest})
         _replace(self._good(unit), head + b"\n" + data)
 
+    def forget(self, unit: str) -> None:
+        """A unit is no more."""
+        self._good(unit).unlink(missing_ok=True)
+
     def good(self) -> Iterator[Good | Spoilt]:
         """The last good version of every unit."""
         for path in sorted((self.folder / "good").glob("*")):
--- a/lynxscale/membership/watch.py
+++ b/lynxscale/membership/watch.py
@@ -36,6 +36,7 @@
 UNSTEADY_GAP = 10_000  # where a file changed while it was read
 HALF_AFTER = 5_000_000  # a half-written file that stays one so long is told
 SLOW = 1_000_000  # a look that takes so long is told: nothing new can be known meanwhile
+UNITS_MOST = 1024  # files that have, or had, a list in force: guards against a writer of ever new names
 LARGE = 64 << 10  # bytes of a file from which on its objects are very many
 
 
@@ -214,10 +215,15 @@
         for one in found.sights:
             unit = self._units.get(one.unit)
             if unit is None:
+                if len(self._units) >= UNITS_MOST:
+                    self._teller.event("list_path", error=f"{one.unit}: want at most {UNITS_MOST} files with a list")
+                    continue
                 unit = self._units[one.unit] = Unit(one.unit)
             if one.what == sight.BYTES:
                 unit.mark = one.mark
                 applied |= yield self._bytes(unit, one)
+            elif one.what == sight.ABSENT and not unit.entries and unit.path not in self._conf.files:
+                yield self._forget(unit)
             elif one.what in (sight.ABSENT, sight.UNREADABLE):
                 self._gone(unit, one)
             elif one.what in (sight.UNSTEADY, sight.LATER):
@@ -231,6 +237,15 @@
             yield self._write(self._lists.log, rows)
         return unsteady
 
+    @inlineCallbacks
+    def _forget(self, unit: Unit):
+        """Guards against tables that grow with every file that ever was: one that held nothing has left its folder."""
+        yield self._forgo(unit)
+        del self._units[unit.path]
+        finish(self._owners.replace(unit.path, {}, {}, ()))
+        if unit.version is not None:
+            yield self._write(self._lists.forget, unit.path)
+
     def _gone(self, unit: Unit, one: Sight) -> None:
         unit.mark, unit.half = (), None
         if unit.stale != one.reason:
--- a/tests/test_membership_live.py
+++ b/tests/test_membership_live.py
@@ -334,6 +334,28 @@
     asyncio.run(play())
 
 
+def test_files_that_held_nothing_are_forgotten_and_free_what_they_owned(tmp_path):
+    async def play():
+        async with Scene(tmp_path, OPEN) as scene:
+            relay = scene.relay
+            relay.put(scene.entries("s-00"), 1, "a.list")
+            (relay.lists / "half.list").write_text("list 1 generation 1\n")
+            await relay.start()
+            await until(lambda: len(list(scene.lists.good())) == 1, "the list to be kept")
+            relay.put([], 2, "a.list")
+            await scene.verdict((relay.lists / "a.list").read_bytes())
+            (relay.lists / "a.list").unlink()
+            (relay.lists / "half.list").unlink()
+            await until(lambda: not list(scene.lists.good()), "the empty list to be forgotten")
+            relay.put(scene.entries("s-01"), 1, "b.list")
+            assert (await scene.verdict((relay.lists / "b.list").read_bytes()))["outcome"] == "applied"
+            relay.put(scene.entries("s-02")[:0], 1, "a.list")  # forgotten, its generations too
+            assert (await scene.verdict((relay.lists / "a.list").read_bytes()))["outcome"] == "applied"
+            assert await scene.served_by() == {"s-01"}
+
+    asyncio.run(play())
+
+
 def test_a_flapping_file_costs_a_bounded_amount(tmp_path):
     async def play():
         async with Scene(tmp_path, OPEN) as scene:
