Read JSON lists in slices, and refuse a line of megabytes unread

Cause: 5,000 entries of JSON were checked in one go, and a line of megabytes was searched and split in one go: both held the loop. Change: JSON entries are checked 64 at a time; a longer line than is allowed is refused by its place. Result: a test for each.

--- a/lynxscale/membership/files.py
+++ b/lynxscale/membership/files.py
@@ -119,7 +119,7 @@
     reading = Reading()
     digest = digest or digest_of(data)
     if data[:1] == b"{":
-        _json(data, unit, rules, digest, reading)
+        yield from _json(data, unit, rules, digest, reading)
         return reading
     if len(data) > FILE_MOST:
         reading.faults.append(Fault(unit, 0, "file", f"want at most {FILE_MOST} bytes"))
@@ -247,6 +247,10 @@
     def read(self, data: bytes) -> Slices[None]:
         number, checksum, size = 0, 0, data.rindex(b"end ")
         for at, end in _parts(data):
+            if end - at > PART + 4 * LINE_MOST:
+                # Guards the loop against a line of megabytes, that would be searched and split in one go.
+                self.fault(number + 1, "line", f"want lines of at most {LINE_MOST} characters")
+                return
             part = data[at:min(end, size)]
             text = _text(part, self.unit, number + 1, self.reading)
             if text is None:
@@ -366,7 +370,7 @@
             self.fault(number, "end", "want a checksum: end COUNT crc32c HEX")
 
 
-def _json(data: bytes, unit: str, rules: Rules, digest: str, reading: Reading) -> None:
+def _json(data: bytes, unit: str, rules: Rules, digest: str, reading: Reading) -> Slices[None]:
     """Discovery's form, whole: generation, reset, instances."""
     found = _Entries(unit, rules, reading)
     if len(data) > JSON_MOST:
@@ -386,6 +390,8 @@
     if table.get("reset") is not True:
         found.fault(0, "reset", "want true: a file holds the whole list, not changes")
     for place, row in enumerate(rows, 1):
+        if not place % SLICE:
+            yield
         try:
             _row(found, place, row)
         except Wrong as error:
--- a/lynxscale/membership/watch.py
+++ b/lynxscale/membership/watch.py
@@ -76,7 +76,7 @@
         self._watched: dict[str, tuple[int, int]] = {}
         self._faults: list[str] = []
         self._next = None  # the deadline of the next look
-        self._looking = self._poked = self._stopped = False
+        self._looking = self._poked = self._stopped = self._full = False
         self._rows: list[dict] = []
         self._version = 0
 
@@ -216,7 +216,7 @@
             unit = self._units.get(one.unit)
             if unit is None:
                 if len(self._units) >= UNITS_MOST:
-                    self._teller.event("list_path", error=f"{one.unit}: want at most {UNITS_MOST} files with a list")
+                    self._left_out(one.unit)
                     continue
                 unit = self._units[one.unit] = Unit(one.unit)
             if one.what == sight.BYTES:
@@ -237,11 +237,17 @@
             yield self._write(self._lists.log, rows)
         return unsteady
 
+    def _left_out(self, path: str) -> None:
+        if not self._full:
+            self._full = True
+            self._teller.event("list_path", error=f"{path}: want at most {UNITS_MOST} files with a list")
+
     @inlineCallbacks
     def _forget(self, unit: Unit):
         """Guards against tables that grow with every file that ever was: one that held nothing has left its folder."""
         yield self._forgo(unit)
         del self._units[unit.path]
+        self._full = False
         finish(self._owners.replace(unit.path, {}, {}, ()))
         if unit.version is not None:
             yield self._write(self._lists.forget, unit.path)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 """Lists: the file's form, what a version means, the list in force. No sockets, no clock."""
 
+import json
 import os
 
 import pytest
@@ -151,6 +152,20 @@
     assert third.candidate.entries["s-1"].weight == 0.0
 
 
+def test_a_line_of_megabytes_is_refused_unread(monkeypatch):
+    monkeypatch.setattr(files, "CONTROL", None)  # what would search all of it
+    data = b"list 1 generation 1 " + b"x" * 5_000_000 + b"\nend 0\n"
+    assert told(data) == ["u:1: line: want lines of at most 4096 characters"]
+
+
+def test_json_is_read_in_slices():
+    rows = [{"instanceId": f"s-{n}", "hostPort": f"10.1.0.1:{n + 1}", "cell": 1, "lifecycle": "ready"}
+            for n in range(3000)]
+    data = json.dumps({"generation": 1, "reset": True, "instances": rows}).encode()
+    assert sum(1 for _ in files.read(data, "u", RULES)) >= 3000 // 64
+    assert len(finish(files.read(data, "u", RULES)).candidate.entries) == 3000
+
+
 def test_reading_is_interrupted_often_enough():
     rows = [entry(f"s-{place}", place + 1) for place in range(5000)]
     assert sum(1 for _ in files.read(files.write(rows, 1), "u", RULES)) >= 5000 // 64
