--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	touch $@
 
 test: build
-	$(PYTHON) -m pytest -q -p no:cacheprovider
+	$(PYTHON) -m pytest -q -p no:cacheprovider -n 4 --dist worksteal
 
 lint: build
 	.venv/bin/ruff check .
--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -231,7 +231,7 @@
         for m in event.members:
             endpoint = self.endpoints.get(m.endpoint) or m.lifecycle != api.Lifecycle.GONE and self.join(m)
             if endpoint:
-                endpoint.ready, endpoint.gone = m.lifecycle == api.Lifecycle.READY, m.lifecycle == api.Lifecycle.GONE
+                endpoint.ready, endpoint.gone = m.lifecycle == api.Lifecycle.READY, not m.lifecycle  # GONE: 0
                 error = {"nominal": 1.0, "rough": WEIGHT_ERROR}.get(self.s.weights, INF)
                 endpoint.weight = max(0.0, m.weight) / error
                 touched.append(endpoint)
