--- /dev/null
+++ b/lab/disk.py
@@ -0,0 +1,126 @@
+"""A stand-in for a folder's files behind the journal's port: it counts operations and fails, tears or dies at any one.
+
+What was written outlasts a killed process. ``Killed`` is raised at the operation that the process dies in, and at every
+one after it.
+"""
+
+from __future__ import annotations
+
+import errno
+from collections.abc import Callable
+
+
+class Killed(BaseException):
+    """The process is no more."""
+
+
+class Disk:
+    """``most``: bytes that all files may hold, in blocks of 4 KiB. ``dies_at``: the operation in which the process
+    ends; ``torn``: how many bytes of that write are kept, and whether another operation is done at all. ``fails``:
+    called with an operation's name and number, it may raise OSError.
+    """
+
+    def __init__(self, files: dict[str, bytes] | None = None, most: int | None = None) -> None:
+        self.files: dict[str, bytearray] = {name: bytearray(data) for name, data in (files or {}).items()}
+        self.most, self.dies_at, self.torn = most, None, 0
+        self.fails: Callable[[str, int], None] = lambda _what, _number: None
+        self.operations: list[tuple[str, int]] = []  # what was done, and bytes of a write
+        self._handles: dict[int, str | None] = {}
+        self._next = 3
+        self.peak = 0
+
+    def image(self) -> dict[str, bytes]:
+        """What a process that starts now would find."""
+        return {name: bytes(data) for name, data in self.files.items()}
+
+    def blocks(self, without: str = "") -> int:
+        return sum(-(-len(data) // 4096) * 4096 for name, data in self.files.items() if name != without)
+
+    def _operation(self, what: str, size: int = 0) -> bool:
+        """Is this the one it dies in?"""
+        number = len(self.operations)
+        if self.dies_at is not None and number > self.dies_at:
+            raise Killed
+        self.operations.append((what, size))
+        if number == self.dies_at:
+            return True
+        self.fails(what, number)
+        return False
+
+    def _done(self, dies: bool) -> None:
+        self.peak = max(self.peak, self.blocks())
+        if dies:
+            raise Killed
+
+    # The port ------------------------------------------------------------------------------------
+
+    def lock(self) -> None:
+        pass
+
+    def names(self) -> list[str]:
+        return sorted(self.files)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self.files[name])
+
+    def create(self, name: str) -> int:
+        dies = self._operation("create")
+        if dies and not self.torn:
+            raise Killed
+        self.files[name] = bytearray()
+        self._done(dies)
+        return self._handle(name)
+
+    def append_to(self, name: str, size: int) -> int:
+        dies = self._operation("append_to")
+        if dies and not self.torn:
+            raise Killed
+        del self.files[name][size:]
+        self._done(dies)
+        return self._handle(name)
+
+    def _handle(self, name: str) -> int:
+        self._next += 1
+        self._handles[self._next] = name
+        return self._next
+
+    def write(self, handle: int, data: bytes) -> int:
+        name = self._handles[handle]
+        dies = self._operation("write", len(data))
+        if dies:
+            data = data[:self.torn]
+        if self.most is not None:
+            room = self.most - self.blocks(name) - len(self.files[name])
+            if room <= 0 and data:
+                raise OSError(errno.ENOSPC, "No space left on device")
+            data = data[:room]
+        self.files[name] += data
+        self._done(dies)
+        return len(data)
+
+    def truncate(self, handle: int, size: int) -> None:
+        dies = self._operation("truncate")
+        if dies and not self.torn:
+            raise Killed
+        del self.files[self._handles[handle]][size:]
+        self._done(dies)
+
+    def close(self, handle: int) -> None:
+        self._handles.pop(handle)
+
+    def rename(self, old: str, new: str) -> None:
+        dies = self._operation("rename")
+        if dies and not self.torn:
+            raise Killed
+        self.files[new] = self.files.pop(old)
+        for handle, name in self._handles.items():
+            if name == old:
+                self._handles[handle] = new
+        self._done(dies)
+
+    def unlink(self, name: str) -> None:
+        dies = self._operation("unlink")
+        if dies and not self.torn:
+            raise Killed
+        del self.files[name]
+        self._done(dies)
--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -20,7 +20,9 @@
 from lynxscale.conf.table import Conf
 from lynxscale.counters import Counters
 from lynxscale.deadlines import Deadlines, Loop
-from lynxscale.journal import Journal
+from lynxscale.journal import Entry, Journal, JournalFull, old
+from lynxscale.journal.format import Refused
+from lynxscale.journal.port import Folder
 from lynxscale.membership.group import DISCOVERY, FILES, SOURCES, Group
 from lynxscale.membership.verdicts import Teller
 from lynxscale.net import link
@@ -37,7 +39,9 @@
 
 log = structlog.get_logger()
 
-OWN_SOCKETS = 32  # discovery, notices, the journal's two files, the loop's own, the standard streams
+SEGMENTS = "segments"  # the journal's folder in the state folder
+LOCK_FOR = 5.0  # seconds to wait for a process that has it
+OWN_SOCKETS = 32  # discovery, notices, the journal's files, the loop's own, the standard streams
 EASY_SHARE = 6  # with more than one in so many for clients, those at rest go
 PEER_SHARE = 3  # one descriptor in so many is for peers at most
 # From a SIGTERM on, in microseconds:
@@ -61,7 +65,7 @@
         self.trace: Recorder | None = None
         self.loop = Loop(reactor.callLater)
         self.deadlines = Deadlines(self.loop, reactor.callLater)
-        self.journal = Journal(conf.state, conf.disk_bytes)
+        self.journal = Journal(Folder(conf.state / SEGMENTS), conf.disk_bytes, lambda: time.time_ns() // 1000)
         relay = self.relay = Relay(
             conf.settings, conf.seed, self.loop, self.deadlines, self.journal, self.counters
         )
@@ -123,7 +127,7 @@
 
     def start(self) -> None:
         """Ready only once all that an earlier process left open is taken over."""
-        entries = self.journal.open()
+        entries = self._open()
         if self.watch is not None:
             self.watch.start()
         if self.discovery is not None:
@@ -132,6 +136,26 @@
         self.clients.listen(reactor, self.conf.listen)
         log.info("ready", name=self.conf.name, open=len(entries))
 
+    def _open(self) -> list[Entry]:
+        """What earlier processes left open, also those that kept one file; that goes once its messages are kept."""
+        file = self.conf.state / old.NAME
+        older = list(old.read(file.read_bytes())[0].values()) if file.is_file() else []
+        end = time.monotonic() + LOCK_FOR
+        while True:
+            try:
+                entries = self.journal.open(older)
+                break
+            except BlockingIOError:
+                # One that is told to stop may still be at it: the platform starts the next at once.
+                if time.monotonic() > end:
+                    raise
+                time.sleep(0.02)
+        if file.is_file():
+            file.unlink()  # before anything can end: else a message that has ended would be taken over again
+        for gap in self.journal.gaps:
+            log.error("journal_damaged", gap=str(gap))
+        return entries
+
     # A new configuration ------------------------------------------------------------------------
 
     def reload(self) -> None:
@@ -222,7 +246,7 @@
         return 2
     try:
         program.start()
-    except (OSError, CannotListenError) as error:
+    except (OSError, CannotListenError, JournalFull, Refused) as error:
         print(f"lynxscale: cannot start: {error}", file=sys.stderr)
         return 1
     reactor.addSystemEventTrigger("after", "shutdown", program.leave)
--- /dev/null
+++ b/lynxscale/journal/__init__.py
@@ -0,0 +1,10 @@
+"""The journal: what was taken on, each try before it goes, each end; docs/design/journal.md.
+
+``format`` and ``old`` read and write bytes, ``recover`` and ``plan`` decide, none of them with I/O; ``port`` has the
+file operations and ``log`` the journal itself.
+"""
+
+from lynxscale.journal.format import Entry
+from lynxscale.journal.log import Journal, JournalFull
+
+__all__ = ["Entry", "Journal", "JournalFull"]
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -226,6 +226,7 @@
             events, self._events = self._events, []
             offered, self._offered = self._offered, []
             self._one_step(self.loop.now(), events, offered)
+            self.journal.turn()
         if self.trace is not None:
             self.trace.turn()
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -9,9 +9,10 @@
 from gannetshift import interface as api
 from gannetshift.reader import settings_from
 from lab.standins import settings
-from lynxscale import journal
 from lynxscale.counters import Counters
 from lynxscale.deadlines import Deadlines, Loop
+from lynxscale.journal import Journal
+from lynxscale.journal.port import Folder
 from lynxscale.relay import Envelope, Relay, Verdict
 from lynxscale.slots import Slots
 
@@ -51,7 +52,7 @@
         self.addCleanup(folder.cleanup)
         self.turns, self.ports, self.answers = Turns(), Ports(), []
         loop = Loop(self.turns.call_later)
-        self.journal = journal.Journal(Path(folder.name), 1_000_000)
+        self.journal = Journal(Folder(Path(folder.name)), 1_000_000, lambda: 1)
         self.addCleanup(self.journal.close)
         self.relay = Relay(settings_from(settings()), 1, loop, Deadlines(loop, self.turns.call_later),
                            self.journal, Counters())
@@ -112,44 +113,6 @@
         self.assertEqual(seen[-1]["event"], "message_overdue")
 
 
-class Journals(unittest.TestCase):
-    def test_every_cut_of_the_log_reads_as_far_as_it_is_whole(self):
-        with tempfile.TemporaryDirectory() as name:
-            log = journal.Journal(Path(name), 1_000_000)
-            log.begin({})
-            ends = [0]
-            for number in range(1, 4):
-                log.take(number, journal.Entry(f"m{number}", "safe", "acme", "", 1, 99, bytes([0, 10, 255])))
-                ends.append(log.size)
-            log.tried(2, 55)
-            log.final(2, "deferred", 500)
-            log.end(1)
-            log.close()
-            data = Path(name, "journal").read_bytes()
-        for cut in range(len(data)):
-            entries, whole = journal.read(data[:cut])
-            self.assertEqual(len(entries), sum(end <= cut for end in ends[1:]))
-            self.assertLessEqual(whole, cut)
-        entries, whole = journal.read(data)
-        self.assertEqual((sorted(entries), whole), ([2, 3], len(data)))
-        self.assertEqual((entries[2].maybe, entries[2].final), ([55], ("deferred", 500)))
-
-    def test_what_is_written_anew_reads_the_same(self):
-        with tempfile.TemporaryDirectory() as name:
-            log = journal.Journal(Path(name), 20_000)
-            log.begin({})
-            log.take(1, journal.Entry("m1", "safe", "acme", "k", 1, 99, b"body"))
-            for round_ in range(400):
-                log.tried(1, round_)
-                log.not_run(1, True)
-            log.tried(1, 777)
-            log.not_run(1, False)
-            log.close()
-            entry = journal.read(Path(name, "journal").read_bytes())[0][1]
-        self.assertGreater(log.rewrites, 1)
-        self.assertEqual((entry.tries, entry.maybe, entry.key, entry.body), (402, [777], "k", b"body"))
-
-
 class Tables(unittest.TestCase):
     def test_an_old_number_finds_nothing(self):
         table = Slots()
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,422 @@
+"""The journal of segments: crashed at every operation and byte, cleaned, filled, damaged."""
+
+import os
+import random
+from pathlib import Path
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lab.disk import Disk, Killed
+from lynxscale.journal import format as f
+from lynxscale.journal import old
+from lynxscale.journal.format import Entry, Refused
+from lynxscale.journal.log import Journal, JournalFull, segment_name
+from lynxscale.journal.plan import Plan, blocks
+from lynxscale.journal.port import Folder
+from lynxscale.journal.recover import recover
+
+BUDGET = 13 * 4 * 4096  # ten segments of 16 KiB: a cleaning every few dozen messages
+
+
+class Bench:
+    """A journal on a stand-in disk, and what it has promised."""
+
+    def __init__(self, disk: Disk, seed: int = 1) -> None:
+        self.disk, self.random, self.time = disk, random.Random(seed), 1_000_000
+        self.promised: dict[str, tuple] = {}  # open messages, by id, with tries that may have run and the final
+        self.ended: set[str] = set()
+        self.asked: set[str] = set()  # offered, and not known to be kept or not
+        self.owed: set[str] = set()  # ended, while there was no room to say so
+        self.numbers: dict[int, str] = {}
+        self.next = 0
+        self.journal: Journal | None = None
+
+    def now(self) -> int:
+        self.time += 1
+        return self.time
+
+    def start(self) -> None:
+        self.numbers.clear()
+        journal = Journal(self.disk, BUDGET, self.now, lambda: self.random.getrandbits(32))
+        entries = journal.open()
+        table = {}
+        for entry in entries:
+            self.next += 1
+            self.numbers[self.next] = entry.id
+            table[self.next] = entry
+        journal.begin(table)
+        self.journal = journal
+        self.check(entries)
+
+    def check(self, entries: list[Entry]) -> None:
+        """What was found is what was promised; of what was under way as the process died, either."""
+        found = {entry.id: entry for entry in entries}
+        assert len(found) == len(entries), "a message twice"
+        for id_, (tries, maybe, final) in self.promised.items():
+            if id_ in self.asked and id_ not in found:
+                continue  # its end was being written
+            entry = found[id_]
+            assert (entry.tries, entry.maybe, entry.final) == (tries, maybe, final) or id_ in self.asked, id_
+        for id_ in found:
+            assert id_ not in self.ended, f"{id_} came back after its end"
+            assert id_ in self.promised or id_ in self.asked or id_ in self.owed, f"{id_} was never taken"
+        self.ended |= self.owed - set(found)
+        self.owed.clear()
+        self.promised = {entry.id: (entry.tries, list(entry.maybe), entry.final) for entry in entries}
+        self.asked.clear()
+
+    def step(self) -> None:
+        """One thing that a relay does, drawn by the seed."""
+        journal, draw = self.journal, self.random.random()
+        if draw < 0.35 or not self.numbers:
+            self.next += 1
+            id_ = f"m{self.next}"
+            entry = Entry(id_, "pago-premio", "acme", "k", 1, 99, bytes(self.random.randrange(50, 900)))
+            self.asked.add(id_)
+            try:
+                journal.take(self.next, entry)
+            except JournalFull:
+                self.asked.discard(id_)
+                return
+            self.numbers[self.next] = id_
+            self.promised[id_] = (0, [], None)
+        else:
+            number = self.random.choice(list(self.numbers))
+            id_ = self.numbers[number]
+            tries, maybe, final = self.promised[id_]
+            self.asked.add(id_)
+            try:
+                if draw < 0.6:
+                    journal.tried(number, self.time)
+                    self.promised[id_] = (tries + 1, [*maybe, self.time], final)
+                elif draw < 0.7:
+                    journal.not_run(number, bool(maybe))
+                    self.promised[id_] = (tries if maybe else tries + 1, maybe[:-1], final)
+                elif draw < 0.75 and final is None:
+                    journal.final(number, "deferred", 700)
+                    self.promised[id_] = (tries, maybe, ("deferred", 700))
+                else:
+                    journal.end(number)
+                    del self.promised[id_], self.numbers[number]
+                    self.ended.add(id_)
+            except JournalFull:
+                if draw >= 0.75:  # an end: written later, unless the process dies before
+                    self.owed.add(id_)
+                    del self.promised[id_], self.numbers[number]
+        self.asked.discard(id_)
+
+    def run(self, steps: int) -> None:
+        for _ in range(steps):
+            self.step()
+            self.journal.turn()
+
+
+def test_a_history_of_a_thousand_operations_stays_within_its_budget_and_is_found_again():
+    bench = Bench(Disk())
+    bench.start()
+    bench.run(4000)
+    kinds = [what for what, _ in bench.disk.operations]
+    assert kinds.count("unlink") > 20 and kinds.count("rename") > 20, "it was never cleaned"
+    assert bench.disk.peak <= BUDGET
+    assert len(bench.promised) > 10
+    for _ in range(3):
+        bench.start()
+    bench.run(500)
+    bench.start()
+
+
+def history(seed: int, steps: int) -> Bench:
+    bench = Bench(Disk(), seed)
+    bench.start()
+    bench.run(steps)
+    return bench
+
+
+@pytest.mark.parametrize("seed", range(1, 1 + int(os.environ.get("JOURNAL_SEEDS", "1"))))
+def test_it_may_be_killed_at_every_operation_and_every_byte_and_once_more_as_it_recovers(seed):
+    """From a state in which cleaning is under way: each operation that follows is the last one, in turn."""
+    first = history(seed, 900)
+    files, total = first.disk.image(), 0
+    known = dict(first.promised)
+    whole = Bench(Disk(files), seed)
+    whole.promised, whole.next = dict(known), first.next
+    whole.start()
+    whole.run(120)
+    operations = whole.disk.operations
+    assert {"create", "rename", "unlink", "write"} <= {what for what, _ in operations}
+    for at, (what, size) in enumerate(operations):
+        cuts = sorted({0, 1, size // 2, size - 1, size}) if what == "write" else (0, 1)
+        if what == "write" and at % 40 == 0:
+            cuts = range(size + 1)  # every byte
+        for torn in cuts:
+            bench = Bench(Disk(files), seed)
+            bench.promised, bench.ended, bench.next = dict(known), set(first.ended), first.next
+            bench.disk.dies_at, bench.disk.torn = at, torn
+            with pytest.raises(Killed):
+                bench.start()
+                bench.run(120)
+            total += 1
+            image = bench.disk.image()
+            again = Disk(image)
+            bench.disk = again
+            promised, asked, ended = dict(bench.promised), set(bench.asked), set(bench.ended)
+            bench.start()
+            steps = len(again.operations)
+            if total % 7 == 0:
+                for second in range(steps):  # and killed as it recovers
+                    bench.disk = Disk(image)
+                    bench.disk.dies_at, bench.disk.torn = second, 1
+                    bench.promised, bench.asked, bench.ended = dict(promised), set(asked), set(ended)
+                    with pytest.raises(Killed):
+                        bench.start()
+                    bench.disk = Disk(bench.disk.image())
+                    bench.promised, bench.asked, bench.ended = dict(promised), set(asked), set(ended)
+                    bench.start()
+            bench.run(10)
+            bench.start()
+    assert total > 300
+
+
+def test_a_full_disk_refuses_what_is_new_lets_ends_through_and_gives_room_back():
+    bench = Bench(Disk(), 3)
+    bench.start()
+    bench.run(300)
+    bench.disk.most = bench.disk.blocks() + 3 * 4096
+    refused = 0
+    for _ in range(400):
+        bench.next += 1
+        try:
+            bench.journal.take(bench.next, Entry(f"x{bench.next}", "c", "t", "", 1, 9, bytes(800)))
+        except JournalFull:
+            refused += 1
+        else:
+            bench.numbers[bench.next] = f"x{bench.next}"
+            bench.promised[f"x{bench.next}"] = (0, [], None)
+        bench.journal.turn()
+    assert refused > 300
+    bench.start()  # a start needs no room
+    left = list(bench.numbers)
+    for number in left[: len(left) * 3 // 4]:
+        id_ = bench.numbers.pop(number)
+        try:
+            bench.journal.end(number)
+            bench.ended.add(id_)
+        except JournalFull:
+            bench.owed.add(id_)
+        del bench.promised[id_]
+        bench.journal.turn()
+    for _ in range(50):
+        bench.journal.turn()
+    bench.disk.most = None
+    bench.journal.turn()
+    bench.run(300)
+    bench.start()
+
+
+def test_a_short_write_and_a_failing_one_leave_nothing_behind():
+    bench = Bench(Disk(), 4)
+    bench.start()
+    bench.run(50)
+    for kind in ("write", "truncate", "create", "rename", "unlink"):
+        def fails(what, _number, kind=kind):
+            if what == kind:
+                raise OSError(5, "Input/output error")
+
+        bench.disk.fails = fails
+        bench.run(40)
+        bench.disk.fails = lambda *_: None
+        bench.run(40)
+        bench.start()
+    bench.run(200)
+    bench.start()
+
+
+def test_a_flipped_bit_is_told_and_what_it_hides_may_have_run():
+    bench = history(5, 700)
+    image = bench.disk.image()
+    names = sorted(name for name in image if name.endswith(".seg"))
+    chance = random.Random(5)
+    told = 0
+    for name in names:
+        for _ in range(12):
+            data = bytearray(image[name])
+            place = chance.randrange(len(data))
+            data[place] ^= 1 << chance.randrange(8)
+            manifest = f.read_manifest(image["manifest"])
+            segments = {row.number: bytes(data) if segment_name(row.number) == name else image[segment_name(row.number)]
+                        for row in manifest.rows}
+            found = recover(manifest, segments)
+            open_ = {entry.id: entry for entry in found.entries.values()}
+            last = name == names[-1] and not found.gaps
+            if not last:
+                assert found.gaps, "damage that nobody told"
+                told += 1
+            for id_, (_tries, maybe, final) in bench.promised.items():
+                entry = open_.get(id_)
+                if entry is None or entry.final or final or (last and entry.maybe != maybe):
+                    continue
+                # Every try that may have run is known, or the message counts as one that may have.
+                assert set(maybe) <= set(entry.maybe) or entry.taken in entry.maybe, (name, place, id_)
+    assert told > 50
+
+
+def test_a_missing_segment_is_told_and_everything_older_is_in_doubt():
+    bench = history(6, 700)
+    image = bench.disk.image()
+    gone = sorted(name for name in image if name.endswith(".seg"))[1]
+    del image[gone]
+    bench.disk = Disk(image)
+    journal = Journal(bench.disk, BUDGET, bench.now, lambda: 1)
+    entries = journal.open()
+    assert [gap.reason for gap in journal.gaps] == ["it is missing"]
+    assert any(entry.taken in entry.maybe for entry in entries)
+    again = Journal(Disk(bench.disk.image()), BUDGET, bench.now, lambda: 1).open()  # doubts are kept, not doubled
+    assert {entry.id: entry.maybe for entry in again} == {entry.id: entry.maybe for entry in entries}
+
+
+def test_a_newer_version_and_a_spoilt_manifest_are_refused():
+    image = history(7, 100).disk.image()
+    data = bytearray(image["manifest"])
+    data[4] = 9
+    for name, spoilt in (("version 9 of the manifest", bytes(data)), ("checksum", image["manifest"][:-1] + b"x")):
+        with pytest.raises(Refused, match=name):
+            Journal(Disk(image | {"manifest": spoilt}), BUDGET, lambda: 1).open()
+
+
+def test_a_body_that_looks_like_records_is_never_read_as_one():
+    """Its salt is unknown to who wrote the body."""
+    bench = Bench(Disk(), 8)
+    bench.start()
+    forged = b"".join(f.record(f.END, seq, f.end(seq), 0) for seq in range(1, 40))
+    for number in range(3):
+        bench.journal.take(number, Entry(f"m{number}", "c", "t", "", 1, 9, forged))
+    image = bench.disk.image()
+    name = next(name for name in image if name.endswith(".seg"))
+    data = bytearray(image[name])
+    data[f.HEAD_SIZE + 40] ^= 1  # the first message's head: a reader looks for the next record in its body
+    manifest = f.read_manifest(image["manifest"])
+    found = recover(manifest, {manifest.rows[0].number: bytes(data)})
+    assert sorted(entry.id for entry in found.entries.values()) == ["m1", "m2"] and found.gaps
+
+
+def test_messages_of_an_older_form_are_taken_over_once():
+    disk = Disk()
+    older = [Entry(f"m{place}", "c", "t", "", 1, 9, b"x", tries=2, maybe=[5]) for place in range(3)]
+    first = Journal(disk, BUDGET, lambda: 77, lambda: 1).open(older)
+    again = Journal(Disk(disk.image()), BUDGET, lambda: 78, lambda: 1).open(older)
+    assert [(entry.id, entry.tries, entry.maybe, entry.taken) for entry in again] == [
+        (f"m{place}", 2, [5], 77) for place in range(3)] and len(first) == 3
+
+
+@pytest.mark.parametrize("name", ["before.bin", "before-torn.bin"])
+def test_the_file_of_the_journal_before_is_read(name):
+    entries, whole = old.read((Path(__file__).parent / "data" / "journal" / name).read_bytes())
+    assert whole == 732 and sorted(entries) == [0, 1, 2, 3, 5]
+    assert [(one.id, one.cls, one.tries, one.maybe, one.final) for one in entries.values()] == [
+        ("m0", "aviso-ronda", 2, [11], None), ("m1", "inscripcion", 2, [13], None),
+        ("m2", "pago-premio", 1, [14], ("undeliverable", 0)), ("m3", "aviso-ronda", 0, [], ("deferred", 700)),
+        ("m5", "pago-premio", 0, [], None)]
+    assert entries[5].body == bytes([0, 10, 255, 5]) and entries[5].expires == 1_800_000_000_000_005
+
+
+def test_a_record_longer_than_a_segment_has_one_of_its_own():
+    bench = Bench(Disk(), 11)
+    bench.start()
+    big = Entry("big", "c", "t", "", 1, 9, bytes(40_000))
+    bench.journal.take(900, big)
+    bench.promised["big"] = (0, [], None)
+    bench.run(600)
+    assert bench.disk.peak <= BUDGET
+    bench.start()
+    assert "big" in bench.promised
+
+
+def test_a_second_process_is_kept_out(tmp_path):
+    one, two = Folder(tmp_path / "j"), Folder(tmp_path / "j")
+    one.lock()
+    with pytest.raises(BlockingIOError, match="another process"):
+        two.lock()
+
+
+def test_the_same_on_a_real_folder(tmp_path):
+    journal = Journal(Folder(tmp_path / "j"), BUDGET, lambda: 5)
+    journal.open()
+    for number in range(500):
+        journal.take(number, Entry(f"m{number}", "c", "t", "", 1, 9, bytes(300)))
+        journal.tried(number, number)
+        if number >= 20:
+            journal.end(number - 20)
+        journal.turn()
+    size = sum(blocks(path.stat().st_size) for path in (tmp_path / "j").iterdir())
+    assert size <= BUDGET
+    journal.close()
+    entries = Journal(Folder(tmp_path / "j" / ".." / "j"), BUDGET, lambda: 6)
+    entries._port.lock = lambda: None  # this process has it
+    found = entries.open()
+    assert sorted(entry.id for entry in found) == sorted(f"m{number}" for number in range(480, 500))
+    assert all(len(entry.maybe) == 1 for entry in found)
+
+
+class Against(RuleBasedStateMachine):
+    """The journal against a dictionary, with starts at any moment."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.bench = Bench(Disk(), 9)
+        self.bench.start()
+
+    @rule(steps=st.integers(1, 60), seed=st.integers(0, 1 << 16))
+    def work(self, steps, seed):
+        self.bench.random.seed(seed)
+        self.bench.run(steps)
+
+    @rule()
+    def start(self):
+        self.bench.disk = Disk(self.bench.disk.image())
+        self.bench.start()
+
+    @rule(operations=st.integers(0, 12), torn=st.integers(0, 300), seed=st.integers(0, 1 << 16))
+    def kill(self, operations, torn, seed):
+        disk = self.bench.disk
+        disk.dies_at, disk.torn = len(disk.operations) + operations, torn
+        self.bench.random.seed(seed)
+        with pytest.raises(Killed):
+            self.bench.run(200)
+        self.bench.disk = Disk(disk.image())
+        self.bench.start()
+
+    @invariant()
+    def within_its_budget(self):
+        assert self.bench.disk.blocks() <= BUDGET
+
+    @invariant()
+    def the_account_is_that_of_a_new_reader(self):
+        """What the plan counts as live is what a plan made anew from the files counts."""
+        journal = Journal(Disk(self.bench.disk.image()), BUDGET, lambda: 1, lambda: 1)
+        journal.open()
+        plan, mine = journal.plan, self.bench.journal.plan
+        assert {one.number: one.live for one in plan.segments.values()} == {
+            one.number: one.live for one in mine.segments.values()}
+
+
+Against.TestCase.settings = settings(max_examples=40, stateful_step_count=15, deadline=None)
+TestAgainst = Against.TestCase
+
+
+def test_the_emptiest_is_cleaned_and_of_two_alike_the_older():
+    plan = Plan(BUDGET)
+    for number in range(1, plan.most_segments):
+        plan.opened(number, number * 100, f.HEAD_SIZE)
+        for uid in range(number * 100, number * 100 + 10):
+            plan.wrote(uid, uid, 1000, whole=True)
+    for number, gone in ((3, 8), (5, 8), (6, 9)):
+        for uid in range(number * 100, number * 100 + gone):
+            plan.wrote(uid, 5000, 29, end=True)
+    assert plan.victim(5001) == 6
+    for uid in (600, 509):
+        assert uid in plan.held
+    plan.segments[6].live = plan.segments[6].size
+    assert plan.victim(5001) == 3
--- /dev/null
+++ b/tests/test_journal_live.py
@@ -0,0 +1,119 @@
+"""The journal under a real relay: kills under load while it cleans, an upgrade, two processes, damage."""
+
+import asyncio
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from lab.clients import Desk
+from lab.demo import CONF, ROOT, Own, entries_of
+from lab.partner import Mood, Partner
+from lab.rules import judge
+from lab.standins import reply, until
+from lynxscale.journal import old
+from lynxscale.journal.plan import blocks
+from tests.node import NodeCase
+
+KILLS = int(os.environ.get("JOURNAL_KILLS", "30"))
+SEED = int(os.environ.get("JOURNAL_SEED", "1"))
+BUDGET = 400_000  # so small that segments are cleaned every second or so
+BEFORE = Path(__file__).parent / "data" / "journal" / "before.bin"
+
+
+def test_kills_under_load_while_segments_are_cleaned_lose_nothing_and_do_nothing_twice(tmp_path):
+    """A process is ended at random moments; partners count the effects of each message, clients what they heard."""
+    async def play():
+        print("seed", SEED)
+        chance = random.Random(SEED)
+        partner = Partner(SEED, mood=Mood(latency_ms=15, failing=0.03, refusing=0.05, dropping=0.03))
+        conf = CONF.read_text().replace("    disk 64m\n", f"    disk {BUDGET}\n")
+        relay = Own(tmp_path, conf)
+        for place in range(6):
+            await partner.open(f"s-{place:02}")
+        relay.put(entries_of(partner), 1)
+        desk = Desk(relay.port, SEED, 3, 12, left=8.0)
+        most, cleaned, number = 0, 0, 0
+        await relay.start()
+        for _ in range(KILLS):
+            load = asyncio.create_task(desk.run(range(number, number + 400), 350.0))
+            await asyncio.sleep(chance.uniform(0.15, 0.6))
+            names = [int(path.stem) for path in (tmp_path / "state" / "segments").glob("*.seg")]
+            most = max(most, sum(blocks(path.stat().st_size) for path in (tmp_path / "state" / "segments").iterdir()))
+            cleaned = max(cleaned, min(names))
+            await relay.stop(signal.SIGKILL)
+            load.cancel()
+            await asyncio.gather(load, return_exceptions=True)
+            number += 400
+            await relay.start()
+        await asyncio.sleep(8.5)  # every message's time is over
+        await relay.settled(0)
+        end = time.monotonic() + 20
+        while time.monotonic() < end:
+            found = judge(desk.sent, partner.calls, relay.finals())
+            if not any("has no end" in one for one in found.breaches):
+                break
+            await asyncio.sleep(0.2)
+        assert found.breaches == []
+        assert most <= BUDGET and cleaned > 5, (most, cleaned)
+        assert await relay.stop() == 0
+        taken = sum(row["taken"] for row in found.table.values())
+        partner.close_all()
+        return taken, cleaned
+
+    taken, cleaned = asyncio.run(play())
+    print(f"{KILLS} kills, {taken} messages taken, {cleaned} segments cleaned: none lost, none twice")
+
+
+class Upgrade(NodeCase):
+    def test_a_relay_that_is_upgraded_with_open_messages_keeps_them(self):
+        """What may have run of a message that must not run twice ends; the others go."""
+        self.act = lambda call: reply(200)
+        data, now = BEFORE.read_bytes(), time.time_ns() // 1000
+        (self.state / old.NAME).write_bytes(data)
+        entries = old.read(data)[0]
+        assert all(entry.expires > now for entry in entries.values())
+        self.start()
+        # Its classes are not of these settings: all end as undeliverable, but for what had an end already.
+        self.assertEqual(self.notice("m3"), {"id": "m3", "status": "deferred", "again_ms": 700})
+        for id in ("m0", "m1", "m2", "m5"):
+            self.assertEqual(self.notice(id)["status"], "undeliverable")
+        self.assertFalse((self.state / old.NAME).exists())
+        until(lambda: self.counters().get("notices", {}).get("delivered") == 5, "all ends")
+        self.kill()
+        self.start()
+        self.assertNotIn("taken", self.counters())
+
+    def test_a_second_process_on_the_folder_refuses_to_start(self):
+        self.start()
+        env = os.environ | {"NODE_CONFIG": str(self.configure()), "NODE_STATE": str(self.state),
+                            "NODE_LISTEN": f"127.0.0.1:{self.port}", "NODE_DISCOVERY": self.discovery.at}
+        done = subprocess.run([sys.executable, "-m", "lynxscale"], cwd=ROOT, env=env, capture_output=True, text=True,
+                              timeout=60)
+        self.assertEqual(done.returncode, 1)
+        self.assertIn("another process has this journal", done.stderr)
+        self.assertEqual(self.client().hand_in("m1")[0], 202)
+
+    def test_damage_is_told_and_what_it_hides_does_not_go_again(self):
+        self.act = lambda call: b""
+        self.start()
+        self.client().hand_in("m1", "once")
+        until(lambda: self.calls("m1"), "the call")
+        self.client().hand_in("m2", "safe")
+        until(lambda: self.calls("m2"), "the call")
+        self.kill()
+        path = min((self.state / "segments").glob("*.seg"))
+        data = bytearray(path.read_bytes())
+        place = data.index(b"hello", data.index(b'"m1"')) + len(b"hello")
+        data[place + 12] ^= 1  # in the record behind m1's message: that of its try
+        path.write_bytes(data)
+        self.act = lambda call: reply(200)
+        calls = len(self.calls("m1"))
+        self.start()
+        self.assertEqual(self.notice("m1")["status"], "undeliverable")
+        self.delivered(1)
+        self.assertEqual(len(self.calls("m1")), calls)
+        self.assertIn("event=journal_damaged", self.log.read_text())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -19,6 +19,11 @@
     return b""
 
 
+def disk(folder) -> int:
+    """Bytes of all files."""
+    return sum(path.stat().st_size for path in folder.rglob("*") if path.is_file())
+
+
 class Serving(NodeCase):
     def test_a_message_reaches_its_peer_unchanged(self):
         self.start()
@@ -141,7 +146,7 @@
             self.notice(f"m{number}")
         self.act = lambda call: reply(200)
         until(lambda: client.hand_in(f"n{time.monotonic()}", body=b"x" * 20000)[0] == 202, "room again")
-        self.assertLess(sum(path.stat().st_size for path in self.state.iterdir()), 200_000)
+        self.assertLess(disk(self.state), 200_000)
 
 
 class Tries(NodeCase):
@@ -274,7 +279,7 @@
         self.client().hand_in("m1", "safe")
         until(lambda: self.calls("m1"), "the call")
         self.kill()
-        with (self.state / "journal").open("ab") as file:
+        with max((self.state / "segments").glob("*.seg")).open("ab") as file:
             file.write(b"\1\2\3\4\xff\0\0\0\1torn")
         self.act = lambda call: reply(200)
         self.start()
@@ -312,7 +317,7 @@
         for number in range(60):
             self.assertEqual(client.hand_in(f"m{number}", body=b"x" * 8000)[0], 202)
             self.delivered(number + 1)
-            self.assertLess(sum(path.stat().st_size for path in self.state.iterdir()), 200_000)
+            self.assertLess(disk(self.state), 200_000)
 
 
 class Stopping(NodeCase):
--- a/tests/test_trace_recorder.py
+++ b/tests/test_trace_recorder.py
@@ -156,7 +156,7 @@
     def test_without_a_folder_none_of_it_is_imported(self):
         self.start()
         maps = Path(f"/proc/{self.process.pid}/maps").read_text()
-        self.assertFalse([name for name in ("zstandard", "crc32c", "hdrh") if name in maps])
+        self.assertFalse([name for name in ("zstandard", "netaddr", "hdrh") if name in maps])
 
 
 def recorder(folder: Path, clock=lambda: 0, **changes) -> Recorder:
