--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON := .venv/bin/python
 
-.PHONY: build test lint run bench-trace soak-trace bench-list soak-list
+.PHONY: build test lint run bench-trace soak-trace bench-list soak-list bench-journal soak-journal
 
 build: .venv/ready
 
@@ -32,3 +32,10 @@
 soak-list: build
 	for seed in 1 2 3 4 5; do LISTS_SEED=$$seed LISTS_REWRITES=4000 \
 		$(PYTHON) -m pytest -q -p no:cacheprovider tests/test_membership_live.py -k "rewrites or middle" -s || exit 1; done
+
+bench-journal: build
+	$(PYTHON) -m lab.bench_journal
+
+soak-journal: build
+	JOURNAL_KILLS=1000 $(PYTHON) -m pytest -q -p no:cacheprovider tests/test_journal_live.py -k kills -s
+	JOURNAL_SEEDS=6 $(PYTHON) -m pytest -q -p no:cacheprovider -n 4 tests/test_journal.py
--- a/lynxscale/cli/__init__.py
+++ b/lynxscale/cli/__init__.py
@@ -13,8 +13,8 @@
 import click
 
 GROUPS = {"conf": "lynxscale.cli.conf:group", "demo": "lynxscale.cli.demo:command",
-          "list": "lynxscale.cli.lists:group", "run": "lynxscale.cli.run:command",
-          "trace": "lynxscale.cli.trace:group"}
+          "journal": "lynxscale.cli.journal:group", "list": "lynxscale.cli.lists:group",
+          "run": "lynxscale.cli.run:command", "trace": "lynxscale.cli.trace:group"}
 FAILED, USAGE = 1, 2
 
 
--- a/lynxscale/journal/log.py
+++ b/lynxscale/journal/log.py
@@ -30,6 +30,22 @@
     return f"{number:012}{SUFFIX}"
 
 
+def manifest_of(port: Port, names: list[str]) -> Manifest | None:
+    """The newer of the two that is whole; None before the first. Raises Refused where none of those there is."""
+    found, faults = [], []
+    for slot in SLOTS:
+        if slot in names:
+            try:
+                found.append(f.read_manifest(port.read(slot)))
+            except Refused as error:
+                if "version" in str(error):
+                    raise
+                faults.append(f"{slot}: {error}")
+    if not found and faults:
+        raise Refused("; ".join(faults))
+    return max(found, default=None, key=lambda one: one.generation)
+
+
 class Journal:
     """``budget``: bytes that the folder may take; ``now``: Unix time in µs; ``salt``: draws a number below 2**32."""
 
@@ -66,7 +82,8 @@
         with suppress(OSError):
             if SLOT_NEW in names:
                 self._port.unlink(SLOT_NEW)
-        manifest = self._manifest(names)
+        manifest = manifest_of(self._port, names)
+        self._slots = {slot for slot in SLOTS if slot in names}
         if manifest is not None:
             found = recover(manifest, {row.number: self._port.read(segment_name(row.number)) for row in manifest.rows
                                        if segment_name(row.number) in names})
@@ -85,22 +102,6 @@
         self._finals = {uid for uid, entry in self._entries.items() if entry.final is not None}
         return list(self._entries.values())
 
-    def _manifest(self, names: list[str]) -> Manifest | None:
-        """The newer of the two that is whole; None before the first."""
-        found, faults = [], []
-        for slot in SLOTS:
-            if slot in names:
-                try:
-                    found.append(f.read_manifest(self._port.read(slot)))
-                except Refused as error:
-                    if "version" in str(error):
-                        raise
-                    faults.append(f"{slot}: {error}")
-        if not found and faults:
-            raise Refused("; ".join(faults))
-        self._slots = {slot for slot in SLOTS if slot in names}
-        return max(found, default=None, key=lambda one: one.generation)
-
     def _restore(self, manifest: Manifest, found: Recovered) -> None:
         self._generation, self._seq, self._number = manifest.generation, found.next_seq, found.next_number
         self.gaps, self._entries = found.gaps, found.entries
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,7 +1,10 @@
 """The journal of segments: crashed at every operation and byte, cleaned, filled, damaged."""
 
+import json
 import os
 import random
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -426,3 +429,33 @@
         assert uid in plan.held
     plan.segments[6].live = plan.segments[6].size
     assert plan.victim(5001) == 3
+
+
+def command(*words: str) -> subprocess.CompletedProcess:
+    return subprocess.run([sys.executable, "-m", "lynxscale", "journal", *words], capture_output=True, text=True,
+                          timeout=60)
+
+
+def test_commands_tell_what_is_open_and_where_it_is_damaged(tmp_path):
+    journal = Journal(Folder(tmp_path / "segments"), BUDGET, lambda: 5_000_000)
+    journal.open()
+    for number in range(100):
+        cls = "pago-premio" if number % 2 else "aviso-ronda"
+        journal.take(number, Entry(f"m{number}", cls, "t", "secret", 3, 9, b"x"))
+        journal.tried(number, 6)
+        journal.turn()
+        if number > 9:
+            journal.end(number - 10)
+    journal.final(99, "deferred", 700)
+    journal.close()
+    assert "10 open messages, no gaps, none in doubt" in command("check", str(tmp_path)).stdout
+    rows = json.loads(command("show", "--json", "--class", "pago-premio", str(tmp_path)).stdout)
+    assert [row["id"] for row in rows] == [f"m{number}" for number in range(91, 100, 2)]
+    assert rows[-1]["end"] == "deferred" and rows[0]["may_have_run"] == 1 and "secret" not in json.dumps(rows)
+    stats = json.loads(command("stats", "--json", str(tmp_path)).stdout)
+    assert sum(row["messages"] for row in stats) >= 10 and stats[-1]["state"] == "active"
+    (tmp_path / "segments" / segment_name(stats[0]["segment"])).unlink()
+    damaged = command("check", str(tmp_path))
+    assert damaged.returncode == 1 and "it is missing" in damaged.stderr
+    nowhere = command("show", str(tmp_path / "none"))
+    assert nowhere.returncode == 1 and "no such folder" in nowhere.stderr
