--- a/lab/bench_journal.py
+++ b/lab/bench_journal.py
@@ -65,7 +65,7 @@
     cells.append(f"{spent:.1f} us a message, longest turn {longest:.1f} ms")
     journal.close()
     begun = time.perf_counter()
-    again = open_new_unlocked(folder / "new", budget)
+    again = reopened(folder / "new", budget)
     cells.append(f"recovery {(time.perf_counter() - begun) * 1000:.0f} ms of {again[1] / 1e6:.1f} MB")
     if other:
         module = before(other)
@@ -79,12 +79,10 @@
     click.echo(f"{held} held: {'; '.join(cells)}")
 
 
-def open_new_unlocked(folder: Path, budget: int) -> tuple[list[Entry], int]:
+def reopened(folder: Path, budget: int) -> tuple[list[Entry], int]:
     """What a new process would find, and the bytes that it reads."""
-    port = Folder(folder)
-    port.lock = lambda: None  # this process has it still
     size = sum(path.stat().st_size for path in folder.iterdir())
-    return Journal(port, budget, lambda: 1).open(), size
+    return Journal(Folder(folder), budget, lambda: 1).open(), size
 
 
 class Counting(Folder):
--- a/lab/disk.py
+++ b/lab/disk.py
@@ -57,6 +57,9 @@
     def lock(self) -> None:
         pass
 
+    def unlock(self) -> None:
+        pass
+
     def names(self) -> list[str]:
         return sorted(self.files)
 
--- a/lynxscale/cli/journal.py
+++ b/lynxscale/cli/journal.py
@@ -1,18 +1,26 @@
-"""``lynxscale journal``: what a relay's journal holds and whether it stands; nothing here writes."""
+"""``lynxscale journal``: what a relay's journal holds and whether it stands; export, import, repair and compaction.
+
+``check``, ``show``, ``stats`` and ``export`` only read. ``import`` and ``compact`` need a relay that is stopped: its
+lock keeps them out. ``repair`` writes a new folder and leaves the old one as it is.
+"""
 
 from __future__ import annotations
 
+import base64
+import sys
 import time
 from collections import Counter
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, BinaryIO
 
 import click
+import orjson
 
-from lynxscale.cli import FAILED, Failed, example
+from lynxscale.cli import FAILED, Failed, Misused, example
 from lynxscale.cli.common import write_json, write_table
 
 if TYPE_CHECKING:
+    from lynxscale.journal import Entry, Journal
     from lynxscale.journal.format import Manifest
     from lynxscale.journal.recover import Recovered
 
@@ -49,8 +57,8 @@
 @example("lynxscale journal check state")
 @click.group()
 def group() -> None:
-    """The journal of a relay: check it, show what is open, count what lies where. A relay that is running may write
-    meanwhile: then its newest records may be missing here."""
+    """The journal of a relay: check, show, count, take out and bring in, repair. What only reads may be used while the
+    relay runs; its newest records may be missing then."""
 
 
 @example("lynxscale journal check state")
@@ -123,3 +131,123 @@
         write_json(rows)
     elif rows:
         write_table(list(rows[0]), [list(row.values()) for row in rows])
+
+
+disk_option = click.option("--disk", default="64m", show_default=True, help="Bytes that the journal may take.")
+
+
+def _open(state: str, disk: str, older: list[Entry]) -> Journal:
+    """The journal of a stopped relay, with these messages taken over."""
+    from lynxscale.conf.directive import SIZES, amount
+    from lynxscale.journal import Journal, JournalFull
+    from lynxscale.journal.format import Refused
+    from lynxscale.journal.port import Folder
+
+    try:
+        budget = amount(disk, SIZES)
+    except ValueError:
+        raise Misused(f"--disk {disk}: want a size such as 3m") from None
+    journal = Journal(Folder(Path(state) / "segments"), budget, lambda: time.time_ns() // 1000)
+    try:
+        journal.open(older)
+    except BlockingIOError:
+        raise Failed(f"{state}: a relay is running on this journal: stop it first") from None
+    except (JournalFull, Refused) as error:
+        raise Failed(f"{state}: {error}") from error
+    return journal
+
+
+@example("lynxscale journal export state > open.jsonl")
+@group.command()
+@click.argument("state", type=click.Path(file_okay=False))
+def export(state: str) -> None:
+    """Write the open messages as JSON lines, with their bodies and keys: keep the output as you would the messages."""
+    _manifest, found, _sizes = _recovered(state)
+    for one in found.entries.values():
+        sys.stdout.buffer.write(orjson.dumps({
+            "id": one.id, "class": one.cls, "tenant": one.tenant, "key": one.key, "destination": one.dest,
+            "expires": one.expires, "body": base64.b64encode(one.body).decode(), "tries": one.tries,
+            "maybe": one.maybe, "final": one.final, "taken": one.taken}) + b"\n")
+
+
+def _imported(path: str, source: BinaryIO) -> list[Entry]:
+    from lynxscale.journal import Entry
+
+    found, kinds = [], {"id": str, "class": str, "tenant": str, "key": str, "destination": int, "expires": int,
+                        "body": str, "tries": int, "maybe": list, "taken": int}
+    for number, line in enumerate(source, 1):
+        try:
+            row = orjson.loads(line)
+            for name, kind in kinds.items():
+                if not isinstance(row.get(name), kind) or isinstance(row[name], bool):
+                    raise ValueError(f"{name}: want {kind.__name__}")
+            if not all(isinstance(unix, int) for unix in row["maybe"]):
+                raise ValueError("maybe: want whole numbers")
+            final = row.get("final")
+            if final is not None and not (isinstance(final, list) and len(final) == 2 and isinstance(final[0], str)
+                                          and isinstance(final[1], int)):
+                raise ValueError("final: want a status and a number, or null")
+            found.append(Entry(row["id"], row["class"], row["tenant"], row["key"], row["destination"], row["expires"],
+                               base64.b64decode(row["body"], validate=True), row["tries"], row["maybe"],
+                               tuple(final) if final else None, row["taken"]))
+        except (ValueError, AttributeError) as error:
+            raise Failed(f"{path}:{number}: want a line of `journal export`: {error}") from None
+    return found
+
+
+@example("lynxscale journal import state open.jsonl")
+@group.command(name="import")
+@click.argument("state", type=click.Path(file_okay=False))
+@click.argument("file", type=click.Path(dir_okay=False))
+@disk_option
+def import_(state: str, file: str, disk: str) -> None:
+    """Take the messages of FILE into the journal of a stopped relay; those whose id it holds already are passed over.
+
+    A message that is open at two relays may take effect at both: remove the journal that it came from.
+    """
+    with open(file, "rb") as source:
+        entries = _imported(file, source)
+    journal = _open(state, disk, [])
+    before = len(journal.entries())
+    journal.close()
+    journal = _open(state, disk, entries)
+    click.echo(f"{len(journal.entries()) - before} of {len(entries)} messages taken over")
+    journal.close()
+
+
+@example("lynxscale journal repair state mended")
+@group.command()
+@click.argument("state", type=click.Path(file_okay=False))
+@click.argument("new", type=click.Path(file_okay=False))
+@disk_option
+def repair(state: str, new: str, disk: str) -> None:
+    """Copy what can be read of STATE's journal into the new state folder NEW; what is in doubt counts as one that may
+    have run. STATE is left as it is."""
+    if (Path(new) / "segments").exists():
+        raise Failed(f"{new}: want a folder without a journal")
+    _manifest, found, _sizes = _recovered(state)
+    journal = _open(new, disk, list(found.entries.values()))
+    journal.close()
+    for gap in found.gaps:
+        click.echo(str(gap), err=True)
+    click.echo(f"{new}: {len(found.entries)} open messages, {len(found.doubtful) or 'none'} in doubt")
+
+
+@example("lynxscale journal compact --disk 3m state")
+@group.command()
+@click.argument("state", type=click.Path(file_okay=False))
+@disk_option
+def compact(state: str, disk: str) -> None:
+    """Carry what is live in the journal of a stopped relay into new segments, and remove the others."""
+    from lynxscale.journal import JournalFull
+
+    _manifest, _found, before = _recovered(state)
+    journal = _open(state, disk, [])
+    try:
+        journal.compact()
+    except JournalFull as error:
+        raise Failed(f"{state}: {error}") from error
+    finally:
+        journal.close()
+    _manifest, _found, after = _recovered(state)
+    click.echo(f"{state}: {sum(before.values())} bytes before, {sum(after.values())} now")
--- a/lynxscale/journal/log.py
+++ b/lynxscale/journal/log.py
@@ -100,7 +100,7 @@
             if entry.id not in fresh:
                 self._take(entry, OPEN)
         self._finals = {uid for uid, entry in self._entries.items() if entry.final is not None}
-        return list(self._entries.values())
+        return self.entries()
 
     def _restore(self, manifest: Manifest, found: Recovered) -> None:
         self._generation, self._seq, self._number = manifest.generation, found.next_seq, found.next_number
@@ -127,6 +127,10 @@
             with suppress(JournalFull):  # it is in doubt again at the next start then
                 self._append(f.MESSAGE, uid, f.message(uid, self._entries[uid]), OPEN)
 
+    def entries(self) -> list[Entry]:
+        """The open messages."""
+        return list(self._entries.values())
+
     def begin(self, entries: dict[int, Entry]) -> None:
         """The messages that ``open`` gave, by their numbers in this process. One that has an end by now keeps it."""
         uids = {id(entry): uid for uid, entry in self._entries.items()}
@@ -361,9 +365,19 @@
             with suppress(OSError):
                 self._port.unlink(segment_name(number))
 
+    def compact(self) -> None:
+        """Carry all that is live into new segments, and give back the others; for a journal that nobody writes to."""
+        for number in [one.number for one in self.plan.segments.values()]:
+            if number in self.plan.segments and self.plan.segments[number] is not self.plan.active:
+                for _size in self._carry(number):
+                    pass
+                self._free()
+
     def close(self) -> None:
+        """Write no more, and let another process have the folder."""
         if self._handle >= 0:
             self._shut()
+        self._port.unlock()
 
 
 __all__ = ["Entry", "Journal", "JournalFull", "Refused", "segment_name"]
--- a/lynxscale/journal/port.py
+++ b/lynxscale/journal/port.py
@@ -18,6 +18,9 @@
     def lock(self) -> None:
         """Keep every other process out; BlockingIOError where one has it."""
 
+    def unlock(self) -> None:
+        """Let others in."""
+
     def names(self) -> list[str]:
         """What is there."""
 
@@ -60,6 +63,12 @@
             os.close(self._locked)
             raise BlockingIOError(errno.EWOULDBLOCK, "another process has this journal", str(self._path)) from None
 
+    def unlock(self) -> None:
+        """Let others in; the end of the process does so too."""
+        if self._locked >= 0:
+            os.close(self._locked)
+            self._locked = -1
+
     def names(self) -> list[str]:
         return sorted(os.listdir(self._path))
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -362,9 +362,7 @@
     size = sum(blocks(path.stat().st_size) for path in (tmp_path / "j").iterdir())
     assert size <= BUDGET
     journal.close()
-    entries = Journal(Folder(tmp_path / "j" / ".." / "j"), BUDGET, lambda: 6)
-    entries._port.lock = lambda: None  # this process has it
-    found = entries.open()
+    found = Journal(Folder(tmp_path / "j"), BUDGET, lambda: 6).open()
     assert sorted(entry.id for entry in found) == sorted(f"m{number}" for number in range(480, 500))
     assert all(len(entry.maybe) == 1 for entry in found)
 
@@ -459,3 +457,35 @@
     assert damaged.returncode == 1 and "it is missing" in damaged.stderr
     nowhere = command("show", str(tmp_path / "none"))
     assert nowhere.returncode == 1 and "no such folder" in nowhere.stderr
+
+
+def test_messages_are_taken_out_brought_in_repaired_and_compacted(tmp_path):
+    state, other, new = tmp_path / "state", tmp_path / "other", tmp_path / "new"
+    for folder in (state, other):
+        folder.mkdir()
+    journal = Journal(Folder(state / "segments"), 3_000_000, lambda: 5_000_000)
+    journal.open()
+    for number in range(3000):
+        journal.take(number, Entry(f"m{number}", "pago-premio", "t", f"k{number}", 3, 9, bytes([0, 10, 255])))
+        journal.tried(number, 6)
+        if number > 9:
+            journal.end(number - 10)
+    busy = command("compact", "--disk", "3m", str(state))
+    assert busy.returncode == 1 and "a relay is running" in busy.stderr
+    journal.close()
+    exported = command("export", str(state)).stdout
+    assert len(exported.splitlines()) == 10
+    (tmp_path / "open.jsonl").write_text(exported)
+    for told in ("10 of 10 messages", "0 of 10 messages"):
+        assert told in command("import", str(other), str(tmp_path / "open.jsonl")).stdout
+    assert command("export", str(other)).stdout == exported
+    (tmp_path / "bad.jsonl").write_text(exported + '{"id": 7}\n')
+    wrong = command("import", str(other), str(tmp_path / "bad.jsonl"))
+    assert wrong.returncode == 1 and "bad.jsonl:11: want a line of `journal export`: id: want str" in wrong.stderr
+    assert "bytes before" in command("compact", "--disk", "3m", str(state)).stdout
+    assert command("export", str(state)).stdout == exported
+    assert sum(path.stat().st_size for path in (state / "segments").iterdir()) < 150_000
+    assert "10 open messages" in command("repair", str(state), str(new)).stdout
+    assert command("export", str(new)).stdout == exported
+    assert command("repair", str(state), str(new)).returncode == 1
+    assert command("compact", "--disk", "huge", str(state)).returncode == 2
