--- a/lab/bench_lists.py
+++ b/lab/bench_lists.py
@@ -154,6 +154,28 @@
                    f"{holds / 1000:.1f} ms; memory {before:.0f} to {resident:.0f} MB")
 
 
+async def large_drain(folder: Path, count: int, times: int) -> None:
+    """A drain in a list of so many of which every other line is new, under load: the last call after the write."""
+    async with Bench(folder) as bench:
+        _at, digest = bench.write([bench.live("s-00"), bench.live("s-01"), *rows(count)])
+        await bench.relay.start()
+        await bench.applied(digest)
+        desk, late = Desk(bench.relay.port, 1, 1, 16, 10.0), []
+        load = asyncio.create_task(desk.run(range(int(times * RATE * 12)), RATE))
+        await asyncio.sleep(1.0)
+        for turn in range(times):
+            tag, name = "yx"[turn % 2], ("s-00", "s-01")[turn % 2]
+            other = "s-01" if name == "s-00" else "s-00"
+            at, digest = bench.write([bench.live(name, Lifecycle.DRAINING), bench.live(other), *rows(count, tag, 7.0)])
+            await bench.applied(digest)
+            await asyncio.sleep(0.5)
+            late.append(max((call.at for call in bench.partner.calls if call.at > at and call.endpoint == name),
+                            default=at) - at)
+        load.cancel()
+        click.echo(f"drain in a list of {count} that is all new, {times} times at {RATE:.0f} messages a second: last "
+                   f"call after {min(late) * 1000:.0f} to {max(late) * 1000:.0f} ms")
+
+
 async def rest(folder: Path, count: int, seconds: float) -> None:
     """CPU of a relay that watches so many entries which don't change, over that of one that watches two."""
     shares = []
@@ -172,7 +194,7 @@
 
 
 @click.command()
-@click.option("--only", multiple=True, type=click.Choice(["effects", "sizes", "rest"]))
+@click.option("--only", multiple=True, type=click.Choice(["effects", "sizes", "large", "rest"]))
 @click.option("--times", default=40, help="Swaps that are timed.")
 @click.option("--sizes", default="10,1000,50000")
 @click.option("--seconds", default=10.0, help="Of rest.")
@@ -186,6 +208,7 @@
     run("effects", effects, times)
     for text in sizes.split(","):
         run("sizes", size, int(text))
+    run("large", large_drain, 50_000, 6)
     run("rest", rest, 10_000, seconds)
 
 
