--- a/lynxscale/cli/journal.py
+++ b/lynxscale/cli/journal.py
@@ -29,10 +29,10 @@
 
 def _recovered(state: str) -> tuple[Manifest, Recovered, dict[int, int]]:
     """The manifest, what a start would find, and the sizes of the segments."""
-    from lynxscale.journal.format import Refused
+    from lynxscale.journal.format import Manifest, Refused
     from lynxscale.journal.log import manifest_of, segment_name
     from lynxscale.journal.port import Folder
-    from lynxscale.journal.recover import recover
+    from lynxscale.journal.recover import Recovered, recover
 
     folder = Path(state) / "segments"
     if not folder.is_dir():
@@ -41,8 +41,8 @@
     names = port.names()
     try:
         manifest = manifest_of(port, names)
-        if manifest is None:
-            raise Failed(f"{folder}: no manifest is there: nothing was ever taken on")
+        if manifest is None:  # nothing was ever taken on
+            return Manifest(0, ()), Recovered(), {}
         segments = {row.number: port.read(segment_name(row.number)) for row in manifest.rows
                     if segment_name(row.number) in names}
         return manifest, recover(manifest, segments), {number: len(data) for number, data in segments.items()}
@@ -131,6 +131,8 @@
         write_json(rows)
     elif rows:
         write_table(list(rows[0]), [list(row.values()) for row in rows])
+    else:
+        click.echo("no segments")
 
 
 disk_option = click.option("--disk", default="64m", show_default=True, help="Bytes that the journal may take.")
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -455,6 +455,9 @@
     (tmp_path / "segments" / segment_name(stats[0]["segment"])).unlink()
     damaged = command("check", str(tmp_path))
     assert damaged.returncode == 1 and "it is missing" in damaged.stderr
+    (tmp_path / "fresh" / "segments").mkdir(parents=True)
+    assert "0 segments, 0 bytes, 0 open messages, no gaps" in command("check", str(tmp_path / "fresh")).stdout
+    assert command("stats", str(tmp_path / "fresh")).stdout == "no segments\n"
     nowhere = command("show", str(tmp_path / "none"))
     assert nowhere.returncode == 1 and "no such folder" in nowhere.stderr
 
