Take drains back when a file goes back, and write nothing behind a doubtful manifest

A file that returned to the version in force, after a held one had drained an endpoint, counted as the same, and the drain stayed. A manifest whose writing is said to have failed may be there all the same and close the segment that is written on: records behind its end would be passed over.

Change: a version whose digest is in force is compared all the same; after a failed manifest the next record first writes a sound one.

--- a/lab/bench_lists.py
+++ b/lab/bench_lists.py
@@ -10,6 +10,7 @@
 import click
 
 from gannetshift.interface import Lifecycle
+from lab import traffic
 from lab.clients import Desk
 from lab.demo import CONF, Own
 from lab.partner import Mood, Partner
@@ -39,10 +40,7 @@
 def usage(relay: Own) -> tuple[float, float]:
     """CPU seconds so far, and resident memory in MB."""
     assert relay.process is not None
-    base = Path("/proc") / str(relay.process.pid)
-    spent = int((base / "schedstat").read_text().split()[0]) / 1e9
-    resident = next(int(line.split()[1]) for line in (base / "status").read_text().splitlines()
-                    if line.startswith("VmRSS"))
+    spent, resident = traffic.usage(relay.process.pid, "VmRSS")
     return spent, resident / 1024
 
 
--- a/lab/traffic.py
+++ b/lab/traffic.py
@@ -65,6 +65,13 @@
     ends: dict = field(default_factory=dict)
 
 
+def usage(pid: int, memory: str) -> tuple[float, int]:
+    """CPU seconds of a process so far, and its memory (kB) by that row of its status."""
+    spent = int(Path(f"/proc/{pid}/schedstat").read_text().split()[0])
+    status = Path(f"/proc/{pid}/status").read_text()
+    return spent / 1e9, next(int(line.split()[1]) for line in status.splitlines() if line.startswith(memory))
+
+
 class Stage:
     """The stand-ins, and the relay between them. Used by ``async with``."""
 
@@ -143,10 +150,7 @@
     def usage(self) -> tuple[float, int]:
         """CPU seconds and peak memory (kB) of the relay so far."""
         assert self.process is not None
-        spent = int(Path(f"/proc/{self.process.pid}/schedstat").read_text().split()[0])
-        status = Path(f"/proc/{self.process.pid}/status").read_text()
-        peak = next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM"))
-        return spent / 1e9, peak
+        return usage(self.process.pid, "VmHWM")
 
     # Stand-ins -----------------------------------------------------------------------------------
 
--- a/lynxscale/cli/journal.py
+++ b/lynxscale/cli/journal.py
@@ -116,16 +116,12 @@
     manifest, found, sizes = _recovered(state)
     plan, kinds = Plan(sum(sizes.values()) + (1 << 20)), {}
     names = {f.MESSAGE: "messages", f.TRIED: "tries", f.NOT_RUN: "not_run", f.FINAL: "finals", f.END: "ends"}
-    placed: dict[int, list] = {}
     for number, one in found.found:
-        placed.setdefault(number, []).append(one)
-    for row in sorted(manifest.rows, key=lambda row: row.first):
-        plan.opened(row.number, row.first, f.HEAD_SIZE)
-        kinds[row.number] = Counter(names[one.kind] for one in placed.get(row.number, ()))
-        for one in placed.get(row.number, ()):
-            plan.wrote(one.uid, one.seq, one.size, whole=one.kind == f.MESSAGE, end=one.kind == f.END)
+        kinds.setdefault(number, Counter())[names[one.kind]] += 1
+    plan.restore(sorted(manifest.rows, key=lambda row: row.first), found.found, found.sizes)
     rows = [{"segment": number, "first": one.first, "bytes": sizes.get(number, 0), "live": one.live,
-             "state": "sealed" if one.sealed else "active", **{name: kinds[number][name] for name in names.values()}}
+             "state": "sealed" if one.sealed else "active",
+             **{name: kinds.get(number, {}).get(name, 0) for name in names.values()}}
             for number, one in plan.segments.items()]
     if as_json:
         write_json(rows)
--- a/lynxscale/journal/log.py
+++ b/lynxscale/journal/log.py
@@ -106,15 +106,7 @@
         self._generation, self._seq, self._number = manifest.generation, found.next_seq, found.next_number
         self.gaps, self._entries = found.gaps, found.entries
         rows = sorted(manifest.rows, key=lambda row: row.first)
-        by_segment: dict[int, list] = {}
-        for number, one in found.found:
-            by_segment.setdefault(number, []).append(one)
-        for row in rows:
-            self.plan.opened(row.number, row.first, f.HEAD_SIZE)
-            for one in by_segment.get(row.number, ()):
-                self.plan.wrote(one.uid, one.seq, one.size, whole=one.kind == f.MESSAGE, end=one.kind == f.END)
-            self.plan.sized(self.plan.segments[row.number],
-                            max(f.HEAD_SIZE, found.sizes.get(row.number, row.sealed)))
+        self.plan.restore(rows, found.found, found.sizes)
         for uid in [uid for uid, held in self.plan.held.items() if not held.ended and uid not in self._entries]:
             self.plan.orphan(uid)  # its message is among what was lost
         if rows and not rows[-1].sealed and rows[-1].number in found.sizes:
@@ -198,6 +190,12 @@
             raise JournalFull(f"the record is too long: {size} bytes")
         if self._handle < 0 or self.plan.must_turn(size):
             self._turn_over(what, size)
+        if not self._whole:
+            # Guards against a manifest that failed and is there all the same: it may have closed this very segment.
+            try:
+                self._put_manifest()
+            except OSError as error:
+                raise JournalFull(str(error)) from error
         data = f.record(kind, self._seq, payload, self._crc_salt)
         self._write(data)
         self.plan.wrote(uid, self._seq, size, whole=kind == f.MESSAGE, end=kind == f.END)
--- a/lynxscale/journal/plan.py
+++ b/lynxscale/journal/plan.py
@@ -10,9 +10,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from lynxscale.journal.format import END, HEAD_SIZE, MESSAGE, Record, Row
+
 ROUND = 4096  # bytes: a file takes whole blocks
 LIVE_SHARE = 0.5  # of the budget for open messages: what cleaning needs besides grows without bound towards 1
 TIGHT_SHARE = 0.75  # beyond it not even tries are recorded: ends need the rest
@@ -63,6 +65,17 @@
         self.used = 0  # segments' room that is taken, with that of longer ones
         self.active: Segment | None = None
 
+    def restore(self, rows: Iterable[Row], found: Iterable[tuple[int, Record]], sizes: Mapping[int, int]) -> None:
+        """Account for what a recovery found: rows by their first record, records by segment, and whole sizes."""
+        placed: dict[int, list[Record]] = {}
+        for number, one in found:
+            placed.setdefault(number, []).append(one)
+        for row in rows:
+            self.opened(row.number, row.first, HEAD_SIZE)
+            for one in placed.get(row.number, ()):
+                self.wrote(one.uid, one.seq, one.size, whole=one.kind == MESSAGE, end=one.kind == END)
+            self.sized(self.segments[row.number], max(HEAD_SIZE, sizes.get(row.number, row.sealed)))
+
     # What was done -------------------------------------------------------------------------------
 
     def opened(self, number: int, first: int, size: int) -> None:
--- a/lynxscale/membership/decide.py
+++ b/lynxscale/membership/decide.py
@@ -176,7 +176,10 @@
           approved: Collection[str] = ()) -> Slices[Verdict]:
     """The verdict on a version. ``approved``: digests that an operator has confirmed."""
     if candidate.digest == before.digest:
-        return Verdict(candidate, Outcome.SAME, entries=dict(before.entries))
+        # Drains of a version that was held are in force besides: the file's return takes them back.
+        changes = yield from compare(before.entries, candidate.entries)
+        return Verdict(candidate, Outcome.APPLIED if changes else Outcome.SAME, changes=changes,
+                       entries=candidate.entries if changes else dict(before.entries))
     faults = numbered(before, candidate) + (yield from conflicts(candidate, owners))
     if faults:
         return Verdict(candidate, Outcome.REJECTED, _few(faults, candidate.unit), entries=dict(before.entries))
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -242,6 +242,36 @@
     bench.start()
 
 
+def test_a_manifest_that_is_said_to_have_failed_and_is_there_closes_nothing_that_is_written_on():
+    disk = Disk()
+    journal = Journal(disk, BUDGET, lambda: 1, lambda: 1)
+    journal.open()
+    number = 1
+    journal.take(0, Entry("last", "c", "t", "", 1, 9, b""))
+    while not journal.plan.must_turn(600):
+        journal.take(number, Entry(f"m{number}", "c", "t", "", 1, 9, bytes(300)))
+        number += 1
+    disk.files["manifest.0"] = disk.files.get("manifest.0", bytearray(4096))  # both are there from some time on
+    journal._slots.add("manifest.0")
+    overwrite, said = disk.overwrite, []
+
+    def failing(name, data):
+        overwrite(name, data)
+        said.append(name)
+        raise OSError(5, "Input/output error")
+
+    disk.overwrite = failing
+    with pytest.raises(JournalFull):  # another segment is needed: the manifest that names it is said to have failed
+        journal.take(900, Entry("big", "c", "t", "", 1, 9, bytes(600)))
+    with pytest.raises(JournalFull):  # it may be there: nothing is promised behind what it closes
+        journal.tried(0, 77)
+    disk.overwrite = overwrite
+    journal.tried(0, 78)
+    found = Journal(Disk(disk.image()), BUDGET, lambda: 1, lambda: 1).open()
+    assert {entry.id: entry.maybe for entry in found}["last"] == [78] and len(said) == 2
+    assert len(found) == number
+
+
 def test_a_flipped_bit_is_told_and_what_it_hides_may_have_run():
     bench = history(5, 700)
     image = bench.disk.image()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -238,6 +238,14 @@
     assert verdict(old, new, guards, approved={new.digest}).outcome == Outcome.APPLIED
 
 
+def test_a_file_that_goes_back_takes_the_drains_of_a_held_version_back():
+    old = listing(*FOUR)
+    new = listing(FOUR[0]._replace(lifecycle=DRAINING), version=2)
+    held = verdict(old, new, Guards(most_removed=0.25))
+    back = finish(judge(InForce(old.version, old.digest, held.entries), old, Owners(), Guards()))
+    assert (back.outcome, back.changes.resumed, back.entries) == (Outcome.APPLIED, ["s-0"], old.entries)
+
+
 def test_reasons_are_few():
     rows = [entry(f"s-{place}", 1 + place, dest=place) for place in range(100)]
     found = verdict(listing(*rows), listing(version=2), Guards(last_endpoint=False))
@@ -435,7 +443,7 @@
     (tmp_path / "folder").mkdir()
     assert "a FIFO" in sight.look(str(tmp_path / "fifo")).reason
     assert "a folder" in sight.look(str(tmp_path / "folder")).reason
-    assert sight.look("/dev/null").what == sight.UNREADABLE
+    assert sight.look(os.devnull).what == sight.UNREADABLE
     assert sight.look(str(tmp_path / "none")).what == sight.ABSENT
     path = tmp_path / "a.list"
     path.write_bytes(b"x" * 100)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -401,11 +401,11 @@
 class Configuration(unittest.TestCase):
     def test_the_faulty_key_is_named(self):
         for text, key in [("{}", "NODE_STATE"), ("[", "NODE_CONFIG"),
-                          ('{"state":"/tmp"}', "settings"),
-                          ('{"state":"/tmp","limits":{"sockets":"many"},"settings":{"balancers":1,"grades":'
+                          ('{"state":"."}', "settings"),
+                          ('{"state":".","limits":{"sockets":"many"},"settings":{"balancers":1,"grades":'
                            '[{"effect":"idempotent","goal_time_ms":1,"deadline_ms":2,"value":1}],'
                            '"family_info":{"max_calls":4}}}', "limits.sockets"),
-                          ('{"state":"/tmp","settings":{"balancers":1,"family_info":{"max_calls":4},"grades":[{"effect":"odd"}]}}',
+                          ('{"state":".","settings":{"balancers":1,"family_info":{"max_calls":4},"grades":[{"effect":"odd"}]}}',
                            "grades[0].effect")]:
             with self.subTest(key=key):
                 env = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")}
