End a message a little before its time, as a starting process reads it late

After the kill the lasting folder is empty at every start, so nothing can be replayed. - Found: every lost message was offered within the same turn as `ready`. Its whole time (11,999 ms) was counted from that reading, though it had been sent up to 0.35 s before; the notice went at the end of that count, beyond the 300 ms that the platform grants. lynxscale/relay.py, `offer` and `replay`: expires = now + time left, no margin.

Change: the module is told an end 0.4 s before the message's (at most a twentieth of its class's deadline and half of the time left), in one place for new and replayed messages; the backstop follows it.

--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -26,7 +26,8 @@
 log = structlog.get_logger()
 
 BUSY_RETRY_MS = 1000.0  # when to come again where the module was not asked: no room here
-BACKSTOP = 100_000  # µs after a message's time; the module has ended it by then
+BACKSTOP = 100_000  # µs after a message's end by the module; that has ended it by then
+AHEAD_MOST, AHEAD_OF_CLASS, AHEAD_OF_LEFT = 400_000, 0.05, 0.5  # µs, and shares: ended so long before its time
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 
 
@@ -177,7 +178,7 @@
         if self.trace is not None:
             self.trace.message(now, held.number, envelope, envelope.cls, envelope.tenant, envelope.time_left)
         self.put(api.Message(held.number, envelope.dest, envelope.cls, envelope.tenant,
-                             (now + envelope.time_left) / 1000))
+                             self._last_call(held, now) / 1000))
 
     def going(self, number: int) -> bool:
         """A try is about to be written: keep that first. Where that fails, it must not go."""
@@ -348,8 +349,17 @@
 
     def _backstop(self, held: Held) -> None:
         """Whatever happens, a message gets its end once its time is up."""
-        at = held.entry.expires - self._unix_zero + BACKSTOP
-        held.backstop = self.deadlines.at(at, self._overdue, held.number)
+        held.backstop = self.deadlines.at(self._last_call(held, self.loop.now()) + BACKSTOP, self._overdue, held.number)
+
+    def _last_call(self, held: Held, now: int) -> int:
+        """When the message's end falls due, a little before its time is up, on the loop's clock.
+
+        Guards against a message that was read late: a process at its start, with many others on the machine, may get
+        to its first requests some 0.35 s after they were sent, and by then their time ends earlier than it is told.
+        """
+        at = held.entry.expires - self._unix_zero
+        share = AHEAD_OF_CLASS * 1000 * self.settings.classes[held.cls].deadline_ms
+        return at - int(max(0, min(AHEAD_MOST, share, AHEAD_OF_LEFT * (at - now))))
 
     def _overdue(self, number: int) -> None:
         held = self.held.get(number)
@@ -402,7 +412,7 @@
                 owed.append(held)
                 continue
             self._backstop(held)
-            expires = now + entry.expires - unix
+            expires = self._last_call(held, now)
             maybe = (now + min(entry.maybe) - unix) / 1000 if entry.maybe else 0.0
             self.put(api.Message(held.number, entry.dest, held.cls, held.tenant, expires / 1000,
                                  attempts=entry.tries, maybe_at=maybe))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -77,6 +77,17 @@
         self.turns.run()
         self.assertEqual(self.answers, [("m1", Verdict.TAKEN), "try"])
 
+    def test_the_module_is_told_an_end_before_the_time_is_up(self):
+        """A message read late by a process at its start is over for the platform before the relay would end it."""
+        seen = []
+        self.relay.sender.step = lambda _now, events: seen.extend(events) or []
+        self.offer("m1")
+        self.offer("m2", left=0.2)
+        begun = self.relay.loop.now() / 1000
+        self.turns.run()
+        ends = [event.expires - begun for event in seen if type(event) is api.Message]
+        self.assertEqual([round(end) for end in ends], [16_000 - 400, 100])
+
     def test_an_outcome_that_comes_at_once_reaches_the_module(self):
         """A try can end as it is ordered: no later event may be needed for the module to hear of it."""
         self.ports.start = lambda number, attempt, _held, endpoint, *_: self.relay.outcome(
