--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -16,6 +16,7 @@
 
 from gannetshift import interface as api
 from gannetshift.interface import Effect, Result
+from gannetshift.pools import Reuse
 
 # Sample and time-out
 SAMPLE_SIZE = 100  # tries kept a lane: enough for a 95th percentile, few enough to sort often
@@ -34,10 +35,6 @@
 SOFT_WAIT_MS, SOFT_WAIT_MOST_MS = 150.0, 12_000.0  # rest after a refusal, besides a told wait
 REST_RISE, REST_FALL = 1.3, 0.985  # of the rest that all destinations share, a refusal and a success
 REST_GROWTH, REST_STEPS = 2.0, 6  # longer with each refusal in a row, so many times
-REUSE_SHARE, REUSE_MEMORY_MS = 0.5, 30_000.0  # of the idle age that failed: older connections are not reused
-REUSE_LEAST_MS = 2000.0  # idle for less, one that fails was likely reset with its endpoint: counted
-REUSE_RISK, REUSE_RISK_UNSAFE = 0.35, 0.03  # more resets than on new connections: too old for reuse, and for
-REUSE_SEEN, REUSE_COUNT, REUSE_YOUNG_MS = 3, 100, 10_000.0  # what must not run twice; least, most, memory
 CLASS_REST_MS, CLASS_REST_MOST_MS = 2000.0, 20_000.0  # an endpoint that fails one class rests for that class
 ENDPOINT_REST_MS = 500.0  # an endpoint that failed rests this long while others of its lane serve
 CROWDED_SHARE, CONNECT_WEIGHT = 0.05, 0.02  # of connects that full tables failed: too many; smoothing
@@ -59,7 +56,8 @@
 TENANT_BURST_S = 2.0  # seconds of its quota that a tenant may send at once and stay within share
 SHED_AT, SHED_TO = 0.95, 0.85  # shares of the messages held: shed from the first down to the second
 LEAST_ADVICE_MS = 750.0  # a refused client is always told when to come again: at once would be too soon
-ASK_FIRST_MS, ASK_MOST_MS, ASK_UNHEARD_MS = 300.0, 4000.0, 8000.0  # asking again after a failure, or silence
+ASK_FIRST_MS, ASK_MOST_MS, ASK_UNHEARD_MS = 300.0, 4000.0, 20_000.0  # asking again after failure or silence
+ASK_EACH_MS, ASK_ROUNDS = 40.0, 10  # of discovery's time for each sender's call; after failures
 STALE = 0.5  # of its worth in time: tried in vain and worth less, it leaves the room to fresher ones
 DEST_KEEP_MS = 60_000.0  # a destination whose last endpoint left is remembered for so long
 LOOK = 12  # oldest calls looked at for stuck ones
@@ -168,13 +166,12 @@
         self.held, self.tries = {}, {}  # messages by id; tries by id and attempt, in the order sent
         self.lines, self.rests = {}, {}  # by key: messages in turn; until when the key rests
         self.number = count(1).__next__  # orders whatever is else equal
-        self.reuse, self.reuse_at = INF, -INF  # idle age from which connections fail, and when one failed
-        self.young = [(INF, 0.0), (INF, 0.0)]  # such ages learned by count, until when; second: unsafe
-        self.ages = [[0.0, 0.0] for _ in range(13)]  # by doubled idle ages, new ones first: resets, uses
+        self.reuse = Reuse()
         self.armed, self.rest = INF, SOFT_WAIT_MS  # rest: after a refusal, learned from all calls
         self.used = self.silents = self.sick_calls = 0
         self.unconnected: dict[int, float] = {}  # by kind: share of connects of late that full tables failed
-        self.ask_gap, self.ask_at = ASK_FIRST_MS, INF
+        self.ask_spread, self.asked = ASK_EACH_MS * settings.senders, False
+        self.ask_gap, self.ask_at = max(ASK_FIRST_MS, self.ask_spread), INF
         self.class_mean = [[0.0, 0] for _ in settings.classes]
         self.buckets = [[INF, 0.0] for _ in settings.tenants]
         self.most_calls = max(1, math.ceil(settings.slots * 0.75) - 1)
@@ -223,7 +220,7 @@
     def membership(self, event: api.Membership) -> None:
         if event.kind == api.ListKind.FAILED:
             self.ask_again(self.ask_gap * self.random.uniform(0.7, 1.3))
-            self.ask_gap = min(self.ask_gap * 2, ASK_MOST_MS)
+            self.ask_gap = min(self.ask_gap * 2, max(ASK_MOST_MS, ASK_ROUNDS * self.ask_spread))
             return
         touched = [] if event.kind == api.ListKind.DELTA else list(self.endpoints.values())
         for endpoint in touched:
@@ -238,14 +235,15 @@
         for endpoint in touched:  # and not all there are: a list may have tens of thousands
             self.leave(endpoint)
         if event.kind == api.ListKind.CACHED and self.s.asks_for_members:
-            self.subscribe(self.ask_at)
-        elif event.kind != api.ListKind.CACHED:
-            self.ask_gap, self.ask_at = ASK_FIRST_MS, INF
+            self.ask_again(self.random.random() * self.ask_spread)
+        elif event.kind != api.ListKind.CACHED and self.asked:
+            self.ask_gap, self.ask_at = max(ASK_FIRST_MS, self.ask_spread), INF
         for dest in self.dests.values():
             self.rouse(dest)
 
     def subscribe(self, asked_for: float) -> None:
         if asked_for == self.ask_at:
+            self.asked = True
             self.actions.append(api.Subscribe(True))
             self.ask_again(ASK_UNHEARD_MS)
 
@@ -484,7 +482,7 @@
             return
         call.judged = True
         self.note_connects(call, result)
-        self.doubt_reuse(call, result)
+        self.reuse.ended(self.now, call.idle, result)
         if result == Result.RESET and call.idle and self.now - lane.health.last_ok < DARK_MS:
             return  # the end of a kept connection, not of its endpoint: the next try tells
         if result == Result.OK:
@@ -789,43 +787,15 @@
         self.actions.append(api.Attempt(msg.id, endpoint.number, timeout, call.fresh))
 
     def too_old(self, endpoint: Endpoint, unsafe: bool) -> bool:  # even its connection used last?
-        age, until = self.young[unsafe]
-        most = min(self.reuse, age) if until > self.now else self.reuse
-        return bool(endpoint.idle) and self.now - endpoint.idle[-1] >= most
+        return bool(endpoint.idle) and self.now - endpoint.idle[-1] >= self.reuse.most(self.now, unsafe)
 
     def idle_age(self, endpoint: Endpoint) -> float:
         """Take an idle connection, for how long it was idle; close those that are likely dead."""
-        if self.now - self.reuse_at > REUSE_MEMORY_MS:
-            self.reuse = INF
         if self.too_old(endpoint, False):
             endpoint.idle.clear()
             self.actions.append(api.CloseIdle(endpoint.number))
         return self.now - endpoint.idle.pop() if endpoint.idle else 0.0
 
-    def doubt_reuse(self, call: Call, result: Result) -> None:
-        """Connections dropped unseen (by a box on the way or the far end): what is sent on one is lost.
-
-        Silence does not count, as a stall looks alike. One that failed while it was young is no sign alone,
-        as connections end with their endpoint, too: more resets than on new connections are. Hurts after a
-        crash: handshakes for a while.
-        """
-        if result not in (Result.OK, Result.FULL, Result.ERROR, Result.RESET):
-            return
-        row = self.ages[min(12, 1 + int(math.log2(max(1.0, call.idle)))) if call.idle else 0]
-        row[0], row[1] = row[0] + (result == Result.RESET), row[1] + 1
-        if row[1] >= REUSE_COUNT:
-            row[0], row[1] = row[0] / 2, row[1] / 2
-        if result != Result.RESET or not call.idle:
-            return
-        if call.idle >= REUSE_LEAST_MS:
-            self.reuse, self.reuse_at = min(self.reuse, REUSE_SHARE * call.idle), self.now
-        new = self.ages[0][0] / max(1.0, self.ages[0][1])
-        for unsafe, risk in enumerate((REUSE_RISK, REUSE_RISK_UNSAFE)):
-            bad = (place for place, (resets, uses) in enumerate(self.ages)
-                   if place and resets >= REUSE_SEEN and resets / uses > new + risk)
-            if (place := next(bad, None)) is not None:
-                self.young[unsafe] = (2.0 ** (place - 1), self.now + REUSE_YOUNG_MS)
-
     # Outcomes ----------------------------------------------------------------------------------
 
     def outcome(self, event: api.Outcome) -> None:
--- a/lynxscale/net/discovery.py
+++ b/lynxscale/net/discovery.py
@@ -26,9 +26,8 @@
 log = structlog.get_logger()
 
 PATH = "/catalog/members"
-FIRST_WAIT_MS = 1  # a new watch is answered at once: what was missed comes first
-WAIT_MS = 10_000  # of each further call; short enough to notice a discovery that says nothing
-SLACK_MS = 1500  # beyond the wait, until a call counts as failed; discovery itself gives up sooner
+WAIT_MS = 10_000  # of each call, the first one, too; short enough to notice a discovery that says nothing
+SLACK_MS = 5000  # beyond the wait, until a call counts as failed; one that is overbooked gives up sooner, with 503
 LIFECYCLES = {"ready": api.Lifecycle.READY, "draining": api.Lifecycle.DRAINING}
 GONE = "gone"
 
@@ -59,7 +58,7 @@
             self.fetch()
         elif active:
             self._asked = True
-            self._call(f"{PATH}?after={self._version}&wait_ms={FIRST_WAIT_MS}", FIRST_WAIT_MS)
+            self._call(f"{PATH}?after={self._version}&wait_ms={WAIT_MS}", WAIT_MS)
         else:
             self._caller.drop(link.CANCELLED)
 
