--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -16,6 +16,7 @@
 
 from gannetshift import interface as api
 from gannetshift.interface import Effect, Result
+from gannetshift.limits import Share
 from gannetshift.pools import Reuse
 
 # Sample and time-out
@@ -38,6 +39,7 @@
 CLASS_REST_MS, CLASS_REST_MOST_MS = 2000.0, 20_000.0  # an endpoint that fails one class rests for that class
 ENDPOINT_REST_MS = 500.0  # an endpoint that failed rests this long while others of its lane serve
 CROWDED_SHARE, CONNECT_WEIGHT = 0.05, 0.02  # of connects that full tables failed: too many; smoothing
+LIMIT_LEFT = 0.5  # of the allowance: with less a refusal tells of the limit; reports are old
 # Outage and return
 HARD_STREAK = 2  # failures in a row that make a lane failing: a lone error is chance
 DARK_MS = 2500.0  # no success, and first bad, so long ago: an outage, not a limit or a short gap
@@ -54,6 +56,7 @@
 COLD_SHARE, RAMP_MS, TIP_MULTIPLE, TIP_MS = 0.15, 15_000.0, 1.5, 3000.0  # where the settings tell none
 # Order, queue and membership
 TENANT_BURST_S = 2.0  # seconds of its quota that a tenant may send at once and stay within share
+QUEUE_MS = 5000.0  # of its limit's part a destination may have waiting; more would come too late
 SHED_AT, SHED_TO = 0.95, 0.85  # shares of the messages held: shed from the first down to the second
 LEAST_ADVICE_MS = 750.0  # a refused client is always told when to come again: at once would be too soon
 ASK_FIRST_MS, ASK_MOST_MS, ASK_UNHEARD_MS = 300.0, 4000.0, 20_000.0  # asking again after failure or silence
@@ -95,8 +98,8 @@
 class Lane:
     """What shares one limit: a destination, or one of its endpoints where routes are apart."""
 
-    def __init__(self, dest: Dest, now: float) -> None:
-        self.dest, self.health = dest, Health(now)
+    def __init__(self, dest: Dest, now: float, senders: int) -> None:
+        self.dest, self.health, self.share = dest, Health(now), Share(senders, now)
         self.endpoints = []
         self.sample: deque[tuple[float, float]] = deque(maxlen=SAMPLE_SIZE)  # (when, latency or INF)
         self.window, self.restarts, self.tau = 1, 1.0, INF
@@ -231,6 +234,7 @@
                 endpoint.ready, endpoint.gone = m.lifecycle == api.Lifecycle.READY, not m.lifecycle  # GONE: 0
                 error = {"nominal": 1.0, "rough": WEIGHT_ERROR}.get(self.s.weights, INF)
                 endpoint.weight = max(0.0, m.weight) / error
+                endpoint.lane.share.told(endpoint.lane.limit or endpoint.lane.weight())
                 touched.append(endpoint)
         for endpoint in touched:  # and not all there are: a list may have tens of thousands
             self.leave(endpoint)
@@ -259,7 +263,7 @@
         endpoint.fee = (self.s.route_fee[member.zone:member.zone + 1] or [0.0])[0]
         apart = any(self.s.routes_apart[member.kind:member.kind + 1])
         if apart or not dest.lanes:
-            dest.lanes.append(Lane(dest, self.now))
+            dest.lanes.append(Lane(dest, self.now, self.s.senders))
         endpoint.lane = dest.lanes[-1]
         endpoint.lane.endpoints.append(endpoint)
         own = () if apart else (Health(self.now),)
@@ -327,6 +331,7 @@
         spent = msg.restarts >= RESTARTS_EACH or msg.attempts + 1 >= (self.s.attempts_cap or INF)
         # Slow or sick: the next try is no faster there, and cut calls would pile up (docs/design.md).
         useless = lane.health.state != OK or lane.slow() or msg.expires - self.now < 2 * self.usual(msg)
+        useless |= lane.share.tight
         if spent or useless:
             return
         if lane.restarts >= 1:
@@ -463,21 +468,26 @@
             share = self.unconnected.get(endpoint.kind, 0.0)
             self.unconnected[endpoint.kind] = min(1.0, share + (full - share) * CONNECT_WEIGHT)
 
-    def judge(self, call: Call, result: Result, wait: float) -> None:  # once a call
+    def judge(self, call: Call, result: Result, wait: float, left: float | None) -> None:  # once a call
         endpoint, lane = call.endpoint, call.endpoint.lane
+        # Refused for want of allowance: many senders are at the limit together, which is no outage.
+        above = result == Result.FULL and left is not None and left < LIMIT_LEFT
         if result == Result.FULL:
-            # All are told the same end of a wait: spread, the more the longer it was shut. A node that
-            # sends much there learns fast and need not rest for long. Refused calls may use up the limit, so
-            # the rest is this node's part of it at least. Hurts where few of the senders call there.
             age = self.now + wait - (lane.health.first_bad if lane.health.streak else self.now)
+            # All are told the same end of a wait: spread, the more the longer it was shut. A node that
+            # sends much there learns fast and need not rest for long. The limit's share paces the rest.
             most = 1000 / max(lane.health.rate(self.now), 0.01)  # this node's usual success takes so long
-            least = TRY_FIRST_MS if self.now - lane.health.last_ok > DARK_MS else 0.0
-            fair = 1000 * self.s.senders / (lane.limit or lane.weight() or INF)
+            least = TRY_FIRST_MS if self.now - lane.health.last_ok > DARK_MS and not above else 0.0
             rest = max(least, self.rest) * REST_GROWTH ** min(lane.health.streak, REST_STEPS)
-            rest = min(most, max(rest, fair))
+            rest = 0.0 if above else min(most, rest)
             spread = min(self.most_gap(lane, lane.health), self.try_age * age) if age > DARK_MS else 0.0
             rest = max(rest * self.random.uniform(0.3, 1.0), spread * self.random.random())
             lane.wait_until = max(lane.wait_until, self.now + wait + rest)
+            lane.share.refused(self.now, call.sent, self.random.random())
+        elif result == Result.OK:
+            lane.share.answered(self.now, call.sent, left)
+        elif result in (Result.CONNECT_FAILED, Result.MOOT):
+            lane.share.spend(-1.0)  # it never came there
         if call.judged or result in (Result.CANCELLED, Result.MOOT):
             return
         call.judged = True
@@ -495,7 +505,7 @@
             for health in endpoint.healths:
                 self.good(endpoint, health, not call.silent)
             return
-        if result == Result.FULL:
+        if result == Result.FULL and not above:
             self.rest = min(self.rest * REST_RISE, SOFT_WAIT_MOST_MS)
         if result in (Result.FULL, Result.TIMEOUT):
             lane.window = max(1, lane.window // 2)
@@ -507,7 +517,7 @@
             endpoint.rest_until = self.now + rest
             if result == Result.RESET:
                 endpoint.idle.clear()
-        if not call.silent and result != Result.TIMEOUT:  # one begun with little time left tells nothing
+        if not call.silent and result != Result.TIMEOUT and not above:  # late ones tell nothing
             for health in endpoint.healths:
                 self.bad(endpoint, health, result == Result.FULL, call.sent)
 
@@ -568,7 +578,8 @@
             return
         usual = max(1.0, self.usual(msg))
         in_aim = self.now + usual <= msg.aim_at and not msg.over
-        rank = (0, msg.aim_at) if in_aim else (1, -self.worth(msg, self.now + usual) / usual)
+        worth = self.worth(msg, self.now + usual)
+        rank = (0, (-worth, msg.aim_at)) if in_aim else (1, (-worth / usual, 0.0))
         order = -msg.seq if self.s.late_halves and rank[0] else msg.seq
         msg.version += 1
         if not msg.queued:
@@ -592,6 +603,12 @@
         """Held near the limit: refuse the least worth of the longest queue, so that better work gets in."""
         most = self.s.most_held or INF
         least = SHED_TO * most if len(self.held) >= SHED_AT * most else INF
+        for dest in list(self.active.values()):  # what its limit lets through too late is answered now
+            room = sum(max(1.0, lane.share.takes(QUEUE_MS)) for lane in dest.lanes) if dest.lanes else INF
+            if dest.waiting > room:
+                rows = sorted(r for r in dest.queue if r[3] == r[4].version)
+                for row in rows[int(room):]:
+                    self.give_up(row[4])
         while len(self.held) > least:
             dest = max(self.dests.values(), key=lambda d: d.waiting * (1000 + self.closed_for(d)))
             if not dest.waiting:
@@ -727,6 +744,8 @@
             return lane.wait_until
         if self.joinable(endpoint):
             return 0.0
+        if (opens := lane.share.opens(self.now)) > self.now:
+            return opens
         # Silent calls keep their slots but not the window: it would stay shut long after a hang.
         if no_slot or lane.inflight - lane.silent >= lane.window:
             return INF
@@ -760,6 +779,7 @@
             call = endpoint.call = Call(endpoint, self.now, self.steps, age)
             call.fresh = fresh
             self.used += 1
+            lane.share.spend()
             call.sick = lane.health.state == FAILING
             self.sick_calls += call.sick
             lane.inflight += 1
@@ -804,10 +824,9 @@
             return
         msg, call, result, out.dead = out.msg, out.call, event.result, True
         lane, msg.out = call.endpoint.lane, None
-        if self.s.report_limit is not None and len(event.report) > self.s.report_limit:
-            lane.limit = event.report[self.s.report_limit]
+        left = self.told(lane, event.report)
         self.settle(call, result)
-        self.judge(call, result, event.wait)
+        self.judge(call, result, event.wait, left)
         if result not in (Result.CANCELLED, Result.MOOT):
             self.observe(lane, msg.cls, event.spent if result == Result.OK else INF)
         self.class_here(call.endpoint, msg.cls, result == Result.OK, result in (Result.ERROR, Result.TIMEOUT))
@@ -826,6 +845,15 @@
         else:
             self.again(msg)
 
+    def told(self, lane: Lane, report: tuple[float, ...]) -> float | None:
+        """The share of its allowance that a report tells to be left, if there is a limit."""
+        place, limit = self.s.report_left, self.s.report_limit
+        if limit is None or len(report) <= limit:
+            return None
+        lane.limit = report[limit]
+        lane.share.told(lane.limit or lane.weight())
+        return report[place] if place is not None and len(report) > place and lane.limit > 0 else None
+
     def class_here(self, endpoint: Endpoint, cls: int, good: bool, bad: bool) -> None:
         """One endpoint may fail a class and serve the others: the class goes elsewhere for a while.
 
--- a/gannetshift/limits.py
+++ b/gannetshift/limits.py
@@ -7,12 +7,15 @@
 
 from __future__ import annotations
 
-START, LEAST, MOST = 1.5, 0.3, 8.0  # factor of the even part: at first, and its bounds
+import math
+
+INF = math.inf
+START, LEAST = 1.5, 0.3  # factor of the even part: at first, and the least
 REFUSED = 0.6  # of the factor, at a refusal: what others send is then too much already
-AMPLE, AIM, GAIN = 0.65, 0.4, 0.6  # of the allowance left: more is room for all; held here, by such a gain
-GROWTH, GROWTH_MOST = 0.4, 1.5  # of the factor, a second with ample room, and at one answer at most
-NEAR = 0.3  # of the way to what the allowance left allows, an answer
+AIM, GAIN, AMPLE = 0.4, 0.6, 4.0  # of the allowance left, held here by such a gain; factor with all of it left
+GROWTH = 0.35  # of the factor, a second of ample allowance, towards what the allowance left allows
 MEMORY_MS = 4000.0  # in which a factor under one comes back: what was too much then is not for ever
+TIGHT = 1.2  # factor up to which the limit is felt
 BURST_MS = 700.0  # of the pace may go at once, one call at least
 
 
@@ -27,6 +30,14 @@
     def pace(self) -> float:  # calls a millisecond
         return self.limit * self.part * self.factor
 
+    @property
+    def tight(self) -> bool:
+        """Has the limit been felt of late? What is sent then is missed by others."""
+        return self.limit > 0 and self.factor <= TIGHT
+
+    def takes(self, span: float) -> float:  # so many calls in that time
+        return self.pace() * span if self.limit > 0 else INF
+
     def told(self, limit: float) -> None:
         """The limit of now, 0 where none is told."""
         self.limit = limit
@@ -43,20 +54,18 @@
         self.at = now
         return 0.0 if self.tokens >= 1 - 1e-6 else now + (1 - self.tokens) / pace
 
-    def spend(self) -> None:
-        """A call goes."""
-        self.tokens -= 1
+    def spend(self, calls: float = 1.0) -> None:
+        """A call goes, or comes back as it never got there."""
+        self.tokens -= calls
 
     def answered(self, now: float, sent: float, left: float | None) -> None:
         """A call sent then was taken; ``left``: the share of the allowance that its answer tells."""
         if sent < self.refused_at:
             return
-        since, self.heard_at = now - self.heard_at, now
-        if left is None or left >= AMPLE:
-            self.factor = min(MOST, self.factor * min(GROWTH_MOST, 1 + GROWTH * since / 1000))
-            return
-        due = 1 + GAIN * (left - AIM)
-        self.factor = min(self.factor, due) if left < AIM else self.factor + max(0.0, due - self.factor) * NEAR
+        since, self.heard_at = min(3000.0, now - self.heard_at), now
+        above = 1.0 if left is None else (left - AIM) / (1 - AIM)
+        due = 1 + GAIN * (left - AIM) if above < 0 else 1 + (AMPLE - 1) * above * above
+        self.factor = min(due, self.factor * (1 + GROWTH * since / 1000))
 
     def refused(self, now: float, sent: float, later: float) -> None:
         """A call sent then was refused; ``later``, from 0 to 1, spreads the senders' next ones."""
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,92 @@
+"""A sender's part of a limit, and what the module makes of refusals above one."""
+
+from gannetshift import interface as api
+from gannetshift.limits import Share
+from tests.driver import SAFE, UNSAFE, Driver, classes, member
+
+
+def share(senders: int = 40, limit: float = 40.0) -> Share:
+    found = Share(senders, 0.0)
+    found.told(limit)
+    return found
+
+
+def sent_in(one: Share, begin: float, span: float) -> int:
+    count, now = 0, begin
+    while now < begin + span:
+        if one.opens(now) <= now:
+            one.spend()
+            count += 1
+        now += 10
+    return count
+
+
+def test_after_a_refusal_a_sender_keeps_under_its_part_and_comes_back_to_it():
+    one = share()
+    sent_in(one, 0.0, 1000.0)
+    one.refused(1000.0, 990.0, 0.5)
+    assert sent_in(one, 1000.0, 2000.0) <= 1
+    assert 16 <= sent_in(one, 10_000.0, 20_000.0) <= 20
+
+
+def test_a_volley_is_one_refusal():
+    one = share()
+    one.refused(1000.0, 990.0, 0.0)
+    before = one.factor
+    one.refused(1010.0, 995.0, 0.0)
+    assert one.factor == before
+
+
+def test_allowance_left_lets_a_sender_go_beyond_its_part_and_its_want_holds_it_there():
+    one = share()
+    for second in range(20):
+        one.answered(second * 1000.0, second * 1000.0, 1.0)
+    assert one.factor > 3
+    one.answered(21_000.0, 21_000.0, 0.05)
+    assert one.factor < 1
+
+
+def test_without_a_told_limit_nothing_is_bound():
+    one = Share(40, 0.0)
+    assert sent_in(one, 0.0, 1000.0) == 100
+
+
+REPORTS = dict(senders=40, slots=6, report_left=0, report_limit=1, weights="nominal")
+
+
+def test_refusals_above_a_limit_are_no_outage():
+    """Where calls are seldom, seconds without a success are usual: no single tries, and no cold return after."""
+    d = Driver([member(11, weight=40.0)], **REPORTS)
+    d.warm_up(10, latency=1500.0)
+    for _ in range(6):
+        d.message(SAFE)
+        while not d.out:
+            d.pass_time(50)
+        for number, _ in list(d.out):
+            d.finish(number, api.Result.FULL, report=(0.0, 40.0))
+        d.pass_time(1000)
+    assert not any("failing" in a.text for _, a in d.log if isinstance(a, api.Note))
+
+
+def test_refusals_with_allowance_left_are_an_outage():
+    d = Driver([member(11, weight=40.0)], **REPORTS)
+    d.warm_up(10, latency=1500.0)
+    for _ in range(8):
+        d.message(SAFE)
+        d.pass_time(700)
+        for number, _ in list(d.out):
+            d.finish(number, api.Result.FULL, report=(1.0, 40.0))
+    assert any("failing" in a.text for _, a in d.log if isinstance(a, api.Note))
+
+
+def test_what_a_limit_lets_through_too_late_is_refused_at_once_and_the_least_worth_first():
+    grades = classes()
+    grades[UNSAFE].worth = 3.0
+    d = Driver([member(11, weight=40.0)], **REPORTS, classes=grades)
+    d.finish(d.message(SAFE), api.Result.FULL, report=(0.0, 40.0))
+    low = [d.message(SAFE) for _ in range(12)]
+    high = [d.message(UNSAFE) for _ in range(2)]
+    ended = set(d.finals)
+    assert len(ended & set(low)) >= 9 and not ended & set(high)
+    d.pass_time(6000)
+    assert [a.id for a in d.sent()][1] in high
