--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -17,7 +17,7 @@
 from gannetshift import interface as api
 from gannetshift.interface import Effect, Result
 from gannetshift.limits import Share
-from gannetshift.pools import Reuse
+from gannetshift.pools import Reuse, Tables
 
 # Sample and time-out
 SAMPLE_SIZE = 100  # tries kept a lane: enough for a 95th percentile, few enough to sort often
@@ -38,7 +38,6 @@
 REST_GROWTH, REST_STEPS = 2.0, 6  # longer with each refusal in a row, so many times
 CLASS_REST_MS, CLASS_REST_MOST_MS = 2000.0, 20_000.0  # an endpoint that fails one class rests for that class
 ENDPOINT_REST_MS = 500.0  # an endpoint that failed rests this long while others of its lane serve
-CROWDED_SHARE, CONNECT_WEIGHT = 0.05, 0.02  # of connects that full tables failed: too many; smoothing
 LIMIT_LEFT = 0.5  # of the allowance: with less a refusal tells of the limit; reports are old
 # Outage and return
 HARD_STREAK = 2  # failures in a row that make a lane failing: a lone error is chance
@@ -50,17 +49,18 @@
 TRY_AGE = 2.0  # spacing in ages of the outage, over cold share and multiple: as more senders hold messages
 LEAST_RATE, RATE_MS = 1.0, 10_000.0  # calls a second where no rate is told; memory of the success rate
 PACE_SHARE, BURST_SHARE = 0.8, 0.25  # of the load that a return bears; of that of a tipping span, at once
-PART_SHARE = 0.6  # of this node's part of a told rate, as other nodes may take more than theirs
+PART_SHARE = 0.75  # of this node's part of a told rate, as other nodes may take more than theirs
 WEIGHT_ERROR = 1.5  # a rough weight may be this much too high; a nominal one is as told
 ITEM_WEIGHT = 0.25  # what each further message of a call adds to its weight
 COLD_SHARE, RAMP_MS, TIP_MULTIPLE, TIP_MS = 0.15, 15_000.0, 1.5, 3000.0  # where the settings tell none
 # Order, queue and membership
 TENANT_BURST_S = 2.0  # seconds of its quota that a tenant may send at once and stay within share
-QUEUE_MS = 5000.0  # of its limit's part a destination may have waiting; more would come too late
+QUEUE_MS = 10_000.0  # of its limit's part a destination may have waiting; more would come too late
 SHED_AT, SHED_TO = 0.95, 0.85  # shares of the messages held: shed from the first down to the second
 LEAST_ADVICE_MS = 750.0  # a refused client is always told when to come again: at once would be too soon
 ASK_FIRST_MS, ASK_MOST_MS, ASK_UNHEARD_MS = 300.0, 4000.0, 20_000.0  # asking again after failure or silence
 ASK_EACH_MS, ASK_ROUNDS = 40.0, 10  # of discovery's time for each sender's call; after failures
+LATE_WORTH = 0.7  # of the least class's worth: with less a message waits behind all others
 STALE = 0.5  # of its worth in time: tried in vain and worth less, it leaves the room to fresher ones
 DEST_KEEP_MS = 60_000.0  # a destination whose last endpoint left is remembered for so long
 LOOK = 12  # oldest calls looked at for stuck ones
@@ -139,7 +139,7 @@
         self.aim_at = self.rest_from = 0.0
         self.attempts, self.maybe_at = event.attempts, event.maybe_at
         self.restarts = self.version = 0
-        self.over = self.queued = self.dead = False
+        self.over = self.queued = self.dead = self.late = False
         self.out = self.zone = self.last = None  # the try under way, the zone to stay in, the last endpoint
 
 
@@ -172,13 +172,14 @@
         self.reuse = Reuse()
         self.armed, self.rest = INF, SOFT_WAIT_MS  # rest: after a refusal, learned from all calls
         self.used = self.silents = self.sick_calls = 0
-        self.unconnected: dict[int, float] = {}  # by kind: share of connects of late that full tables failed
+        self.tables = Tables()
         self.ask_spread, self.asked = ASK_EACH_MS * settings.senders, False
         self.ask_gap, self.ask_at = max(ASK_FIRST_MS, self.ask_spread), INF
         self.class_mean = [[0.0, 0] for _ in settings.classes]
         self.buckets = [[INF, 0.0] for _ in settings.tenants]
         self.most_calls = max(1, math.ceil(settings.slots * 0.75) - 1)
         self.most_sick, self.sick_slots = max(1, settings.slots // 2), max(1, settings.slots // SICK_PART)
+        self.low = LATE_WORTH * min((grade.worth for grade in settings.classes), default=1.0)
         self.cold, self.ramp = settings.cold_share or COLD_SHARE, settings.ramp_time_ms or RAMP_MS
         self.try_age = TRY_AGE / (self.cold * (settings.tip_multiple or TIP_MULTIPLE))
         self.tip, self.span = settings.tip_multiple or TIP_MULTIPLE, settings.tip_after_ms or TIP_MS
@@ -205,7 +206,7 @@
         # Where connects fail, the idle connections of many senders fill the tables: close unneeded ones.
         # Hurts after an outage that failed connects: some handshakes more until the share has sunk.
         for endpoint in self.freed:
-            if endpoint.idle and self.unconnected.get(endpoint.kind, 0.0) > CROWDED_SHARE:
+            if endpoint.idle and self.tables.crowded(endpoint.kind):
                 endpoint.idle.clear()
                 self.actions.append(api.CloseIdle(endpoint.number))
         while self.timers and getattr(self.timers[0][3], "dead", False):
@@ -408,7 +409,9 @@
         health.count, health.count_at = 1 + health.rate(self.now) * RATE_MS / 1000, self.now
         if returned:
             waiting = endpoint.lane.dest.waiting
-            health.warm_from, health.tokens_at, health.tokens = self.now, self.now, 0.0 if waiting else 1.0
+            # It came back between the last failure and now.
+            health.warm_from = (self.now + max(health.bad_at, self.now - 2 * TRY_MOST_MS)) / 2
+            health.tokens_at, health.tokens = self.now, 0.0 if waiting else 1.0
             # What came meanwhile is this node's part of the traffic, however many nodes there are.
             health.base = max(health.base, waiting * 1000 / age)
             self.turn(endpoint, health, WARMING)
@@ -456,18 +459,6 @@
                     self.bad(call.endpoint, health, False, call.sent)
                     health.hard -= 1
 
-    def note_connects(self, call: Call, result: Result) -> None:
-        """Full tables refuse new connections while older ones serve; one that is gone serves on none."""
-        endpoint, full = call.endpoint, 0
-        if result == Result.CONNECT_FAILED:
-            endpoint.unconnected, endpoint.unconnected_at = endpoint.unconnected + 1, self.now
-        elif result == Result.OK and call.sent >= endpoint.unconnected_at:
-            older = call.idle and call.sent - call.idle <= endpoint.unconnected_at
-            full, endpoint.unconnected = endpoint.unconnected if older else 0, 0
-        if full or not call.idle:
-            share = self.unconnected.get(endpoint.kind, 0.0)
-            self.unconnected[endpoint.kind] = min(1.0, share + (full - share) * CONNECT_WEIGHT)
-
     def judge(self, call: Call, result: Result, wait: float, left: float | None) -> None:  # once a call
         endpoint, lane = call.endpoint, call.endpoint.lane
         # Refused for want of allowance: many senders are at the limit together, which is no outage.
@@ -491,7 +482,7 @@
         if call.judged or result in (Result.CANCELLED, Result.MOOT):
             return
         call.judged = True
-        self.note_connects(call, result)
+        self.tables.ended(self.now, endpoint, call.sent, call.idle, result)
         self.reuse.ended(self.now, call.idle, result)
         if result == Result.RESET and call.idle and self.now - lane.health.last_ok < DARK_MS:
             return  # the end of a kept connection, not of its endpoint: the next try tells
@@ -572,14 +563,14 @@
         return late or spent or (bool(msg.maybe_at) and not self.repeatable(msg, msg.maybe_at))
 
     def enqueue(self, msg: Held) -> None:
-        """Queue at its destination: in aim and in share by aim, the rest by worth for slot time."""
+        """Queue at its destination by present worth, what has lost much of it by worth for slot time."""
         if self.hopeless(msg):
             self.give_up(msg)
             return
         usual = max(1.0, self.usual(msg))
-        in_aim = self.now + usual <= msg.aim_at and not msg.over
         worth = self.worth(msg, self.now + usual)
-        rank = (0, (-worth, msg.aim_at)) if in_aim else (1, (-worth / usual, 0.0))
+        msg.late = self.now + usual > msg.aim_at
+        rank = (0, (-worth, msg.aim_at)) if worth >= self.low else (1, (-worth / usual, 0.0))
         order = -msg.seq if self.s.late_halves and rank[0] else msg.seq
         msg.version += 1
         if not msg.queued:
@@ -595,9 +586,15 @@
             msg.dest.waiting -= 1
 
     def head(self, dest: Dest) -> tuple | None:
-        while dest.queue and (dest.queue[0][3] != dest.queue[0][4].version):
-            heappop(dest.queue)
-        return dest.queue[0] if dest.queue else None
+        while dest.queue:
+            msg = dest.queue[0][4]
+            if dest.queue[0][3] != msg.version:
+                heappop(dest.queue)
+            elif msg.late or self.now < msg.aim_at:
+                return dest.queue[0]
+            else:
+                self.enqueue(msg)  # late by now: behind what is in aim, as that would be late next
+        return None
 
     def shed(self) -> None:
         """Held near the limit: refuse the least worth of the longest queue, so that better work gets in."""
--- a/gannetshift/limits.py
+++ b/gannetshift/limits.py
@@ -1,8 +1,9 @@
 """A sender's part of a limit that all senders of the fleet fill together, none of them seeing the others.
 
 Where refused calls use the limit up, a fleet that goes on calling above it gets nothing through. So a sender paces
-itself by its even part of the told limit, times a factor that it learns: down on a refusal, up where answers tell of
-allowance left. Times are milliseconds, limits calls a second. No I/O, no clock, no randomness.
+itself by its even part of the told limit, times a factor that it learns: under one after a refusal, about one where
+answers tell that little of the allowance is left, and slowly more where there is plenty, as others then send less.
+Times are milliseconds, limits calls a second. No I/O, no clock, no randomness.
 """
 
 from __future__ import annotations
@@ -10,11 +11,11 @@
 import math
 
 INF = math.inf
-START, LEAST = 1.5, 0.3  # factor of the even part: at first, and the least
-REFUSED = 0.6  # of the factor, at a refusal: what others send is then too much already
-AIM, GAIN, AMPLE = 0.4, 0.6, 4.0  # of the allowance left, held here by such a gain; factor with all of it left
-GROWTH = 0.35  # of the factor, a second of ample allowance, towards what the allowance left allows
-MEMORY_MS = 4000.0  # in which a factor under one comes back: what was too much then is not for ever
+REFUSED, LEAST = 0.6, 0.3  # of the factor, at a refusal: what others send is then too much already; the least
+MEMORY_MS = 6000.0  # in which a cut factor comes back: what was too much then is not for ever
+AIM, GAIN, GAIN_ABOVE = 0.4, 0.6, 0.3  # the allowance left is held here, so gently: reports are old, more would swing
+PLENTY, BOOST, BOOST_MOST = 0.75, 0.07, 6.0  # with so much left a sender may go beyond its part, more each second
+HEARD_MOST_MS = 2000.0  # one answer tells of so much time before it at most
 TIGHT = 1.2  # factor up to which the limit is felt
 BURST_MS = 700.0  # of the pace may go at once, one call at least
 
@@ -24,8 +25,12 @@
 
     def __init__(self, senders: int, now: float) -> None:
         self.part = 1 / max(1, senders) / 1000
-        self.limit, self.factor, self.tokens = 0.0, START, 1.0
-        self.at = self.factor_at = self.refused_at = self.heard_at = now
+        self.limit, self.cut, self.level, self.boost, self.tokens = 0.0, 1.0, 1.0, 1.0, 1.0
+        self.at = self.cut_at = self.refused_at = self.heard_at = now
+
+    @property
+    def factor(self) -> float:
+        return self.cut * self.level * self.boost
 
     def pace(self) -> float:  # calls a millisecond
         return self.limit * self.part * self.factor
@@ -46,9 +51,8 @@
         """When a call may go: 0 for now."""
         if self.limit <= 0:
             return 0.0
-        if self.factor < 1:
-            self.factor += (1 - self.factor) * min(1.0, (now - self.factor_at) / MEMORY_MS)
-        self.factor_at = now
+        self.cut += (1 - self.cut) * min(1.0, (now - self.cut_at) / MEMORY_MS)
+        self.cut_at = now
         pace = self.pace()
         self.tokens = min(max(1.0, pace * BURST_MS), self.tokens + pace * (now - self.at))
         self.at = now
@@ -62,14 +66,18 @@
         """A call sent then was taken; ``left``: the share of the allowance that its answer tells."""
         if sent < self.refused_at:
             return
-        since, self.heard_at = min(3000.0, now - self.heard_at), now
-        above = 1.0 if left is None else (left - AIM) / (1 - AIM)
-        due = 1 + GAIN * (left - AIM) if above < 0 else 1 + (AMPLE - 1) * above * above
-        self.factor = min(due, self.factor * (1 + GROWTH * since / 1000))
+        since, self.heard_at = min(HEARD_MOST_MS, now - self.heard_at), now
+        left = 1.0 if left is None else left
+        self.level = 1 + (GAIN if left < AIM else GAIN_ABOVE) * (left - AIM)
+        if left >= PLENTY:
+            self.boost = min(BOOST_MOST, self.boost * (1 + BOOST * since / 1000))
+        elif left < AIM:
+            self.boost = 1 + (self.boost - 1) / 2
 
     def refused(self, now: float, sent: float, later: float) -> None:
         """A call sent then was refused; ``later``, from 0 to 1, spreads the senders' next ones."""
         if sent >= self.refused_at:  # a volley is one refusal
-            self.factor, self.refused_at = max(LEAST, min(1.0, self.factor) * REFUSED), now
+            self.cut, self.cut_at, self.refused_at = max(LEAST, self.cut * REFUSED), now, now
+            self.boost, self.level = 1 + (self.boost - 1) / 4, min(1.0, self.level)
         self.tokens = min(self.tokens, -later)
         self.at = now
--- a/gannetshift/pools.py
+++ b/gannetshift/pools.py
@@ -1,8 +1,12 @@
-"""What is known of kept connections: from which idle age on they fail. No I/O, no clock; times are milliseconds."""
+"""What is known of connections: from which idle age on kept ones fail, and whether tables at endpoints are full.
+
+No I/O, no clock; times are milliseconds.
+"""
 
 from __future__ import annotations
 
 import math
+from typing import Protocol
 
 from gannetshift.interface import Result
 
@@ -11,6 +15,7 @@
 LEAST_MS = 2000.0  # idle for less, one that fails was likely reset with its endpoint: counted
 RISK, RISK_UNSAFE = 0.35, 0.03  # more resets than on new connections: too old for reuse, and for what must not
 SEEN, COUNT, YOUNG_MS = 3, 100, 10_000.0  # run twice; resets needed, most counted, memory
+CROWDED, WEIGHT = 0.05, 0.02  # of connects that full tables failed: too many; smoothing
 ROWS = 13  # by doubled idle ages, new connections first
 
 
@@ -52,3 +57,33 @@
                    if place and resets >= SEEN and resets / uses > new + risk)
             if (place := next(bad, None)) is not None:
                 self.young[unsafe] = (2.0 ** (place - 1), now + YOUNG_MS)
+
+
+class Connects(Protocol):
+    """What an endpoint keeps of its connects."""
+
+    kind: int
+    unconnected: int  # failed since a success
+    unconnected_at: float
+
+
+class Tables:
+    """Full tables refuse new connections while older ones serve; one that is gone serves on none."""
+
+    def __init__(self) -> None:
+        self.shares: dict[int, float] = {}  # by kind: share of connects of late that full tables failed
+
+    def crowded(self, kind: int) -> bool:
+        return self.shares.get(kind, 0.0) > CROWDED
+
+    def ended(self, now: float, endpoint: Connects, sent: float, idle: float, result: Result) -> None:
+        """How a call ended; ``idle``: its connection's age in the pool, 0 for a new one."""
+        full = 0
+        if result == Result.CONNECT_FAILED:
+            endpoint.unconnected, endpoint.unconnected_at = endpoint.unconnected + 1, now
+        elif result == Result.OK and sent >= endpoint.unconnected_at:
+            older = idle and sent - idle <= endpoint.unconnected_at
+            full, endpoint.unconnected = endpoint.unconnected if older else 0, 0
+        if full or not idle:
+            share = self.shares.get(endpoint.kind, 0.0)
+            self.shares[endpoint.kind] = min(1.0, share + (full - share) * WEIGHT)
