--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import sys
@@ -125,7 +126,7 @@
                            finals.path)
         return Notices(reactor, self.deadlines, self.conf.discovery, done, self.counters)
 
-    def start(self) -> None:
+    def start(self, begun: int) -> None:
         """Ready only once all that an earlier process left open is taken over."""
         entries = self._open()
         if self.watch is not None:
@@ -134,6 +135,9 @@
             self.discovery.begin(self.conf.known)
         self.relay.replay(entries)
         self.clients.listen(reactor, self.conf.listen)
+        self.relay.listens(begun)
+        gc.freeze()
+        gc.enable()
         log.info("ready", name=self.conf.name, open=len(entries))
 
     def _open(self) -> list[Entry]:
@@ -224,8 +228,14 @@
     return platform.load()
 
 
-def main(conf_path: str | None = None) -> int:
-    """Run one relay until it is told to stop; the exit code: 0, 1 where it cannot start, 2 for settings."""
+def main(conf_path: str | None = None, begun: int | None = None) -> int:
+    """Run one relay until it is told to stop; the exit code: 0, 1 where it cannot start, 2 for settings.
+
+    ``begun``: when the process began to start, in µs of the monotonic clock.
+    """
+    # Guards the start against collections of what imports made and never goes: many relays may start together.
+    gc.disable()
+    begun = time.monotonic_ns() // 1000 if begun is None else begun
     # Guards against a stepped wall clock, by which the loop would keep its timers: they would stand still.
     reactor.seconds = time.monotonic
     program: Program | None = None
@@ -245,7 +255,7 @@
         print(f"lynxscale: {error}", file=sys.stderr)
         return 2
     try:
-        program.start()
+        program.start(begun)
     except (OSError, CannotListenError, JournalFull, Refused) as error:
         print(f"lynxscale: cannot start: {error}", file=sys.stderr)
         return 1
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -28,6 +28,8 @@
 BUSY_RETRY_MS = 1000.0  # when to come again where the module was not asked: no room here
 BACKSTOP = 100_000  # µs after a message's end by the module; that has ended it by then
 AHEAD_MOST, AHEAD_OF_CLASS, AHEAD_OF_LEFT = 400_000, 0.05, 0.5  # µs, and shares: ended so long before its time
+FIRST_READS = 250_000  # µs from listening on: what is read then may have waited for as long as the start took
+START_MOST = 3_000_000  # µs that it is believed to have waited, at most
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 
 
@@ -126,6 +128,7 @@
         self.trace: TracePort | None = None
         self.out = 0  # tries that are under way
         self.sending = True
+        self._first_until = self._waited = 0  # what is read until then may have waited so long
         self._events: list = []
         self._offered: list[Held] = []
         self._classes = {grade.name: place for place, grade in enumerate(settings.classes)}
@@ -354,10 +357,13 @@
     def _last_call(self, held: Held, now: int) -> int:
         """When the message's end falls due, a little before its time is up, on the loop's clock.
 
-        Guards against a message that was read late: a process at its start, with many others on the machine, may get
-        to its first requests some 0.35 s after they were sent, and by then their time ends earlier than it is told.
+        Guards against a message that was read late, whose time ends earlier than it tells. A process that starts
+        with many others may be held up, by its own use of the core, for as long as its start took; its first requests
+        wait meanwhile, some 0.35 s in the mean and 2 s at worst.
         """
         at = held.entry.expires - self._unix_zero
+        if now < self._first_until:
+            return at - max(self._waited, AHEAD_MOST)
         share = AHEAD_OF_CLASS * 1000 * self.settings.classes[held.cls].deadline_ms
         return at - int(max(0, min(AHEAD_MOST, share, AHEAD_OF_LEFT * (at - now))))
 
@@ -393,6 +399,11 @@
 
     # Start ---------------------------------------------------------------------------------------
 
+    def listens(self, begun: int) -> None:
+        """Clients may come from now on; the process began to start at ``begun``, in µs of the loop's clock."""
+        now = self.loop.now()
+        self._first_until, self._waited = now + FIRST_READS, min(START_MOST, now - begun)
+
     def replay(self, entries: Iterable[Entry]) -> None:
         """Take over what an earlier process left open: each is still owed its end."""
         now, unix = self.loop.now(), self._unix()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -88,6 +88,18 @@
         ends = [event.expires - begun for event in seen if type(event) is api.Message]
         self.assertEqual([round(end) for end in ends], [16_000 - 400, 100])
 
+    def test_first_requests_may_have_waited_for_as_long_as_the_start_took(self):
+        self.relay.listens(self.relay.loop.now() - 1_500_000)
+        self.offer("m1", left=1.2)
+        self.turns.run()
+        self.assertEqual(self.answers, [("m1", Verdict.REJECTED)])
+        seen = []
+        self.relay.sender.step = lambda _now, events: seen.extend(events) or []
+        self.offer("m2")
+        begun = self.relay.loop.now() / 1000
+        self.turns.run()
+        self.assertEqual(round(seen[0].expires - begun), 16_000 - 1500)
+
     def test_an_outcome_that_comes_at_once_reaches_the_module(self):
         """A try can end as it is ordered: no later event may be needed for the module to hear of it."""
         self.ports.start = lambda number, attempt, _held, endpoint, *_: self.relay.outcome(
