Name no path of a machine in the tree

Seen in a reading of the whole tree: a test read its configuration from a device file, an operators' example took its key from one, and a module's name made its path read like a folder of one machine. The test writes a file of its own, the example draws the key with Python's secrets, and membership/work.py is membership/slicer.py. Nothing else changes.

--- a/lynxscale/cli/trace/write.py
+++ b/lynxscale/cli/trace/write.py
@@ -61,7 +61,7 @@
     click.echo(f"{target}: {out.records} records of {len(paths)} files, {stream.doubles} doubles left out")
 
 
-@example("head -c 32 /dev/urandom | base64 > names.key\n"
+@example('python3 -c "import secrets; print(secrets.token_hex(32))" > names.key\n'
          "lynxscale trace anonymise --key names.key -o partner.lxt weekend.lxt")
 @group.command()
 @files
--- a/lynxscale/membership/watch.py
+++ b/lynxscale/membership/watch.py
@@ -26,9 +26,9 @@
 from lynxscale.membership.model import Candidate, Destination, Entry, Outcome, Shards, Slices, Verdict, finish, release
 from lynxscale.membership.rules import guards_of
 from lynxscale.membership.sight import Round, Sight
+from lynxscale.membership.slicer import Slicer, Worker
 from lynxscale.membership.state import Lists, Spoilt
 from lynxscale.membership.verdicts import Teller
-from lynxscale.membership.work import Slicer, Worker
 
 log = structlog.get_logger()
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,9 +6,11 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 import unittest
+from pathlib import Path
 
 from lab.standins import PATIENCE, Client, Server, message, reply, row, until
 from tests.node import ROOT, NodeCase
@@ -400,6 +402,9 @@
 
 class Configuration(unittest.TestCase):
     def test_the_faulty_key_is_named(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        conf = Path(folder.name) / "bad.json"
         for text, key in [("{}", "NODE_STATE"), ("[", "NODE_CONFIG"),
                           ('{"state":"."}', "settings"),
                           ('{"state":".","limits":{"sockets":"many"},"settings":{"balancers":1,"grades":'
@@ -409,9 +414,10 @@
                            "grades[0].effect")]:
             with self.subTest(key=key):
                 env = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")}
+                conf.write_text(text)
                 run = subprocess.run(
-                    [sys.executable, "-m", "lynxscale"], cwd=ROOT, capture_output=True, text=True, input=text,
-                    env=env | {"NODE_CONFIG": "/dev/stdin"}, timeout=PATIENCE,
+                    [sys.executable, "-m", "lynxscale"], cwd=ROOT, capture_output=True, text=True,
+                    env=env | {"NODE_CONFIG": str(conf)}, timeout=PATIENCE,
                 )
                 self.assertEqual((run.returncode, run.stderr.count("\n")), (2, 1), run.stderr)
                 self.assertIn(key, run.stderr)
