Give a call's turn back once, keep collections off through the imports, look at short queues cheaply

It gives one, with the last of them; the new test fails without that. - daemon.py turned collections off after the imports that it was meant to cover; __main__.py does so before them. - brain.py `shed` summed the room of every queue each step, also of single messages; the sorted rows of a queue were written out twice and are one method.

--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -477,7 +477,7 @@
             lane.share.refused(self.now, call.sent, self.random.random())
         elif result == Result.OK:
             lane.share.answered(self.now, call.sent, left)
-        elif result in (Result.CONNECT_FAILED, Result.MOOT):
+        elif result in (Result.CONNECT_FAILED, Result.MOOT) and not call.left:
             lane.share.spend(-1.0)  # it never came there
         if call.judged or result in (Result.CANCELLED, Result.MOOT):
             return
@@ -596,21 +596,24 @@
                 self.enqueue(msg)  # late by now: behind what is in aim, as that would be late next
         return None
 
+    def rows(self, dest: Dest) -> list[tuple]:  # that are waiting, the first to go first
+        return sorted(r for r in dest.queue if r[3] == r[4].version)
+
     def shed(self) -> None:
         """Held near the limit: refuse the least worth of the longest queue, so that better work gets in."""
         most = self.s.most_held or INF
         least = SHED_TO * most if len(self.held) >= SHED_AT * most else INF
         for dest in list(self.active.values()):  # what its limit lets through too late is answered now
-            room = sum(max(1.0, lane.share.takes(QUEUE_MS)) for lane in dest.lanes) if dest.lanes else INF
-            if dest.waiting > room:
-                rows = sorted(r for r in dest.queue if r[3] == r[4].version)
-                for row in rows[int(room):]:
-                    self.give_up(row[4])
+            if dest.waiting < 2 or not dest.lanes:
+                continue
+            room = sum(max(1.0, lane.share.takes(QUEUE_MS)) for lane in dest.lanes)
+            for row in self.rows(dest)[int(room):] if dest.waiting > room else ():
+                self.give_up(row[4])
         while len(self.held) > least:
             dest = max(self.dests.values(), key=lambda d: d.waiting * (1000 + self.closed_for(d)))
             if not dest.waiting:
                 return
-            rows = sorted(r for r in dest.queue if r[3] == r[4].version)
+            rows = self.rows(dest)
             for row in rows[-max(1, len(rows) // 4):]:
                 self.give_up(row[4])
 
--- a/lynxscale/__main__.py
+++ b/lynxscale/__main__.py
@@ -1,5 +1,6 @@
 """``python -m lynxscale``: without words the relay, as the platform starts it; with words the commands."""
 
+import gc
 import sys
 import time
 
@@ -10,6 +11,8 @@
         from lynxscale.cli import main as commands
 
         commands()
+    # Guards the start against collections of what imports make and never goes: many relays may start together.
+    gc.disable()
     # Guards against imports that the daemon doesn't need: its memory may be as little as 32 MB.
     from lynxscale.daemon import main as daemon
 
--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -233,8 +233,6 @@
 
     ``begun``: when the process began to start, in µs of the monotonic clock.
     """
-    # Guards the start against collections of what imports made and never goes: many relays may start together.
-    gc.disable()
     begun = time.monotonic_ns() // 1000 if begun is None else begun
     # Guards against a stepped wall clock, by which the loop would keep its timers: they would stand still.
     reactor.seconds = time.monotonic
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -61,6 +61,16 @@
     assert sent_in(one, 0.0, 1000.0) == 100
 
 
+def test_a_call_that_never_came_there_gives_its_turn_back_once_however_many_messages_it_had():
+    d = Driver([member(11, weight=40.0)], senders=40, weights="nominal", per_call=[3])
+    d.give(*(api.Message(id, 1, SAFE, 0, d.now + 8000.0) for id in (1, 2, 3)))
+    assert len(d.out) == 3
+    share = d.sender.dests[1].lanes[0].share
+    before = share.tokens
+    d.give(*(api.Outcome(key[0], key[1], 11, api.Result.CONNECT_FAILED, 40.0, False) for key in list(d.out)))
+    assert share.tokens == before + 1
+
+
 REPORTS = dict(senders=40, slots=6, report_left=0, report_limit=1, weights="nominal")
 
 
