--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -110,3 +110,51 @@
     assert len(ended & set(low)) >= 9 and not ended & set(high)
     d.pass_time(6000)
     assert [a.id for a in d.sent()][1] in high
+
+
+def test_where_a_limit_is_felt_no_call_is_cut_and_sent_again():
+    """The repeat would take another sender's turn: the cut call has used its own."""
+    cut = []
+    for left in (0.9, 0.1):
+        d = Driver([member(11, weight=400.0)], **REPORTS)
+        for _ in range(40):
+            number = d.message(SAFE)
+            d.pass_time(100)
+            d.finish(number, report=(left, 400.0))
+            d.pass_time(200)
+        share = d.sender.dests[1].lanes[0].share
+        assert share.tight == (left < 0.5)
+        d.message(SAFE)
+        d.pass_time(1500)
+        cut.append(any(isinstance(a, api.Cancel) for _, a in d.log))
+    assert cut == [True, False]
+
+
+def test_a_message_that_has_become_late_goes_behind_one_that_is_in_aim():
+    """While a limit lets through less than comes in, serving the late first makes all late."""
+    d = Driver([member(11, weight=40.0)], **REPORTS)
+    d.finish(d.message(SAFE), api.Result.FULL, wait=2000.0, report=(0.0, 40.0))
+    old = d.message(SAFE)
+    d.pass_time(1900)
+    new = d.message(SAFE)
+    d.pass_time(4000)
+    first = next(a.id for a in d.sent()[1:])
+    assert first == new and first != old
+
+
+def test_a_return_counts_its_warm_up_from_between_the_last_failure_and_the_first_success():
+    d = Driver([member(11, weight=40.0)], slots=6, senders=40, weights="nominal")
+    d.warm_up(10, latency=1500.0)
+    end = d.now + 8000
+    while d.now < end:
+        d.message(SAFE)
+        d.pass_time(100)
+        for number, _ in list(d.out):
+            d.finish(number, api.Result.CONNECT_FAILED)
+    failed = d.now
+    d.message(SAFE)
+    while not d.out:
+        d.pass_time(20)
+    d.finish(next(iter(d.out))[0])
+    health = d.sender.dests[1].lanes[0].health
+    assert health.state == "warming" and failed - 2000 < health.warm_from < d.now - 50
--- a/tests/test_spoilt.py
+++ b/tests/test_spoilt.py
@@ -1,6 +1,7 @@
 """Answers that cannot be read, or that bring more than belongs to them."""
 
 import socket
+import time
 import unittest
 
 from lab.standins import reply, row, until
@@ -109,6 +110,22 @@
         self.client().hand_in("m1")
         self.delivered(1)
 
+    def test_an_overbooked_discovery_is_heard_out(self):
+        """To hang up and call anew would cost it another turn, and the first one be worked for nothing."""
+        whole, calls = self.discovery._list, []
+
+        def late(*args):
+            calls.append(args)
+            time.sleep(2.0 if len(calls) == 1 else 0.0)  # as long as it lets a call wait before it turns it away
+            return whole(*args)
+
+        self.discovery._list = late
+        self.discovery.change(row("s-2", self.peer.at, 2))
+        self.start()
+        until(lambda: "outcome=applied" in self.log.read_text(), "the list")
+        self.assertNotIn("reason=timed_out", self.log.read_text())
+        self.assertNotIn("outcome=rejected", self.log.read_text())
+
     def test_an_endpoint_absent_from_a_whole_list_is_forgotten(self):
         """Its address is another's now: no connection of the old one carries over."""
         self.start()
