Add up many relays' logs: lynxscale fleet count, and the events it needs

Each relay logs event=traffic for each destination with traffic (its 32 busiest, others in one line) and event=load for itself, every 5 s (traffic in the section log; 0us for none). lynxscale fleet count adds up the logs of a folder: calls by result against the limits, relays that hold a destination for out or cold, what is held, dials and calls to discovery, and how much later than the first relay the median and the last learned of starts, lists and outages. Torn or unreadable lines are counted and named.

--- /dev/null
+++ b/lynxscale/cli/fleet.py
@@ -0,0 +1,84 @@
+"""``lynxscale fleet``: what many relays did together, from their logs. For traces there is ``trace summarise``."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Any
+
+import click
+
+from lynxscale.cli import Failed, Misused, example
+from lynxscale.cli.common import write_json, write_table
+
+if TYPE_CHECKING:
+    from lynxscale.fleet.lines import Line, Unread
+
+TRAFFIC = ("from_s", "dest", "offered", "rejected", "calls", "ok", "full", "told_waits", "connect_failed", "reset",
+           "timeout", "error", "deferred", "undeliverable", "limit", "takes", "used", "failing", "warming")
+LOAD = ("from_s", "held", "most_held", "most_oldest_ms", "out", "peers", "dials", "lists_asked", "lists_told",
+        "lists_failed")
+LEARNED = ("at_s", "what", "relays", "median_s", "last_s")
+
+
+@example("lynxscale fleet count --every 5s logs")
+@click.group()
+def group() -> None:
+    """Many relays together."""
+
+
+def _lines(names: tuple[str, ...], unread: Unread) -> Iterator[Line]:
+    """All relays' lines in order of time; a relay's own clock may lag at its start, so each file is sorted first."""
+    from lynxscale.fleet.lines import files, read
+
+    try:
+        paths = files(names)
+    except FileNotFoundError as error:
+        raise Failed(str(error)) from error
+    return heapq.merge(*(sorted(read(path, unread), key=lambda line: line.at) for path in paths),
+                       key=lambda line: line.at)
+
+
+def _table(title: str, columns: tuple[str, ...], rows: list[dict[str, Any]]) -> None:
+    shown = [name for name in columns if any(name in row for row in rows)]
+    if shown:
+        click.echo(title)
+        write_table(shown, [[row.get(name, "-") for name in shown] for row in rows])
+        click.echo()
+
+
+@example("lynxscale fleet count --every 5s --json logs/n1.log logs/n2.log")
+@group.command()
+@click.argument("paths", nargs=-1, required=True, type=click.Path())
+@click.option("--every", default="5s", show_default=True, help="The span of a row; relays tell theirs every 5s.")
+@click.option("--json", "as_json", is_flag=True, help="As JSON, with every column.")
+def count(paths: tuple[str, ...], every: str, as_json: bool) -> None:
+    """Add up the logs in PATHS, a file each relay or folders of *.log: calls by result against each limit, by span and
+    destination; what relays hold; and how much later than the first each relay learned of something."""
+    from lynxscale.conf.directive import TIMES, amount
+    from lynxscale.fleet.count import Count
+    from lynxscale.fleet.lines import Unread
+
+    try:
+        span = amount(every, TIMES) / 1e6
+    except ValueError:
+        span = 0.0
+    if span < 0.1:
+        raise Misused(f"--every: want a time of 100ms or more, such as 5s, not {every}")
+    unread, found = Unread(), Count(span)
+    found.take(_lines(paths, unread))
+    for name in unread.named:
+        click.echo(name, err=True)
+    if unread.count:
+        click.echo(f"{unread.count} lines not read", err=True)
+    if as_json:
+        write_json({"relays": sorted(found.relays), "traffic": found.traffic(), "load": found.load(),
+                    "learned": found.learned(), "ended": dict(found.reasons.most_common()),
+                    "unread": {"count": unread.count, "named": unread.named}})
+        return
+    click.echo(f"{len(found.relays)} relays")
+    _table("Calls, and what the limit takes, by span and destination:", TRAFFIC, found.traffic())
+    _table("Relays together:", LOAD, found.load())
+    _table("Learned, and how much later than by the first relay:", LEARNED, found.learned())
+    _table("Connections ended:", ("what", "times"),
+           [{"what": name, "times": times} for name, times in found.reasons.most_common()])
--- a/lynxscale/conf/table.py
+++ b/lynxscale/conf/table.py
@@ -16,6 +16,7 @@
 
     format: str = "logfmt"
     level: str = "info"
+    traffic: int = 5_000_000  # µs
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,6 +169,8 @@
         LogConf,
         ("format", "choice", "How a line is written.", {"among": ("logfmt", "json")}),
         ("level", "choice", "The least level that is written.", {"among": ("debug", "info", "warning", "error")}),
+        ("traffic", "time", "How often the log tells of each destination's traffic, for `lynxscale fleet`; 0us: never.",
+         {"most": TIMES["h"]}),
     )),
     Section("trace", TraceConf, "The recorder: what the relay saw and decided, in files for `lynxscale trace`.",
             directives(
--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -93,6 +93,7 @@
         if own.trace.folder is not None:
             relay.trace = self.trace = self._recorder(own)
         self._stop_begun = 0
+        self._traffic_every = own.log.traffic
 
     def _recorder(self, own: Conf) -> Recorder:
         # Guards the memory of relays that record nothing: only here are the recorder's libraries imported.
@@ -138,6 +139,8 @@
         self.relay.listens(begun)
         gc.freeze()
         gc.enable()
+        if self._traffic_every:
+            self.deadlines.after(self._traffic_every, self._tell_traffic)
         log.info("ready", name=self.conf.name, open=len(entries))
 
     def _open(self) -> list[Entry]:
@@ -216,6 +219,11 @@
         log.info("ended", left=len(self.relay.held))
         self.journal.close()
 
+    def _tell_traffic(self) -> None:
+        for event, fields in self.relay.traffic():
+            log.info(event, **fields)
+        self.deadlines.after(self._traffic_every, self._tell_traffic)
+
     def print_counters(self) -> None:
         for group, row in self.counters.table().items():
             log.info("counters", group=group, **row)
--- /dev/null
+++ b/lynxscale/fleet/count.py
@@ -0,0 +1,166 @@
+"""Sums over the logs of many relays: by span of time and destination, and how late each relay learned. No I/O.
+
+A relay's ``traffic`` line stands at the end of its span, which is put where its middle lies. Times are seconds.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from statistics import median
+from typing import Any
+
+from lynxscale.fleet.lines import Line
+
+STATE = re.compile(r"dest (\d+) endpoint \d+ (\w+)")
+KNOWN = {"span_ms", "dest", "limit", "left", "level"}
+APART = 10.0  # first notes of one thing so far apart tell of two events
+LOAD_MOST = ("held", "out", "peers", "oldest_ms")  # gauges: the sum over relays and the most of one
+RESULTS = ("ok", "full", "error", "timeout", "reset", "connect_failed", "cancelled", "moot")
+
+
+@dataclass(slots=True)
+class Cell:
+    """One destination in one span, over all relays."""
+
+    counts: Counter[str] = field(default_factory=Counter)
+    limits: list[float] = field(default_factory=list)  # as each relay was told it last
+    states: Counter[str] = field(default_factory=Counter)  # relays by state at the span's end, where not ok
+
+
+@dataclass(slots=True)
+class Event:
+    """Something that relays learn one after the other."""
+
+    what: str
+    first: float
+    relays: dict[str, float] = field(default_factory=dict)  # how much later than the first
+
+    def row(self, zero: float) -> dict[str, Any]:
+        lags = sorted(self.relays.values())
+        return {"at_s": round(self.first - zero, 1), "what": self.what, "relays": len(lags),
+                "median_s": round(median(lags), 2), "last_s": round(lags[-1], 2)}
+
+
+class Count:
+    """Takes lines in order of time."""
+
+    def __init__(self, every: float) -> None:
+        self.every = every
+        self.zero: float | None = None
+        self.cells: dict[tuple[int, str], Cell] = {}
+        self.loads: dict[int, Counter[str]] = {}
+        self.reasons: Counter[str] = Counter()  # ended connections by kind and reason
+        self.events: list[Event] = []
+        self.relays: set[str] = set()
+        self._open: dict[str, Event] = {}
+        self._states: dict[tuple[str, str], str] = {}  # by relay and destination
+        self._span = 0
+
+    def take(self, lines: Iterable[Line]) -> None:
+        for line in lines:
+            if self.zero is None:
+                self.zero = line.at
+            self._pass(int((line.at - self.zero) // self.every))
+            self.relays.add(line.relay)
+            one = getattr(self, f"_on_{line.event}", None)
+            if one is not None:
+                one(line)
+        self._pass(self._span + 1)
+
+    def _pass(self, span: int) -> None:
+        """At the end of a span: who holds what for out or cold."""
+        if span <= self._span:
+            return
+        for (_relay, dest), state in self._states.items():
+            if state != "ok":
+                self._cell(self._span, dest).states[state] += 1
+        self._span = span
+
+    def _cell(self, span: int, dest: str) -> Cell:
+        return self.cells.setdefault((span, dest), Cell())
+
+    def _middle(self, line: Line) -> int:
+        at = line.at - _number(line, "span_ms") / 2000
+        return max(0, int((at - (self.zero or 0.0)) // self.every))
+
+    def _on_traffic(self, line: Line) -> None:
+        cell = self._cell(self._middle(line), str(line.fields.get("dest")))
+        if limit := _number(line, "limit"):
+            cell.limits.append(limit)
+        for name in line.fields.keys() - KNOWN:
+            cell.counts[name] += int(_number(line, name))
+
+    def _on_load(self, line: Line) -> None:
+        load = self.loads.setdefault(self._middle(line), Counter())
+        for name in line.fields.keys() - KNOWN:
+            value = int(_number(line, name))
+            load[name] += value
+            if name in LOAD_MOST:
+                load[f"most_{name}"] = max(load[f"most_{name}"], value)
+
+    def _on_connection(self, line: Line) -> None:
+        self.reasons[f"{line.fields.get('kind')} {line.fields.get('reason')}"] += 1
+
+    def _on_ready(self, line: Line) -> None:
+        self._learned("ready", line)
+        for key in [key for key in self._states if key[0] == line.relay]:
+            del self._states[key]
+
+    def _on_module(self, line: Line) -> None:
+        found = STATE.match(str(line.fields.get("text")))
+        if found is None:
+            return
+        self._states[line.relay, found[1]] = found[2]
+        self._learned(f"destination {found[1]} {found[2]}", line)
+
+    def _on_list_verdict(self, line: Line) -> None:
+        if line.fields.get("outcome") == "applied":
+            self._learned(f"list {line.fields.get('version')} of {line.fields.get('source')}", line)
+
+    def _learned(self, what: str, line: Line) -> None:
+        event = self._open.get(what)
+        if event is None or line.at - event.first - max(event.relays.values()) > APART:
+            event = self._open[what] = Event(what, line.at)
+            self.events.append(event)
+        event.relays.setdefault(line.relay, line.at - event.first)
+
+    # What was found ------------------------------------------------------------------------------
+
+    def traffic(self) -> list[dict[str, Any]]:
+        """A row for each span and destination, in that order."""
+        rows = []
+        for (span, dest), cell in sorted(self.cells.items(), key=lambda item: (item[0][0], _order(item[0][1]))):
+            calls = sum(cell.counts[name] for name in RESULTS)
+            row = {"from_s": round(span * self.every, 1), "dest": dest, "calls": calls}
+            row |= dict(sorted(cell.counts.items()))
+            if cell.limits:  # reports are noisy and old
+                limit = median(cell.limits)
+                row |= {"limit": round(limit, 1), "takes": round(limit * self.every),
+                        "used": round(cell.counts["ok"] / (limit * self.every), 2)}
+            rows.append(row | dict(cell.states))
+        return rows
+
+    def load(self) -> list[dict[str, Any]]:
+        return [{"from_s": round(span * self.every, 1)} | dict(sorted(row.items()))
+                for span, row in sorted(self.loads.items())]
+
+    def learned(self) -> list[dict[str, Any]]:
+        """Events that more than one relay learned, in order of time."""
+        zero = self.zero or 0.0
+        return [event.row(zero) for event in sorted(self.events, key=lambda event: event.first)
+                if len(event.relays) > 1]
+
+
+def _number(line: Line, name: str) -> float:
+    """A field as a number; 0 where it is missing or none."""
+    try:
+        return float(line.fields.get(name, 0.0))
+    except (TypeError, ValueError):
+        return 0.0
+
+
+def _order(dest: str) -> tuple[int, str]:
+    return (int(dest), "") if dest.isdigit() else (1 << 30, dest)
--- /dev/null
+++ b/lynxscale/fleet/tally.py
@@ -0,0 +1,78 @@
+"""What a relay tells of its traffic now and then, so that it can be added up over a fleet. No I/O, no clock.
+
+One line a destination that saw traffic, ``traffic``, and one of the relay itself, ``load``. Bounded: the busiest
+destinations have a line of their own, all others share one.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+MOST = 32  # destinations with a line of their own a span
+OTHERS = "others"
+DELTAS = {  # of the counters, told as what was added since the last line
+    ("connections", "peer_opened"): "dials",
+    ("connections", "client_opened"): "clients",
+    ("group", "asked"): "lists_asked",
+    ("group", "answers"): "lists_told",
+    ("group", "failed"): "lists_failed",
+}
+
+
+@dataclass(slots=True)
+class _Row:
+    counts: Counter[str] = field(default_factory=Counter)
+    limit: float = 0.0  # as the last answer told it, calls a second; 0: none
+    left: float = 1.0  # the least share of the allowance that an answer told
+
+
+class Tally:
+    """Counts by destination since the last ``lines``."""
+
+    def __init__(self, now: int) -> None:
+        self._rows: dict[int, _Row] = {}
+        self._since = now  # µs
+        self._told: dict[tuple[str, str], int] = {}
+
+    def add(self, destination: int, what: str) -> None:
+        row = self._rows.get(destination)
+        if row is None:
+            row = self._rows[destination] = _Row()
+        row.counts[what] += 1
+
+    def report(self, destination: int, left: float, limit: float) -> None:
+        """What an answer told of the allowance."""
+        row = self._rows.get(destination)
+        if row is None:
+            row = self._rows[destination] = _Row()
+        row.limit, row.left = limit, min(row.left, left)
+
+    def lines(self, now: int, counters: Mapping[str, Mapping[str, int]], load: Mapping[str, int]) -> list[tuple]:
+        """Events and their fields, for the log; times in µs. A span without traffic has no line."""
+        span, self._since = (now - self._since) // 1000, now
+        rows, self._rows = self._rows, {}
+        busiest = sorted(rows, key=lambda number: -rows[number].counts.total())
+        found: list[tuple[str, dict[str, Any]]] = []
+        for number in busiest[:MOST]:
+            row = rows[number]
+            told = {"limit": round(row.limit, 3), "left": round(row.left, 3)} if row.limit > 0 else {}
+            found.append(("traffic", {"dest": number, "span_ms": span} | told | dict(row.counts)))
+        rest: Counter[str] = sum((rows[number].counts for number in busiest[MOST:]), Counter())
+        if rest:
+            found.append(("traffic", {"dest": OTHERS, "span_ms": span} | dict(rest)))
+        delta = self._deltas(counters)
+        if found or delta:
+            found.append(("load", {"span_ms": span} | dict(load) | delta))
+        return found
+
+    def _deltas(self, counters: Mapping[str, Mapping[str, int]]) -> dict[str, int]:
+        found = {}
+        for (group, reason), name in DELTAS.items():
+            value = counters.get(group, {}).get(reason, 0)
+            if added := value - self._told.get((group, reason), 0):
+                found[name] = added
+            self._told[group, reason] = value
+        return found
--- a/lynxscale/net/discovery.py
+++ b/lynxscale/net/discovery.py
@@ -81,6 +81,7 @@
 
     def _call(self, target: str, wait_ms: int) -> None:
         data = http.request("GET", target, self._caller.host)
+        self._counters.add("group", "asked")
         answer = self._caller.call(data, (wait_ms + SLACK_MS) * 1000)
         answer.addCallbacks(self._answered, self._failed)
 
--- a/lynxscale/net/peers.py
+++ b/lynxscale/net/peers.py
@@ -93,6 +93,10 @@
             for idle in self._idle.pop(endpoint):
                 idle.drop(link.STOPPING)
 
+    def connections(self) -> int:
+        """How many are held, idle ones too."""
+        return len(self._links)
+
     # A try ---------------------------------------------------------------------------------------
 
     def _begin(self, work: Try, fresh: bool = False) -> None:
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -20,6 +20,7 @@
 from gannetshift.interface import Result
 from lynxscale.counters import Counters
 from lynxscale.deadlines import Deadline, Deadlines, Loop
+from lynxscale.fleet.tally import Tally
 from lynxscale.journal import Entry, Journal, JournalFull
 from lynxscale.slots import Slots
 
@@ -70,6 +71,7 @@
     ended: bool = False  # the module has ended it, or it is delivered
     attempts: int = 0
     backstop: Deadline | None = None
+    taken: int = 0  # µs of the loop's clock
 
 
 class TryPort(Protocol):
@@ -78,6 +80,7 @@
     def cancel(self, number: int, attempt: int) -> None: ...
     def close_idle(self, endpoint: int) -> None: ...
     def probe(self, endpoint: int) -> None: ...
+    def connections(self) -> int: ...
 
 
 class GroupPort(Protocol):
@@ -126,6 +129,7 @@
         self.group: GroupPort
         self.notices: NoticePort
         self.trace: TracePort | None = None
+        self.tally = Tally(loop.now())
         self.out = 0  # tries that are under way
         self.sending = True
         self._first_until = self._waited = 0  # what is read until then may have waited so long
@@ -162,8 +166,10 @@
             else:
                 known.answers.append(answer)
             return
+        self.tally.add(envelope.dest, "offered")
         if self._most is not None and len(self.held) >= self._most:
             self.counters.add("reject", "no_room")
+            self.tally.add(envelope.dest, "no_room")
             if self.trace is not None:
                 self.trace.turned_away(self.loop.now(), envelope, Verdict.NO_ROOM.value, BUSY_RETRY_MS)
             answer(Verdict.NO_ROOM, BUSY_RETRY_MS)
@@ -174,7 +180,7 @@
             self.settings.tenants[envelope.tenant].name if self.settings.tenants else "",
             envelope.key, envelope.dest, self._unix() + envelope.time_left, envelope.body,
         )
-        held = Held(entry, cls=envelope.cls, tenant=envelope.tenant, answers=[answer])
+        held = Held(entry, cls=envelope.cls, tenant=envelope.tenant, answers=[answer], taken=now)
         held.number = self.held.add(held)
         self.by_id[entry.id] = held.number
         self._offered.append(held)
@@ -202,6 +208,8 @@
         self.counters.add("tries", result.name.lower())
         held = self.held.get(number)
         finished = held is None or held.ended
+        if held is not None:
+            self._count(held.entry.dest, result, wait_ms, report)
         if self.trace is not None:
             self.trace.try_ended(self.loop.now(), number, attempt, endpoint, result, spent, wait_ms, over, report)
         if not finished and (result == Result.OK or over):
@@ -215,6 +223,22 @@
             self._keep(self.journal.not_run, number, recorded)
         self.put(api.Outcome(number, attempt, endpoint, result, spent / 1000, finished, wait_ms, report))
 
+    def _count(self, dest: int, result: Result, wait_ms: float, report: tuple[float, ...]) -> None:
+        self.tally.add(dest, result.name.lower())
+        if wait_ms:
+            self.tally.add(dest, "told_waits")
+        left, limit = self.settings.report_left, self.settings.report_limit
+        if left is not None and limit is not None and len(report) > max(left, limit):
+            self.tally.report(dest, report[left], report[limit])
+
+    def traffic(self) -> list[tuple]:
+        """What there was since the last call, as events and their fields for the log."""
+        now = self.loop.now()
+        oldest = min((held.taken for held in self.held.items() if not held.ended), default=now)
+        load = {"held": len(self.held), "out": self.out, "peers": self.tries.connections(),
+                "oldest_ms": (now - oldest) // 1000}
+        return self.tally.lines(now, self.counters.table(), load)
+
     def notified(self, number: int) -> None:
         """The platform has the notice: nothing more is owed."""
         if (held := self.held.get(number)) is not None:
@@ -343,6 +367,7 @@
         held.ended = True
         self.deadlines.cancel(held.backstop)
         self.counters.add("ends", status)
+        self.tally.add(held.entry.dest, status)
         self._keep(self.journal.final, number, status, again_ms)
         if self.trace is not None:
             now = self.loop.now()
@@ -377,6 +402,7 @@
 
     def _drop(self, held: Held, reason: str) -> None:
         self.counters.add("reject", reason)
+        self.tally.add(held.entry.dest, "rejected")
         held.ended = True
         self.held.remove(held.number)
         self.by_id.pop(held.entry.id, None)
@@ -411,7 +437,7 @@
         owed: list[Held] = []
         for entry in entries:
             cls, tenant = self.class_number(entry.cls), self.tenant_number(entry.tenant)
-            held = Held(entry, cls=cls or 0, tenant=tenant or 0, attempts=entry.tries)
+            held = Held(entry, cls=cls or 0, tenant=tenant or 0, attempts=entry.tries, taken=now)
             held.number = self.held.add(held)
             self.by_id[entry.id] = held.number
             numbered[held.number] = entry
--- a/lynxscale/slots.py
+++ b/lynxscale/slots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any
 
 PLACE_BITS = 20
@@ -20,6 +21,9 @@
     def __len__(self) -> int:
         return self._used
 
+    def items(self) -> Iterator[Any]:
+        return (item for item in self._items if item is not None)
+
     def add(self, item: Any) -> int:
         if self._free:
             place = self._free.pop()
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -34,8 +34,9 @@
         self.assertEqual(client.hand_in("m2")[0], 202)
 
     def test_what_is_no_message(self):
+        self.discovery.change()  # news, so that the first call is answered at once
         self.start()
-        until(lambda: "group" in self.counters(), "the list")
+        until(lambda: self.counters().get("group", {}).get("answers"), "the list")
         two = message("m").replace(b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n")
         for data, status in [
             (two, 400),
