--- a/lynxscale/conf/own.py
+++ b/lynxscale/conf/own.py
@@ -94,4 +94,5 @@
         known={},
         settings=settings_from(nested(conf)),
         by_platform=False,
+        admin=address(relay.admin_addr, "admin-addr") if relay.admin_addr else None,
     )
--- a/lynxscale/conf/platform.py
+++ b/lynxscale/conf/platform.py
@@ -38,6 +38,7 @@
     known: dict
     settings: api.Settings
     by_platform: bool = True
+    admin: Address | None = None  # for operators alone
 
 
 def address(text: Any, key: str) -> Address:
@@ -107,9 +108,15 @@
         discovery = table.get("discovery")
     told = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = int(_limit(limits, "sockets", SOCKETS, LEAST_SOCKETS))
+    listen = address(env.get("NODE_LISTEN") or table.get("listen"), "NODE_LISTEN")
+    admin = env.get("NODE_ADMIN_ADDR") or table.get("admin_addr")
+    if admin is not None:
+        admin = address(admin, "admin_addr (NODE_ADMIN_ADDR)")
+        if admin == listen:
+            raise PlatformError(f"admin_addr (NODE_ADMIN_ADDR): {admin[0]}:{admin[1]} is the clients' address")
     return Config(
         name=str(env.get("NODE_NAME") or table.get("name") or "relay"),
-        listen=address(env.get("NODE_LISTEN") or table.get("listen"), "NODE_LISTEN"),
+        listen=listen,
         discovery=address(discovery, "discovery" if again else "NODE_DISCOVERY"),
         state=Path(state),
         seed=seed(table.get("seed", 0)),
@@ -117,4 +124,5 @@
         disk_bytes=int(_limit(limits, "disk_mb", DISK_MB, 0.01) * 1_000_000),
         known=_object(table, "known"),
         settings=settings,
+        admin=admin,
     )
--- a/lynxscale/conf/table.py
+++ b/lynxscale/conf/table.py
@@ -58,6 +58,7 @@
     """A relay without the platform; without ``listen`` the platform's variables tell all of this."""
 
     listen: str | None = None
+    admin_addr: str | None = None
     name: str = "relay"
     state: str = "state"
     seed: str = "0"
@@ -199,6 +200,7 @@
             directives(
         RelayConf,
         ("listen", "address", "Where clients connect. Without it the relay needs the platform."),
+        ("admin-addr", "address", "One more address, for operators alone: health, drain, resume. Without it no door."),
         ("name", "text", "What this relay is called in logs and traces."),
         ("state", "path", "Folder of the journal and the last good lists; it is made if it is missing."),
         ("seed", "text", "A text from which random numbers are drawn."),
--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -20,15 +20,17 @@
 from lynxscale.conf import platform, reader
 from lynxscale.conf.table import Conf
 from lynxscale.counters import Counters
-from lynxscale.deadlines import Deadlines, Loop
+from lynxscale.deadlines import Deadline, Deadlines, Loop
 from lynxscale.journal import Entry, Journal, JournalFull, old
 from lynxscale.journal.format import Refused
 from lynxscale.journal.port import Folder
+from lynxscale.lifecycle import LOOK_EVERY, Lifecycle, Order
 from lynxscale.membership.group import DISCOVERY, FILES, SOURCES, Group
 from lynxscale.membership.verdicts import Teller
-from lynxscale.net import link
+from lynxscale.net import door, link
 from lynxscale.net.clients import Clients
 from lynxscale.net.discovery import Discovery
+from lynxscale.net.door import Door
 from lynxscale.net.notices import Notices
 from lynxscale.net.peers import Peers
 from lynxscale.relay import Relay
@@ -45,13 +47,7 @@
 OWN_SOCKETS = 32  # discovery, notices, the journal's files, the loop's own, the standard streams
 EASY_SHARE = 6  # with more than one in so many for clients, those at rest go
 PEER_SHARE = 3  # one descriptor in so many is for peers at most
-# From a SIGTERM on, in microseconds:
-PART_AT = 450_000  # connections came in so far; idle ones are closed now
-LISTEN_FOR = 1_000_000  # for requests that crossed that and are sent again
-TRY_FOR = 3_000_000  # tries still go out
-LEAVE_AT = 3_500_000  # the rest stays in the journal
-LOOK_EVERY = 50_000
-RESTART_KEYS = ("name", "listen", "state", "sockets", "disk_bytes", "settings")  # kept until a restart
+RESTART_KEYS = ("name", "listen", "admin", "state", "sockets", "disk_bytes", "settings")  # kept until a restart
 
 SIGNALS = {signal.SIGTERM: "stop", signal.SIGINT: "stop", signal.SIGHUP: "reload",
            signal.SIGUSR1: "print_counters"}
@@ -67,6 +63,7 @@
         self.loop = Loop(reactor.callLater)
         self.deadlines = Deadlines(self.loop, reactor.callLater)
         self.journal = Journal(Folder(conf.state / SEGMENTS), conf.disk_bytes, lambda: time.time_ns() // 1000)
+        self.lifecycle = Lifecycle()
         relay = self.relay = Relay(
             conf.settings, conf.seed, self.loop, self.deadlines, self.journal, self.counters
         )
@@ -88,11 +85,17 @@
             reactor, self.loop, self.deadlines, relay, self.group.address_of, peer_sockets
         )
         self.notices = relay.notices = self._notices(own)
-        most_clients = max(8, conf.sockets - peer_sockets - OWN_SOCKETS)
-        self.clients = Clients(self.deadlines, relay, most_clients, conf.sockets // EASY_SHARE)
+        self.door: Door | None = None
+        own_sockets = OWN_SOCKETS
+        if conf.admin is not None:
+            self.door = Door(self.deadlines, self.counters, self.lifecycle, self.drain, self.resume)
+            own_sockets += door.MOST + 2
+        most_clients = max(8, conf.sockets - peer_sockets - own_sockets)
+        self.clients = Clients(self.deadlines, relay, most_clients, conf.sockets // EASY_SHARE, self.lifecycle)
         if own.trace.folder is not None:
             relay.trace = self.trace = self._recorder(own)
-        self._stop_begun = 0
+        self._looking: Deadline | None = None
+        self._told_state = self.lifecycle.state
         self._traffic_every = own.log.traffic
 
     def _recorder(self, own: Conf) -> Recorder:
@@ -136,6 +139,11 @@
             self.discovery.begin(self.conf.known)
         self.relay.replay(entries)
         self.clients.listen(reactor, self.conf.listen)
+        if self.door is not None:
+            try:
+                self.door.listen(reactor, self.conf.admin)
+            except CannotListenError as error:
+                raise platform.PlatformError(f"admin_addr (NODE_ADMIN_ADDR): {error}") from error
         self.relay.listens(begun)
         gc.freeze()
         gc.enable()
@@ -184,30 +192,50 @@
         log.info("reloaded", discovery="{}:{}".format(*conf.discovery), for_a_restart=" ".join(kept))
         self.conf = replace(self.conf, discovery=conf.discovery)
 
-    # The end -------------------------------------------------------------------------------------
+    # Drain and stop ------------------------------------------------------------------------------
 
-    def stop(self) -> None:
-        if self._stop_begun:
-            return
-        log.info("stopping", open=len(self.relay.held))
-        self._stop_begun = self.loop.now()
-        self.clients.stopping = True
-        self.deadlines.after(PART_AT, self.clients.part)
-        self.deadlines.after(LISTEN_FOR, self.clients.stop_accepting)
-        self.deadlines.after(TRY_FOR, self._stop_trying)
-        self.deadlines.after(LISTEN_FOR + LOOK_EVERY, self._look)
+    def drain(self) -> None:
+        """An operator wants this relay to get no more clients."""
+        self.lifecycle.quiesce(self.loop.now())
+        self._look()
 
-    def _stop_trying(self) -> None:
-        self.relay.sending = False
+    def resume(self) -> bool:
+        """An operator wants it back."""
+        resumed = self.lifecycle.resume()
+        self._look()
+        return resumed
+
+    def stop(self) -> None:
+        if not self.lifecycle.stopping:
+            log.info("stopping", open=len(self.relay.held))
+        self.lifecycle.stop(self.loop.now())
+        self._look()
 
     def _look(self) -> None:
-        idle = not len(self.relay.held) or not (self.relay.sending or self.relay.out or len(self.notices))
-        if idle or self.loop.now() - self._stop_begun >= LEAVE_AT:
-            reactor.stop()
-        else:
-            self.deadlines.after(LOOK_EVERY, self._look)
+        """Carry out what the way to drained or out asks for by now."""
+        self.deadlines.cancel(self._looking)
+        before = self._told_state
+        working = bool(len(self.relay.held) and (self.relay.sending or self.relay.out or len(self.notices)))
+        for order in self.lifecycle.look(self.loop.now(), self.clients.open(), working):
+            if order is Order.PART:
+                self.clients.part()
+            elif order is Order.DEAF:
+                self.clients.stop_accepting()
+            elif order is Order.MUTE:
+                self.relay.sending = False
+            else:
+                reactor.stop()
+                return
+        if self.lifecycle.state is not before:
+            self._told_state = self.lifecycle.state
+            log.info("lifecycle", state=self._told_state.value, before=before.value, open=len(self.relay.held),
+                     clients=self.clients.open())
+        if not self.lifecycle.serving:
+            self._looking = self.deadlines.after(LOOK_EVERY, self._look)
 
     def leave(self) -> None:
+        if self.door is not None:
+            self.door.stop()
         for source in (self.discovery, self.watch):
             if source is not None:
                 source.stop()
@@ -262,6 +290,9 @@
         return 2
     try:
         program.start(begun)
+    except platform.PlatformError as error:
+        print(f"lynxscale: {error}", file=sys.stderr)
+        return 2
     except (OSError, CannotListenError, JournalFull, Refused) as error:
         print(f"lynxscale: cannot start: {error}", file=sys.stderr)
         return 1
--- a/lynxscale/http.py
+++ b/lynxscale/http.py
@@ -23,7 +23,7 @@
 
 REASONS = {
     200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-    408: "Request Timeout", 411: "Length Required", 413: "Content Too Large", 429: "Too Many Requests",
+    408: "Request Timeout", 409: "Conflict", 411: "Length Required", 413: "Content Too Large", 429: "Too Many Requests",
     431: "Request Header Fields Too Large", 501: "Not Implemented", 503: "Service Unavailable",
     505: "HTTP Version Not Supported",
 }
--- /dev/null
+++ b/lynxscale/lifecycle.py
@@ -0,0 +1,113 @@
+"""From serving to drained or stopped, and back: one state machine without I/O, for the door and for SIGTERM alike.
+
+The front asks for readiness, and deals out no more of this relay soon after the first no; connections that it
+has given out stay in use for as long as they are open. So a relay first tells no and goes on taking what comes,
+then sends away whoever has nothing to ask, and is drained when nobody is left. Messages that it holds go on
+meanwhile. A stop takes the same way and goes on to close the listener, to start no more tries, and to leave.
+``docs/design/operation.md`` has the table.
+
+Times are µs on the loop's clock.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+# From the call or the signal on:
+PART_AT = 450_000  # connections that were dealt out before the first no came in so far
+DEAF_AT = 1_000_000  # for requests that crossed a close and are sent again
+MUTE_AT = 3_000_000  # tries still go out
+LEAVE_AT = 3_500_000  # the rest stays in the journal
+LOOK_EVERY = 50_000
+
+
+class State(Enum):
+    SERVING = "serving"
+    TELLING = "telling"
+    CLOSING = "closing"
+    DRAINED = "drained"
+    STOP_TELLING = "stop_telling"
+    STOP_CLOSING = "stop_closing"
+    STOP_DEAF = "stop_deaf"
+    LEFT = "left"
+
+
+class Order(Enum):
+    """What the daemon is to do."""
+
+    PART = "part"  # close the client connections that have nothing to ask
+    DEAF = "deaf"  # listen no more
+    MUTE = "mute"  # start no more tries
+    LEAVE = "leave"  # end the process
+
+
+DRAINING = (State.TELLING, State.CLOSING, State.DRAINED)
+STOPPING = (State.STOP_TELLING, State.STOP_CLOSING, State.STOP_DEAF, State.LEFT)
+
+
+class Lifecycle:
+    """Where the relay stands. ``state`` is for readers only."""
+
+    def __init__(self) -> None:
+        self.state = State.SERVING
+        self._since = 0  # when the way to the present state began: a drain or a stop
+        self._muted = False
+
+    @property
+    def serving(self) -> bool:
+        """Is readiness yes, and does a connection stay open behind its answer?"""
+        return self.state is State.SERVING
+
+    @property
+    def stopping(self) -> bool:
+        return self.state in STOPPING
+
+    def quiesce(self, now: int) -> None:
+        """Drain; nothing where that is under way."""
+        if self.state is State.SERVING:
+            self.state, self._since = State.TELLING, now
+
+    def resume(self) -> bool:
+        """Serve again; False where the process is on its way out."""
+        if self.stopping:
+            return False
+        self.state = State.SERVING
+        return True
+
+    def stop(self, now: int) -> None:
+        """Take the way out; from a drain that has told no for long enough there is nothing to wait for."""
+        if self.stopping:
+            return
+        told = self.state in (State.CLOSING, State.DRAINED)
+        self.state, self._since = State.STOP_CLOSING if told else State.STOP_TELLING, now
+
+    def look(self, now: int, clients: int, working: bool) -> list[Order]:
+        """What is due; to be called every LOOK_EVERY while not serving, and after each call above.
+
+        ``clients``: their connections that are open; ``working``: held messages that this process can still end.
+        """
+        past = now - self._since
+        if self.state is State.TELLING and past >= PART_AT:
+            self.state = State.CLOSING
+        if self.state is State.CLOSING and not clients:
+            self.state = State.DRAINED
+        if self.state in (State.CLOSING, State.DRAINED) and clients:
+            return [Order.PART]  # drained stays so: the front still asks for readiness, on short connections
+        if not self.stopping:
+            return []
+        orders = []
+        if self.state is State.STOP_TELLING and past >= PART_AT:
+            self.state = State.STOP_CLOSING
+        if self.state is State.STOP_CLOSING and past >= DEAF_AT:
+            self.state = State.STOP_DEAF
+            orders.append(Order.DEAF)
+        if self.state in (State.STOP_CLOSING, State.STOP_DEAF):
+            orders.append(Order.PART)
+        if self.state is State.STOP_DEAF:
+            if past >= MUTE_AT and not self._muted:
+                self._muted = True
+                orders.append(Order.MUTE)
+            if past >= LEAVE_AT or (not working and Order.DEAF not in orders):
+                self.state = State.LEFT
+                orders.append(Order.LEAVE)
+        return orders
--- a/lynxscale/net/clients.py
+++ b/lynxscale/net/clients.py
@@ -14,6 +14,7 @@
 from lynxscale import http
 from lynxscale.deadlines import Deadline, Deadlines
 from lynxscale.http import FRAMING
+from lynxscale.lifecycle import Lifecycle
 from lynxscale.net import link
 from lynxscale.relay import BUSY_RETRY_MS, Envelope, Relay, Verdict
 from lynxscale.slots import Slots
@@ -187,12 +188,13 @@
         if request is None or self._closing:
             return  # the client has gone meanwhile
         self.served += 1
-        close = request.close or self._desk.stopping
+        parting = not self._desk.lifecycle.serving
+        close = request.close or parting
         self.transport.write(http.answer(
             status, body=body, kind=kind, close=close, retry_after_ms=retry_after_ms,
         ))
         if close:
-            self._finish(link.STOPPING if self._desk.stopping else SERVED)
+            self._finish(link.STOPPING if parting else SERVED)
         elif self.idle:
             self._set_deadline(IDLE_MS, link.IDLE)
             self._desk.rests(self)
@@ -242,9 +244,10 @@
 
     noisy = False
 
-    def __init__(self, deadlines: Deadlines, relay: Relay, most: int, easy: int) -> None:
+    def __init__(self, deadlines: Deadlines, relay: Relay, most: int, easy: int,
+                 lifecycle: Lifecycle) -> None:
         self.deadlines, self.relay, self._most, self._easy = deadlines, relay, most, easy
-        self.stopping = False
+        self.lifecycle = lifecycle
         self._connections: Slots = Slots()
         self._idle: OrderedDict[int, ClientConnection] = OrderedDict()  # the longest idle first
         self._new: OrderedDict[int, ClientConnection] = OrderedDict()  # with no answer yet, the oldest first
@@ -257,6 +260,10 @@
     def buildProtocol(self, _address) -> ClientConnection:
         return ClientConnection(self)
 
+    def open(self) -> int:
+        """Connections, those with their last answer included."""
+        return len(self._connections)
+
     # The budget ----------------------------------------------------------------------------------
 
     def joined(self, connection: ClientConnection) -> None:
@@ -346,7 +353,7 @@
         if path == TASK_PATH:
             self._hand_in(connection, request)
         elif path == READY_PATH and request.method == "GET":
-            connection.answer(503 if self.stopping else 200)
+            connection.answer(200 if self.lifecycle.serving else 503)
         elif path == COUNTERS_PATH and request.method == "GET":
             connection.answer(200, body=orjson.dumps(self.relay.counters.table()), kind="application/json")
         else:
@@ -376,4 +383,3 @@
         if self._port is not None:
             port, self._port = self._port, None
             port.stopListening()
-        self.part()
--- a/tests/node.py
+++ b/tests/node.py
@@ -33,7 +33,8 @@
         self.state.mkdir()
         self.limits = {"sockets": 256, "disk_mb": 3}
         self.allowed: dict = {}
-        self.process = self.port = None
+        self.process = self.port = self.admin = None
+        self.env: dict[str, str] = {}
 
     def configure(self, **more) -> Path:
         """Write the configuration file, with these keys besides."""
@@ -57,7 +58,7 @@
         self.port = held.getsockname()[1]
         path = self.configure()
         env = os.environ | {"NODE_CONFIG": str(path), "NODE_STATE": str(self.state), "NODE_NAME": "n1",
-                            "NODE_LISTEN": f"127.0.0.1:{self.port}", "NODE_DISCOVERY": self.discovery.at}
+                            "NODE_LISTEN": f"127.0.0.1:{self.port}", "NODE_DISCOVERY": self.discovery.at} | self.env
         self.log = Path(self.folder.name, "log")
         with self.log.open("a") as log:
             self.process = subprocess.Popen([sys.executable, "-m", "lynxscale"], cwd=ROOT, env=env,
@@ -82,6 +83,13 @@
         if self.process is not None:
             self.process.wait(PATIENCE)
 
+    def door(self, call: str) -> tuple[int, dict]:
+        """The status and the object that the operators' door answers."""
+        client = Client(self.admin)
+        status, _headers, body = client.ask(f"{call} HTTP/1.1\r\n\r\n".encode())
+        client.close()
+        return status, json.loads(body)
+
     def client(self) -> Client:
         client = Client(self.port)
         self.addCleanup(client.close)
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,105 @@
+"""The operators' door, and what a drain does to clients, with the real program."""
+
+import socket
+import subprocess
+import sys
+import time
+
+from lab.standins import Client, until
+from lynxscale.net.door import MOST
+from tests.node import ROOT, NodeCase
+
+
+class Operators(NodeCase):
+    def open_door(self, **limits) -> None:
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.admin = free.getsockname()[1]
+        self.limits |= limits
+        self.env["NODE_ADMIN_ADDR"] = f"127.0.0.1:{self.admin}"
+        self.start()
+
+    def health(self) -> int:
+        client = Client(self.port)
+        try:
+            return client.ask(b"GET /_health HTTP/1.1\r\n\r\n")[0]
+        finally:
+            client.close()
+
+    def test_a_drain_and_its_end(self):
+        self.open_door()
+        kept, silent = self.client(), self.client()
+        self.assertEqual(kept.hand_in("m1")[0], 202)
+        self.assertEqual(self.door("GET /admin/health")[0], 200)
+        self.assertEqual(self.door("POST /admin/resume")[0], 200)  # changes nothing
+        self.assertEqual(self.health(), 200)
+        self.act = lambda _call: time.sleep(1.0) or b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        self.assertEqual(kept.hand_in("m2")[0], 202)
+        begun = time.monotonic()
+        self.assertEqual([self.door("POST /admin/quiesce")[0] for _ in range(2)], [200, 200])
+        self.assertEqual(self.health(), 503)
+        self.assertEqual(self.door("GET /admin/health")[0], 503)
+        status, headers, _ = kept.hand_in("m3")
+        self.assertEqual((status, headers["connection"]), (202, "close"))
+        self.assertEqual(silent.stream.read(), b"")  # closed
+        until(lambda: self.door("GET /admin/health")[1]["state"] == "drained", "the drain")
+        self.assertLess(time.monotonic() - begun, 4.0)
+        self.act = lambda _call: b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        self.delivered(3)  # what is held goes on
+        self.assertEqual(self.door("POST /admin/resume")[0], 200)
+        self.assertEqual(self.health(), 200)
+        again = self.client()
+        self.assertEqual([again.hand_in(f"n{at}")[0] for at in range(3)], [202] * 3)
+
+    def test_calls_that_are_none(self):
+        self.open_door()
+        for call, status in (("GET /admin/quiesce", 405), ("POST /admin/health", 405), ("GET /", 404),
+                             ("nonsense", 400),
+                             ("GET /admin/health HTTP/1.1\r\nA: " + "x" * 20_000, 431)):
+            with self.subTest(call=call[:40]):
+                self.assertEqual(self.door(call)[0], status)
+        client = Client(self.admin)
+        status, headers, _ = client.ask(b"GET /admin/health HTTP/1.1\r\n\r\nGET /admin/health HTTP/1.1\r\n\r\n")
+        self.assertEqual((status, headers["connection"], client.stream.read()), (200, "close", b""))
+        client.close()
+        self.assertEqual(self.health(), 200)
+
+    def test_slow_callers_delay_nobody_and_are_sent_away(self):
+        self.open_door()
+        slow = [Client(self.admin) for _ in range(3 * MOST)]
+        for client in slow:
+            client.socket.sendall(b"GET /admin/health HT")
+        begun = time.monotonic()
+        for _ in range(10):
+            self.assertEqual(self.door("GET /admin/health")[0], 200)
+        self.assertLess(time.monotonic() - begun, 1.0)
+        last = slow[-1].stream.read()
+        self.assertIn(b"408", last.split(b"\r\n")[0])
+        for client in slow:
+            client.close()
+
+    def test_a_crowd_of_clients_does_not_shut_the_door(self):
+        self.open_door(sockets=64)
+        crowd = [self.client() for _ in range(200)]
+        begun = time.monotonic()
+        self.assertEqual(self.door("GET /admin/health")[0], 200)
+        self.assertEqual(self.door("POST /admin/quiesce")[0], 200)
+        self.assertLess(time.monotonic() - begun, 1.0)
+        until(lambda: self.door("GET /admin/health")[1]["state"] == "drained", "the drain")
+        self.assertLess(time.monotonic() - begun, 4.0)
+        self.assertEqual(len(crowd), 200)
+
+    def test_an_address_of_no_use_is_named(self):
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            path = self.configure(listen="127.0.0.1:1", discovery="127.0.0.1:2", state=str(self.state))
+            for admin in (f"127.0.0.1:{taken.getsockname()[1]}", "nowhere", "127.0.0.1:1"):
+                with socket.socket() as free:
+                    free.bind(("127.0.0.1", 0))
+                    listen = "127.0.0.1:1" if admin == "127.0.0.1:1" else f"127.0.0.1:{free.getsockname()[1]}"
+                env = {"NODE_CONFIG": str(path), "NODE_LISTEN": listen, "NODE_ADMIN_ADDR": admin}
+                ended = subprocess.run([sys.executable, "-m", "lynxscale"], cwd=ROOT, env=env, capture_output=True,
+                                       timeout=20)
+                self.assertEqual(ended.returncode, 2, ended)
+                self.assertIn(b"admin_addr", ended.stderr)
