--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON := .venv/bin/python
 
-.PHONY: build test lint run bench-trace soak-trace bench-list soak-list bench-journal soak-journal
+.PHONY: build test lint run bench-trace soak-trace bench-list soak-list bench-journal soak-journal soak-upgrade
 
 build: .venv/ready
 
@@ -36,6 +36,10 @@
 bench-journal: build
 	$(PYTHON) -m lab.bench_journal
 
+soak-upgrade: build
+	for seed in 1 2 3 4 5 6; do UPGRADE_SEED=$$seed UPGRADE_ROUNDS=8 \
+		$(PYTHON) -m pytest -q -p no:cacheprovider tests/test_upgrade.py -k kill -s || exit 1; done
+
 soak-journal: build
 	JOURNAL_KILLS=1000 $(PYTHON) -m pytest -q -p no:cacheprovider tests/test_journal_live.py -k kills -s
 	JOURNAL_SEEDS=6 $(PYTHON) -m pytest -q -p no:cacheprovider -n 4 tests/test_journal.py
--- a/lynxscale/cli/journal.py
+++ b/lynxscale/cli/journal.py
@@ -27,6 +27,14 @@
 json_option = click.option("--json", "as_json", is_flag=True, help="As JSON.")
 
 
+def _folder(state: str) -> Path:
+    """The newest of the journals: after an upgrade half way there are two."""
+    from lynxscale.upgrade.folders import folder_of, generations
+
+    there = generations(Path(state)) if Path(state).is_dir() else []
+    return folder_of(Path(state), there[-1] if there else 0)
+
+
 def _recovered(state: str) -> tuple[Manifest, Recovered, dict[int, int]]:
     """The manifest, what a start would find, and the sizes of the segments."""
     from lynxscale.journal.format import Manifest, Refused
@@ -34,7 +42,7 @@
     from lynxscale.journal.port import Folder
     from lynxscale.journal.recover import Recovered, recover
 
-    folder = Path(state) / "segments"
+    folder = _folder(state)
     if not folder.is_dir():
         raise Failed(f"{folder}: no such folder: want the state folder of a relay")
     port = Folder(folder)
@@ -145,7 +153,7 @@
         budget = amount(disk, SIZES)
     except ValueError:
         raise Misused(f"--disk {disk}: want a size such as 3m") from None
-    journal = Journal(Folder(Path(state) / "segments"), budget, lambda: time.time_ns() // 1000)
+    journal = Journal(Folder(_folder(state)), budget, lambda: time.time_ns() // 1000)
     try:
         journal.open(older)
     except BlockingIOError:
--- a/lynxscale/conf/platform.py
+++ b/lynxscale/conf/platform.py
@@ -4,6 +4,7 @@
 
 import os
 import resource
+import socket
 import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -39,6 +40,7 @@
     settings: api.Settings
     by_platform: bool = True
     admin: Address | None = None  # for operators alone
+    accept_fd: int | None = None  # the clients' listening socket, where the platform holds it
 
 
 def address(text: Any, key: str) -> Address:
@@ -75,6 +77,26 @@
     raise PlatformError(f"seed: want a text or a whole number, not {value!r}")
 
 
+def _inherited(text: str, listen: Address) -> int:
+    """The descriptor of a listening TCP socket at the address that is told."""
+    key = "NODE_ACCEPT_FD"
+    if not (text.isascii() and text.isdigit() and 2 < int(text) < 1 << 20):
+        raise PlatformError(f"{key}: want the number of a descriptor, 3 or above, not {text!r}")
+    handle = int(text)
+    try:
+        with socket.socket(fileno=os.dup(handle)) as told:
+            listens = told.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+            form, at = (told.family, told.type & socket.SOCK_STREAM), told.getsockname()
+    except OSError as error:
+        raise PlatformError(f"{key}: descriptor {handle} is no socket: {error.strerror}") from error
+    if form != (socket.AF_INET, socket.SOCK_STREAM) or not listens:
+        raise PlatformError(f"{key}: descriptor {handle} is no listening TCP socket")
+    if at != listen and (at[0] != "0.0.0.0" or at[1] != listen[1]):
+        raise PlatformError(f"{key}: descriptor {handle} listens on {at[0]}:{at[1]}, NODE_LISTEN says "
+                            f"{listen[0]}:{listen[1]}")
+    return handle
+
+
 def load(env: Mapping[str, str] = os.environ, *, again: bool = False) -> Config:
     """What this relay is told; a variable of its own goes before the same key in the file.
 
@@ -125,4 +147,5 @@
         known=_object(table, "known"),
         settings=settings,
         admin=admin,
+        accept_fd=_inherited(env["NODE_ACCEPT_FD"], listen) if env.get("NODE_ACCEPT_FD") else None,
     )
--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -34,6 +34,8 @@
 from lynxscale.net.notices import Notices
 from lynxscale.net.peers import Peers
 from lynxscale.relay import Relay
+from lynxscale.upgrade.folders import Claim, sweep
+from lynxscale.upgrade.handover import Handover
 
 if TYPE_CHECKING:
     from lynxscale.finals import FinalsFile
@@ -42,11 +44,11 @@
 
 log = structlog.get_logger()
 
-SEGMENTS = "segments"  # the journal's folder in the state folder
 LOCK_FOR = 5.0  # seconds to wait for a process that has it
 OWN_SOCKETS = 32  # discovery, notices, the journal's files, the loop's own, the standard streams
 EASY_SHARE = 6  # with more than one in so many for clients, those at rest go
 PEER_SHARE = 3  # one descriptor in so many is for peers at most
+HEIR_SHARE = 0.5  # of the disk: where an heir may come its journal always has the rest
 RESTART_KEYS = ("name", "listen", "admin", "state", "sockets", "disk_bytes", "settings")  # kept until a restart
 
 SIGNALS = {signal.SIGTERM: "stop", signal.SIGINT: "stop", signal.SIGHUP: "reload",
@@ -62,13 +64,16 @@
         self.trace: Recorder | None = None
         self.loop = Loop(reactor.callLater)
         self.deadlines = Deadlines(self.loop, reactor.callLater)
-        self.journal = Journal(Folder(conf.state / SEGMENTS), conf.disk_bytes, lambda: time.time_ns() // 1000)
+        self.claim = Claim(conf.state, None if conf.accept_fd is None else os.fstat(conf.accept_fd).st_ino)
+        self.claim.wait(LOCK_FOR)
+        self.journal = Journal(Folder(self.claim.path), conf.disk_bytes, lambda: time.time_ns() // 1000)
+        if conf.accept_fd is not None or self.claim.earlier:
+            self.journal.plan.allot(HEIR_SHARE)
         self.lifecycle = Lifecycle()
         relay = self.relay = Relay(
             conf.settings, conf.seed, self.loop, self.deadlines, self.journal, self.counters
         )
         self.loop.at_end = relay.turn
-        peer_sockets = max(conf.settings.slots, conf.sockets // PEER_SHARE)
         order = SOURCES if own.members.precedence == FILES else SOURCES[::-1]
         self.group = relay.group = Group(
             conf.settings, self.deadlines, relay.put, lambda endpoint: self.peers.close_idle(endpoint, link.GONE),
@@ -82,22 +87,35 @@
             self.group.add(DISCOVERY, self.discovery)
         self.watch = self._watch(own, teller) if own.members.files else None
         self.peers = relay.tries = Peers(
-            reactor, self.loop, self.deadlines, relay, self.group.address_of, peer_sockets
+            reactor, self.loop, self.deadlines, relay, self.group.address_of, 0
         )
         self.notices = relay.notices = self._notices(own)
         self.door: Door | None = None
-        own_sockets = OWN_SOCKETS
         if conf.admin is not None:
             self.door = Door(self.deadlines, self.counters, self.lifecycle, self.drain, self.resume)
-            own_sockets += door.MOST + 2
-        most_clients = max(8, conf.sockets - peer_sockets - own_sockets)
-        self.clients = Clients(self.deadlines, relay, most_clients, conf.sockets // EASY_SHARE, self.lifecycle)
+        self.clients = Clients(self.deadlines, relay, 0, 0, self.lifecycle)
+        self._share(1.0)
+        self.handover = Handover(self.claim, relay, self.deadlines, self.counters, self._accept, self._share)
         if own.trace.folder is not None:
             relay.trace = self.trace = self._recorder(own)
         self._looking: Deadline | None = None
         self._told_state = self.lifecycle.state
         self._traffic_every = own.log.traffic
 
+    def _share(self, share: float) -> None:
+        """Bound the descriptors: that share of them is this process's."""
+        most = int(self.conf.sockets * share)
+        peers = max(self.conf.settings.slots, most // PEER_SHARE)
+        own = OWN_SOCKETS + (door.MOST + 2 if self.door is not None else 0)
+        self.peers.bound(peers)
+        self.clients.bound(max(8, most - peers - own), most // EASY_SHARE)
+
+    def _accept(self) -> None:
+        if self.conf.accept_fd is None:
+            self.clients.listen(reactor, self.conf.listen)
+        else:
+            self.clients.adopt(reactor, self.conf.accept_fd)
+
     def _recorder(self, own: Conf) -> Recorder:
         # Guards the memory of relays that record nothing: only here are the recorder's libraries imported.
         from lynxscale.trace.recorder import Recorder
@@ -138,13 +156,15 @@
         if self.discovery is not None:
             self.discovery.begin(self.conf.known)
         self.relay.replay(entries)
-        self.clients.listen(reactor, self.conf.listen)
+        if not self.handover.waiting:
+            self._accept()
         if self.door is not None:
             try:
                 self.door.listen(reactor, self.conf.admin)
             except CannotListenError as error:
                 raise platform.PlatformError(f"admin_addr (NODE_ADMIN_ADDR): {error}") from error
         self.relay.listens(begun)
+        self.handover.begin()
         gc.freeze()
         gc.enable()
         if self._traffic_every:
@@ -155,16 +175,8 @@
         """What earlier processes left open, also those that kept one file; that goes once its messages are kept."""
         file = self.conf.state / old.NAME
         older = list(old.read(file.read_bytes())[0].values()) if file.is_file() else []
-        end = time.monotonic() + LOCK_FOR
-        while True:
-            try:
-                entries = self.journal.open(older)
-                break
-            except BlockingIOError:
-                # One that is told to stop may still be at it: the platform starts the next at once.
-                if time.monotonic() > end:
-                    raise
-                time.sleep(0.02)
+        sweep(self.conf.state)
+        entries = self.journal.open(older)
         if file.is_file():
             file.unlink()  # before anything can end: else a message that has ended would be taken over again
         for gap in self.journal.gaps:
@@ -208,7 +220,7 @@
     def stop(self) -> None:
         if not self.lifecycle.stopping:
             log.info("stopping", open=len(self.relay.held))
-        self.lifecycle.stop(self.loop.now())
+        self.lifecycle.stop(self.loop.now(), self.handover.has_heir())
         self._look()
 
     def _look(self) -> None:
@@ -221,6 +233,7 @@
                 self.clients.part()
             elif order is Order.DEAF:
                 self.clients.stop_accepting()
+                self.handover.let_go()
             elif order is Order.MUTE:
                 self.relay.sending = False
             else:
@@ -288,6 +301,9 @@
     except (platform.PlatformError, reader.ConfFaults) as error:
         print(f"lynxscale: {error}", file=sys.stderr)
         return 2
+    except OSError as error:
+        print(f"lynxscale: cannot start: {error}", file=sys.stderr)
+        return 1
     try:
         program.start(begun)
     except platform.PlatformError as error:
--- a/lynxscale/journal/log.py
+++ b/lynxscale/journal/log.py
@@ -132,6 +132,17 @@
                 with suppress(JournalFull):
                     self._append(f.FINAL, uid, f.final(uid, *entry.final), OPEN)
 
+    def adopt(self, number: int, entry: Entry) -> None:
+        """A message that another process had taken on, with all that it knew of it. Raises JournalFull."""
+        self._uids[number] = uid = self._take(entry, OPEN)
+        if entry.final is not None:
+            self._finals.add(uid)
+
+    def forgo(self, number: int) -> None:
+        """As if it had not been adopted; nothing was sent of it."""
+        if number in self._uids:
+            self.end(number)
+
     # Records -------------------------------------------------------------------------------------
 
     def take(self, number: int, entry: Entry) -> None:
--- a/lynxscale/journal/plan.py
+++ b/lynxscale/journal/plan.py
@@ -57,14 +57,20 @@
     def __init__(self, budget: int) -> None:
         self.segment_size = min(MOST_SEGMENT, max(LEAST_SEGMENT, budget // SEGMENTS // ROUND * ROUND))
         # The manifest's two generations, the reserve and the lock take a part of the budget.
-        self.most_segments = max(4, (budget - 4 * ROUND) // self.segment_size - 1)
-        self.most_live = int(LIVE_SHARE * self.most_segments * self.segment_size)
+        self._all_segments = max(4, (budget - 4 * ROUND) // self.segment_size - 1)
+        self.most_segments = self.most_live = 0
+        self.allot(1.0)
         self.segments: dict[int, Segment] = {}
         self.held: dict[int, Held] = {}
         self.live = 0
         self.used = 0  # segments' room that is taken, with that of longer ones
         self.active: Segment | None = None
 
+    def allot(self, share: float) -> None:
+        """Keep within a share of the budget from now on: another journal has the rest."""
+        self.most_segments = max(4, int(self._all_segments * share))
+        self.most_live = int(LIVE_SHARE * self.most_segments * self.segment_size)
+
     def restore(self, rows: Iterable[Row], found: Iterable[tuple[int, Record]], sizes: Mapping[int, int]) -> None:
         """Account for what a recovery found: rows by their first record, records by segment, and whole sizes."""
         placed: dict[int, list[Record]] = {}
--- a/lynxscale/journal/port.py
+++ b/lynxscale/journal/port.py
@@ -50,13 +50,13 @@
 class Folder:
     """The real one."""
 
-    def __init__(self, path: Path) -> None:
-        self._path = path
+    def __init__(self, path: Path, lock: str = "lock") -> None:
+        self._path, self._lock = path, lock
         self._locked = -1
 
     def lock(self) -> None:
         self._path.mkdir(parents=True, exist_ok=True)
-        self._locked = os.open(self._path / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        self._locked = os.open(self._path / self._lock, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
             fcntl.flock(self._locked, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
--- a/lynxscale/lifecycle.py
+++ b/lynxscale/lifecycle.py
@@ -19,6 +19,9 @@
 MUTE_AT = 3_000_000  # tries still go out
 LEAVE_AT = 3_500_000  # the rest stays in the journal
 LOOK_EVERY = 50_000
+# The same where an heir takes the clients that come:
+HAND_PART_AT = 1_200_000  # kept connections have most likely had a request by now, and were closed with its answer
+HAND_MUTE_AT = 1_500_000  # what is not out then is the heir's
 
 
 class State(Enum):
@@ -26,6 +29,7 @@
     TELLING = "telling"
     CLOSING = "closing"
     DRAINED = "drained"
+    HANDING = "handing"
     STOP_TELLING = "stop_telling"
     STOP_CLOSING = "stop_closing"
     STOP_DEAF = "stop_deaf"
@@ -42,7 +46,7 @@
 
 
 DRAINING = (State.TELLING, State.CLOSING, State.DRAINED)
-STOPPING = (State.STOP_TELLING, State.STOP_CLOSING, State.STOP_DEAF, State.LEFT)
+STOPPING = (State.HANDING, State.STOP_TELLING, State.STOP_CLOSING, State.STOP_DEAF, State.LEFT)
 
 
 class Lifecycle:
@@ -51,13 +55,18 @@
     def __init__(self) -> None:
         self.state = State.SERVING
         self._since = 0  # when the way to the present state began: a drain or a stop
-        self._muted = False
+        self._muted = self._deaf = False
 
     @property
     def serving(self) -> bool:
-        """Is readiness yes, and does a connection stay open behind its answer?"""
+        """Are clients taken, and does a connection stay open behind its answer?"""
         return self.state is State.SERVING
 
+    @property
+    def ready(self) -> bool:
+        """Does the front get a yes? Also on kept connections while an heir takes the new ones."""
+        return self.state in (State.SERVING, State.HANDING)
+
     @property
     def stopping(self) -> bool:
         return self.state in STOPPING
@@ -74,10 +83,16 @@
         self.state = State.SERVING
         return True
 
-    def stop(self, now: int) -> None:
-        """Take the way out; from a drain that has told no for long enough there is nothing to wait for."""
+    def stop(self, now: int, heir: bool = False) -> None:
+        """Take the way out; from a drain that has told no for long enough there is nothing to wait for.
+
+        ``heir``: another process of this relay is ready to take the clients.
+        """
         if self.stopping:
             return
+        if heir:
+            self.state, self._since = State.HANDING, now
+            return
         told = self.state in (State.CLOSING, State.DRAINED)
         self.state, self._since = State.STOP_CLOSING if told else State.STOP_TELLING, now
 
@@ -96,6 +111,19 @@
         if not self.stopping:
             return []
         orders = []
+        if self.state is State.HANDING:
+            if not self._deaf:
+                self._deaf = True
+                orders.append(Order.DEAF)
+            if past >= HAND_PART_AT:
+                orders.append(Order.PART)
+            if not self._muted and (past >= HAND_MUTE_AT or not clients):
+                self._muted = True
+                orders.append(Order.MUTE)
+            elif past >= LEAVE_AT or (self._muted and not working and not clients):
+                self.state = State.LEFT
+                orders.append(Order.LEAVE)
+            return orders
         if self.state is State.STOP_TELLING and past >= PART_AT:
             self.state = State.STOP_CLOSING
         if self.state is State.STOP_CLOSING and past >= DEAF_AT:
--- a/lynxscale/net/clients.py
+++ b/lynxscale/net/clients.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import os
 import re
+import socket
 from collections import OrderedDict, deque
 
 import orjson
@@ -257,6 +259,15 @@
     def listen(self, reactor, where: tuple[str, int]) -> None:
         self._port = reactor.listenTCP(where[1], self, backlog=511, interface=where[0])
 
+    def adopt(self, reactor, handle: int) -> None:
+        """Take clients from a listening socket that others hold, too. It is never shut, only let go."""
+        os.set_blocking(handle, False)  # guards against an accept that waits, when another process was faster
+        self._port = reactor.adoptStreamPort(handle, socket.AF_INET, self)
+
+    def bound(self, most: int, easy: int) -> None:
+        """Hold so many connections at most from now on, and so many before those at rest go."""
+        self._most, self._easy = most, easy
+
     def buildProtocol(self, _address) -> ClientConnection:
         return ClientConnection(self)
 
@@ -353,7 +364,7 @@
         if path == TASK_PATH:
             self._hand_in(connection, request)
         elif path == READY_PATH and request.method == "GET":
-            connection.answer(200 if self.lifecycle.serving else 503)
+            connection.answer(200 if self.lifecycle.ready else 503)
         elif path == COUNTERS_PATH and request.method == "GET":
             connection.answer(200, body=orjson.dumps(self.relay.counters.table()), kind="application/json")
         else:
--- a/lynxscale/net/peers.py
+++ b/lynxscale/net/peers.py
@@ -93,6 +93,10 @@
             for idle in self._idle.pop(endpoint):
                 idle.drop(link.STOPPING)
 
+    def bound(self, most: int) -> None:
+        """Hold so many connections at most from now on, before idle ones go."""
+        self._idle_most = most
+
     def connections(self) -> int:
         """How many are held, idle ones too."""
         return len(self._links)
@@ -151,6 +155,11 @@
         if work.held is None:
             data = http.request("GET", "/_load", host)
         else:
+            if (wait := self._relay.held_back(work.held.entry.dest)) > 0:
+                # Told to another process of this relay after this try was ordered: it binds both.
+                self._end(work, Result.FULL, wait=wait)
+                self._pool(ready)
+                return
             if not self._relay.going(work.number):
                 self._end(work, Result.MOOT)
                 self._pool(ready)
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -95,6 +95,13 @@
     def owe(self, number: int, id: str, status: str, again_ms: int) -> None: ...
 
 
+class BoardPort(Protocol):
+    """What two processes of one relay tell each other; times are the loop's µs."""
+
+    def tell(self, dest: int, until: int, now: int) -> None: ...
+    def wait_until(self, dest: int) -> int: ...
+
+
 class TracePort(Protocol):
     """Hears what the relay sees and decides; it answers nothing. Times are the loop's µs."""
 
@@ -129,6 +136,7 @@
         self.group: GroupPort
         self.notices: NoticePort
         self.trace: TracePort | None = None
+        self.board: BoardPort | None = None
         self.tally = Tally(loop.now())
         self.out = 0  # tries that are under way
         self.sending = True
@@ -189,6 +197,12 @@
         self.put(api.Message(held.number, envelope.dest, envelope.cls, envelope.tenant,
                              self._last_call(held, now) / 1000))
 
+    def held_back(self, dest: int) -> float:
+        """For how many ms another process of this relay was told to send nothing there."""
+        if self.board is None:
+            return 0.0
+        return max(0.0, (self.board.wait_until(dest) - self.loop.now()) / 1000)
+
     def going(self, number: int) -> bool:
         """A try is about to be written: keep that first. Where that fails, it must not go."""
         if (held := self.held.get(number)) is None:
@@ -210,6 +224,9 @@
         finished = held is None or held.ended
         if held is not None:
             self._count(held.entry.dest, result, wait_ms, report)
+            if wait_ms and self.board is not None:
+                now = self.loop.now()
+                self.board.tell(held.entry.dest, now + int(wait_ms * 1000), now)
         if self.trace is not None:
             self.trace.try_ended(self.loop.now(), number, attempt, endpoint, result, spent, wait_ms, over, report)
         if not finished and (result == Result.OK or over):
@@ -431,35 +448,65 @@
         self._first_until, self._waited = now + FIRST_READS, min(START_MOST, now - begun)
 
     def replay(self, entries: Iterable[Entry]) -> None:
-        """Take over what an earlier process left open: each is still owed its end."""
+        """Take over what an earlier process left open in this journal: each is still owed its end."""
+        entries = list(entries)
+        held = [self._hold(entry) for entry in entries]
+        self.journal.begin({one.number: one.entry for one in held})
+        self._resume(held)
+
+    def adopt(self, entries: Iterable[Entry], kept: Callable[[], None]) -> int:
+        """Take over what another process of this relay left open in a journal of its own; how many were not here yet.
+
+        ``kept`` is called once this journal has them all, before anything is sent. Raises JournalFull where it has no
+        room: then nothing is taken over, and what it has of them already counts as its own at the next start.
+        """
+        held = []
+        try:
+            for entry in entries:
+                if entry.id not in self.by_id:
+                    one = self._hold(entry)
+                    held.append(one)
+                    self.journal.adopt(one.number, entry)
+            kept()
+        except (JournalFull, OSError):
+            for one in held:
+                self._keep(self.journal.forgo, one.number)
+                self.held.remove(one.number)
+                del self.by_id[one.entry.id]
+            raise
+        self._resume(held)
+        return len(held)
+
+    def _hold(self, entry: Entry) -> Held:
+        cls, tenant = self.class_number(entry.cls), self.tenant_number(entry.tenant)
+        if cls is None and entry.final is None:
+            entry.final = ("undeliverable", 0)  # its class has left the settings: nobody can judge it
+        held = Held(entry, cls=cls or 0, tenant=tenant or 0, attempts=entry.tries, taken=self.loop.now())
+        held.number = self.held.add(held)
+        self.by_id[entry.id] = held.number
+        return held
+
+    def _resume(self, again: list[Held]) -> None:
+        """Go on with messages of an earlier process, which this journal has."""
         now, unix = self.loop.now(), self._unix()
-        numbered: dict[int, Entry] = {}
-        owed: list[Held] = []
-        for entry in entries:
-            cls, tenant = self.class_number(entry.cls), self.tenant_number(entry.tenant)
-            held = Held(entry, cls=cls or 0, tenant=tenant or 0, attempts=entry.tries, taken=now)
-            held.number = self.held.add(held)
-            self.by_id[entry.id] = held.number
-            numbered[held.number] = entry
+        notices = 0
+        for held in again:
+            entry = held.entry
             if self.trace is not None:
                 self.trace.message(now, held.number, entry, held.cls, held.tenant, entry.expires - unix, entry.tries)
-            if cls is None and entry.final is None:
-                entry.final = ("undeliverable", 0)  # its class has left the settings: nobody can judge it
             if entry.final is not None:
-                owed.append(held)
+                held.ended = True
+                notices += 1
+                self.notices.owe(held.number, entry.id, *entry.final)
                 continue
             self._backstop(held)
             expires = self._last_call(held, now)
             maybe = (now + min(entry.maybe) - unix) / 1000 if entry.maybe else 0.0
             self.put(api.Message(held.number, entry.dest, held.cls, held.tenant, expires / 1000,
                                  attempts=entry.tries, maybe_at=maybe))
-        self.journal.begin(numbered)
-        for held in owed:
-            held.ended = True
-            self.notices.owe(held.number, held.entry.id, *held.entry.final)
-        if numbered:
-            self.counters.add("taken", "replayed", len(numbered))
-            log.info("replayed", open=len(numbered), notices=len(owed))
+        if again:
+            self.counters.add("taken", "replayed", len(again))
+            log.info("replayed", open=len(again), notices=notices)
 
     def _unix(self) -> int:
         """This turn's time as Unix time, for what outlasts the process."""
--- /dev/null
+++ b/lynxscale/upgrade/handover.py
@@ -0,0 +1,146 @@
+"""Drives an upgrade: looks at the other process, takes clients when it lets go, and takes over what it left."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import structlog
+
+from lynxscale.counters import Counters
+from lynxscale.deadlines import Deadlines
+from lynxscale.journal import JournalFull
+from lynxscale.journal.format import Refused
+from lynxscale.relay import Relay
+from lynxscale.upgrade.board import Stage
+from lynxscale.upgrade.folders import Claim, Estate, alive
+from lynxscale.upgrade.succession import Order, Succession
+
+log = structlog.get_logger()
+
+LOOK_EVERY, REST = 10_000, 100_000  # µs between two looks while another process is there, and else
+SLICE = 32  # messages taken over in one turn
+AGAIN_EVERY = 200_000  # µs until another attempt where there was no room
+
+
+class Handover:
+    """``accept``: take clients from now on; ``share``: keep to a part of the descriptors."""
+
+    def __init__(self, claim: Claim, relay: Relay, deadlines: Deadlines, counters: Counters,
+                 accept: Callable[[], None], share: Callable[[float], None]) -> None:
+        self._claim, self._relay, self._deadlines, self._counters = claim, relay, deadlines, counters
+        self._accept, self._share = accept, share
+        self._succession = Succession(claim.heir)
+        self._predecessor = claim.earlier[-1] if claim.heir else -1
+        self._slots = relay.settings.slots
+        self._other: tuple[Stage, bool] = (Stage.NONE, False)
+        if claim.half is not None:
+            relay.board = self
+
+    @property
+    def waiting(self) -> bool:
+        """Another process takes the clients yet."""
+        return self._succession.waiting
+
+    def begin(self) -> None:
+        """Ready to take clients, or taking them."""
+        claim = self._claim
+        for generation in claim.earlier:
+            if generation != self._predecessor:
+                self._adopt(generation)
+        if not claim.heir and not claim.earlier:
+            claim.settled()
+        if claim.half is not None:
+            claim.half.enter(Stage.READY if self.waiting else Stage.SERVING)
+            self._look()
+
+    def let_go(self) -> None:
+        """This process takes no more clients."""
+        if self._claim.half is not None:
+            self._claim.half.enter(Stage.HANDING)
+
+    def has_heir(self) -> bool:
+        """Is another process ready to take the clients?"""
+        if self._claim.half is None:
+            return False
+        self._read()
+        return self._succession.has_heir(*self._other)
+
+    # The board, for the core ---------------------------------------------------------------------
+
+    def tell(self, dest: int, until: int, now: int) -> None:
+        self._claim.half.tell(dest, until, now)
+
+    def wait_until(self, dest: int) -> int:
+        return self._claim.other.wait_until(dest) if self._other[0] is not Stage.NONE else 0
+
+    # Looks ---------------------------------------------------------------------------------------
+
+    def _read(self) -> int:
+        """Look at the other's half; how many tries it has out."""
+        claim = self._claim
+        told = claim.other.read()
+        stage, generation, _inode, out = told if told is not None else (Stage.NONE, -1, 0, 0)
+        wanted = generation == self._predecessor if self._predecessor >= 0 else generation > claim.generation
+        if not wanted:
+            stage = Stage.NONE
+        there = (stage is not Stage.NONE or self._succession.predecessor) and alive(
+            claim.state, generation if wanted else self._predecessor)
+        self._other = (stage if there else Stage.NONE, there)
+        return out if there else 0
+
+    def _look(self) -> None:
+        out = self._read()
+        claim = self._claim
+        claim.half.out(self._relay.out)
+        # Both together fill the slots; the other's are as old as a look at most.
+        self._relay.settings.slots = max(1, self._slots - out)
+        for order in self._succession.look(*self._other):
+            log.info("handover", order=order.value, generation=claim.generation, other=self._other[0].name.lower())
+            if order is Order.ACCEPT:
+                claim.half.enter(Stage.SERVING)
+                self._accept()
+            elif order is Order.ADOPT:
+                self._adopt(self._predecessor)
+            else:
+                self._share(0.5 if order is Order.SHARE else 1.0)
+        self._deadlines.after(LOOK_EVERY if self._succession.shared else REST, self._look)
+
+    # What others left ----------------------------------------------------------------------------
+
+    def _adopt(self, generation: int) -> None:
+        estate = Estate(self._claim.state, generation)
+        if not estate.take():
+            self._deadlines.after(LOOK_EVERY, self._adopt, generation)
+            return
+        try:
+            entries = estate.read()
+        except (OSError, Refused) as error:
+            # It stays as it is, for the operators' tools: what cannot be read must not be thrown away.
+            log.error("not_taken_over", folder=estate.path.name, error=str(error))
+            self._counters.add("handover", "unreadable")
+            return
+        for gap in estate.gaps:
+            log.error("journal_damaged", folder=estate.path.name, gap=str(gap))
+        log.info("taking_over", folder=estate.path.name, open=len(entries))
+        self._slice(estate, generation, list(entries.items()))
+
+    def _slice(self, estate: Estate, generation: int, left: list) -> None:
+        part = left[:SLICE]
+        try:
+            if part:
+                new = self._relay.adopt([entry for _uid, entry in part], lambda: estate.mark([uid for uid, _ in part]))
+                self._counters.add("handover", "taken_over", new)
+        except (JournalFull, OSError) as error:
+            log.warning("taking_over_waits", folder=estate.path.name, left=len(left), error=str(error))
+            self._deadlines.after(AGAIN_EVERY, self._slice, estate, generation, left)
+            return
+        if len(left) > SLICE:
+            self._deadlines.after(0, self._slice, estate, generation, left[SLICE:])
+            return
+        estate.remove()
+        log.info("taken_over", folder=estate.path.name)
+        self._claim.earlier.remove(generation)
+        if generation == self._predecessor:
+            self._predecessor = -1
+        if not self._claim.earlier:
+            self._claim.settled()
--- a/tests/node.py
+++ b/tests/node.py
@@ -56,17 +56,20 @@
         held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         held.bind(("127.0.0.1", 0))
         self.port = held.getsockname()[1]
-        path = self.configure()
-        env = os.environ | {"NODE_CONFIG": str(path), "NODE_STATE": str(self.state), "NODE_NAME": "n1",
-                            "NODE_LISTEN": f"127.0.0.1:{self.port}", "NODE_DISCOVERY": self.discovery.at} | self.env
-        self.log = Path(self.folder.name, "log")
-        with self.log.open("a") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", "lynxscale"], cwd=ROOT, env=env,
-                                            stdout=log, stderr=log)
+        self.process = self.spawn(self.configure())
         self.addCleanup(self.kill)
         until(self._ready, "readiness")
         held.close()
 
+    def spawn(self, path: Path, fds: tuple[int, ...] = (), **more: str) -> subprocess.Popen:
+        """A process of the relay, with that configuration and these variables besides."""
+        env = os.environ | {"NODE_CONFIG": str(path), "NODE_STATE": str(self.state), "NODE_NAME": "n1",
+                            "NODE_LISTEN": f"127.0.0.1:{self.port}", "NODE_DISCOVERY": self.discovery.at}
+        self.log = Path(self.folder.name, "log")
+        with self.log.open("a") as log:
+            return subprocess.Popen([sys.executable, "-m", "lynxscale"], cwd=ROOT, env=env | self.env | more,
+                                    stdout=log, stderr=log, pass_fds=fds)
+
     def _ready(self) -> bool:
         self.assertIsNone(self.process.poll(), self.log.read_text())
         try:
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -4,13 +4,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lynxscale.lifecycle import DEAF_AT, LEAVE_AT, MUTE_AT, PART_AT, Lifecycle, Order, State
+from lynxscale.lifecycle import DEAF_AT, HAND_PART_AT, LEAVE_AT, MUTE_AT, PART_AT, Lifecycle, Order, State
 
 WAYS = {  # how to come there: each step a call, or a look after so many µs with so many clients
     State.SERVING: [],
     State.TELLING: ["quiesce"],
     State.CLOSING: ["quiesce", (PART_AT, 1)],
     State.DRAINED: ["quiesce", (PART_AT, 0)],
+    State.HANDING: ["hand"],
     State.STOP_TELLING: ["stop"],
     State.STOP_CLOSING: ["stop", (PART_AT, 1)],
     State.STOP_DEAF: ["stop", (DEAF_AT, 1)],
@@ -21,6 +22,7 @@
     State.TELLING: (State.TELLING, State.SERVING, State.STOP_TELLING),
     State.CLOSING: (State.CLOSING, State.SERVING, State.STOP_CLOSING),
     State.DRAINED: (State.DRAINED, State.SERVING, State.STOP_CLOSING),
+    State.HANDING: (State.HANDING,) * 3,
     State.STOP_TELLING: (State.STOP_TELLING,) * 3,
     State.STOP_CLOSING: (State.STOP_CLOSING,) * 3,
     State.STOP_DEAF: (State.STOP_DEAF,) * 3,
@@ -31,7 +33,9 @@
 def come_to(state: State) -> tuple[Lifecycle, int]:
     life, now = Lifecycle(), 1_000_000
     for step in WAYS[state]:
-        if isinstance(step, str):
+        if step == "hand":
+            life.stop(now, heir=True)
+        elif isinstance(step, str):
             getattr(life, step)(now)
         else:
             now += step[0]
@@ -58,6 +62,16 @@
     assert [order for _, order in told].count(Order.MUTE) == 1
 
 
+def test_with_an_heir_the_listener_goes_first_and_kept_connections_have_time():
+    life, now = come_to(State.HANDING)
+    assert life.ready and not life.serving
+    assert life.look(now, 2, True) == [Order.DEAF]
+    assert life.look(now + HAND_PART_AT - 1, 2, True) == []
+    assert life.look(now + HAND_PART_AT, 1, True) == [Order.PART]
+    assert life.look(now + HAND_PART_AT + 1, 0, True) == [Order.PART, Order.MUTE]
+    assert life.look(now + LEAVE_AT - 1, 0, False) == [Order.PART, Order.LEAVE] and life.state is State.LEFT
+
+
 def test_a_drained_relay_stays_so_while_it_is_asked_and_sends_the_askers_away():
     life, now = come_to(State.DRAINED)
     assert life.look(now + 1, 1, True) == [Order.PART] and life.state is State.DRAINED
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,262 @@
+"""Two processes of one relay side by side: the board, who takes clients, and what the first one leaves."""
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import threading
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from lab.standins import PATIENCE, Client, reply, until
+from lynxscale.journal import Entry, Journal
+from lynxscale.journal.port import Folder
+from lynxscale.upgrade import folders
+from lynxscale.upgrade.board import MOST_WAITS, Board, Stage
+from lynxscale.upgrade.folders import Claim, Estate
+from lynxscale.upgrade.succession import Order, Succession
+from tests.node import NodeCase
+
+SEED = int(os.environ.get("UPGRADE_SEED", "7"))
+ROUNDS = int(os.environ.get("UPGRADE_ROUNDS", "3"))
+
+
+def test_the_board_tells_waits_and_stages(tmp_path):
+    mine, theirs = Board(tmp_path).halves()
+    again = Board(tmp_path).halves()[0]
+    assert theirs.read() is None and again.read() is None
+    mine.begin(4, 99)
+    mine.enter(Stage.HANDING)
+    mine.out(3)
+    assert again.read() == (Stage.HANDING, 4, 99, 3)
+    mine.tell(7, 5_000, 1_000)
+    mine.tell(7, 4_000, 1_000)  # shorter: the longer one binds
+    assert (again.wait_until(7), again.wait_until(8)) == (5_000, 0)
+    for dest in range(1000, 1000 + MOST_WAITS + 5):
+        mine.tell(dest, 10_000 + dest, 6_000)
+    assert again.wait_until(7) == 0 and again.wait_until(1000 + MOST_WAITS + 4)
+    mine.begin(6, 99)
+    assert again.wait_until(1000 + MOST_WAITS + 4) == 0 and again.read()[0] is Stage.STARTING
+    (tmp_path / "board").write_bytes(b"LXUP\x02\0" + bytes(100))
+    assert Board(tmp_path).halves()[0].read() is None  # another version, or none
+
+
+@pytest.mark.parametrize("heir,told,orders", [
+    (True, [(Stage.SERVING, True), (Stage.HANDING, True), (Stage.NONE, False)], [[Order.SHARE], [Order.ACCEPT],
+                                                                                 [Order.ALONE, Order.ADOPT]]),
+    (True, [(Stage.SERVING, True), (Stage.NONE, False)], [[Order.SHARE], [Order.ALONE, Order.ACCEPT, Order.ADOPT]]),
+    (False, [(Stage.NONE, False), (Stage.STARTING, True), (Stage.READY, True), (Stage.NONE, False)],
+     [[], [Order.SHARE], [], [Order.ALONE]]),
+])
+def test_who_does_what(heir, told, orders):
+    one = Succession(heir)
+    assert [one.look(*seen) for seen in told] == orders
+    assert one.look(*told[-1]) == [] and not one.waiting
+    assert Succession(False).has_heir(Stage.READY, True) and not Succession(False).has_heir(Stage.STARTING, True)
+
+
+def entry(name: str) -> Entry:
+    return Entry(name, "safe", "acme", "", 1, 10**15, b"body", tries=1, maybe=[5])
+
+
+def filled(state: Path, generation: int, names: list[str]) -> None:
+    journal = Journal(Folder(folders.folder_of(state, generation)), 1_000_000, lambda: 5_000_000)
+    journal.open()
+    for number, name in enumerate(names):
+        journal.take(number, entry(name))
+    journal.close()
+
+
+def test_what_is_marked_is_left_out_and_a_cut_mark_is_none(tmp_path):
+    filled(tmp_path, 0, ["a", "b", "c"])
+    estate = Estate(tmp_path, 0)
+    assert estate.take() and not Estate(tmp_path, 0).take()
+    found = estate.read()
+    assert [(one.id, one.tries, one.maybe) for one in found.values()] == [(name, 1, [5]) for name in "abc"]
+    estate.mark([list(found)[0]])
+    with (estate.path / "taken").open("ab") as file:
+        file.write(b"\1\0\0")
+    assert [one.id for one in estate.read().values()] == ["b", "c"]
+    estate._port.unlock()
+    later = Estate(tmp_path, 0)
+    later.take()
+    later.mark([list(found)[2]])
+    assert [one.id for one in later.read().values()] == ["b"]
+    later.remove()
+    assert folders.generations(tmp_path) == []
+
+
+def test_who_may_start(tmp_path):
+    """One relay's second process, by its very socket; nobody else, and no third."""
+    first = Claim(tmp_path, 41)
+    first.wait(0)
+    serving = Folder(first.path)
+    serving.lock()
+    first.settled()
+    for stranger in (Claim(tmp_path, None), Claim(tmp_path, 42)):
+        with pytest.raises(BlockingIOError):
+            stranger.wait(0.05)
+    heir = Claim(tmp_path, 41)
+    heir.wait(0)
+    assert (heir.heir, heir.generation, heir.earlier, heir.path.name) == (True, 1, [0], "segments.1")
+    with pytest.raises(BlockingIOError):
+        Claim(tmp_path, 41).wait(0.05)
+    its = Folder(heir.path)
+    its.lock()
+    its.unlock()  # it dies before its yes
+    heir._door.unlock()
+    second = Claim(tmp_path, 41)
+    second.wait(0)
+    assert (second.generation, second.earlier, second.half.place) == (2, [0, 1], heir.half.place)
+
+
+class Upgrades(NodeCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.listener = socket.socket()
+        self.addCleanup(self.listener.close)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(100)
+        self.port = self.listener.getsockname()[1]
+        self.processes: list[subprocess.Popen] = []
+        self.admins: list[int] = []
+
+    def process_(self, fd: int | None = None) -> subprocess.Popen:
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.admins.append(free.getsockname()[1])
+        fd = self.listener.fileno() if fd is None else fd
+        one = self.spawn(self.configure(), (fd,), NODE_ACCEPT_FD=str(fd),
+                         NODE_ADMIN_ADDR=f"127.0.0.1:{self.admins[-1]}")
+        self.processes.append(one)
+        self.addCleanup(lambda: (one.kill(), one.wait(PATIENCE)))
+        return one
+
+    def yes(self, place: int = -1) -> bool:
+        self.admin = self.admins[place]
+        with suppress(OSError):
+            return self.door("GET /admin/health")[0] == 200
+        return False
+
+    def begin(self) -> subprocess.Popen:
+        one = self.process_()
+        until(self.yes, "the yes")
+        return one
+
+    def test_the_heir_takes_over_what_is_open_and_each_message_ends_once(self):
+        ran: list[str] = []
+        held = threading.Event()
+        self.act = lambda call: reply(503) if not held.is_set() else ran.append(call[1]["req-id"]) or reply(200)
+        old = self.begin()
+        kept = self.client()
+        for number in range(8):
+            self.assertEqual(kept.hand_in(f"m{number}")[0], 202)
+        heir = self.begin()
+        self.assertEqual(kept.hand_in("still-old")[0], 202)
+        old.send_signal(signal.SIGTERM)
+        until(lambda: "event=lifecycle state=handing" in self.log.read_text(), "the handover")
+        status, headers, _ = kept.hand_in("late")
+        self.assertEqual((status, headers["connection"]), (202, "close"))
+        begun = time.monotonic()
+        self.assertEqual(self.client().hand_in("new")[0], 202)  # the heir has it
+        self.assertLess(time.monotonic() - begun, 0.4)
+        old.wait(4.0)
+        held.set()
+        names = [f"m{number}" for number in range(8)] + ["still-old", "late", "new"]
+        until(lambda: set(ran) | set(self.discovery.notices) >= set(names), "an end for each")
+        self.assertEqual(len(ran), len(set(ran)))
+        self.assertGreater(len(ran), 0)
+        until(lambda: "event=taken_over folder=segments\n" in self.log.read_text(), "the old folder's end")
+        self.assertEqual(sorted(path.name for path in self.state.iterdir()), ["board", "heir", "segments.1"])
+        self.assertIsNone(heir.poll())
+
+    def test_an_heir_that_dies_changes_nothing_and_another_may_come(self):
+        old = self.begin()
+        heir = self.begin()
+        until(lambda: "order=share generation=0" in self.log.read_text(), "the old one's notice of it")
+        heir.kill()
+        heir.wait(PATIENCE)
+        until(lambda: "order=alone" in self.log.read_text(), "the end of the heir")
+        self.assertEqual(self.client().hand_in("m1")[0], 202)
+        third = self.begin()
+        old.kill()  # and this one dies before any SIGTERM
+        old.wait(PATIENCE)
+        self.assertEqual(self.client().hand_in("m2")[0], 202)
+        until(lambda: len(self.calls("m2")) == 1, "its delivery")
+        self.assertIsNone(third.poll())
+
+    def test_a_told_wait_binds_both(self):
+        self.act = lambda _call: reply(429, b"", "Retry-After: 3.000")
+        old = self.begin()
+        self.begin()
+        self.assertEqual(self.client().hand_in("m1")[0], 202)
+        until(lambda: len(self.calls()) == 1, "the wait")
+        begun = time.monotonic()
+        self.act = lambda _call: reply(200)
+        old.send_signal(signal.SIGTERM)
+        until(lambda: "order=accept" in self.log.read_text(), "the handover")
+        self.assertEqual(self.client().hand_in("m2")[0], 202)
+        until(lambda: self.calls("m2"), "its delivery")
+        self.assertGreater(time.monotonic() - begun, 2.0)
+
+    def test_sockets_of_no_use_are_named(self):
+        with socket.socket() as other, open(os.devnull) as null:
+            other.bind(("127.0.0.1", 0))
+            for fd in (other.fileno(), null.fileno(), 999):
+                one = self.process_(fd) if fd != 999 else self.spawn(self.configure(), NODE_ACCEPT_FD="999")
+                self.assertEqual(one.wait(PATIENCE), 2)
+            other.listen()
+            self.assertEqual(self.process_(other.fileno()).wait(PATIENCE), 2)
+        self.assertEqual(self.log.read_text().count("NODE_ACCEPT_FD"), 4)
+
+    def test_a_kill_at_any_step_sends_nothing_twice_and_loses_nothing(self):
+        """Upgrades one after the other, each process killed at a random moment; effects counted by the partner."""
+        rng = random.Random(SEED)
+        print("UPGRADE_SEED", SEED)
+        ran: dict[str, int] = {}
+        taken: list[str] = []
+
+        def act(call) -> bytes:
+            if rng.random() < 0.5:
+                return reply(503)
+            ran[call[1]["req-id"]] = ran.get(call[1]["req-id"], 0) + 1
+            return reply(200)
+
+        self.act = act
+        stop = threading.Event()
+
+        def hand_in() -> None:
+            number = 0
+            while not stop.is_set():
+                number += 1
+                with suppress(OSError, TypeError):
+                    client = Client(self.port)
+                    cls = ("once", "safe")[number % 2]
+                    if client.hand_in(f"{cls}-{number}", cls=cls)[0] == 202:
+                        taken.append(f"{cls}-{number}")
+                    client.close()
+                time.sleep(0.01)
+
+        current = self.begin()
+        feeder = threading.Thread(target=hand_in)
+        feeder.start()
+        try:
+            for _ in range(ROUNDS):
+                heir = self.begin()
+                current.send_signal(rng.choice([signal.SIGTERM, signal.SIGKILL]))
+                time.sleep(rng.random() * 1.5)  # any moment of the handover
+                heir.kill()
+                heir.wait(PATIENCE)
+                current.kill()
+                current.wait(PATIENCE)
+                current = self.begin()
+        finally:
+            stop.set()
+            feeder.join()
+        self.assertGreater(len(taken), 10 * ROUNDS)
+        until(lambda: all(name in ran or name in self.discovery.notices for name in taken), "an end for each message")
+        self.assertEqual({name: count for name, count in ran.items() if count > 1 and name.startswith("once")}, {})
