--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -17,7 +17,7 @@
 
 from gannetshift import interface as api
 from gannetshift.brain import Sender
-from gannetshift.interface import Result
+from gannetshift.interface import Effect, Result
 from lynxscale.counters import Counters
 from lynxscale.deadlines import Deadline, Deadlines, Loop
 from lynxscale.fleet.tally import Tally
@@ -31,6 +31,7 @@
 AHEAD_MOST, AHEAD_OF_CLASS, AHEAD_OF_LEFT = 400_000, 0.05, 0.5  # µs, and shares: ended so long before its time
 FIRST_READS = 250_000  # µs from listening on: what is read then may have waited for as long as the start took
 START_MOST = 3_000_000  # µs that it is believed to have waited, at most
+SPAN_SHARE = 0.95  # of the time for which a key is remembered: a repeat that is written later may arrive too late
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 
 
@@ -207,6 +208,9 @@
         """A try is about to be written: keep that first. Where that fails, it must not go."""
         if (held := self.held.get(number)) is None:
             return False
+        if not self._repeatable(held):
+            self.counters.add("tries", "too_late_to_repeat")
+            return False
         try:
             self.journal.tried(number, self._unix())
         except JournalFull as error:
@@ -215,6 +219,17 @@
             return False
         return True
 
+    def _repeatable(self, held: Held) -> bool:
+        """May it go, although a try before may have run?
+
+        Guards against a repeat that was in its key's span when it was ordered and is not when its connection is up.
+        """
+        grade, maybe = self.settings.classes[held.cls], held.entry.maybe
+        if not maybe or grade.effect == Effect.IDEMPOTENT:
+            return True
+        span = SPAN_SHARE * 1000 * (grade.memory_span_ms or 0.0) if grade.effect == Effect.KEYED else 0.0
+        return self._unix() - min(maybe) < span
+
     def outcome(self, number: int, attempt: int, endpoint: int, result: Result, spent: int, recorded: bool,
                 *, over: bool = False, wait_ms: float = 0.0, report: tuple[float, ...] = ()) -> None:
         """How a try ended; ``recorded``: ``going`` was told of it; ``over``: nothing more is owed."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -63,8 +63,8 @@
         self.relay.put(api.Membership(api.ListKind.FULL, 1, [member]))
         self.turns.run()
 
-    def offer(self, id: str, left: float = 16.0) -> None:
-        self.relay.offer(Envelope(id, 0, 0, "", 1, int(left * 1e6), b"body"),
+    def offer(self, id: str, left: float = 16.0, cls: int = 0) -> None:
+        self.relay.offer(Envelope(id, cls, 0, "", 1, int(left * 1e6), b"body"),
                          lambda verdict, _again: self.answers.append((id, verdict)))
 
     def told(self, name: str) -> list:
@@ -116,6 +116,18 @@
         self.assertEqual(self.answers, [("m1", Verdict.REJECTED)] * 2)
         self.assertEqual(len(self.relay.held), 0)
 
+    def test_a_repeat_whose_connection_came_up_too_late_does_not_go(self):
+        """Ordered within its key's span, 7.5 s, and written behind it; what may not be repeated never goes again."""
+        for cls, after, goes in ((1, 6.9, True), (1, 7.3, False), (2, 0.1, False), (0, 9.0, True)):
+            with self.subTest(cls=cls, after=after):
+                self.offer(f"m{cls}-{after}", cls=cls)
+                self.turns.run()
+                number = self.relay.by_id[f"m{cls}-{after}"]
+                self.assertTrue(self.relay.going(number))
+                self.relay.outcome(number, 0, 7, api.Result.ERROR, 0, True)
+                self.relay.held.get(number).entry.maybe[0] -= int(after * 1e6)
+                self.assertEqual(self.relay.going(number), goes)
+
     def test_a_fault_of_the_module_loses_no_message(self):
         """What it lost track of is taken, kept, and ended once its time is up."""
         def fault(_now, _events):
