Let the heir have what waits at once, with what was learned: staged release and knowledge

Cause: Lifecycle muted the old one only at 1.5 s and it stayed until its last hanging try ended.

A message handed in again is known at both. The load event tells the longest turn.

--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -95,7 +95,8 @@
             self.door = Door(self.deadlines, self.counters, self.lifecycle, self.drain, self.resume)
         self.clients = Clients(self.deadlines, relay, 0, 0, self.lifecycle)
         self._share(1.0)
-        self.handover = Handover(self.claim, relay, self.deadlines, self.counters, self._accept, self._share)
+        self.handover = Handover(self.claim, relay, self.deadlines, self.counters, self._accept, self._share,
+                                 self.group.name_of, self.group.number_of)
         if own.trace.folder is not None:
             relay.trace = self.trace = self._recorder(own)
         self._looking: Deadline | None = None
@@ -234,6 +235,8 @@
             elif order is Order.DEAF:
                 self.clients.stop_accepting()
                 self.handover.let_go()
+            elif order is Order.RELEASE:
+                self.handover.release()
             elif order is Order.MUTE:
                 self.relay.sending = False
             else:
@@ -258,6 +261,7 @@
         if self.trace is not None:
             self.trace.stop(self.loop.now(), len(self.relay.held))
         log.info("ended", left=len(self.relay.held))
+        self.handover.keep()
         self.journal.close()
 
     def _tell_traffic(self) -> None:
--- a/lynxscale/deadlines.py
+++ b/lynxscale/deadlines.py
@@ -18,6 +18,7 @@
         self._call_later, self.at_end = call_later, at_end
         self._now: int | None = None
         self._planned = False
+        self._longest = 0
 
     def now(self) -> int:
         """Whole microseconds on the monotonic clock; the same for the rest of this turn."""
@@ -32,12 +33,19 @@
             self._planned = True
             self._call_later(0, self._end)
 
+    def longest(self) -> int:
+        """The longest turn since the last call, in µs: nobody was heard meanwhile."""
+        longest, self._longest = self._longest, 0
+        return longest
+
     def _end(self) -> None:
         self._planned = False
         try:
             if self.at_end is not None:
                 self.at_end()
         finally:
+            if self._now is not None:
+                self._longest = max(self._longest, time.monotonic_ns() // 1000 - self._now)
             self._now = None
 
 
--- a/lynxscale/journal/log.py
+++ b/lynxscale/journal/log.py
@@ -67,6 +67,7 @@
         self._whole = True  # the manifest on disk is the one of the plan
         self._slots: set[str] = set()
         self._slot_size = SLOT_ROUND
+        self.still = False  # nothing is cleaned: another process reads what is here
         self._turned = True  # a segment was begun since empty ones were looked for
 
     # Start ---------------------------------------------------------------------------------------
@@ -138,6 +139,11 @@
         if entry.final is not None:
             self._finals.add(uid)
 
+    def release(self, number: int) -> int:
+        """Another process ends this message; its number for good. It stays open here, and cleaning stands still."""
+        self.still = True
+        return self._uids.pop(number)
+
     def forgo(self, number: int) -> None:
         """As if it had not been adopted; nothing was sent of it."""
         if number in self._uids:
@@ -302,6 +308,8 @@
         """The end of a turn: clean a slice, if it is time, and give back what is empty."""
         if self._owed:
             self._end_owed()
+        if self.still:
+            return
         tight = self.plan.free() <= FREE_LOW
         if not tight and not self._turned:
             self._wrote = 0
--- a/lynxscale/lifecycle.py
+++ b/lynxscale/lifecycle.py
@@ -21,7 +21,6 @@
 LOOK_EVERY = 50_000
 # The same where an heir takes the clients that come:
 HAND_PART_AT = 1_200_000  # kept connections have most likely had a request by now, and were closed with its answer
-HAND_MUTE_AT = 1_500_000  # what is not out then is the heir's
 
 
 class State(Enum):
@@ -41,6 +40,7 @@
 
     PART = "part"  # close the client connections that have nothing to ask
     DEAF = "deaf"  # listen no more
+    RELEASE = "release"  # let go of messages that wait: the heir has them
     MUTE = "mute"  # start no more tries
     LEAVE = "leave"  # end the process
 
@@ -117,12 +117,11 @@
                 orders.append(Order.DEAF)
             if past >= HAND_PART_AT:
                 orders.append(Order.PART)
-            if not self._muted and (past >= HAND_MUTE_AT or not clients):
-                self._muted = True
-                orders.append(Order.MUTE)
-            elif past >= LEAVE_AT or (self._muted and not working and not clients):
+            if past >= LEAVE_AT or not (working or clients or Order.DEAF in orders):
                 self.state = State.LEFT
                 orders.append(Order.LEAVE)
+            elif Order.DEAF not in orders:
+                orders.append(Order.RELEASE)
             return orders
         if self.state is State.STOP_TELLING and past >= PART_AT:
             self.state = State.STOP_CLOSING
--- a/lynxscale/membership/group.py
+++ b/lynxscale/membership/group.py
@@ -62,6 +62,11 @@
         entry = self.table.entry(endpoint)
         return (entry.id, "{}:{}".format(*entry.address)) if entry is not None else None
 
+    def number_of(self, id_: str, address: str) -> int | None:
+        """The module's number of an endpoint, while it is listed there."""
+        number = self.table.number(id_)
+        return number if number is not None and self.name_of(number) == (id_, address) else None
+
     def address_of(self, endpoint: int) -> tuple[str, int] | None:
         entry = self.table.entry(endpoint)
         return entry.address if entry is not None else None
--- a/lynxscale/membership/table.py
+++ b/lynxscale/membership/table.py
@@ -46,6 +46,10 @@
         """What the module knows by this number, while it is listed."""
         return self._by_number.get(number)
 
+    def number(self, id_: str) -> int | None:
+        """The number of an id, while it is listed."""
+        return self._numbers.get(id_)
+
     def entries(self) -> dict[str, Entry]:
         """All of it, by id."""
         return {entry.id: entry for entry in self._by_number.values()}
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -71,6 +71,7 @@
     ended: bool = False  # the module has ended it, or it is delivered
     attempts: int = 0
     backstop: Deadline | None = None
+    out: bool = False  # a try is under way
     taken: int = 0  # µs of the loop's clock
 
 
@@ -100,6 +101,7 @@
 
     def tell(self, dest: int, until: int, now: int) -> None: ...
     def wait_until(self, dest: int) -> int: ...
+    def holds(self, id: str) -> bool: ...
 
 
 class TracePort(Protocol):
@@ -137,6 +139,7 @@
         self.notices: NoticePort
         self.trace: TracePort | None = None
         self.board: BoardPort | None = None
+        self.released: set[str] = set()  # ids that another process of this relay has from now on
         self.tally = Tally(loop.now())
         self.out = 0  # tries that are under way
         self.sending = True
@@ -174,6 +177,11 @@
             else:
                 known.answers.append(answer)
             return
+        if self.board is not None and (envelope.id in self.released or self.board.holds(envelope.id)):
+            # The other process of this relay has it: a second one would be delivered twice.
+            self.counters.add("taken", "again")
+            answer(Verdict.TAKEN, 0.0)
+            return
         self.tally.add(envelope.dest, "offered")
         if self._most is not None and len(self.held) >= self._most:
             self.counters.add("reject", "no_room")
@@ -223,6 +231,7 @@
         held = self.held.get(number)
         finished = held is None or held.ended
         if held is not None:
+            held.out = False
             self._count(held.entry.dest, result, wait_ms, report)
             if wait_ms and self.board is not None:
                 now = self.loop.now()
@@ -253,7 +262,7 @@
         now = self.loop.now()
         oldest = min((held.taken for held in self.held.items() if not held.ended), default=now)
         load = {"held": len(self.held), "out": self.out, "peers": self.tries.connections(),
-                "oldest_ms": (now - oldest) // 1000}
+                "oldest_ms": (now - oldest) // 1000, "longest_turn_ms": self.loop.longest() // 1000}
         return self.tally.lines(now, self.counters.table(), load)
 
     def notified(self, number: int) -> None:
@@ -370,11 +379,27 @@
         if not self.sending:
             return  # left in the journal for the next process
         self.out += 1
+        held.out = True
         if self.trace is not None:
             self.trace.try_started(self.loop.now(), action.id, attempt, action.endpoint, int(action.timeout * 1000),
                                    action.fresh)
         self.tries.start(action.id, attempt, held, action.endpoint, int(action.timeout * 1000), action.fresh)
 
+    def release(self) -> list[int]:
+        """Let go of all messages with no try under way: another process has them; their numbers in the journal.
+
+        Nothing is written: in the journal they stay open until the other one has them in its own.
+        """
+        numbers = []
+        for held in [one for one in self.held.items() if not (one.out or one.ended or one.answers is not None)]:
+            self.put(api.Withdrawn(held.number))
+            self.deadlines.cancel(held.backstop)
+            numbers.append(self.journal.release(held.number))
+            self.held.remove(held.number)
+            del self.by_id[held.entry.id]
+            self.released.add(held.entry.id)
+        return numbers
+
     # Ends ----------------------------------------------------------------------------------------
 
     def _end(self, number: int, status: str, again_ms: int) -> None:
--- a/lynxscale/upgrade/folders.py
+++ b/lynxscale/upgrade/folders.py
@@ -16,6 +16,8 @@
 
 FIRST = "segments"
 GONE, TAKEN, HEIR = ".gone", "taken", "heir"
+RELEASED = "released"  # numbers of messages that its process has let go of while it lives
+RELEASED_SIZE = UID.size
 LOOK_S = 0.02
 
 
@@ -173,6 +175,25 @@
         self._port.unlock()
 
 
+def release(path: Path, numbers: list[int]) -> None:
+    """Tell the heir which messages are its own from now on. Raises OSError: it then has them once this process ends."""
+    handle = os.open(path / RELEASED, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
+    try:
+        os.write(handle, b"".join(UID.pack(number) for number in numbers))
+    finally:
+        os.close(handle)
+
+
+def released(path: Path, at: int) -> tuple[list[int], int]:
+    """What was released from byte ``at`` on, and where to read on."""
+    with suppress(OSError), open(path / RELEASED, "rb") as file:
+        file.seek(at)
+        data = file.read()
+        whole = len(data) // UID.size * UID.size
+        return [number for number, in UID.iter_unpack(data[:whole])], at + whole
+    return [], at
+
+
 def sweep(state: Path) -> None:
     """Remove what an earlier process was about to."""
     for path in state.iterdir():
--- a/lynxscale/upgrade/handover.py
+++ b/lynxscale/upgrade/handover.py
@@ -6,19 +6,23 @@
 
 import structlog
 
+from gannetshift.knowledge import export, take
 from lynxscale.counters import Counters
 from lynxscale.deadlines import Deadlines
 from lynxscale.journal import JournalFull
 from lynxscale.journal.format import Refused
 from lynxscale.relay import Relay
 from lynxscale.upgrade.board import Stage
-from lynxscale.upgrade.folders import Claim, Estate, alive
+from lynxscale.upgrade.folders import RELEASED_SIZE, Claim, Estate, alive, folder_of, release, released
+from lynxscale.upgrade.follow import Follower
+from lynxscale.upgrade.kept import keep, kept
 from lynxscale.upgrade.succession import Order, Succession
 
 log = structlog.get_logger()
 
 LOOK_EVERY, REST = 10_000, 100_000  # µs between two looks while another process is there, and else
 SLICE = 32  # messages taken over in one turn
+MOST_RELEASED = 128  # the same of those that were let go of: they wait for their first try
 AGAIN_EVERY = 200_000  # µs until another attempt where there was no room
 
 
@@ -26,13 +30,19 @@
     """``accept``: take clients from now on; ``share``: keep to a part of the descriptors."""
 
     def __init__(self, claim: Claim, relay: Relay, deadlines: Deadlines, counters: Counters,
-                 accept: Callable[[], None], share: Callable[[float], None]) -> None:
+                 accept: Callable[[], None], share: Callable[[float], None],
+                 name_of: Callable[[int], tuple[str, str] | None], number_of: Callable[[str, str], int | None]) -> None:
         self._claim, self._relay, self._deadlines, self._counters = claim, relay, deadlines, counters
         self._accept, self._share = accept, share
+        self._name_of, self._number_of = name_of, number_of
         self._succession = Succession(claim.heir)
         self._predecessor = claim.earlier[-1] if claim.heir else -1
         self._slots = relay.settings.slots
         self._other: tuple[Stage, bool] = (Stage.NONE, False)
+        self._follower: Follower | None = None  # of the other process's journal
+        self._estate: Estate | None = None  # of the predecessor, while it lives
+        self._released_at, self._heir = 0, -1
+        self._kept = False
         if claim.half is not None:
             relay.board = self
 
@@ -47,16 +57,26 @@
         for generation in claim.earlier:
             if generation != self._predecessor:
                 self._adopt(generation)
-        if not claim.heir and not claim.earlier:
-            claim.settled()
+        if not claim.heir:
+            self._learn()
+            if not claim.earlier:
+                claim.settled()
+        else:
+            # Before the yes: to read it all may take a while.
+            self._follower = Follower(folder_of(claim.state, self._predecessor))
+            self._follower.look()
         if claim.half is not None:
             claim.half.enter(Stage.READY if self.waiting else Stage.SERVING)
             self._look()
 
     def let_go(self) -> None:
         """This process takes no more clients."""
-        if self._claim.half is not None:
-            self._claim.half.enter(Stage.HANDING)
+        if self._claim.half is None:
+            return
+        if self._heir >= 0:
+            self._follower = Follower(folder_of(self._claim.state, self._heir))
+            self.keep()
+        self._claim.half.enter(Stage.HANDING)
 
     def has_heir(self) -> bool:
         """Is another process ready to take the clients?"""
@@ -65,6 +85,16 @@
         self._read()
         return self._succession.has_heir(*self._other)
 
+    def release(self) -> None:
+        """Let the heir have what waits; nothing where the folder has no room to say so."""
+        numbers = self._relay.release()
+        if numbers:
+            try:
+                release(self._claim.path, numbers)
+            except OSError as error:
+                log.warning("not_released", left=len(numbers), error=str(error))  # its own at this process's end
+            self._counters.add("handover", "released", len(numbers))
+
     # The board, for the core ---------------------------------------------------------------------
 
     def tell(self, dest: int, until: int, now: int) -> None:
@@ -73,6 +103,10 @@
     def wait_until(self, dest: int) -> int:
         return self._claim.other.wait_until(dest) if self._other[0] is not Stage.NONE else 0
 
+    def holds(self, id_: str) -> bool:
+        """Does the other process hold this message?"""
+        return self._follower is not None and self._follower.holds(id_)
+
     # Looks ---------------------------------------------------------------------------------------
 
     def _read(self) -> int:
@@ -83,6 +117,8 @@
         wanted = generation == self._predecessor if self._predecessor >= 0 else generation > claim.generation
         if not wanted:
             stage = Stage.NONE
+        elif self._predecessor < 0:
+            self._heir = generation
         there = (stage is not Stage.NONE or self._succession.predecessor) and alive(
             claim.state, generation if wanted else self._predecessor)
         self._other = (stage if there else Stage.NONE, there)
@@ -98,13 +134,31 @@
             log.info("handover", order=order.value, generation=claim.generation, other=self._other[0].name.lower())
             if order is Order.ACCEPT:
                 claim.half.enter(Stage.SERVING)
+                self._learn()
                 self._accept()
             elif order is Order.ADOPT:
                 self._adopt(self._predecessor)
             else:
                 self._share(0.5 if order is Order.SHARE else 1.0)
+        if self._predecessor >= 0 and self._other[0] is Stage.HANDING:
+            self._take_released()
         self._deadlines.after(LOOK_EVERY if self._succession.shared else REST, self._look)
 
+    def _take_released(self) -> None:
+        """The predecessor lives, and has let go of some."""
+        path = folder_of(self._claim.state, self._predecessor)
+        numbers, at = released(path, self._released_at)
+        if not numbers or self._follower is None or not self._follower.look():
+            return
+        if self._estate is None:
+            self._estate = Estate(self._claim.state, self._predecessor)
+        entries = self._follower.entries
+        left = [(number, entries[number]) for number in numbers if number in entries]
+        if self._give(self._estate, left[:MOST_RELEASED]):
+            # The rest at the next look: a turn must stay short.
+            done = len(numbers) if len(left) <= MOST_RELEASED else numbers.index(left[MOST_RELEASED][0])
+            self._released_at += done * RELEASED_SIZE
+
     # What others left ----------------------------------------------------------------------------
 
     def _adopt(self, generation: int) -> None:
@@ -126,12 +180,7 @@
 
     def _slice(self, estate: Estate, generation: int, left: list) -> None:
         part = left[:SLICE]
-        try:
-            if part:
-                new = self._relay.adopt([entry for _uid, entry in part], lambda: estate.mark([uid for uid, _ in part]))
-                self._counters.add("handover", "taken_over", new)
-        except (JournalFull, OSError) as error:
-            log.warning("taking_over_waits", folder=estate.path.name, left=len(left), error=str(error))
+        if part and not self._give(estate, part):
             self._deadlines.after(AGAIN_EVERY, self._slice, estate, generation, left)
             return
         if len(left) > SLICE:
@@ -142,5 +191,36 @@
         self._claim.earlier.remove(generation)
         if generation == self._predecessor:
             self._predecessor = -1
+            self._follower = None if self._follower is None else self._follower.close()
         if not self._claim.earlier:
             self._claim.settled()
+
+    def _give(self, estate: Estate, part: list) -> bool:
+        """These are this process's from now on; False where there is no room to keep them."""
+        try:
+            new = self._relay.adopt([entry for _uid, entry in part], lambda: estate.mark([uid for uid, _ in part]))
+        except (JournalFull, OSError) as error:
+            log.warning("taking_over_waits", folder=estate.path.name, left=len(part), error=str(error))
+            return False
+        self._counters.add("handover", "taken_over", new)
+        return True
+
+    # What was learned ----------------------------------------------------------------------------
+
+    def keep(self) -> None:
+        """Keep what the module has learned for the process that comes, once."""
+        if self._kept:
+            return
+        self._kept = True
+        keep(self._claim.state, export(self._relay.sender), self._name_of, self._relay.loop.now())
+
+    def _learn(self) -> None:
+        told = kept(self._claim.state, self._number_of, self._relay.loop.now())
+        if told is None:
+            return
+        try:
+            lanes = take(self._relay.sender, told, self._relay.loop.now() / 1000)
+        except ValueError as error:
+            log.warning("nothing_learned", error=str(error))
+            return
+        log.info("learned", lanes=lanes)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -191,6 +191,8 @@
         self.act = never
         self.start()
         begun = time.monotonic()
+        until(lambda: time.monotonic() > begun + 0.3, "the end of the first reads, which may have waited")
+        begun = time.monotonic()
         self.client().hand_in("m1", "once", left=1.0)
         self.client().hand_in("m2", "safe", left=1.0)
         self.assertEqual(self.notice("m1")["status"], "undeliverable")
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,15 +10,20 @@
 from contextlib import suppress
 from pathlib import Path
 
+import orjson
 import pytest
 
+from gannetshift import interface as api
+from gannetshift.knowledge import export, take
 from lab.standins import PATIENCE, Client, reply, until
 from lynxscale.journal import Entry, Journal
 from lynxscale.journal.port import Folder
-from lynxscale.upgrade import folders
+from lynxscale.upgrade import folders, kept
 from lynxscale.upgrade.board import MOST_WAITS, Board, Stage
 from lynxscale.upgrade.folders import Claim, Estate
+from lynxscale.upgrade.follow import Follower
 from lynxscale.upgrade.succession import Order, Succession
+from tests.driver import Driver, member
 from tests.node import NodeCase
 
 SEED = int(os.environ.get("UPGRADE_SEED", "7"))
@@ -114,6 +119,84 @@
     assert (second.generation, second.earlier, second.half.place) == (2, [0, 1], heir.half.place)
 
 
+def test_a_journal_is_followed_while_it_is_written_and_cleaned(tmp_path):
+    rng = random.Random(SEED)
+    journal = Journal(Folder(tmp_path / "segments"), 200_000, lambda: 5_000_000)
+    journal.open()
+    follower = Follower(tmp_path / "segments")
+    open_, number = {}, 0
+    for _step in range(3000):
+        if rng.random() < 0.5 or not open_:
+            number += 1
+            open_[number] = f"m{number}"
+            journal.take(number, entry(open_[number]))
+        elif rng.random() < 0.5:
+            journal.tried(rng.choice(list(open_)), 7)
+        else:
+            gone = rng.choice(list(open_))
+            journal.end(gone)
+            assert not follower.holds(open_.pop(gone))
+        if len(open_) > 60:
+            for gone in list(open_)[:30]:
+                journal.end(gone)
+                del open_[gone]
+        journal.turn()
+        if rng.random() < 0.1:
+            assert follower.look()
+            found = {one.id: (one.tries, one.maybe) for one in follower.entries.values()}
+            assert found == {one.id: (one.tries, one.maybe) for one in journal.entries()}
+            assert all(follower.holds(name) for name in open_.values())
+    assert min(journal.plan.segments) > 5  # it was cleaned meanwhile
+
+
+def learned() -> tuple[dict, Driver]:
+    old = Driver(members=[member(11), member(12, dest=2)])
+    old.warm_up(30)
+    old.finish(old.message(dest=2), api.Result.FULL, wait=500.0)
+    return orjson.loads(orjson.dumps(export(old.sender))), old
+
+
+def test_what_was_learned_goes_along():
+    told, old = learned()
+    new = Driver(members=[member(11), member(12, dest=2)])
+    new.now = old.now
+    assert take(new.sender, told, new.now) == 2
+    before, after = (one.sender.endpoints[11].lane for one in (old, new))
+    assert (after.window, after.tau, after.median) == (before.window, before.tau, before.median)
+    number = new.message(dest=2)
+    assert not new.is_out(number)  # the told wait holds on
+    new.pass_time(5000.0)
+    assert new.is_out(number)
+
+
+@pytest.mark.parametrize("spoil", [
+    lambda told: told.pop("rest"), lambda told: told["lanes"][0].pop(), lambda told: told.update(lanes=[[1]]),
+    lambda told: told["lanes"][0][3].__setitem__(0, "odd"), lambda told: told.update(classes=[["x", 1]] * 4),
+])
+def test_what_is_no_knowledge_is_told(spoil):
+    told, old = learned()
+    spoil(told)
+    with pytest.raises(ValueError):
+        take(Driver().sender, told, old.now)
+
+
+@pytest.mark.parametrize("change,taken", [({}, True), ({"version": 2}, False), ({"unix": 0}, False),
+                                          ({"now": 10**15}, False)])
+def test_knowledge_is_read_once_and_only_while_it_is_fresh(tmp_path, change, taken):
+    told, _old = learned()
+    names = {11: ("a", "127.0.0.1:1"), 12: ("b", "127.0.0.1:2")}
+    kept.keep(tmp_path, told, names.get, 5_000_000)
+    path = tmp_path / kept.NAME
+    path.write_bytes(orjson.dumps(orjson.loads(path.read_bytes()) | change))
+    numbers = {"a": 31, "b": 32}
+    again = kept.kept(tmp_path, lambda id_, _address: numbers.get(id_), 5_100_000)
+    assert (again is not None) == taken
+    if again is not None:
+        assert [row[0] for row in again["endpoints"]] == [31, 32]
+        assert again["lanes"][0][1] == [31] and again["lanes"][0][2:] == told["lanes"][0][2:]
+    assert not path.exists() and kept.kept(tmp_path, lambda *_: None, 5_100_000) is None
+
+
 class Upgrades(NodeCase):
     def setUp(self) -> None:
         super().setUp()
@@ -174,6 +257,29 @@
         self.assertEqual(sorted(path.name for path in self.state.iterdir()), ["board", "heir", "segments.1"])
         self.assertIsNone(heir.poll())
 
+    def test_what_waits_is_the_heirs_while_the_old_one_lives_and_is_known_at_both(self):
+        hung = threading.Event()
+        self.act = lambda call: (hung.wait(PATIENCE) and None) if call[1]["req-id"] == "hung" else reply(503)
+        old = self.begin()
+        kept_ = self.client()
+        self.assertEqual(kept_.hand_in("hung", cls="once")[0], 202)
+        until(lambda: self.calls("hung"), "the try that hangs")
+        self.assertEqual(kept_.hand_in("waits", cls="once")[0], 202)
+        until(lambda: self.calls("waits"), "the first refusal")
+        self.begin()
+        old.send_signal(signal.SIGTERM)
+        until(lambda: "order=accept" in self.log.read_text(), "the handover")
+        self.assertEqual(self.client().hand_in("hung", cls="once")[0], 202)  # again, at the heir
+        self.act = lambda _call: reply(200)
+        until(lambda: "event=replayed" in self.log.read_text(), "what the heir was given")
+        self.assertIsNone(old.poll())
+        self.assertEqual(self.client().hand_in("waits", cls="once")[0], 202)
+        until(lambda: "event=taken_over folder=segments" in self.log.read_text(), "the end of the old one")
+        until(lambda: "hung" in self.discovery.notices, "the end of what may have run")
+        hung.set()
+        self.assertEqual(len(self.calls("hung")), 1)
+        self.assertIn("event=learned", self.log.read_text())
+
     def test_an_heir_that_dies_changes_nothing_and_another_may_come(self):
         old = self.begin()
         heir = self.begin()
