Send several messages in one call where a kind takes them, and watch an agent that lists are pushed to

Its bursts went in a call for each message (Peers._begin dialled for each try), while the module counts one call for up to per_call messages.

Change: Discovery watches an agent by itself, and asks again 0.25 s after silence; lynxscale/bundle.py is the codec, net/peers.py has a Call with several tries, each with its own record, time and outcome. Waits told to a single route bind that route.

Tests: tests/test_bundle.py (tables, hypothesis, a stand-in that takes four a call).

--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -83,11 +83,12 @@
         self.discovery: Discovery | None = None
         if conf.discovery is not None:
             self.discovery = Discovery(reactor, self.deadlines, conf.discovery, self.group, self.counters,
-                                       teller)
+                                       teller, pushed=not conf.settings.asks_for_members)
             self.group.add(DISCOVERY, self.discovery)
         self.watch = self._watch(own, teller) if own.members.files else None
         self.peers = relay.tries = Peers(
-            reactor, self.loop, self.deadlines, relay, self.group.address_of, 0
+            reactor, self.loop, self.deadlines, relay, self.group.address_of, 0, self.group.per_call,
+            self.group.route_of,
         )
         self.notices = relay.notices = self._notices(own)
         self.door: Door | None = None
--- a/lynxscale/membership/group.py
+++ b/lynxscale/membership/group.py
@@ -39,6 +39,11 @@
         self._deadlines, self._put, self._on_gone = deadlines, put, on_gone
         self._ramps = Ramps(ramp)
         self.table = Table(settings.kinds, settings.zones, self._ramps)
+        # As the module has it: a kind that the settings do not name counts as the first.
+        self._per_call = dict(zip(settings.kinds, settings.per_call, strict=False))
+        self._per_call_else = settings.per_call[0] if settings.per_call else 1
+        self._apart = dict(zip(settings.kinds, settings.routes_apart, strict=False))
+        self._apart_else = any(settings.routes_apart[:1])
         self._order = tuple(order)
         self._lists: dict[str, dict[str, Entry]] = {}
         self._listed: dict[str, dict[int, int]] = {}  # by source: destinations and how many endpoints
@@ -67,6 +72,16 @@
         number = self.table.number(id_)
         return number if number is not None and self.name_of(number) == (id_, address) else None
 
+    def per_call(self, endpoint: int) -> int:
+        """Messages that one call to it may carry."""
+        entry = self.table.entry(endpoint)
+        return self._per_call.get(entry.kind, self._per_call_else) if entry is not None else 1
+
+    def route_of(self, endpoint: int) -> str | None:
+        """The id of an endpoint with a limit and waits of its own; None where its destination's bind it."""
+        entry = self.table.entry(endpoint)
+        return entry.id if entry is not None and self._apart.get(entry.kind, self._apart_else) else None
+
     def address_of(self, endpoint: int) -> tuple[str, int] | None:
         entry = self.table.entry(endpoint)
         return entry.address if entry is not None else None
--- a/lynxscale/net/discovery.py
+++ b/lynxscale/net/discovery.py
@@ -27,6 +27,8 @@
 
 PATH = "/catalog/members"
 WAIT_MS = 10_000  # of each call, the first one, too; short enough to notice a discovery that says nothing
+# Of an agent on this machine, where calls cost nothing: what is silent is asked again soon.
+PUSHED_WAIT_MS, PUSHED_SLACK_MS, PUSHED_AGAIN_MS = 2000, 1000, 250
 SLACK_MS = 5000  # beyond the wait, until a call counts as failed; one that is overbooked gives up sooner, with 503
 LIFECYCLES = {"ready": api.Lifecycle.READY, "draining": api.Lifecycle.DRAINING}
 GONE = "gone"
@@ -36,13 +38,14 @@
     """Calls the directory at ``where`` and tells the group what it answers."""
 
     def __init__(self, reactor, deadlines: Deadlines, where: Address, group: Group, counters: Counters,
-                 teller: Teller) -> None:
+                 teller: Teller, pushed: bool = False) -> None:
         self._reactor, self._deadlines = reactor, deadlines
         self._caller = Caller(reactor, deadlines, where, "group")
         self._group, self._counters, self._teller = group, counters, teller
+        self._pushed = pushed  # to an agent on this machine, which is asked without the module's order
         self._version = 0
         self._asked = False  # the module waits for the answer to its order
-        self._watching = False
+        self._watching = self._stopped = False
         self._moved = False  # the versions so far are another address's; the next answer must be whole
 
     def begin(self, known: dict) -> None:
@@ -51,14 +54,16 @@
         changes = self._changes(rows if isinstance(rows, list) else [])
         self._version = known.get("generation", 0)
         self._group.take(DISCOVERY, api.ListKind.CACHED, self._version, changes)
+        if self._pushed:
+            self.watch(True)
 
     def watch(self, active: bool) -> None:
         self._watching = active
         if active and self._moved:
             self.fetch()
         elif active:
-            self._asked = True
-            self._call(f"{PATH}?after={self._version}&wait_ms={WAIT_MS}", WAIT_MS)
+            self._asked = not self._pushed
+            self._go_on()
         else:
             self._caller.drop(link.CANCELLED)
 
@@ -74,7 +79,7 @@
         self.watch(True)
 
     def stop(self) -> None:
-        self._watching = False
+        self._watching, self._stopped = False, True
         self._caller.close(link.STOPPING)
 
     # Calls ---------------------------------------------------------------------------------------
@@ -82,13 +87,27 @@
     def _call(self, target: str, wait_ms: int) -> None:
         data = http.request("GET", target, self._caller.host)
         self._counters.add("group", "asked")
-        answer = self._caller.call(data, (wait_ms + SLACK_MS) * 1000)
+        slack = PUSHED_SLACK_MS if self._pushed else SLACK_MS
+        answer = self._caller.call(data, (wait_ms + slack) * 1000)
         answer.addCallbacks(self._answered, self._failed)
 
+    def _go_on(self) -> None:
+        wait = PUSHED_WAIT_MS if self._pushed else WAIT_MS
+        self._call(f"{PATH}?after={self._version}&wait_ms={wait}", wait)
+
     def _failed(self, _failure: Failure | None) -> None:
+        again = self._watching and self._pushed
         self._watching = self._asked = False
         self._counters.add("group", "failed")
-        self._group.failed(self._version)
+        if again:
+            # Silent, or not there yet: it is asked on, whatever the module knows.
+            self._deadlines.after(PUSHED_AGAIN_MS * 1000, self._again)
+        else:
+            self._group.failed(self._version)
+
+    def _again(self) -> None:
+        if not self._watching and not self._stopped:
+            self.watch(True)
 
     def _answered(self, response: http.Response) -> None:
         try:
@@ -107,10 +126,9 @@
             return
         self._counters.add("group", "answers")
         self._moved = False
-        if self._watching:
-            # At once: the watch goes on only if the next call follows closely.
-            self._call(f"{PATH}?after={version}&wait_ms={WAIT_MS}", WAIT_MS)
         self._version = version
+        if self._watching:
+            self._go_on()  # at once: the watch goes on only if the next call follows closely
         asked, self._asked = self._asked, False
         if asked or changes or whole:
             known = self._group.list_of(DISCOVERY)
--- a/lynxscale/net/peers.py
+++ b/lynxscale/net/peers.py
@@ -1,18 +1,24 @@
-"""Peer connections, tries and probes."""
+"""Peer connections, calls, tries and probes.
+
+A call carries one try, or, where a kind of endpoint takes several messages in one call, all that the module orders to
+that endpoint in one turn. Each try has its own time and its own outcome; the call's connection is theirs together.
+"""
 
 from __future__ import annotations
 
 import re
+import zlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import structlog
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
 from gannetshift import interface as api
 from gannetshift.interface import Result
-from lynxscale import http
+from lynxscale import bundle, http
 from lynxscale.deadlines import Deadline, Deadlines, Loop
 from lynxscale.net import link
 from lynxscale.net.link import Broken, Link
@@ -21,6 +27,8 @@
 if TYPE_CHECKING:
     from lynxscale.relay import Held, Relay
 
+log = structlog.get_logger()
+
 IDLE_SHARE = 0.9  # of the time after which a peer closes an idle connection: ours goes first
 IDLE_MS = 15_000.0  # where the settings tell none
 DIAL_MS, PROBE_MS = 1500.0, 1500.0
@@ -37,29 +45,49 @@
     return min(value * 1000, LONGEST_WAIT_MS)
 
 
+@dataclass(slots=True, eq=False)
+class Call:
+    """What goes to one endpoint at once. ``link``: what it was written to."""
+
+    endpoint: int
+    fresh: bool = False
+    tries: list[Try] = field(default_factory=list)
+    size: int = 0  # bytes of its body
+    link: Link | None = None
+
+
 @dataclass(slots=True, eq=False)
 class Try:
     """One attempt, from its order to its outcome. ``held`` is None for a probe."""
 
     number: int
     attempt: int
-    endpoint: int
+    call: Call
     held: Held | None
     begun: int
     ends: int
     place: int = 0
     deadline: Deadline | None = None
-    link: Link | None = None
     recorded: bool = False
     done: bool = False
 
+    @property
+    def endpoint(self) -> int:
+        return self.call.endpoint
+
 
 class Peers:
     def __init__(self, reactor, loop: Loop, deadlines: Deadlines, relay: Relay,
-                 address_of: Callable[[int], tuple[str, int] | None], idle_most: int) -> None:
+                 address_of: Callable[[int], tuple[str, int] | None], idle_most: int,
+                 per_call: Callable[[int], int] = lambda _endpoint: 1,
+                 route_of: Callable[[int], str | None] = lambda _endpoint: None) -> None:
         self._reactor, self._loop, self._deadlines, self._relay = reactor, loop, deadlines, relay
-        self._address_of, self._idle_most = address_of, idle_most
+        self._address_of, self._idle_most, self._per_call = address_of, idle_most, per_call
+        self._route_of = route_of
         settings = relay.settings
+        self._copies = settings.second_copies
+        self._joining: dict[int, Call] = {}  # by endpoint: this turn's call that more may join
+        self._calls: list[Call] = []
         self._idle_for = int((settings.idle_close_ms or IDLE_MS) * IDLE_SHARE * 1000)
         self._dial_for = int((settings.connect_timeout_ms or DIAL_MS) * 1000)
         self._columns = settings.report_columns
@@ -73,11 +101,33 @@
 
     def start(self, number: int, attempt: int, held: Held, endpoint: int, timeout: int, fresh: bool) -> None:
         now = self._loop.now()
-        self._begin(Try(number, attempt, endpoint, held, now, now + max(0, timeout)), fresh)
+        most = self._per_call(endpoint)
+        call = self._joining.get(endpoint) if most > 1 else None
+        size = bundle.size_of(held.entry.id, held.entry.key, held.entry.body)
+        if call is None or len(call.tries) >= most or call.size + size > http.BODY_MOST:
+            call = Call(endpoint)
+            if most > 1:
+                self._joining[endpoint] = call
+                self._calls.append(call)
+        call.fresh |= fresh
+        call.size += size
+        work = self._add(Try(number, attempt, call, held, now, now + max(0, timeout)))
+        self._by_key[number, attempt] = work
+        if most == 1:
+            self._begin(call)
+
+    def turned(self) -> None:
+        """All orders of this turn are in: what goes to one endpoint together goes now."""
+        calls, self._calls = self._calls, []
+        self._joining.clear()
+        for call in calls:
+            self._begin(call)
 
     def probe(self, endpoint: int) -> None:
         now = self._loop.now()
-        self._begin(Try(0, 0, endpoint, None, now, now + int(PROBE_MS * 1000)))
+        call = Call(endpoint)
+        self._add(Try(0, 0, call, None, now, now + int(PROBE_MS * 1000)))
+        self._begin(call)
 
     def cancel(self, number: int, attempt: int) -> None:
         if (work := self._by_key.get((number, attempt))) is not None:
@@ -101,25 +151,38 @@
         """How many are held, idle ones too."""
         return len(self._links)
 
-    # A try ---------------------------------------------------------------------------------------
+    # A call --------------------------------------------------------------------------------------
 
-    def _begin(self, work: Try, fresh: bool = False) -> None:
+    def _add(self, work: Try) -> Try:
         work.place = self._tries.add(work)
-        if work.held is not None:
-            self._by_key[work.number, work.attempt] = work
-        address = self._address_of(work.endpoint)
+        work.call.tries.append(work)
+        work.deadline = self._deadlines.at(work.ends, self._late, work.place)
+        return work
+
+    def _begin(self, call: Call) -> None:
+        if not self._left(call):
+            return  # given up in the turn that ordered it
+        address = self._address_of(call.endpoint)
         if address is None:
-            self._end(work, Result.CONNECT_FAILED)
+            self._all(call, Result.CONNECT_FAILED)
             return
-        work.deadline = self._deadlines.at(work.ends, self._late, work.place)
-        ready = None if fresh else self._take_idle(work.endpoint, address)
+        ready = None if call.fresh else self._take_idle(call.endpoint, address)
         if ready is not None:
-            self._write(work, ready)
+            self._write(call, ready)
             return
         self._relay.counters.add("connections", "peer_opened")
         dialled = link.dial(self._reactor, self._deadlines, self._dial_for, address,
                             self._make)
-        dialled.addCallbacks(self._connected, self._failed, (work, address), None, (work,))
+        dialled.addCallbacks(self._connected, self._failed, (call, address), None, (call,))
+
+    @staticmethod
+    def _left(call: Call) -> list[Try]:
+        """Those of its tries that have no outcome."""
+        return [work for work in call.tries if not work.done]
+
+    def _all(self, call: Call, result: Result, **more) -> None:
+        for work in self._left(call):
+            self._end(work, result, **more)
 
     def _make(self) -> Link:
         return Link("peer", self._deadlines, self._lost)
@@ -138,90 +201,143 @@
                 return ready
         return None
 
-    def _connected(self, ready: Link, work: Try, address: tuple[str, int]) -> None:
-        ready.home = (work.endpoint, address)
+    def _connected(self, ready: Link, call: Call, address: tuple[str, int]) -> None:
+        ready.home = (call.endpoint, address)
         ready.place = self._links.add(ready)
-        if work.done:
-            self._pool(ready)  # its try was given up meanwhile; the next one finds it open
+        if self._left(call):
+            self._write(call, ready)
         else:
-            self._write(work, ready)
+            self._pool(ready)  # it was given up meanwhile; the next one finds it open
 
-    def _failed(self, _failure: Failure, work: Try) -> None:
-        self._end(work, Result.CONNECT_FAILED)
+    def _failed(self, _failure: Failure, call: Call) -> None:
+        self._all(call, Result.CONNECT_FAILED)
 
-    def _write(self, work: Try, ready: Link) -> None:
-        now = self._loop.now()
+    def _write(self, call: Call, ready: Link) -> None:
         host = "{}:{}".format(*ready.home[1])
-        if work.held is None:
+        if call.tries[0].held is None:
             data = http.request("GET", "/_load", host)
         else:
-            if (wait := self._relay.held_back(work.held.entry.dest)) > 0:
-                # Told to another process of this relay after this try was ordered: it binds both.
-                self._end(work, Result.FULL, wait=wait)
+            going = [work for work in self._left(call) if self._goes(work)]
+            if not going:
                 self._pool(ready)
                 return
-            if not self._relay.going(work.number):
-                self._end(work, Result.MOOT)
-                self._pool(ready)
-                return
-            work.recorded = True
-            entry = work.held.entry
-            headers = [("Req-Id", entry.id), ("Req-Deadline", f"{max(0, work.ends - now) / 1e6:.3f}")]
-            if entry.key:
-                headers.append(("Idempotency-Key", entry.key))
-            data = http.request("POST", "/events", host, tuple(headers), entry.body)
-        work.link = ready
+            data = self._request(going, host)
+        call.link = ready
+        together = len(call.tries) > 1 and len(self._left(call)) > 1
         answer: Deferred = ready.call(data)
-        answer.addCallbacks(self._answered, self._broke, (work, ready), None, (work,))
+        answer.addCallbacks(self._answered, self._broke, (call, ready, together), None, (call, together))
+
+    def _goes(self, work: Try) -> bool:
+        """May it be written now? It is on record then."""
+        if (wait := self._relay.held_back(self._wait_key(work))) > 0:
+            # Told after this try was ordered, to it or to another process of this relay: it binds all.
+            self._end(work, Result.FULL, wait=wait)
+            return False
+        if not self._relay.going(work.number):
+            self._end(work, Result.MOOT)
+            return False
+        work.recorded = True
+        return True
+
+    def _request(self, going: list[Try], host: str) -> bytes:
+        now = self._loop.now()
+        waits = ("Req-Deadline", f"{max(0, *(work.ends - now for work in going)) / 1e6:.3f}")
+        if len(going) > 1:
+            self._relay.counters.add("tries", "bundles")
+            entries = [work.held.entry for work in going]
+            body = bundle.body((entry.id, entry.key, entry.body) for entry in entries)
+            return http.request("POST", bundle.PATH, host, (waits,), body)
+        entry = going[0].held.entry
+        headers = [("Req-Id", entry.id), waits]
+        if entry.key:
+            headers.append(("Idempotency-Key", entry.key))
+        return http.request("POST", "/events", host, tuple(headers), entry.body)
 
     def _late(self, place: int) -> None:
         if (work := self._tries.get(place)) is not None:
             self._give_up(work, Result.TIMEOUT, link.TIMED_OUT)
 
     def _give_up(self, work: Try, result: Result, reason: str) -> None:
-        used = work.link
+        call = work.call
+        used = call.link
         if used is None:
             # Not written: it never ran. A dial goes on, its connection serves a later try.
             self._end(work, Result.CONNECT_FAILED if result == Result.TIMEOUT else Result.MOOT)
             return
+        others = [one for one in self._left(call) if one is not work]
+        if others and (result == Result.TIMEOUT or self._copies):
+            # The others' answer is still of use, and no second copy of this one goes that may not.
+            self._end(work, result)
+            return
         used.forsake()
         used.drop(reason)
-        self._end(work, Result.OK if used.said_ok else result)
+        self._end(work, Result.OK if used.said_ok and len(call.tries) == 1 else result)
+        for one in others:
+            self._end(one, Result.RESET)
 
-    def _broke(self, failure: Failure, work: Try) -> None:
-        """No whole answer: true all the same where its first line says 200, else the try may have run."""
+    def _broke(self, failure: Failure, call: Call, together: bool) -> None:
+        """No whole answer: true all the same where its first line says 200, else the tries may have run."""
         failure.trap(Broken)
         broken = failure.value
-        if broken.said_ok:
+        if broken.said_ok and not together:
             result = Result.OK
         elif not broken.written:
             result = Result.CONNECT_FAILED
         else:
-            result = Result.ERROR if broken.spoilt else Result.RESET
+            result = Result.ERROR if broken.spoilt or broken.said_ok else Result.RESET
         if broken.spoilt:
             self._relay.counters.add("tries", "spoilt")
-        self._end(work, result)
+        self._all(call, result)
 
-    def _answered(self, response: http.Response, work: Try, used: Link) -> None:
+    def _answered(self, response: http.Response, call: Call, used: Link, together: bool) -> None:
         if used.up:
             self._pool(used)
         status, headers = response.status, response.headers
         result = Result.OK if status == 200 else NEVER_RAN_STATUS.get(status, Result.ERROR)
         wait = 0.0
-        if result == Result.FULL:
-            if "x-no-slot" in headers:
-                result = Result.MOOT
-                self._relay.counters.add("tries", "no_slot")
+        if result == Result.FULL and "x-no-slot" in headers:
+            result = Result.MOOT
+            self._relay.counters.add("tries", "no_slot")
+        elif result == Result.FULL or together:
+            wait = seconds(headers.get("retry-after"))
+        if wait and call.tries[0].held is not None:
+            key = self._wait_key(call.tries[0])
+            self._relay.told_wait(key, wait)
+            self._hold_back(key)
+        report = self._report(headers)
+        if together and status == 200:
+            self._each(call, response.body, wait, report)
+        else:
+            if together and status in (400, 413):
+                # It could not be read, so none of it ran; it is no use to send the same again at once.
+                log.error("bundle_not_read", endpoint=call.endpoint, status=status, messages=len(call.tries))
+                result = Result.FULL
+            self._all(call, result, over=status == 410, wait=wait if result == Result.FULL else 0.0, report=report)
+
+    def _each(self, call: Call, body: bytes, wait: float, report: tuple[float, ...]) -> None:
+        """An answer that tells how each message ended."""
+        ids = {work.held.entry.id: work for work in call.tries if work.recorded}
+        found, good = bundle.ends(body, list(ids))
+        if not good:
+            self._relay.counters.add("tries", "spoilt")
+            log.warning("bundle_answer", endpoint=call.endpoint, messages=len(ids), text=repr(body[:200]))
+        for id_, work in ids.items():
+            result, over = found[id_]
+            if work.done:
+                if result == Result.OK:
+                    self._relay.ran(work.number)  # after its time, or while another copy was thought better
             else:
-                wait = seconds(headers.get("retry-after"))
-        if wait and work.held is not None:
-            self._hold_back(work.held.entry.dest)
-        self._end(work, result, over=status == 410, wait=wait, report=self._report(headers))
+                self._end(work, result, over=over, wait=wait if result == Result.FULL else 0.0, report=report)
+
+    def _wait_key(self, work: Try) -> int:
+        """What a told wait binds: the destination, or the endpoint where each is a route of its own."""
+        route = self._route_of(work.endpoint)
+        return work.held.entry.dest if route is None else -1 - zlib.crc32(route.encode())
 
-    def _hold_back(self, dest: int) -> None:
+    def _hold_back(self, key: int) -> None:
         """Guards against a try that was ordered before the wait was told and would be written in it."""
         for work in list(self._by_key.values()):
-            if work.link is None and work.held.entry.dest == dest:
+            if work.call.link is None and not work.done and self._wait_key(work) == key:
                 self._end(work, Result.MOOT)
 
     def _report(self, headers: dict[str, str]) -> tuple[float, ...]:
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -78,6 +78,7 @@
 class TryPort(Protocol):
     def start(self, number: int, attempt: int, held: Held, endpoint: int, timeout: int,
               fresh: bool) -> None: ...
+    def turned(self) -> None: ...
     def cancel(self, number: int, attempt: int) -> None: ...
     def close_idle(self, endpoint: int) -> None: ...
     def probe(self, endpoint: int) -> None: ...
@@ -139,6 +140,7 @@
         self.notices: NoticePort
         self.trace: TracePort | None = None
         self.board: BoardPort | None = None
+        self._waits: dict[int, int] = {}  # told until when nothing may go to a destination or a route
         self.released: set[str] = set()  # ids that another process of this relay has from now on
         self.tally = Tally(loop.now())
         self.out = 0  # tries that are under way
@@ -205,11 +207,38 @@
         self.put(api.Message(held.number, envelope.dest, envelope.cls, envelope.tenant,
                              self._last_call(held, now) / 1000))
 
-    def held_back(self, dest: int) -> float:
-        """For how many ms another process of this relay was told to send nothing there."""
-        if self.board is None:
-            return 0.0
-        return max(0.0, (self.board.wait_until(dest) - self.loop.now()) / 1000)
+    def held_back(self, key: int) -> float:
+        """For how many ms more this relay, in any of its processes, was told to send nothing there."""
+        until = self._waits.get(key, 0)
+        if self.board is not None:
+            until = max(until, self.board.wait_until(key))
+        return max(0.0, (until - self.loop.now()) / 1000)
+
+    def told_wait(self, key: int, wait_ms: float) -> None:
+        """A partner told it to send nothing for so long; ``key``: its destination, or below 0 a single route."""
+        now = self.loop.now()
+        until = now + int(wait_ms * 1000)
+        if until > self._waits.get(key, 0):
+            self._waits[key] = until
+            self.deadlines.at(until, self._wait_over, key, until)
+        if self.board is not None:
+            self.board.tell(key, until, now)
+
+    def _wait_over(self, key: int, until: int) -> None:
+        if self._waits.get(key) == until:
+            del self._waits[key]
+
+    def ran(self, number: int) -> None:
+        """A try that had been given up turns out to have delivered its message."""
+        held = self.held.get(number)
+        if held is None or held.ended:
+            return
+        self.counters.add("ends", "delivered")
+        held.ended = True
+        if self.trace is not None:
+            self.trace.ended(self.loop.now(), number, "delivered")
+        self._forget(held)
+        self.put(api.Withdrawn(number))
 
     def going(self, number: int) -> bool:
         """A try is about to be written: keep that first. Where that fails, it must not go."""
@@ -233,9 +262,6 @@
         if held is not None:
             held.out = False
             self._count(held.entry.dest, result, wait_ms, report)
-            if wait_ms and self.board is not None:
-                now = self.loop.now()
-                self.board.tell(held.entry.dest, now + int(wait_ms * 1000), now)
         if self.trace is not None:
             self.trace.try_ended(self.loop.now(), number, attempt, endpoint, result, spent, wait_ms, over, report)
         if not finished and (result == Result.OK or over):
@@ -294,6 +320,7 @@
             self._admit(offered, actions, now)
         for action in actions:
             self._act(action, now)
+        self.tries.turned()
 
     def _step(self, now_ms: float, events: list) -> tuple[list, bool]:
         """The module's actions, and whether it failed.
--- /dev/null
+++ b/tests/test_bundle.py
@@ -0,0 +1,133 @@
+"""Several messages in one call: the codec, and what becomes of each message whatever the answer is."""
+
+import re
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gannetshift.interface import Result
+from lab.standins import message, reply, settings, until
+from lynxscale import bundle
+from tests.node import NodeCase
+
+IDS = ["a1", "b2", "c3"]
+OK, ERROR, LATER, GONE = (Result.OK, False), (Result.ERROR, False), (Result.FULL, False), (Result.MOOT, True)
+
+
+def test_the_body_and_its_size():
+    messages = [("a1", "", b"hello"), ("b2", "key", b"\r\nb2 - 1\r\n"), ("c3", "", b"")]
+    body = bundle.body(messages)
+    assert body == b"a1 - 5\r\nhello\r\nb2 key 10\r\n\r\nb2 - 1\r\n\r\nc3 - 0\r\n\r\n"
+    assert sum(bundle.size_of(*one) for one in messages) == len(body)
+
+
+@pytest.mark.parametrize("answer,ends,good", [
+    (b"a1 ok\r\nb2 later\r\nc3 gone\r\n", (OK, LATER, GONE), True),
+    (b"c3 ok\r\na1 error\r\nb2 exhausted\r\n", (ERROR, (Result.MOOT, False), OK), True),
+    (b"a1 ok\r\nb2 ok\r\n", (OK, OK, ERROR), False),  # a line is missing
+    (b"a1 ok\r\nb2 ok\r\nc3 ok", (OK, OK, ERROR), False),  # cut short: it may have gone on
+    (b"a1 ok\r\na1 later\r\nb2 ok\r\nc3 ok\r\n", (ERROR, OK, OK), False),
+    (b"a1 ok\r\na1 ok\r\nb2 ok\r\nc3 ok\r\n", (OK, OK, OK), False),
+    (b"a1 ok\r\nx9 ok\r\nb2 fine\r\nc3 ok\r\n", (OK, ERROR, OK), False),
+    (b"", (ERROR, ERROR, ERROR), False),
+])
+def test_answers(answer, ends, good):
+    found, told = bundle.ends(answer, IDS)
+    assert (tuple(found[name] for name in IDS), told) == (ends, good)
+
+
+@given(st.lists(st.tuples(st.sampled_from([*IDS, "x", ""]), st.sampled_from(["ok", "later", "gone", "OK", "error"])),
+                max_size=8), st.binary(max_size=6), st.integers(0, 80))
+def test_any_answer_tells_one_end_for_each(lines, noise, cut):
+    text = "".join(f"{name} {word}\r\n" for name, word in lines).encode()
+    found, _good = bundle.ends((text[:cut] + noise + text[cut:])[:200], IDS)
+    assert set(found) == set(IDS)
+    for name in IDS:  # never delivered, and never safe to send again, on no word at all
+        if not noise:
+            words = {word for other, word in lines if other == name}
+            assert found[name][0] != Result.OK or "ok" in words
+            assert found[name][0] != Result.FULL or words == {"later"}
+
+
+class Bundles(NodeCase):
+    """A partner of a kind that takes four messages a call."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.family = {"per_call": [4]}
+        self.lines = lambda id_: "ok"
+        self.act = self.answer
+
+    def configure(self, **more):
+        table = settings(**self.allowed)
+        table["family_info"] |= self.family
+        return super().configure(settings=table, **more)
+
+    def answer(self, call) -> bytes:
+        first, headers, body = call
+        if "/events/bundle" not in first:
+            return reply(200)
+        return reply(200, "".join(f"{id_} {word}\r\n" for id_, _size, word in self.told(body)).encode())
+
+    def told(self, body: bytes) -> list:
+        return [(id_, size, self.lines(id_)) for id_, size in re.findall(r"(m\d+) \S+ (\d+)\r\n", body.decode())]
+
+    def bundles(self) -> list[list[str]]:
+        return [[row[0] for row in self.told(call[2])] for call in self.calls() if "/events/bundle" in call[0]]
+
+    def hand_in(self, number: int, cls: str = "safe") -> None:
+        """That many, in one turn as good as, once a first one has shown the way."""
+        clients = [self.client() for _ in range(number)]
+        for place, client in enumerate(clients):
+            client.socket.sendall(message(f"m{place}", cls))
+        for client in clients:
+            client.stream.readline()
+
+    def test_what_goes_at_once_goes_in_one_call_and_each_has_its_end(self):
+        self.start()
+        words = {"m0": ["ok"], "m1": ["later", "ok"], "m2": ["error", "ok"], "m3": ["gone"]}
+        self.lines = lambda id_: words[id_].pop(0) if id_ in words and words[id_] else "ok"
+        self.act = lambda _call: reply(503, b"", "Retry-After: 0.500")
+        self.assertEqual(self.client().hand_in("m0")[0], 202)
+        until(lambda: self.calls("m0"), "the wait")  # the others gather in it
+        self.hand_in(6, "safe")
+        seen: list = []
+        self.act = lambda call: seen.append(call) or self.answer(call)
+        until(lambda: self.counters().get("ends", {}).get("delivered", 0) >= 5, "their ends")
+        sent = [self.told_ids(call) for call in seen if "/events/bundle" in call[0]]
+        self.assertTrue(sent)
+        self.assertLessEqual(max(map(len, sent)), 4)
+        self.assertEqual(self.counters()["tries"].get("spoilt", 0), 0)
+
+    def told_ids(self, call) -> list[str]:
+        return re.findall(r"(m\d+) \S+ \d+\r\n", call[2].decode())
+
+    def test_what_may_have_run_is_not_sent_again_and_what_never_ran_is(self):
+        for answer, again in ((reply(200, b""), False), (None, False), (reply(400), True), (reply(503), True)):
+            with self.subTest(answer=answer):
+                self.kill()
+                self.peer.calls.clear()
+                self.discovery.notices.clear()
+                first: list = []
+
+                def act(call, answer=answer, first=first):
+                    if "/events/bundle" in call[0] and not first:
+                        first.append(set(self.told_ids(call)))
+                        return answer
+                    return reply(503, b"", "Retry-After: 0.300") if not first else self.answer(call)
+
+                self.act = act
+                self.start()
+                self.hand_in(6, "once")
+                until(lambda first=first: first, "a bundle")
+                done = (lambda name: self.sent(name) > 1) if again else self.discovery.notices.__contains__
+                until(lambda first=first, done=done: all(map(done, first[0])), "what follows")
+                if not again:
+                    self.assertEqual([self.sent(name) - self.refused(name) for name in first[0]], [1] * len(first[0]))
+
+    def sent(self, name: str) -> int:
+        return sum(call[1].get("req-id") == name or name in self.told_ids(call) for call in self.calls())
+
+    def refused(self, name: str) -> int:
+        return sum(call[1].get("req-id") == name for call in self.calls())
