Put who goes first for room into a pure rule, and bound half requests in bytes

Who is closed when descriptors run short stood between sockets in net/clients.py, and half requests were bounded singly only: 400 of 60 KB took 24 MB.

Change: lynxscale/room.py decides, without I/O; half requests together take a twentieth of memory_mb at most, the oldest go; a closed connection gives back at once what it keeps. Tests: tests/test_room.py, also a crowd of 1,500 over the limit beside a usual client, and a partner that answers byte by byte.

--- a/lynxscale/conf/platform.py
+++ b/lynxscale/conf/platform.py
@@ -16,7 +16,7 @@
 from gannetshift import interface as api
 from gannetshift.reader import SettingsError, settings_from
 
-SOCKETS, DISK_MB = 1024, 3.0
+SOCKETS, DISK_MB, MEMORY_MB = 1024, 3.0, 64.0
 LEAST_SOCKETS = 64
 
 
@@ -40,6 +40,7 @@
     settings: api.Settings
     by_platform: bool = True
     admin: Address | None = None  # for operators alone
+    memory_bytes: int = 64_000_000
     accept_fd: int | None = None  # the clients' listening socket, where the platform holds it
 
 
@@ -147,5 +148,6 @@
         known=_object(table, "known"),
         settings=settings,
         admin=admin,
+        memory_bytes=int(_limit(limits, "memory_mb", MEMORY_MB, 1) * 1_000_000),
         accept_fd=_inherited(env["NODE_ACCEPT_FD"], listen) if env.get("NODE_ACCEPT_FD") else None,
     )
--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -48,6 +48,7 @@
 OWN_SOCKETS = 32  # discovery, notices, the journal's files, the loop's own, the standard streams
 EASY_SHARE = 6  # with more than one in so many for clients, those at rest go
 PEER_SHARE = 3  # one descriptor in so many is for peers at most
+HALF_SHARE = 20  # one byte of memory in so many is for requests that are half sent
 HEIR_SHARE = 0.5  # of the disk: where an heir may come its journal always has the rest
 RESTART_KEYS = ("name", "listen", "admin", "state", "sockets", "disk_bytes", "settings")  # kept until a restart
 
@@ -94,7 +95,7 @@
         self.door: Door | None = None
         if conf.admin is not None:
             self.door = Door(self.deadlines, self.counters, self.lifecycle, self.drain, self.resume)
-        self.clients = Clients(self.deadlines, relay, 0, 0, self.lifecycle)
+        self.clients = Clients(self.deadlines, relay, self.lifecycle, conf.memory_bytes // HALF_SHARE)
         self._share(1.0)
         self.handover = Handover(self.claim, relay, self.deadlines, self.counters, self._accept, self._share,
                                  self.group.name_of, self.group.number_of)
--- a/lynxscale/http.py
+++ b/lynxscale/http.py
@@ -118,6 +118,15 @@
             self._data.clear()
         return done
 
+    def forget(self) -> None:
+        """Nothing more is read: what is kept is given back now, not when a collection finds it."""
+        self._data = bytearray()
+
+    @property
+    def kept(self) -> int:
+        """Bytes of a message that has not come whole."""
+        return len(self._data)
+
     @property
     def idle(self) -> bool:
         """Between messages, with nothing of the next one read."""
--- a/lynxscale/net/clients.py
+++ b/lynxscale/net/clients.py
@@ -5,7 +5,8 @@
 import os
 import re
 import socket
-from collections import OrderedDict, deque
+from collections import deque
+from collections.abc import Iterable
 
 import orjson
 import structlog
@@ -19,6 +20,7 @@
 from lynxscale.lifecycle import Lifecycle
 from lynxscale.net import link
 from lynxscale.relay import BUSY_RETRY_MS, Envelope, Relay, Verdict
+from lynxscale.room import Room
 from lynxscale.slots import Slots
 
 log = structlog.get_logger()
@@ -29,7 +31,6 @@
 READ_MS = 2000  # from a later request's first byte to its last
 LINGER_MS = 500  # after our last byte, for the client to read it and close
 PAST_MOST = 256 * 1024  # read past after our last byte; then the client is left to wait for the close
-YOUNG_MS, RESTED_MS = 50, 500  # silent, or at rest, for so long: closed for room before all others
 FRESH_MS = 200  # at the stop a connection this young may still bring its request
 FAULT_REST_MS, FAULT_REST_MOST_MS = 20, 1000  # what was no message delays its client's next request
 NAME_MOST = 200  # characters of an id or a key
@@ -39,7 +40,7 @@
 STATUS = {
     Verdict.TAKEN: 202, Verdict.REJECTED: 429, Verdict.NO_ROOM: 503, Verdict.DISK_FULL: 503,
 }
-SERVED, SLOW, SILENT = "served", "slow", "silent"
+SERVED, SLOW, SILENT, HEAVY = "served", "slow", "silent", "heavy"
 
 
 class BadMessage(Exception):
@@ -102,7 +103,7 @@
         self._past = 0  # bytes read past since our last
         self._faults = 0  # requests in a row that were no message
         self.served = 0
-        self.since = 0  # connected then or, with an answer, at rest since then
+        self._half = 0  # bytes of requests that wait for their rest or their turn
 
     @property
     def silent(self) -> bool:
@@ -117,7 +118,6 @@
         self.transport.setTcpNoDelay(True)
         # Guards against a client that sends and never reads: while answers pile up, nothing more is read.
         self.transport.registerProducer(self.transport, True)
-        self.since = self._desk.deadlines.now()
         self._set_deadline(FIRST_MS, SILENT)
         self._desk.joined(self)
 
@@ -152,6 +152,9 @@
             self._parser.expects_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._next()
+        if not self._closing and (self._parser.kept or self._waiting or self._half):
+            self._half = self._parser.kept + sum(len(request.body) for request in self._waiting)
+            self._desk.holds(self, self._half)
 
     def _next(self) -> None:
         while self._request is None and self._waiting and not self._closing:
@@ -236,6 +239,8 @@
     def connectionLost(self, reason: Failure) -> None:
         self._desk.deadlines.cancel(self._deadline)
         self._closing = True
+        self._parser.forget()
+        self._waiting.clear()
         code = self._reason or (link.FAR_CLOSED if reason.check(ConnectionDone) else link.RESET)
         log.info("connection", kind="client", reason=code, calls=self.served)
         self._desk.left(self)
@@ -246,13 +251,11 @@
 
     noisy = False
 
-    def __init__(self, deadlines: Deadlines, relay: Relay, most: int, easy: int,
-                 lifecycle: Lifecycle) -> None:
-        self.deadlines, self.relay, self._most, self._easy = deadlines, relay, most, easy
+    def __init__(self, deadlines: Deadlines, relay: Relay, lifecycle: Lifecycle, bytes_most: int) -> None:
+        self.deadlines, self.relay = deadlines, relay
         self.lifecycle = lifecycle
         self._connections: Slots = Slots()
-        self._idle: OrderedDict[int, ClientConnection] = OrderedDict()  # the longest idle first
-        self._new: OrderedDict[int, ClientConnection] = OrderedDict()  # with no answer yet, the oldest first
+        self._room = Room(bytes_most)
         self._port = None
         self._full = False
 
@@ -266,7 +269,7 @@
 
     def bound(self, most: int, easy: int) -> None:
         """Hold so many connections at most from now on, and so many before those at rest go."""
-        self._most, self._easy = most, easy
+        self._room.most, self._room.easy = most, easy
 
     def buildProtocol(self, _address) -> ClientConnection:
         return ClientConnection(self)
@@ -279,57 +282,52 @@
 
     def joined(self, connection: ClientConnection) -> None:
         connection.place = self._connections.add(connection)
-        self._new[connection.place] = connection
+        self._room.joined(connection.place, self.deadlines.now())
         self.relay.counters.add("connections", "client_opened")
         self._make_room()
 
     def _make_room(self) -> None:
         """Guards against the descriptor limit: one that has asked for nothing goes, else one that is idle.
 
-        The youngest of either go last. With none, new ones wait in the listen queue.
+        With none, new ones wait in the listen queue. Guards as well against clients that ask once and stay: usual ones
+        may have no more connections left to open than a third of the descriptors, long before the table is full.
         """
-        if len(self._connections) < self._most:
+        now = self.deadlines.now()
+        if len(self._connections) < self._room.most:
             self._accept(True)
-            if len(self._connections) > self._easy:
-                # Guards against clients that ask once and stay: usual ones may have no more connections left
-                # to open than a third of the descriptors, long before the table is full.
-                self._close_idle(link.CROWDED, 2, RESTED_MS)
-        elif not (self._close_new(link.CROWDED, YOUNG_MS) or self._close_idle(link.CROWDED, 1, RESTED_MS)
-                  or self._close_new(link.CROWDED) or self._close_idle(link.CROWDED, 1)):
+            if len(self._connections) > self._room.easy:
+                self._close(self._room.rested(now), link.CROWDED, 2)
+        elif not self._close(self._room.leavers(now), link.CROWDED, 1):
             self._accept(False)
 
-    def _close_new(self, reason: str, age_ms: int = 0) -> bool:
-        """Close the oldest that is silent or stays in the middle of its first request, if it is so old.
-
-        Guards against connections by the hundred that say nothing and keep usual clients out: these have sent
-        their request before so many others have come.
-        """
-        newest = self.deadlines.now() - age_ms * 1000
-        last = next(reversed(self._new), None)  # has just come
-        for place, connection in self._new.items():
-            if connection.since > newest or place == last:
-                return False
-            if connection.silent and not link.unread(connection.transport):
-                self._new.pop(place)
-                connection.abandon(reason)
-                return True
-        return False
-
-    def _close_idle(self, reason: str, most: int, rested_ms: int = 0) -> int:
-        """Close so many of the longest idle; how many it were.
+    def _close(self, places: Iterable[int], reason: str, most: int) -> int:
+        """Close so many of them; how many it were.
 
         Guards against a request lost in the crossing: what the loop has still to read is answered first.
         """
         closed = 0
-        for connection in list(self._idle.values()):
-            if closed == most or connection.since > self.deadlines.now() - rested_ms * 1000:
-                break
-            if not link.unread(connection.transport):
-                self.works(connection)
+        for place in places:
+            connection = self._connections.get(place)
+            if (connection is not None and (connection.silent or connection.idle)
+                    and not link.unread(connection.transport)):
+                self._room.closing(place)
                 connection.abandon(reason)
                 closed += 1
+                if closed == most:
+                    break
         return closed
 
+    def holds(self, connection: ClientConnection, size: int) -> None:
+        """So many bytes of its requests wait for their rest, or for their turn.
+
+        Guards against half requests by the thousand, each within its own bound, that fill the memory together.
+        """
+        self._room.holds(connection.place, size)
+        for place in self._room.heavy():
+            if (heavy := self._connections.get(place)) is not None:
+                self._room.closing(place)
+                heavy.abandon(HEAVY)
+
     def _accept(self, open_: bool) -> None:
         if self._port is None or self._full != open_:
             return
@@ -340,19 +338,15 @@
             self._port.stopReading()
 
     def rests(self, connection: ClientConnection) -> None:
-        connection.since = self.deadlines.now()
-        self._new.pop(connection.place, None)
-        self._idle[connection.place] = connection
-        self._idle.move_to_end(connection.place)
+        self._room.rests(connection.place, self.deadlines.now())
         if self._full:
             self._make_room()
 
     def works(self, connection: ClientConnection) -> None:
-        self._idle.pop(connection.place, None)
+        self._room.works(connection.place)
 
     def left(self, connection: ClientConnection) -> None:
-        self.works(connection)
-        self._new.pop(connection.place, None)
+        self._room.closing(connection.place)
         self._connections.remove(connection.place)
         if self._full:
             self._make_room()
@@ -386,9 +380,9 @@
 
     def part(self) -> None:
         """Send away whoever has nothing to ask: the front deals out no more of us."""
-        while self._close_new(link.STOPPING, FRESH_MS):
-            pass
-        self._close_idle(link.STOPPING, len(self._idle))
+        now = self.deadlines.now()
+        self._close(self._room.silent(now, FRESH_MS * 1000), link.STOPPING, len(self._connections))
+        self._close(self._room.idle(), link.STOPPING, len(self._connections))
 
     def stop_accepting(self) -> None:
         if self._port is not None:
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,134 @@
+"""Who goes first when connections or bytes run short, and what usual clients and byte-wise partners see of it."""
+
+import resource
+import socket
+import threading
+import time
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lab.standins import Client, message, reply, until
+from lynxscale.room import RESTED, YOUNG, Room
+from tests.node import NodeCase
+
+
+def test_the_order():
+    room = Room(100)
+    for place, at in ((1, 0), (2, 10), (3, 900_000), (4, 990_000)):
+        room.joined(place, at)
+    room.joined(5, 100)
+    room.rests(5, 200_000)
+    room.joined(6, 100)
+    room.rests(6, 990_000)
+    room.joined(7, 995_000)
+    room.works(6)
+    room.rests(6, 999_000)
+    now = 1_000_000
+    assert list(room.silent(now, YOUNG)) == [1, 2, 3] and list(room.rested(now)) == [5]
+    leavers = list(dict.fromkeys(room.leavers(now)))
+    assert leavers == [1, 2, 3, 5, 4, 6]  # the youngest, 7, has just come
+    room.closing(1)
+    assert next(room.leavers(now)) == 2
+    room.holds(3, 60)
+    room.holds(4, 30)
+    assert list(room.heavy()) == []
+    room.holds(3, 80)
+    assert next(room.heavy()) == 3
+    room.closing(3)
+    assert (room.bytes, list(room.heavy())) == (30, [])
+
+
+@given(st.lists(st.tuples(st.sampled_from(["joined", "rests", "works", "closing", "holds"]), st.integers(0, 5)),
+                max_size=60))
+def test_bytes_add_up_and_nobody_at_work_is_a_leaver(steps):
+    room, held, at_work, now = Room(50), {}, set(), 0
+    for what, place in steps:
+        now += 40_000
+        if what == "holds":
+            held[place] = (now // 40_000) % 30
+            room.holds(place, held[place])
+        elif what in ("joined", "rests"):
+            getattr(room, what)(place, now)
+            at_work.discard(place)
+        else:
+            getattr(room, what)(place)
+            if what == "closing":
+                held.pop(place, None)
+                at_work.add(place)
+    assert room.bytes == sum(held.values())
+    assert not at_work & set(room.leavers(now + RESTED))
+    assert (room.bytes > 50) == bool(list(room.heavy())[:1])
+
+
+class LessRoom(NodeCase):
+    def test_half_requests_by_the_hundred_do_not_fill_the_memory(self):
+        self.limits |= {"sockets": 1024, "memory_mb": 40}
+        self.start()
+        self.assertEqual(self.client().hand_in("first")[0], 202)
+        before = self.resident()
+        half = message("m", body=bytes(60_000))[:-1]
+        clients = [Client(self.port) for _ in range(400)]
+        for client in clients:
+            client.socket.sendall(half)
+        until(lambda: "kind=client reason=heavy" in self.log.read_text(), "the first to go")
+        self.assertLess(self.resident() - before, 12_000)
+        self.assertEqual(self.client().hand_in("usual")[0], 202)
+        for client in clients:
+            client.close()
+
+    def resident(self) -> int:
+        """KB"""
+        lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+        return int(next(line for line in lines if line.startswith("VmRSS")).split()[1])
+
+    def test_a_crowd_over_the_limit_leaves_a_usual_client_served(self):
+        """Connections that idle or stop half way come without end; the usual one asks once in a while."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 4096), hard))
+        self.addCleanup(resource.setrlimit, resource.RLIMIT_NOFILE, (soft, hard))
+        self.limits["sockets"] = 96
+        self.start()
+        stop = threading.Event()
+        opened: list[socket.socket] = []
+
+        def crowd() -> None:
+            while not stop.is_set() and len(opened) < 1500:
+                one = socket.create_connection(("127.0.0.1", self.port))
+                if len(opened) % 2:
+                    one.sendall(message("half")[:50])
+                opened.append(one)
+                time.sleep(0.001)
+
+        thread = threading.Thread(target=crowd)
+        thread.start()
+        try:
+            for number in range(30):
+                begun, client = time.monotonic(), Client(self.port)
+                self.assertIn(client.hand_in(f"m{number}")[0], (202, 429))
+                self.assertLess(time.monotonic() - begun, 0.4)
+                client.close()
+                time.sleep(0.02)
+        finally:
+            stop.set()
+            thread.join()
+            for one in opened:
+                one.close()
+        self.assertGreater(len(opened), 200)
+
+    def test_a_partner_that_writes_byte_by_byte(self):
+        def act(_call):
+            answer, link = reply(200, b"done"), next(iter(self.peer.open))
+            for at in range(len(answer) - 1):
+                link.sendall(answer[at:at + 1])
+                time.sleep(0.0005)
+            return answer[-1:]
+
+        self.act = act
+        self.start()
+        for number in range(3):
+            self.assertEqual(self.client().hand_in(f"m{number}", cls="once")[0], 202)
+            self.delivered(number + 1)
+        self.assertEqual(self.counters()["tries"], {"ok": 3})
+        self.assertEqual(self.peer.opened, 1)
