--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -48,6 +48,7 @@
 OWN_SOCKETS = 32  # discovery, notices, the journal's files, the loop's own, the standard streams
 EASY_SHARE = 6  # with more than one in so many for clients, those at rest go
 PEER_SHARE = 3  # one descriptor in so many is for peers at most
+HALF_SHARE = 20  # one byte of memory in so many is for requests that are half sent
 HEIR_SHARE = 0.5  # of the disk: where an heir may come its journal always has the rest
 RESTART_KEYS = ("name", "listen", "admin", "state", "sockets", "disk_bytes", "settings")  # kept until a restart
 
@@ -83,19 +84,21 @@
         self.discovery: Discovery | None = None
         if conf.discovery is not None:
             self.discovery = Discovery(reactor, self.deadlines, conf.discovery, self.group, self.counters,
-                                       teller)
+                                       teller, pushed=not conf.settings.asks_for_members)
             self.group.add(DISCOVERY, self.discovery)
         self.watch = self._watch(own, teller) if own.members.files else None
         self.peers = relay.tries = Peers(
-            reactor, self.loop, self.deadlines, relay, self.group.address_of, 0
+            reactor, self.loop, self.deadlines, relay, self.group.address_of, 0, self.group.per_call,
+            self.group.route_of,
         )
         self.notices = relay.notices = self._notices(own)
         self.door: Door | None = None
         if conf.admin is not None:
             self.door = Door(self.deadlines, self.counters, self.lifecycle, self.drain, self.resume)
-        self.clients = Clients(self.deadlines, relay, 0, 0, self.lifecycle)
+        self.clients = Clients(self.deadlines, relay, self.lifecycle, conf.memory_bytes // HALF_SHARE)
         self._share(1.0)
-        self.handover = Handover(self.claim, relay, self.deadlines, self.counters, self._accept, self._share)
+        self.handover = Handover(self.claim, relay, self.deadlines, self.counters, self._accept, self._share,
+                                 self.group.name_of, self.group.number_of)
         if own.trace.folder is not None:
             relay.trace = self.trace = self._recorder(own)
         self._looking: Deadline | None = None
@@ -234,6 +237,8 @@
             elif order is Order.DEAF:
                 self.clients.stop_accepting()
                 self.handover.let_go()
+            elif order is Order.RELEASE:
+                self.handover.release()
             elif order is Order.MUTE:
                 self.relay.sending = False
             else:
@@ -258,6 +263,7 @@
         if self.trace is not None:
             self.trace.stop(self.loop.now(), len(self.relay.held))
         log.info("ended", left=len(self.relay.held))
+        self.handover.keep()
         self.journal.close()
 
     def _tell_traffic(self) -> None:
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -72,12 +72,14 @@
     ended: bool = False  # the module has ended it, or it is delivered
     attempts: int = 0
     backstop: Deadline | None = None
+    out: bool = False  # a try is under way
     taken: int = 0  # µs of the loop's clock
 
 
 class TryPort(Protocol):
     def start(self, number: int, attempt: int, held: Held, endpoint: int, timeout: int,
               fresh: bool) -> None: ...
+    def turned(self) -> None: ...
     def cancel(self, number: int, attempt: int) -> None: ...
     def close_idle(self, endpoint: int) -> None: ...
     def probe(self, endpoint: int) -> None: ...
@@ -101,6 +103,7 @@
 
     def tell(self, dest: int, until: int, now: int) -> None: ...
     def wait_until(self, dest: int) -> int: ...
+    def holds(self, id: str) -> bool: ...
 
 
 class TracePort(Protocol):
@@ -138,6 +141,8 @@
         self.notices: NoticePort
         self.trace: TracePort | None = None
         self.board: BoardPort | None = None
+        self._waits: dict[int, int] = {}  # told until when nothing may go to a destination or a route
+        self.released: set[str] = set()  # ids that another process of this relay has from now on
         self.tally = Tally(loop.now())
         self.out = 0  # tries that are under way
         self.sending = True
@@ -175,6 +180,11 @@
             else:
                 known.answers.append(answer)
             return
+        if self.board is not None and (envelope.id in self.released or self.board.holds(envelope.id)):
+            # The other process of this relay has it: a second one would be delivered twice.
+            self.counters.add("taken", "again")
+            answer(Verdict.TAKEN, 0.0)
+            return
         self.tally.add(envelope.dest, "offered")
         if self._most is not None and len(self.held) >= self._most:
             self.counters.add("reject", "no_room")
@@ -198,11 +208,38 @@
         self.put(api.Message(held.number, envelope.dest, envelope.cls, envelope.tenant,
                              self._last_call(held, now) / 1000))
 
-    def held_back(self, dest: int) -> float:
-        """For how many ms another process of this relay was told to send nothing there."""
-        if self.board is None:
-            return 0.0
-        return max(0.0, (self.board.wait_until(dest) - self.loop.now()) / 1000)
+    def held_back(self, key: int) -> float:
+        """For how many ms more this relay, in any of its processes, was told to send nothing there."""
+        until = self._waits.get(key, 0)
+        if self.board is not None:
+            until = max(until, self.board.wait_until(key))
+        return max(0.0, (until - self.loop.now()) / 1000)
+
+    def told_wait(self, key: int, wait_ms: float) -> None:
+        """A partner told it to send nothing for so long; ``key``: its destination, or below 0 a single route."""
+        now = self.loop.now()
+        until = now + int(wait_ms * 1000)
+        if until > self._waits.get(key, 0):
+            self._waits[key] = until
+            self.deadlines.at(until, self._wait_over, key, until)
+        if self.board is not None:
+            self.board.tell(key, until, now)
+
+    def _wait_over(self, key: int, until: int) -> None:
+        if self._waits.get(key) == until:
+            del self._waits[key]
+
+    def ran(self, number: int) -> None:
+        """A try that had been given up turns out to have delivered its message."""
+        held = self.held.get(number)
+        if held is None or held.ended:
+            return
+        self.counters.add("ends", "delivered")
+        held.ended = True
+        if self.trace is not None:
+            self.trace.ended(self.loop.now(), number, "delivered")
+        self._forget(held)
+        self.put(api.Withdrawn(number))
 
     def going(self, number: int) -> bool:
         """A try is about to be written: keep that first. Where that fails, it must not go."""
@@ -238,10 +275,8 @@
         held = self.held.get(number)
         finished = held is None or held.ended
         if held is not None:
+            held.out = False
             self._count(held.entry.dest, result, wait_ms, report)
-            if wait_ms and self.board is not None:
-                now = self.loop.now()
-                self.board.tell(held.entry.dest, now + int(wait_ms * 1000), now)
         if self.trace is not None:
             self.trace.try_ended(self.loop.now(), number, attempt, endpoint, result, spent, wait_ms, over, report)
         if not finished and (result == Result.OK or over):
@@ -268,7 +303,7 @@
         now = self.loop.now()
         oldest = min((held.taken for held in self.held.items() if not held.ended), default=now)
         load = {"held": len(self.held), "out": self.out, "peers": self.tries.connections(),
-                "oldest_ms": (now - oldest) // 1000}
+                "oldest_ms": (now - oldest) // 1000, "longest_turn_ms": self.loop.longest() // 1000}
         return self.tally.lines(now, self.counters.table(), load)
 
     def notified(self, number: int) -> None:
@@ -300,6 +335,7 @@
             self._admit(offered, actions, now)
         for action in actions:
             self._act(action, now)
+        self.tries.turned()
 
     def _step(self, now_ms: float, events: list) -> tuple[list, bool]:
         """The module's actions, and whether it failed.
@@ -385,11 +421,27 @@
         if not self.sending:
             return  # left in the journal for the next process
         self.out += 1
+        held.out = True
         if self.trace is not None:
             self.trace.try_started(self.loop.now(), action.id, attempt, action.endpoint, int(action.timeout * 1000),
                                    action.fresh)
         self.tries.start(action.id, attempt, held, action.endpoint, int(action.timeout * 1000), action.fresh)
 
+    def release(self) -> list[int]:
+        """Let go of all messages with no try under way: another process has them; their numbers in the journal.
+
+        Nothing is written: in the journal they stay open until the other one has them in its own.
+        """
+        numbers = []
+        for held in [one for one in self.held.items() if not (one.out or one.ended or one.answers is not None)]:
+            self.put(api.Withdrawn(held.number))
+            self.deadlines.cancel(held.backstop)
+            numbers.append(self.journal.release(held.number))
+            self.held.remove(held.number)
+            del self.by_id[held.entry.id]
+            self.released.add(held.entry.id)
+        return numbers
+
     # Ends ----------------------------------------------------------------------------------------
 
     def _end(self, number: int, status: str, again_ms: int) -> None:
