--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON := .venv/bin/python
 
-.PHONY: build test lint run bench-trace soak-trace bench-list soak-list bench-journal soak-journal soak-upgrade
+.PHONY: build test lint run bench-trace soak-trace bench-list soak-list bench-journal soak-journal soak-upgrade bench-operation
 
 build: .venv/ready
 
@@ -36,6 +36,9 @@
 bench-journal: build
 	$(PYTHON) -m lab.bench_journal
 
+bench-operation: build
+	$(PYTHON) -m lab.bench_operation
+
 soak-upgrade: build
 	for seed in 1 2 3 4 5 6; do UPGRADE_SEED=$$seed UPGRADE_ROUNDS=8 \
 		$(PYTHON) -m pytest -q -p no:cacheprovider tests/test_upgrade.py -k kill -s || exit 1; done
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -295,6 +295,39 @@
         until(lambda: len(self.calls("m2")) == 1, "its delivery")
         self.assertIsNone(third.poll())
 
+    def test_one_upgrade_right_after_another(self):
+        """The third process waits until the second has all that the first one left."""
+        self.act = lambda _call: reply(503, b"", "Retry-After: 0.200")
+        first = self.begin()
+        self.assertEqual(self.client().hand_in("m1")[0], 202)
+        second = self.begin()
+        first.send_signal(signal.SIGTERM)
+        third = self.begin()
+        second.send_signal(signal.SIGTERM)
+        first.wait(5.0)
+        second.wait(5.0)
+        self.act = lambda _call: reply(200)
+        self.assertEqual(self.client().hand_in("m2")[0], 202)
+        until(lambda: {"m1", "m2"} <= {call[1]["req-id"] for _, call in list(self.peer.calls)
+                                       } | set(self.discovery.notices), "their ends")
+        self.assertIsNone(third.poll())
+        until(lambda: folders.generations(self.state) == [2], "one folder")
+
+    def test_an_upgrade_in_a_drain_and_a_reload_in_an_upgrade(self):
+        old = self.begin()
+        self.assertEqual(self.door("POST /admin/quiesce")[0], 200)
+        until(lambda: self.door("GET /admin/health")[1]["state"] == "drained", "the drain")
+        heir = self.begin()
+        self.assertTrue(self.yes(1) and not self.yes(0))  # each for itself
+        for one in (old, heir):
+            one.send_signal(signal.SIGHUP)
+        until(lambda: self.log.read_text().count("reloaded") == 2, "both reloads")
+        old.send_signal(signal.SIGTERM)
+        old.wait(5.0)
+        self.assertEqual(self.client().hand_in("m1")[0], 202)
+        until(lambda: self.calls("m1"), "its delivery")
+        self.assertEqual(self.client().ask(b"GET /_health HTTP/1.1\r\n\r\n")[0], 200)
+
     def test_a_told_wait_binds_both(self):
         self.act = lambda _call: reply(429, b"", "Retry-After: 3.000")
         old = self.begin()
