Leave knowledge aside where decisions are traced

Cause: a replay begins from a sender that knows nothing, so a start that goes on with knowledge would differ from its trace. Change: Handover._learn does nothing at trace level decisions. A test of the door also meets callers that were sent away while it still wrote.

--- a/lynxscale/upgrade/handover.py
+++ b/lynxscale/upgrade/handover.py
@@ -215,6 +215,8 @@
         keep(self._claim.state, export(self._relay.sender), self._name_of, self._relay.loop.now())
 
     def _learn(self) -> None:
+        if self._relay.trace is not None and self._relay.trace.decisions:
+            return  # a replay begins from a sender that knows nothing
         told = kept(self._claim.state, self._number_of, self._relay.loop.now())
         if told is None:
             return
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import time
+from contextlib import suppress
 
 from lab.standins import Client, until
 from lynxscale.net.door import MOST
@@ -68,7 +69,8 @@
         self.open_door()
         slow = [Client(self.admin) for _ in range(3 * MOST)]
         for client in slow:
-            client.socket.sendall(b"GET /admin/health HT")
+            with suppress(OSError):  # the first ones have gone already
+                client.socket.sendall(b"GET /admin/health HT")
         begun = time.monotonic()
         for _ in range(10):
             self.assertEqual(self.door("GET /admin/health")[0], 200)
