Count crossing and wasted calls by their prices in the module's choices

At fault: Sender.cost looks at no zone, though the settings tell the instance's own and the price; best_timeout's cost of a restart is one usual call whatever wasted work costs.

Change: crossing counts in the choice of an endpoint by its price; a restart costs 100 usual calls more for each point that wasted calls cost.

--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -25,6 +25,7 @@
 LEAST_FINISHED = 20  # below this many finished tries the time-out is the time left (design)
 RELEARN_EVERY = 8  # new tries between two computations of the time-out, to spare CPU
 RESTART_SHARE = 0.1  # restarts earned by a success: cut calls may run on, so they are rationed
+WASTE_COST = 100.0  # usual calls that a restart costs besides, for a point of worth that wasted calls cost
 RESTART_BANK = 3.0  # restarts saved up at most, so that a bad spell meets no hoard
 LOST_MULTIPLE, LOST_PACE = 4.0, 1.7  # usual latencies until an overtaken call is lost; at such a pace at most
 LOST_SHARE, LOST_BANK = 0.4, 5.0  # restarts of lost calls earned by a success, and saved up at most
@@ -319,7 +320,7 @@
         if finished:
             lane.median = finished[(len(finished) - 1) // 2]
         # A cut call runs on at the destination: a restart costs about one usual call there.
-        lane.tau = best_timeout(tries, lane.median)
+        lane.tau = best_timeout(tries, lane.median * (1 + WASTE_COST * self.s.waste_price))
 
     def usual(self, msg: Held) -> float:  # usual latency of a call like this one
         known = [lane.median for lane in msg.dest.lanes if lane.median]
@@ -760,8 +761,8 @@
     def cost(self, endpoint: Endpoint, lane: Lane, msg: Held) -> float:
         """Fees and expected trouble of an endpoint, on one scale (points for a message)."""
         cost = endpoint.fee if len(lane.dest.lanes) > 1 else 0.0
-        idle = self.s.idle_close_ms or INF
-        while endpoint.idle and endpoint.idle[0] < self.now - idle:
+        cost += self.s.cross_price if endpoint.zone != self.s.zone else 0.0
+        while endpoint.idle and endpoint.idle[0] < self.now - (self.s.idle_close_ms or INF):
             endpoint.idle.pop(0)
         if not self.joinable(endpoint) and not endpoint.idle:
             cost += self.s.handshake_price or 0.0
--- a/gannetshift/interface.py
+++ b/gannetshift/interface.py
@@ -96,6 +96,9 @@
     routes_apart: list[bool] = field(default_factory=list)
     route_fee: list[float] = field(default_factory=list)
     handshake_price: float | None = None
+    zone: int = 0  # this instance's, by its place among the zones
+    waste_price: float = 0.0  # of a call that is done for nothing
+    cross_price: float = 0.0  # of a call to another zone, in points for a message
     probe_price: float | None = None
     refused_price: float | None = None
     over_share_worth: float | None = None
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -84,3 +84,30 @@
     for _ in range(40):
         d.message(SAFE)
     assert 10 < len(d.out) < 15
+
+
+def test_a_call_stays_in_its_zone_where_crossing_costs():
+    """The other floor's endpoint stands first in the list, and is as good in all else."""
+    members = [member(11, zone=1), member(12, zone=0)]
+    for price, used in ((0.03, {12}), (0.0, {11})):
+        d = Driver(members=members, cross_price=price, zone=0)
+        d.warm_up(10)
+        assert {attempt.endpoint for attempt in d.sent()} == used
+    d = Driver(members=members, cross_price=0.03, zone=0)
+    d.give(api.Membership(api.ListKind.DELTA, 2, [member(12, life=2, zone=0)]))  # it drains: only the far one is left
+    d.warm_up(2)
+    assert {attempt.endpoint for attempt in d.sent()} == {11}
+
+
+def test_a_restart_waits_longer_where_wasted_calls_cost():
+    """The same latencies, one in five of them eight times as long."""
+    taus = []
+    for price in (0.0, 0.06):
+        d = Driver(waste_price=price)
+        for call in range(80):
+            number = d.message()
+            d.pass_time(800.0 if call % 5 == 4 else 100.0 + call % 7)
+            if d.is_out(number):
+                d.finish(number)
+        taus.append(d.sender.endpoints[11].lane.tau)
+    assert taus[0] < 200.0 < taus[1]
