--- a/tests/test_bundle.py
+++ b/tests/test_bundle.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from gannetshift.interface import Result
-from lab.standins import message, reply, settings, until
+from lab.standins import message, reply, row, settings, until
 from lynxscale import bundle
 from tests.node import NodeCase
 
@@ -126,8 +126,54 @@
                 if not again:
                     self.assertEqual([self.sent(name) - self.refused(name) for name in first[0]], [1] * len(first[0]))
 
+    def test_one_whose_time_is_up_leaves_the_call_to_the_others_and_a_late_word_counts(self):
+        """m0 has a second; the answer comes after two."""
+        self.start()
+        self.act = lambda _call: reply(503, b"", "Retry-After: 0.500")
+        self.assertEqual(self.client().hand_in("m9")[0], 202)
+        until(lambda: self.calls("m9"), "the wait")
+
+        def act(call):
+            until(lambda: "m0" not in self.told_ids(call) or "m0" in self.discovery.notices, "the end of m0")
+            return self.answer(call)
+
+        self.act = act
+        clients = [self.client() for _ in range(3)]
+        for place, client in enumerate(clients):
+            client.socket.sendall(message(f"m{place}", left=2.0 if place == 0 else 16.0))
+        for client in clients:
+            client.stream.readline()
+        self.delivered(3)
+        self.assertTrue(any("m0" in names and len(names) > 1 for names in self.bundles()), self.bundles())
+        self.assertEqual([self.sent("m1"), self.sent("m2")], [1, 1])
+        self.assertNotIn("reset", self.counters()["tries"])
+
     def sent(self, name: str) -> int:
         return sum(call[1].get("req-id") == name or name in self.told_ids(call) for call in self.calls())
 
     def refused(self, name: str) -> int:
         return sum(call[1].get("req-id") == name for call in self.calls())
+
+
+class Pushed(NodeCase):
+    """Lists from an agent on the machine: nobody orders a call to it, and it may be silent for long."""
+
+    def configure(self, **more):
+        table = settings(**self.allowed)
+        table["membership_mode"] = "push"
+        return super().configure(settings=table, **more)
+
+    def test_changes_come_without_an_order_and_after_silence(self):
+        self.start()
+        self.assertEqual(self.client().hand_in("m1", dest=5)[0], 503)  # until the agent has told, it may come
+        self.discovery.change(row("s-5", self.peer.at, 5))
+        until(lambda: self.client().hand_in("m5", dest=5)[0] == 202, "the new destination")
+        self.discovery.failing = True
+        until(lambda: self.counters()["group"].get("failed", 0) >= 2, "an agent that fails, asked again")
+        self.discovery.failing = False
+        self.discovery.change(row("s-5", self.peer.at, 5, "draining"), row("s-6", self.peer.at, 6))
+        until(lambda: self.client().hand_in("m6", dest=6)[0] == 202, "what came after it")
+        before = len(self.calls())
+        self.assertEqual(self.client().hand_in("m7", dest=5, left=1.0)[0], 202)
+        self.notice("m7")
+        self.assertEqual([call[1]["req-id"] for call in self.calls()[before:] if call[1]["req-id"] == "m7"], [])
