Let an heir follow the process that serves, and learn from it alone

Seen on reading the whole change again: with a heir that had died in between, the next one took the dead one's folder for its predecessor's, so that it accepted at once beside the old process, without waits, slots or handover shared. A probe of a stop and a start logged learned lanes=0: knowledge was read before the first list reached the module, so the promise of a plain start within 15 s never held; it only carried the class means over.

At fault: Handover.__init__ (claim.earlier[-1]); Handover.begin, called before the first turn.

Tests: tests/test_upgrade.py, a dead heir in between, and learned lanes=1 in place of any learned.

--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -263,7 +263,6 @@
         if self.trace is not None:
             self.trace.stop(self.loop.now(), len(self.relay.held))
         log.info("ended", left=len(self.relay.held))
-        self.handover.keep()
         self.journal.close()
 
     def _tell_traffic(self) -> None:
--- a/lynxscale/upgrade/folders.py
+++ b/lynxscale/upgrade/folders.py
@@ -48,6 +48,7 @@
         self.state, self._inode = state, inode
         self.generation, self.heir = 0, False
         self.earlier: list[int] = []
+        self.predecessor = -1  # of an heir: the one that serves; other earlier ones have ended
         self.half: Half | None = None
         self.other: Half | None = None
         self._door = Folder(state, HEIR)
@@ -79,7 +80,7 @@
             self.heir, self.generation = False, there[-1] if there else 0
             place = 0
         elif len(live) == 1 and halves is not None and (place := self._before(halves, live[0])) is not None:
-            self.heir, self.generation = True, there[-1] + 1
+            self.heir, self.generation, self.predecessor = True, there[-1] + 1, live[0]
             place = 1 - place
         else:
             self._door.unlock()
@@ -164,10 +165,15 @@
             os.ftruncate(self._marks, before)  # none of them: the caller keeps none
             raise OSError(28, "no space for marks")
 
-    def remove(self) -> None:
-        """All is marked: the folder goes, at once or not at all."""
+    def close(self) -> None:
+        """Nothing more is marked by this one."""
         if self._marks >= 0:
             os.close(self._marks)
+            self._marks = -1
+
+    def remove(self) -> None:
+        """All is marked: the folder goes, at once or not at all."""
+        self.close()
         gone = self.path.with_name(self.path.name + GONE)
         with suppress(OSError):
             os.rename(self.path, gone)
--- a/lynxscale/upgrade/handover.py
+++ b/lynxscale/upgrade/handover.py
@@ -36,13 +36,12 @@
         self._accept, self._share = accept, share
         self._name_of, self._number_of = name_of, number_of
         self._succession = Succession(claim.heir)
-        self._predecessor = claim.earlier[-1] if claim.heir else -1
+        self._predecessor = claim.predecessor
         self._slots = relay.settings.slots
         self._other: tuple[Stage, bool] = (Stage.NONE, False)
         self._follower: Follower | None = None  # of the other process's journal
         self._estate: Estate | None = None  # of the predecessor, while it lives
         self._released_at, self._heir = 0, -1
-        self._kept = False
         if claim.half is not None:
             relay.board = self
 
@@ -58,7 +57,6 @@
             if generation != self._predecessor:
                 self._adopt(generation)
         if not claim.heir:
-            self._learn()
             if not claim.earlier:
                 claim.settled()
         else:
@@ -73,7 +71,7 @@
         """This process takes no more clients."""
         if self._claim.half is None:
             return
-        if self._heir >= 0:
+        if self._other[1]:
             self._follower = Follower(folder_of(self._claim.state, self._heir))
             self.keep()
         self._claim.half.enter(Stage.HANDING)
@@ -192,6 +190,8 @@
         if generation == self._predecessor:
             self._predecessor = -1
             self._follower = None if self._follower is None else self._follower.close()
+            if self._estate is not None:
+                self._estate.close()
         if not self._claim.earlier:
             self._claim.settled()
 
@@ -208,10 +208,7 @@
     # What was learned ----------------------------------------------------------------------------
 
     def keep(self) -> None:
-        """Keep what the module has learned for the process that comes, once."""
-        if self._kept:
-            return
-        self._kept = True
+        """Keep what the module has learned for the heir."""
         keep(self._claim.state, export(self._relay.sender), self._name_of, self._relay.loop.now())
 
     def _learn(self) -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -117,6 +117,7 @@
     second = Claim(tmp_path, 41)
     second.wait(0)
     assert (second.generation, second.earlier, second.half.place) == (2, [0, 1], heir.half.place)
+    assert second.predecessor == 0  # the one that serves, and not the one that died in between
 
 
 def test_a_journal_is_followed_while_it_is_written_and_cleaned(tmp_path):
@@ -278,7 +279,7 @@
         until(lambda: "hung" in self.discovery.notices, "the end of what may have run")
         hung.set()
         self.assertEqual(len(self.calls("hung")), 1)
-        self.assertIn("event=learned", self.log.read_text())
+        self.assertIn("event=learned lanes=1", self.log.read_text())
 
     def test_an_heir_that_dies_changes_nothing_and_another_may_come(self):
         old = self.begin()
@@ -289,6 +290,8 @@
         until(lambda: "order=alone" in self.log.read_text(), "the end of the heir")
         self.assertEqual(self.client().hand_in("m1")[0], 202)
         third = self.begin()
+        self.assertEqual(self.client().hand_in("m0")[0], 202)
+        self.assertNotIn("order=accept", self.log.read_text())  # the old one alone takes clients
         old.kill()  # and this one dies before any SIGTERM
         old.wait(PATIENCE)
         self.assertEqual(self.client().hand_in("m2")[0], 202)
