--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON := .venv/bin/python
 
-.PHONY: build test lint run bench-trace soak-trace bench-list soak-list bench-journal soak-journal soak-upgrade bench-operation
+.PHONY: build test lint run bench-trace soak-trace bench-list soak-list bench-journal soak-journal soak-upgrade bench-operation \
+	bench-cluster soak-cluster sim-cluster
 
 build: .venv/ready
 
@@ -46,3 +47,16 @@
 soak-journal: build
 	JOURNAL_KILLS=1000 $(PYTHON) -m pytest -q -p no:cacheprovider tests/test_journal_live.py -k kills -s
 	JOURNAL_SEEDS=6 $(PYTHON) -m pytest -q -p no:cacheprovider -n 4 tests/test_journal.py
+
+bench-cluster: build
+	$(PYTHON) -m lab.bench_cluster
+
+# Histories and walks of the cluster's state machines: ten thousand of each.
+sim-cluster: build
+	seq 0 1250 8750 | xargs -P 8 -I{} sh -c '$(PYTHON) -m lab.cluster.simulate {} $$(({} + 1249)) && \
+		$(PYTHON) -m lab.cluster.explore {} $$(({} + 1249))'
+
+# An hour at five nodes and one at sixteen; the seed is the day's unless SEED tells it.
+soak-cluster: build
+	$(PYTHON) -m lynxscale lab cluster --nodes 5 --minutes 60 --at-once 3 --seed $${SEED:-$$(date +%j)}
+	$(PYTHON) -m lynxscale lab cluster --nodes 16 --minutes 60 --at-once 2 --rate 2 --seed $${SEED:-$$(date +%j)}
--- /dev/null
+++ b/lab/cluster/explore.py
@@ -0,0 +1,258 @@
+"""Views alone, as they run in service, in orders that a hostile scheduler chooses: seeded walks over what can happen.
+
+Messages come late, twice, out of order or never; writes are done late or lost with the process; processes end at
+any step, and start anew with their disk, with an older one whose last votes others have heard, or with none. Each walk
+draws its own weights of these (swarm testing: Groce and others, 2012), as what is rare in all walks alike is never met
+twice in a row.
+
+Judged after each step: no two views of one number differ; nobody may act in a view while somebody acts in a later one
+without its life.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lab.cluster.simulate import Breach
+from lynxscale.cluster.sight import Identity, Rumour, Sight, State
+from lynxscale.cluster.views import Persist, Say, Terms, Views
+from lynxscale.cluster.words import Kept, Step, View
+
+LEASES, VOTES = Terms(), Terms(lease=1)  # half of the walks leave leases aside, so that votes come thick and fast
+JUMP = LEASES.lease // 3
+
+
+@dataclass
+class Place:
+    """A node: what its disk has, the process that runs, and writes that are not done."""
+
+    name: str
+    life: int = 0
+    disk: Kept | None = None
+    older: list[Kept] = field(default_factory=list)
+    views: Views | None = None
+    sight: Sight | None = None
+    mark: int = 0  # of what is on disk, as it tells in its frames
+    writes: list[Persist] = field(default_factory=list)
+
+
+class Walk:
+    """``mistake`` may change each Views that is made."""
+
+    def __init__(self, nodes: int, seed: int, mistake: Callable[[Views], None] | None = None) -> None:
+        self.chance, self.mistake = random.Random(f"{seed} walk"), mistake
+        self.terms = LEASES if seed % 2 else VOTES
+        self.names = [f"r{k + 1}" for k in range(nodes)]
+        self.now = 0
+        self.places = {name: Place(name) for name in self.names}
+        self.flying: list[tuple[str, Identity, str, object, int, int]] = []
+        self.decided: dict[int, View] = {}
+        self.trail: list[str] = []
+        self._boot = self._forgotten = 0
+        self._apart = ""  # the node that nothing reaches and that reaches nobody, if any
+        self._acts = (self._deliver, self._write, self._propose, self._ask, self._wait, self._crash, self._back,
+                      self._exchange, self._forget, self._bounce, self._cut)
+        wide = 2.0 if seed % 4 > 1 else 1.0
+        self._weights = [usual * 2 ** self.chance.uniform(-wide, wide)
+                         for usual in (80, 40, 2, 4, 2.5, 0.3, 4, 4, 0.12, 0.6, 0.8)]
+        if self.terms is VOTES:
+            self._weights[3] = 0.0  # nobody asks for leases
+            self._weights[2] *= 2
+        members = self.names if nodes < 5 else self.names[:3]
+        first = View(1, 7, tuple(Identity(name, 1, k + 1) for k, name in enumerate(members)))
+        self._boot = nodes
+        for number, place in enumerate(self.places.values()):
+            place.disk = Kept(first, votes=number < len(members))
+            self._start(place, Identity(place.name, 1, number + 1))
+
+    def _start(self, place: Place, me: Identity) -> None:
+        place.life = me.life
+        place.sight = Sight(self.names)
+        place.views = Views(me, self.names, "walk", self.now, place.disk, place.sight, {},
+                            self.terms)
+        place.mark = place.views.kept.mark
+        place.writes = []
+        if self.mistake is not None:
+            self.mistake(place.views)
+
+    def _carry(self, place: Place, orders: list) -> None:
+        queue = list(orders)
+        while queue:
+            order = queue.pop(0)
+            if isinstance(order, Say):
+                if order.to == place.name:
+                    queue += place.views.heard(self.now, place.name, place.views.me, order.word)
+                else:
+                    self.flying.append((place.name, place.views.me, order.to, order.word, place.views.number,
+                                        place.mark))
+            elif isinstance(order, Persist):
+                place.writes.append(order)
+        self._judge(place)
+
+    # What may happen next ------------------------------------------------------------------------
+
+    def step(self) -> None:
+        """One thing, drawn by its weight."""
+        act = self.chance.choices(self._acts, self._weights)[0]
+        act(self.places[self.chance.choice(self.names)])
+
+    def _deliver(self, _place: Place) -> None:
+        if not self.flying:
+            return
+        number = self.chance.randrange(len(self.flying)) if self.chance.random() < 0.5 else 0
+        frm, who, to, word, view, mark = self.flying[number]
+        if self.chance.random() < 0.85:
+            self.flying.pop(number)  # else it comes once more
+        place = self.places[to]
+        if self._apart in (frm, to):
+            return
+        if place.views is None or self.chance.random() < 0.1:
+            return
+        self.trail.append(f"{frm}>{to} {word}")
+        self._carry(place, place.views.behind(self.now, frm, view, mark))
+        self._carry(place, place.views.heard(self.now, frm, who, word))
+
+    def _write(self, place: Place) -> None:
+        if place.views is None or not place.writes:
+            return
+        order = place.writes.pop(0)
+        if place.disk is not None:
+            place.older.append(place.disk)
+        place.disk, place.mark = order.kept, max(place.mark, order.kept.mark)
+        self.trail.append(f"{place.name} writes")
+        self._carry(place, list(order.then))
+
+    def _propose(self, place: Place) -> None:
+        views = place.views
+        if views is None or views.view is None or not views.votes(self.now):
+            return
+        if views.proposing and self.chance.random() < 0.8:
+            return
+        view = views.view
+        gone = [one.name for one in view.members if one.name != place.name]
+        if self._apart in gone and self.chance.random() < 0.7:
+            gone = [self._apart]
+        come = [other.views.me for other in self.places.values()
+                if other.views is not None and view.life_of(other.name) != other.views.me]
+        self.chance.shuffle(gone)
+        step = Step(tuple(sorted(gone[:self.chance.randint(0, (len(view.members) - 1) // 2)])),
+                    tuple(one for one in come if self.chance.random() < 0.7))
+        step = Step(tuple(name for name in step.gone if name not in {one.name for one in step.come}), step.come)
+        if step.gone or step.come or views.kept.accepted:
+            self.trail.append(f"{place.name} proposes {step}")
+            self._carry(place, views.propose(self.now, views.kept.accepted or step))
+
+    def _ask(self, place: Place) -> None:
+        if place.views is not None:
+            self._carry(place, place.views.ask(self.now))
+
+    def _wait(self, _place: Place) -> None:
+        self.now += JUMP
+        self.trail.append("time goes on")
+        for place in self.places.values():
+            if place.views is not None and self.chance.random() < 0.5:
+                self._carry(place, place.views.tick(self.now))
+
+    def _crash(self, place: Place) -> None:
+        if place.views is not None:
+            self.trail.append(f"{place.name} ends")
+            place.views, place.writes = None, []
+
+    def _back(self, place: Place) -> None:
+        if place.views is not None:
+            return
+        self._boot += 1
+        self.trail.append(f"{place.name} starts")
+        self._start(place, Identity(place.name, place.life + 1, self._boot))
+
+    def _cut(self, place: Place) -> None:
+        """One is cut off from now on, of those that may act if there are any; or nobody is any more."""
+        acting = [one.name for one in self.places.values() if one.views is not None and one.views.may_act(self.now)]
+        self._apart = "" if self._apart else self.chance.choice(acting or [place.name])
+        self.trail.append(f"{self._apart or 'nobody'} is cut off")
+
+    def _bounce(self, place: Place) -> None:
+        """It ends, starts and hears what the others remember, all in a moment; sometimes with its memory lost."""
+        self._crash(place)
+        if self.chance.random() < 0.3:
+            self._forget(place)
+        self._back(place)
+        for other in self.places.values():
+            self._exchange(place, other)
+
+    def _exchange(self, place: Place, with_: Place | None = None) -> None:
+        other = with_ or self.places[self.chance.choice(self.names)]
+        if self._apart in (place.name, other.name):
+            return
+        if other is place or place.views is None or other.views is None:
+            return
+        self.trail.append(f"{place.name} and {other.name} exchange")
+        for one, far in ((place, other), (other, place)):
+            marks = far.views.marks | {far.name: far.mark}
+            self._carry(one, one.views.behind(self.now, far.name, far.views.number, far.mark))
+            self._carry(one, one.views.exchanged(self.now, far.name, far.views.view, marks))
+            if far.views is not None and one.sight is not None:
+                one.sight.merge(Rumour(*far.views.me, 0, State.ALIVE), self.now)
+
+    def _forget(self, place: Place) -> None:
+        """Its memory is lost, or an older one comes back: of the older ones, one whose last votes the others know."""
+        known = all(place.mark <= dict(other.disk.heard).get(place.name, 0) for other in self.places.values()
+                    if other is not place and other.disk is not None)
+        if self._forgotten >= (len(self.names) - 1) // 2:
+            return  # with more of them no majority remembers, and nothing happens any more
+        if self.chance.random() < 0.5 and place.older and known:
+            place.disk = self.chance.choice(place.older)
+        elif self.chance.random() < 0.5:
+            place.disk = None
+        else:
+            return
+        self._forgotten += 1
+        self.trail.append(f"{place.name} forgets")
+        place.views, place.writes, place.older = None, [], []
+
+    # Judging -------------------------------------------------------------------------------------
+
+    def _judge(self, place: Place) -> None:
+        view = place.views.view
+        if view is not None:
+            known = self.decided.setdefault(view.number, view)
+            if known != view:
+                raise Breach(f"view {view.number} is {known} and {view}")
+        acting = [(other.views.view, other.views.me) for other in self.places.values()
+                  if other.views is not None and other.views.may_act(self.now)]
+        for one, me in acting:
+            for later, other in acting:
+                if later.number > one.number and me not in later.members:
+                    raise Breach(f"{me} acts in view {one.number} while {other} acts in view {later.number}")
+
+
+def walk(nodes: int, seed: int, steps: int = 1200, mistake: Callable[[Views], None] | None = None) -> Walk:
+    """One seeded walk. Raises Breach, with the seed and the last steps."""
+    one = Walk(nodes, seed, mistake)
+    try:
+        for _ in range(steps):
+            one.step()
+    except Breach as breach:
+        raise Breach(f"walk {seed}, {nodes} nodes: {breach}; the last steps: {'; '.join(one.trail[-12:])}") from breach
+    return one
+
+
+def main() -> None:
+    """``python -m lab.cluster.explore FIRST LAST [NODES]``: these walks; exit code 1 with the first breach."""
+    import sys
+
+    first, last = int(sys.argv[1]), int(sys.argv[2])
+    views = 0
+    for seed in range(first, last + 1):
+        try:
+            views += max(walk(int(sys.argv[3]) if len(sys.argv) > 3 else 3 + seed % 3, seed).decided)
+        except Breach as breach:
+            print(f"breach: {breach}")
+            sys.exit(1)
+    print(f"{last - first + 1} walks, seeds {first} to {last}: no breach, {views} views decided")
+
+
+if __name__ == "__main__":
+    main()
--- a/lynxscale/cli/__init__.py
+++ b/lynxscale/cli/__init__.py
@@ -12,10 +12,10 @@
 
 import click
 
-GROUPS = {"conf": "lynxscale.cli.conf:group", "demo": "lynxscale.cli.demo:command",
-          "fleet": "lynxscale.cli.fleet:group",
-          "journal": "lynxscale.cli.journal:group", "list": "lynxscale.cli.lists:group",
-          "run": "lynxscale.cli.run:command", "trace": "lynxscale.cli.trace:group"}
+GROUPS = {"cluster": "lynxscale.cli.cluster:group", "conf": "lynxscale.cli.conf:group",
+          "demo": "lynxscale.cli.demo:command", "fleet": "lynxscale.cli.fleet:group",
+          "journal": "lynxscale.cli.journal:group", "lab": "lynxscale.cli.lab:group",
+          "list": "lynxscale.cli.lists:group", "run": "lynxscale.cli.run:command", "trace": "lynxscale.cli.trace:group"}
 FAILED, USAGE = 1, 2
 
 
--- /dev/null
+++ b/lynxscale/cli/cluster.py
@@ -0,0 +1,255 @@
+"""``lynxscale cluster``: what relays that know each other say, their files against each other, one given up."""
+
+from __future__ import annotations
+
+import http.client
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+
+from lynxscale.cli import FAILED, Failed, Misused, example
+from lynxscale.cli.common import write_json, write_table
+from lynxscale.conf.lexer import Fault
+from lynxscale.conf.table import Conf
+
+ANSWER_WITHIN = 3.0
+COLUMNS = ("node", "at", "zone", "state", "for_s", "life", "in_view", "answered_ms", "slow")
+
+
+@example("lynxscale cluster status --conf lynxscale.conf")
+@click.group()
+def group() -> None:
+    """Relays that know each other: docs/operators/cluster.md."""
+
+
+def _call(at: str, method: str, path: str) -> tuple[int, dict]:
+    """Status and body of a call to an operators' door."""
+    host, _, port = at.rpartition(":")
+    if not (host and port.isdigit()):
+        raise Misused(f"{at}: want HOST:PORT, the admin-addr of a relay")
+    connection = http.client.HTTPConnection(host, int(port), timeout=ANSWER_WITHIN)
+    try:
+        connection.request(method, path)
+        answer = connection.getresponse()
+        return answer.status, orjson.loads(answer.read())
+    except (OSError, http.client.HTTPException, orjson.JSONDecodeError) as error:
+        raise Failed(f"{at}: no answer of a relay's door: {error}") from error
+    finally:
+        connection.close()
+
+
+def _of_file(conf: str) -> dict:
+    """The status that a relay last wrote into its folder."""
+    from lynxscale.cluster.part import STATUS
+    from lynxscale.cluster.stable import FOLDER
+
+    own = _read(conf)
+    if own.cluster.name is None:
+        raise Failed(f"{conf}: it has no section cluster")
+    path = Path(own.relay.state) / FOLDER / STATUS
+    try:
+        return orjson.loads(path.read_bytes())
+    except FileNotFoundError as error:
+        raise Failed(f"{path}: not there; has this relay run, and is this its folder?") from error
+    except ValueError as error:
+        raise Failed(f"{path}: not a status: {error}") from error
+
+
+def _read(path: str) -> Conf:
+    from lynxscale.conf.reader import ConfFaults, read
+
+    try:
+        return read(path)
+    except ConfFaults as error:
+        raise Misused(str(error)) from error
+
+
+def _rows(status: dict) -> list[list[Any]]:
+    return [[row["name"], row["at"], row["zone"] or "-", row["state"],
+             "-" if row["since_ms"] is None else f"{row['since_ms'] / 1000:.1f}",
+             "-" if row["life"] is None else row["life"], "yes" if row["in_view"] else "no",
+             "-" if row["answered_ms"] is None else row["answered_ms"], row["slow"] or "-"]
+            for row in status["nodes"]]
+
+
+def _told(status: dict) -> str:
+    """One node in words."""
+    view = status["view"]
+    words = [f"{status['node']} of {status['cluster']}, life {status['life']}, up {status['up_ms'] / 1000:.0f} s: "
+             f"{status['standing']}"]
+    if view is None:
+        words.append("no view yet: the first needs every node that the file names")
+    else:
+        words.append(f"view {view['number']} ({view['digest']}) of "
+                     + " ".join(f"{one['name']}/{one['life']}" for one in view["members"])
+                     + f"; it can lose {view['can_lose']}")
+        words.append(f"lease for {status['lease_ms']} ms; granted by {' '.join(status['grants']) or 'nobody'} of "
+                     f"{' '.join(view['asked_for_leases'])}")
+    if not status["votes"]:
+        words.append("it does not vote: its memory was lost or is older than what others heard from it")
+    if status["split"]:
+        words.append(f"contradiction: {status['split']}")
+    if status["doubt"]:
+        words.append(f"it doubts itself: {status['doubt']}")
+    return "\n".join(words)
+
+
+@example("lynxscale cluster status --conf lynxscale.conf\n"
+         "lynxscale cluster status --at 127.0.0.1:9001 --at 127.0.0.1:9002")
+@group.command()
+@click.option("--conf", type=click.Path(dir_okay=False), help="A relay's configuration file: what it last wrote.")
+@click.option("--at", multiple=True, help="HOST:PORT of a relay's operators' door; several show all of them.")
+@click.option("--json", "as_json", is_flag=True, help="Everything that the relays tell.")
+def status(conf: str | None, at: tuple[str, ...], as_json: bool) -> None:
+    """Each node, its incarnation, its state and since when, as a relay sees it; view, majority and lease.
+
+    Exit code 1 where a relay that was asked is not a member of a view with a lease.
+    """
+    import time
+
+    if bool(conf) == bool(at):
+        raise Misused("want --conf FILE, or --at HOST:PORT once or more")
+    told: list[dict] = []
+    silent: list[str] = []
+    if conf:
+        told.append(_of_file(conf))
+        told[0]["age_s"] = round(time.time() - told[0]["ts"], 1)
+    for one in at:
+        try:
+            code, answer = _call(one, "GET", "/admin/cluster")
+        except Failed as error:
+            silent.append(error.message)
+            continue
+        if code != 200:
+            silent.append(f"{one}: {answer.get('said', code)}")
+        else:
+            told.append(answer)
+    if as_json:
+        write_json({"nodes": told, "silent": silent})
+    else:
+        for number, one in enumerate(told):
+            click.echo(("\n" if number else "") + _told(one))
+            if "age_s" in one:
+                click.echo(f"as written {one['age_s']} s ago" + (
+                    "; the relay writes it every second: it does not run, or its disk stands still"
+                    if one["age_s"] > 5 else ""))
+            if len(told) == 1:
+                click.echo()
+                write_table(list(COLUMNS), _rows(one))
+        if len(told) > 1:
+            click.echo("\nWho is what, as each of them sees it:")
+            names = sorted({row["name"] for one in told for row in one["nodes"]})
+            write_table(["seen by", *names], [
+                [one["node"], *({row["name"]: row["state"] for row in one["nodes"]}.get(name, "not named")
+                                for name in names)] for one in told])
+    for line in silent:
+        click.echo(line, err=True)
+    if silent or any(one["standing"] != "member" for one in told):
+        click.get_current_context().exit(FAILED)
+
+
+def _differing(files: list[tuple[str, Conf]]) -> list[Fault]:
+    """What one file says otherwise than the first, or of another node than that node's own file does."""
+    found = []
+    first, one = files[0]
+
+    def differ(path: str, word: str, mine: Any, theirs: Any) -> None:
+        if mine != theirs:
+            found.append(Fault(path, _line(path, word), word, f"want {theirs}, as {first} has it, not {mine}"))
+
+    for path, conf in files[1:]:
+        differ(path, "name", conf.cluster.name, one.cluster.name)
+        differ(path, "probe", conf.cluster.probe, one.cluster.probe)
+        for what in ("cls", "tenant", "kind", "zone"):
+            word = "class" if what == "cls" else what
+            mine, theirs = getattr(conf.names, what), getattr(one.names, what)
+            for name in sorted({row["name"] for row in (*mine, *theirs)}):
+                differ(path, word, next((row for row in mine if row["name"] == name), f"no {word} {name}"),
+                       next((row for row in theirs if row["name"] == name), f"no {word} {name}"))
+        for key in ("tries", "cold_share", "warm_up", "tip_multiple", "tip_after", "late", "retry_after_most"):
+            differ(path, key.replace("_", "-"), getattr(conf.limits, key), getattr(one.limits, key))
+        differ(path, "relays", conf.relay.relays, one.relay.relays)
+        differ(path, "member", sorted(row["name"] for row in conf.cluster.member),
+               sorted(row["name"] for row in one.cluster.member))
+        zones = {row["name"]: row.get("zone") for row in one.cluster.member}
+        for row in conf.cluster.member:
+            if row["name"] in zones:
+                differ(path, f"member {row['name']}", row.get("zone"), zones[row["name"]])
+    names: dict[str, str] = {}
+    places: dict[int, str] = {}
+    for path, conf in files:
+        for key, table, word in ((conf.relay.name, names, "name"), (conf.relay.place, places, "place")):
+            if key in table:
+                found.append(Fault(path, _line(path, word), word, f"want another than {key}, which {table[key]} has"))
+            table.setdefault(key, path)
+        members = len(conf.cluster.member)
+        if conf.relay.relays != members:
+            found.append(Fault(path, _line(path, "relays"), "relays",
+                               f"want {members}, as many as there are members, not {conf.relay.relays}"))
+    missing = sorted({row["name"] for row in one.cluster.member} - set(names))
+    if missing:
+        found.append(Fault(first, _line(first, "member"), "member", f"no file was given for {' '.join(missing)}"))
+    return found
+
+
+def _line(path: str, word: str) -> int:
+    """The first line of a file, or of those that it includes, whose directive begins so; 0 where it is not told."""
+    import os
+
+    from lynxscale.conf.lexer import Lexer
+
+    wanted = word.split()
+    return next((line.number for line in Lexer(os.environ).lines(path)
+                 if line.file == path and list(line.words[:len(wanted)]) == wanted), 0)
+
+
+@example("lynxscale cluster check r1.conf r2.conf r3.conf")
+@group.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False))
+def check(files: tuple[str, ...]) -> None:
+    """Hold the configuration FILES of a cluster's relays against each other: names, addresses, classes and limits.
+
+    Exit code 1 where they do not fit, each difference with its file and line.
+    """
+    read = [(path, _read(path)) for path in files]
+    without = [path for path, conf in read if conf.cluster.name is None]
+    if without:
+        raise Failed("\n".join(f"{path}: no section cluster" for path in without))
+    found = _differing(read)
+    for fault in found:
+        click.echo(str(fault), err=True)
+    if found:
+        click.get_current_context().exit(FAILED)
+    cluster = read[0][1].cluster
+    click.echo(f"{len(read)} files of {cluster.name}: {len(cluster.member)} nodes, of which it can lose "
+               f"{(len(cluster.member) - 1) // 2} at once")
+
+
+@example("lynxscale cluster forget r3 --at 127.0.0.1:9001")
+@group.command()
+@click.argument("name")
+@click.option("--at", required=True, help="HOST:PORT of the operators' door of a relay that is a member.")
+@click.option("--yes", is_flag=True, help="Do not ask.")
+def forget(name: str, at: str, yes: bool) -> None:
+    """Give up the node NAME, whose machine is gone for good: the next view is without it.
+
+    A node that is believed to be alive is refused, and so is one that is not in the view.
+    """
+    code, told = _call(at, "GET", "/admin/cluster")
+    if code != 200:
+        raise Failed(f"{at}: {told.get('said', code)}")
+    view = told["view"]
+    row = next((row for row in told["nodes"] if row["name"] == name), None)
+    listed = view is not None and name in [one["name"] for one in view["members"]]
+    state = row["state"] if row else "not in the file of " + told["node"]
+    click.echo(f"{name}: {state}, {'in' if listed else 'not in'} view {view['number'] if view else 0}. To forget it "
+               "says that this machine and its folder will not come back: what only it held is given up. Take its "
+               "line out of the files afterwards.")
+    if not yes and not click.confirm(f"Forget {name}?"):
+        raise Failed("nothing done")
+    code, said = _call(at, "POST", f"/admin/cluster/forget?name={name}")
+    if code != 200:
+        raise Failed(f"{at}: {said['said']}")
+    click.echo(said["said"])
--- a/lynxscale/cli/conf.py
+++ b/lynxscale/cli/conf.py
@@ -82,7 +82,7 @@
 
 
 def _row(directive, row: dict) -> str:
-    words = [_word(row["name"])]
+    words = [_word(row["name"]), *(_word(one.shown(row[one.name])) for one in directive.plain)]
     for column in directive.columns:
         if (value := row.get(field_of(column.name))) is not None:
             words += [column.name, column.shown(value)]
--- /dev/null
+++ b/lynxscale/cli/lab.py
@@ -0,0 +1,77 @@
+"""``lynxscale lab``: relays in trouble, on this machine."""
+
+from __future__ import annotations
+
+import click
+
+from lynxscale.cli import FAILED, Misused, example
+from lynxscale.cli.common import write_json, write_table
+
+STANDINGS = ("member", "cut_off", "joining", "forming", "outvoted")
+
+
+@example("lynxscale lab cluster --nodes 5 --seed 7 --minutes 2")
+@click.group()
+def group() -> None:
+    """Relays in trouble: processes on loopback, faults by seed, a judge that looks from outside."""
+
+
+@example("lynxscale lab cluster --nodes 5 --seed 7 --minutes 2\nlynxscale lab cluster --kinds halves,kill --at-once 2")
+@group.command()
+@click.option("--nodes", default=5, show_default=True, type=click.IntRange(1, 16))
+@click.option("--seed", default=1, show_default=True, type=int, help="All faults and messages are drawn from it.")
+@click.option("--minutes", default=1.0, show_default=True, type=click.FloatRange(0.05, 600))
+@click.option("--at-once", default=2, show_default=True, type=click.IntRange(1, 5), help="Faults side by side.")
+@click.option("--kinds", default="", help="Only these kinds of fault, by comma; without it all.")
+@click.option("--rate", default=20.0, show_default=True, type=click.FloatRange(0, 400),
+              help="Messages a second to each node.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Work in this folder, and leave it there.")
+@click.option("--plot", type=click.Path(dir_okay=False), help="Draw who believed what of whom, as PNG or SVG.")
+@click.option("--json", "as_json", is_flag=True, help="The verdict as JSON.")
+@click.pass_context
+def cluster(ctx: click.Context, nodes: int, seed: int, minutes: float, at_once: int, kinds: str, rate: float,
+            keep: str | None, plot: str | None, as_json: bool) -> None:
+    """Start relays that know each other, break links and processes by a seed, and judge what they say and do.
+
+    Exit code 1 where something that is promised did not hold.
+    """
+    import asyncio
+    import contextlib
+    from pathlib import Path
+
+    from lab.cluster.faults import LINK, PROCESS, draw
+    from lab.cluster.play import play
+    from lab.traffic import fresh_folder
+
+    chosen = tuple(kinds.split(",")) if kinds else PROCESS + LINK
+    if unknown := set(chosen) - set(PROCESS + LINK):
+        raise Misused(f"--kinds: no such kind: {', '.join(sorted(unknown))}; want some of {', '.join(PROCESS + LINK)}")
+    faults = draw(seed, [f"r{place + 1}" for place in range(nodes)], minutes * 60, at_once, chosen)
+    if keep:
+        Path(keep).mkdir(parents=True, exist_ok=True)
+    with contextlib.nullcontext(keep) if keep else fresh_folder() as folder:
+        click.echo(f"seed {seed}, {nodes} nodes, {len(faults)} faults", err=as_json)
+        played = asyncio.run(play(Path(folder), nodes, seed, faults, lambda text: click.echo(text, err=as_json), rate))
+        if plot:
+            from lab.cluster.plot import draw_sight
+
+            draw_sight(played, Path(plot))
+    verdict = played.verdict
+    if as_json:
+        write_json({"seed": seed, "formed_s": played.formed_s, "settled_s": played.settled_s, "views": verdict.views,
+                    "removals": verdict.removals, "messages": played.messages, "breaches": verdict.breaches,
+                    "bytes_per_s": played.sent_bytes, "datagrams_per_s": played.sent_datagrams})
+    else:
+        click.echo()
+        write_table(["node", *(f"{name}_%" for name in STANDINGS), "removed"], [
+            [node, *(f"{100 * row[name] / row.total():.1f}" for name in STANDINGS), verdict.removals[node]]
+            for node, row in sorted(verdict.table.items())])
+        click.echo(f"\n{len(verdict.views)} views; formed in {played.formed_s:.1f} s, one view again "
+                   f"{played.settled_s:.1f} s after the last fault; {played.sent_bytes:.0f} bytes and "
+                   f"{played.sent_datagrams:.1f} datagrams a second from each node")
+        for cls, row in sorted(played.messages.items()):
+            click.echo(f"{cls}: " + ", ".join(f"{name} {number}" for name, number in row.items()))
+    for breach in verdict.breaches:
+        click.echo(f"breach: {breach}", err=True)
+    if verdict.breaches:
+        ctx.exit(FAILED)
--- /dev/null
+++ b/lynxscale/cluster/driver.py
@@ -0,0 +1,341 @@
+"""The sockets of a node: datagrams, exchanges of the whole sight on TCP, and the one timer of its detector."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+
+import structlog
+from twisted.internet.error import MessageLengthError
+from twisted.internet.protocol import ClientFactory, DatagramProtocol, Factory, Protocol
+from twisted.python.failure import Failure
+
+from lynxscale.cluster import frame
+from lynxscale.cluster.core import Core
+from lynxscale.cluster.detector import SLOW_TURN, Action, Renew, Send, Swap, Told
+from lynxscale.cluster.frame import BadFrame, Exchange, Message, views_of
+from lynxscale.cluster.views import Fetch, Note, Order, Outvoted, Persist, Say
+from lynxscale.cluster.words import Kept
+from lynxscale.counters import Counters
+from lynxscale.deadlines import Deadline, Deadlines
+from lynxscale.net import link
+
+log = structlog.get_logger()
+
+Address = tuple[str, int]
+
+INBOUND_MOST, OUTBOUND_MOST = 16, 8  # exchanges at once
+EXCHANGE_MS, CONNECT_S = 5000, 2.0
+BYTES_PER_S, BYTES_BURST = 8_000, 64_000  # of datagrams that go out; a healthy node of sixteen sends an eighth of it
+READ_PER_S, READ_BURST = 2_000, 4_000  # datagrams that are read; more are dropped unread
+SLOW_TURN_US, SLOW_FOR = 200_000, 10_000_000  # a turn so late is told to the others, so long
+GROUP = "cluster"
+ANSWERED, ASKED, LATE, BAD, CROWDED = "answered", "asked", "late", "bad_frame", "crowded"
+
+
+class Bucket:
+    """So many a second, and so many at once."""
+
+    def __init__(self, rate: int, burst: int) -> None:
+        self._rate, self._burst, self._left, self._at = rate, burst, float(burst), 0
+
+    def take(self, now: int, much: int) -> bool:
+        self._left = min(self._burst, self._left + (now - self._at) * self._rate / 1e6)
+        self._at = now
+        if self._left < much:
+            return False
+        self._left -= much
+        return True
+
+
+class Datagrams(DatagramProtocol):
+    noisy = False
+
+    def __init__(self, driver: Driver) -> None:
+        self._driver = driver
+
+    def datagramReceived(self, data: bytes, _address: Address) -> None:
+        self._driver.datagram(data)
+
+
+class Stream(Protocol):
+    """One frame each way, and the end. ``to``: whom we ask; empty where we are asked."""
+
+    def __init__(self, driver: Driver, to: str = "") -> None:
+        self._driver, self._to = driver, to
+        self._data = b""
+        self._reason: str | None = None
+        self._deadline: Deadline | None = None
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self._deadline = self._driver.deadlines.after(EXCHANGE_MS * 1000, self._drop, LATE)
+        if not self._driver.joined(self):
+            self._drop(CROWDED)
+        elif self._to:
+            self.transport.write(self._driver.whole(answer=False))
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._reason is not None:
+            return
+        self._data += data
+        try:
+            if len(self._data) < frame.HEAD.size:
+                return
+            length = frame.length(self._driver.key, self._data)
+            if len(self._data) < length:
+                return
+            message = frame.decode(self._driver.key, self._data)  # more than the frame is wrong too
+            if not isinstance(message.body, Exchange) or message.body.answer != bool(self._to):
+                raise BadFrame("unasked")
+        except BadFrame as error:
+            self._driver.bad(error)
+            self._drop(BAD)
+            return
+        if self._to:
+            self._reason = ANSWERED
+            self.transport.loseConnection()
+        else:
+            self._reason = ASKED
+            self.transport.write(self._driver.whole(answer=True))
+            self.transport.loseConnection()
+        self._driver.heard(message, reached=not self._to)
+
+    def _drop(self, reason: str) -> None:
+        self._reason = self._reason or reason
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure) -> None:
+        self._driver.deadlines.cancel(self._deadline)
+        self._driver.left(self)
+        log.info("connection", kind="cluster", node=self._to or None, reason=self._reason or link.FAR_CLOSED)
+        if self._to:
+            self._driver.swapped(self._to, failed=self._reason != ANSWERED)
+
+
+class Asked(Factory):
+    noisy = False
+
+    def __init__(self, driver: Driver) -> None:
+        self._driver = driver
+
+    def buildProtocol(self, _address: Address) -> Stream:
+        return Stream(self._driver)
+
+
+class Asking(ClientFactory):
+    noisy = False
+
+    def __init__(self, driver: Driver, to: str) -> None:
+        self._driver, self._to = driver, to
+
+    def buildProtocol(self, _address: Address) -> Stream:
+        return Stream(self._driver, self._to)
+
+    def clientConnectionFailed(self, _connector, _reason: Failure) -> None:
+        self._driver.swapped(self._to, failed=True)
+
+
+class Clock:
+    """µs that go on while the machine sleeps: else a lease would outlive a night."""
+
+    def __init__(self, deadlines: Deadlines) -> None:
+        self._deadlines = deadlines
+        self._behind = self._apart()
+
+    @staticmethod
+    def _apart() -> int:
+        return (time.clock_gettime_ns(time.CLOCK_BOOTTIME) - time.monotonic_ns()) // 1000
+
+    def turn(self) -> int:
+        """The same for the rest of this turn of the loop."""
+        return self._deadlines.now() + self._apart() - self._behind
+
+    def fresh(self) -> int:
+        """Right now, on the same scale: for what must not be done too late in a long turn."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000 - self._behind
+
+
+class Driver:
+    """Carries out what a core asks for. ``told`` gets what is not the network's: Told, Renew, Note and Outvoted;
+    ``keep`` puts memory on disk and calls back once it is there."""
+
+    def __init__(self, reactor, deadlines: Deadlines, clock: Clock, counters: Counters, cluster: str, listen: Address,
+                 addresses: Mapping[str, Address], core: Core,
+                 told: Callable[[Told | Renew | Note | Outvoted], None],
+                 keep: Callable[[Kept, Callable[[], None]], None]) -> None:
+        self._reactor, self.deadlines, self._clock, self._counters = reactor, deadlines, clock, counters
+        self.key, self._listen, self._told, self._keep = frame.key_of(cluster), listen, told, keep
+        self.core = core
+        self._addresses = dict(addresses)
+        self._timer: Deadline | None = None
+        self._udp = self._tcp = None
+        self._streams: set[Stream] = set()
+        self._asking: set[str] = set()
+        self._orders: deque[Action | Order] = deque()
+        self._going = False
+        self._slow: dict[int, int] = {}  # why, and until when
+        self._out, self._in = Bucket(BYTES_PER_S, BYTES_BURST), Bucket(READ_PER_S, READ_BURST)
+
+    def start(self) -> None:
+        """Raises CannotListenError where the address cannot be had."""
+        host, port = self._listen
+        self._tcp = self._reactor.listenTCP(port, Asked(self), interface=host)
+        self._udp = self._reactor.listenUDP(port, Datagrams(self), interface=host)
+        self.go(self.core.tick(self._clock.turn()))
+
+    def stop(self) -> None:
+        """Say that this node leaves and acts no more, and close."""
+        self.go(self.core.leave(self._clock.turn()))
+        self.deadlines.cancel(self._timer)
+        self._timer = None
+        for port in (self._udp, self._tcp):
+            if port is not None:
+                port.stopListening()
+        self._udp = None
+        for stream in list(self._streams):
+            stream.transport.abortConnection()
+
+    def rename(self, addresses: Mapping[str, Address]) -> None:
+        """Another configuration: these nodes, at these addresses."""
+        self._addresses = dict(addresses)
+        self.go(self.core.rename(self._clock.turn(), addresses))
+
+    def renew(self, life: int) -> None:
+        """A later life of this process has begun, on disk."""
+        self.go(self.core.renew(self._clock.turn(), life))
+
+    def slow(self, bit: int) -> None:
+        """This node has a reason to call itself slow, for some time."""
+        self._slow[bit] = self.deadlines.now() + SLOW_FOR
+        self.core.detector.slow |= bit
+
+    # Orders --------------------------------------------------------------------------------------
+
+    def go(self, orders: Iterable[Action | Order]) -> None:
+        """Carry out what is asked for, one after the other, and look again when that is wanted."""
+        self._orders.extend(orders)
+        if self._going:
+            return
+        self._going = True
+        try:
+            while self._orders:
+                self._order(self._orders.popleft())
+        finally:
+            self._going = False
+        self._arm()
+
+    def _order(self, order: Action | Order) -> None:
+        if isinstance(order, Send):
+            self._send(order.to, self.core.message(order.body, order.news))
+        elif isinstance(order, Say):
+            if order.to == self.core.me.name:
+                self.go(self.core.own(self._clock.turn(), order.word))
+            else:
+                self._send(order.to, self.core.message(views_of(order.word)))
+        elif isinstance(order, Persist):
+            self._keep(order.kept, lambda: self._kept(order))
+        elif isinstance(order, Swap):
+            self._swap(order.to)
+        elif isinstance(order, Fetch):
+            self._swap(order.frm)
+        else:
+            self._told(order)
+
+    def _kept(self, order: Persist) -> None:
+        self.core.on_disk(order.kept)
+        self.go(order.then)
+
+    def _arm(self) -> None:
+        if self._udp is None:
+            return
+        wait = max(0, self.core.due() - self._clock.turn())
+        due = self.deadlines.now() + int(wait)
+        if self._timer is None or self._timer.act is None or due < self._timer.at:
+            self.deadlines.cancel(self._timer)
+            self._timer = self.deadlines.at(due, self._tick)
+
+    def _tick(self) -> None:
+        now = self.deadlines.now()
+        late = now - self._timer.at
+        if late > SLOW_TURN_US:
+            self._counters.add(GROUP, "late_turns")
+            self._counters.most(GROUP, "latest_turn_ms", late // 1000)
+            self.slow(SLOW_TURN)
+        for bit in [bit for bit, until in self._slow.items() if now >= until]:
+            del self._slow[bit]
+            self.core.detector.slow &= ~bit
+        self.go(self.core.tick(self._clock.turn()))
+
+    # Out -----------------------------------------------------------------------------------------
+
+    def whole(self, answer: bool) -> bytes:
+        """A frame with all that this node believes and knows."""
+        return frame.encode(self.key, self.core.whole(answer))
+
+    def _send(self, to: str, message: Message) -> None:
+        address = self._addresses.get(to)
+        if address is None or self._udp is None:
+            return
+        data = frame.encode(self.key, message)
+        if not self._out.take(self.deadlines.now(), len(data)):
+            self._counters.add(GROUP, "over_budget")
+            return
+        try:
+            self._udp.write(data, address)
+        except (OSError, MessageLengthError):
+            self._counters.add(GROUP, "not_sent")  # as if it had been lost on its way
+            return
+        self._counters.add(GROUP, "datagrams_out")
+        self._counters.add(GROUP, "bytes_out", len(data))
+
+    def _swap(self, to: str) -> None:
+        address = self._addresses.get(to)
+        if address is None or self._udp is None or to in self._asking or len(self._asking) >= OUTBOUND_MOST:
+            return
+        self._asking.add(to)
+        self._counters.add(GROUP, "exchanges")
+        self._reactor.connectTCP(*address, Asking(self, to), timeout=CONNECT_S)
+
+    # In ------------------------------------------------------------------------------------------
+
+    def datagram(self, data: bytes) -> None:
+        """One that has come; what is wrong with it is counted."""
+        if not self._in.take(self.deadlines.now(), 1):
+            self._counters.add(GROUP, "dropped_flood")
+            return
+        self._counters.add(GROUP, "datagrams_in")
+        self._counters.add(GROUP, "bytes_in", len(data))
+        try:
+            message = frame.decode(self.key, data)
+            if isinstance(message.body, Exchange):
+                raise BadFrame("unasked")
+        except BadFrame as error:
+            self.bad(error)
+            return
+        self.heard(message, reached=True)
+
+    def bad(self, error: BadFrame) -> None:
+        self.core.dropped[error.reason] += 1
+
+    def heard(self, message: Message, reached: bool) -> None:
+        """A frame that is whole. ``reached``: it came to this node's address."""
+        self.go(self.core.heard(self._clock.turn(), message, reached))
+
+    # Exchanges -----------------------------------------------------------------------------------
+
+    def joined(self, stream: Stream) -> bool:
+        """Is there room for it?"""
+        self._streams.add(stream)
+        return len(self._streams) <= INBOUND_MOST + OUTBOUND_MOST
+
+    def left(self, stream: Stream) -> None:
+        self._streams.discard(stream)
+
+    def swapped(self, to: str, failed: bool) -> None:
+        self._asking.discard(to)
+        if failed:
+            self._counters.add(GROUP, "exchanges_failed")
+        if self._udp is not None:
+            self.go(self.core.swapped(self._clock.turn(), failed))
--- /dev/null
+++ b/lynxscale/cluster/frame.py
@@ -0,0 +1,209 @@
+"""Frames between nodes: bytes to checked messages and back. No I/O.
+
+A frame, on UDP and TCP alike, big-endian:
+
+    offset 0   3  b"LXC"
+           3   1  version, 1
+           4   4  crc32c of the cluster's name
+           8   2  length of the message in bytes
+          10   n  the message, MessagePack, by the types below, fields in order
+        10+n   4  crc32c of all before it
+
+The message is read by msgspec, which holds every field to its type and range. What does not stand by this is refused
+with a reason to count by, and never has an effect. Strangers that know the form are not kept out: a closed network is
+assumed.
+"""
+
+from __future__ import annotations
+
+import struct
+from typing import Annotated
+
+import msgspec
+from crc32c import crc32c
+
+from lynxscale.cluster.sight import Name, NoName, Number, Rumour
+from lynxscale.cluster.words import (
+    Accept,
+    Accepted,
+    Decided,
+    LeaseAsk,
+    LeaseBack,
+    LeaseGrant,
+    Prepare,
+    Promise,
+    Refuse,
+    View,
+    Word,
+)
+
+MAGIC, VERSION = b"LXC", 1
+HEAD = struct.Struct(">3sBIH")
+TAIL = struct.Struct(">I")
+DATAGRAM_MOST = 1200  # bytes; under what any path takes in one piece
+MESSAGE_MOST = 65_535
+
+U32 = Annotated[int, msgspec.Meta(ge=0, le=(1 << 32) - 1)]
+
+
+class Ping(msgspec.Struct, array_like=True, frozen=True, tag=1, gc=False):
+    """Answer with an Ack of that number. ``origin``: who asked for it where it is an indirect probe, else empty."""
+
+    probe: U32
+    origin: NoName = ""
+
+
+class Ack(msgspec.Struct, array_like=True, frozen=True, tag=2, gc=False):
+    """To ``origin`` by way of who probed for it. ``boot`` and ``life``: whom the probe has reached."""
+
+    probe: U32
+    node: Name
+    life: Number
+    boot: Number
+
+
+class Ask(msgspec.Struct, array_like=True, frozen=True, tag=3, gc=False):
+    """Probe that node for me."""
+
+    probe: U32
+    node: Name
+
+
+class Nack(msgspec.Struct, array_like=True, frozen=True, tag=4, gc=False):
+    """I am here, and the node that you asked me to probe has not answered me so far."""
+
+    probe: U32
+
+
+class Tell(msgspec.Struct, array_like=True, frozen=True, tag=5, gc=False):
+    """News alone."""
+
+
+class Exchange(msgspec.Struct, array_like=True, frozen=True, tag=6, gc=False):
+    """The whole sight, on TCP, the view, and the marks that are known; who gets it answers with its own, and ``answer``
+    set."""
+
+    answer: bool
+    view: View | None = None
+    marks: dict[Name, Number] = {}
+
+
+# A word about views, by its place here.
+WORDS: tuple[type, ...] = (Prepare, Promise, Accept, Accepted, Refuse, Decided, LeaseAsk, LeaseGrant, LeaseBack)
+
+
+class Views(msgspec.Struct, array_like=True, frozen=True, tag=7, gc=False):
+    """A word about views: its place in ``WORDS``, and its fields."""
+
+    kind: Annotated[int, msgspec.Meta(ge=0, lt=len(WORDS))]
+    word: msgspec.Raw
+
+    def read(self) -> Word:
+        """Raises BadFrame where the fields are not that word's."""
+        try:
+            return _words[self.kind].decode(self.word)
+        except msgspec.MsgspecError as error:
+            raise BadFrame("message") from error
+
+
+def views_of(word: Word) -> Views:
+    return Views(WORDS.index(type(word)), msgspec.Raw(_encode(word)))
+
+
+Body = Ping | Ack | Ask | Nack | Tell | Exchange | Views
+
+
+class Message(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """``frm``, ``life``, ``boot``, ``word``: who sends, alive by that very fact; ``number``: of its frames, never used
+    twice by a process; ``slow``: bits of why it doubts itself; ``view`` and ``mark``: of its view and its memory on
+    disk."""
+
+    frm: Name
+    life: Number
+    boot: Number
+    word: Number
+    number: Number
+    slow: U32
+    view: Number
+    mark: Number
+    body: Body
+    news: list[Rumour]
+
+
+class BadFrame(ValueError):
+    """``reason`` is a word to count by."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Message).decode
+_words = [msgspec.msgpack.Decoder(kind) for kind in WORDS]
+OVERHEAD = HEAD.size + TAIL.size
+
+
+def key_of(cluster: str) -> int:
+    """What stands for a cluster's name in a frame."""
+    return crc32c(cluster.encode())
+
+
+def encode(key: int, message: Message) -> bytes:
+    """The frame. Raises ValueError where the message is longer than a frame may be."""
+    data = _encode(message)
+    if len(data) > MESSAGE_MOST:
+        raise ValueError(f"a message of {len(data)} bytes")
+    frame = HEAD.pack(MAGIC, VERSION, key, len(data)) + data
+    return frame + TAIL.pack(crc32c(frame))
+
+
+def length(key: int, head: bytes) -> int:
+    """Bytes of the whole frame that begins with these ``HEAD.size`` bytes. Raises BadFrame."""
+    magic, version, cluster, size = HEAD.unpack_from(head)
+    if magic != MAGIC:
+        raise BadFrame("garbage")
+    if version != VERSION:
+        raise BadFrame("version")
+    if cluster != key:
+        raise BadFrame("foreign")
+    return OVERHEAD + size
+
+
+def decode(key: int, frame: bytes) -> Message:
+    """The message in one whole frame. Raises BadFrame."""
+    if len(frame) < OVERHEAD:
+        raise BadFrame("short")
+    if length(key, frame) != len(frame):
+        raise BadFrame("length")
+    if TAIL.unpack_from(frame, len(frame) - TAIL.size)[0] != crc32c(frame[:-TAIL.size]):
+        raise BadFrame("checksum")
+    try:
+        return _decode(frame[HEAD.size:-TAIL.size])
+    except msgspec.MsgspecError as error:
+        raise BadFrame("message") from error
+
+
+class Window:
+    """Which of one sender's frames have come: guards against frames that are sent once more by whoever recorded them.
+
+    A frame is new once, and only while it is at most ``SPAN`` behind the newest (as in RFC 4303, 3.4.3).
+    """
+
+    SPAN = 128
+
+    def __init__(self) -> None:
+        self._top = -1
+        self._seen = 0
+
+    def fresh(self, number: int) -> bool:
+        """Is it new? It is not any more then."""
+        if number > self._top:
+            self._seen = (self._seen << min(number - self._top, self.SPAN) | 1) & ((1 << self.SPAN) - 1)
+            self._top = number
+            return True
+        behind = self._top - number
+        if behind >= self.SPAN or self._seen >> behind & 1:
+            return False
+        self._seen |= 1 << behind
+        return True
--- /dev/null
+++ b/lynxscale/cluster/part.py
@@ -0,0 +1,278 @@
+"""The cluster as a part of a relay: a life on disk, detector and sockets, the log, and what operators read."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable, Collection
+from pathlib import Path
+
+import orjson
+import structlog
+from twisted.internet.threads import deferToThread
+from twisted.python.failure import Failure
+
+from lynxscale.cluster.core import Core
+from lynxscale.cluster.detector import LIVING, SLOW_DISK, Renew, Timing, Told, slow_words
+from lynxscale.cluster.driver import INBOUND_MOST, OUTBOUND_MOST, Clock, Driver
+from lynxscale.cluster.sight import Identity
+from lynxscale.cluster.stable import FOLDER, Foreign, Store
+from lynxscale.cluster.views import Note, Outvoted, Standing, Terms
+from lynxscale.cluster.words import Kept, committee_of
+from lynxscale.conf import platform
+from lynxscale.conf.platform import Address, Config
+from lynxscale.conf.table import ClusterConf, Conf
+from lynxscale.parts import Host, Part
+
+log = structlog.get_logger()
+
+STATUS = "status.json"
+STATUS_EVERY = 1_000_000  # µs
+DISK_SLOW_S = 0.5  # a write that takes longer is told to the others
+STATUS_PATH, FORGET_PATH = "/admin/cluster", "/admin/cluster/forget"
+WARNINGS = ("stranger", "paused", "doubts_itself", "proposal_failed")
+ERRORS = ("split", "forgot")
+
+
+def addresses_of(conf: ClusterConf) -> dict[str, Address]:
+    """Where each node is reached, by its name."""
+    return {row["name"]: platform.address(row["at"], "member") for row in conf.member}
+
+
+def timing_of(probe: int) -> Timing:
+    """The detector's times, all in step with its period."""
+    usual = Timing()
+    scale = probe / usual.period
+    return Timing(probe, **{name: max(1, int(getattr(usual, name) * scale)) for name in (
+        "direct", "again", "least", "most", "pause", "far_every", "first_swap", "hurry")})
+
+
+def terms_of(probe: int) -> Terms:
+    """The views' times, in step with the detector's period."""
+    usual = Terms()
+    scale = probe / Timing().period
+    return Terms(**{name: max(1, int(getattr(usual, name) * scale)) for name in (
+        "lease", "settle", "turn", "resend", "give_up", "rest", "fresh", "hold_off")})
+
+
+class Keeper:
+    """Puts what must not be forgotten on disk, in a thread, one write after the other.
+
+    What comes while a write is under way goes with the next one, whole: so a slow disk holds no queue of writes.
+    """
+
+    def __init__(self, store: Store, failed: Callable[[str], None]) -> None:
+        self._store, self._failed = store, failed
+        self._waiting: list[Callable[[], None]] = []
+        self._next: tuple[int, Kept] | None = None
+        self.since = 0.0  # when the write under way began, by time.monotonic; 0: none is
+
+    def put(self, life: int, kept: Kept, then: Callable[[], None]) -> None:
+        """``then`` is called in the loop once it is on disk, never where it could not be written."""
+        self._next = life, kept
+        self._waiting.append(then)
+        if not self.since:
+            self._write()
+
+    def _write(self) -> None:
+        (life, kept), self._next = self._next, None
+        waiting, self._waiting = self._waiting, []
+        self.since = time.monotonic()
+
+        def done(result: object) -> None:
+            self.since = 0.0
+            if isinstance(result, Failure):
+                self._failed(str(result.value))
+            if self._next is not None:
+                self._write()
+            if not isinstance(result, Failure):
+                for then in waiting:
+                    then()
+
+        deferToThread(self._store.save, life, kept).addBoth(done)
+
+
+class ClusterPart(Part):
+    """Raises PlatformError where the folder is another node's, OSError where it cannot be written."""
+
+    sockets = INBOUND_MOST + OUTBOUND_MOST + 4
+
+    def __init__(self, host: Host) -> None:
+        conf = self._conf = host.own.cluster
+        self._reactor, self._deadlines, self._state = host.reactor, host.deadlines, Path(host.conf.state)
+        name = host.conf.name
+        self._store = Store(self._state, conf.name, name)
+        try:
+            found = self._store.load()
+        except Foreign as error:
+            raise platform.PlatformError(f"state: {error}") from error
+        if found.reason:
+            log.error("cluster_forgot", reason=found.reason)
+        stored = found.stored
+        self._life = 1 + (stored.life if stored is not None else 0)
+        kept = stored.kept if stored is not None else None
+        self._store.save(self._life, kept)
+        me = Identity(name, self._life, int.from_bytes(os.urandom(8)) >> 1)
+        addresses, seed = addresses_of(conf), str(host.conf.seed)
+        self._clock = Clock(host.deadlines)
+        now = self._clock.turn()
+        self._core = Core(me, addresses, seed, now, kept, timing_of(conf.probe), terms_of(conf.probe))
+        self._detector, self._views = self._core.detector, self._core.views
+        self._keeper = Keeper(self._store, self._not_saved)
+        self._driver = Driver(host.reactor, host.deadlines, self._clock, host.counters, conf.name,
+                              platform.address(conf.listen, "listen"), addresses, self._core, self._told,
+                              lambda kept, then: self._keeper.put(self._life, kept, then))
+        self._renewing = self._stopped = self._writing = False
+        self._begun = now
+        host.calls[STATUS_PATH] = "GET", lambda _query: (200, self.status())
+        host.calls[FORGET_PATH] = "POST", self._forget
+
+    def start(self) -> None:
+        self._driver.start()
+        # Before the loop closes its sockets, which it does before any part is stopped.
+        self._reactor.addSystemEventTrigger("before", "shutdown", self._leave)
+        me = self._detector.me
+        log.info("cluster_begun", cluster=self._conf.name, node=me.name, life=me.life, boot=f"{me.boot:x}",
+                 nodes=len(self._detector.sight.names), can_lose=(len(self._detector.sight.names) - 1) // 2)
+        self._write_status()
+
+    def reload(self, conf: Config, own: Conf) -> Collection[str]:
+        """Nodes that come, go or are at another address hold at once; all else needs a restart."""
+        new, old = own.cluster, self._conf
+        if new == old or (new.name, new.listen, new.probe) != (old.name, old.listen, old.probe):
+            return ()
+        if self._detector.me.name not in (addresses := addresses_of(new)):
+            return ()
+        before = set(addresses_of(old))
+        self._conf = new
+        self._driver.rename(addresses)
+        log.info("cluster_nodes", come=" ".join(sorted(set(addresses) - before)),
+                 gone=" ".join(sorted(before - set(addresses))))
+        return ("cluster",)
+
+    def _leave(self) -> None:
+        self._stopped = True
+        self._driver.stop()
+
+    def stop(self) -> None:
+        self._save_status()
+
+    def counters(self) -> dict[str, dict[str, int]]:
+        states = [known.rumour.state.name.lower() for known in self._detector.sight]
+        return {"cluster": {"life": self._detector.me.life, "view": self._views.number, "doubt": self._detector.doubt,
+                            **{f"dropped_{reason}": number for reason, number in self._core.dropped.items()},
+                            **{f"nodes_{state}": states.count(state) for state in sorted(set(states))}}}
+
+    def may_act(self) -> bool:
+        """Is this node in the view by a lease of a majority, at this very moment? To be asked right before an act."""
+        return self._views.may_act(self._clock.fresh())
+
+    # What detector and views tell ----------------------------------------------------------------
+
+    def _told(self, told: Told | Renew | Note | Outvoted) -> None:
+        if isinstance(told, Renew):
+            self._renew(told.life, "others knew a later life")
+        elif isinstance(told, Outvoted):
+            self._renew(self._life, f"view {told.view} is without this life")
+        else:
+            level = "error" if told.event in ERRORS else "warning" if told.event in WARNINGS else "info"
+            getattr(log, level)(f"cluster_{told.event}", **told.fields)
+
+    def _renew(self, above: int, why: str) -> None:
+        """Begin a later life than any that is known."""
+        before = self._detector.me.life
+        if self._renewing or self._stopped or above < before:
+            return
+        self._renewing = True
+        self._life = max(self._life, above + 1)
+
+        def saved() -> None:
+            self._renewing = False
+            log.warning("cluster_new_life", life=self._life, before=before, why=why)
+            self._driver.renew(self._life)
+
+        self._keeper.put(self._life, self._views.kept, saved)
+
+    def _not_saved(self, error: str) -> None:
+        self._driver.slow(SLOW_DISK)
+        log.error("cluster_not_saved", error=error)
+        if self._renewing:  # votes are asked for again by whoever proposes; this is ours to do
+            self._renewing = False
+            self._deadlines.after(STATUS_EVERY, self._renew, self._detector.me.life, "a write that failed")
+
+    # For operators -------------------------------------------------------------------------------
+
+    def status(self) -> dict:
+        """What this node knows; ages in ms."""
+        detector, views, now = self._detector, self._views, self._clock.fresh()
+        view = views.view
+        zones = {row["name"]: row.get("zone") for row in self._conf.member}
+        nodes = []
+        for row in self._conf.member:
+            name = row["name"]
+            known, answered = detector.sight.get(name), detector.answered.get(name)
+            rumour = known.rumour if known is not None else None
+            nodes.append({
+                "name": name, "at": row["at"], "zone": zones[name],
+                "state": rumour.state.name.lower() if rumour else "unheard",
+                "since_ms": (now - known.since) // 1000 if known else None,
+                "life": rumour.life if rumour else None, "boot": f"{rumour.boot:x}" if rumour else None,
+                "word": rumour.word if rumour else None,
+                "answered_ms": (now - answered) // 1000 if answered is not None else None,
+                "in_view": name in view.names if view is not None else False,
+                "doubted_by": sorted(known.doubters) if known else [], "slow": slow_words(self._slow_of(name)),
+            })
+        return {"cluster": self._conf.name, "node": detector.me.name, "life": detector.me.life,
+                "boot": f"{detector.me.boot:x}", "pid": os.getpid(), "ts": round(time.time(), 3),
+                "up_ms": (now - self._begun) // 1000, "settled": detector.settled, "doubt": detector.doubt,
+                "living": sum(known.rumour.state in LIVING for known in detector.sight),
+                "standing": views.standing.value if views.may_act(now) or views.standing is not Standing.MEMBER
+                else Standing.CUT_OFF.value,
+                "lease_ms": max(0, views.lease_until(now) - now) // 1000, "votes": views.kept.votes,
+                "grants": views.reach(now), "split": views.split, "view": None if view is None else {
+                    "number": view.number, "lineage": f"{view.lineage:x}", "digest": f"{view.digest:x}",
+                    "members": [one._asdict() | {"boot": f"{one.boot:x}"} for one in view.members],
+                    "asked_for_leases": sorted(committee_of(view, views.terms.committee)),
+                    "can_lose": (len(view.members) - 1) // 2}, "nodes": nodes}
+
+    def _forget(self, query: str) -> tuple[int, dict]:
+        name = query.removeprefix("name=")
+        why = self._views.forget(self._clock.turn(), name)
+        if why:
+            return 409, {"said": why}
+        log.warning("cluster_forget", node=name)
+        return 200, {"said": f"{name} goes with the next view, if a majority agrees"}
+
+    def _slow_of(self, name: str) -> int:
+        detector = self._detector
+        return detector.slow if name == detector.me.name else detector.slowness.get(name, 0)
+
+    def _write_status(self) -> None:
+        if self._stopped:
+            return
+        self._deadlines.after(STATUS_EVERY, self._write_status)
+        if self._keeper.since and time.monotonic() - self._keeper.since > DISK_SLOW_S:
+            self._driver.slow(SLOW_DISK)
+        if self._writing:  # guards against a stalled disk: one write waits there, no more
+            self._driver.slow(SLOW_DISK)
+        else:
+            self._writing = True
+            deferToThread(self._put_status, orjson.dumps(self.status())).addBoth(self._wrote)
+
+    def _wrote(self, _result: object) -> None:
+        self._writing = False
+
+    def _save_status(self) -> None:
+        try:
+            self._put_status(orjson.dumps(self.status()))
+        except OSError as error:
+            log.warning("cluster_status", error=str(error))
+
+    def _put_status(self, data: bytes) -> None:
+        path = self._state / FOLDER / STATUS
+        new = path.with_suffix(".new")
+        new.write_bytes(data)
+        new.rename(path)
+
+
+attach = ClusterPart
--- /dev/null
+++ b/lynxscale/cluster/words.py
@@ -0,0 +1,175 @@
+"""Views as values, what nodes say to each other about them, and what follows from a view and a step alone.
+
+These types stand in frames and in the file of a node's memory, field by field; msgspec holds them to their ranges.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from hashlib import blake2b
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
+
+from lynxscale.cluster.sight import Identity, Name, NoName, Number
+
+
+class View(NamedTuple):
+    """``lineage``: drawn once, when a cluster begins; views of another one have nothing to do with ours. Members in
+    the order of their names."""
+
+    number: Number
+    lineage: Number
+    members: tuple[Identity, ...]
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        return tuple(one.name for one in self.members)
+
+    def life_of(self, name: str) -> Identity | None:
+        return next((one for one in self.members if one.name == name), None)
+
+    @property
+    def digest(self) -> int:
+        text = f"{self.number} {self.lineage} " + " ".join(f"{one.name}/{one.life}/{one.boot}" for one in self.members)
+        return int.from_bytes(blake2b(text.encode(), digest_size=8).digest()) >> 1
+
+
+class Step(NamedTuple):
+    """From one view to the next: ``gone`` by name, ``come`` new or in place of an earlier life. The first has no view
+    before it and carries the ``lineage``."""
+
+    gone: Annotated[tuple[Name, ...], Meta(max_length=256)]
+    come: Annotated[tuple[Identity, ...], Meta(max_length=256)]
+    lineage: Number = 0
+
+
+class Ballot(NamedTuple):
+    """A try to decide; the higher one goes before. No process uses a round twice; ``boot`` tells processes apart."""
+
+    round: Number
+    by: NoName
+    boot: Number
+
+
+NONE = Ballot(0, "", 0)
+
+
+class Kept(NamedTuple):
+    """What must not be forgotten. ``mark`` counts what was kept and then said: others remember the highest that they
+    have heard, as ``heard`` has it of them. ``votes``: this memory is whole."""
+
+    view: View | None = None
+    promised: Ballot = NONE
+    ballot: Ballot = NONE  # of what was accepted
+    accepted: Step | None = None
+    mark: Number = 0
+    votes: bool = True
+    heard: Annotated[tuple[tuple[Name, Number], ...], Meta(max_length=256)] = ()
+
+
+# What nodes say -------------------------------------------------------------------------------------
+
+
+class Prepare(NamedTuple):
+    number: Number  # of the view that is to be decided
+    base: Number  # digest of the one before; 0 for the first
+    round: Number
+
+
+class Promise(NamedTuple):
+    number: Number
+    to: Ballot
+    ballot: Ballot  # of what has been accepted
+    step: Step | None
+
+
+class Accept(NamedTuple):
+    """``bound``: others have accepted this step before, so that it may be decided already and cannot be left again."""
+
+    number: Number
+    base: Number
+    round: Number
+    step: Step
+    bound: bool
+
+
+class Accepted(NamedTuple):
+    number: Number
+    to: Ballot
+
+
+class Refuse(NamedTuple):
+    """``wait``: µs after which it may be asked once more; 0: not for this ballot."""
+
+    number: Number
+    to: Ballot
+    promised: Number  # round
+    wait: Number
+    why: Annotated[str, Meta(max_length=20)]
+
+
+class Decided(NamedTuple):
+    number: Number
+    base: Number
+    step: Step
+
+
+class LeaseAsk(NamedTuple):
+    number: Number
+    digest: Number
+    token: Number
+
+
+class LeaseGrant(NamedTuple):
+    number: Number
+    token: Number
+
+
+class LeaseBack(NamedTuple):
+    """Gives up what was granted: the sender acts no more in that life."""
+
+    number: Number
+
+
+Word = Prepare | Promise | Accept | Accepted | Refuse | Decided | LeaseAsk | LeaseGrant | LeaseBack
+
+
+# What follows -----------------------------------------------------------------------------------------
+
+
+def quorum(view: View, committee: frozenset[str]) -> Callable[[Iterable[str]], bool]:
+    """Do these names decide in this view? More than half of its members, and more than half of its committee."""
+    members = frozenset(view.names)
+
+    def decides(names: Iterable[str]) -> bool:
+        there = members & set(names)
+        return 2 * len(there) > len(members) and 2 * len(there & committee) > len(committee)
+
+    return decides
+
+
+def committee_of(view: View, most: int) -> frozenset[str]:
+    """Whom leases are asked of: all, or in a large view as many as ``most`` by the hash of their names."""
+    if len(view.members) <= most:
+        return frozenset(view.names)
+    by_hash = sorted(view.names, key=lambda name: blake2b(f"{view.lineage} {name}".encode(), digest_size=8).digest())
+    return frozenset(by_hash[:most])
+
+
+def after(view: View | None, step: Step) -> View:
+    """The view that a step leads to."""
+    if view is None:
+        return View(1, step.lineage, tuple(sorted(step.come)))
+    left = {one.name: one for one in view.members if one.name not in step.gone}
+    left |= {one.name: one for one in step.come}
+    return View(view.number + 1, view.lineage, tuple(left[name] for name in sorted(left)))
+
+
+def removed(view: View | None, step: Step) -> list[Identity]:
+    """The lives that are in the view and not in the one after."""
+    if view is None:
+        return []
+    coming = set(step.come)
+    replaced = {one.name for one in step.come}
+    return [one for one in view.members if one not in coming and (one.name in step.gone or one.name in replaced)]
--- a/lynxscale/conf/directive.py
+++ b/lynxscale/conf/directive.py
@@ -33,7 +33,8 @@
 
     ``kind``: ``size`` (bytes), ``time`` (whole µs), ``count``, ``share`` (0 to 1), ``flag`` (yes, no),
     ``choice`` (one of ``among``), ``path`` (a text), ``text``, ``names`` (one or more words), ``address``
-    (HOST:PORT), ``row`` (a name and pairs of a column's name and value; the directive may stand many times).
+    (HOST:PORT), ``row`` (a name, the values of ``plain``, and pairs of a column's name and value; the directive may
+    stand many times).
     """
 
     name: str
@@ -44,6 +45,7 @@
     most: float = float("inf")
     among: tuple[str, ...] = ()
     columns: tuple[Directive, ...] = ()
+    plain: tuple[Directive, ...] = ()
 
     def wanted(self) -> str:
         """What the words may be, as the error and the manual say it."""
@@ -54,7 +56,8 @@
         if self.kind == "names":
             return "one or more names"
         if self.kind == "row":
-            return "NAME " + " ".join(f"[{one.name} {one.place()}]" for one in self.columns)
+            return " ".join(["NAME", *(one.place() for one in self.plain),
+                             *(f"[{one.name} {one.place()}]" for one in self.columns)])
         if self.kind in ("path", "text"):
             return f"a {self.kind}"
         if self.kind == "address":
@@ -65,8 +68,8 @@
 
     def place(self) -> str:
         """What stands for its value in a row's pattern."""
-        return {"choice": ",".join(self.among), "flag": "yes,no", "time": "TIME", "count": "COUNT"}.get(
-            self.kind, "NUMBER")
+        return {"choice": ",".join(self.among), "flag": "yes,no", "time": "TIME", "count": "COUNT",
+                "address": "HOST:PORT", "text": "TEXT"}.get(self.kind, "NUMBER")
 
     def shown(self, value: Any) -> str:
         """A value as it would be written in the file."""
@@ -120,14 +123,16 @@
             raise ValueError(text)
         return value
 
-
     def _row(self, words: tuple[str, ...]) -> dict[str, Any]:
-        """A name and its columns, those that are told."""
-        if len(words) % 2 != 1 or not words[0].isprintable():
-            raise ValueError("want a name and pairs")
+        """A name, the plain values, and its columns, those that are told."""
+        pairs = 1 + len(self.plain)
+        if len(words) < pairs or (len(words) - pairs) % 2 or not words[0].isprintable():
+            raise ValueError("want a name, plain values and pairs")
         known = {one.name: one for one in self.columns}
         found: dict[str, Any] = {"name": words[0]}
-        for name, text in zip(words[1::2], words[2::2], strict=True):
+        for one, text in zip(self.plain, words[1:pairs], strict=True):
+            found[one.name] = one.read((text,))
+        for name, text in zip(words[pairs::2], words[pairs + 1::2], strict=True):
             key = name.replace("-", "_")
             if name not in known or key in found:
                 raise ValueError(name)
--- a/lynxscale/conf/own.py
+++ b/lynxscale/conf/own.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import resource
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -52,8 +53,11 @@
         {"share": row["share"]} if "share" in row else {})
 
 
-def faults(conf: Conf, file: str) -> list[Fault]:
-    """What keeps a relay from running with these sections, beyond the faults of single directives."""
+def faults(conf: Conf, place: Callable[[str, str], tuple[str, int]]) -> list[Fault]:
+    """What keeps a relay from running with these sections, beyond the faults of single directives.
+
+    ``place``: file and line of a section's directive, or of the section where it is not told; line 0 without either.
+    """
     if conf.relay.listen is None:
         return []
     found = []
@@ -61,14 +65,17 @@
                          ("files in members, or discovery in relay", conf.members.files or conf.relay.discovery),
                          ("file or http in finals", conf.finals.file or conf.finals.http)):
         if not told:
-            found.append(Fault(file, 0, "relay", f"want {wanted}"))
+            found.append(Fault(*place("relay", ""), "relay", f"want {wanted}"))
     if conf.relay.place >= conf.relay.relays:
-        found.append(Fault(file, 0, "place", "want a number below relays"))
+        found.append(Fault(*place("relay", "place"), "place", "want a number below relays"))
+    if conf.cluster.name is not None and conf.relay.name not in [row["name"] for row in conf.cluster.member]:
+        found.append(Fault(*place("cluster", "member"), "member",
+                           f"want a line for {conf.relay.name} too, this relay's own name"))
     if not found:
         try:
             settings_from(nested(conf))
         except SettingsError as error:
-            found.append(Fault(file, 0, "settings", str(error)))
+            found.append(Fault(*place("", ""), "settings", str(error)))
     return found
 
 
--- a/lynxscale/conf/reader.py
+++ b/lynxscale/conf/reader.py
@@ -95,6 +95,11 @@
             given = " ".join(words) or "nothing"
             self.faults.append(line.fault(name, f"want {directive.wanted()}, not {given}"))
 
+    def place(self, section: str, name: str, file: str) -> tuple[str, int]:
+        """Where a directive stands, else its section; the whole file where neither does."""
+        line = self.seen.get((section, name)) or self.sections.get(section)
+        return (line.file, line.number) if line is not None else (file, 0)
+
     def end(self) -> Conf:
         still = self.unknown or (self.section and self.sections[self.section.name])
         if still:
@@ -125,7 +130,7 @@
         reading.line(line)
     conf = reading.end()
     if not (lexer.faults or reading.faults):
-        reading.faults += own.faults(conf, str(path))
+        reading.faults += own.faults(conf, lambda section, name: reading.place(section, name, str(path)))
     faults = sorted(lexer.faults + reading.faults, key=lambda fault: (fault.file, fault.line))
     if faults:
         raise ConfFaults(faults)
--- a/lynxscale/conf/table.py
+++ b/lynxscale/conf/table.py
@@ -9,6 +9,9 @@
 
 from lynxscale.conf.directive import TIMES, Section, column, directives
 
+MEMBERS_MOST = 256  # relays of one cluster
+NODE_NAME_MOST = 63  # letters; as the frames between relays have it
+
 
 @dataclass(frozen=True, slots=True)
 class LogConf:
@@ -53,6 +56,16 @@
     poll: int = 500_000  # µs
 
 
+@dataclass(frozen=True, slots=True)
+class ClusterConf:
+    """Relays that know each other; without ``name`` there is no cluster. ``member``: name, at, zone."""
+
+    name: str | None = None
+    listen: str | None = None
+    member: tuple[dict, ...] = ()
+    probe: int = 500_000  # µs
+
+
 @dataclass(frozen=True, slots=True)
 class RelayConf:
     """A relay without the platform; without ``listen`` the platform's variables tell all of this."""
@@ -122,6 +135,7 @@
     limits: LimitsConf = LimitsConf()
     finals: FinalsConf = FinalsConf()
     members: MembersConf = MembersConf()
+    cluster: ClusterConf = ClusterConf()
 
 
 def _check_trace(conf: TraceConf) -> list[tuple[str, str]]:
@@ -148,6 +162,25 @@
     return faults
 
 
+def _check_cluster(conf: ClusterConf) -> list[tuple[str, str]]:
+    if conf.name is None:
+        return [(word, "want name, of the cluster") for word in ("listen", "member") if getattr(conf, word)]
+    faults = []
+    if conf.listen is None:
+        faults.append(("name", "want listen, where this relay hears the others"))
+    elif conf.listen.endswith(":0"):
+        faults.append(("listen", "want a port that others can be told"))
+    if not 1 <= len(conf.member) <= MEMBERS_MOST:
+        faults.append(("member", f"want a line for each relay, this one too; {MEMBERS_MOST} at most"))
+    for key in ("name", "at"):
+        told = [row[key] for row in conf.member]
+        faults += [("member", f"want {one} once") for one in sorted({one for one in told if told.count(one) > 1})]
+    faults += [("member", f"want at most {NODE_NAME_MOST} letters, not {row['name'][:20]}...")
+               for row in conf.member if len(row["name"]) > NODE_NAME_MOST]
+    faults += [("member", f"want a port for {row['name']}") for row in conf.member if row["at"].endswith(":0")]
+    return faults
+
+
 def _check_names(conf: NamesConf) -> list[tuple[str, str]]:
     faults = []
     for what in ("cls", "tenant", "kind", "zone"):
@@ -279,4 +312,14 @@
         ("poll", "time", "How often files are looked at besides what the system tells at once.",
          {"least": 50_000, "most": 1_000_000}),
     ), _check_members),
+    Section("cluster", ClusterConf, "Relays that know each other; docs/operators/cluster.md. Left off where the "
+            "platform runs the relay.", directives(
+        ClusterConf,
+        ("name", "text", "The cluster's name: who carries another one is not heard. Without it there is no cluster."),
+        ("listen", "address", "Where this relay hears the others, on UDP and TCP; an address of a closed network."),
+        ("member", "row", "A relay of the cluster, this one too by its own `name` in `relay`, and the address at which "
+         "this relay reaches it.", {"plain": (column("at", "address"),), "columns": (column("zone", "text"),)}),
+        ("probe", "time", "How often a relay asks one of the others whether it is there. The same at all of them.",
+         {"least": 100_000, "most": 10_000_000}),
+    ), _check_cluster),
 )
--- a/lynxscale/parts.py
+++ b/lynxscale/parts.py
@@ -94,6 +94,7 @@
     Kind("lynxscale.upstream.part:attach", lambda conf, own: bool(own.members.files)),
     Kind("lynxscale.net.parts:discovery", lambda conf, own: conf.discovery is not None),
     Kind("lynxscale.net.parts:door", lambda conf, own: conf.admin is not None),
+    Kind("lynxscale.cluster.part:attach", lambda conf, own: own.cluster.name is not None, own_only=True),
 )
 
 
--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,325 @@
+"""The cluster's state machines, frames and file, without sockets: properties, seeded histories, mistakes put in."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lab.cluster import explore, simulate
+from lab.cluster.simulate import SECOND, Breach, World
+from lynxscale.cluster import frame, stable, views, words
+from lynxscale.cluster.detector import Detector, Renew, Send
+from lynxscale.cluster.frame import BadFrame, Message, Window
+from lynxscale.cluster.sight import Identity, Rumour, Sight, State, greater
+from lynxscale.cluster.words import Ballot, Kept, Step, View
+
+NAMES = st.sampled_from(["r1", "r2", "r3", "nodo-ñ"])
+SMALL = st.integers(0, 3)
+RUMOURS = st.builds(Rumour, NAMES, SMALL, SMALL, SMALL, st.sampled_from(State), st.sampled_from(["", "r1"]))
+LIVES = st.builds(Identity, NAMES, SMALL, st.integers(0, (1 << 63) - 1))
+STEPS = st.builds(Step, st.tuples(NAMES), st.tuples(LIVES), SMALL)
+BALLOTS = st.builds(Ballot, SMALL, NAMES, SMALL)
+WORDS = st.one_of(
+    st.builds(words.Prepare, SMALL, SMALL, SMALL),
+    st.builds(words.Promise, SMALL, BALLOTS, BALLOTS, st.none() | STEPS),
+    st.builds(words.Accept, SMALL, SMALL, SMALL, STEPS, st.booleans()), st.builds(words.Accepted, SMALL, BALLOTS),
+    st.builds(words.Refuse, SMALL, BALLOTS, SMALL, SMALL, st.just("lease")),
+    st.builds(words.Decided, SMALL, SMALL, STEPS),
+    st.builds(words.LeaseAsk, SMALL, SMALL, SMALL), st.builds(words.LeaseGrant, SMALL, SMALL),
+    st.builds(words.LeaseBack, SMALL))
+BODIES = st.one_of(
+    st.builds(frame.Ping, SMALL, NAMES), st.builds(frame.Ack, SMALL, NAMES, SMALL, SMALL),
+    st.builds(frame.Ask, SMALL, NAMES), st.builds(frame.Nack, SMALL), st.builds(frame.Tell),
+    st.builds(frame.Exchange, st.booleans(), st.none() | st.builds(View, SMALL, SMALL, st.tuples(LIVES)),
+              st.dictionaries(NAMES, SMALL)),
+    st.builds(frame.views_of, WORDS))
+MESSAGES = st.builds(Message, NAMES, SMALL, SMALL, SMALL, SMALL, SMALL, SMALL, SMALL, BODIES,
+                     st.lists(RUMOURS, max_size=4))
+KEY = frame.key_of("norte")
+
+
+# Frames ---------------------------------------------------------------------------------------------
+
+
+@given(MESSAGES)
+def test_a_frame_is_read_as_it_was_written(message):
+    assert frame.decode(KEY, frame.encode(KEY, message)) == message
+
+
+@given(WORDS)
+def test_a_word_about_views_is_read_as_it_was_written(word):
+    message = Message("r1", 1, 1, 0, 1, 0, 0, 0, frame.views_of(word), [])
+    assert frame.decode(KEY, frame.encode(KEY, message)).body.read() == word
+
+
+@given(MESSAGES, st.data())
+def test_a_spoilt_or_cut_frame_is_refused_with_a_reason(message, data):
+    whole = bytearray(frame.encode(KEY, message))
+    at = data.draw(st.integers(0, len(whole) - 1))
+    for spoilt in (whole[:at], whole[:at] + bytes([whole[at] ^ 1 << data.draw(st.integers(0, 7))]) + whole[at + 1:],
+                   whole + b"\0"):
+        with pytest.raises(BadFrame) as caught:
+            frame.decode(KEY, bytes(spoilt))
+        assert caught.value.reason in ("garbage", "version", "foreign", "short", "length", "checksum")
+
+
+@given(st.binary(max_size=200))
+def test_what_is_no_message_is_refused_behind_a_true_checksum(data):
+    head = frame.HEAD.pack(frame.MAGIC, frame.VERSION, KEY, len(data)) + data
+    whole = head + frame.TAIL.pack(frame.crc32c(head))
+    try:
+        message = frame.decode(KEY, whole)
+    except BadFrame as error:
+        assert error.reason == "message"
+    else:
+        assert isinstance(message, Message)
+
+
+def test_another_cluster_and_another_version_are_told_apart_from_garbage():
+    whole = frame.encode(KEY, Message("r1", 1, 1, 0, 1, 0, 0, 0, frame.Tell(), []))
+    for spoilt, reason in ((frame.encode(frame.key_of("sur"), frame.decode(KEY, whole)), "foreign"),
+                           (whole[:3] + b"\x02" + whole[4:], "version"), (b"GET / HTTP/1.1\r\n\r\n", "garbage")):
+        with pytest.raises(BadFrame, match=reason):
+            frame.decode(KEY, spoilt)
+
+
+@given(st.lists(st.integers(0, 400)))
+def test_a_frame_s_number_is_new_once(numbers):
+    window, seen = Window(), set()
+    for number in numbers:
+        fresh = window.fresh(number)
+        assert not (fresh and number in seen)
+        assert fresh or number in seen or number <= max(seen) - Window.SPAN
+        seen.add(number)
+
+
+# Sight ----------------------------------------------------------------------------------------------
+
+
+@given(st.lists(RUMOURS, max_size=8), st.randoms())
+def test_rumours_come_to_the_same_in_every_order_and_however_often(rumours, chance):
+    def merged(order):
+        sight = Sight(["r1", "r2", "r3", "nodo-ñ"])
+        for now, rumour in enumerate(order):
+            sight.merge(rumour, now)
+        return {known.rumour.name: known.rumour.key for known in sight}
+
+    other = rumours + chance.sample(rumours, len(rumours) // 2)
+    chance.shuffle(other)
+    assert merged(rumours) == merged(other)
+    half = len(rumours) // 2
+    apart = {}
+    for name in {rumour.name for rumour in rumours}:  # two sights, merged with each other
+        apart[name] = greater(*(max((one for one in part if one.name == name), key=lambda one: one.key, default=None)
+                                for part in (rumours[:half], rumours[half:]))).key
+    assert apart == merged(rumours)
+
+
+def test_a_name_that_the_file_does_not_have_is_not_taken():
+    sight = Sight(["r1"])
+    assert sight.merge(Rumour("r9", 1, 1, 0, State.ALIVE), 0) is None and sight.get("r9") is None
+
+
+# Detection, by hand ---------------------------------------------------------------------------------
+
+
+def message(frm: str, body, news=(), life=1, boot=5, word=0, number=[0]) -> Message:  # noqa: B006
+    number[0] += 1
+    return Message(frm, life, boot, word, number[0], 0, 0, 0, body, list(news))
+
+
+def detector() -> Detector:
+    return Detector(Identity("r1", 3, 77), ["r1", "r2", "r3"], "seed", 0)
+
+
+def test_a_process_is_a_node_only_once_it_answers_at_the_address():
+    one = detector()
+    out = one.heard(1000, message("r2", frame.Tell()))
+    assert one.sight.get("r2") is None
+    ping = next(order.body for order in out if isinstance(order, Send) and isinstance(order.body, frame.Ping))
+    one.heard(2000, message("r2", frame.Ack(ping.probe, "r2", 1, 5)))
+    assert one.sight.state("r2") is State.ALIVE
+    one.heard(3000, message("r2", frame.Ack(ping.probe, "r2", 9, 9), life=9, boot=9))  # an answer to nothing
+    assert one.sight.get("r2").rumour.life == 1
+
+
+def test_who_hears_of_a_later_life_of_its_own_begins_one_unless_it_only_asked():
+    later = Rumour("r1", 8, 1, 0, State.FAILED)
+    assert Renew(8) in detector().heard(1000, message("r2", frame.Tell(), [later]))
+    assert not [order for order in detector().heard(1000, message("r2", frame.Exchange(True), [later]), reached=False)
+                if isinstance(order, Renew)]
+
+
+def test_a_suspicion_is_refuted_by_a_higher_word():
+    one = detector()
+    one.heard(1000, message("r2", frame.Tell(), [Rumour(*one.me, 0, State.FAILED, "r3")]))
+    assert one.word == 1 and one.sight.get("r1").rumour == Rumour(*one.me, 1, State.ALIVE)
+
+
+def test_a_process_that_stood_still_blames_nobody():
+    world = World(3, 5)
+    for name in world.names:
+        world.start(name)
+    assert world.until_agreed(world.names, 20 * SECOND)
+    world.pause("r1")
+    world.run(world.now + 20 * SECOND)
+    assert world.believes("r2", "r1") is State.FAILED
+    world.go_on("r1")
+    at = world.now
+    world.run(at + SECOND)
+    told = [fields for when, name, event, fields in world.log if when >= at and name == "r1" and event == "node"]
+    assert not [fields for fields in told if fields["state"] in ("suspect", "failed")]
+    assert any(event == "paused" for when, name, event, _ in world.log if when >= at and name == "r1")
+
+
+# Memory ---------------------------------------------------------------------------------------------
+
+
+def test_memory_outlasts_the_process_and_a_spoilt_one_is_set_aside(tmp_path):
+    kept = Kept(View(4, 9, (Identity("r1", 2, 8),)), Ballot(3, "r2", 1), Ballot(2, "r1", 8),
+                Step(("r3",), (Identity("r4", 1, 2),)), 17, True)
+    store = stable.Store(tmp_path, "norte", "r1")
+    assert store.load() == stable.Found(None)
+    store.save(6, kept)
+    assert store.load().stored == stable.Stored("norte", "r1", 6, kept)
+    with pytest.raises(stable.Foreign, match="node r1 in cluster norte; this relay is r2"):
+        stable.Store(tmp_path, "norte", "r2").load()
+    path = tmp_path / stable.FOLDER / stable.FILE
+    whole = path.read_bytes()
+    for place in range(len(whole)):
+        assert stable.decode(whole[:place]).stored is None
+        assert stable.decode(whole[:place] + bytes([whole[place] ^ 4]) + whole[place + 1:]).stored is None
+    path.write_bytes(whole[:-1])
+    assert store.load().reason == "checksum" and not path.exists()
+    assert (path.parent / "node.damaged").read_bytes() == whole[:-1]
+
+
+# Histories ------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("block", range(8))
+def test_seeded_histories_keep_what_is_promised(block):
+    for seed in range(block * 5, block * 5 + 5):
+        simulate.history(3 + seed % 5, seed, seconds=12)
+
+
+def test_a_killed_node_is_out_of_the_view_soon_and_back_as_a_new_life():
+    for seed in range(5):
+        world = World(5, seed)
+        for name in world.names:
+            world.start(name)
+        assert world.until_agreed(world.names, 20 * SECOND)
+        world.run(world.now + 5 * SECOND)
+        world.kill("r3")
+        assert world.until_agreed(["r1", "r2", "r4", "r5"], 8 * SECOND)
+        world.start("r3")
+        assert world.until_agreed(world.names, 8 * SECOND)
+        assert world.machines["r3"].process.core.me.life == 2
+
+
+def test_without_a_majority_there_is_no_view_and_nobody_acts():
+    world = World(5, 3)
+    for name in world.names:
+        world.start(name)
+    assert world.until_agreed(world.names, 20 * SECOND)
+    number = world.machines["r1"].process.core.views.number
+    for name in ("r3", "r4", "r5"):
+        world.kill(name)
+    world.run(world.now + 20 * SECOND)
+    for name in ("r1", "r2"):
+        core = world.machines[name].process.core
+        assert core.views.number == number and core.views.standing is views.Standing.CUT_OFF
+
+
+# Mistakes, put in on purpose: each has to be found by the same judges that find nothing else.
+
+
+def _vote_forgotten(one):
+    one.kept = one.kept._replace(promised=words.NONE, ballot=words.NONE, accepted=None)
+
+
+def _said_before_written(one):
+    keep = one._keep
+
+    def early(kept, *then):
+        keep(kept, *then)
+        one._out[-1:] = [*then, views.Persist(one.kept, ())]
+
+    one._keep = early
+
+
+def _fence_not_looked_at(one):
+    one._granted = type("Never", (dict,), {"__setitem__": lambda *_: None})()
+
+
+def _half_is_enough(one):
+    one._decides = lambda names: 2 * len(set(names) & set(one._acceptors())) >= len(one._acceptors())
+
+
+def _accepted_ignored(one):
+    heard = one.heard
+
+    def deaf(now, frm, who, word):
+        if isinstance(word, words.Promise):
+            word = word._replace(ballot=words.NONE, step=None)
+        return heard(now, frm, who, word)
+
+    one.heard = deaf
+
+
+def _promise_not_kept(one):
+    fit = one._fit
+
+    def forgiving(now, frm, ballot, word):
+        kept = one.kept
+        one.kept = kept._replace(promised=words.NONE)
+        try:
+            return fit(now, frm, ballot, word)
+        finally:
+            one.kept = kept
+
+    one._fit = forgiving
+
+
+def _lease_too_long(one):
+    until = one.lease_until
+    one.lease_until = lambda now: until(now) and until(now) + 2 * one.terms.lease
+
+
+def _lease_by_the_last_look(core):
+    until = core.views.lease_until
+    core.views.lease_until = lambda now: until(now) and until(now) + 3_000_000
+
+
+MISTAKES = [_vote_forgotten, _said_before_written, _fence_not_looked_at, _half_is_enough, _promise_not_kept,
+            _lease_too_long]
+
+
+@pytest.mark.parametrize("mistake", MISTAKES)
+def test_a_mistake_put_in_on_purpose_is_found(mistake):
+    assert found_by(lambda seed: explore.walk(3 + seed % 3, seed, mistake=mistake), 1500).startswith("walk ")
+
+
+@pytest.mark.parametrize("mistake", [lambda core: _accepted_ignored(core.views), _lease_by_the_last_look])
+def test_a_mistake_is_found_in_whole_histories(mistake):
+    play = lambda seed: simulate.history(3 + seed % 5, seed, seconds=12, mistake=mistake)  # noqa: E731
+    assert found_by(play, 400).startswith("seed ")
+
+
+def found_by(play, most: int) -> str:
+    """What the first breach says, of so many seeds."""
+    for seed in range(most):
+        try:
+            play(seed)
+        except Breach as breach:
+            return str(breach)
+    return "nothing was found"
+
+
+@pytest.mark.parametrize("block", range(4))
+def test_walks_keep_what_is_promised(block):
+    decided = sum(max(explore.walk(3 + seed % 3, seed).decided) - 1 for seed in range(block * 100, block * 100 + 100))
+    assert decided > 40  # else they prove nothing
+
+
+settings.register_profile("cluster", deadline=None)
+settings.load_profile("cluster")
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -51,7 +51,7 @@
 @pytest.mark.parametrize("text, told", [
     ("begin trace\nfoldr x\nend trace", "2: foldr: want a directive of trace"),
     ("begin trcae\nwhatever\nend trcae",
-     "1: trcae: want a section: log, trace, relay, names, limits, finals, members, perhaps"),
+     "1: trcae: want a section: log, trace, relay, names, limits, finals, members, cluster, perhaps"),
     ("begin trace\nblock 1\nend trace", "2: block: want a size such as 64k, 4k to 1m, not 1"),
     ("begin trace\nblock 64q\nend trace", "2: block: want a size"),
     ("begin trace\nsample 1.5\nend trace", "2: sample: want a number, 0 to 1, not 1.5"),
