--- a/lab/cluster/explore.py
+++ b/lab/cluster/explore.py
@@ -60,6 +60,7 @@
         if self.terms is VOTES:
             self._weights[3] = 0.0  # nobody asks for leases
             self._weights[2] *= 2
+            self._weights[9] *= 3  # votes are forgotten, if at all, by a process that starts anew
         members = self.names if nodes < 5 else self.names[:3]
         first = View(1, 7, tuple(Identity(name, 1, k + 1) for k, name in enumerate(members)))
         self._boot = nodes
