--- a/tests/test_cluster_live.py
+++ b/tests/test_cluster_live.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -13,7 +14,7 @@
 from lab.cluster.links import Weather
 from lab.cluster.nodes import Cluster, Node
 from lab.cluster.play import play
-from lab.demo import entries_of
+from lab.demo import ROOT, entries_of
 
 OUT_WITHIN, BACK_WITHIN, FORM_WITHIN = 8.0, 15.0, 30.0
 
@@ -223,6 +224,35 @@
     run(folder, 3, scene)
 
 
+def test_the_commands_say_what_the_relays_say(folder):
+    async def scene(cluster):
+        async def command(*words, given=b""):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "lynxscale", "cluster", *words, cwd=cluster.nodes["r1"].folder, stdin=-1,
+                stdout=-1, stderr=-1, env=os.environ | {"PYTHONPATH": str(ROOT)})
+            out, err = await process.communicate(given)
+            return process.returncode, out.decode(), err.decode()
+
+        doors = [word for name in cluster.names for word in ("--at", f"127.0.0.1:{cluster.nodes[name].door}")]
+        code, out, err = await command("status", *doors)
+        assert code == 0 and "Who is what" in out and out.count(": member") == 3, out + err
+
+        async def written():
+            code, out, _ = await command("status", "--conf", "lynxscale.conf")
+            return code == 0 and "it can lose 1" in out and "r3" in out
+
+        await until(written)
+        code, _, err = await command("forget", "r3", *doors[:2], given=b"n\n")
+        assert code == 1 and "nothing done" in err
+        code, _, err = await command("forget", "r3", "--yes", *doors[:2])
+        assert code == 1 and "r3 is alive; stop it first" in err
+        await cluster.nodes["r3"].stop(signal.SIGKILL)
+        code, _, err = await command("status", *doors)
+        assert code == 1 and "no answer of a relay's door" in err
+
+    run(folder, 3, scene)
+
+
 @pytest.mark.parametrize("count", [1, 2])
 def test_small_clusters_work_and_tell_what_they_cannot_do(folder, count):
     async def scene(cluster):
