--- a/tests/test_cluster_conf.py
+++ b/tests/test_cluster_conf.py
@@ -80,8 +80,8 @@
     two.write_text(wrong.replace("span 7500ms", "span 9s").replace("place 1", "place 0").replace("tries 12", "tries 9"))
     done = command("check", one, two)
     assert done.returncode == 1
-    for wanted in ("name: want norte", "class [a-z-]+: want", "place: want another", "tries: want 12", "member r1: want a",
-                   "relays: want 3"):
+    for wanted in ("name: want norte", "class [a-z-]+: want", "place: want another", "tries: want 12",
+                   "member r1: want a", "relays: want 3"):
         assert re.search(rf"r2\.conf:[1-9][0-9]*: .*{wanted}", done.stderr), (wanted, done.stderr)
     assert command("check", written("c.conf", CONF.read_text())).returncode == 1
 
