--- a/lab/cluster/faults.py
+++ b/lab/cluster/faults.py
@@ -8,8 +8,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from lab.cluster import odd
 from lab.cluster.links import Weather
 from lab.cluster.nodes import Cluster, Node
+from lab.partner import Mood
 from lynxscale.cluster import frame
 
 
@@ -31,11 +33,15 @@
 FORGETS = ("forget", "older")
 LINK = ("loss", "late", "mute", "deaf", "one_way", "isolated", "halves", "ring", "bridge", "flapping", "doubled",
         "spoilt", "refused", "trickle", "replayed", "garbage")
+# Of the partner, for all nodes, and of a node's wall clock.
+MOODS = {"slow_partner": Mood(latency_ms=400), "refusing_partner": Mood(refusing=0.5, wait_s=0.2),
+         "failing_partner": Mood(failing=0.2, dropping=0.1)}
+BESIDE = (*MOODS, "wall")
+ALL = PROCESS + LINK + BESIDE
 REST = 1.0  # seconds at the end without a new fault
 
 
-def draw(seed: int, names: list[str], seconds: float, at_once: int = 1, kinds: tuple[str, ...] = PROCESS + LINK
-         ) -> list[Fault]:
+def draw(seed: int, names: list[str], seconds: float, at_once: int = 1, kinds: tuple[str, ...] = ALL) -> list[Fault]:
     """Faults one behind the other, or ``at_once`` such rows side by side; most strike less than half of the nodes."""
     found = []
     forgets_at = -1.0
@@ -58,10 +64,11 @@
 
 
 class Weathers:
-    """Weather of links by several faults at once: the worst of each."""
+    """Weather of links by several faults at once: the worst of each; and the partner's mood: the last that came."""
 
     def __init__(self, cluster: Cluster) -> None:
-        self._cluster = cluster
+        self._cluster, self._usual = cluster, cluster.partner.mood
+        self._moods: dict[int, Mood] = {}
         self._told: dict[int, dict[tuple[str, str], Weather]] = {}
 
     def put(self, fault: int, weathers: dict[tuple[str, str], Weather]) -> None:
@@ -72,6 +79,12 @@
         self._told.pop(fault, None)
         self._apply()
 
+    def put_mood(self, fault: int, mood: Mood | None) -> None:
+        self._moods.pop(fault, None)
+        if mood is not None:
+            self._moods[fault] = mood
+        self._cluster.partner.mood = next(reversed(self._moods.values()), self._usual)
+
     def _apply(self) -> None:
         for way, link in self._cluster.mesh.links.items():
             all_ = [weathers[way] for weathers in self._told.values() if way in weathers]
@@ -126,6 +139,17 @@
             await asyncio.gather(*(_process(fault, cluster, node, left) for node in ours))
         finally:
             busy.difference_update(node.name for node in ours)
+    elif fault.kind in MOODS:
+        weathers.put_mood(number, MOODS[fault.kind])
+        await asyncio.sleep(fault.lasts)
+        weathers.put_mood(number, None)
+    elif fault.kind == "wall":
+        folders = [cluster.nodes[name].folder for name in fault.nodes]
+        for folder in folders:
+            odd.step_wall(folder, chance.choice((-3600.0, 3600.0)))
+        await asyncio.sleep(fault.lasts)
+        for folder in folders:
+            odd.step_wall(folder, 0.0)
     elif fault.kind in ("replayed", "garbage"):
         await _noise(cluster, fault, chance)
     else:
--- a/lab/cluster/nodes.py
+++ b/lab/cluster/nodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import random
 import re
 import shutil
 import signal
@@ -31,9 +32,10 @@
 
 
 class Node(Own):
-    """One relay and its folder. Its ports are its own until ``close``, also while it does not run."""
+    """One relay and its folder. Its ports are its own until ``close``, also while it does not run. ``rate``: of its
+    monotonic clocks, which are those of the system without it."""
 
-    def __init__(self, name: str, folder: Path) -> None:
+    def __init__(self, name: str, folder: Path, rate: float | None = None) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self._held = [hold_port(), hold_port()]
         self.door, self.cluster_port = map(port_of, self._held)
@@ -42,6 +44,8 @@
         super().__init__(folder, re.sub(r"(?m)^\s*relays .*$", "", text))
         self._held.append(hold_port(self.port))
         self.name = name
+        if rate is not None:
+            self.program = ("-m", "lab.cluster.odd", str(rate))
         self.paused = False
         self.starts = 0
 
@@ -138,12 +142,17 @@
 
 
 class Cluster:
-    """Some nodes, the links between them, and one partner for all. Used by ``async with``."""
+    """Some nodes, the links between them, and one partner for all. Used by ``async with``. ``clocks_apart``: by what
+    share each node's clocks may run off."""
 
-    def __init__(self, folder: Path, count: int, seed: int, probe_ms: int = 500) -> None:
+    def __init__(self, folder: Path, count: int, seed: int, probe_ms: int = 500, clocks_apart: float = 0.0) -> None:
         # A name of its own: what another run on this machine sends by mistake is not heard.
         self.folder, self.seed, self.probe_ms, self.name = folder, seed, probe_ms, f"lab-{os.getpid()}-{seed}"
         self.names = [f"r{place + 1}" for place in range(count)]
+        self.rates = dict.fromkeys(self.names)
+        if clocks_apart:
+            chance = random.Random(f"{seed} clocks")
+            self.rates = {name: 1 + chance.uniform(-clocks_apart, clocks_apart) for name in self.names}
         self.mesh = Mesh(seed)
         self.partner = Partner(seed)
         self.nodes: dict[str, Node] = {}
@@ -153,7 +162,7 @@
         for place in range(4):
             await self.partner.open(f"s-{place:02}")
         for name in self.names:
-            self.nodes[name] = Node(name, self.folder / name)
+            self.nodes[name] = Node(name, self.folder / name, self.rates[name])
         for frm in self.names:
             for to in self.names:
                 if frm != to:
--- a/lab/cluster/play.py
+++ b/lab/cluster/play.py
@@ -16,6 +16,7 @@
 from lab.rules import judge as judge_messages
 
 LOOK_EVERY = 0.05
+CLOCKS_APART = 0.01
 FORM_WITHIN, SETTLE_WITHIN, ENDS_WITHIN = 30.0, 30.0, 40.0
 
 
@@ -53,7 +54,7 @@
     history: list[Seen] = []
     left: list[str] = []
     played = Played(Verdict(), history)
-    async with Cluster(folder, count, seed, probe_ms) as cluster:
+    async with Cluster(folder, count, seed, probe_ms, CLOCKS_APART) as cluster:
         begun = time.monotonic()
         await cluster.start()
         watch = asyncio.create_task(_watch(cluster, history))
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -34,7 +34,12 @@
 
 
 class Own:
-    """A relay without the platform, in a folder, from a configuration file whose address alone is another one."""
+    """A relay without the platform, in a folder, from a configuration file whose address alone is another one.
+
+    ``program``: what Python runs.
+    """
+
+    program: tuple[str, ...] = ("-m", "lynxscale")
 
     def __init__(self, folder: Path, conf: str) -> None:
         self.folder, self.lists, self.log = folder, folder / "lists", folder / "log"
@@ -52,7 +57,7 @@
             env = {key: value for key, value in os.environ.items() if not key.startswith(("NODE_", "LYNXSCALE_"))}
             env["PYTHONPATH"] = str(ROOT)
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lynxscale", "run", "--conf", str(self.conf), cwd=self.folder, env=env,
+                sys.executable, *self.program, "run", "--conf", str(self.conf), cwd=self.folder, env=env,
                 stdout=log, stderr=log)
         end = time.monotonic() + START_WITHIN
         while not await self._ready():
--- a/lynxscale/cli/lab.py
+++ b/lynxscale/cli/lab.py
@@ -39,13 +39,13 @@
     import contextlib
     from pathlib import Path
 
-    from lab.cluster.faults import LINK, PROCESS, draw
+    from lab.cluster.faults import ALL, draw
     from lab.cluster.play import play
     from lab.traffic import fresh_folder
 
-    chosen = tuple(kinds.split(",")) if kinds else PROCESS + LINK
-    if unknown := set(chosen) - set(PROCESS + LINK):
-        raise Misused(f"--kinds: no such kind: {', '.join(sorted(unknown))}; want some of {', '.join(PROCESS + LINK)}")
+    chosen = tuple(kinds.split(",")) if kinds else ALL
+    if unknown := set(chosen) - set(ALL):
+        raise Misused(f"--kinds: no such kind: {', '.join(sorted(unknown))}; want some of {', '.join(ALL)}")
     faults = draw(seed, [f"r{place + 1}" for place in range(nodes)], minutes * 60, at_once, chosen)
     if keep:
         Path(keep).mkdir(parents=True, exist_ok=True)
