--- a/lab/cluster/mistakes.py
+++ b/lab/cluster/mistakes.py
@@ -5,6 +5,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 from lynxscale.cluster.views import Order, Persist, Say, Views
 from lynxscale.cluster.words import NONE, Kept, LeaseAsk, Promise, Word
 
@@ -15,6 +18,16 @@
     def begin(self, now: int) -> None:
         """What is wrong from the start on."""
 
+    @contextmanager
+    def _unaware(self, **fields: object) -> Iterator[None]:
+        """As if its memory had these fields instead, until the end of the block; what is kept in it is not."""
+        kept = self.kept
+        self.kept = kept._replace(**fields)
+        try:
+            yield
+        finally:
+            self.kept = kept
+
 
 class VoteForgotten(Spoilt):
     """A vote does not outlive a restart."""
@@ -48,12 +61,8 @@
     """A lower ballot is voted for after a higher one was promised."""
 
     def _fit(self, now, frm, ballot, word) -> bool:
-        kept = self.kept
-        self.kept = kept._replace(promised=NONE)
-        try:
+        with self._unaware(promised=NONE):
             return super()._fit(now, frm, ballot, word)
-        finally:
-            self.kept = kept
 
 
 class AcceptedIgnored(Spoilt):
@@ -90,14 +99,10 @@
     """Leases are granted by one who has accepted the next view."""
 
     def heard(self, now, frm, who, word: Word) -> list[Order]:
-        kept = self.kept
         if not isinstance(word, LeaseAsk):
             return super().heard(now, frm, who, word)
-        self.kept = kept._replace(accepted=None)
-        try:
+        with self._unaware(accepted=None):
             return super().heard(now, frm, who, word)
-        finally:
-            self.kept = kept
 
 
 class VotesWithoutAsking(Spoilt):
@@ -127,12 +132,8 @@
     """Who has accepted its own removal acts on."""
 
     def lease_until(self, now: int) -> int:
-        kept = self.kept
-        self.kept = kept._replace(accepted=None)
-        try:
+        with self._unaware(accepted=None):
             return super().lease_until(now)
-        finally:
-            self.kept = kept
 
 
 ALL = (VoteForgotten, SaidBeforeWritten, FenceNotLookedAt, HalfIsEnough, OlderPromiseBroken, AcceptedIgnored,
