Write nothing to an endpoint that drains or has gone while its connection was coming up

Cause: Peers._connected writes a call that was ordered before the list changed, up to the dial's time-out later (here 8 s), while a drain binds after its grace. The order is right, the moment of writing was not looked at. Change: Peers._goes, which already asks for told waits and for spans of keys as the bytes go, asks the list in force too; such a try ends as moot, was never sent and goes elsewhere. Counter tries.left_the_list. Test: an address whose queue is full until the list has told of the drain, or of the end. Without the mend the call is written: "not seen in time: a notice for m-draining".

--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -71,7 +71,7 @@
             order, own.members.ramp,
         )
         self.peers = relay.tries = Peers(
-            reactor, self.loop, self.deadlines, relay, group.address_of, 0, group.per_call, group.route_of,
+            reactor, self.loop, self.deadlines, relay, group.address_of, 0, group.per_call, group.route_of, group.takes,
         )
         teller = Teller(self.loop.now, lambda: relay.trace)
         self.parts = parts.attach(parts.Host(
--- a/lynxscale/net/peers.py
+++ b/lynxscale/net/peers.py
@@ -80,10 +80,11 @@
     def __init__(self, reactor, loop: Loop, deadlines: Deadlines, relay: Relay,
                  address_of: Callable[[int], tuple[str, int] | None], idle_most: int,
                  per_call: Callable[[int], int] = lambda _endpoint: 1,
-                 route_of: Callable[[int], str | None] = lambda _endpoint: None) -> None:
+                 route_of: Callable[[int], str | None] = lambda _endpoint: None,
+                 takes: Callable[[int], bool] = lambda _endpoint: True) -> None:
         self._reactor, self._loop, self._deadlines, self._relay = reactor, loop, deadlines, relay
         self._address_of, self._idle_most, self._per_call = address_of, idle_most, per_call
-        self._route_of = route_of
+        self._route_of, self._takes = route_of, takes
         settings = relay.settings
         self._copies = settings.second_copies
         self._joining: dict[int, Call] = {}  # by endpoint: this turn's call that more may join
@@ -229,6 +230,11 @@
 
     def _goes(self, work: Try) -> bool:
         """May it be written now? It is on record then."""
+        if not self._takes(work.endpoint):
+            # Guards against a list that came while the connection was coming up: what drains gets nothing new.
+            self._relay.counters.add("tries", "left_the_list")
+            self._end(work, Result.MOOT)
+            return False
         if (wait := self._relay.held_back(self._wait_key(work))) > 0:
             # Told after this try was ordered, to it or to another process of this relay: it binds all.
             self._end(work, Result.FULL, wait=wait)
--- a/lynxscale/upstream/group.py
+++ b/lynxscale/upstream/group.py
@@ -82,6 +82,11 @@
         entry = self.table.entry(endpoint)
         return entry.id if entry is not None and self._apart.get(entry.kind, self._apart_else) else None
 
+    def takes(self, endpoint: int) -> bool:
+        """May something new be written to it, by the list in force?"""
+        entry = self.table.entry(endpoint)
+        return entry is not None and entry.lifecycle == api.Lifecycle.READY
+
     def address_of(self, endpoint: int) -> tuple[str, int] | None:
         entry = self.table.entry(endpoint)
         return entry.address if entry is not None else None
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -6,10 +6,11 @@
 
 import contextlib
 import signal
+import socket
 import threading
 import time
 
-from lab.standins import PATIENCE, message, read_http, until
+from lab.standins import PATIENCE, message, read_http, reply, row, until
 from tests.node import NodeCase
 
 
@@ -111,3 +112,71 @@
         for client in clients:
             self.assertIn(" 202 ", read_http(client.stream)[0])
         self.assertEqual(self.process.wait(PATIENCE), 0)
+
+
+class LateConnection:
+    """An address at which connections come up only once ``open`` is called: until then its queue is full."""
+
+    def __init__(self) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.at = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        self.calls: list = []
+        self.accepted = 0
+        self._fill: list[socket.socket] = []
+        for _ in range(8):
+            one = socket.socket()
+            one.setblocking(False)
+            one.connect_ex(self.socket.getsockname())
+            self._fill.append(one)
+
+    def open(self) -> None:
+        for one in self._fill:
+            one.close()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                link, _ = self.socket.accept()
+                threading.Thread(target=self._serve, args=(link,), daemon=True).start()
+
+    def _serve(self, link) -> None:
+        self.accepted += 1
+        with contextlib.suppress(OSError), link.makefile("rb") as stream:
+            while call := read_http(stream):
+                self.calls.append(call)
+                link.sendall(reply(200))
+
+    def close(self) -> None:
+        self.socket.close()
+        for one in self._fill:
+            one.close()
+
+
+class Drains(NodeCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.late = LateConnection()
+        self.addCleanup(self.late.close)
+        self.allowed["dial_timeout_ms"] = 8000.0
+
+    def test_nothing_is_written_to_what_drains_meanwhile(self):
+        """The connection is ordered before the list says so, and comes up after."""
+        for life in ("draining", "gone"):
+            with self.subTest(life=life):
+                self.kill()
+                self.discovery.rows = [row("s-late", self.late.at, 1)]
+                self.start()
+                seen = self.log.read_text().count("outcome=applied")
+                until(lambda: len(self.discovery.calls) >= 1, "the watch")
+                self.assertEqual(self.client().hand_in(f"m-{life}", left=6.0)[0], 202)
+                until(lambda: self.counters()["connections"].get("peer_opened"), "the connection is ordered")
+                self.discovery.change(row("s-late", self.late.at, 1, life))
+                until(lambda seen=seen: self.log.read_text().count("outcome=applied") > seen, "the list")
+                self.late.open()
+                self.assertIn(self.notice(f"m-{life}")["status"], ("deferred", "undeliverable"))
+                self.assertEqual(self.late.calls, [])
+                self.assertGreaterEqual(self.counters()["tries"].get("left_the_list", 0), 1)
+                self.late.close()
+                self.late = LateConnection()
+                self.addCleanup(self.late.close)
