Put the message with the longest time first in a call of several

Ruled out: restarts (the process ran on), an end after the message's own time-out, a part of an answer. The protocol tells no time for a message in a call, only Req-Deadline in the head, which was the longest. A partner that takes the call's time from its first message has given the call up by then. Change: Peers._write puts the messages in order of their ends, the longest first, so that head and first message agree. Test: without it "['m0', 'm1', 'm9'] != ['m1', 'm9', 'm0']".

--- a/lynxscale/net/peers.py
+++ b/lynxscale/net/peers.py
@@ -219,6 +219,9 @@
             data = http.request("GET", "/_load", host)
         else:
             going = [work for work in self._left(call) if self._goes(work)]
+            # The longest first: a partner that takes a call's time from its first message sees the one that is told in
+            # the head, to which the answer is waited for.
+            going.sort(key=lambda work: -work.ends)
             if not going:
                 self._pool(ready)
                 return
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -5,12 +5,13 @@
 """
 
 import contextlib
+import re
 import signal
 import socket
 import threading
 import time
 
-from lab.standins import PATIENCE, message, read_http, reply, row, until
+from lab.standins import PATIENCE, message, read_http, reply, row, settings, until
 from tests.node import NodeCase
 
 
@@ -180,3 +181,29 @@
                 self.late.close()
                 self.late = LateConnection()
                 self.addCleanup(self.late.close)
+
+
+class Together(NodeCase):
+    """A partner of a kind that takes four messages a call; those of one class are worth more and have less time."""
+
+    def configure(self, **more):
+        table = settings(**self.allowed)
+        table["family_info"] |= {"per_call": [4]}
+        table["grades"][1] |= {"deadline_ms": 4000.0, "goal_time_ms": 2000.0, "value": 3.0}
+        return super().configure(settings=table, **more)
+
+    def test_a_call_has_the_time_of_its_first_message(self):
+        self.act = lambda _call: reply(503, b"", "Retry-After: 0.600")
+        self.start()
+        self.assertEqual(self.client().hand_in("m9", left=8.0)[0], 202)
+        until(lambda: self.calls("m9"), "the wait")
+        self.act = lambda call: b""
+        self.assertEqual(self.client().hand_in("m0", "keyed", 4.0, idempotency_key="k0")[0], 202)
+        self.assertEqual(self.client().hand_in("m1", "safe", 16.0)[0], 202)
+
+        def together():
+            return [call for call in self.calls() if "/events/bundle" in call[0]]
+
+        _first, headers, body = until(together, "the call")[0]
+        self.assertEqual(re.findall(r"(m\d) \S+ \d+\r\n", body.decode()), ["m1", "m9", "m0"])
+        self.assertGreater(float(headers["req-deadline"]), 8.0)
