Open a watch that has fallen silent anew before what it missed counts as told

Cause: a call that waits 10 s was given up 5 s behind that (SLACK_MS), while what it misses counts as told 2 s behind it and a drain binds a grace later; then the module asked again at its own turn, spread over the fleet and, after failures, later than the four spans after which each change counts as told (ASK_ROUNDS x ask_spread with 200 senders). Pushed lists waited 2 s and 1 s more, and were asked again 250 ms after each silence: what a silent agent gets counts as it speaks again. Change: a watch is broken 2 s behind its wait, less where the settings' grace is shorter than a new call may take; at the first silence it is opened anew at once, without the module's turn; a silent agent is asked every 250 ms. The pause between asks after failures stays within three spans.

--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -170,10 +170,9 @@
         self.held, self.tries = {}, {}  # messages by id; tries by id and attempt, in the order sent
         self.lines, self.rests = {}, {}  # by key: messages in turn; until when the key rests
         self.number = count(1).__next__  # orders whatever is else equal
-        self.reuse = Reuse()
+        self.reuse, self.tables = Reuse(), Tables()
         self.armed, self.rest = INF, SOFT_WAIT_MS  # rest: after a refusal, learned from all calls
         self.used = self.silents = self.sick_calls = 0
-        self.tables = Tables()
         self.ask_spread, self.asked = ASK_EACH_MS * settings.senders, False
         self.ask_gap, self.ask_at = max(ASK_FIRST_MS, self.ask_spread), INF
         self.class_mean = [[0.0, 0] for _ in settings.classes]
@@ -225,7 +224,8 @@
     def membership(self, event: api.Membership) -> None:
         if event.kind == api.ListKind.FAILED:
             self.ask_again(self.ask_gap * self.random.uniform(0.7, 1.3))
-            self.ask_gap = min(self.ask_gap * 2, max(ASK_MOST_MS, ASK_ROUNDS * self.ask_spread))
+            most = min(ASK_ROUNDS * self.ask_spread, 3 * (self.s.ask_within_ms or INF))  # four pass
+            self.ask_gap = min(self.ask_gap * 2, max(ASK_MOST_MS, most))
             return
         touched = [] if event.kind == api.ListKind.DELTA else list(self.endpoints.values())
         for endpoint in touched:
--- a/lynxscale/net/discovery.py
+++ b/lynxscale/net/discovery.py
@@ -17,7 +17,7 @@
 from lynxscale.counters import Counters
 from lynxscale.deadlines import Deadlines
 from lynxscale.net import link
-from lynxscale.net.link import Caller
+from lynxscale.net.link import Caller, Late
 from lynxscale.upstream.decide import compare
 from lynxscale.upstream.group import DISCOVERY, Group
 from lynxscale.upstream.model import DESTINATION_MOST, Candidate, Changes, Entry, Outcome, Verdict, finish
@@ -27,9 +27,15 @@
 
 PATH = "/catalog/members"
 WAIT_MS = 10_000  # of each call, the first one, too; short enough to notice a discovery that says nothing
-# Of an agent on this machine, where calls cost nothing: what is silent is asked again soon.
-PUSHED_WAIT_MS, PUSHED_SLACK_MS, PUSHED_AGAIN_MS = 2000, 1000, 250
-SLACK_MS = 5000  # beyond the wait, until a call counts as failed; one that is overbooked gives up sooner, with 503
+# Beyond the wait, until a watch counts as broken: 2 s, by which one that is overbooked has answered or given up with
+# 503, and after which all that it has to tell counts as told. A grace for drains shorter than what a new call may take
+# shortens it.
+SLACK_MS, NEW_CALL_MS = 2000, 700
+# Of an agent on this machine, where calls cost nothing: what is silent is asked again soon. What it gets while it is
+# silent counts from the moment at which it speaks again, so it is asked often until then.
+PUSHED_WAIT_MS, PUSHED_SLACK_MS, PUSHED_AGAIN_MS = 1000, 500, 250
+SILENT_WAIT_MS, SILENT_SLACK_MS = 50, 200
+WHOLE_MS = 5000  # for the whole list, which waits for nothing: one that is overbooked gives up sooner
 LIFECYCLES = {"ready": api.Lifecycle.READY, "draining": api.Lifecycle.DRAINING}
 GONE = "gone"
 
@@ -38,11 +44,13 @@
     """Calls the directory at ``where`` and tells the group what it answers."""
 
     def __init__(self, reactor, deadlines: Deadlines, where: Address, group: Group, counters: Counters,
-                 teller: Teller, pushed: bool = False) -> None:
+                 teller: Teller, pushed: bool = False, grace_ms: float | None = None) -> None:
         self._reactor, self._deadlines = reactor, deadlines
         self._caller = Caller(reactor, deadlines, where, "group")
         self._group, self._counters, self._teller = group, counters, teller
         self._pushed = pushed  # to an agent on this machine, which is asked without the module's order
+        self._slack = SLACK_MS if grace_ms is None else min(SLACK_MS, int(SLACK_MS + grace_ms) - NEW_CALL_MS)
+        self._silent = 0  # calls in a row that had no answer in their time
         self._version = 0
         self._asked = False  # the module waits for the answer to its order
         self._watching = self._stopped = False
@@ -87,15 +95,29 @@
     def _call(self, target: str, wait_ms: int) -> None:
         data = http.request("GET", target, self._caller.host)
         self._counters.add("group", "asked")
-        slack = PUSHED_SLACK_MS if self._pushed else SLACK_MS
+        slack = self._slack if wait_ms else WHOLE_MS
+        if self._pushed:
+            slack = SILENT_SLACK_MS if self._silent else PUSHED_SLACK_MS
         answer = self._caller.call(data, (wait_ms + slack) * 1000)
         answer.addCallbacks(self._answered, self._failed)
 
     def _go_on(self) -> None:
-        wait = PUSHED_WAIT_MS if self._pushed else WAIT_MS
+        wait = WAIT_MS
+        if self._pushed:
+            wait = SILENT_WAIT_MS if self._silent else PUSHED_WAIT_MS
         self._call(f"{PATH}?after={self._version}&wait_ms={wait}", wait)
 
-    def _failed(self, _failure: Failure | None) -> None:
+    def _failed(self, failure: Failure | None) -> None:
+        late = failure is not None and failure.check(Late) is not None
+        self._silent += late
+        if late and self._watching and not self._moved and (self._pushed or self._silent == 1):
+            # Guards against a watch that has fallen silent: what it misses counts as told soon, whatever the module's
+            # turn to ask is. A second silence in a row is discovery's own, and where calls cost it left to the module.
+            self._counters.add("group", "silent")
+            if self._silent == 1:
+                log.warning("watch_silent", version=self._version)
+            self._go_on()
+            return
         again = self._watching and self._pushed
         self._watching = self._asked = False
         self._counters.add("group", "failed")
@@ -125,7 +147,7 @@
             self._failed(None)
             return
         self._counters.add("group", "answers")
-        self._moved = False
+        self._moved, self._silent = False, 0
         self._version = version
         if self._watching:
             self._go_on()  # at once: the watch goes on only if the next call follows closely
--- a/lynxscale/net/link.py
+++ b/lynxscale/net/link.py
@@ -38,6 +38,10 @@
         self.written, self.spoilt, self.said_ok = written, spoilt, said_ok
 
 
+class Late(Broken):
+    """No answer in the time that the caller gave the call."""
+
+
 def unread(transport) -> bytes | None:
     """A byte that the loop has not read yet; empty where the far end has closed, None where there is none."""
     try:
@@ -263,4 +267,4 @@
         if number == self._round:
             answer = self._answer
             self.drop(TIMED_OUT)
-            answer.errback(Broken(False))
+            answer.errback(Late(False))
--- a/lynxscale/net/parts.py
+++ b/lynxscale/net/parts.py
@@ -26,7 +26,8 @@
 
         self._where, self._known = host.conf.discovery, host.conf.known
         self._discovery = Discovery(host.reactor, host.deadlines, self._where, host.group, host.counters, host.teller,
-                                    pushed=not host.conf.settings.asks_for_members)
+                                    pushed=not host.conf.settings.asks_for_members,
+                                    grace_ms=host.conf.settings.drain_grace_ms)
         host.group.add(DISCOVERY, self._discovery)
         self.stop = self._discovery.stop
 
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -11,7 +11,9 @@
 import threading
 import time
 
-from lab.standins import PATIENCE, message, read_http, reply, row, settings, until
+from gannetshift import interface as api
+from lab.standins import PATIENCE, Discovery, message, read_http, reply, row, settings, until
+from tests.driver import Driver
 from tests.node import NodeCase
 
 
@@ -183,6 +185,78 @@
                 self.addCleanup(self.late.close)
 
 
+class SilentDiscovery(Discovery):
+    """Once ``silent``, it hears calls for lists and answers none; then it takes ``delay`` seconds for each."""
+
+    silent, delay = False, 0.0
+
+    def _act(self, call):
+        if self.silent and call[0].startswith("GET"):
+            return b""
+        time.sleep(self.delay)
+        answer = super()._act(call)
+        return b"" if self.silent and call[0].startswith("GET") else answer
+
+
+class Lists(NodeCase):
+    mode, grace = "ask", 2000.0
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.discovery.close()
+        self.discovery = SilentDiscovery()
+        self.addCleanup(self.discovery.close)
+        self.discovery.rows = [row("s-1", self.peer.at, 1)]
+
+    def configure(self, **more):
+        table = settings(**self.allowed)
+        table["membership_mode"] = self.mode
+        table["obligations"]["drain_grace_ms"] = self.grace
+        table["balancers"] = 50  # so that the module's own next turn to ask is seconds away
+        return super().configure(settings=table, **more)
+
+    def asked(self) -> list[float]:
+        return [at for at, call in list(self.discovery.calls) if call[0].startswith("GET")]
+
+    def test_a_watch_that_falls_silent_is_opened_anew_before_what_it_missed_counts(self):
+        """What it misses counts as told 2 s after its wait of 10 s; with a grace of 250 ms there is no more time.
+
+        The new call takes 0.6 s.
+        """
+        self.grace = 250.0
+        self.discovery.silent = True
+        self.start()
+        until(self.asked, "the watch")
+        self.discovery.change(row("s-1", self.peer.at, 1, "draining"))
+        begun = self.asked()[0]
+        sleep_until(begun + 10.5)
+        self.discovery.silent, self.discovery.delay = False, 0.6
+        until(lambda: "outcome=applied" in self.log.read_text(), "the list")
+        self.assertLess(time.monotonic() - begun, 12.25)
+        self.assertEqual(self.client().hand_in("m1", left=1.5)[0], 202)
+        self.notice("m1")
+        self.assertEqual(self.calls("m1"), [])
+        self.assertEqual(self.counters()["group"].get("silent"), 1)
+
+
+class PushedLists(Lists):
+    mode = "push"
+
+    def test_a_watch_that_falls_silent_is_opened_anew_before_what_it_missed_counts(self):
+        """What a silent agent gets counts from the moment at which it speaks again: it has to be asked by then."""
+        self.start()
+        until(lambda: len(self.asked()) >= 2, "the watch")
+        self.discovery.silent = True
+        until(lambda: self.counters()["group"].get("silent", 0) >= 2, "its silence is noticed")
+        self.discovery.change(row("s-1", self.peer.at, 1, "draining"))
+        before = self.log.read_text().count("outcome=applied")
+        self.discovery.silent, begun = False, time.monotonic()
+        until(lambda: self.log.read_text().count("outcome=applied") > before, "the list")
+        self.assertLess(time.monotonic() - begun, 0.7)
+        asked = self.asked()
+        self.assertLess(asked[-1] - asked[-3], 2.0)
+
+
 class Together(NodeCase):
     """A partner of a kind that takes four messages a call; those of one class are worth more and have less time."""
 
@@ -207,3 +281,16 @@
         _first, headers, body = until(together, "the call")[0]
         self.assertEqual(re.findall(r"(m\d) \S+ \d+\r\n", body.decode()), ["m1", "m9", "m0"])
         self.assertGreater(float(headers["req-deadline"]), 8.0)
+
+
+def test_after_failures_the_next_call_for_lists_comes_before_an_old_list_counts():
+    """With many senders the pause grew beyond four times the span after which each change counts as told."""
+    for seed in range(8):
+        d = Driver(seed=seed, asks_for_members=True, senders=200, ask_within_ms=5000.0)
+        for _ in range(8):
+            before = len([1 for _, action in d.log if isinstance(action, api.Subscribe)])
+            begun = d.now
+            d.give(api.Membership(api.ListKind.FAILED, 1, []))
+            while len([1 for _, action in d.log if isinstance(action, api.Subscribe)]) == before:
+                d.pass_time(200.0)
+                assert d.now - begun <= 4 * 5000.0, f"seed {seed}: no call {d.now - begun} ms after a failure"
