Send notices again after 200 ms of silence, in time for the end that they tell

Cause: a notice on a connection that has died unseen was given up after 1 s (TIMEOUT_MS), while an end falls due at most 0.4 s before the message's time and must be heard 0.3 s after it. Change: the first wait is 200 ms, as the platform answers at once; doubled up to 1 s with each silence in a row, as it may just be slow. A notice that comes twice does no harm.

--- a/lynxscale/net/notices.py
+++ b/lynxscale/net/notices.py
@@ -13,13 +13,15 @@
 from lynxscale.counters import Counters
 from lynxscale.deadlines import Deadline, Deadlines
 from lynxscale.net import link
-from lynxscale.net.link import Caller
+from lynxscale.net.link import Caller, Late
 
 log = structlog.get_logger()
 
 PATH = "/v2/finals"
 BATCH = 100
-TIMEOUT_MS = 1000
+# An answer comes at once, so that silence tells of a connection that has died unseen: what is owed goes again on a
+# new one while its end is still in time. Longer from one silence to the next, as the platform may just be slow.
+FIRST_WAIT_MS, MOST_WAIT_MS = 200, 1000
 FIRST_REST_MS, MOST_REST_MS = 20, 500
 IDLE_MS = 4000  # the platform may close an idle connection; ours goes first
 
@@ -34,7 +36,7 @@
         self._batch: list[int] = []  # on its way
         self._most = BATCH
         self._idle: Deadline | None = None
-        self._rest = FIRST_REST_MS
+        self._rest, self._wait = FIRST_REST_MS, FIRST_WAIT_MS
         self._planned = False
 
     def __len__(self) -> int:
@@ -73,11 +75,12 @@
         kind = ("Content-Type", "application/x-ndjson")
         data = http.request("POST", self._path, self._caller.host, (kind,), body)
         self._deadlines.cancel(self._idle)
-        answer = self._caller.call(data, TIMEOUT_MS * 1000)
+        answer = self._caller.call(data, self._wait * 1000)
         answer.addCallbacks(self._answered, self._failed)
 
     def _answered(self, response: http.Response) -> None:
         done, self._batch = self._batch, []
+        self._wait = FIRST_WAIT_MS
         if response.status != 204:
             self._unheard(response.status, done)
             return
@@ -101,8 +104,10 @@
                 self._owed[batch[0]] = self._owed.pop(batch[0])
         self._again()
 
-    def _failed(self, _failure: Failure) -> None:
+    def _failed(self, failure: Failure) -> None:
         self._batch = []
+        if failure.check(Late):
+            self._wait = min(self._wait * 2, MOST_WAIT_MS)
         self._again()
 
     def _again(self) -> None:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -257,6 +257,28 @@
         self.assertLess(asked[-1] - asked[-3], 2.0)
 
 
+class Owed(NodeCase):
+    def test_a_notice_that_a_dead_connection_swallowed_goes_again_in_time(self):
+        """The end of a message falls due a little before its time is up, and must be heard by 0.3 s after it."""
+        heard, answer = [], self.discovery.act
+
+        def act(call):
+            if "finals" in call[0]:
+                heard.append(time.monotonic())
+                if len(heard) == 1:
+                    return b""
+            return answer(call)
+
+        self.discovery.act = act
+        self.act = lambda _call: b""
+        self.start()
+        begun = time.monotonic()
+        self.assertEqual(self.client().hand_in("m1", "once", left=1.0)[0], 202)
+        self.notice("m1")
+        self.assertLess(time.monotonic() - begun, 1.3)
+        self.assertEqual(len(heard), 2)
+
+
 class Together(NodeCase):
     """A partner of a kind that takes four messages a call; those of one class are worth more and have less time."""
 
