Spare what a restart found untried when a limit or the room runs short, until its first call

Cause: the module answered at once what a destination's limit lets through in more than ten seconds (Sender.shed), and shed by worth near the bound of messages held; after a restart both struck messages of the life before that had had no call: with a limit that fell meanwhile eight of twelve. Relay._resume did not tell the module which these are. They go in order of worth, as before. Traces keep the mark (record 33), older ones are read as before.

--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -136,10 +136,9 @@
 class Held:
     def __init__(self, event: api.Message, dest: Dest, seq: int) -> None:
         self.id, self.cls, self.key, self.expires = event.id, event.cls, event.key, event.expires
-        self.dest, self.seq = dest, seq
-        self.aim_at = self.rest_from = 0.0
-        self.attempts, self.maybe_at = event.attempts, event.maybe_at
-        self.restarts = self.version = 0
+        self.dest, self.seq, self.attempts, self.maybe_at = dest, seq, event.attempts, event.maybe_at
+        self.aim_at = self.rest_from = self.restarts = self.version = 0
+        self.owed = event.inherited and not event.attempts  # its first call, as a restart found it untried
         self.over = self.queued = self.dead = self.late = False
         self.out = self.zone = self.last = None  # the try under way, the zone to stay in, the last endpoint
 
@@ -597,8 +596,8 @@
                 self.enqueue(msg)  # late by now: behind what is in aim, as that would be late next
         return None
 
-    def rows(self, dest: Dest) -> list[tuple]:  # that are waiting, the first to go first
-        return sorted(r for r in dest.queue if r[3] == r[4].version)
+    def rows(self, dest: Dest, behind: int = 0) -> list[tuple]:  # to shed: not the first so many, nor what is owed
+        return [r for r in sorted(r for r in dest.queue if r[3] == r[4].version)[behind:] if not r[4].owed]
 
     def shed(self) -> None:
         """Held near the limit: refuse the least worth of the longest queue, so that better work gets in."""
@@ -608,13 +607,13 @@
             if dest.waiting < 2 or not dest.lanes:
                 continue
             room = sum(max(1.0, lane.share.takes(QUEUE_MS)) * lane.per_call for lane in dest.lanes)
-            for row in self.rows(dest)[int(room):] if dest.waiting > room else ():
+            for row in self.rows(dest, int(room)) if dest.waiting > room else ():
                 self.give_up(row[4])
         while len(self.held) > least:
             dest = max(self.dests.values(), key=lambda d: d.waiting * (1000 + self.closed_for(d)))
-            if not dest.waiting:
-                return
             rows = self.rows(dest)
+            if not rows:
+                return
             for row in rows[-max(1, len(rows) // 4):]:
                 self.give_up(row[4])
 
@@ -837,6 +836,7 @@
                 msg.zone = call.endpoint.zone
         if result in RESTING:
             msg.rest_from = self.now
+        msg.owed &= result in (Result.CONNECT_FAILED, Result.MOOT)
         self.leave(call.endpoint)
         if msg.dead:
             if msg.key:
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -569,7 +569,7 @@
             self._backstop(held)
             expires = self._last_call(held, now)
             maybe = (now + min(entry.maybe) - unix) / 1000 if entry.maybe else 0.0
-            self.put(api.Message(held.number, entry.dest, held.cls, held.tenant, expires / 1000,
+            self.put(api.Message(held.number, entry.dest, held.cls, held.tenant, expires / 1000, inherited=True,
                                  attempts=entry.tries, maybe_at=maybe))
         if again:
             self.counters.add("taken", "replayed", len(again))
--- a/lynxscale/trace/recorder.py
+++ b/lynxscale/trace/recorder.py
@@ -342,7 +342,8 @@
             return r.IN_OUTCOME, [self._msg(event.id), event.attempt, self._endpoint(event.endpoint), int(event.result),
                                   event.spent, event.finished, event.wait, event.report]
         if kind is api.Message:
-            return r.IN_MESSAGE, [self._msg(event.id), event.expires, event.attempts, event.maybe_at]
+            return r.IN_MESSAGE, [self._msg(event.id), event.expires, event.attempts, event.maybe_at,
+                                  event.inherited]
         if kind is api.TimerDue:
             return r.IN_TIMER, [event.mark]
         if kind is api.Withdrawn:
--- a/lynxscale/trace/records.py
+++ b/lynxscale/trace/records.py
@@ -81,7 +81,7 @@
     _type(21, "notice", "tries", "msg:M status:r again:u"),
     _type(22, "notice_heard", "tries", "msg:M"),
     _type(32, "step", "decisions", "events:u actions:u failed:b"),
-    _type(33, "in_message", "decisions", "msg:M expires:a attempts:u maybe:x"),
+    _type(33, "in_message", "decisions", "msg:M expires:a attempts:u maybe:x inherited:b"),
     _type(34, "in_outcome", "decisions", "msg:M attempt:u endpoint:e result:u spent:x finished:b wait:x report:F"),
     _type(35, "in_timer", "decisions", "mark:u"),
     _type(36, "in_withdrawn", "decisions", "msg:M"),
--- a/lynxscale/trace/replay.py
+++ b/lynxscale/trace/replay.py
@@ -48,7 +48,9 @@
         return api.Outcome(msg.number, attempt, endpoint[0], api.Result(result), spent, finished, wait, report)
     if number == r.IN_MESSAGE:
         msg, expires, attempts, maybe = values[:4]
-        return api.Message(msg.number, msg.dest, msg.cls[0], msg.tenant[0], expires, attempts=attempts, maybe_at=maybe)
+        inherited = len(values) > 4 and bool(values[4])  # not told by older ones
+        return api.Message(msg.number, msg.dest, msg.cls[0], msg.tenant[0], expires, inherited=inherited,
+                           attempts=attempts, maybe_at=maybe)
     if number == r.IN_TIMER:
         return api.TimerDue(values[0])
     if number == r.IN_WITHDRAWN:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -13,7 +13,7 @@
 
 from gannetshift import interface as api
 from lab.standins import PATIENCE, Discovery, message, read_http, reply, row, settings, until
-from tests.driver import Driver
+from tests.driver import KEYED, SAFE, UNSAFE, Driver, member
 from tests.node import NodeCase
 
 
@@ -278,6 +278,24 @@
         self.assertLess(time.monotonic() - begun, 1.3)
         self.assertEqual(len(heard), 2)
 
+    def test_what_a_restart_finds_untried_is_still_tried(self):
+        """The limit has fallen meanwhile: more waits than it lets through in ten seconds."""
+        self.act = lambda _call: reply(503, b"", "Retry-After: 3.000")
+        self.start()
+        self.assertEqual(self.client().hand_in("m0")[0], 202)
+        until(lambda: self.calls("m0"), "the wait")
+        names = [f"m{number}" for number in range(1, 13)]
+        for name in names:
+            self.assertEqual(self.client().hand_in(name)[0], 202)
+        self.kill()
+        self.assertEqual([name for name in names if self.calls(name) or name in self.discovery.notices], [])
+        self.act = lambda _call: reply(200)
+        self.discovery.rows = [row("s-1", self.peer.at, 1) | {"weight": 1.0}]
+        self.start()
+        until(lambda: self.counters().get("ends", {}).get("delivered", 0) >= 2, "two of them")
+        self.assertEqual(self.counters()["taken"]["replayed"], 13)
+        self.assertEqual([name for name in names if name in self.discovery.notices], [])
+
 
 class Together(NodeCase):
     """A partner of a kind that takes four messages a call; those of one class are worth more and have less time."""
@@ -316,3 +334,37 @@
             while len([1 for _, action in d.log if isinstance(action, api.Subscribe)]) == before:
                 d.pass_time(200.0)
                 assert d.now - begun <= 4 * 5000.0, f"seed {seed}: no call {d.now - begun} ms after a failure"
+
+
+def test_only_what_was_taken_over_untried_is_spared_at_the_limit():
+    for cls in (SAFE, KEYED, UNSAFE):
+        d = Driver(members=[member(11, weight=1.0)], weights="nominal")
+        d.give(*(api.Message(100 + k, 1, cls, 0, d.now + 16_000.0, inherited=True) for k in range(12)),
+               *(api.Message(200 + k, 1, cls, 0, d.now + 16_000.0) for k in range(12)))
+        assert not [number for number in d.finals if number < 200]
+        assert len(d.finals) >= 12 - 5  # as the limit's part lets five through in ten seconds
+
+
+def test_more_taken_over_than_may_be_held_is_still_tried():
+    """The bound has fallen over the restart: what waits for its first call stays, what came after it goes."""
+    d = Driver(members=[member(11, dest=1), member(12, dest=2)], most_held=20)
+    d.give(*(api.Message(100 + k, 1 + k % 2, SAFE, 0, d.now + 8000.0, inherited=True) for k in range(40)))
+    d.give(*(api.Message(200 + k, 1, SAFE, 0, d.now + 8000.0) for k in range(4)))
+    assert not [number for number in d.finals if number < 200]
+    called = set()
+    while out := sorted(number for number, _attempt in d.out):
+        called.update(out)
+        d.pass_time(50.0)
+        for number in out:
+            if d.is_out(number):
+                d.finish(number)
+    assert called >= set(range(100, 140))
+
+
+def test_a_first_call_that_never_came_there_is_still_owed():
+    """A connection that failed is no call; one that was answered is, and then it is held like any other."""
+    for result, owed in ((api.Result.CONNECT_FAILED, True), (api.Result.MOOT, True), (api.Result.ERROR, False)):
+        d = Driver(members=[member(11, weight=1.0)], weights="nominal")
+        d.give(api.Message(100, 1, SAFE, 0, d.now + 8000.0, inherited=True))
+        d.finish(100, result)
+        assert d.sender.held[100].owed is owed
