Hear out what is unread as a try is cut, and answer a client that ends its sending or is driven out

One with unread bytes is put off by 20 ms, once, as client connections are (link.CROSSED_MS). - A client that ended its sending behind its request (half-close) got no answer: without IHalfCloseableProtocol the end of its bytes is the end of the connection, before the turn in which its message is taken on. It hears its answer, then both sides close; what else it had sent is not served. - A connection that went for the bytes of half a request (Clients.holds) took the answer along that it was owed for the request before, taken on in the same turn. The answer goes, and says that it is the last. Tests without the mends: "{'undeliverable': 1} != {'delivered': 1}", "unexpectedly None" twice.

--- a/lynxscale/net/clients.py
+++ b/lynxscale/net/clients.py
@@ -10,9 +10,11 @@
 
 import orjson
 import structlog
+from twisted.internet import interfaces
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from lynxscale import http
 from lynxscale.deadlines import Deadline, Deadlines
@@ -30,7 +32,6 @@
 FIRST_MS = 2000  # from connecting to the first request's last byte
 IDLE_MS = 15_000  # a connection at rest after its answers is kept for so long, as a new one costs time
 READ_MS = 2000  # from a later request's first byte to its last
-CROSSED_MS = 20  # for what has come in the instant of a time-out to be read; a turn or two of the loop
 LINGER_MS = 500  # after our last byte, for the client to read it and close
 PAST_MOST = 256 * 1024  # read past after our last byte; then the client is left to wait for the close
 FRESH_MS = 200  # at the stop a connection this young may still bring its request
@@ -89,6 +90,7 @@
     )
 
 
+@implementer(interfaces.IHalfCloseableProtocol)
 class ClientConnection(Protocol):
     """One client: its requests are answered one after the other, in their order."""
 
@@ -100,7 +102,7 @@
         self._request: http.Request | None = None
         self._deadline: Deadline | None = None
         self._reason: str | None = None
-        self._closing = False
+        self._closing = self._leaving = self._ended = False  # leaving: the answer that is owed is the last one
         self._paused = False
         self._past = 0  # bytes read past since our last
         self._faults = 0  # requests in a row that were no message
@@ -132,7 +134,7 @@
         if self._request is not None or not looked and link.unread(self.transport):
             # Guards against a request that comes, or has just come whole, in this very instant: what the loop has still
             # to read or to answer goes first, once.
-            self._deadline = self._desk.deadlines.after(CROSSED_MS * 1000, self._late, reason, True)
+            self._deadline = self._desk.deadlines.after(link.CROSSED_MS * 1000, self._late, reason, True)
             return
         # Guards against heads that never end and against silence, which would hold a descriptor for nothing.
         if reason == SLOW or (reason == SILENT and not self._parser.idle):
@@ -141,7 +143,7 @@
             self.abandon(reason)
 
     def dataReceived(self, data: bytes) -> None:
-        if self._closing:
+        if self._closing or self._leaving:
             # Read past, so that the answer is not lost to a reset. Guards against one that sends without end.
             self._past += len(data)
             if self._past > PAST_MOST:
@@ -201,12 +203,12 @@
             return  # the client has gone meanwhile
         self.served += 1
         parting = not self._desk.lifecycle.serving
-        close = request.close or parting
+        close = request.close or parting or self._leaving
         self.transport.write(http.answer(
             status, body=body, kind=kind, close=close, retry_after_ms=retry_after_ms,
         ))
         if close:
-            self._finish(link.STOPPING if parting else SERVED)
+            self._finish(self._reason or (link.STOPPING if parting else SERVED))
         elif self.idle:
             self._set_deadline(IDLE_MS, link.IDLE)
             self._desk.rests(self)
@@ -238,12 +240,31 @@
     def abandon(self, reason: str) -> None:
         self._reason = self._reason or reason
         self._parser.forget()  # now: by the hundred in one turn, what they keep would add up until its end
-        if self._closing:
+        if self._request is not None and not self._closing:
+            self._last_answer()
+        elif self._closing:
             self.transport.abortConnection()  # guards against a client that never reads its last answer
         else:
             self._closing = True
             self.transport.loseConnection()
 
+    def _last_answer(self) -> None:
+        """Guards against a request that has come whole and would get no answer: that goes yet, in this turn."""
+        self._leaving = True
+        self._waiting.clear()
+
+    def readConnectionLost(self) -> None:
+        """The client sends no more, and has perhaps gone. It may still hear what it has asked for."""
+        self._reason, self._ended = self._reason or link.FAR_CLOSED, True
+        if self._request is not None:
+            self._last_answer()
+        else:
+            self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:
+        if self._ended:
+            self.transport.loseConnection()
+
     def connectionLost(self, reason: Failure) -> None:
         self._desk.deadlines.cancel(self._deadline)
         self._closing = True
--- a/lynxscale/net/link.py
+++ b/lynxscale/net/link.py
@@ -27,6 +27,7 @@
 
 
 REST_MS = 500  # from an answer's first byte to its last
+CROSSED_MS = 20  # for what has come in the instant of a time-out to be read; a turn or two of the loop
 
 
 class Broken(Exception):
--- a/lynxscale/net/peers.py
+++ b/lynxscale/net/peers.py
@@ -133,7 +133,7 @@
     def cancel(self, number: int, attempt: int) -> None:
         if (work := self._by_key.get((number, attempt))) is not None:
             # Guards against a second copy: the connection is closed before another try can be written.
-            self._give_up(work, Result.CANCELLED, link.CANCELLED)
+            self._late(work.place, Result.CANCELLED, link.CANCELLED)
 
     def close_idle(self, endpoint: int, reason: str = link.CROWDED) -> None:
         for idle in self._idle.pop(endpoint, []):
@@ -262,9 +262,17 @@
             headers.append(("Idempotency-Key", entry.key))
         return http.request("POST", "/events", host, tuple(headers), entry.body)
 
-    def _late(self, place: int) -> None:
-        if (work := self._tries.get(place)) is not None:
-            self._give_up(work, Result.TIMEOUT, link.TIMED_OUT)
+    def _late(self, place: int, result: Result = Result.TIMEOUT, reason: str = link.TIMED_OUT,
+              looked: bool = False) -> None:
+        if (work := self._tries.get(place)) is None:
+            return
+        used = work.call.link
+        if used is not None and not looked and link.unread(used.transport):
+            # Guards against an answer that came by this very instant: the loop reads it first, once.
+            self._deadlines.cancel(work.deadline)
+            work.deadline = self._deadlines.after(link.CROSSED_MS * 1000, self._late, place, result, reason, True)
+            return
+        self._give_up(work, result, reason)
 
     def _give_up(self, work: Try, result: Result, reason: str) -> None:
         call = work.call
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -88,6 +88,36 @@
         hearer.join(PATIENCE)
         self.assertLess(ended[0] - begun, 2.9)
 
+    def test_a_client_that_ends_its_sending_behind_its_request_hears_the_answer(self):
+        self.start()
+        client = self.client()
+        client.socket.sendall(message("m1"))
+        client.socket.shutdown(socket.SHUT_WR)
+        answer = read_http(client.stream)
+        self.assertIsNotNone(answer)
+        self.assertIn(" 202 ", answer[0])
+        self.assertEqual(client.stream.read(), b"")
+        self.delivered(1)
+        until(lambda: self.counters()["connections"]["client_opened"] >= 2, "it is asked")
+        self.assertIn("kind=client reason=far_closed calls=1", self.log.read_text())
+
+    def test_what_many_bytes_drive_out_gets_the_answer_that_it_is_owed(self):
+        """The rest of a message, and behind it so much of the next that the connection goes for its bytes."""
+        self.limits["memory_mb"] = 2  # 105 kB for requests that are half sent
+        self.start()
+        first, *others = [self.client() for _ in range(3)]
+        data = message("m1", body=bytes(20_000))
+        first.socket.sendall(data[:-1])  # the first to be half sent, and so the first to go
+        for other in others:
+            other.socket.sendall(message("m", body=bytes(30_000))[:-1])
+        self.counters()  # asked after them
+        with Frozen(self.process):
+            first.socket.sendall(data[-1:] + message("m2", body=bytes(60_000))[:-1])  # read at once, then
+        answer = read_http(first.stream)
+        self.assertIsNotNone(answer)
+        self.assertIn(" 202 ", answer[0])
+        self.assertEqual(answer[1].get("connection"), "close")
+
     def test_the_exit_waits_for_half_a_request(self):
         """It holds nothing and listens no more, and one client has sent half of its message."""
         self.start()
@@ -257,6 +287,51 @@
         self.assertLess(asked[-1] - asked[-3], 2.0)
 
 
+class Ends(NodeCase):
+    def test_an_answer_that_came_by_the_instant_of_its_time_out_counts(self):
+        """The relay is held up over the end of the message's time by its own reckoning, 1.1 s of the 1.5 s."""
+        asked, answered = threading.Event(), threading.Event()
+
+        def act(_call):
+            asked.set()
+            answered.wait(PATIENCE)
+            return reply(200)
+
+        self.act = act
+        self.start()
+        begun = time.monotonic()
+        self.assertEqual(self.client().hand_in("m1", "once", left=1.5)[0], 202)
+        self.assertTrue(asked.wait(PATIENCE))
+        sleep_until(begun + 0.8)
+        with Frozen(self.process):
+            answered.set()
+            sleep_until(begun + 1.35)
+        until(lambda: self.counters().get("ends"), "its end")
+        self.assertEqual(self.counters()["ends"], {"delivered": 1})
+        self.assertEqual(self.discovery.notices, {})
+
+    def test_nothing_is_written_that_the_end_of_the_process_would_cut(self):
+        """The connection comes up behind the last try and before the exit: at 7 s, by the system's own repeats."""
+        late = LateConnection()
+        self.addCleanup(late.close)
+        self.allowed["dial_timeout_ms"] = 10_000.0
+        self.discovery.rows = [row("s-late", late.at, 1)]
+        self.start()
+        begun = time.monotonic()
+        self.assertEqual(self.client().hand_in("m1", "once")[0], 202)
+        until(lambda: self.counters()["connections"].get("peer_opened"), "the connection is ordered")
+        sleep_until(begun + 3.8)
+        self.process.send_signal(signal.SIGTERM)
+        sleep_until(begun + 6.5)
+        late.open()
+        self.assertEqual(self.process.wait(PATIENCE), 0)
+        self.assertRegex(self.log.read_text(), "group=tries.* moot=1", "the connection did not come up in time to tell")
+        self.assertEqual(late.calls, [])
+        self.start()
+        until(lambda: late.calls, "its call")
+        self.delivered(1)
+
+
 class Owed(NodeCase):
     def test_a_notice_that_a_dead_connection_swallowed_goes_again_in_time(self):
         """The end of a message falls due a little before its time is up, and must be heard by 0.3 s after it."""
