Hold repeats and what a restart finds to plain models over random spans, limits and kills; make soak-rare

Classes, spans, limits and rooms are drawn, none is a deployment's. A repeat goes where the model of what may have run allows it, over any number of kills; what a restart finds untried is given up untried only when its time is up, whatever the limits and the newcomers.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON := .venv/bin/python
 
 .PHONY: build test lint run bench-trace soak-trace bench-list soak-list bench-journal soak-journal soak-upgrade bench-operation \
-	bench-cluster soak-cluster sim-cluster check-cluster
+	bench-cluster soak-cluster sim-cluster check-cluster soak-rare
 
 build: .venv/ready
 
@@ -16,6 +16,7 @@
 
 lint: build
 	.venv/bin/ruff check .
+	$(PYTHON) .ci/deployment_names.py
 
 run: build
 	exec $(PYTHON) -m lynxscale
@@ -64,3 +65,11 @@
 soak-cluster: build
 	$(PYTHON) -m lynxscale lab cluster --nodes 5 --minutes 60 --at-once 3 --seed $${SEED:-$$(date +%j)}
 	$(PYTHON) -m lynxscale lab cluster --nodes 16 --minutes 60 --at-once 2 --rate 2 --seed $${SEED:-$$(date +%j)}
+
+# The close-range tests again and again, each time with another seed, for an hour unless MINUTES tells otherwise. The
+# first that fails ends it; its seed is printed.
+soak-rare: build
+	seed=$${SEED:-1}; end=$$(($$(date +%s) + 60 * $${MINUTES:-60})); while [ $$(date +%s) -lt $$end ]; do \
+		echo "seed $$seed"; RARE_SEED=$$seed $(PYTHON) -m pytest -q -p no:cacheprovider -n 4 --hypothesis-seed=$$seed \
+		tests/test_moments.py tests/test_rare_rules.py tests/test_core.py tests/test_room.py || exit 1; \
+		seed=$$((seed + 1)); done
--- a/tests/node.py
+++ b/tests/node.py
@@ -38,7 +38,8 @@
 
     def configure(self, **more) -> Path:
         """Write the configuration file, with these keys besides."""
-        table = {"name": "n1", "seed": "8c1f", "limits": self.limits, "settings": settings(**self.allowed),
+        seed = f"{int(os.environ.get('RARE_SEED', 0x8c1f)):04x}"
+        table = {"name": "n1", "seed": seed, "limits": self.limits, "settings": settings(**self.allowed),
                  "known": {"generation": 1, "reset": True, "instances": self.discovery.rows}}
         path = Path(self.folder.name, "config.json")
         path.write_text(json.dumps(table | more))
--- /dev/null
+++ b/tests/test_rare_rules.py
@@ -0,0 +1,161 @@
+"""What a restart finds, and what may be repeated: over random settings, spans, histories and kills.
+
+Classes are drawn, not taken from a deployment.
+"""
+
+import os
+from unittest.mock import patch
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from gannetshift import interface as api
+from gannetshift.interface import Effect, Result
+from gannetshift.reader import settings_from
+from lab.disk import Disk
+from lab.standins import settings as table
+from lynxscale import deadlines
+from lynxscale.counters import Counters
+from lynxscale.deadlines import Deadlines, Loop
+from lynxscale.journal import Journal
+from lynxscale.relay import SPAN_SHARE, Envelope, Relay
+from tests.driver import Driver, member
+from tests.test_core import Ports, Turns
+
+SOAK = bool(os.environ.get("RARE_SEED"))  # then the draws are other ones each time
+
+
+def drawn(examples: int):
+    return settings(deadline=None, max_examples=examples * (10 if SOAK else 1), derandomize=not SOAK)
+
+
+EFFECTS = {"idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.KEYED, "at_most_once": Effect.UNSAFE}
+ALL_MS = 1_000_000.0  # the message's time: it does not end by itself here
+
+
+class Clock:
+    """Wall and monotonic alike, cranked by hand."""
+
+    def __init__(self) -> None:
+        self.now = 1_000_000_000  # µs
+
+    def ns(self) -> int:
+        return self.now * 1000
+
+
+class Lives:
+    """One message in one relay whose module does nothing; it is killed and started anew at will."""
+
+    def __init__(self, clock: Clock, effect: str, span_ms: float) -> None:
+        self.clock, self.disk = clock, Disk()
+        self.table = table()
+        self.table["grades"] = [{"name": "drawn", "effect": effect, "goal_time_ms": 1.0, "deadline_ms": ALL_MS,
+                                 "value": 1.0, "late_worth": 0.4, "memory_span_ms": span_ms, "group": "all"}]
+        self.relay: Relay | None = None
+        self.start()
+        self.relay.offer(Envelope("m1", 0, 0, "k", 1, int(ALL_MS * 1000), b"body"), lambda *_: None)
+        self.turns.run()
+
+    def start(self) -> None:
+        self.disk, self.turns = Disk(self.disk.image()), Turns()
+        loop = Loop(self.turns.call_later)
+        journal = Journal(self.disk, 13 * 4 * 4096, lambda: self.clock.now)
+        self.relay = Relay(settings_from(self.table), 1, loop, Deadlines(loop, self.turns.call_later), journal,
+                           Counters())
+        loop.at_end = self.relay.turn
+        self.relay.tries = self.relay.group = self.relay.notices = Ports()
+        self.relay.sender.step = lambda _now, _events: []
+        self.relay.replay(journal.open())
+        self.turns.run()
+
+    def number(self) -> int:
+        return self.relay.by_id["m1"]
+
+
+steps = st.lists(st.one_of(
+    st.tuples(st.just("pass"), st.integers(1, 3000)),
+    st.tuples(st.just("try"), st.sampled_from([Result.FULL, Result.ERROR, Result.TIMEOUT, Result.RESET,
+                                               Result.CONNECT_FAILED, Result.MOOT, Result.CANCELLED])),
+    st.tuples(st.just("killed in a try"), st.none()),
+    st.tuples(st.just("killed"), st.none()),
+), min_size=4, max_size=14)
+
+
+TWICE = [("try", Result.ERROR), ("pass", 1000), ("try", Result.ERROR), ("pass", 1000), ("try", Result.ERROR)]
+KILLED = [("killed in a try", None), ("pass", 1000), ("killed", None), ("pass", 1000), ("try", Result.ERROR)]
+
+
+@example(effect="deduplicated", span_ms=2000, steps=TWICE)
+@example(effect="deduplicated", span_ms=2000, steps=KILLED)
+@example(effect="at_most_once", span_ms=2000, steps=KILLED)
+@drawn(300)
+@given(effect=st.sampled_from(sorted(EFFECTS)), span_ms=st.integers(0, 8000), steps=steps)
+def test_a_repeat_goes_only_where_what_may_have_run_allows_it(effect, span_ms, steps):
+    """A plain model: when each try that may have run was written, whatever lives lie between."""
+    clock = Clock()
+    with patch.object(deadlines.time, "monotonic_ns", clock.ns), patch("lynxscale.relay.time.time_ns", clock.ns):
+        life, ran, attempt = Lives(clock, effect, float(span_ms)), [], 0
+        for what, value in steps:
+            if what == "pass":
+                clock.now += value * 1000
+                continue
+            if what == "killed":
+                life.start()
+                continue
+            life.turns.run()  # the clock is read once a turn
+            first = min(ran, default=None)
+            may = (first is None or EFFECTS[effect] == Effect.IDEMPOTENT
+                   or (EFFECTS[effect] == Effect.KEYED and clock.now - first < SPAN_SHARE * 1000 * span_ms))
+            assert life.relay.going(life.number()) == may, (what, ran)
+            if not may:
+                continue
+            if what == "killed in a try":
+                life.start()
+            else:
+                life.relay.outcome(life.number(), attempt, 7, value, 0, True)
+                attempt += 1
+                life.turns.run()
+            if value not in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT):
+                ran.append(clock.now)
+
+
+@st.composite
+def restarts(draw):
+    classes = []
+    for place in range(draw(st.integers(1, 4))):
+        deadline = draw(st.floats(1000, 30_000))
+        classes.append(api.MessageClass(
+            f"c{place}", draw(st.floats(100, 5000)), deadline, draw(st.floats(0.1, 5)), draw(st.floats(0, 1)),
+            draw(st.sampled_from(list(Effect))), memory_span_ms=draw(st.floats(100, 2 * deadline))))
+    dests = draw(st.integers(1, 4))
+    members = [member(10 + k, 1 + k % dests, weight=draw(st.floats(0.2, 30))) for k in range(draw(st.integers(1, 8)))]
+    messages = draw(st.lists(st.tuples(st.integers(0, len(classes) - 1), st.integers(1, dests), st.floats(0.3, 1.0)),
+                             min_size=1, max_size=60))
+    return classes, members, messages, draw(st.integers(1, 40)), draw(st.integers(2, 80)), draw(st.sampled_from(
+        ["nominal", "rough"])), draw(st.booleans()), draw(st.integers(1, 6)), draw(st.integers(0, 40))
+
+
+@drawn(60)
+@given(case=restarts(), seed=st.integers(0, 1000))
+def test_what_a_restart_finds_untried_is_given_up_untried_only_when_its_time_is_up(case, seed):
+    """Whatever the limits, the room and the newcomers, while partners answer."""
+    classes, members, messages, slots, most_held, weights, halves, senders, newcomers = case
+    d = Driver(members=members, seed=seed, classes=classes, slots=slots, most_held=most_held, weights=weights,
+               late_halves=halves, senders=senders)
+    expires = {100 + k: d.now + left * classes[cls].deadline_ms for k, (cls, _dest, left) in enumerate(messages)}
+    d.give(*(api.Message(100 + k, dest, cls, 0, expires[100 + k], inherited=True)
+             for k, (cls, dest, _left) in enumerate(messages)))
+    d.give(*(api.Message(1000 + k, 1, 0, 0, d.now + classes[0].deadline_ms) for k in range(newcomers)))
+    tried, latency = set(), 40.0
+    while any(number not in d.finals for number in expires):
+        out = {number for number, _attempt in d.out}
+        tried |= out
+        for number in expires:
+            if number in d.finals and number not in tried:
+                assert expires[number] - d.now <= 4 * latency + 200.0, number
+        d.pass_time(latency)
+        for number in out:
+            if d.is_out(number):
+                d.finish(number)
+        if d.now > 100_000.0:
+            raise AssertionError("no end")
