--- a/lynxscale/cli/journal.py
+++ b/lynxscale/cli/journal.py
@@ -90,7 +90,7 @@
         ctx.exit(FAILED)
 
 
-@example("lynxscale journal show --class pago-premio state")
+@example("lynxscale journal show --class payout state")
 @group.command()
 @click.argument("state", type=click.Path(file_okay=False))
 @click.option("--class", "cls", help="Only messages of this class.")
--- a/lynxscale/cli/trace/show.py
+++ b/lynxscale/cli/trace/show.py
@@ -94,7 +94,7 @@
         }
 
 
-@example("lynxscale trace dump --class pago-premio --from 2026-05-02T14:00:00 relay-a.lxt")
+@example("lynxscale trace dump --class payout --from 2026-05-02T14:00:00 relay-a.lxt")
 @group.command()
 @files
 @selection
--- /dev/null
+++ b/tests/test_checks.py
@@ -0,0 +1,73 @@
+"""The checks of the checkout itself: tests that are known to fail, and names of deployments in the program."""
+
+import importlib.util
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+TESTS = "def test_red():\n    raise ValueError\n\ndef test_green():\n    pass\n"
+
+
+def load(name: str):
+    spec = importlib.util.spec_from_file_location(name, ROOT / ".ci" / f"{name}.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+def known_red(folder: Path, text: str | None):
+    (folder / "test_it.py").write_text(TESTS)
+    if text is not None:
+        (folder / "KNOWN-RED.txt").write_text(text)
+    return subprocess.run([sys.executable, ROOT / ".ci" / "known_red.py"], cwd=folder, capture_output=True, text=True)
+
+
+def test_what_is_known_to_fail_is_printed_and_passed_over(tmp_path):
+    done = known_red(tmp_path, "test_it.py::test_red | it raises | issue 31\n\n")
+    assert (done.returncode, done.stdout) == (0, "--deselect test_it.py::test_red\n")
+    assert "known to fail: test_it.py::test_red: it raises (issue 31)" in done.stderr
+
+
+def test_without_a_list_nothing_is_passed_over(tmp_path):
+    done = known_red(tmp_path, None)
+    assert (done.returncode, done.stdout, done.stderr) == (0, "", "")
+
+
+@pytest.mark.parametrize(("text", "told"), [
+    ("test_it.py::test_green | it raises | 31", "test_it.py::test_green: does not fail"),
+    ("test_it.py::test_none | it raises | 31", "test_it.py::test_none: there is no such test"),
+    ("test_none.py::test_red | it raises | 31", "test_none.py::test_red: there is no such test"),
+    ("test_it.py::test_red | it raises", "line 1: want test | cause | issue"),
+    ("\ntest_it.py | it raises | 31", "line 2: want test | cause | issue"),
+    ("test_it.py::test_red | it raises | 31\n" * 4, "4 lines, want 3 at most"),
+])
+def test_a_list_that_cannot_stand(tmp_path, text, told):
+    done = known_red(tmp_path, text)
+    assert (done.returncode, done.stdout) == (1, "")
+    assert told in done.stderr
+
+
+def test_names_of_deployments_in_the_program_are_found(tmp_path):
+    names = load("deployment_names")
+    for room in ("gannetshift", "lynxscale"):
+        (tmp_path / room).mkdir()
+    (tmp_path / ".ci").mkdir()
+    (tmp_path / ".ci" / "deployment-names.txt").write_text("# names\nclub-one  # a tenant\n")
+    (tmp_path / "deploy" / "sites").mkdir(parents=True)
+    site = (ROOT / "deploy" / "sites" / "asked-strict.toml").read_text()
+    (tmp_path / "deploy" / "sites" / "own.toml").write_text(site)
+    clean = '"""What a booking is."""\nBOOKINGS = "booking s"  # a club-one-a\n'
+    (tmp_path / "lynxscale" / "a.py").write_text(clean)
+    assert list(names.found(tmp_path)) == []
+    (tmp_path / "gannetshift" / "b.py").write_text('X = 1\nif x == "booking":  # as club-one has it\n    pass\n')
+    assert list(names.found(tmp_path)) == ["gannetshift/b.py:2: club-one", "gannetshift/b.py:2: booking"]
+    assert names.main(tmp_path) == 1
+
+
+def test_no_name_of_a_deployment_stands_in_the_program():
+    names = load("deployment_names")
+    assert {"booking", "asked-strict"} <= names.of_sites(ROOT)
+    assert list(names.found(ROOT)) == []
