Take lists that come in pieces, however long all of them take within the call's time

Cause: Link gave an answer 0.5 s from its first byte to its last (REST_MS), for lists, too. One that comes slowly, as a long one or through a slow agent, was given up and asked for anew for ever; the list in force stayed the old one. The guard is against an answer that never ends, and calls for lists have a time of their own (Caller). Change: where the caller bounds the whole, the 0.5 s run from piece to piece. Test: five pieces 0.2 s apart; without it "not seen in time: the list" after 20 s, asked for and pushed alike.

--- a/lynxscale/net/link.py
+++ b/lynxscale/net/link.py
@@ -26,7 +26,7 @@
 )
 
 
-REST_MS = 500  # from an answer's first byte to its last
+REST_MS = 500  # from an answer's first byte to its last, or, where the caller bounds the whole, between two pieces
 CROSSED_MS = 20  # for what has come in the instant of a time-out to be read; a turn or two of the loop
 
 
@@ -58,9 +58,9 @@
     """A connection to one address. As a pull producer it learns when its last byte has left."""
 
     def __init__(self, kind: str, deadlines: Deadlines, on_lost: Callable[[Link], None] | None = None,
-                 most: int = BODY_MOST) -> None:
+                 most: int = BODY_MOST, in_pieces: bool = False) -> None:
         self.kind, self.on_lost, self._deadlines = kind, on_lost, deadlines
-        self.up = False
+        self.up, self._in_pieces = False, in_pieces
         self.calls = 0
         self.since = 0  # idle since then, on the loop's clock
         self.place = -1  # among the connections of its owner
@@ -121,8 +121,9 @@
                 self._fire(answers[0])
         elif parser.fault is not None:
             self._spoil()
-        elif self._rest is None:
+        elif self._rest is None or self._in_pieces:
             # Guards against an answer that never ends: its call would keep a slot until its time is up.
+            self._deadlines.cancel(self._rest)
             self._rest = self._deadlines.after(REST_MS * 1000, self._spoil)
 
     @property
@@ -240,7 +241,7 @@
             self._link.drop(reason)
 
     def _make(self) -> Link:
-        return Link(self._kind, self._deadlines, most=LIST_MOST)
+        return Link(self._kind, self._deadlines, most=LIST_MOST, in_pieces=True)
 
     def _connected(self, ready: Link, data: bytes, number: int) -> None:
         if number != self._round:
