Cause the orders that no test caused: ends in a start, moves to a silent discovery, clients gone in a burst

Rows of the review that were found right, and now have a test that makes the bad order: SIGTERM at fifteen instants of the start and SIGKILL a moment later, with six open messages that may not be repeated (all six are delivered by the next start, no notice); SIGHUP to an address that says nothing (the whole list is asked for until it comes, the watch goes on from it); twenty clients that send and leave while the loop is held up; a fault as one deadline falls due (the others are met).

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -198,6 +198,21 @@
         self.assertEqual(self.relay.counters.table()["ends"], {"undeliverable": 1})
 
 
+class Times(unittest.TestCase):
+    def test_a_fault_as_one_deadline_falls_due_stalls_no_other(self):
+        turns, met = Turns(), []
+        deadlines = Deadlines(Loop(turns.call_later), turns.call_later)
+        deadlines.after(0, met.append, 1)
+        deadlines.after(1, lambda: met.append(1 / 0))
+        deadlines.after(2, met.append, 2)
+        with self.assertRaises(ZeroDivisionError):  # as the loop sees it, which logs it and goes on
+            while len(met) < 2:
+                turns.run(within=1.0)
+        while len(met) < 2:
+            turns.run(within=1.0)
+        self.assertEqual((met, len(deadlines)), ([1, 2], 0))
+
+
 class Tables(unittest.TestCase):
     def test_an_old_number_finds_nothing(self):
         table = Slots()
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -118,6 +118,18 @@
         self.assertIn(" 202 ", answer[0])
         self.assertEqual(answer[1].get("connection"), "close")
 
+    def test_clients_that_leave_in_a_burst_as_their_messages_wait_for_admission(self):
+        """All is read in the turn in which they have gone already: each message has its end, no connection stays."""
+        self.start()
+        clients = [self.client() for _ in range(20)]
+        with Frozen(self.process):
+            for number, client in enumerate(clients):
+                client.socket.sendall(message(f"m{number}"))
+                client.close()
+        self.delivered(20)
+        until(lambda: self.log.read_text().count("kind=client reason=far_closed calls=1") >= 20, "they are let go")
+        self.assertEqual(self.client().hand_in("next")[0], 202)
+
     def test_the_exit_waits_for_half_a_request(self):
         """It holds nothing and listens no more, and one client has sent half of its message."""
         self.start()
@@ -312,6 +324,26 @@
         self.assertLessEqual(len(self.asked()), 2 + self.asks_in_1500_ms)
 
 
+    def test_discovery_moves_and_says_nothing_at_its_new_address(self):
+        """What it tells once it speaks is taken, whole, and the watch goes on from there."""
+        self.start()
+        until(self.asked, "the watch")
+        there = SilentDiscovery()
+        self.addCleanup(there.close)
+        there.rows, there.version, there.silent = [row("s-1", self.peer.at, 1, "draining")], 7, True
+        self.configure(discovery=there.at)
+        self.process.send_signal(signal.SIGHUP)
+        until(lambda: there.calls, "a call there")
+        until(lambda: self.counters()["group"].get("failed"), "its silence is noticed")
+        there.silent = False
+        until(lambda: "outcome=applied" in self.log.read_text(), "the list")
+        calls = until(lambda: [call for _, call in list(there.calls) if "after=7" in call[0]], "the watch there")
+        self.assertNotIn("after=", there.calls[0][1][0])
+        there.change(row("s-1", self.peer.at, 1))
+        until(lambda: self.log.read_text().count("outcome=applied") >= 2, "the change")
+        self.assertGreaterEqual(len(calls), 1)
+
+
 class PushedLists(Lists):
     mode, asks_in_1500_ms = "push", 6
 
@@ -375,6 +407,37 @@
         self.delivered(1)
 
 
+class Starts(NodeCase):
+    def configure(self, **more):
+        table = settings(**self.allowed)
+        for grade in table["grades"]:
+            grade["deadline_ms"] = 100_000.0
+        return super().configure(settings=table, **more)
+
+    def test_an_end_at_any_instant_of_the_start_keeps_what_is_held(self):
+        """Told at fifteen instants, before the handlers are there and until it serves, and killed a moment later, as it
+        takes over what is open; then a start finds it all.
+        """
+        self.act = lambda _call: reply(503, b"", "Retry-After: 3.000")
+        self.start()
+        names = [f"m{number}" for number in range(6)]
+        for name in names:
+            self.assertEqual(self.client().hand_in(name, "once", left=100.0)[0], 202)
+        self.kill()
+        for place in range(15):
+            self.process = self.spawn(self.configure())
+            time.sleep(0.04 * place)
+            self.process.send_signal(signal.SIGTERM)
+            time.sleep(0.1)
+            self.kill()
+            self.assertIn(self.process.returncode, (0, -signal.SIGTERM, -signal.SIGKILL))
+        self.act = lambda _call: reply(200)
+        self.start()
+        self.assertEqual(self.counters()["taken"]["replayed"], 6)
+        self.delivered(6)
+        self.assertEqual(self.discovery.notices, {})
+
+
 class Owed(NodeCase):
     def test_a_notice_that_a_dead_connection_swallowed_goes_again_in_time(self):
         """The end of a message falls due a little before its time is up, and must be heard by 0.3 s after it."""
