Name the stop's orders as the field does: stop accepting, stop sending; end a successor in its start by a test

deaf, mute and stop_deaf hid standard terms; the log's state is stop_finishing now. A successor that gets SIGTERM at five instants of its start, or once it waits to take the clients, changes nothing: found right, and now caused by a test.

--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -182,12 +182,12 @@
         for order in self.lifecycle.look(self.loop.now(), self.clients.open(), working):
             if order is Order.PART:
                 self.clients.part()
-            elif order is Order.DEAF:
+            elif order is Order.STOP_ACCEPTING:
                 self.clients.stop_accepting()
                 self.handover.let_go()
             elif order is Order.RELEASE:
                 self.handover.release()
-            elif order is Order.MUTE:
+            elif order is Order.STOP_SENDING:
                 self.relay.sending = False
             else:
                 reactor.stop()
--- a/lynxscale/lifecycle.py
+++ b/lynxscale/lifecycle.py
@@ -15,8 +15,8 @@
 
 # From the call or the signal on:
 PART_AT = 450_000  # connections that were dealt out before the first no came in so far
-DEAF_AT = 1_000_000  # for requests that crossed a close and are sent again
-MUTE_AT = 3_000_000  # tries still go out
+STOP_ACCEPTING_AT = 1_000_000  # for requests that crossed a close and are sent again
+STOP_SENDING_AT = 3_000_000  # tries still go out
 LEAVE_AT = 3_500_000  # the rest stays in the journal
 LOOK_EVERY = 50_000
 # The same where an heir takes the clients that come:
@@ -31,7 +31,7 @@
     HANDING = "handing"
     STOP_TELLING = "stop_telling"
     STOP_CLOSING = "stop_closing"
-    STOP_DEAF = "stop_deaf"
+    STOP_FINISHING = "stop_finishing"
     LEFT = "left"
 
 
@@ -39,14 +39,14 @@
     """What the daemon is to do."""
 
     PART = "part"  # close the client connections that have nothing to ask
-    DEAF = "deaf"  # listen no more
+    STOP_ACCEPTING = "stop_accepting"  # listen no more
     RELEASE = "release"  # let go of messages that wait: the heir has them
-    MUTE = "mute"  # start no more tries
+    STOP_SENDING = "stop_sending"  # start no more tries
     LEAVE = "leave"  # end the process
 
 
 DRAINING = (State.TELLING, State.CLOSING, State.DRAINED)
-STOPPING = (State.HANDING, State.STOP_TELLING, State.STOP_CLOSING, State.STOP_DEAF, State.LEFT)
+STOPPING = (State.HANDING, State.STOP_TELLING, State.STOP_CLOSING, State.STOP_FINISHING, State.LEFT)
 
 
 class Lifecycle:
@@ -55,7 +55,7 @@
     def __init__(self) -> None:
         self.state = State.SERVING
         self._since = 0  # when the way to the present state began: a drain or a stop
-        self._muted = self._deaf = False
+        self._sending_stopped = self._accepting_stopped = False
 
     @property
     def serving(self) -> bool:
@@ -112,31 +112,31 @@
             return []
         orders = []
         if self.state is State.HANDING:
-            if not self._deaf:
-                self._deaf = True
-                orders.append(Order.DEAF)
+            if not self._accepting_stopped:
+                self._accepting_stopped = True
+                orders.append(Order.STOP_ACCEPTING)
             if past >= HAND_PART_AT:
                 orders.append(Order.PART)
-            if past >= LEAVE_AT or not (working or clients or Order.DEAF in orders):
+            if past >= LEAVE_AT or not (working or clients or Order.STOP_ACCEPTING in orders):
                 self.state = State.LEFT
                 orders.append(Order.LEAVE)
-            elif Order.DEAF not in orders:
+            elif Order.STOP_ACCEPTING not in orders:
                 orders.append(Order.RELEASE)
             return orders
         if self.state is State.STOP_TELLING and past >= PART_AT:
             self.state = State.STOP_CLOSING
-        if self.state is State.STOP_CLOSING and past >= DEAF_AT:
-            self.state = State.STOP_DEAF
-            orders.append(Order.DEAF)
-        if self.state in (State.STOP_CLOSING, State.STOP_DEAF):
+        if self.state is State.STOP_CLOSING and past >= STOP_ACCEPTING_AT:
+            self.state = State.STOP_FINISHING
+            orders.append(Order.STOP_ACCEPTING)
+        if self.state in (State.STOP_CLOSING, State.STOP_FINISHING):
             orders.append(Order.PART)
-        if self.state is State.STOP_DEAF:
-            if past >= MUTE_AT and not self._muted:
-                self._muted = True
-                orders.append(Order.MUTE)
+        if self.state is State.STOP_FINISHING:
+            if past >= STOP_SENDING_AT and not self._sending_stopped:
+                self._sending_stopped = True
+                orders.append(Order.STOP_SENDING)
             # Guards against a request that came in the instant in which its connection was to be closed, or that comes
             # in pieces: the exit would reset it unread, and an answer that the client has not read yet with it.
-            if past >= LEAVE_AT or not (working or clients or Order.DEAF in orders):
+            if past >= LEAVE_AT or not (working or clients or Order.STOP_ACCEPTING in orders):
                 self.state = State.LEFT
                 orders.append(Order.LEAVE)
         return orders
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -4,7 +4,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lynxscale.lifecycle import DEAF_AT, HAND_PART_AT, LEAVE_AT, MUTE_AT, PART_AT, Lifecycle, Order, State
+from lynxscale.lifecycle import (
+    HAND_PART_AT,
+    LEAVE_AT,
+    PART_AT,
+    STOP_ACCEPTING_AT,
+    STOP_SENDING_AT,
+    Lifecycle,
+    Order,
+    State,
+)
 
 WAYS = {  # how to come there: each step a call, or a look after so many µs with so many clients
     State.SERVING: [],
@@ -14,8 +23,8 @@
     State.HANDING: ["hand"],
     State.STOP_TELLING: ["stop"],
     State.STOP_CLOSING: ["stop", (PART_AT, 1)],
-    State.STOP_DEAF: ["stop", (DEAF_AT, 1)],
-    State.LEFT: ["stop", (DEAF_AT, 1), (0, 0)],
+    State.STOP_FINISHING: ["stop", (STOP_ACCEPTING_AT, 1)],
+    State.LEFT: ["stop", (STOP_ACCEPTING_AT, 1), (0, 0)],
 }
 AFTER = {  # quiesce, resume, stop
     State.SERVING: (State.TELLING, State.SERVING, State.STOP_TELLING),
@@ -25,7 +34,7 @@
     State.HANDING: (State.HANDING,) * 3,
     State.STOP_TELLING: (State.STOP_TELLING,) * 3,
     State.STOP_CLOSING: (State.STOP_CLOSING,) * 3,
-    State.STOP_DEAF: (State.STOP_DEAF,) * 3,
+    State.STOP_FINISHING: (State.STOP_FINISHING,) * 3,
     State.LEFT: (State.LEFT,) * 3,
 }
 
@@ -58,14 +67,15 @@
     life, now = come_to(State.STOP_TELLING)
     told = [(at, order) for at in range(0, LEAVE_AT + 1, 50_000) for order in life.look(now + at, 1, True)]
     firsts = {order: next(at for at, other in told if other is order) for order in {order for _, order in told}}
-    assert firsts == {Order.PART: PART_AT, Order.DEAF: DEAF_AT, Order.MUTE: MUTE_AT, Order.LEAVE: LEAVE_AT}
-    assert [order for _, order in told].count(Order.MUTE) == 1
+    assert firsts == {Order.PART: PART_AT, Order.STOP_ACCEPTING: STOP_ACCEPTING_AT,
+                      Order.STOP_SENDING: STOP_SENDING_AT, Order.LEAVE: LEAVE_AT}
+    assert [order for _, order in told].count(Order.STOP_SENDING) == 1
 
 
 def test_with_an_heir_the_listener_goes_first_and_kept_connections_have_time():
     life, now = come_to(State.HANDING)
     assert life.ready and not life.serving
-    assert life.look(now, 2, True) == [Order.DEAF]
+    assert life.look(now, 2, True) == [Order.STOP_ACCEPTING]
     assert life.look(now + HAND_PART_AT - 1, 2, False) == [Order.RELEASE]  # messages that wait are the heir's
     assert life.look(now + HAND_PART_AT, 1, False) == [Order.PART, Order.RELEASE]
     assert life.look(now + HAND_PART_AT + 1, 0, True) == [Order.PART, Order.RELEASE]
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -137,7 +137,7 @@
         client.socket.sendall(data[:40])
         until(lambda: self.counters()["connections"]["client_opened"] >= 2, "the connection")
         self.process.send_signal(signal.SIGTERM)
-        until(lambda: "state=stop_deaf" in self.log.read_text(), "the end of listening")
+        until(lambda: "state=stop_finishing" in self.log.read_text(), "the end of listening")
         time.sleep(0.3)  # six looks, at the first of which it could leave
         client.socket.sendall(data[40:])
         self.assertIn(" 202 ", read_http(client.stream)[0])
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -298,6 +298,29 @@
         until(lambda: len(self.calls("m2")) == 1, "its delivery")
         self.assertIsNone(third.poll())
 
+    def test_a_successor_that_is_told_to_end_before_it_serves_changes_nothing(self):
+        """At several instants of its start, and once it waits to take the clients."""
+        self.act = lambda _call: reply(503, b"", "Retry-After: 0.300")
+        old = self.begin()
+        names = [f"m{number}" for number in range(8)]
+        for name in names[:4]:
+            self.assertEqual(self.client().hand_in(name, "once")[0], 202)
+        for place in range(6):
+            successor = self.process_()
+            if place == 5:
+                until(self.yes, "its yes")
+            else:
+                time.sleep(0.1 * place)
+            successor.send_signal(signal.SIGTERM)
+            self.assertIn(successor.wait(5.0), (0, -signal.SIGTERM))
+        for name in names[4:]:
+            self.assertEqual(self.client().hand_in(name, "once")[0], 202)
+        self.assertIsNone(old.poll())
+        ran: list[str] = []
+        self.act = lambda call: ran.append(call[1]["req-id"]) or reply(200)
+        until(lambda: set(ran) >= set(names), "all are delivered")
+        self.assertEqual((sorted(ran), self.discovery.notices), (names, {}))
+
     def test_one_upgrade_right_after_another(self):
         """The third process waits until the second has all that the first one left."""
         self.act = lambda _call: reply(503, b"", "Retry-After: 0.200")
