Answer an operator's call whose caller ends its sending behind it

Cause: as with clients, without IHalfCloseableProtocol the end of the caller's bytes ends the connection in the pass of the loop that reads it, before the answer is written. Test without it: "False != True".

--- a/lynxscale/net/door.py
+++ b/lynxscale/net/door.py
@@ -12,8 +12,10 @@
 
 import orjson
 import structlog
+from twisted.internet import interfaces
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from lynxscale import http
 from lynxscale.counters import Counters
@@ -32,6 +34,7 @@
 SERVED, SLOW, SILENT = "served", "slow", "silent"
 
 
+@implementer(interfaces.IHalfCloseableProtocol)
 class DoorConnection(Protocol):
     """One call, one answer."""
 
@@ -42,6 +45,7 @@
         self._deadline: Deadline | None = None
         self._reason: str | None = None
         self._past = 0
+        self._ended = False
         self.calls = 0
 
     def connectionMade(self) -> None:
@@ -77,6 +81,16 @@
         # Guards against half a call that would hold a descriptor for nothing.
         self._answer(408, "the call did not come in time", SILENT if self._parser.idle else SLOW)
 
+    def readConnectionLost(self) -> None:
+        """The caller sends no more. Guards against the loss of the answer to a call that has come whole."""
+        self._ended = True
+        if self._reason is None:
+            self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:
+        if self._ended:
+            self.transport.loseConnection()
+
     def crowd_out(self) -> None:
         self._reason = link.CROWDED
         self.transport.abortConnection()
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -52,6 +52,19 @@
         again = self.client()
         self.assertEqual([again.hand_in(f"n{at}")[0] for at in range(3)], [202] * 3)
 
+    def test_a_caller_that_ends_its_sending_hears_the_answer(self):
+        """The end of its bytes comes with them; with half a call there is nothing to answer."""
+        self.open_door()
+        for data, answered in ((b"GET /admin/health HTTP/1.1\r\n\r\n", True), (b"GET /admin/health", False)):
+            with socket.create_connection(("127.0.0.1", self.admin), timeout=20.0) as caller:
+                caller.sendall(data)
+                caller.shutdown(socket.SHUT_WR)
+                with caller.makefile("rb") as stream:
+                    begun, got = time.monotonic(), stream.read()
+            self.assertEqual(got.startswith(b"HTTP/1.1 200 "), answered)
+            self.assertEqual(bool(got), answered)
+            self.assertLess(time.monotonic() - begun, 0.4)  # neither waits for a time-out
+
     def test_calls_that_are_none(self):
         self.open_door()
         for call, status in (("GET /admin/quiesce", 405), ("POST /admin/health", 405), ("GET /", 404),
