Refuse settings of no use at the start: keyed without a span, no deadline, absurd counts, names twice

Seen by trying each: a keyed class without a span, deadlines and spans of nothing, 1e18 slots, no sender, calls that hold no message and names told twice were taken; a tenant that is no object ended the start with a traceback. Each is refused now with its key and what is wanted, exit code 2. Counts end at a million, as numbers of messages have 20 bits for their place; attempts_cap 0 stays no cap.

--- a/gannetshift/reader.py
+++ b/gannetshift/reader.py
@@ -13,11 +13,15 @@
 }
 
 
+COUNT_MOST = 1_000_000  # of slots, messages held, senders: numbers of messages have 20 bits for their place
+
+
 class SettingsError(ValueError):
     """A setting is missing or not of use."""
 
 
-def _number(table: dict, path: str, name: str, needed: bool = False) -> float | None:
+def _number(table: dict, path: str, name: str, needed: bool = False, least: float = 0.0,
+            most: float = float("inf")) -> float | None:
     value = table.get(name)
     if value is None:
         if needed:
@@ -25,9 +29,21 @@
         return None
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < float("inf"):
         raise SettingsError(f"setting {path}{name} is not a number of use: {value!r}")
+    if not least <= value <= most:
+        raise SettingsError(f"setting {path}{name} is not a number of use: {value!r}, want {_span(least, most)}")
     return float(value)
 
 
+def _span(least: float, most: float) -> str:
+    return f"{least:g} at least" if most == float("inf") else f"{least:g} to {most:g}"
+
+
+def _count(table: dict, path: str, name: str, needed: bool = False) -> int | None:
+    """A number of things, of which there has to be one."""
+    value = _number(table, path, name, needed, 1, COUNT_MOST)
+    return None if value is None else int(value)
+
+
 def _part(table: dict, name: str, kind: type) -> Any:
     value = table.get(name)
     if value is None:
@@ -44,23 +60,25 @@
     effect = row.get("effect")
     if effect not in EFFECTS:
         raise SettingsError(f"setting {path}effect is missing or unknown: {effect!r}")
-    worth = _number(row, path, "value", needed=True)
+    keyed = EFFECTS[effect] == api.Effect.KEYED
     return api.MessageClass(
         name=str(row.get("name", place)),
         aim_ms=_number(row, path, "goal_time_ms", needed=True),
-        deadline_ms=_number(row, path, "deadline_ms", needed=True),
-        worth=worth,
+        deadline_ms=_number(row, path, "deadline_ms", needed=True, least=1),
+        worth=_number(row, path, "value", needed=True),
         late_worth=_number(row, path, "late_worth") or 0.0,
         effect=EFFECTS[effect],
         group=str(row.get("group", "all")),
-        memory_span_ms=_number(row, path, "memory_span_ms"),
+        memory_span_ms=_number(row, path, "memory_span_ms", needed=keyed, least=1 if keyed else 0),
         ordered=bool(row.get("serial_by_key", False)),
         aim_stretch=_number(row, path, "aim_stretch"),
     )
 
 
-def _tenant(row: dict, place: int) -> api.Tenant:
+def _tenant(row: Any, place: int) -> api.Tenant:
     path = f"orgs[{place}]."
+    if not isinstance(row, dict):
+        raise SettingsError(f"setting orgs[{place}] has the wrong form")
     return api.Tenant(
         name=str(row.get("name", place)),
         quota_per_s=_number(row, path, "quota_per_s"),
@@ -75,6 +93,15 @@
     return values
 
 
+def _once(rows: list, setting: str) -> list:
+    """What clients name must be told apart by its name."""
+    names = [row.name for row in rows]
+    for place, name in enumerate(names):
+        if name in names[:place]:
+            raise SettingsError(f"setting {setting}[{place}].name is there twice: {name!r}")
+    return rows
+
+
 def _names(table: dict, name: str) -> list[str]:
     values = _part(table, name, list)
     if not all(isinstance(v, str) for v in values):
@@ -92,17 +119,17 @@
     grades = _part(conf, "grades", list)
     if not grades:
         raise SettingsError("setting grades is missing")
-    slots = _number(info, "family_info.", "max_calls", needed=True)
-    if slots < 1:
-        raise SettingsError("setting family_info.max_calls is not a number of use: below 1")
-    held, cap = _number(allowed, "allowed.", "most_held"), _number(allowed, "allowed.", "attempts_cap")
+    cap = _number(allowed, "allowed.", "attempts_cap")  # 0 for none
+    per_call = [int(v) for v in _numbers(info, "per_call")]
+    if any(not 1 <= v <= COUNT_MOST for v in per_call):
+        raise SettingsError(f"setting family_info.per_call is not of use: {per_call}, want 1 at least of each kind")
     return api.Settings(
-        slots=int(slots),
-        senders=int(_number(conf, "", "balancers", needed=True)),
+        slots=_count(info, "family_info.", "max_calls", needed=True),
+        senders=_count(conf, "", "balancers", needed=True),
         me=int(_number(conf, "", "me") or 0),
-        classes=[_message_class(row, place) for place, row in enumerate(grades)],
-        tenants=[_tenant(row, place) for place, row in enumerate(_part(conf, "orgs", list))],
-        most_held=None if held is None else int(held),
+        classes=_once([_message_class(row, place) for place, row in enumerate(grades)], "grades"),
+        tenants=_once([_tenant(row, place) for place, row in enumerate(_part(conf, "orgs", list))], "orgs"),
+        most_held=_count(allowed, "allowed.", "most_held"),
         attempts_cap=None if cap is None else int(cap),
         may_cancel=bool(allowed.get("cancel", False)),
         idle_close_ms=_number(allowed, "allowed.", "idle_close_ms"),
@@ -117,7 +144,7 @@
         report_columns=_names(_part(conf, "load_info", dict), "columns"),
         asks_for_members=conf.get("membership_mode") == "ask",
         ask_within_ms=_number(rules, "obligations.", "ask_within_ms"),
-        per_call=[int(v) for v in _numbers(info, "per_call")],
+        per_call=per_call,
         routes_apart=[bool(v) for v in _numbers(info, "routes_apart")],
         route_fee=[float(v) for v in _numbers(info, "route_fee")],
         handshake_price=_number(prices, "prices.", "handshake"),
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,5 +1,6 @@
 """The real program, spoken to as a client, as peers and as discovery would."""
 
+import json
 import os
 import resource
 import signal
@@ -12,7 +13,7 @@
 import unittest
 from pathlib import Path
 
-from lab.standins import PATIENCE, Client, Server, message, reply, row, until
+from lab.standins import PATIENCE, Client, Server, message, reply, row, settings, until
 from tests.node import ROOT, NodeCase
 
 
@@ -403,6 +404,12 @@
 
 
 class Configuration(unittest.TestCase):
+    @staticmethod
+    def with_settings(change) -> str:
+        table = settings()
+        change(table)
+        return json.dumps({"state": ".", "settings": table})
+
     def test_the_faulty_key_is_named(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -413,7 +420,12 @@
                            '[{"effect":"idempotent","goal_time_ms":1,"deadline_ms":2,"value":1}],'
                            '"family_info":{"max_calls":4}}}', "limits.sockets"),
                           ('{"state":".","settings":{"balancers":1,"family_info":{"max_calls":4},"grades":[{"effect":"odd"}]}}',
-                           "grades[0].effect")]:
+                           "grades[0].effect"),
+                          (self.with_settings(lambda table: table.update(grades=[])), "setting grades is missing"),
+                          (self.with_settings(lambda table: table["grades"][1].update(memory_span_ms=0)),
+                           "grades[1].memory_span_ms"),
+                          (self.with_settings(lambda table: table["family_info"].update(max_calls=1e18)),
+                           "family_info.max_calls")]:
             with self.subTest(key=key):
                 env = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")}
                 conf.write_text(text)
