--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -549,3 +549,26 @@
         d.give(api.Message(100, 1, SAFE, 0, d.now + 8000.0, inherited=True))
         d.finish(100, result)
         assert d.sender.held[100].owed is owed
+
+
+def test_what_was_taken_over_waits_for_a_list_and_for_a_told_wait():
+    """With no endpoint at first, and the only one shut when it comes: its first call goes when that is over."""
+    d = Driver(members=[])
+    d.give(*(api.Message(100 + k, 1, cls, 0, d.now + 8000.0, inherited=True)
+             for k, cls in enumerate((SAFE, KEYED, UNSAFE))))
+    d.pass_time(3000.0)
+    assert not d.finals
+    d.give(api.Membership(api.ListKind.FULL, 2, [member(11)]))
+    first = next(iter(d.out))[0]
+    d.finish(first, api.Result.FULL, wait=1500.0)
+    d.pass_time(1000.0)
+    assert not d.out
+    assert not d.finals
+    called = set()
+    for _ in range(60):
+        d.pass_time(50.0)
+        for number in {number for number, _attempt in d.out}:
+            called.add(number)
+            d.finish(number)
+    assert called == {100, 101, 102}
+    assert all(ends == ["delivered"] for ends in d.finals.values())
