Let who votes on a view rest while its proposer waits for a slow disk

By the nodes' events each proposal failed with "r3 has promised another", in turn at r2 and r3. Cause: a node that promises rests until the leases are over and 0.3 s more (_on_prepare), but not while it accepts; with two syncs of 0.6 s a vote its own turn to propose comes before its acceptance is on disk, and the other's proposal begins anew. Ruled out: the sync's queue (writes are put together), the leases (they had run out).

--- a/lynxscale/cluster/views.py
+++ b/lynxscale/cluster/views.py
@@ -675,6 +675,10 @@
         ballot, kept = Ballot(word.round, frm, who.boot), self.kept
         if not self._fit(now, frm, ballot, word):
             return
+        if frm != self.me.name:
+            # Guards a proposer that waits for a slow disk, here or elsewhere: it asks again until it has its answer, and
+            # a proposal of ours meanwhile would have it begin anew.
+            self._rest_until = max(self._rest_until, now + self.terms.rest)
         accepted = Say(frm, Accepted(word.number, ballot))
         if ballot == kept.ballot:
             self._out.append(Persist(kept, (accepted,)))
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -251,6 +251,19 @@
         assert world.machines["r3"].process.core.me.life == 2
 
 
+def test_who_votes_on_slow_disks_does_not_propose_meanwhile():
+    """Of three one is killed, and the votes of both others are needed, each 1.1 to 1.3 s on its way to disk."""
+    for seed in range(6):
+        world = World(3, seed)
+        for name in world.names:
+            world.start(name)
+        assert world.until_agreed(world.names, 20 * SECOND)
+        world.disk_us = (1_100_000, 1_300_000)
+        world.run(world.now + 5 * SECOND)
+        world.kill("r1")
+        assert world.until_agreed(["r2", "r3"], 6.2 * SECOND), f"seed {seed}"
+
+
 def test_without_a_majority_there_is_no_view_and_nobody_acts():
     world = World(5, 3)
     for name in world.names:
