--- a/lynxscale/cluster/views.py
+++ b/lynxscale/cluster/views.py
@@ -676,8 +676,8 @@
         if not self._fit(now, frm, ballot, word):
             return
         if frm != self.me.name:
-            # Guards a proposer that waits for a slow disk, here or elsewhere: it asks again until it has its answer, and
-            # a proposal of ours meanwhile would have it begin anew.
+            # Guards a proposer that waits for a slow disk, here or elsewhere: it asks again until it has its answer,
+            # and a proposal of ours meanwhile would have it begin anew.
             self._rest_until = max(self._rest_until, now + self.terms.rest)
         accepted = Say(frm, Accepted(word.number, ballot))
         if ballot == kept.ballot:
