--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -237,12 +237,18 @@
         simulate.history(3 + seed % 5, seed, seconds=12)
 
 
+def formed(count: int, seed: int) -> World:
+    """So many nodes, started and in one view."""
+    world = World(count, seed)
+    for name in world.names:
+        world.start(name)
+    assert world.until_agreed(world.names, 20 * SECOND)
+    return world
+
+
 def test_a_killed_node_is_out_of_the_view_soon_and_back_as_a_new_life():
     for seed in range(5):
-        world = World(5, seed)
-        for name in world.names:
-            world.start(name)
-        assert world.until_agreed(world.names, 20 * SECOND)
+        world = formed(5, seed)
         world.run(world.now + 5 * SECOND)
         world.kill("r3")
         assert world.until_agreed(["r1", "r2", "r4", "r5"], 8 * SECOND)
@@ -254,10 +260,7 @@
 def test_who_votes_on_slow_disks_does_not_propose_meanwhile():
     """Of three one is killed, and the votes of both others are needed, each 1.1 to 1.3 s on its way to disk."""
     for seed in range(6):
-        world = World(3, seed)
-        for name in world.names:
-            world.start(name)
-        assert world.until_agreed(world.names, 20 * SECOND)
+        world = formed(3, seed)
         world.disk_us = (1_100_000, 1_300_000)
         world.run(world.now + 5 * SECOND)
         world.kill("r1")
