Let the takeover's test wait on the old process's word, and hold every test's ports

The old process lets go of what waits 50 ms after SIGTERM; a retry in that gap was answered 200, nothing was left to give, and the line waited for came 3.5 s later from the adoption at the old one's end. Forced (the retry let through before SIGTERM): `replayed` stands after `order=alone` in the log. Then the test's verdict hung on whether the process was gone yet; it passed without proving what its name says. A second cause showed under 16 runs at once: the operators' ports were found by binding and closing, and another test's stand-in was given one meanwhile (an answer with an empty body).

Change: the message is refused until the successor has it, and the successor must have it while the old one lives. The hung call's thread is let go in every case (the TypeError in its stand-in).

--- a/lab/cluster/links.py
+++ b/lab/cluster/links.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import random
-import socket
 from dataclasses import dataclass, field
 
 CHUNK = 16 << 10
@@ -196,16 +195,3 @@
     def close(self) -> None:
         for link in self.links.values():
             link.close()
-
-
-def hold_port(port: int = 0) -> socket.socket:
-    """A port of the system's, bound and not listened on: whoever sets SO_REUSEADDR, as relays do, can listen there, and
-    the system gives it to nobody else meanwhile. On UDP it is free as long as all take theirs on TCP first."""
-    held = socket.socket()
-    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    held.bind(("127.0.0.1", port))
-    return held
-
-
-def port_of(held: socket.socket) -> int:
-    return held.getsockname()[1]
--- a/lab/cluster/nodes.py
+++ b/lab/cluster/nodes.py
@@ -14,9 +14,10 @@
 
 import orjson
 
-from lab.cluster.links import Mesh, hold_port, port_of
+from lab.cluster.links import Mesh
 from lab.demo import CONF, Own, entries_of
 from lab.partner import Partner
+from lab.standins import hold_port, port_of
 
 ASKED_WITHIN = 1.0  # seconds for an answer of a node's door; none: it is stopped or dead
 
--- a/lab/standins.py
+++ b/lab/standins.py
@@ -21,6 +21,19 @@
     raise AssertionError(f"not seen in time: {what}")
 
 
+def hold_port(port: int = 0) -> socket.socket:
+    """A port of the system's, bound and not listened on: whoever sets SO_REUSEADDR, as relays do, can listen there, and
+    the system gives it to nobody else meanwhile. On UDP it is free as long as all take theirs on TCP first."""
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind(("127.0.0.1", port))
+    return held
+
+
+def port_of(held: socket.socket) -> int:
+    return held.getsockname()[1]
+
+
 def read_http(stream) -> tuple[str, dict[str, str], bytes] | None:
     """One request or answer from a buffered stream; None at its end."""
     first = stream.readline().decode().strip()
--- a/tests/node.py
+++ b/tests/node.py
@@ -6,14 +6,13 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import unittest
 from pathlib import Path
 
-from lab.standins import PATIENCE, Client, Discovery, Server, reply, row, settings, until
+from lab.standins import PATIENCE, Client, Discovery, Server, hold_port, port_of, reply, row, settings, until
 
 ROOT = Path(__file__).parent.parent
 
@@ -51,16 +50,17 @@
         self.process.send_signal(signal.SIGHUP)
         until(lambda: self.log.read_text().count(seen) > before, seen)
 
+    def free_port(self) -> int:
+        """A port that nobody else is given until the test's end."""
+        held = hold_port()
+        self.addCleanup(held.close)
+        return port_of(held)
+
     def start(self) -> None:
-        # Held, but not listening, until the relay has it: nobody else is given this port meanwhile.
-        held = socket.socket()
-        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        held.bind(("127.0.0.1", 0))
-        self.port = held.getsockname()[1]
+        self.port = self.free_port()
         self.process = self.spawn(self.configure())
         self.addCleanup(self.kill)
         until(self._ready, "readiness")
-        held.close()
 
     def spawn(self, path: Path, fds: tuple[int, ...] = (), **more: str) -> subprocess.Popen:
         """A process of the relay, with that configuration and these variables besides."""
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -13,9 +13,7 @@
 
 class Operators(NodeCase):
     def open_door(self, **limits) -> None:
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.admin = free.getsockname()[1]
+        self.admin = self.free_port()
         self.limits |= limits
         self.env["NODE_ADMIN_ADDR"] = f"127.0.0.1:{self.admin}"
         self.start()
@@ -110,9 +108,7 @@
             taken.listen()
             path = self.configure(listen="127.0.0.1:1", discovery="127.0.0.1:2", state=str(self.state))
             for admin in (f"127.0.0.1:{taken.getsockname()[1]}", "nowhere", "127.0.0.1:1"):
-                with socket.socket() as free:
-                    free.bind(("127.0.0.1", 0))
-                    listen = "127.0.0.1:1" if admin == "127.0.0.1:1" else f"127.0.0.1:{free.getsockname()[1]}"
+                listen = "127.0.0.1:1" if admin == "127.0.0.1:1" else f"127.0.0.1:{self.free_port()}"
                 env = {"NODE_CONFIG": str(path), "NODE_LISTEN": listen, "NODE_ADMIN_ADDR": admin}
                 ended = subprocess.run([sys.executable, "-m", "lynxscale"], cwd=ROOT, env=env, capture_output=True,
                                        timeout=20)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -210,9 +210,7 @@
         self.admins: list[int] = []
 
     def process_(self, fd: int | None = None) -> subprocess.Popen:
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.admins.append(free.getsockname()[1])
+        self.admins.append(self.free_port())
         fd = self.listener.fileno() if fd is None else fd
         one = self.spawn(self.configure(), (fd,), NODE_ACCEPT_FD=str(fd),
                          NODE_ADMIN_ADDR=f"127.0.0.1:{self.admins[-1]}")
@@ -260,7 +258,8 @@
 
     def test_what_waits_is_the_heirs_while_the_old_one_lives_and_is_known_at_both(self):
         hung = threading.Event()
-        self.act = lambda call: (hung.wait(PATIENCE) and None) if call[1]["req-id"] == "hung" else reply(503)
+        self.addCleanup(hung.set)
+        self.act = lambda call: None if call[1]["req-id"] == "hung" and hung.wait(2 * PATIENCE) else reply(503)
         old = self.begin()
         kept_ = self.client()
         self.assertEqual(kept_.hand_in("hung", cls="once")[0], 202)
@@ -271,9 +270,11 @@
         old.send_signal(signal.SIGTERM)
         until(lambda: "order=accept" in self.log.read_text(), "the handover")
         self.assertEqual(self.client().hand_in("hung", cls="once")[0], 202)  # again, at the heir
-        self.act = lambda _call: reply(200)
-        until(lambda: "event=replayed" in self.log.read_text(), "what the heir was given")
+        # Refused until the successor has it: one try more at the old process, let through, and nothing would be given.
+        until(lambda: "event=replayed" in self.log.read_text(), "what the successor was given")
+        self.assertNotIn("order=alone", self.log.read_text())  # by the old one's word, not by its end
         self.assertIsNone(old.poll())
+        self.act = lambda _call: reply(200)
         self.assertEqual(self.client().hand_in("waits", cls="once")[0], 202)
         until(lambda: "event=taken_over folder=segments" in self.log.read_text(), "the end of the old one")
         until(lambda: "hung" in self.discovery.notices, "the end of what may have run")
