Take over every folder that a start finds, and let an unreadable one bar no upgrade

A folder that could not be read kept its lock and its place in the list: the start never counted as settled and the locked folder looked like a process alive, so each later successor was refused ("not seen in time: the yes").

Change: a copy is walked; what cannot be read stays as it is, its lock is given back, and it leaves the list.

--- a/lynxscale/upgrade/folders.py
+++ b/lynxscale/upgrade/folders.py
@@ -171,6 +171,11 @@
             os.close(self._marks)
             self._marks = -1
 
+    def leave(self) -> None:
+        """It stays as it is; nobody is kept out any longer. Guards against a lock that looks like a process alive."""
+        self.close()
+        self._port.unlock()
+
     def remove(self) -> None:
         """All is marked: the folder goes, at once or not at all."""
         self.close()
--- a/lynxscale/upgrade/handover.py
+++ b/lynxscale/upgrade/handover.py
@@ -53,7 +53,7 @@
     def begin(self) -> None:
         """Ready to take clients, or taking them."""
         claim = self._claim
-        for generation in claim.earlier:
+        for generation in list(claim.earlier):  # what is read and given in one go leaves it at once
             if generation != self._predecessor:
                 self._adopt(generation)
         if not claim.heir:
@@ -170,6 +170,8 @@
             # It stays as it is, for the operators' tools: what cannot be read must not be thrown away.
             log.error("not_taken_over", folder=estate.path.name, error=str(error))
             self._counters.add("handover", "unreadable")
+            estate.leave()
+            self._over(generation)
             return
         for gap in estate.gaps:
             log.error("journal_damaged", folder=estate.path.name, gap=str(gap))
@@ -186,6 +188,10 @@
             return
         estate.remove()
         log.info("taken_over", folder=estate.path.name)
+        self._over(generation)
+
+    def _over(self, generation: int) -> None:
+        """Nothing more is to be had of that one: with the last of them the next successor may come."""
         self._claim.earlier.remove(generation)
         if generation == self._predecessor:
             self._predecessor = -1
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -322,6 +322,43 @@
         until(lambda: set(ran) >= set(names), "all are delivered")
         self.assertEqual((sorted(ran), self.discovery.notices), (names, {}))
 
+    def test_a_start_takes_over_every_folder_that_it_finds(self):
+        """Three, of upgrades that were cut short one after the other: none is left for the start after this one."""
+        ends = int((time.time() + 60) * 1e6)
+        for generation in range(3):
+            journal = Journal(Folder(folders.folder_of(self.state, generation)), 1_000_000, lambda: 5_000_000)
+            journal.open()
+            journal.take(0, Entry(f"m{generation}", "once", "acme", "", 1, ends, b"body"))
+            journal.close()
+        self.begin()
+        until(lambda: len(self.calls()) == 3, "all are delivered")
+        until(lambda: folders.generations(self.state) == [2], "one folder")
+        self.assertEqual(sorted(call[1]["req-id"] for call in self.calls()), ["m0", "m1", "m2"])
+
+    def test_a_folder_that_cannot_be_read_stays_and_bars_nobody(self):
+        """The old process's manifest is spoilt and it dies: what is there stays, and the next upgrade goes its way."""
+        self.act = lambda _call: reply(503, b"", "Retry-After: 0.300")
+        old = self.begin()
+        self.assertEqual(self.client().hand_in("m1")[0], 202)
+        second = self.begin()
+        before = sorted(path.name for path in (self.state / "segments").iterdir())
+        slots = [name for name in before if name.startswith("manifest")]
+        self.assertTrue(slots)
+        for name in slots:
+            (self.state / "segments" / name).write_bytes(b"nothing of use")
+        old.kill()
+        old.wait(PATIENCE)
+        until(lambda: "event=not_taken_over folder=segments" in self.log.read_text(), "what it says of the folder")
+        self.act = lambda _call: reply(200)
+        self.assertEqual(self.client().hand_in("m2")[0], 202)
+        third = self.begin()
+        second.send_signal(signal.SIGTERM)
+        self.assertEqual(second.wait(PATIENCE), 0)
+        self.assertEqual(self.client().hand_in("m3")[0], 202)
+        until(lambda: self.calls("m2") and self.calls("m3"), "both are delivered")
+        self.assertIsNone(third.poll())
+        self.assertEqual(sorted(path.name for path in (self.state / "segments").iterdir()), before)
+
     def test_one_upgrade_right_after_another(self):
         """The third process waits until the second has all that the first one left."""
         self.act = lambda _call: reply(503, b"", "Retry-After: 0.200")
