Give back the slot of a try that fails as it starts

Change: where the port knows nothing of the try it ends as not connected, at once; one that is under way keeps its deadline and ends by it.

Result: the two tests pass; the first fails without the change.

--- a/lynxscale/net/peers.py
+++ b/lynxscale/net/peers.py
@@ -117,6 +117,10 @@
         if most == 1:
             self._begin(call)
 
+    def knows(self, number: int, attempt: int) -> bool:
+        """Is this try under way? Then its outcome comes, by its time-out at the latest."""
+        return (number, attempt) in self._by_key
+
     def turned(self) -> None:
         """All orders of this turn are in: what goes to one endpoint together goes now."""
         calls, self._calls = self._calls, []
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -429,7 +429,13 @@
         if self.trace is not None:
             self.trace.try_started(self.loop.now(), action.id, attempt, action.endpoint, int(action.timeout * 1000),
                                    action.fresh)
-        self.tries.start(action.id, attempt, held, action.endpoint, int(action.timeout * 1000), action.fresh)
+        try:
+            self.tries.start(action.id, attempt, held, action.endpoint, int(action.timeout * 1000), action.fresh)
+        except Exception:
+            if not self.tries.knows(action.id, attempt):
+                # Guards against a slot, and a message, that wait for an outcome that nothing is left to bring.
+                self.outcome(action.id, attempt, action.endpoint, Result.CONNECT_FAILED, 0, False)
+            raise
 
     def release(self) -> list[int]:
         """Let go of all messages with no try under way: another process has them; their numbers in the journal.
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -172,6 +172,32 @@
         self.assertEqual(len(self.relay.held), 3)
         self.assertIn(("turned",), self.ports.told)
 
+    def fails_as_it_starts(self, known: bool) -> bool:
+        """Is the try of a message still out, when its start failed and the port says whether it knows of it?"""
+        started = []
+
+        def start(*args):
+            started.append(args)
+            raise ZeroDivisionError
+
+        self.ports.start, self.ports.knows = start, lambda *_: known
+        with capture_logs() as seen:
+            self.offer("m1")
+            self.turns.run()
+        self.assertEqual([row["event"] for row in seen if row["log_level"] == "error"], ["turn_failed"])
+        self.turns.run()
+        self.assertEqual(len(started), 1)
+        out = self.relay.held.get(self.relay.by_id["m1"]).out
+        self.assertEqual((len(self.relay.sender.tries), self.relay.out), (out, out))
+        return out
+
+    def test_a_try_that_fails_as_it_starts_gives_its_slot_back(self):
+        """Nothing of it is under way: no time-out would bring its outcome."""
+        self.assertFalse(self.fails_as_it_starts(known=False))
+
+    def test_a_try_that_fails_when_it_is_under_way_waits_for_its_outcome(self):
+        self.assertTrue(self.fails_as_it_starts(known=True))
+
     def overdue(self) -> int:
         """The number of a message with a try under way whose last resort falls due, for the first time."""
         self.offer("m1", left=0.2)
