Change the view also on slow disks: one sync a vote, and nothing is written twice

Cause (simulated with writes fixed as they begin, as in service; the simulation let what came during a write count as written with it): a vote took two syncs, of the file and of the folder; each ask that was sent again, every 200 ms, queued another write of the same bytes, so that the vote behind it waited for one write more; a proposal was given up 6 s after it began; and who had promised, asked no more, proposed itself 0.3 s later while slower disks still wrote.

Change: two files written in place in turn, one sync each (the file before is read where there is nothing newer; a spoilt or missing one counts as forgotten, and the other is not believed either). `Pending`, shared by service and simulation, writes nothing that is under way or there. A proposal is given up 6 s after its last new answer. Who promises rests for 1 s besides, as who accepts does.

--- a/lab/cluster/simulate.py
+++ b/lab/cluster/simulate.py
@@ -17,6 +17,7 @@
 from lynxscale.cluster.detector import Renew, Send, Swap, Timing
 from lynxscale.cluster.frame import Message, views_of
 from lynxscale.cluster.sight import Identity, State
+from lynxscale.cluster.stable import Pending
 from lynxscale.cluster.views import Fetch, Outvoted, Persist, Say, Terms
 from lynxscale.cluster.words import Kept, View
 
@@ -41,8 +42,7 @@
     began: int
     paused: bool = False
     waiting: list = field(default_factory=list)  # what came while it was stopped
-    writing: bool = False
-    writes: list = field(default_factory=list)
+    pending: Pending = field(default_factory=Pending)
     renewing: bool = False
     tick_at: int = -1  # when it is looked at next; -1: not planned
 
@@ -238,17 +238,19 @@
         self._go(machine, process, process.core.swapped(now, answer is None))
 
     def _write(self, machine: Machine, process: Process, kept: Kept, then: Callable[[], None]) -> None:
-        process.writes.append((kept, then))
-        if not process.writing:
-            process.writing = True
-            self.at(self.now + self.chance.randrange(*self.disk_us), self._written, machine, process)
+        self._begin(machine, process, process.pending.put(kept, then))
 
-    def _written(self, machine: Machine, process: Process) -> None:
+    def _begin(self, machine: Machine, process: Process, kept: Kept | None) -> None:
+        if kept is not None:
+            self.at(self.now + self.chance.randrange(*self.disk_us), self._written, machine, process, kept)
+
+    def _written(self, machine: Machine, process: Process, kept: Kept) -> None:
         if machine.process is not process:
             return  # it died before: nothing of this is on disk
-        writes, process.writes, process.writing = process.writes, [], False
-        machine.disk = max(machine.disk[0], process.core.me.life), writes[-1][0]
-        for _, then in writes:
+        machine.disk = max(machine.disk[0], process.core.me.life), kept
+        after = process.pending.done(True)
+        self._begin(machine, process, process.pending.begin())
+        for then in after:
             then()
 
     def _kept(self, machine: Machine, process: Process, order: Persist) -> None:
--- a/lynxscale/cluster/part.py
+++ b/lynxscale/cluster/part.py
@@ -17,7 +17,7 @@
 from lynxscale.cluster.detector import LIVING, SLOW_DISK, Renew, Timing, Told, slow_words
 from lynxscale.cluster.driver import INBOUND_MOST, OUTBOUND_MOST, Clock, Driver
 from lynxscale.cluster.sight import Identity
-from lynxscale.cluster.stable import FOLDER, Foreign, Store
+from lynxscale.cluster.stable import FOLDER, Foreign, Pending, Store
 from lynxscale.cluster.views import Note, Outvoted, Standing, Terms
 from lynxscale.cluster.words import Kept, committee_of
 from lynxscale.conf import platform
@@ -57,40 +57,34 @@
 
 
 class Keeper:
-    """Puts what must not be forgotten on disk, in a thread, one write after the other.
+    """Puts what must not be forgotten on disk, in a thread, one write after the other, as ``Pending`` has them."""
 
-    What comes while a write is under way goes with the next one, whole: so a slow disk holds no queue of writes.
-    """
-
-    def __init__(self, store: Store, failed: Callable[[str], None]) -> None:
-        self._store, self._failed = store, failed
-        self._waiting: list[Callable[[], None]] = []
-        self._next: tuple[int, Kept] | None = None
+    def __init__(self, store: Store, failed: Callable[[str], None], slow: Callable[[], None]) -> None:
+        self._store, self._failed, self._slow = store, failed, slow
+        self._pending = Pending()
         self.since = 0.0  # when the write under way began, by time.monotonic; 0: none is
 
     def put(self, life: int, kept: Kept, then: Callable[[], None]) -> None:
         """``then`` is called in the loop once it is on disk, never where it could not be written."""
-        self._next = life, kept
-        self._waiting.append(then)
-        if not self.since:
-            self._write()
-
-    def _write(self) -> None:
-        (life, kept), self._next = self._next, None
-        waiting, self._waiting = self._waiting, []
+        self._write(self._pending.put((life, kept), then))
+
+    def _write(self, what: tuple[int, Kept] | None) -> None:
+        if what is None:
+            return
         self.since = time.monotonic()
 
         def done(result: object) -> None:
+            if time.monotonic() - self.since > DISK_SLOW_S:
+                self._slow()
             self.since = 0.0
             if isinstance(result, Failure):
                 self._failed(str(result.value))
-            if self._next is not None:
-                self._write()
-            if not isinstance(result, Failure):
-                for then in waiting:
-                    then()
+            after = self._pending.done(not isinstance(result, Failure))
+            self._write(self._pending.begin())
+            for then in after:
+                then()
 
-        deferToThread(self._store.save, life, kept).addBoth(done)
+        deferToThread(self._store.save, *what).addBoth(done)
 
 
 class ClusterPart(Part):
@@ -120,7 +114,7 @@
         self._core = Core(me, addresses, seed, now, kept, timing_of(conf.probe), terms_of(conf.probe),
                           settings.digests(host.own))
         self._detector, self._views = self._core.detector, self._core.views
-        self._keeper = Keeper(self._store, self._not_saved)
+        self._keeper = Keeper(self._store, self._not_saved, lambda: self._driver.slow(SLOW_DISK))
         self._driver = Driver(host.reactor, host.deadlines, self._clock, host.counters, conf.name,
                               platform.address(conf.listen, "listen"), addresses, self._core, conf.probe, self._told,
                               lambda kept, then: self._keeper.put(self._life, kept, then))
--- a/lynxscale/cluster/stable.py
+++ b/lynxscale/cluster/stable.py
@@ -1,26 +1,32 @@
-"""What a node must not forget, as one small file in its state folder: written whole, synced, and only then acted on.
+"""What a node must not forget, in its state folder: written whole, synced, and only then acted on.
 
-The file, big-endian: ``LXNODE`` and one byte of version, crc32c of the rest, then MessagePack by ``Stored``, fields in
-order.
+Two files, ``node.0`` and ``node.1``, take turns: the one with the higher serial number counts, and stays as it is while
+the other is written. Each is written in place, so that one sync of its data is enough; where there is none of that size
+yet, under another name first. Big-endian: ``LXNODE`` and one byte of version, crc32c of the rest, serial number,
+length, then MessagePack by ``Stored``, fields in order, and zeros to whole blocks.
+
+Version 1 was one file, ``node``, with no serial number, length or zeros. It is read where there is nothing newer.
 """
 
 from __future__ import annotations
 
 import os
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from crc32c import crc32c
 
 from lynxscale.cluster.words import Kept
 
-MAGIC = b"LXNODE\x01"
-CHECK = struct.Struct(">I")
-FILE, FOLDER = "node", "cluster"
-FILE_MOST = 1 << 20
+MAGIC, MAGIC_1 = b"LXNODE\x02", b"LXNODE\x01"
+CHECK, HEAD = struct.Struct(">I"), struct.Struct(">QI")
+FILE_1, FILES, FOLDER = "node", ("node.0", "node.1"), "cluster"
+DAMAGED, UNSURE = ".damaged", ".unsure"  # what is set aside: it cannot be read, or may be the older of two
+FILE_MOST, BLOCK = 1 << 20, 4096
 
 
 class Stored(msgspec.Struct, array_like=True, frozen=True):
@@ -42,68 +48,146 @@
 
     stored: Stored | None
     reason: str = ""
+    serial: int = 0
 
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Stored).decode
 
 
-def encode(stored: Stored) -> bytes:
+def encode(stored: Stored, serial: int) -> bytes:
+    """A file's bytes, whole blocks of them."""
     data = _encode(stored)
-    return MAGIC + CHECK.pack(crc32c(data)) + data
+    data = HEAD.pack(serial, len(data)) + data
+    data = MAGIC + CHECK.pack(crc32c(data)) + data
+    return data + bytes(-len(data) % BLOCK)
 
 
 def decode(data: bytes) -> Found:
     """What stands in a file's bytes; a reason where they are not of use."""
-    head = len(MAGIC) + CHECK.size
-    if len(data) < head or not data.startswith(MAGIC[:-1]):
+    magic, rest = data[:len(MAGIC)], data[len(MAGIC) + CHECK.size:]
+    if len(data) < len(MAGIC) + CHECK.size or magic[:-1] != MAGIC[:-1]:
         return Found(None, "no such file's bytes")
-    if data[:len(MAGIC)] != MAGIC:
-        return Found(None, f"version {data[len(MAGIC) - 1]}, which this program does not know")
-    if CHECK.unpack_from(data, len(MAGIC))[0] != crc32c(data[head:]):
+    if magic not in (MAGIC, MAGIC_1):
+        return Found(None, f"version {magic[-1]}, which this program does not know")
+    serial = 0
+    if magic == MAGIC:
+        if len(data) % BLOCK:
+            return Found(None, "cut short")
+        serial, length = HEAD.unpack_from(rest)
+        if any(rest[HEAD.size + length:]):
+            return Found(None, "more than one file's bytes")
+        rest = rest[:HEAD.size + length]
+    if CHECK.unpack_from(data, len(MAGIC))[0] != crc32c(rest):
         return Found(None, "checksum")
     try:
-        return Found(_decode(data[head:]))
+        return Found(_decode(rest[HEAD.size:] if magic == MAGIC else rest), serial=serial)
     except msgspec.MsgspecError as error:
         return Found(None, str(error))
 
 
 class Store:
-    """The file of one node. ``load`` and ``save`` block and raise OSError."""
+    """The files of one node. ``load`` and ``save`` block and raise OSError."""
 
     def __init__(self, state: Path, cluster: str, node: str) -> None:
         self._folder, self._whose = state / FOLDER, (cluster, node)
+        self._serial = 0  # of the last that is whole
+        # Guards against a sync that failed and left pages that only look written: that file is made anew.
+        self._failed = False
 
     def load(self) -> Found:
-        """What the last process left. A file that cannot be read is set aside, as ``node.damaged``.
+        """What the last process left.
+
+        A file that cannot be read is set aside, as ``node.N.damaged``, and the other one with it, as ``node.N.unsure``:
+        it may be the older of the two, which has forgotten a vote. So it is where one is missing.
 
         Raises Foreign where the folder is another node's: acting on its word would be acting in its name.
         """
         self._folder.mkdir(exist_ok=True)
-        path = self._folder / FILE
+        found = {name: one for name in FILES if (one := self._read(name)) is not None}
+        if not found and (one := self._read(FILE_1)) is not None:
+            found[FILE_1] = one
+        newest = max(found.values(), key=lambda one: one.serial, default=Found(None))
+        reasons = [f"{name}: {one.reason}" for name, one in found.items() if one.stored is None]
+        if not reasons and newest.serial > 1 and len(found) < len(FILES):
+            reasons = ["one of two files is missing"]
+        if not reasons:
+            self._serial = newest.serial
+            return newest
+        # Those that could be read go first: a start that is cut short here finds the damage again.
+        for name in sorted(found, key=lambda name: found[name].stored is None):
+            path = self._folder / name
+            path.rename(path.with_name(name + (DAMAGED if found[name].stored is None else UNSURE)))
+        return Found(None, "; ".join(reasons))
+
+    def _read(self, name: str) -> Found | None:
+        path = self._folder / name
         try:
             with open(path, "rb") as file:
-                data = file.read(FILE_MOST)
+                found = decode(file.read(FILE_MOST))
         except FileNotFoundError:
-            return Found(None)
-        found = decode(data)
-        if found.stored is None:
-            path.rename(self._folder / f"{FILE}.damaged")
-        elif (found.stored.cluster, found.stored.node) != self._whose:
+            return None
+        if found.stored is not None and (found.stored.cluster, found.stored.node) != self._whose:
             raise Foreign(f"{path} is of node {found.stored.node} in cluster {found.stored.cluster}; this relay is "
                           f"{self._whose[1]} in {self._whose[0]}: want the folder that belongs to it, or an empty one")
         return found
 
     def save(self, life: int, kept: Kept | None) -> None:
-        """On disk once this returns."""
-        path = self._folder / f"{FILE}.new"
-        with open(path, "wb") as file:
-            file.write(encode(Stored(*self._whose, life, kept)))
-            file.flush()
-            os.fsync(file.fileno())
-        path.rename(self._folder / FILE)
-        handle = os.open(self._folder, os.O_RDONLY)
+        """On disk once this returns; after an error the other file has what was there."""
+        serial = self._serial + 1
+        data, path = encode(Stored(*self._whose, life, kept), serial), self._folder / FILES[serial % 2]
+        fits = not self._failed and path.exists() and path.stat().st_size == len(data)
+        new = path if fits else path.with_name(path.name + ".new")
+        self._failed = True
+        handle = os.open(new, os.O_WRONLY | os.O_CLOEXEC | (0 if fits else os.O_CREAT | os.O_TRUNC), 0o644)
         try:
-            os.fsync(handle)  # guards against a name that the folder forgets
+            if os.pwrite(handle, data, 0) != len(data):
+                raise OSError(28, "no space", str(new))
+            os.fdatasync(handle)
         finally:
             os.close(handle)
+        if not fits:
+            new.rename(path)
+            (self._folder / FILE_1).unlink(missing_ok=True)
+            handle = os.open(self._folder, os.O_RDONLY)
+            try:
+                os.fsync(handle)  # guards against a name that the folder forgets
+            finally:
+                os.close(handle)
+        self._serial, self._failed = serial, False
+
+
+class Pending:
+    """Which write goes next: one is under way at a time, and what comes meanwhile goes with the one behind it, whole.
+    What is under way, or there already, is not written again: so a slow disk holds no queue. No I/O."""
+
+    def __init__(self) -> None:
+        self._there: Any = None
+        self._now: Any = None
+        self._next: Any = None
+        self._with: list[Callable[[], None]] = []
+        self._waiting: list[Callable[[], None]] = []
+
+    def put(self, what: Any, then: Callable[[], None]) -> Any:
+        """What is to be written at once, or None. ``then`` is handed out once that is there."""
+        if self._next is None and what == self._now:
+            self._with.append(then)
+        elif self._next is None and self._now is None and what == self._there:
+            then()
+        else:
+            self._next = what
+            self._waiting.append(then)
+            return self.begin() if self._now is None else None
+        return None
+
+    def begin(self) -> Any:
+        """What is to be written now that nothing is under way; None where nothing waits."""
+        self._now, self._next = self._next, None
+        self._with, self._waiting = self._waiting, []
+        return self._now
+
+    def done(self, written: bool) -> list[Callable[[], None]]:
+        """The write under way has ended: what was to follow it, nothing where it failed."""
+        self._there, self._now = self._now if written else None, None
+        then, self._with = self._with, []
+        return then if written else []
--- a/lynxscale/cluster/views.py
+++ b/lynxscale/cluster/views.py
@@ -109,7 +109,7 @@
     settle: int = 300_000  # for which something must be wanted before it is proposed
     turn: int = 400_000  # for which each node further down the list waits longer
     resend: int = 200_000
-    give_up: int = 6_000_000  # of one proposal
+    give_up: int = 6_000_000  # of a proposal that gets no new answer: several times what a slow disk takes for a vote
     rest: int = 1_000_000  # after one that failed, at least
     fresh: int = 3_000_000  # for which an answer to a probe shows that a node is there
     hold_off: int = 2_000_000  # after a second removal of a node within a while, doubled by each further one
@@ -125,7 +125,7 @@
     ballot: Ballot
     step: Step
     bound: bool  # somebody has accepted that step before
-    begun: int
+    moved: int  # when it last came on: began, or had an answer that is new
     resend_at: int
     promises: dict[str, tuple[Ballot, Step | None]] = field(default_factory=dict)
     ready: dict[str, int] = field(default_factory=dict)  # when each that has promised can accept
@@ -235,7 +235,7 @@
             self._ask_at = now + self._ask_again(now)
         proposal = self._proposal
         if proposal is not None:
-            if now - proposal.begun > self.terms.give_up:
+            if now - proposal.moved > self.terms.give_up:
                 self._give_up(now, "no majority answers")
             elif not self._accept_when_ready(now) and now >= proposal.resend_at:
                 self._press(now)
@@ -592,7 +592,7 @@
         at = self._ready_at() if proposal.asking else None
         if at is None or now < at:
             return False
-        proposal.asking = False
+        proposal.asking, proposal.moved = False, now
         proposal.refused.clear()
         self._press(now)
         return True
@@ -613,8 +613,9 @@
             self._refuse(frm, word.number, ballot, "alive")
             return
         if frm != self.me.name:
-            # Guards a proposer that waits for leases to run out against those whose turn would come meanwhile.
-            self._rest_until = max(self._rest_until, now + wait + self.terms.settle)
+            # Guards a proposer that waits for leases to run out, or for the slower disks of others, against those whose
+            # turn would come meanwhile: it asks no more who has promised.
+            self._rest_until = max(self._rest_until, now + wait + self.terms.rest)
         promise = Say(frm, Promise(word.number, ballot, kept.ballot, kept.accepted, wait))
         if ballot == kept.promised:
             self._out.append(Persist(kept, (promise,)))  # said once more; behind what may still be on its way to disk
@@ -660,6 +661,8 @@
         proposal = self._proposal
         if not self._ours(word) or not proposal.asking:
             return
+        if frm not in proposal.promises:
+            proposal.moved = now
         proposal.promises[frm] = (word.ballot, word.step)
         proposal.ready[frm] = now + self._held(word.wait)
         if not self._decides(proposal.promises):
@@ -701,6 +704,8 @@
         proposal = self._proposal
         if not self._ours(word) or proposal.asking:
             return
+        if frm not in proposal.accepts:
+            proposal.moved = now
         proposal.accepts.add(frm)
         if not self._decides(proposal.accepts):
             return
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -1,5 +1,8 @@
 """The cluster's state machines, frames and file, without sockets: properties, seeded histories, mistakes put in."""
 
+import os
+from pathlib import Path
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -209,23 +212,106 @@
 # Memory ---------------------------------------------------------------------------------------------
 
 
-def test_memory_outlasts_the_process_and_a_spoilt_one_is_set_aside(tmp_path):
-    kept = Kept(View(4, 9, (Identity("r1", 2, 8),)), Ballot(3, "r2", 1), Ballot(2, "r1", 8),
-                Step(("r3",), (Identity("r4", 1, 2),)), 17, True)
-    store = stable.Store(tmp_path, "norte", "r1")
+KEPT = Kept(View(4, 9, (Identity("r1", 2, 8),)), Ballot(3, "r2", 1), Ballot(2, "r1", 8),
+            Step(("r3",), (Identity("r4", 1, 2),)), 17, True)
+
+
+def saved(path, count: int) -> stable.Store:
+    """Memory of as many lives, each written once."""
+    store = stable.Store(path, "norte", "r1")
     assert store.load() == stable.Found(None)
-    store.save(6, kept)
-    assert store.load().stored == stable.Stored("norte", "r1", 6, kept)
+    for life in range(1, count + 1):
+        store.save(life, KEPT)
+    return store
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 6])
+def test_memory_outlasts_the_process_and_a_spoilt_one_is_set_aside(tmp_path, count):
+    saved(tmp_path, count)
+    store = stable.Store(tmp_path, "norte", "r1")
+    assert store.load() == stable.Found(stable.Stored("norte", "r1", count, KEPT), serial=count)
     with pytest.raises(stable.Foreign, match="node r1 in cluster norte; this relay is r2"):
         stable.Store(tmp_path, "norte", "r2").load()
-    path = tmp_path / stable.FOLDER / stable.FILE
-    whole = path.read_bytes()
-    for place in range(len(whole)):
-        assert stable.decode(whole[:place]).stored is None
-        assert stable.decode(whole[:place] + bytes([whole[place] ^ 4]) + whole[place + 1:]).stored is None
-    path.write_bytes(whole[:-1])
-    assert store.load().reason == "checksum" and not path.exists()
-    assert (path.parent / "node.damaged").read_bytes() == whole[:-1]
+    for name in stable.FILES[:count]:
+        path = tmp_path / stable.FOLDER / (name if count > 1 else stable.FILES[1])
+        whole = path.read_bytes()
+        for place in range(0, len(whole), 1 if count == 1 else 97):
+            assert stable.decode(whole[:place]).stored is None
+            assert stable.decode(whole[:place] + bytes([whole[place] ^ 4]) + whole[place + 1:]).stored is None
+        path.write_bytes(whole[:-1])
+        store = stable.Store(tmp_path, "norte", "r1")
+        assert store.load() == stable.Found(None, f"{path.name}: cut short")
+        assert not path.exists() and path.with_name(path.name + ".damaged").read_bytes() == whole[:-1]
+        # The other one may be the older of the two: it is not believed either, now or by a later start.
+        assert stable.Store(tmp_path, "norte", "r1").load() == stable.Found(None)
+        store.save(7, None)
+        store.save(8, KEPT)
+        assert stable.Store(tmp_path, "norte", "r1").load().stored == stable.Stored("norte", "r1", 8, KEPT)
+
+
+def test_memory_of_which_one_file_is_missing_may_be_the_older(tmp_path):
+    saved(tmp_path, 3)
+    (tmp_path / stable.FOLDER / stable.FILES[1]).unlink()
+    assert stable.Store(tmp_path, "norte", "r1").load() == stable.Found(None, "one of two files is missing")
+
+
+def test_memory_of_the_first_form_is_read_until_there_is_a_newer_one(tmp_path):
+    folder = tmp_path / stable.FOLDER
+    folder.mkdir()
+    golden = (Path(__file__).parent / "data" / "cluster" / "node-v1").read_bytes()
+    (folder / "node").write_bytes(golden)
+    store = stable.Store(tmp_path, "norte", "r1")
+    assert store.load().stored == stable.Stored("norte", "r1", 6, KEPT)
+    store.save(7, None)
+    assert [path.name for path in folder.iterdir()] == ["node.1"]
+    (folder / "node").write_bytes(golden)  # as a kill between the two would leave it
+    assert stable.Store(tmp_path, "norte", "r1").load().stored == stable.Stored("norte", "r1", 7, None)
+    for place in range(len(golden)):
+        assert stable.decode(golden[:place]).stored is None
+
+
+def test_a_vote_is_one_sync_and_a_failed_one_spoils_nothing(tmp_path, monkeypatch):
+    synced = []
+    fails = False
+
+    def sync(_handle):
+        synced.append(None)
+        if fails:
+            raise OSError(5, "input/output error")
+
+    monkeypatch.setattr(os, "fsync", sync)
+    monkeypatch.setattr(os, "fdatasync", sync)
+    store = saved(tmp_path, 2)  # each file made anew: its bytes, and its name in the folder
+    assert len(synced) == 4
+    store.save(3, KEPT)
+    store.save(4, KEPT)
+    assert len(synced) == 6
+    fails = True
+    with pytest.raises(OSError):
+        store.save(5, KEPT)
+    before = (tmp_path / stable.FOLDER / stable.FILES[0]).read_bytes()  # of the fourth
+    fails, synced[:] = False, []
+    store.save(6, KEPT)
+    assert len(synced) == 2  # anew, where the failed one was
+    assert (tmp_path / stable.FOLDER / stable.FILES[0]).read_bytes() == before
+    assert stable.Store(tmp_path, "norte", "r1").load().stored.life == 6
+
+
+def test_what_is_under_way_or_there_is_not_written_again():
+    pending, done = stable.Pending(), []
+    assert pending.put("a", lambda: done.append(1)) == "a"
+    assert pending.put("a", lambda: done.append(2)) is None  # with the one under way
+    assert pending.put("b", lambda: done.append(3)) is None
+    assert pending.put("c", lambda: done.append(4)) is None
+    for then in pending.done(True):
+        then()
+    assert done == [1, 2] and pending.begin() == "c"
+    assert pending.done(False) == [] and pending.begin() is None  # it could not be written: nothing follows
+    assert pending.put("a", lambda: done.append(5)) == "a"  # what is there now is not known
+    for then in pending.done(True):
+        then()
+    assert pending.begin() is None and pending.put("a", lambda: done.append(6)) is None
+    assert done == [1, 2, 5, 6]
 
 
 # Histories ------------------------------------------------------------------------------------------
@@ -267,6 +353,17 @@
         assert world.until_agreed(["r2", "r3"], 6.2 * SECOND), f"seed {seed}"
 
 
+@pytest.mark.parametrize("count", [3, 5])
+def test_a_view_comes_on_disks_that_take_two_seconds(count):
+    """For each vote, and some of them while another write is under way."""
+    for seed in range(8):
+        world = formed(count, seed)
+        world.disk_us = (1_900_000, 2_300_000)
+        world.run(world.now + 8 * SECOND)
+        world.kill("r1")
+        assert world.until_agreed(world.names[1:], 9.3 * SECOND), f"seed {seed}"
+
+
 def test_without_a_majority_there_is_no_view_and_nobody_acts():
     world = World(5, 3)
     for name in world.names:
--- a/tests/test_cluster_live.py
+++ b/tests/test_cluster_live.py
@@ -213,6 +213,16 @@
     run(folder, 3, scene, clocks_apart=0.01)
 
 
+def test_a_killed_node_is_voted_out_where_each_sync_takes_two_seconds(folder):
+    async def scene(cluster):
+        for node in cluster.nodes.values():
+            odd.put(node.folder, odd.SYNC, 2.0)
+        await cluster.nodes["r1"].stop(signal.SIGKILL)
+        await become(cluster, ["r2", "r3"], 15.0)  # 6.7 to 7.8 s in simulation, and what a busy machine takes
+
+    run(folder, 3, scene, clocks_apart=0.01)
+
+
 def test_a_second_process_under_one_name_is_not_the_node(folder):
     """It has a copy of the folder, and others' addresses lead to the first: nobody takes it for the node."""
     async def scene(cluster):
