Go by the clock since the boot over restarts, so that a stepped wall clock harms no message

Put back by an hour between two lives it opened the span of a key again, and what may have run was called a second time behind it (the test without the mend: no notice comes, the call is made again and again); put forward it ended all that was held with no call.

The first process on a boot notes in `clock` how far Unix time is from CLOCK_BOOTTIME; later ones, and both of an upgrade, go by that, and tell of a difference over a second. Over a new boot, or with no file, the wall clock counts as before. test_upgrade's list of what a state folder holds has the file besides.

--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -32,6 +32,7 @@
 from lynxscale.upgrade.handover import Handover
 from lynxscale.upstream.group import FILES, SOURCES, Group
 from lynxscale.upstream.verdicts import Teller
+from lynxscale.wall import unix_clock
 
 log = structlog.get_logger()
 
@@ -57,12 +58,13 @@
         self.deadlines = Deadlines(self.loop, reactor.callLater)
         self.claim = Claim(conf.state, None if conf.accept_fd is None else os.fstat(conf.accept_fd).st_ino)
         self.claim.wait(LOCK_FOR)
-        self.journal = Journal(Folder(self.claim.path), conf.disk_bytes, lambda: time.time_ns() // 1000)
+        unix = unix_clock(conf.state)
+        self.journal = Journal(Folder(self.claim.path), conf.disk_bytes, unix)
         if conf.accept_fd is not None or self.claim.earlier:
             self.journal.plan.allot(HEIR_SHARE)
         self.lifecycle = Lifecycle()
         relay = self.relay = Relay(
-            conf.settings, conf.seed, self.loop, self.deadlines, self.journal, self.counters
+            conf.settings, conf.seed, self.loop, self.deadlines, self.journal, self.counters, unix
         )
         self.loop.at_end = relay.turn
         order = SOURCES if own.members.precedence == FILES else SOURCES[::-1]
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -129,8 +129,10 @@
 
 
 class Relay:
-    def __init__(self, settings: api.Settings, seed: int, loop: Loop, deadlines: Deadlines,
-                 journal: Journal, counters: Counters) -> None:
+    """``unix`` gives the Unix time, in µs, that the journal's times are of."""
+
+    def __init__(self, settings: api.Settings, seed: int, loop: Loop, deadlines: Deadlines, journal: Journal,
+                 counters: Counters, unix: Callable[[], int] = lambda: time.time_ns() // 1000) -> None:
         self.settings, self.loop, self.deadlines = settings, loop, deadlines
         self.journal, self.counters = journal, counters
         self.sender = Sender(settings, seed)
@@ -152,7 +154,7 @@
         self._classes = {grade.name: place for place, grade in enumerate(settings.classes)}
         self._tenants = {tenant.name: place for place, tenant in enumerate(settings.tenants)}
         self._most = settings.most_held
-        self._unix_zero = time.time_ns() // 1000 - loop.now()
+        self._unix_zero = unix() - loop.now()
 
     # Names ---------------------------------------------------------------------------------------
 
--- a/tests/node.py
+++ b/tests/node.py
@@ -36,6 +36,8 @@
         self.allowed: dict = {}
         self.process = self.port = self.admin = None
         self.env: dict[str, str] = {}
+        self.configure_more: dict = {}
+        self.program: tuple[str, ...] = ("-m", "lynxscale")
 
     def configure(self, **more) -> Path:
         """Write the configuration file, with these keys besides."""
@@ -43,7 +45,7 @@
         table = {"name": "n1", "seed": seed, "limits": self.limits, "settings": settings(**self.allowed),
                  "known": {"generation": 1, "reset": True, "instances": self.discovery.rows}}
         path = Path(self.folder.name, "config.json")
-        path.write_text(json.dumps(table | more))
+        path.write_text(json.dumps(table | self.configure_more | more))
         return path
 
     def reload(self, seen: str) -> None:
@@ -74,7 +76,7 @@
                             "NODE_LISTEN": f"127.0.0.1:{self.port}", "NODE_DISCOVERY": self.discovery.at}
         self.log = Path(self.folder.name, "log")
         with self.log.open("a") as log:
-            return subprocess.Popen([sys.executable, "-m", "lynxscale"], cwd=ROOT, env=env | self.env | more,
+            return subprocess.Popen([sys.executable, *self.program], cwd=ROOT, env=env | self.env | more,
                                     stdout=log, stderr=log, pass_fds=fds)
 
     def _ready(self) -> bool:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -207,6 +207,51 @@
         self.assertLessEqual({f"m{number}" for number in range(16)}, {call[1]["req-id"] for call in self.calls()})
 
 
+STEPPED = """import time
+true, step = time.time_ns, {seconds} * 10**9
+time.time_ns, time.time = lambda: true() + step, lambda: (true() + step) / 1e9
+from lynxscale.__main__ import main
+main()"""
+
+
+class SteppedClocks(NodeCase):
+    """The wall clock is put off by an hour between two lives of a relay."""
+
+    def again(self, seconds: int) -> None:
+        """Another life, whose wall clock is off by so many seconds."""
+        self.kill()
+        self.program = "-c", STEPPED.format(seconds=seconds)
+        self.start()
+        found = re.search(r"event=wall_clock_stepped ms=(-?[0-9]+)", self.log.read_text())
+        self.assertAlmostEqual(int(found[1]), seconds * 1000, delta=500)
+
+    def test_a_clock_put_back_does_not_open_a_keys_span_again(self):
+        span = settings()
+        span["grades"][1]["memory_span_ms"] = 1500.0
+        self.configure_more = {"settings": span}
+        self.act = lambda call: b"" if call[1]["req-id"] == "m1" else reply(200)
+        self.start()
+        self.assertEqual(self.client().hand_in("m1", "keyed", Idempotency_Key="k1")[0], 202)
+        until(lambda: self.calls("m1"), "its try, which may have run")
+        begun = time.monotonic()
+        self.kill()
+        sleep_until(begun + 1.7)
+        self.again(-3600)
+        self.notice("m1")
+        self.assertEqual(len(self.calls("m1")), 1)
+
+    def test_a_clock_put_forward_ends_nothing_untried(self):
+        self.act = lambda _call: reply(503, b"", "Retry-After: 3.000")
+        self.start()
+        self.assertEqual(self.client().hand_in("m0")[0], 202)
+        until(lambda: self.calls("m0"), "the wait")
+        self.assertEqual(self.client().hand_in("m1")[0], 202)
+        self.act = lambda _call: reply(200)
+        self.again(3600)
+        self.delivered(2)
+        self.assertEqual((len(self.calls("m1")), self.discovery.notices), (1, {}))
+
+
 class Operators(NodeCase):
     def test_a_call_that_comes_in_the_instant_of_its_time_out_is_answered(self):
         """The relay is stopped over the second that a call may take; half of a call has its 408 all the same."""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -253,7 +253,7 @@
         self.assertEqual(len(ran), len(set(ran)))
         self.assertGreater(len(ran), 0)
         until(lambda: "event=taken_over folder=segments\n" in self.log.read_text(), "the old folder's end")
-        self.assertEqual(sorted(path.name for path in self.state.iterdir()), ["board", "heir", "segments.1"])
+        self.assertEqual(sorted(path.name for path in self.state.iterdir()), ["board", "clock", "heir", "segments.1"])
         self.assertIsNone(heir.poll())
 
     def test_what_waits_is_the_heirs_while_the_old_one_lives_and_is_known_at_both(self):
--- /dev/null
+++ b/tests/test_wall.py
@@ -0,0 +1,46 @@
+"""Unix time over restarts: what is noted, and what is left where nothing can be."""
+
+import time
+
+import orjson
+import pytest
+from structlog.testing import capture_logs
+
+from lynxscale import wall
+
+HOUR = 3_600_000_000
+
+
+def apart(path) -> int:
+    """µs by which the clock of this folder is before the wall clock."""
+    return time.time_ns() // 1000 - wall.unix_clock(path)()
+
+
+def test_the_first_process_notes_it_and_later_ones_go_by_that(tmp_path, monkeypatch):
+    assert abs(apart(tmp_path)) < 1_000_000
+    true = time.time_ns
+    for step in (HOUR, -HOUR):
+        monkeypatch.setattr(time, "time_ns", lambda step=step: true() + step * 1000)
+        with capture_logs() as seen:
+            assert abs(apart(tmp_path) - step) < 1_000_000
+        assert [row["event"] for row in seen] == ["wall_clock_stepped"]
+    monkeypatch.setattr(wall, "_boot", lambda: "another boot")
+    assert abs(apart(tmp_path)) < 1_000_000
+    assert orjson.loads((tmp_path / wall.FILE).read_bytes())["boot"] == "another boot"
+
+
+@pytest.mark.parametrize("spoil", [b"", b"[]", b"{}", b'{"version": 1, "boot": 3}', bytes(5000)])
+def test_a_file_of_no_use_is_told_and_made_anew(tmp_path, spoil):
+    (tmp_path / wall.FILE).write_bytes(spoil)
+    with capture_logs() as seen:
+        assert abs(apart(tmp_path)) < 1_000_000
+    assert [row["event"] for row in seen] == ["clock_unreadable"]
+    with capture_logs() as seen:
+        assert abs(apart(tmp_path)) < 1_000_000
+    assert seen == []
+
+
+def test_a_folder_that_cannot_be_written_leaves_the_wall_clock(tmp_path):
+    with capture_logs() as seen:
+        assert abs(apart(tmp_path / "none")) < 1_000_000
+    assert [row["event"] for row in seen] == ["clock_not_noted"]
