Leave a cut where it would end a message of the same call that must not go again

A test makes it come: usual calls of 20 ms, then one with both kinds that hangs; without the change "not seen in time: all are delivered", as the once-only ones of that call were told as undeliverable.

Change: such a cut is not carried out (`tries not_cut`); the call's answer or time-out ends the try. `Relay.repeatable` is the one judge, here and where bytes go.

--- a/lynxscale/net/peers.py
+++ b/lynxscale/net/peers.py
@@ -135,9 +135,16 @@
         self._begin(call)
 
     def cancel(self, number: int, attempt: int) -> None:
-        if (work := self._by_key.get((number, attempt))) is not None:
-            # Guards against a second copy: the connection is closed before another try can be written.
-            self._late(work.place, Result.CANCELLED, link.CANCELLED)
+        if (work := self._by_key.get((number, attempt))) is None:
+            return
+        if work.call.link is not None and not self._copies and not all(
+                self._relay.repeatable(one.held) for one in self._left(work.call) if one is not work):
+            # Guards the others of its call: cut along they may have run, and must not go again. The call's answer, or
+            # its time-out, is the end of this one too.
+            self._relay.counters.add("tries", "not_cut")
+            return
+        # Guards against a second copy: the connection is closed before another try can be written.
+        self._late(work.place, Result.CANCELLED, link.CANCELLED)
 
     def close_idle(self, endpoint: int, reason: str = link.CROWDED) -> None:
         for idle in self._idle.pop(endpoint, []):
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -248,7 +248,7 @@
         if (held := self.held.get(number)) is None or not self.sending:
             # Guards against a connection that comes up as the process ends: there is no time left for its answer.
             return False
-        if not self._repeatable(held):
+        if not self.repeatable(held):
             self.counters.add("tries", "too_late_to_repeat")
             return False
         try:
@@ -259,7 +259,7 @@
             return False
         return True
 
-    def _repeatable(self, held: Held) -> bool:
+    def repeatable(self, held: Held) -> bool:
         """May it go, although a try before may have run?
 
         Guards against a repeat that was in its key's span when it was ordered and is not when its connection is up.
--- a/tests/test_bundle.py
+++ b/tests/test_bundle.py
@@ -1,13 +1,16 @@
 """Several messages in one call: the codec, and what becomes of each message whatever the answer is."""
 
+import contextlib
 import re
+import threading
+import time
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from gannetshift.interface import Result
-from lab.standins import message, reply, row, settings, until
+from lab.standins import PATIENCE, message, reply, row, settings, until
 from lynxscale import bundle
 from tests.node import NodeCase
 
@@ -126,6 +129,43 @@
                 if not again:
                     self.assertEqual([self.sent(name) - self.refused(name) for name in first[0]], [1] * len(first[0]))
 
+    def test_a_cut_leaves_those_of_its_call_that_may_not_go_again(self):
+        """Calls take 20 ms, then one hangs far beyond what is usual; with it a message that goes once at most."""
+        hangs: list = []
+        hung = threading.Event()
+        self.addCleanup(hung.set)
+
+        def act(call):
+            if "/events/bundle" in call[0] and not hangs and self.mixed(call):
+                hangs.append(self.told_ids(call))
+                hung.wait(PATIENCE)
+            else:
+                time.sleep(0.02)
+            return self.answer(call)
+
+        self.act = act
+        self.start()
+        for number in range(100, 160):
+            self.assertEqual(self.client().hand_in(f"m{number}")[0], 202)
+        self.delivered(60)
+        place = 0
+        while not hangs and place < 400:
+            with contextlib.ExitStack() as stack:
+                clients = [stack.enter_context(contextlib.closing(self.client())) for _ in range(6)]
+                for client in clients:
+                    place += 1
+                    client.socket.sendall(message(f"m{1000 + place}", ("once", "safe")[place % 2]))
+                for client in clients:
+                    client.stream.readline()
+        until(lambda: hangs, "a call with both")
+        until(lambda: "not_cut" in self.counters()["tries"] or "reason=cancelled" in self.log.read_text(), "the cut")
+        hung.set()
+        until(lambda: self.counters()["ends"].get("delivered", 0) >= 60 + place, "all are delivered")
+        self.assertEqual(self.discovery.notices, {})
+
+    def mixed(self, call) -> bool:
+        return len({int(id_[1:]) % 2 for id_ in self.told_ids(call) if len(id_) == 5}) == 2
+
     def test_one_whose_time_is_up_leaves_the_call_to_the_others_and_a_late_word_counts(self):
         """m0 has a second; the answer comes after two."""
         self.start()
