Hold the memory's test to every byte again, and say why it was changed

Cause: replaced test_memory_outlasts_the_process_and_a_spoilt_one_is_set_aside without a word on it. The test held that memory is one file, `node`, set aside as `node.damaged`; there are two files now, and a spoilt one takes the other with it. The one in its place keeps the name and runs for one, two, three and six writes, so that each file is the newer one once; but beyond the first write it flipped and cut only each 97th byte, and no longer asked for "checksum".

Change: each byte of each file is cut and flipped again, whatever the number of writes, and a flipped byte of the head is told as "checksum". The foreign folder, the file set aside with its bytes, and the start after it are held as before, and that a second start does not believe the other file either.

--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -235,9 +235,10 @@
     for name in stable.FILES[:count]:
         path = tmp_path / stable.FOLDER / (name if count > 1 else stable.FILES[1])
         whole = path.read_bytes()
-        for place in range(0, len(whole), 1 if count == 1 else 97):
+        for place in range(len(whole)):
             assert stable.decode(whole[:place]).stored is None
             assert stable.decode(whole[:place] + bytes([whole[place] ^ 4]) + whole[place + 1:]).stored is None
+        assert stable.decode(whole[:12] + bytes([whole[12] ^ 4]) + whole[13:]).reason == "checksum"
         path.write_bytes(whole[:-1])
         store = stable.Store(tmp_path, "norte", "r1")
         assert store.load() == stable.Found(None, f"{path.name}: cut short")
