Hand in until the drain's two seconds are over, however long the junk takes

The test handed in 900 messages on a timetable of 4.5 s and wrote its 7,000 files on the same loop (`junk.touch(); junk.unlink()`, tests/test_upstream_live.py); on a disk where that takes over 2.5 s the clients, woken late, handed in all the rest at once and were done before the two seconds were over. Shown by a pause of 4 s after the files: the same words, `assert set() == {'s-00', 's-02'}`, each time. Ruled out: the relay; it kept the rule (no breach was found) and had nothing to deliver.

The test hands in a hundred at a time until three seconds after the drain are over, so that there is always traffic in the time it judges. What it asserts is the same, and as strict.

--- a/tests/test_upstream_live.py
+++ b/tests/test_upstream_live.py
@@ -1,6 +1,7 @@
 """Watched files on a real relay: rewrites, swaps, drains under load, ends in the middle of an update."""
 
 import asyncio
+import itertools
 import json
 import os
 import random
@@ -284,7 +285,12 @@
                 else:
                     drained["s-01"] = relay.put(scene.entries("s-00", "s-01", "s-02", draining=["s-01"]), 2, "a.list")
 
-            await asyncio.gather(drain(), desk.run(range(900), 200.0))
+            async def hand_in():
+                numbers = itertools.count()
+                while not drained or time.monotonic() < drained["s-01"] + DRAIN + 1.0:
+                    await desk.run(itertools.islice(numbers, 100), 200.0)
+
+            await asyncio.gather(drain(), hand_in())
             await relay.settled(sum(one.status == 202 for one in desk.sent.values()))
             found = judge(desk.sent, scene.partner.calls, relay.finals(), drained=drained)
             assert found.breaches == []
