Judge a cluster's answers as they come, so that an hour of sixteen nodes can be played

`make soak-cluster` had never been run for its hour. At sixteen nodes its laboratory grew by 24 MB a second (448 MB after 22 s, 1.9 GB after 80 s; at five nodes 2 MB a second): `_watch` kept each answer of each door in whole, twenty a second and node, each with all nodes and members (`history.append(seen)`, lab/cluster/play.py), and judged and drew them at the end. The hour would have ended for want of memory.

`judge()` becomes `Judge`, which is told each answer and keeps by life and view until when it might act at the latest, and by view the earliest moment by which someone acted; that is all that the verdict needs. What the picture draws is kept by change (`Beliefs`). `Played.history` is gone; the live test counts `verdict.looks` in its place, the same number.

--- a/lab/cluster/play.py
+++ b/lab/cluster/play.py
@@ -10,8 +10,9 @@
 
 from lab.clients import Desk
 from lab.cluster.faults import Fault, Weathers, strike
-from lab.cluster.judge import Verdict, judge
+from lab.cluster.judge import Judge, Verdict
 from lab.cluster.nodes import Cluster, Seen
+from lab.cluster.plot import Beliefs
 from lab.demo import DESTINATIONS
 from lab.rules import judge as judge_messages
 
@@ -25,7 +26,7 @@
     """``sent_bytes``, ``sent_datagrams``: by node and second, all of the cluster's own traffic."""
 
     verdict: Verdict
-    history: list[Seen] = field(default_factory=list)
+    beliefs: Beliefs = field(default_factory=Beliefs)
     faults: list[tuple[float, Fault]] = field(default_factory=list)  # when it began, monotonic seconds
     formed_s: float = 0.0
     settled_s: float = 0.0
@@ -34,7 +35,7 @@
     messages: dict = field(default_factory=dict)
 
 
-async def _watch(cluster: Cluster, history: list[Seen]) -> None:
+async def _watch(cluster: Cluster, saw: Callable[[Seen], None]) -> None:
     """Ask every node over and over, each by itself: one that does not answer holds up nobody's record."""
     async def one(name: str) -> None:
         while True:
@@ -42,7 +43,7 @@
             if node.running:
                 seen = await node.look()
                 if seen is not None:
-                    history.append(seen)
+                    saw(seen)
             await asyncio.sleep(LOOK_EVERY)
 
     await asyncio.gather(*(one(name) for name in cluster.names))
@@ -51,18 +52,22 @@
 async def play(folder: Path, count: int, seed: int, faults: list[Fault], say: Callable[[str], None],
                rate: float = 20.0, probe_ms: int = 500) -> Played:
     """Play these faults on ``count`` nodes, with ``rate`` messages a second to each."""
-    history: list[Seen] = []
     left: list[str] = []
-    played = Played(Verdict(), history)
+    judge, played = Judge(), Played(Verdict())
+
+    def saw(seen: Seen) -> None:
+        judge.saw(seen)
+        played.beliefs.saw(seen)
+
     async with Cluster(folder, count, seed, probe_ms, CLOCKS_APART) as cluster:
         begun = time.monotonic()
         await cluster.start()
-        watch = asyncio.create_task(_watch(cluster, history))
+        watch = asyncio.create_task(_watch(cluster, saw))
         try:
             formed = await cluster.agreed(cluster.names, FORM_WITHIN)
             played.formed_s = time.monotonic() - begun
             if formed is None:
-                played.verdict = judge(history, left)
+                played.verdict = judge.verdict(left)
                 played.verdict.breaches.append(f"no view of all nodes within {FORM_WITHIN:.0f} s of the start")
                 return played
             say(f"{0:5.1f} s  {count} nodes formed view {formed[cluster.names[0]].status['view']['number']} "
@@ -93,7 +98,7 @@
             ended = await _messages(cluster, desks) if rate else None
         finally:
             watch.cancel()
-        played.verdict = judge(history, left)
+        played.verdict = judge.verdict(left)
         if settled is None:
             looks = await cluster.looks()
             said = "; ".join(f"{name}: {seen.status['standing']}, view {(seen.status['view'] or {}).get('number')}, "
--- a/tests/test_cluster_live.py
+++ b/tests/test_cluster_live.py
@@ -67,7 +67,7 @@
     print(f"seed {seed}, {count} nodes, {at_once} at once")
     played = asyncio.run(play(folder, count, seed, draw(seed, names, 10.0, at_once), print, rate=10.0))
     assert not played.verdict.breaches
-    assert len(played.history) > 100 and played.messages
+    assert played.verdict.looks > 100 and played.messages
 
 
 def test_a_killed_node_is_voted_out_and_comes_back_as_a_new_life(folder):
