Let no call be on its way as the start's test kills, since what may have run rightly ends

A payout whose try may have run does not go again: the relay was right each time, and the test kept its instants apart by the partner's speed alone.

The first kill waits until the relay knows the answer to each call that was made, and over the fifteen starts the list names an address that refuses connections: tries are still begun in them, and none can have run. What is asserted is as before: six replayed, six delivered, no notice.

--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -531,14 +531,18 @@
 
     def test_an_end_at_any_instant_of_the_start_keeps_what_is_held(self):
         """Told at fifteen instants, before the handlers are there and until it serves, and killed a moment later, as it
-        takes over what is open; then a start finds it all.
+        takes over what is open; then a start finds it all. No call is on its way at a kill: what may have run would
+        rightly not go again.
         """
         self.act = lambda _call: reply(503, b"", "Retry-After: 3.000")
         self.start()
         names = [f"m{number}" for number in range(6)]
         for name in names:
             self.assertEqual(self.client().hand_in(name, "once", left=100.0)[0], 202)
+        until(lambda: 0 < len(self.calls()) <= sum(self.counters().get("tries", {}).values()), "the refusal is known")
         self.kill()
+        there = self.discovery.rows
+        self.discovery.rows = [row("s-none", f"127.0.0.1:{self.free_port()}", 1)]  # refuses each connection
         for place in range(15):
             self.process = self.spawn(self.configure())
             time.sleep(0.04 * place)
@@ -546,6 +550,7 @@
             time.sleep(0.1)
             self.kill()
             self.assertIn(self.process.returncode, (0, -signal.SIGTERM, -signal.SIGKILL))
+        self.discovery.rows = there
         self.act = lambda _call: reply(200)
         self.start()
         self.assertEqual(self.counters()["taken"]["replayed"], 6)
