Keep a record of its own for each replay of the laboratory, so that two may overlap

Two faults `replayed` struck r2 at once (357.6 s for 8.2 s, 365.7 s for 0.8 s), and both recorded into the link's one `keep`, which the first to end set to None (`kept, link.keep = link.keep, None`, lab/cluster/faults.py).

Each replay adds a recorder to the links and takes its own away.

--- a/lab/cluster/faults.py
+++ b/lab/cluster/faults.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -203,12 +204,14 @@
     to = fault.nodes[0]
     links = [link for (_, name), link in cluster.mesh.links.items() if name == to]
     if fault.kind == "replayed":
-        for link in links:
-            link.keep = []
+        # Each has recorders of its own: another such fault may begin or end meanwhile.
+        recorders = [(link, deque(maxlen=256)) for link in links]
+        for link, recorder in recorders:
+            link.recorders.append(recorder)
         await asyncio.sleep(fault.lasts)
-        for link in links:
-            kept, link.keep = link.keep, None
-            for data in kept:
+        for link, recorder in recorders:
+            link.recorders = [one for one in link.recorders if one is not recorder]
+            for data in recorder:
                 link.send(data)
         return
     for _ in range(200):
--- a/lab/cluster/links.py
+++ b/lab/cluster/links.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+from collections import deque
 from dataclasses import dataclass, field
 
 CHUNK = 16 << 10
@@ -57,7 +58,7 @@
         self.weather, self.passed = Weather(), Passed()
         self.back: Link | None = None
         self.port = 0
-        self.keep: list[bytes] | None = None  # the last frames, for who wants to send them once more
+        self.recorders: list[deque[bytes]] = []  # of those who want to send frames once more
         self._chance = random.Random(f"{seed} {frm} {to}")
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
@@ -89,9 +90,8 @@
     def datagram_received(self, data: bytes, _addr: tuple) -> None:
         self.passed.datagrams += 1
         self.passed.bytes += len(data)
-        if self.keep is not None:
-            self.keep.append(data)
-            del self.keep[:-256]
+        for recorder in self.recorders:
+            recorder.append(data)
         self.send(data)
 
     def error_received(self, _exc: Exception) -> None:
--- a/tests/test_cluster_live.py
+++ b/tests/test_cluster_live.py
@@ -11,7 +11,7 @@
 import pytest
 
 from lab.cluster import odd
-from lab.cluster.faults import draw
+from lab.cluster.faults import Fault, draw
 from lab.cluster.links import Weather
 from lab.cluster.nodes import Cluster, Node
 from lab.cluster.play import play
@@ -70,6 +70,13 @@
     assert played.verdict.looks > 100 and played.messages
 
 
+def test_replays_that_overlap_are_each_carried_out(folder):
+    """The second's end once took the first's record away, and ended the run."""
+    faults = [Fault(0.5, 2.0, "replayed", ("r2",)), Fault(1.5, 0.5, "replayed", ("r2",))]
+    played = asyncio.run(play(folder, 3, 1, faults, print, rate=10.0))
+    assert not played.verdict.breaches and len(played.faults) == 2
+
+
 def test_a_killed_node_is_voted_out_and_comes_back_as_a_new_life(folder):
     async def scene(cluster):
         before = (await cluster.nodes["r3"].look()).status
