Hold sights and frames against plain models over whole sequences, by Hypothesis state machines

`Gossip`: three nodes that speak, accuse, start anew (also without the memory of their life), are configured anew and tell on anything ever said, in any order and again; each sight is the greatest that it was told, each change is told as it was, and in the end all are of one mind. `Wire`: frames lost, doubled, reordered, kept, flipped, cut, glued and of another cluster; each is taken once and only within the window, and nothing spoilt is read.

--- /dev/null
+++ b/tests/test_cluster_machines.py
@@ -0,0 +1,165 @@
+"""Sight and frames against plain models, over whatever sequence a bad network and bad processes make of them."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lynxscale.cluster import frame
+from lynxscale.cluster.frame import BadFrame, Message, Window
+from lynxscale.cluster.sight import Rumour, Sight, State
+
+NAMES = ("r1", "r2", "r3")
+KEY, FOREIGN = frame.key_of("norte", 500_000), frame.key_of("norte", 250_000)
+
+
+def order(rumour: Rumour) -> tuple:
+    """Which of two rumours of one node goes before the other: the later process, its later word, the worse state."""
+    return rumour.life, rumour.boot, rumour.word, int(rumour.state)
+
+
+class Gossip(RuleBasedStateMachine):
+    """Three nodes that speak for themselves, accuse one another and tell on whatever was ever said, old or new, in any
+    order and again. The model of a sight is all that it was told."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sights = {name: Sight(NAMES) for name in NAMES}
+        self.told = {name: {} for name in NAMES}  # who: of whom: the rumours taken in
+        self.said: list[Rumour] = []
+        self.own = {name: Rumour(name, 1, 7, 0, State.ALIVE) for name in NAMES}
+        self.now = 0
+
+    def merge(self, who: str, rumour: Rumour) -> None:
+        self.now += 1
+        sight, before = self.sights[who], self.best(who, rumour.name)
+        change = sight.merge(rumour, self.now)
+        if rumour.name not in sight.names:
+            assert change is None
+            return
+        self.told[who].setdefault(rumour.name, []).append(rumour)
+        if before is not None and order(rumour) <= order(before):
+            assert change is None
+            return
+        assert change.now == rumour and (change.before and order(change.before)) == (before and order(before))
+        assert change.shown == (before is None or (before.state, before.who) != (rumour.state, rumour.who))
+
+    def best(self, who: str, of: str) -> Rumour | None:
+        return max(self.told[who].get(of, ()), key=order, default=None)
+
+    @rule(who=st.sampled_from(NAMES), how=st.sampled_from(("word", "life", "boot")))
+    def speaks(self, who, how):
+        """A higher word; a process started anew; one that has lost its memory, and with it how often it was started."""
+        last = self.own[who]
+        self.own[who] = {"word": last._replace(word=last.word + 1),
+                         "life": last._replace(life=last.life + 1, boot=last.boot ^ 5, word=0),
+                         "boot": last._replace(boot=last.boot + 1, word=0)}[how]
+        self.said.append(self.own[who])
+        self.merge(who, self.own[who])
+
+    @rule(who=st.sampled_from(NAMES), of=st.sampled_from(NAMES), state=st.sampled_from(list(State)[1:]))
+    def accuses(self, who, of, state):
+        known = self.sights[who].get(of)
+        if known is not None:
+            self.said.append(known.rumour._replace(state=state, by=who))
+            self.merge(who, self.said[-1])
+
+    @precondition(lambda self: self.said)
+    @rule(to=st.sampled_from(NAMES), place=st.integers(0, 1 << 16))
+    def tells(self, to, place):
+        self.merge(to, self.said[place % len(self.said)])
+
+    @rule(who=st.sampled_from(NAMES), names=st.sets(st.sampled_from(NAMES)))
+    def is_configured_anew(self, who, names):
+        gone = self.sights[who].rename(names)
+        assert gone == sorted(set(self.told[who]) - names)
+        for name in gone:
+            del self.told[who][name]
+
+    @invariant()
+    def each_holds_the_greatest_that_it_was_told(self):
+        for who, sight in self.sights.items():
+            assert {one.rumour.name: order(one.rumour) for one in sight} == {
+                of: order(self.best(who, of)) for of in self.told[who]}
+            assert all(sight.state(of) == (self.best(who, of).state if of in self.told[who] else None) for of in NAMES)
+
+    def teardown(self) -> None:
+        """Once all has reached all, in whatever order, they are of one mind, and nothing old comes back."""
+        for place, sight in enumerate(self.sights.values()):
+            sight.rename(NAMES)
+            for rumour in self.said[::1 if place else -1] * 2:
+                sight.merge(rumour, self.now)
+        held = [{one.rumour.name: order(one.rumour) for one in sight} for sight in self.sights.values()]
+        assert held[0] == held[1] == held[2] == {
+            name: max(order(one) for one in self.said if one.name == name) for name in {one.name for one in self.said}}
+
+
+class Wire(RuleBasedStateMachine):
+    """One sender with two lives of its process, and a way that loses, doubles, reorders, keeps and spoils frames."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.numbers = {5: 0, 6: 0}  # by boot
+        self.frames: list[tuple[Message, bytes]] = []
+        self.windows = {5: Window(), 6: Window()}
+        self.taken: dict[int, set[int]] = {5: set(), 6: set()}
+
+    @rule(boot=st.sampled_from((5, 6)), lost=st.integers(0, 150), size=st.integers(0, 3))
+    def sends(self, boot, lost, size):
+        """One frame, behind so many that nobody will ever see."""
+        self.numbers[boot] += 1 + lost
+        news = [Rumour(f"r{place}", 1, 1, place, State.SUSPECT, "r1") for place in range(size)]
+        message = Message("r1", 1, boot, 0, self.numbers[boot], 0, 3, 4, frame.Ping(size), news)
+        self.frames.append((message, frame.encode(KEY, message)))
+
+    @rule(boot=st.sampled_from((5, 6)), apart=st.sampled_from((1, Window.SPAN - 1, Window.SPAN)))
+    def two_change_places(self, boot, apart):
+        self.sends(boot, 0, 0)
+        self.sends(boot, apart - 1, 0)
+        self.delivers(len(self.frames) - 1)
+        self.delivers(len(self.frames) - 2)
+
+    def one(self, place: int) -> tuple[Message, bytes]:
+        return self.frames[place % len(self.frames)]
+
+    @precondition(lambda self: self.frames)
+    @rule(place=st.integers(0, 1 << 16))
+    def delivers(self, place):
+        message, data = self.one(place)
+        assert frame.decode(KEY, data) == message
+        taken = self.taken[message.boot]
+        fits = message.number not in taken and message.number > max(taken, default=-1) - Window.SPAN
+        assert self.windows[message.boot].fresh(message.number) is fits
+        if fits:
+            taken.add(message.number)
+
+    @precondition(lambda self: self.frames)
+    @rule(place=st.integers(0, 1 << 16), at=st.integers(0, 1 << 16), bit=st.integers(0, 7))
+    def spoils(self, place, at, bit):
+        data = bytearray(self.one(place)[1])
+        data[at % len(data)] ^= 1 << bit
+        self.refused(bytes(data), KEY)
+
+    @precondition(lambda self: self.frames)
+    @rule(place=st.integers(0, 1 << 16), other=st.integers(0, 1 << 16), at=st.integers(0, 1 << 16))
+    def cuts_and_glues(self, place, other, at):
+        one, two = self.one(place)[1], self.one(other)[1]
+        self.refused(one[:at % len(one)], KEY)
+        self.refused(one + two, KEY)
+        at %= min(len(one), len(two))
+        if one[:at] + two[at:] not in (one, two):
+            self.refused(one[:at] + two[at:], KEY)
+
+    @precondition(lambda self: self.frames)
+    @rule(place=st.integers(0, 1 << 16))
+    def comes_from_another_cluster(self, place):
+        self.refused(self.one(place)[1], FOREIGN)
+
+    @staticmethod
+    def refused(data: bytes, key: int) -> None:
+        with pytest.raises(BadFrame):
+            frame.decode(key, data)
+
+
+TestGossip, TestWire = Gossip.TestCase, Wire.TestCase
+Gossip.TestCase.settings = Wire.TestCase.settings = settings(max_examples=100, stateful_step_count=40, deadline=None)
