Strike each kind of fault by itself, kills in a start and of all nodes too, and stops of a minute

Kinds `early` and `all`; stops of 0.1 to 59 s in runs of five minutes or more; `make soak-faults`. A relay may be begun without waiting until it serves (`Own.spawn`). Simulated nodes' steps, and each frame written and read, are timed by the process's CPU clock (`World.cpu_s`) and printed.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON := .venv/bin/python
 
 .PHONY: build test lint run bench-trace soak-trace bench-list soak-list bench-journal soak-journal soak-upgrade bench-operation \
-	bench-cluster soak-cluster sim-cluster check-cluster soak-rare
+	bench-cluster soak-cluster sim-cluster check-cluster soak-rare soak-faults
 
 build: .venv/ready
 
@@ -66,6 +66,12 @@
 	$(PYTHON) -m lynxscale lab cluster --nodes 5 --minutes 60 --at-once 3 --seed $${SEED:-$$(date +%j)}
 	$(PYTHON) -m lynxscale lab cluster --nodes 16 --minutes 60 --at-once 2 --rate 2 --seed $${SEED:-$$(date +%j)}
 
+# Each kind of fault by itself, at three, five and seven nodes. The first that breaks something ends it.
+soak-faults: build
+	for nodes in 3 5 7; do for kind in $$($(PYTHON) -c "from lab.cluster.faults import ALL; print(*ALL)"); do \
+		echo "$$nodes nodes, $$kind"; $(PYTHON) -m lynxscale lab cluster --nodes $$nodes --kinds $$kind --at-once 1 \
+		--minutes 0.3 --seed $${SEED:-$$(date +%j)} || exit 1; done; done
+
 # The close-range tests again and again, each time with another seed, for an hour unless MINUTES tells otherwise. The
 # first that fails ends it; its seed is printed.
 soak-rare: build
--- a/lab/bench_cluster.py
+++ b/lab/bench_cluster.py
@@ -60,6 +60,7 @@
     for path in world.paths.values():
         path.loss = loss
     world.bytes = world.datagrams = world.false_failures = 0
+    world.cpu_s = 0.0
     world.run(world.now + seconds * SECOND)
     return world
 
@@ -214,8 +215,9 @@
         for nodes, seconds in ((5, 20), (50, 20), (200, 10)):
             world = simulated(nodes, 1, 0.0, seconds, measure=True)
             print(f"simulated, {nodes} nodes at rest: {world.bytes / seconds / nodes:.0f} bytes and "
-                  f"{world.datagrams / seconds / nodes:.1f} datagrams a second and node; all to all heartbeats "
-                  f"{Heartbeats(nodes, 1, 0).bytes_per_s():.0f} bytes")
+                  f"{world.datagrams / seconds / nodes:.1f} datagrams a second and node, steps and frames "
+                  f"{world.cpu_s / seconds / nodes:.2%} of a core; all to all heartbeats "
+                  f"{Heartbeats(nodes, 1, 0).bytes_per_s():.0f} bytes", flush=True)
     if "false" in parts:
         for loss in (0.0, 0.1, 0.3):
             print(f"heartbeats, 5 nodes, one hour at {loss:.0%} loss: {Heartbeats(5, 1, loss).false_failures(3600)} "
--- a/lab/cluster/faults.py
+++ b/lab/cluster/faults.py
@@ -29,8 +29,9 @@
         return f"{self.at:5.1f} s  {self.kind} {' '.join(self.nodes)}, for {self.lasts:.1f} s"
 
 
-# Of processes. Those in FORGETS take a node's memory: not more than one at a time, else no majority remembers.
-PROCESS = ("kill", "stop", "term", "forget", "older")
+# Of processes; ``early`` is a kill in a start, ``all`` one of all nodes at once. Those in FORGETS take a node's memory:
+# not more than one at a time, else no majority remembers.
+PROCESS = ("kill", "stop", "term", "early", "all", "forget", "older")
 FORGETS = ("forget", "older")
 LINK = ("loss", "late", "mute", "deaf", "one_way", "isolated", "halves", "ring", "bridge", "flapping", "doubled",
         "spoilt", "refused", "trickle", "replayed", "garbage")
@@ -41,6 +42,10 @@
 BESIDE = (*MOODS, *ODD)
 ALL = PROCESS + LINK + BESIDE
 REST = 1.0  # seconds at the end without a new fault
+SPANS = (0.3, 1.0, 3.0, 6.0)  # seconds, as are those below, for which one process stands still in a long run
+STOPS = (0.1, *SPANS, 20.0, 42.0)
+STOPS_FROM = 300.0
+START_TAKES = 1.0  # seconds at most, until a process serves
 
 
 def draw(seed: int, names: list[str], seconds: float, at_once: int = 1, kinds: tuple[str, ...] = ALL) -> list[Fault]:
@@ -52,7 +57,8 @@
         at = chance.uniform(0.2, 1.0)
         while at < seconds - REST:
             kind = chance.choice(kinds)
-            lasts = min(chance.choice((0.3, 1.0, 3.0, 6.0)) * chance.uniform(0.7, 1.4), seconds - at)
+            spans = STOPS if kind == "stop" and seconds >= STOPS_FROM else SPANS
+            lasts = min(chance.choice(spans) * chance.uniform(0.7, 1.4), seconds - at)
             if kind in FORGETS:
                 if row or at < forgets_at:
                     at += 0.05
@@ -60,7 +66,8 @@
                 forgets_at = at + lasts + 12.0  # until a view has it again
             most = max(1, (len(names) - 1) // 2)
             few = chance.randint(1, most) if kind in ("kill", "stop", "isolated") and not row else 1
-            found.append(Fault(at, lasts, kind, tuple(sorted(chance.sample(names, few if kind != "one_way" else 2)))))
+            few = {"one_way": 2, "all": len(names)}.get(kind, few)
+            found.append(Fault(at, lasts, kind, tuple(sorted(chance.sample(names, few)))))
             at += lasts + chance.uniform(0.2, 2.0)
     return sorted(found, key=lambda fault: fault.at)
 
@@ -138,7 +145,7 @@
         ours = [cluster.nodes[name] for name in fault.nodes if name not in busy]
         busy.update(node.name for node in ours)
         try:
-            await asyncio.gather(*(_process(fault, cluster, node, left) for node in ours))
+            await asyncio.gather(*(_process(fault, cluster, node, left, chance.random()) for node in ours))
         finally:
             busy.difference_update(node.name for node in ours)
     elif fault.kind in MOODS:
@@ -178,7 +185,8 @@
         view is not None and len(view["members"]) == len(cluster.names) for view in views)
 
 
-async def _process(fault: Fault, cluster: Cluster, node: Node, left: list[str]) -> None:
+async def _process(fault: Fault, cluster: Cluster, node: Node, left: list[str], share: float) -> None:
+    """``share``: of the fault's time or of a start, where it lets that choose."""
     if fault.kind == "stop":
         node.pause()
         await asyncio.sleep(fault.lasts)
@@ -192,8 +200,12 @@
         if seen is not None:
             left.append(seen.status["boot"])
     await node.stop(signal.SIGTERM if fault.kind == "term" else signal.SIGKILL)
+    if fault.kind == "early":
+        await node.spawn()
+        await asyncio.sleep(share * START_TAKES)
+        await node.stop(signal.SIGKILL)
     if fault.kind not in FORGETS:
-        await asyncio.sleep(fault.lasts)
+        await asyncio.sleep(fault.lasts * (share if fault.kind == "all" else 1.0))
     if fault.kind in FORGETS and await _all_in_view(cluster, node):
         node.put_memory("older" if fault.kind == "older" else None)
     await node.start()
--- a/lab/cluster/nodes.py
+++ b/lab/cluster/nodes.py
@@ -66,10 +66,10 @@
         """What the node must not forget of the cluster."""
         return self.folder / "state" / "cluster"
 
-    async def start(self) -> None:
+    async def spawn(self) -> None:
         self.starts += 1
         self.paused = False
-        await super().start()
+        await super().spawn()
 
     async def stop(self, how: int = signal.SIGTERM) -> int:
         self.go_on()
--- a/lab/cluster/simulate.py
+++ b/lab/cluster/simulate.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
+from time import process_time
 
 from lynxscale.cluster import frame
 from lynxscale.cluster.core import Core
@@ -65,6 +66,14 @@
 
 
 DISK_US = 200, 8000  # of one write
+STEPS = ("due", "tick", "heard", "own", "message", "whole", "swapped", "on_disk")  # of a core
+
+
+def _over_the_wire(message: Message) -> bytes:
+    """The frame, read as the far end does."""
+    data = frame.encode(0, message)
+    frame.decode(0, data)
+    return data
 
 
 class Breach(AssertionError):
@@ -90,6 +99,8 @@
         self.acted: dict[int, int] = {}  # by number of the view: when somebody first could act in it
         self.log: list[tuple[int, str, str, dict]] = []
         self.bytes = self.datagrams = 0
+        self.cpu_s = 0.0  # of the nodes' own steps and frames, where it is measured
+        self._clocked = False
         self.false_failures = 0
         self.undecidable = False  # at its end no majority remembers what it has promised
 
@@ -105,6 +116,20 @@
             act(*args)
         self.now = until
 
+    def _clock(self, call: Callable) -> Callable:
+        """The same, its CPU time added to ``cpu_s``, once where one such step is taken within another."""
+        def clocked(*args: object, **more: object) -> object:
+            if self._clocked:
+                return call(*args, **more)
+            self._clocked, begun = True, process_time()
+            try:
+                return call(*args, **more)
+            finally:
+                self.cpu_s += process_time() - begun
+                self._clocked = False
+
+        return clocked
+
     # Processes -----------------------------------------------------------------------------------
 
     def start(self, name: str) -> None:
@@ -118,6 +143,8 @@
         core = Core(Identity(name, life + 1, boot), self.names, str(self.seed), now, kept, self.timing, self.terms)
         if self.mistake is not None:
             self.mistake(core)
+        for step in STEPS if self.measure else ():
+            setattr(core, step, self._clock(getattr(core, step)))
         process = machine.process = Process(core, boot, self.now)
         self._go(machine, process, core.tick(now))
 
@@ -204,7 +231,7 @@
 
     def _send(self, machine: Machine, to: str, message: Message) -> None:
         if self.measure:
-            self.bytes += len(frame.encode(0, message))
+            self.bytes += len(self._clock(_over_the_wire)(message))
             self.datagrams += 1
         path = self.paths[machine.name, to]
         if path.cut or self.chance.random() < path.loss:
@@ -226,7 +253,7 @@
             return
         asked = process.core.whole(answer=False)
         if self.measure:
-            self.bytes += 2 * len(frame.encode(0, asked))
+            self.bytes += 2 * len(self._clock(_over_the_wire)(asked))
         answer = far.core.whole(answer=True)
         late = self.chance.randrange(300, 9000)
         self.at(self.now + late, self._deliver, to, asked, True)
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -51,14 +51,18 @@
         self.conf.write_text(re.sub(r"(?m)^(\s*listen) .*$", rf"\1 127.0.0.1:{self.port}", conf))
         self.process: asyncio.subprocess.Process | None = None
 
-    async def start(self) -> None:
-        """Ready to serve when this returns."""
+    async def spawn(self) -> None:
+        """Begin a process, ready or not."""
         with open(self.log, "ab") as log:
             env = {key: value for key, value in os.environ.items() if not key.startswith(("NODE_", "LYNXSCALE_"))}
             env["PYTHONPATH"] = str(ROOT)
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, *self.program, "run", "--conf", str(self.conf), cwd=self.folder, env=env,
                 stdout=log, stderr=log)
+
+    async def start(self) -> None:
+        """Ready to serve when this returns."""
+        await self.spawn()
         end = time.monotonic() + START_WITHIN
         while not await self._ready():
             if self.process.returncode is not None or time.monotonic() > end:
