Show by a test that a later suspicion takes over the time and the doubters of an earlier one

Written as the sight's model was: `Sight.merge` (lynxscale/cluster/sight.py) begins `since` and `doubters` anew only where the state or the process changes, not where a node is suspected at a higher word. Who has missed the refutation between the two counts the earlier doubters, and the time from the earlier suspicion, towards the failure of the later, which its own docstring says otherwise ("who suspects this very word of it").

--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -123,6 +123,15 @@
     assert sight.merge(Rumour("r9", 1, 1, 0, State.ALIVE), 0) is None and sight.get("r9") is None
 
 
+def test_a_suspicion_of_a_later_word_begins_anew():
+    """Who has missed the refutation between two suspicions: neither the time nor the doubters of the first count."""
+    sight = Sight(["r1", "r2", "r3", "r4"])
+    for now, (word, by) in enumerate([(0, "r1"), (0, "r2"), (1, "r4")]):
+        sight.merge(Rumour("r3", 1, 1, word, State.SUSPECT, by), now)
+    known = sight.get("r3")
+    assert (known.rumour.word, known.since, known.doubters) == (1, 2, {"r4"})
+
+
 # Detection, by hand ---------------------------------------------------------------------------------
 
 
