Show on a real node that foreign, spoilt, giant and replayed frames are counted and change nothing

Ten kinds of wrong frames by UDP, seven by TCP (the giant one is waited for and closed), and twenty true frames sent once more: each is counted under its reason, view, life, standing and votes stay, and all are alive as before.

--- a/tests/test_cluster_live.py
+++ b/tests/test_cluster_live.py
@@ -1,13 +1,17 @@
 """Several real relays, broken links between them: who is in the view, who may act, and what becomes of messages."""
 
 import asyncio
+import contextlib
 import os
 import signal
+import socket
 import sys
 import tempfile
 import time
+from collections import Counter, deque
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from lab.cluster import odd
@@ -16,6 +20,9 @@
 from lab.cluster.nodes import Cluster, Node
 from lab.cluster.play import play
 from lab.demo import ROOT, entries_of
+from lynxscale.cluster import frame
+from lynxscale.cluster.frame import Message
+from lynxscale.cluster.sight import Rumour, State
 
 OUT_WITHIN, BACK_WITHIN, FORM_WITHIN = 8.0, 15.0, 30.0
 
@@ -230,6 +237,64 @@
     run(folder, 3, scene, clocks_apart=0.01)
 
 
+def test_what_is_no_frame_of_the_cluster_s_is_counted_and_has_no_effect(folder):
+    async def scene(cluster):
+        node, record = cluster.nodes["r1"], deque(maxlen=20)
+        before = (await node.look()).status
+        key, other = (frame.key_of(name, 500_000) for name in (cluster.name, "another"))
+        tell = Message("r9", 1, 1, 0, 1, 0, 99, 0, frame.Tell(), [Rumour("r2", 9, 9, 9, State.FAILED, "r9")])
+        ours, foreign = frame.encode(key, tell), frame.encode(other, tell)
+        whole = Message("r2", 9, 9, 0, 1, 0, 99, 0, frame.Exchange(True), [])
+        spoilt = {  # by the reason under which it is counted
+            "garbage": b"GET / HTTP/1.1\r\n\r\n", "short": b"LX", "foreign": foreign, "unknown": ours,
+            "version": ours[:3] + b"\x01" + ours[4:], "length": frame.HEAD.pack(frame.MAGIC, frame.VERSION, key, 65_535)
+            + bytes(200), "checksum": ours[:-1] + bytes([ours[-1] ^ 1]), "unasked": frame.encode(key, whole),
+            "message": frame.encode(key, msgspec.structs.replace(tell, view=-1)),
+            "own_name": frame.encode(key, msgspec.structs.replace(tell, frm="r1"))}
+
+        async def dropped() -> Counter:
+            return Counter({name[8:]: number for name, number in (await node.counters())["cluster"].items()
+                            if name.startswith("dropped_")}) - begun
+
+        begun = Counter()
+        begun = await dropped()
+        wanted = Counter(spoilt.keys())
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for data in spoilt.values():
+                sender.sendto(data, ("127.0.0.1", node.cluster_port))
+            link = cluster.mesh.links["r2", "r1"]
+            link.recorders.append(record)
+            await until(lambda: _so(len(record) == 20))
+            link.recorders.clear()
+            for data in record:
+                sender.sendto(data, ("127.0.0.1", node.cluster_port))
+
+        async def counted() -> bool:
+            return await dropped() == wanted + Counter(replayed=20)
+
+        await until(counted)
+        # On TCP; the giant one has to be waited for, and is closed without an answer when its time is over.
+        streams = ("garbage", "foreign", "version", "checksum", "unasked", "message")
+        for reason in (*streams, "length"):
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.cluster_port)
+            writer.write(spoilt[reason])
+            with contextlib.suppress(ConnectionResetError):
+                assert await asyncio.wait_for(reader.read(), 10.0) == b""
+            writer.close()
+        assert await dropped() == wanted + Counter(streams) + Counter(replayed=20)
+        after = (await node.look()).status
+        for what in ("view", "life", "standing", "votes", "split"):
+            assert after[what] == before[what]
+        assert {one["name"]: (one["state"], one["life"]) for one in after["nodes"]} == dict.fromkeys(
+            cluster.names, ("alive", 1))
+
+    run(folder, 3, scene)
+
+
+async def _so(what: bool) -> bool:
+    return what
+
+
 def test_a_second_process_under_one_name_is_not_the_node(folder):
     """It has a copy of the folder, and others' addresses lead to the first: nobody takes it for the node."""
     async def scene(cluster):
