--- a/lab/cluster/faults.py
+++ b/lab/cluster/faults.py
@@ -33,8 +33,8 @@
 # not more than one at a time, else no majority remembers.
 PROCESS = ("kill", "stop", "term", "early", "all", "forget", "older")
 FORGETS = ("forget", "older")
-LINK = ("loss", "late", "mute", "deaf", "one_way", "isolated", "halves", "ring", "bridge", "flapping", "doubled",
-        "spoilt", "refused", "trickle", "replayed", "garbage")
+LINK = ("loss", "late", "outbound_cut", "inbound_cut", "one_way", "isolated", "halves", "ring", "bridge", "flapping",
+        "doubled", "spoilt", "refused", "trickle", "replayed", "garbage")
 # Of the partner, for all nodes; of a node's wall clock, and of how long its disk takes to sync, in seconds.
 MOODS = {"slow_partner": Mood(latency_ms=400), "refusing_partner": Mood(refusing=0.5, wait_s=0.2),
          "failing_partner": Mood(failing=0.2, dropping=0.1)}
@@ -124,8 +124,8 @@
     place = {name: k for k, name in enumerate(names)}
     half = set(names[:(len(names) + 1) // 2])
     apart: dict[str, Callable[[str, str], bool]] = {
-        "mute": lambda frm, to: frm == one,
-        "deaf": lambda frm, to: to == one,
+        "outbound_cut": lambda frm, to: frm == one,
+        "inbound_cut": lambda frm, to: to == one,
         "one_way": lambda frm, to: frm == one and to == struck[-1],
         "isolated": lambda frm, to: (frm in struck) != (to in struck),
         "flapping": lambda frm, to: one in (frm, to),
