--- a/lab/bench_cluster.py
+++ b/lab/bench_cluster.py
@@ -116,8 +116,10 @@
 
 
 def kill_times(nodes: int, seeds: range) -> dict[str, list[float]]:
-    """Seconds from a kill to: first suspicion, failed at the first and at the last node, out of the view at all."""
-    found: dict[str, list[float]] = {"suspected": [], "failed_first": [], "failed_last": [], "out": []}
+    """Seconds from a kill to: first suspicion; failed at the first, the median and the last node; out of the view at
+    all."""
+    found: dict[str, list[float]] = {"suspected": [], "failed_first": [], "failed_median": [], "failed_last": [],
+                                     "out": []}
     for seed in seeds:
         world = simulated(nodes, seed, 0.0, 5)
         killed = world.now
@@ -133,6 +135,8 @@
             gone = [state is State.FAILED for state in states]
             if any(gone):
                 marks.setdefault("failed_first", at)
+            if 2 * sum(gone) > len(gone):
+                marks.setdefault("failed_median", at)
             if all(gone):
                 marks.setdefault("failed_last", at)
             if world.agreed(names):
