--- a/lab/bench_lists.py
+++ b/lab/bench_lists.py
@@ -58,6 +58,7 @@
 
     async def __aexit__(self, *_: object) -> None:
         await self.relay.stop()
+        self.relay.close()
         self.partner.close_all()
 
     def live(self, name: str, life: Lifecycle = Lifecycle.READY) -> Entry:
--- a/lab/cluster/nodes.py
+++ b/lab/cluster/nodes.py
@@ -38,12 +38,12 @@
 
     def __init__(self, name: str, folder: Path, rate: float | None = None) -> None:
         folder.mkdir(parents=True, exist_ok=True)
-        self._held = [hold_port(), hold_port()]
-        self.door, self.cluster_port = map(port_of, self._held)
+        more = [hold_port(), hold_port()]
+        self.door, self.cluster_port = map(port_of, more)
         text = CONF.read_text().replace("name relay", f"name {name}\n    admin-addr 127.0.0.1:{self.door}")
         text = text.replace("format logfmt", "format json") + "\ninclude cluster.conf\n"
         super().__init__(folder, re.sub(r"(?m)^\s*relays .*$", "", text))
-        self._held.append(hold_port(self.port))
+        self._held += more
         self.name = name
         if rate is not None:
             self.program = ("-m", "lab.cluster.odd", str(rate))
@@ -85,10 +85,6 @@
             self.paused = False
             self.process.send_signal(signal.SIGCONT)
 
-    def close(self) -> None:
-        for held in self._held:
-            held.close()
-
     def reload(self) -> None:
         self.process.send_signal(signal.SIGHUP)
 
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -6,7 +6,6 @@
 import os
 import re
 import signal
-import socket
 import sys
 import time
 from collections.abc import Callable
@@ -18,6 +17,7 @@
 from lab.clients import Desk
 from lab.partner import Mood, Partner
 from lab.rules import Judged, judge
+from lab.standins import hold_port, port_of
 from lynxscale.upstream import files
 from lynxscale.upstream.model import Entry
 
@@ -44,13 +44,18 @@
     def __init__(self, folder: Path, conf: str) -> None:
         self.folder, self.lists, self.log = folder, folder / "lists", folder / "log"
         self.lists.mkdir(exist_ok=True)
-        with socket.socket() as held:
-            held.bind(("127.0.0.1", 0))
-            self.port = held.getsockname()[1]
+        # Its own until ``close``, also while it does not run: another process there would pass for it.
+        self._held = [hold_port()]
+        self.port = port_of(self._held[0])
         self.conf = folder / "lynxscale.conf"
         self.conf.write_text(re.sub(r"(?m)^(\s*listen) .*$", rf"\1 127.0.0.1:{self.port}", conf))
         self.process: asyncio.subprocess.Process | None = None
 
+    def close(self) -> None:
+        """Let go of what it has held since it was made."""
+        for held in self._held:
+            held.close()
+
     async def spawn(self) -> None:
         """Begin a process, ready or not."""
         with open(self.log, "ab") as log:
@@ -157,6 +162,7 @@
         rejected = (await relay.counters()).get("lists", {}).get("rejected", 0)
     finally:
         await relay.stop()
+        relay.close()
         partner.close_all()
     judged = judge(desk.sent, partner.calls, relay.finals(), drained=drained)
     if not rejected:
--- a/tests/test_journal_live.py
+++ b/tests/test_journal_live.py
@@ -61,6 +61,7 @@
         assert most <= BUDGET and cleaned > 5, (most, cleaned)
         assert await relay.stop() == 0
         taken = sum(row["taken"] for row in found.table.values())
+        relay.close()
         partner.close_all()
         return taken, cleaned
 
--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 
@@ -134,6 +135,14 @@
     assert kept == [f"{number:032}" for number in range(301 - len(kept), 301)] and len(done) == 301
 
 
+def test_nobody_else_is_given_the_port_of_a_relay_that_does_not_run(tmp_path):
+    """Another one's process there once passed for it, and the test waited for what that one never did."""
+    relay = Own(tmp_path, TEXT)
+    with socket.socket() as other, pytest.raises(OSError, match="in use"):
+        other.bind(("127.0.0.1", relay.port))
+    relay.close()
+
+
 def test_a_kill_before_the_finals_are_read_loses_none_of_them(tmp_path):
     """Every message that was taken ends: as a call that was served, or as a line."""
     async def scene():
@@ -152,6 +161,7 @@
             await asyncio.sleep(0.05)
         assert taken and not taken - set(relay.finals())
         assert await relay.stop() == 0
+        relay.close()
         partner.close_all()
 
     asyncio.run(scene())
--- a/tests/test_upstream_live.py
+++ b/tests/test_upstream_live.py
@@ -59,6 +59,7 @@
     async def __aexit__(self, *_) -> None:
         if self.relay.process is not None:
             await self.relay.stop(signal.SIGKILL)
+        self.relay.close()
         self.partner.close_all()
 
     def verdicts(self) -> list[dict]:
