Show by a test that a version kept as the process ends never has its verdict

The whole suite under load (six workers beside three soaks): test_an_end_or_a_reload_in_the_middle_of_a_large_ update[SIGTERM] waited 20 s for the verdict on version 3. In that relay's folder: `list_kept version=3` at the start, no `list_verdict` for it in the log before or after, and verdicts.jsonl ends at version 2. `Watch._judge` (lynxscale/upstream/watch.py) has the version kept as the last good one (`yield self._write(self._lists.keep, ...)`, in a thread) before `self._tell(verdict)`; an end between the two leaves a start that takes it over as known (outcome SAME) and an operator who waits for a word on his version for ever. The list itself is in force. Ruled out: the test; it asks for what docs/operators/membership.md promises.

It is known: tell and log the verdict first, keep the version then, so that an end between tells it twice and never not.

--- a/tests/test_upstream_live.py
+++ b/tests/test_upstream_live.py
@@ -470,6 +470,31 @@
     asyncio.run(play())
 
 
+ENDS_AS_IT_KEEPS = """import os, signal
+from lynxscale.upstream.state import Lists
+keep = Lists.keep
+Lists.keep = lambda *args: (keep(*args), os.kill(os.getpid(), signal.SIGKILL))
+from lynxscale.__main__ import main
+main()"""
+
+
+def test_a_version_that_was_kept_as_the_process_ended_has_its_verdict(tmp_path):
+    """Killed with the version on disk as the last good one, and nothing said of it so far."""
+    async def play():
+        async with Scene(tmp_path, OPEN) as scene:
+            relay = scene.relay
+            relay.put(scene.entries("s-00"), 1, "a.list")
+            relay.program = ("-c", ENDS_AS_IT_KEEPS)
+            await relay.spawn()
+            assert await asyncio.wait_for(relay.process.wait(), PATIENCE) == -signal.SIGKILL
+            relay.program = Own.program
+            await relay.start()
+            assert await scene.served_by() == {"s-00"}
+            assert (await scene.verdict((relay.lists / "a.list").read_bytes()))["outcome"] == "applied"
+
+    asyncio.run(play())
+
+
 def test_a_disk_that_does_not_answer_is_told_and_holds_up_neither_the_loop_nor_the_end(tmp_path):
     class Hand(Loop):
         at = 0
