--- a/lab/partner.py
+++ b/lab/partner.py
@@ -60,8 +60,8 @@
             writers.add(writer)
             try:
                 await self._serve(name, chance, reader, writer)
-            except (OSError, asyncio.IncompleteReadError):
-                pass
+            except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                pass  # cancelled as the loop ends: nobody waits for it, and its trace would pass for a fault
             finally:
                 writers.discard(writer)
                 writer.close()
