Tell at the start the verdict of a version that was kept as the process before ended

`Watch._judge` (lynxscale/upstream/watch.py) keeps a version as the last good one in a thread and tells its verdict behind that; the process ended between the two, and the start took the version over and found nothing new in it (outcome SAME). In that folder: `list_kept version=3`, no `list_verdict` for it, verdicts.jsonl ends at 2. Tried and left: to tell first and keep then; who sees a verdict counts on what was kept, and test_a_guarded_version_waits_for_a_word_and_drains_meanwhile failed rightly.

The start reads which versions have a verdict written down (`Lists.told`) and tells that of a kept one that has none. An end at that very point has it told twice, never not; where the file of verdicts was turned over since, it is told once more; a file that cannot be read holds up no start.

--- a/lynxscale/upstream/state.py
+++ b/lynxscale/upstream/state.py
@@ -128,3 +128,10 @@
                 for line in path.read_bytes().splitlines():
                     with contextlib.suppress(ValueError):
                         yield orjson.loads(line)
+
+    def told(self) -> frozenset[str] | None:
+        """The digests of versions whose verdict is written down; None where that cannot be read."""
+        try:
+            return frozenset(str(row["digest"]) for row in self.logged() if isinstance(row, dict) and "digest" in row)
+        except OSError:
+            return None
--- a/lynxscale/upstream/watch.py
+++ b/lynxscale/upstream/watch.py
@@ -90,11 +90,12 @@
 
     def start(self) -> None:
         """Take over the last good lists, and begin to look. Blocks, before anything is served."""
+        told = self._lists.told()
         for good in self._lists.good():
             if isinstance(good, Spoilt):
                 log.error("list_kept_spoilt", error=str(good))
             elif (path := self._configured(good.unit)) is not None:
-                self._restore(path, good.data, good.digest)
+                self._restore(path, good.data, good.digest, told is None or good.digest in told)
         self._start_notify()
         self._look()
 
@@ -108,7 +109,7 @@
                 return os.path.join(path, os.path.basename(unit))
         return None
 
-    def _restore(self, path: str, data: bytes, digest: str) -> None:
+    def _restore(self, path: str, data: bytes, digest: str, told: bool) -> None:
         reading = finish(files.read(data, path, self._rules, digest=digest))
         if reading.candidate is None:
             log.error("list_kept_unusable", unit=path, error=" | ".join(map(str, reading.faults[:3])))
@@ -120,6 +121,10 @@
             return
         finish(self._apply(unit, verdict, reading.known))
         log.info("list_kept", unit=path, version=unit.version, digest=digest[:16], endpoints=len(unit.entries))
+        if not told:
+            # Guards its verdict against the end of a process that had kept it and not told so yet: nothing about it is
+            # new from here on. Where the file of verdicts has been turned over since, it is told once more.
+            self._tell(verdict)
 
     def stop(self) -> None:
         self._stopped = True
