--- a/lynxscale/cluster/sight.py
+++ b/lynxscale/cluster/sight.py
@@ -82,7 +82,7 @@
 
 @dataclass(slots=True)
 class Known:
-    """``since``: µs, when its state was last another one here; ``doubters``: who suspects this very word of it."""
+    """``since``: µs, when this state began here, for a suspicion with its word; ``doubters``: who suspects this word."""
 
     rumour: Rumour
     since: int
@@ -129,7 +129,7 @@
                 self._doubt(known, rumour)
             return None
         known.rumour = rumour
-        if rumour.state != before.state or rumour.who != before.who:
+        if rumour.state is State.SUSPECT or rumour.state != before.state or rumour.who != before.who:
             known.since = now
             known.doubters.clear()
         self._doubt(known, rumour)
