--- /dev/null
+++ b/lab/tier/group.py
@@ -0,0 +1,77 @@
+"""A group of control members on simulated machines, for tests and histories."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from lab.tier.world import World
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.identity import MemberIdentity, founding_record, load_identity
+from lynxscale.coordination.member import ControlMember, MemberSettings
+
+
+class Group:
+    """``size`` founders, and whoever is started later."""
+
+    def __init__(self, world: World, size: int = 3, tolerated: int = 1) -> None:
+        self.world = world
+        self.tolerated = tolerated
+        self.seeds = tuple(f"10.0.0.{number}:7000" for number in range(1, size + 1))
+        self.members: dict[str, ControlMember] = {}
+
+    def start_all(self) -> None:
+        """Start all founders for the first time."""
+        for address in self.seeds:
+            self.start(address, bootstrap=True)
+
+    def start(self, address: str, bootstrap: bool = False) -> ControlMember:
+        """Start a process on a machine."""
+        machine = self.world.machine(address)
+        identity = MemberIdentity(address, bootstrap, self.seeds)
+        random = Random(self.world.random.random())
+        member_name = load_identity(identity, machine.files, random)
+        settings = MemberSettings(member_name, f"node-{address}", self.seeds, self.tolerated, founding_record(identity))
+        member = ControlMember(
+            settings, machine.clock(), machine.network(), machine.files, random, lambda leading: None
+        )
+        machine.receive = member.receive
+        self.members[address] = member
+        return member
+
+    def kill(self, address: str, power: bool = False, wipe: bool = False) -> None:
+        """End a process."""
+        self.members.pop(address, None)
+        self.world.machine(address).kill(power, wipe)
+
+    def leaders(self) -> list[ControlMember]:
+        """Those that act as primary now."""
+        return [member for member in self.members.values() if member.leads()]
+
+    def wait_for_leader(self, within: float = 5.0) -> ControlMember:
+        """The primary, once there is one. Raises AssertionError."""
+        assert self.world.run_until(lambda: bool(self.leaders()), within), "no primary in time"
+        return self.leaders()[0]
+
+    def put(self, key: str, value: object, within: float = 5.0) -> bool:
+        """Write by the primary, again where nobody can tell what became of it; is it committed in time?"""
+        end = self.world.time + within
+        while self.world.time < end:
+            outcome: list[bool] = []
+            self.submit(self.wait_for_leader(within), key, value, outcome.append)
+            self.world.run_until(lambda: bool(outcome), end - self.world.time)  # noqa: B023
+            if outcome == [True]:
+                return True
+        return False
+
+    @staticmethod
+    def submit(member: ControlMember, key: str, value: object, done: Callable[[bool], None]) -> None:
+        """Hand a write to a member."""
+        member.submit((m.put_value(key, value),), done)
+
+    def value(self, key: str) -> object:
+        """What the primary holds under a key, None for nothing."""
+        raw = self.wait_for_leader().store.values.get(key)
+        return None if raw is None else msgspec.json.decode(raw)
--- /dev/null
+++ b/lab/tier/world.py
@@ -0,0 +1,211 @@
+"""Simulated time, network and disks, all drawn from one seed. No sockets, no threads, no sleeps."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+from random import Random
+
+from lynxscale.coordination.messages import Message, decode, encode
+
+START_WALL = 1_800_000_000.0
+
+
+class Event:
+    """A call that is due at a time; it can be cancelled."""
+
+    __slots__ = ("call", "owner")
+
+    def __init__(self, call: Callable[[], None], owner: Machine | None) -> None:
+        self.call: Callable[[], None] | None = call
+        self.owner = owner
+
+    def cancel(self) -> None:
+        """The call will not be made."""
+        self.call = None
+
+
+class World:
+    """The clock of all machines, and the links between them."""
+
+    def __init__(self, seed: int, delay_s: float = 0.002, loss: float = 0.0) -> None:
+        self.random = Random(seed)
+        self.delay_s = delay_s
+        self.loss = loss
+        self.time = 0.0
+        self.machines: dict[str, Machine] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self._events: list[tuple[float, int, Event]] = []
+        self._order = count().__next__
+        self._link_free: dict[tuple[str, str], float] = {}
+
+    def machine(self, address: str) -> Machine:
+        """The machine at an address, made on first use."""
+        if address not in self.machines:
+            self.machines[address] = Machine(self, address)
+        return self.machines[address]
+
+    def at(self, time: float, call: Callable[[], None], owner: Machine | None = None) -> Event:
+        """Make a call at a time."""
+        event = Event(call, owner)
+        heapq.heappush(self._events, (time, self._order(), event))
+        return event
+
+    def run(self, until: float) -> None:
+        """Let everything happen that is due up to a time."""
+        while self._events and self._events[0][0] <= until:
+            self.time, _, event = heapq.heappop(self._events)
+            self._happen(event)
+        self.time = until
+
+    def run_until(self, condition: Callable[[], bool], within: float) -> bool:
+        """Run until the condition holds; False where it does not ``within`` so many seconds."""
+        end = self.time + within
+        while not condition():
+            if not self._events or self._events[0][0] > end:
+                self.time = end
+                return condition()
+            self.time, _, event = heapq.heappop(self._events)
+            self._happen(event)
+        return True
+
+    def cut(self, one: str, other: str, both_ways: bool = True) -> None:
+        """Nothing passes from one to the other any more."""
+        self.cuts.add((one, other))
+        if both_ways:
+            self.cuts.add((other, one))
+
+    def heal(self) -> None:
+        """All links pass again."""
+        self.cuts.clear()
+
+    def deliver(self, source: str, target: str, message: Message) -> None:
+        """Carry a message over the link, in order, unless it is lost."""
+        if (source, target) in self.cuts or self.random.random() < self.loss:
+            return
+        link = (source, target)
+        arrival = max(self.time + self.delay_s * self.random.uniform(0.7, 1.5), self._link_free.get(link, 0.0))
+        self._link_free[link] = arrival
+        payload = encode(message)
+        machine = self.machine(target)
+        life = machine.life
+        self.at(arrival, lambda: machine.arrive(life, source, target, payload), machine)
+
+    def _happen(self, event: Event) -> None:
+        if event.call is None:
+            return
+        if event.owner is not None and event.owner.frozen_until > self.time:
+            self.at(event.owner.frozen_until, event.call, event.owner)
+            return
+        event.call()
+
+
+class Machine:
+    """One machine: its files outlast its processes; a process is whatever ``receive`` was set to."""
+
+    def __init__(self, world: World, address: str) -> None:
+        self.world = world
+        self.address = address
+        self.files = SimulatedFiles()
+        self.receive: Callable[[Message], None] | None = None
+        self.life = 0
+        self.frozen_until = 0.0
+
+    def clock(self) -> MachineClock:
+        """The clock of the machine's present process."""
+        return MachineClock(self)
+
+    def network(self) -> MachineNetwork:
+        """The network of the machine's present process."""
+        return MachineNetwork(self)
+
+    def arrive(self, life: int, source: str, target: str, payload: bytes) -> None:
+        """A message comes in, unless its process has ended or the link was cut meanwhile."""
+        if life == self.life and self.receive is not None and (source, target) not in self.world.cuts:
+            self.receive(decode(payload))
+
+    def kill(self, power: bool = False, wipe: bool = False) -> None:
+        """End the process, with the machine's power or its disk too."""
+        self.life += 1
+        self.receive = None
+        if power:
+            self.files.lose_power(self.world.random)
+        if wipe:
+            self.files = SimulatedFiles()
+
+    def freeze(self, seconds: float) -> None:
+        """Stand still; what is due meanwhile happens at the end."""
+        self.frozen_until = self.world.time + seconds
+
+
+class MachineClock:
+    """Steady time, counted by one process of one machine."""
+
+    def __init__(self, machine: Machine) -> None:
+        self._machine = machine
+        self._life = machine.life
+
+    def now(self) -> float:
+        """Seconds."""
+        return self._machine.world.time
+
+    def wall(self) -> float:
+        """Unix time."""
+        return START_WALL + self._machine.world.time
+
+    def call_later(self, delay: float, call: Callable[[], None]) -> Event:
+        """A call that is not made once the process has ended."""
+        machine, life = self._machine, self._life
+        return machine.world.at(
+            machine.world.time + max(0.0, delay), lambda: call() if machine.life == life else None, machine
+        )
+
+
+class MachineNetwork:
+    """Messages of one process."""
+
+    def __init__(self, machine: Machine) -> None:
+        self._machine = machine
+        self._life = machine.life
+
+    def send(self, address: str, message: Message) -> None:
+        """Send, unless the process has ended."""
+        if self._machine.life == self._life:
+            self._machine.world.deliver(self._machine.address, address, message)
+
+
+class SimulatedFiles:
+    """Files whose writes are stable; a removal is so only once a later write has synced the folder."""
+
+    def __init__(self) -> None:
+        self._files: dict[str, bytes] = {}
+        self._removed: dict[str, bytes] = {}
+        self.full = False
+
+    def write(self, name: str, content: bytes) -> None:
+        """Store a file. Raises OSError where the disk is full."""
+        if self.full:
+            raise OSError(28, "No space left on device")
+        self._files[name] = content
+        self._removed.clear()
+
+    def read(self, name: str) -> bytes | None:
+        """A file's content."""
+        return self._files.get(name)
+
+    def names(self) -> list[str]:
+        """All files."""
+        return sorted(self._files)
+
+    def remove(self, name: str) -> None:
+        """Take a file away; a loss of power may bring it back."""
+        if name in self._files:
+            self._removed[name] = self._files.pop(name)
+
+    def lose_power(self, random: Random) -> None:
+        """Each removal that was not synced may be undone."""
+        for name, content in self._removed.items():
+            if random.random() < 0.5:
+                self._files.setdefault(name, content)
+        self._removed.clear()
--- /dev/null
+++ b/lynxscale/coordination/calls.py
@@ -0,0 +1,82 @@
+"""Calls to the primary by nodes that do not know for certain who it is. A call is repeated until it is answered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.ports import Clock, Network, Timer
+
+REPEAT_AFTER_S = 0.25
+
+
+@dataclass(slots=True)
+class Pending:
+    """A call without an answer."""
+
+    call: m.Call
+    deadline: float
+    done: Callable[[m.Message | None], None]
+    timer: Timer | None = None
+
+
+class PrimaryCalls:
+    """``primary`` tells the address to try first, empty where unknown; ``contacts`` are then tried in turn."""
+
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        network: Network,
+        primary: Callable[[], str],
+        contacts: Callable[[], list[str]],
+    ) -> None:
+        self._address = address
+        self._clock = clock
+        self._network = network
+        self._primary = primary
+        self._contacts = contacts
+        self._pending: dict[int, Pending] = {}
+        # A restarted node must not take the answers to calls of its earlier process.
+        self._number = int(clock.wall() * 1000) << 16
+        self._turn = 0
+
+    def call(self, body: m.AdmitTurn | m.FinishTurn, timeout_s: float, done: Callable) -> None:
+        """``done(answer)``, or ``done(None)`` where none came in time."""
+        self._number += 1
+        message = m.Call(self._number, self._address, body)
+        pending = Pending(message, self._clock.now() + timeout_s, done)
+        self._pending[self._number] = pending
+        self._send(pending, self._primary())
+
+    def receive(self, message: m.Message) -> bool:
+        """Handle an answer; False for messages of other kinds."""
+        if not isinstance(message, m.Reply):
+            return False
+        pending = self._pending.pop(message.number, None)
+        if pending is not None:
+            pending.timer.cancel()
+            pending.done(message.body)
+        return True
+
+    def primary_changed(self) -> None:
+        """Another primary is known: what waits goes there at once."""
+        for pending in list(self._pending.values()):
+            pending.timer.cancel()
+            self._send(pending, self._primary())
+
+    def _send(self, pending: Pending, address: str) -> None:
+        if not address:
+            contacts = self._contacts()
+            self._turn += 1
+            address = contacts[self._turn % len(contacts)]
+        self._network.send(address, pending.call)
+        pending.timer = self._clock.call_later(REPEAT_AFTER_S, lambda: self._repeat(pending))
+
+    def _repeat(self, pending: Pending) -> None:
+        if self._clock.now() >= pending.deadline:
+            del self._pending[pending.call.number]
+            pending.done(None)
+            return
+        self._send(pending, self._primary())
--- /dev/null
+++ b/lynxscale/coordination/epochs.py
@@ -0,0 +1,141 @@
+"""The witness: a register of epochs on every voting member, and the leases it grants.
+
+A register round has two steps, as in CASPaxos (Rystsov, arXiv:1802.07000): a majority promises an
+epoch and tells the record accepted last, then a majority accepts the record built on it. A change of the voting
+members needs a majority of both the old and the new ones. Only records are stored, one file, never a log.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.ports import Clock, Files
+
+WITNESS_FILE = "witness"
+
+
+class WitnessState(msgspec.Struct, frozen=True):
+    """What a witness must not forget."""
+
+    accepted: m.EpochRecord
+    promised: int = 0
+    promised_to: str = ""
+
+
+def majority(voters: tuple[str, ...], present: set[str]) -> bool:
+    """Do the present members hold more than half of the votes?"""
+    return 2 * len(present.intersection(voters)) > len(voters)
+
+
+class Witness:
+    """One member's votes. ``lease_s``: how long a grant binds it, by its own steady clock."""
+
+    def __init__(self, member: str, founding: m.EpochRecord, clock: Clock, files: Files, lease_s: float) -> None:
+        self.member = member
+        self.lease_s = lease_s
+        self._clock = clock
+        self._files = files
+        stored = files.read(WITNESS_FILE)
+        self.state = msgspec.json.decode(stored, type=WitnessState) if stored else WitnessState(founding)
+        # Grants are not stored: an earlier process may have given one just before it ended.
+        self._lease_until = clock.now() + lease_s if stored else clock.now()
+        self._lease_holder = ""
+
+    @property
+    def record(self) -> m.EpochRecord:
+        """The record accepted last."""
+        return self.state.accepted
+
+    @property
+    def lease_left(self) -> float:
+        """Seconds for which a lease granted here may still be held by somebody."""
+        return max(0.0, self._lease_until - self._clock.now())
+
+    def learn(self, record: m.EpochRecord) -> bool:
+        """Take over a record that a majority has accepted; was it news?"""
+        if record.epoch <= self.record.epoch:
+            return False
+        if record.epoch >= self.state.promised:
+            self._save(WitnessState(record, record.epoch, record.primary))
+        else:
+            self._save(WitnessState(record, self.state.promised, self.state.promised_to))
+        return True
+
+    def prepare(self, request: m.Prepare) -> m.Promise | m.Deny:
+        """Promise the epoch, unless a higher one was promised or another member may hold the lease."""
+        repeated = request.epoch == self.state.promised and request.candidate == self.state.promised_to
+        bound = self.lease_left > 0 and self._lease_holder != request.candidate
+        if bound or (request.epoch <= self.state.promised and not repeated):
+            return m.Deny(request.epoch, self.member, self.state.promised, self.lease_left, self.record)
+        if not repeated:
+            self._save(WitnessState(self.record, request.epoch, request.candidate))
+        return m.Promise(request.epoch, self.member, self.record)
+
+    def accept(self, record: m.EpochRecord) -> m.Accepted | None:
+        """Store the record, unless a higher epoch or another candidate of the same one was promised."""
+        promised_other = record.epoch == self.state.promised and record.primary != self.state.promised_to
+        if record.epoch < self.state.promised or promised_other or record.epoch < self.record.epoch:
+            return None
+        if record != self.record:
+            self._save(WitnessState(record, record.epoch, record.primary))
+        return m.Accepted(record.epoch, self.member)
+
+    def grant(self, request: m.LeaseRequest) -> bool:
+        """Grant the lease of the accepted epoch to its primary."""
+        record = request.record
+        if record.epoch != self.record.epoch or self.state.promised > record.epoch:
+            return False
+        if self.member not in record.witnesses:
+            return False
+        self._lease_holder = record.primary
+        self._lease_until = max(self._lease_until, self._clock.now() + self.lease_s)
+        return True
+
+    def release(self, epoch: int) -> None:
+        """The primary of that epoch has given its lease back."""
+        if epoch == self.record.epoch:
+            self._lease_until = self._clock.now()
+
+    def _save(self, state: WitnessState) -> None:
+        """Store the state, and only then go by it. Raises OSError."""
+        self._files.write(WITNESS_FILE, msgspec.json.encode(state))
+        self.state = state
+
+
+class Proposal:
+    """One register round of a candidate, from its prepare to a majority's accepts."""
+
+    def __init__(self, epoch: int, candidate: str, voters: tuple[str, ...]) -> None:
+        self.epoch = epoch
+        self.candidate = candidate
+        self.base: m.EpochRecord | None = None
+        self.record: m.EpochRecord | None = None
+        self.promised: set[str] = set()
+        self.accepted: set[str] = set()
+        self._voters = voters
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Members to ask: those known, those of the record that was found, those to come."""
+        known = dict.fromkeys(self._voters)
+        for record in (self.base, self.record):
+            known.update(dict.fromkeys(record.witnesses if record else ()))
+        return tuple(known)
+
+    def promise(self, answer: m.Promise) -> bool:
+        """Count a promise; True once the record may be chosen from ``base``."""
+        if answer.epoch != self.epoch or self.record is not None:
+            return False
+        self.promised.add(answer.witness)
+        if self.base is None or answer.accepted.epoch > self.base.epoch:
+            self.base = answer.accepted
+        return majority(self.base.witnesses, self.promised)
+
+    def accept(self, answer: m.Accepted) -> bool:
+        """Count an accept; True once the record is decided."""
+        if answer.epoch != self.epoch or self.record is None or self.base is None:
+            return False
+        self.accepted.add(answer.witness)
+        old, new = self.base.witnesses, self.record.witnesses
+        return majority(old, self.accepted) and majority(new, self.accepted)
--- /dev/null
+++ b/lynxscale/coordination/netstring.py
@@ -0,0 +1,48 @@
+"""Netstrings (https://cr.yp.to/proto/netstrings.txt): ``LENGTH:BYTES,`` frames for the internal protocol."""
+
+from __future__ import annotations
+
+MAX_LENGTH_DIGITS = 8
+MAX_PAYLOAD = 64 * 1024 * 1024
+
+
+class NetstringError(ValueError):
+    """The bytes are no netstring, or one longer than ``MAX_PAYLOAD``."""
+
+
+def encode(payload: bytes) -> bytes:
+    """One frame around ``payload``."""
+    return b"%d:%b," % (len(payload), payload)
+
+
+class Decoder:
+    """Cuts a byte stream into payloads."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The payloads that ``data`` completes. Raises NetstringError; the stream is then unusable."""
+        self._buffer += data
+        payloads = []
+        while (payload := self._next()) is not None:
+            payloads.append(payload)
+        return payloads
+
+    def _next(self) -> bytes | None:
+        colon = self._buffer.find(b":", 0, MAX_LENGTH_DIGITS + 1)
+        if colon < 0:
+            if len(self._buffer) > MAX_LENGTH_DIGITS:
+                raise NetstringError("no length within the first bytes")
+            return None
+        digits = bytes(self._buffer[:colon])
+        if not digits.isdigit() or int(digits) > MAX_PAYLOAD:
+            raise NetstringError(f"bad length {digits!r}")
+        end = colon + 1 + int(digits)
+        if len(self._buffer) <= end:
+            return None
+        if self._buffer[end] != ord(","):
+            raise NetstringError("no comma behind the payload")
+        payload = bytes(self._buffer[colon + 1 : end])
+        del self._buffer[: end + 1]
+        return payload
--- /dev/null
+++ b/lynxscale/coordination/ports.py
@@ -0,0 +1,54 @@
+"""What a state machine needs from its process: time, messages and files that outlast it.
+
+``lynxscale.runtime`` serves these ports by sockets and files, ``lab.tier`` by a simulator.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from lynxscale.coordination.messages import Message
+
+
+class Timer(Protocol):
+    """A call that is due later."""
+
+    def cancel(self) -> None:
+        """Take the call back; nothing happens where it was made already."""
+
+
+class Clock(Protocol):
+    """Time and deferred calls, all on one thread."""
+
+    def now(self) -> float:
+        """Steady time in seconds; its zero has no meaning."""
+
+    def wall(self) -> float:
+        """Unix time in seconds; it may be stepped."""
+
+    def call_later(self, delay: float, call: Callable[[], None]) -> Timer:
+        """Make the call once, ``delay`` seconds from now."""
+
+
+class Network(Protocol):
+    """Datagrams between nodes: a message arrives once, in order, or not at all."""
+
+    def send(self, address: str, message: Message) -> None:
+        """Send to the node at ``address`` (``host:port`` of its internal listener)."""
+
+
+class Files(Protocol):
+    """A folder of small files, each written aside, synced and renamed into place."""
+
+    def write(self, name: str, content: bytes) -> None:
+        """Returns once the content and the name are on stable storage. Raises OSError."""
+
+    def read(self, name: str) -> bytes | None:
+        """The content, or None where there is no such file."""
+
+    def names(self) -> list[str]:
+        """All complete files, sorted."""
+
+    def remove(self, name: str) -> None:
+        """The removal is durable once a later ``write`` has returned."""
--- /dev/null
+++ b/tests/test_tier_group.py
@@ -0,0 +1,204 @@
+"""The group of control members on a simulated network, clock and disk: leases, epochs, replication, admission."""
+
+import pytest
+
+from lab.tier.group import Group
+from lab.tier.world import World
+from lynxscale.coordination.messages import address_of
+
+
+def started(seed: int = 1, size: int = 3, tolerated: int = 1, **world) -> Group:
+    group = Group(World(seed, **world), size, tolerated)
+    group.start_all()
+    group.wait_for_leader()
+    return group
+
+
+def test_a_first_start_elects_one_primary_that_commits():
+    group = started()
+    assert group.put("config", 1)
+    group.world.run(group.world.time + 2)
+    assert len(group.leaders()) == 1
+    assert all(member.store.values.keys() == {"config"} for member in group.members.values())
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_killed_primary_is_replaced_and_nothing_committed_is_lost(seed):
+    group = started(seed)
+    assert group.put("a", "kept")
+    old = address_of(group.leaders()[0].me)
+    group.kill(old, power=True)
+    before = group.world.time
+    assert group.put("b", 2)
+    assert group.world.time - before < 2.5
+    assert group.value("a") == "kept"
+
+
+def test_a_silent_backup_does_not_hold_up_writes():
+    group = started()
+    leader = group.wait_for_leader()
+    backup = next(a for a in group.seeds if a != address_of(leader.me))
+    group.kill(backup)
+    before = group.world.time
+    assert group.put("a", 1)
+    assert group.world.time - before < 1.2
+
+
+def test_without_enough_copies_nothing_is_acknowledged():
+    group = started()
+    leader = group.wait_for_leader()
+    for address in group.seeds:
+        if address != address_of(leader.me):
+            group.kill(address)
+    done: list[bool] = []
+    group.submit(leader, "a", 1, done.append)
+    group.world.run(group.world.time + 5)
+    assert True not in done
+    assert not group.leaders()
+
+
+def test_a_wiped_member_is_another_one_and_is_admitted_by_a_majority():
+    group = started()
+    assert group.put("a", 1)
+    leader = group.wait_for_leader()
+    wiped = next(a for a in group.seeds if a != address_of(leader.me))
+    group.kill(wiped, power=True, wipe=True)
+    group.world.run(group.world.time + 0.5)
+    member = group.start(wiped)
+    assert group.world.run_until(lambda: member.me in leader.record.in_sync, 4.0)
+    assert member.store.values.keys() == {"a"}
+    assert len(leader.record.witnesses) == 3
+
+
+def test_a_member_at_another_address_takes_the_place_of_one_gone_for_good():
+    group = started()
+    assert group.put("a", 1)
+    leader = group.wait_for_leader()
+    gone = next(a for a in group.seeds if a != address_of(leader.me))
+    group.kill(gone, wipe=True)
+    group.world.run(group.world.time + 1)
+    member = group.start("10.0.0.9:7000")
+    assert group.world.run_until(lambda: member.me in leader.record.in_sync, 4.0)
+    assert gone not in [address_of(one) for one in leader.record.witnesses]
+
+
+def test_a_primary_cut_off_stops_before_another_begins():
+    group = started()
+    leader = group.wait_for_leader()
+    own = address_of(leader.me)
+    for other in group.seeds:
+        if other != own:
+            group.world.cut(own, other)
+    overlap = []
+
+    def watch():
+        overlap.append(len(group.leaders()))
+        group.world.at(group.world.time + 0.005, watch)
+
+    watch()
+    group.world.run(group.world.time + 4)
+    assert max(overlap) == 1
+    assert group.wait_for_leader() is not leader
+    group.world.heal()
+    assert group.put("after", 1)
+
+
+def test_a_frozen_primary_finds_out_before_its_next_act():
+    group = started()
+    leader = group.wait_for_leader()
+    group.world.machine(address_of(leader.me)).freeze(3.0)
+    group.world.run(group.world.time + 2)
+    assert not leader.leads()
+    assert group.wait_for_leader() is not leader
+    assert group.put("a", 1)
+    group.world.run(group.world.time + 3)
+    assert len(group.leaders()) == 1
+
+
+def test_all_lose_power_and_one_its_disk():
+    for seed in range(6):
+        group = started(seed)
+        assert group.put("a", seed)
+        victims = list(group.seeds)
+        wiped = victims[seed % 3]
+        for address in victims:
+            group.kill(address, power=True, wipe=address == wiped)
+        group.world.run(group.world.time + 1)
+        for address in victims:
+            group.start(address)
+        assert group.value("a") == seed, seed
+        assert group.put("b", 1)
+
+
+def test_a_primary_that_leaves_hands_over_at_once():
+    group = started()
+    assert group.put("a", 1)
+    leader = group.wait_for_leader()
+    before = group.world.time
+    leader.leave()
+    assert group.wait_for_leader() is not leader
+    assert group.world.time - before < 0.3
+
+
+def test_a_retiring_member_is_replaced_before_it_may_go():
+    group = started()
+    assert group.put("a", 1)
+    leader = group.wait_for_leader()
+    extra = group.start("10.0.0.9:7000")
+    group.world.run(group.world.time + 1)
+    retiring = next(a for a in group.seeds if a != address_of(leader.me))
+    leader.retiring = frozenset({f"node-{retiring}"})
+    assert group.world.run_until(lambda: extra.me in leader.record.in_sync, 4.0)
+    group.world.run(group.world.time + 0.5)
+    assert retiring not in [address_of(one) for one in (*leader.record.witnesses, *leader.record.in_sync)]
+
+
+def test_a_full_disk_at_the_primary_moves_the_lead():
+    group = started()
+    leader = group.wait_for_leader()
+    group.world.machine(address_of(leader.me)).files.full = True
+    assert group.put("a", 1)
+    assert group.wait_for_leader() is not leader
+    assert group.put("b", 1)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_histories_with_kills_freezes_cuts_and_loss_keep_every_committed_write(seed):
+    world = World(seed, loss=0.02)
+    group = Group(world)
+    group.start_all()
+    committed: dict[str, int] = {}
+    for number in range(60):
+        key, value = f"k{number % 7}", number
+        leaders = group.leaders()
+        if leaders:
+            group.submit(leaders[0], key, value, lambda ok, k=key, v=value: committed.__setitem__(k, v) if ok else None)
+        if number % 9 == 4:
+            disturb(group, world)
+        world.run(world.time + world.random.uniform(0.05, 0.4))
+    world.heal()
+    world.loss = 0.0
+    for address in group.seeds:
+        if address not in group.members:
+            group.start(address)
+    assert group.put("last", 1, within=10.0)
+    for key, value in committed.items():
+        assert group.value(key) >= value, (seed, key)
+
+
+def disturb(group: Group, world: World) -> None:
+    """One fault that the group has to bear; the one before is over."""
+    world.heal()
+    for address in group.seeds:
+        if address not in group.members:
+            group.start(address)
+    address = world.random.choice(group.seeds)
+    kind = world.random.choice(["kill", "power", "freeze", "cut"])
+    if kind in ("kill", "power"):
+        group.kill(address, power=kind == "power")
+    elif kind == "freeze":
+        world.machine(address).freeze(world.random.uniform(0.3, 2.0))
+    else:
+        for other in group.seeds:
+            if other != address:
+                world.cut(address, other, both_ways=world.random.random() < 0.5)
