--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -18,12 +18,9 @@
 from gannetshift.interface import Effect, Result
 from gannetshift.limits import Share
 from gannetshift.pools import Reuse, Tables
+from gannetshift.restart import LEAST_FINISHED, TrySample
 
 # Sample and time-out
-SAMPLE_SIZE = 100  # tries kept a lane: enough for a 95th percentile, few enough to sort often
-SAMPLE_AGE_MS = 60_000.0  # older tries tell of another day's pace
-LEAST_FINISHED = 20  # below this many finished tries the time-out is the time left (design)
-RELEARN_EVERY = 8  # new tries between two computations of the time-out, to spare CPU
 RESTART_SHARE = 0.1  # restarts earned by a success: cut calls may run on, so they are rationed
 WASTE_COST = 100.0  # usual calls that a restart costs besides, for a point of worth that wasted calls cost
 RESTART_BANK = 3.0  # restarts saved up at most, so that a bad spell meets no hoard
@@ -96,17 +93,17 @@
         self.lane = self.call = None  # call: the last one
 
 
-class Lane:
-    """What shares one limit: a destination, or one of its endpoints where routes are apart."""
+class Lane(TrySample):
+    """What shares one limit, with its tries: a destination, or an endpoint of it where routes are apart."""
 
     def __init__(self, dest: Dest, now: float, senders: int) -> None:
+        super().__init__()
         self.dest, self.health, self.share = dest, Health(now), Share(senders, now)
         self.endpoints = []
-        self.sample: deque[tuple[float, float]] = deque(maxlen=SAMPLE_SIZE)  # (when, latency or INF)
-        self.window, self.restarts, self.tau = 1, 1.0, INF
+        self.window, self.restarts = 1, 1.0
         self.lost_restarts = LOST_BANK
-        self.fresh, self.inflight, self.silent, self.per_call = 0, 0, 0, 1
-        self.wait_until = self.median = self.recent = self.limit = 0.0
+        self.inflight, self.silent, self.per_call = 0, 0, 1
+        self.wait_until = self.recent = self.limit = 0.0
 
     def weight(self) -> float:  # the rate that the list tells, at least
         return max((e.weight for e in self.endpoints), default=0.0)
@@ -143,22 +140,6 @@
         self.out = self.zone = self.last = None  # the try under way, the zone to stay in, the last endpoint
 
 
-def best_timeout(sample: list[float], cost: float) -> float:
-    """The candidate τ that minimises M1/F + (1-F)/F (τ+c); INF entries are unfinished tries."""
-    finished = sorted(x for x in sample if x < INF)
-    if len(finished) < LEAST_FINISHED:
-        return INF
-    n, total, best, tau = len(sample), 0.0, INF, INF
-    least = finished[(len(finished) - 1) // 2]
-    for k, x in enumerate(finished, 1):
-        total += x
-        share = k / n
-        expected = total / n / share + (1 - share) / share * (x + cost)
-        if x >= least and expected <= best:
-            best, tau = expected, x
-    return tau
-
-
 class Sender:
     """One delivery node's decisions: events in, actions out."""
 
@@ -308,18 +289,8 @@
             entry[0] += (latency - entry[0]) / entry[1]
             latency /= self.ratio(cls)
             lane.recent += (latency - lane.recent) * (RECENT_WEIGHT if lane.recent else 1.0)
-        lane.sample.append((self.now, latency))
-        lane.fresh += 1
-        if lane.fresh % RELEARN_EVERY and lane.median:
-            return
-        while lane.sample[0][0] < self.now - SAMPLE_AGE_MS:
-            lane.sample.popleft()
-        tries = [x for _, x in lane.sample]
-        finished = sorted(x for x in tries if x < INF)
-        if finished:
-            lane.median = finished[(len(finished) - 1) // 2]
         # A cut call runs on at the destination: a restart costs about one usual call there.
-        lane.tau = best_timeout(tries, lane.median * (1 + WASTE_COST * self.s.waste_price))
+        lane.add(self.now, latency, 1 + WASTE_COST * self.s.waste_price)
 
     def usual(self, msg: Held) -> float:  # usual latency of a call like this one
         known = [lane.median for lane in msg.dest.lanes if lane.median]
--- a/gannetshift/knowledge.py
+++ b/gannetshift/knowledge.py
@@ -26,11 +26,11 @@
     lanes, endpoints = [], []
     for dest in sender.dests.values():
         for lane in dest.lanes:
-            if not lane.sample and not lane.wait_until and not lane.health.streak:
+            if not lane.tries and not lane.wait_until and not lane.health.streak:
                 continue  # never called
             lanes.append([dest.number, [one.number for one in lane.endpoints], _told(lane, LANE),
                           _told(lane.health, HEALTH), _told(lane.share, SHARE),
-                          [[round(at), _finite(took)] for at, took in list(lane.sample)[-SAMPLE:]]])
+                          [[round(at), _finite(took)] for at, took in list(lane.tries)[-SAMPLE:]]])
             for one in lane.endpoints:
                 own = [_told(health, HEALTH) for health in one.healths if health is not lane.health]
                 endpoints.append([one.number, _told(one, ENDPOINT), own])
@@ -69,8 +69,8 @@
 def _lane(lane: Lane, values: list, sample: list) -> None:
     _take(lane, LANE, values)
     lane.window = max(1, int(lane.window))
-    lane.sample.extend((float(at), math.inf if took is None else float(took)) for at, took in sample)
-    lane.fresh = len(lane.sample)
+    lane.tries.extend((float(at), math.inf if took is None else float(took)) for at, took in sample)
+    lane.fresh = len(lane.tries)
 
 
 def _health(health: Health, values: list, now: float) -> None:
--- /dev/null
+++ b/lynxscale/controlplane/endpoints.py
@@ -0,0 +1,103 @@
+"""The platform's list of endpoints, read by the primary alone and published down the tree."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from urllib.parse import quote
+
+import msgspec
+
+from lynxscale.coordination.ports import Clock, Timer
+from lynxscale.runtime.http_client import Dial, OneRequest
+from lynxscale.runtime.http_types import Head, Request
+
+READ_EVERY_S = 0.6
+REFUSED_PAUSE_S = 0.3
+CALL_TIMEOUT_S = 1.0
+MOST_PAGES = 200
+
+
+class Endpoint(msgspec.Struct, frozen=True, order=True):
+    """One endpoint of the list."""
+
+    id: str
+    backend: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+
+
+class Page(msgspec.Struct, rename="kebab"):
+    """One page of the platform's answer."""
+
+    instances: list[Endpoint]
+    next_page_token: str | None = None
+
+
+class EndpointReader:
+    """Reads all pages, again and again while it runs. ``on_list`` gets each whole list, sorted."""
+
+    def __init__(self, address: str, clock: Clock, dial: Dial, on_list: Callable[[list[Endpoint]], None]) -> None:
+        self._address = address
+        self._clock = clock
+        self._dial = dial
+        self._on_list = on_list
+        self._timer: Timer | None = None
+        self._round = 0
+        self._found: list[Endpoint] = []
+        self._pages = 0
+
+    def start(self) -> None:
+        """Begin to read now."""
+        self._round += 1
+        self._begin(self._round)
+
+    def stop(self) -> None:
+        """Read no more; an answer that is on its way is dropped."""
+        self._round += 1
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _begin(self, number: int) -> None:
+        if number == self._round:
+            self._found, self._pages = [], 0
+            self._ask(number, None)
+
+    def _ask(self, number: int, token: str | None) -> None:
+        target = "/instances" + (f"?page-token={quote(token)}" if token else "")
+        request = Request("GET", target, Head(((b"host", self._address.encode()),)))
+        OneRequest(
+            self._address,
+            request,
+            self._clock,
+            self._dial,
+            CALL_TIMEOUT_S,
+            lambda status, body: self._answered(number, status, body),
+        )
+
+    def _answered(self, number: int, status: int, body: bytes) -> None:
+        if number != self._round:
+            return
+        page = decode_page(body) if status == 200 else None
+        if page is None:
+            self._again(number, REFUSED_PAUSE_S)
+            return
+        self._found += page.instances
+        self._pages += 1
+        if page.next_page_token and self._pages < MOST_PAGES:
+            self._ask(number, page.next_page_token)
+            return
+        self._on_list(sorted(self._found))
+        self._again(number, READ_EVERY_S)
+
+    def _again(self, number: int, delay: float) -> None:
+        self._timer = self._clock.call_later(delay, lambda: self._begin(number))
+
+
+def decode_page(body: bytes) -> Page | None:
+    """A page of the list, None where the body is none."""
+    try:
+        return msgspec.json.decode(body, type=Page)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/lynxscale/controlplane/operator_api.py
@@ -0,0 +1,165 @@
+"""The operator's calls: replace and read the configuration, retire a machine.
+
+An order is known by its base version and content. One that was taken before is acknowledged again, also by another
+primary and when others came since; one that cannot be decided gets no clear answer.
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+from returns.result import Failure
+
+from lynxscale.controlplane.configuration import check
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.member import ControlMember
+from lynxscale.runtime.http_server import Responder
+from lynxscale.runtime.http_types import Head, Request, Response
+
+CURRENT_KEY = "config/current"
+ORDER_PREFIX, RETIRE_PREFIX = "order/", "retire/"
+BASE_HEADER = b"lynxscale-base-version"
+UNDECIDED = 503
+RETRY_AFTER: tuple[tuple[bytes, bytes], ...] = ((b"retry-after", b"0.2"),)
+
+
+class CurrentConfiguration(msgspec.Struct, frozen=True):
+    """The configuration in force, and the very bytes that the operator sent."""
+
+    generation: int
+    body: msgspec.Raw
+
+
+def order_digest(base: str, body: bytes) -> str:
+    """What an order is known by."""
+    return hashlib.sha256(base.encode() + b"\n" + body).hexdigest()
+
+
+class OperatorApi:
+    """Handles the operator's requests on any member; only the primary decides."""
+
+    def __init__(self, member: ControlMember, control_port: int, on_commit) -> None:
+        """``on_commit()`` is called once a new configuration or a retirement is committed."""
+        self._member = member
+        self._port = control_port
+        self._on_commit = on_commit
+
+    def handle(self, request: Request, responder: Responder) -> None:
+        """Answer a request, now or once its change is committed."""
+        if not self._member.leads():
+            self._send_elsewhere(request, responder)
+        elif (request.method, request.path) == ("POST", "/config/replace"):
+            self._replace(request, responder)
+        elif (request.method, request.path) == ("GET", "/config/read"):
+            self._member.barrier(lambda decided: self._read(responder, decided))
+        elif request.path.startswith("/retire/"):
+            self._retire(request, responder)
+        else:
+            responder.whole(json_response(404, {"error": "no such call"}))
+
+    def current(self) -> CurrentConfiguration | None:
+        """The newest configuration held here."""
+        raw = self._member.store.values.get(CURRENT_KEY)
+        return None if raw is None else msgspec.json.decode(raw, type=CurrentConfiguration)
+
+    def retiring(self) -> frozenset[str]:
+        """Machines that are to be emptied."""
+        prefix = len(RETIRE_PREFIX)
+        return frozenset(key[prefix:] for key in self._member.store.values if key.startswith(RETIRE_PREFIX))
+
+    def _send_elsewhere(self, request: Request, responder: Responder) -> None:
+        primary = self._member.primary()
+        if not primary:
+            responder.whole(undecided("there is no primary"))
+            return
+        location = f"http://{primary.rpartition(':')[0]}:{self._port}{request.target}"
+        responder.whole(Response(307, Head(((b"location", location.encode()),))))
+
+    def _replace(self, request: Request, responder: Responder) -> None:
+        base = request.head.text(BASE_HEADER, "0").strip()
+        digest = order_digest(base, request.body)
+        if ORDER_PREFIX + digest in self._member.store.values:
+            self._answer_when_decided(responder, json_response(200, {"state": "taken before"}))
+            return
+        checked = check(request.body)
+        if isinstance(checked, Failure):
+            findings = [{"place": finding.place, "error": finding.text} for finding in checked.failure()]
+            responder.whole(json_response(400, {"findings": findings}))
+            return
+        generation = checked.unwrap()["generation"]
+        current = self.current()
+        in_force = current.generation if current else 0
+        if base != str(in_force):
+            self._answer_when_decided(responder, json_response(412, {"error": f"version {in_force} is current"}))
+        elif generation <= in_force:
+            text = f"want a version above {in_force}"
+            findings = [{"place": "generation", "error": text}]
+            self._answer_when_decided(responder, json_response(400, {"findings": findings}))
+        else:
+            self._take(generation, request.body, digest, responder)
+
+    def _take(self, generation: int, body: bytes, digest: str, responder: Responder) -> None:
+        value = CurrentConfiguration(generation, msgspec.Raw(body))
+        puts = (m.put_value(CURRENT_KEY, value), m.put_value(ORDER_PREFIX + digest, generation))
+
+        def done(committed: bool) -> None:
+            if committed:
+                self._on_commit()
+            responder.whole(json_response(200, {"generation": generation}) if committed else undecided("not decided"))
+
+        self._member.submit(puts, done)
+
+    def _answer_when_decided(self, responder: Responder, response: Response) -> None:
+        """What the answer rests on may not be committed yet."""
+        self._member.barrier(lambda decided: responder.whole(response if decided else undecided("not decided")))
+
+    def _read(self, responder: Responder, decided: bool) -> None:
+        current = self.current()
+        if not decided or current is None:
+            responder.whole(undecided("no configuration yet"))
+            return
+        responder.whole(Response(200, Head(((b"content-type", b"application/json"),)), bytes(current.body)))
+
+    def _retire(self, request: Request, responder: Responder) -> None:
+        _, _, node, verb = (request.path.split("/") + ["", ""])[:4]
+        if verb == "start" and request.method == "POST":
+            self._start_retiring(node, responder)
+        elif verb == "read" and request.method == "GET":
+            self._read_retiring(node, responder)
+        else:
+            responder.whole(json_response(404, {"error": "no such call"}))
+
+    def _start_retiring(self, node: str, responder: Responder) -> None:
+        present = self._member.present_nodes()
+        if RETIRE_PREFIX + node in self._member.store.values:
+            self._answer_when_decided(responder, json_response(200, {"state": "running"}))
+        elif node not in present:
+            responder.whole(json_response(404, {"error": f"no machine is called {node!r}"}))
+        elif len(present - self.retiring() - {node}) < self._member.least_members:
+            responder.whole(json_response(409, {"error": "too few machines would remain"}))
+        else:
+            self._member.submit((m.put_value(RETIRE_PREFIX + node, {}),), lambda done: self._retiring(responder, done))
+
+    def _retiring(self, responder: Responder, committed: bool) -> None:
+        if committed:
+            self._on_commit()
+        responder.whole(json_response(200, {"state": "running"}) if committed else undecided("not decided"))
+
+    def _read_retiring(self, node: str, responder: Responder) -> None:
+        if RETIRE_PREFIX + node not in self._member.store.values:
+            responder.whole(json_response(404, {"error": f"{node!r} is not to be emptied"}))
+            return
+        state = "done" if self._member.is_empty(node) else "running"
+        self._answer_when_decided(responder, json_response(200, {"state": state}))
+
+
+def json_response(status: int, value: object) -> Response:
+    """An answer with a JSON body."""
+    return Response(status, Head(((b"content-type", b"application/json"),)), msgspec.json.encode(value))
+
+
+def undecided(text: str) -> Response:
+    """No clear answer: the caller asks again."""
+    response = json_response(UNDECIDED, {"error": text})
+    return Response(response.status, Head((*response.head.fields, *RETRY_AFTER)), response.body)
--- /dev/null
+++ b/lynxscale/controlplane/service.py
@@ -0,0 +1,175 @@
+"""One process of the control plane: a member of the group, the operator's API, and what the primary does besides."""
+
+from __future__ import annotations
+
+import logging
+from random import Random
+
+import msgspec
+
+from lynxscale.controlplane.endpoints import Endpoint, EndpointReader
+from lynxscale.controlplane.ledger import Ledger
+from lynxscale.controlplane.operator_api import OperatorApi
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.identity import MemberIdentity, founding_record, load_identity
+from lynxscale.coordination.member import ControlMember, MemberSettings
+from lynxscale.coordination.ports import Clock, Files, Network, Timer
+from lynxscale.coordination.ring import Roster
+from lynxscale.coordination.tree import ROSTER, Publisher
+from lynxscale.runtime.http_client import Dial
+from lynxscale.runtime.http_server import Responder
+from lynxscale.runtime.http_types import Request
+from lynxscale.runtime.settings import Settings
+
+log = logging.getLogger(__name__)
+
+CONFIG, ENDPOINTS, MEMBERS = "config", "endpoints", "members"
+TICK_S = 0.05
+SWEEP_EVERY_S = 5.0
+SCRUB_EVERY_S = 4.0
+
+
+class ControlService:
+    """Handles messages and requests of one control process."""
+
+    def __init__(self, settings: Settings, clock: Clock, network: Network, files: Files, dial: Dial, random: Random):
+        self._clock = clock
+        self._network = network
+        address = settings.internal_address
+        identity = MemberIdentity(address, settings.bootstrap, settings.contacts)
+        member_settings = MemberSettings(
+            load_identity(identity, files, random),
+            settings.node_name,
+            settings.contacts,
+            settings.fault_tolerance.machines,
+            founding_record(identity),
+        )
+        self.member = ControlMember(member_settings, clock, network, files, random, self._on_lead)
+        control_port = int(settings.listen.control.rpartition(":")[2] or 0)
+        self.api = OperatorApi(self.member, control_port, self._publish_committed)
+        self.ledger = Ledger(self.member.store.values, clock)
+        self.publisher = Publisher(address, clock, network)
+        self.roster = Roster(clock, self._roster_changed)
+        self._reader = EndpointReader(settings.cloud.address, clock, dial, self._on_list)
+        self._serving = False
+        self._endpoints: list[Endpoint] = []
+        self._numbers: dict[str, int] = {}
+        self._roster_dirty = False
+        self._sweep_at = self._scrub_at = 0.0
+        self._timer: Timer = clock.call_later(TICK_S, self._tick)
+
+    def handle_request(self, request: Request, responder: Responder) -> None:
+        """Answer the operator."""
+        self.api.handle(request, responder)
+
+    def receive(self, message: m.Message) -> None:
+        """Handle a message of another node."""
+        if self.member.receive(message):
+            return
+        if isinstance(message, m.Call):
+            self._on_call(message)
+        elif isinstance(message, m.Attach):
+            self._on_attach(message)
+        elif isinstance(message, m.Suspicion) and self._serving:
+            self.roster.suspected(message)
+
+    def leave(self) -> None:
+        """The process is about to stop."""
+        self.member.leave()
+
+    # Requests of relays ----------------------------------------------------------------------------
+
+    def _on_call(self, call: m.Call) -> None:
+        if not self._serving or not self.member.leads():
+            self._redirect(call.caller)
+        elif isinstance(call.body, m.AdmitTurn):
+            answer, puts = self.ledger.admit(call.body)
+            self._reply_when_durable(call, answer, puts)
+        else:
+            self._reply_when_durable(call, m.TurnFinished(), self.ledger.finish(call.body))
+
+    def _reply_when_durable(self, call: m.Call, answer: m.Message, puts: tuple[m.Put, ...]) -> None:
+        def done(committed: bool) -> None:
+            if committed and self.member.leads():
+                self._network.send(call.caller, m.Reply(call.number, answer))
+
+        if puts:
+            self.member.submit(puts, done)
+        else:
+            self.member.barrier(done)
+
+    def _on_attach(self, message: m.Attach) -> None:
+        if not self._serving or not self.member.leads():
+            self._redirect(message.sender)
+            return
+        self.roster.attached(message.sender, message.zone)
+        self.publisher.attach(message, self.publisher.address, self.member.record.epoch, 0.0)
+
+    def _redirect(self, address: str) -> None:
+        self._network.send(address, m.Redirect(self.member.primary(), self.member.record.epoch))
+
+    # What the primary does ---------------------------------------------------------------------------
+
+    def _on_lead(self, leading: bool) -> None:
+        """A lead begins once all that earlier primaries committed is known to be committed; it ends at once."""
+        if not leading and self._serving:
+            self._serving = False
+            self._reader.stop()
+
+    def _begin_serving(self) -> None:
+        self._serving = True
+        self.publisher.topics, self.publisher.children, self._numbers = {}, {}, {}
+        self._endpoints = []
+        self.roster = Roster(self._clock, self._roster_changed)
+        self.ledger = Ledger(self.member.store.values, self._clock)
+        self.ledger.begin()
+        self._publish_committed()
+        self._reader.start()
+        log.info("event=serving epoch=%d", self.member.record.epoch)
+
+    def _publish_committed(self) -> None:
+        """Publish the configuration in force, and act on retirements."""
+        self.member.retiring = self.api.retiring()
+        current = self.api.current()
+        if current is not None:
+            topic = m.Topic(m.Version(0, current.generation), current.body)
+            self.publisher.take({CONFIG: topic})
+        self._push()
+
+    def _on_list(self, endpoints: list[Endpoint]) -> None:
+        if endpoints != self._endpoints and self.member.leads():
+            log.info("event=endpoints count=%d", len(endpoints))
+            self._endpoints = endpoints
+            self._publish(ENDPOINTS, endpoints)
+
+    def _roster_changed(self) -> None:
+        self._roster_dirty = True
+
+    def _publish(self, name: str, value: object) -> None:
+        self._numbers[name] = self._numbers.get(name, 0) + 1
+        version = m.Version(self.member.record.epoch, self._numbers[name])
+        self.publisher.take({name: m.Topic(version, msgspec.Raw(msgspec.json.encode(value)))})
+        self._push()
+
+    def _push(self) -> None:
+        self.publisher.push(self.publisher.address, self.member.record.epoch, 0.0)
+
+    def _tick(self) -> None:
+        self._timer = self._clock.call_later(TICK_S, self._tick)
+        if not self.member.leads():
+            return
+        if not self._serving:
+            self._begin_serving()
+        if self._roster_dirty:
+            self._roster_dirty = False
+            self._publish(ROSTER, self.roster.entries())
+        self._sweep(self._clock.now())
+
+    def _sweep(self, now: float) -> None:
+        if now >= self._sweep_at:
+            self._sweep_at = now + SWEEP_EVERY_S
+            if gone := self.ledger.expired():
+                self.member.submit(gone, lambda committed: None)
+        if now >= self._scrub_at:
+            self._scrub_at = now + SCRUB_EVERY_S
+            self.member.scrub()
--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -17,7 +17,7 @@
 from lynxscale.coordination.ports import Clock, Files, Network, Timer
 from lynxscale.coordination.replication import Replicator
 from lynxscale.coordination.store import Store
-from lynxscale.coordination.voters import PeerView, PlanInput, plan_record
+from lynxscale.coordination.voters import FOUNDERS, PeerView, PlanInput, plan_record
 
 log = logging.getLogger(__name__)
 
@@ -29,6 +29,7 @@
 RANK_DELAY_S = 0.12  # between the in-sync members' candidacies, so that they seldom meet
 JOIN_EVERY_S = 0.25
 SILENT_AFTER_S = 0.55  # a member unheard so long is not waited for
+PRESENT_S = 3.0  # a machine unheard for so long is none that could be emptied
 KEEP_ROUNDS = 16  # heartbeats whose grants are still counted
 
 
@@ -123,6 +124,30 @@
         else:
             done(False)
 
+    @property
+    def least_members(self) -> int:
+        """With fewer the group could not bear the tolerated losses."""
+        return max(FOUNDERS, 2 * self.settings.tolerated + 1)
+
+    def present_nodes(self) -> set[str]:
+        """Machines that the primary hears of."""
+        oldest = self._clock.now() - PRESENT_S
+        return {self.settings.node} | {peer.node for peer in self.peers.values() if peer.heard_at > oldest}
+
+    def is_empty(self, node: str) -> bool:
+        """As primary: does no copy that counts stand on the machine, and are there enough without it?"""
+        own = self.settings.node == node
+        there = {one for one, peer in self.peers.items() if peer.node == node}
+        counted = {*self.record.in_sync, *self.record.witnesses}
+        enough = len(self.record.in_sync) > self.settings.tolerated
+        return not own and not there & counted and enough and self._proposal is None
+
+    def scrub(self) -> None:
+        """As primary, compare the copies with the own one; a copy that differs is sent anew."""
+        if self.leads() and self.replicator.idle:
+            others = tuple(one for one in self.record.in_sync if one != self.me)
+            self._send_all(others, m.DigestRequest(self.record.epoch, self.store.position))
+
     def leave(self) -> None:
         """Hand over what this member holds; it takes no part any more."""
         if self.state is State.PRIMARY:
--- /dev/null
+++ b/lynxscale/dataplane/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane: relays that take requests from clients and pass them to endpoints."""
--- /dev/null
+++ b/lynxscale/dataplane/__main__.py
@@ -0,0 +1,90 @@
+"""The data plane's process: ``python -m lynxscale.dataplane``. SIGTERM lets what was taken come to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import signal
+import sys
+from random import Random
+
+from lynxscale.dataplane.service import RelayService
+from lynxscale.runtime import logs
+from lynxscale.runtime.clock import LoopClock
+from lynxscale.runtime.http_client import LoopDialer
+from lynxscale.runtime.http_server import ServerConnection
+from lynxscale.runtime.network import InternalNetwork, split_address
+from lynxscale.runtime.settings import Settings, SettingsError, load
+
+log = logging.getLogger(__name__)
+
+EXIT_SETTINGS = 2
+DIAL_TIMEOUT_S = 0.6
+UNREADY_S = 2.6  # until the platform has missed two answers, new connections come
+END_MARGIN_S = 0.8  # before the grace ends
+LOOK_EVERY_S = 0.05
+BACKLOG = 512
+
+
+async def serve(settings: Settings) -> None:
+    """Run until SIGTERM, and then until everything taken has ended, or the grace nearly has."""
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log.info("event=hup"))
+    clock = LoopClock(loop)
+    network = InternalNetwork(loop, settings.internal_address)
+    service = RelayService(settings, clock, network, LoopDialer(loop, DIAL_TIMEOUT_S), Random())
+    clients: set[ServerConnection] = set()
+    probes: set[ServerConnection] = set()
+    await network.listen(service.receive)
+    host, port = split_address(settings.listen.readiness)
+    await loop.create_server(
+        lambda: ServerConnection(service.handle_readiness, service.limits, clock, probes), host, port
+    )
+    host, port = split_address(settings.listen.frontend)
+    server = await loop.create_server(
+        lambda: ServerConnection(service.handle_request, service.limits, clock, clients),
+        host,
+        port,
+        backlog=BACKLOG,
+    )
+    log.info("event=started")
+    await stopped.wait()
+    await drain(service, server, clients, loop.time() + settings.bounds.grace_s - END_MARGIN_S)
+    log.info("event=ended")
+
+
+async def drain(
+    service: RelayService, server: asyncio.Server, clients: set[ServerConnection], latest: float
+) -> None:
+    """Take no more clients once the platform sends none, and wait for those that are served."""
+    loop = asyncio.get_running_loop()
+    service.stopping = True
+    service.limits.closing = True
+    await asyncio.sleep(UNREADY_S)
+    server.close()
+    while loop.time() < latest:
+        for connection in list(clients):
+            connection.close_if_idle()
+        if not any(connection.busy for connection in clients):
+            break
+        await asyncio.sleep(LOOK_EVERY_S)
+
+
+def main() -> int:
+    """Exit code 2 where the settings are wrong."""
+    logs.start()
+    try:
+        settings = load()
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(serve(settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lynxscale/dataplane/balancer.py
@@ -0,0 +1,84 @@
+"""Choice of an endpoint: by affinity where a prompt may be cached, else by load; the own zone first."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+
+from lynxscale.controlplane.endpoints import Endpoint
+from lynxscale.coordination.ports import Clock
+from lynxscale.dataplane.endpoints import READY, EndpointState
+from lynxscale.runtime.http_client import Dial
+
+CROWDED_SHARE = 0.75  # of the slots: beyond that affinity gives way to load
+OTHER_ZONE_LOAD = 0.25  # of the slots that an endpoint of the own zone may be more loaded
+
+
+class Balancer:
+    """All endpoints, by service. ``waiters`` are called when a place may have come free."""
+
+    def __init__(self, zone: str, clock: Clock, dial: Dial) -> None:
+        self.zone = zone
+        self.known = False
+        self.states: dict[str, EndpointState] = {}
+        self._by_service: dict[str, list[EndpointState]] = {}
+        self._clock = clock
+        self._dial = dial
+        self._waiters: dict[str, dict[object, Callable[[], None]]] = {}
+
+    def take_list(self, endpoints: list[Endpoint]) -> None:
+        """A new list; endpoints that are not on it any more are gone."""
+        self.known = True
+        listed = {endpoint.id: endpoint for endpoint in endpoints}
+        for name in [name for name in self.states if name not in listed]:
+            self.states.pop(name).gone()
+        for name, endpoint in listed.items():
+            state = self.states.get(name)
+            if state is None:
+                self.states[name] = EndpointState(endpoint, self._clock, self._dial)
+            elif endpoint.state != READY:
+                state.gone()
+        self._by_service = {}
+        for state in self.states.values():
+            self._by_service.setdefault(state.endpoint.backend, []).append(state)
+        for service in list(self._waiters):
+            self.released(service)
+
+    def choose(self, service: str, key: str, tried: set[str]) -> EndpointState | None:
+        """The endpoint for a request; ``key`` names what its prompt shares with others, empty for none."""
+        now = self._clock.now()
+        able = [one for one in self._by_service.get(service, ()) if one.may_send(now)]
+        able = [one for one in able if one.endpoint.id not in tried] or able
+        if not able:
+            return None
+        if key:
+            roomy = [one for one in able if one.load < CROWDED_SHARE * one.slots]
+            near = [one for one in roomy if one.endpoint.zone == self.zone]
+            if near or roomy:
+                return max(near or roomy, key=lambda one: rendezvous(key, one.endpoint.id))
+        return min(able, key=self._cost)
+
+    def wait(self, service: str, waiter: object, call: Callable[[], None]) -> None:
+        """Call once a place of the service may be free."""
+        self._waiters.setdefault(service, {})[waiter] = call
+
+    def leave(self, service: str, waiter: object) -> None:
+        """Wait no more."""
+        self._waiters.get(service, {}).pop(waiter, None)
+
+    def released(self, service: str) -> None:
+        """A call has ended there: the first that waits may try."""
+        waiters = self._waiters.get(service)
+        if waiters:
+            first = next(iter(waiters))
+            self._clock.call_later(0.0, waiters.pop(first))
+
+    def _cost(self, state: EndpointState) -> float:
+        away = OTHER_ZONE_LOAD if state.endpoint.zone != self.zone else 0.0
+        pace = max(state.recent_ms, 1.0)
+        return (state.load + 1.0) / state.slots * pace**0.5 + away * pace**0.5
+
+
+def rendezvous(key: str, name: str) -> int:
+    """The weight of a name for a key: every relay gives the same order (highest random weight)."""
+    return zlib.crc32(name.encode(), zlib.crc32(key.encode())) * 2654435761 & 0xFFFFFFFF
--- /dev/null
+++ b/lynxscale/dataplane/service.py
@@ -0,0 +1,96 @@
+"""One relay: topics from the tree, the ring's heartbeats, and requests of clients."""
+
+from __future__ import annotations
+
+import logging
+from random import Random
+
+import msgspec
+
+from lynxscale.controlplane.endpoints import Endpoint
+from lynxscale.controlplane.service import CONFIG, ENDPOINTS
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.calls import PrimaryCalls
+from lynxscale.coordination.ports import Clock, Network
+from lynxscale.coordination.ring import RingMember
+from lynxscale.coordination.tree import ROSTER, Subscriber
+from lynxscale.dataplane import headers as h
+from lynxscale.dataplane.balancer import Balancer
+from lynxscale.dataplane.forwarding import ForwardedRequest, Surroundings
+from lynxscale.dataplane.routing import RouteTable, decode_table
+from lynxscale.dataplane.turns import TurnLedger
+from lynxscale.runtime.http_client import Dial
+from lynxscale.runtime.http_server import Exchange, Responder, ServerLimits
+from lynxscale.runtime.http_types import Request
+from lynxscale.runtime.settings import Settings
+
+log = logging.getLogger(__name__)
+
+RETRY_AFTER_S = 0.3
+
+
+class RelayService:
+    """Handles messages and requests of one data plane process."""
+
+    def __init__(self, settings: Settings, clock: Clock, network: Network, dial: Dial, random: Random) -> None:
+        address = settings.internal_address
+        self.limits = ServerLimits()
+        self.stopping = False
+        self.balancer = Balancer(settings.zone, clock, dial)
+        self.tree = Subscriber(address, settings.zone, settings.contacts, clock, network, self._on_topics)
+        self.ring = RingMember(address, settings.heartbeat_ms / 1000.0, clock, network)
+        self.calls = PrimaryCalls(address, clock, network, lambda: self.tree.primary, lambda: self.tree.contacts)
+        self._table: RouteTable | None = None
+        self._around = Surroundings(clock, self.balancer, TurnLedger(self.calls), random)
+
+    @property
+    def ready(self) -> bool:
+        """May clients be sent here?"""
+        return self._table is not None and self.balancer.known and not self.stopping
+
+    def receive(self, message: m.Message) -> None:
+        """Handle a message of another node."""
+        primary = self.tree.primary
+        handled = self.calls.receive(message) or self.ring.receive(message) or self.tree.receive(message)
+        if handled and self.tree.primary != primary:
+            self.ring.primary = self.tree.primary
+            self.calls.primary_changed()
+
+    def handle_readiness(self, request: Request, responder: Responder) -> None:
+        """Answer the platform's question whether clients may be sent here."""
+        responder.whole(h.own_answer(200 if self.ready else 503))
+
+    def handle_request(self, request: Request, responder: Responder) -> Exchange | None:
+        """Begin to serve a client's request."""
+        if self._table is None or not self.balancer.known:
+            responder.whole(h.own_answer(503, RETRY_AFTER_S))
+            return None
+        route = self._table.find(request.head.text(b"host"), request.path)
+        if route is None:
+            responder.whole(h.own_answer(404))
+            return None
+        exchange = ForwardedRequest(request, route, self._table, responder, self._around)
+        exchange.start()
+        return exchange
+
+    def _on_topics(self, names: list[str]) -> None:
+        topics = self.tree.publisher.topics
+        if CONFIG in names:
+            self._take_configuration(topics[CONFIG].value)
+        if ENDPOINTS in names:
+            self.balancer.take_list(msgspec.json.decode(topics[ENDPOINTS].value, type=list[Endpoint]))
+        if ROSTER in names:
+            self.ring.set_roster(self.tree.roster)
+
+    def _take_configuration(self, value: msgspec.Raw) -> None:
+        try:
+            self._table = decode_table(value)
+        except msgspec.ValidationError as error:
+            log.error("event=configuration_unusable error=%s", error)
+            return
+        limits = self._table.limits
+        self.limits.header_bytes = limits.max_header_bytes
+        self.limits.body_bytes = limits.max_body_bytes
+        self.limits.header_timeout_s = limits.header_timeout_ms / 1000.0
+        self.limits.idle_timeout_s = limits.idle_timeout_ms / 1000.0
+        log.info("event=configuration version=%d", self._table.generation)
--- /dev/null
+++ b/lynxscale/dataplane/turns.py
@@ -0,0 +1,86 @@
+"""Turns of agent programs, as a client of the control plane: budgets, histories, and turns that are kept."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.calls import PrimaryCalls
+from lynxscale.dataplane import headers as h
+from lynxscale.dataplane.routing import Route
+from lynxscale.runtime.http_types import Request
+
+ADMISSION_TIMEOUT_S = 2.5  # a new primary stands well within it
+FINISH_TIMEOUT_S = 2.5
+SETTLE_TIMEOUT_S = 10.0  # nobody waits for it
+NO_BUDGET = -1
+UNSURE = 503
+
+
+class TurnLedger:
+    """Makes the turns of a relay's requests."""
+
+    def __init__(self, calls: PrimaryCalls) -> None:
+        self.calls = calls
+
+    def turn(self, request: Request, route: Route) -> Turn | None:
+        """The turn that a request is; None where it neither has a budget nor is kept."""
+        budget = request.head.number(h.BUDGET)
+        if not route.streaming or (budget is None and not route.retained):
+            return None
+        return Turn(self.calls, request, route, NO_BUDGET if budget is None else int(budget))
+
+
+class Turn:
+    """One try of a client for a turn."""
+
+    def __init__(self, calls: PrimaryCalls, request: Request, route: Route, budget: int) -> None:
+        self.input = request.body
+        self._calls = calls
+        self._route = route
+        self._budget = budget
+        self._program = request.head.text(h.PROGRAM)
+        self._request_id = request.head.text(h.REQUEST_ID)
+        self._previous = request.head.text(h.PREVIOUS) if route.retained else ""
+        self._most = h.most_tokens(request.head)
+        self._settled = False
+
+    def admit(self, left_s: float, done: Callable[[int, bytes], None]) -> None:
+        """``done(status, history)``: 200, or 402 or 404 where that is certain, or 503."""
+        body = m.AdmitTurn(
+            self._program,
+            self._request_id,
+            self._budget,
+            self._most,
+            self._route.retention_s,
+            self._route.retained,
+            self._previous,
+        )
+
+        def answered(answer: m.Message | None) -> None:
+            if isinstance(answer, m.TurnAdmitted):
+                done(200, answer.history)
+            elif isinstance(answer, m.TurnRefused):
+                self._settled = True
+                done(answer.status, b"")
+            else:
+                done(UNSURE, b"")
+
+        self._calls.call(body, min(left_s, ADMISSION_TIMEOUT_S), answered)
+
+    def settle(self, tokens: int) -> None:
+        """The turn has ended, and is not kept."""
+        if not self._settled:
+            self._settled = True
+            self._calls.call(self._finish(tokens, None), SETTLE_TIMEOUT_S, lambda answer: None)
+
+    def finish(self, tokens: int, content: bytes, done: Callable[[bool], None]) -> None:
+        """The turn has ended whole; ``done(True)`` once it is durable."""
+        self._settled = True
+        body = self._finish(tokens, content)
+        self._calls.call(body, FINISH_TIMEOUT_S, lambda answer: done(answer is not None))
+
+    def _finish(self, tokens: int, content: bytes | None) -> m.FinishTurn:
+        return m.FinishTurn(
+            self._program, self._request_id, tokens, self._route.retention_s, content, self._previous
+        )
--- a/tests/test_timeout.py
+++ b/tests/test_timeout.py
@@ -4,7 +4,7 @@
 
 from gannetshift import brain
 from gannetshift import interface as api
-from gannetshift.brain import best_timeout
+from gannetshift.restart import best_timeout
 from tests.driver import SAFE, UNSAFE, Driver, member
 
 
