--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -94,7 +94,7 @@
 
 
 class Lane(TrySample):
-    """What shares one limit, with its tries: a destination, or an endpoint of it where routes are apart."""
+    """What shares one limit, with its tries: a destination, or one of its endpoints where these are apart."""
 
     def __init__(self, dest: Dest, now: float, senders: int) -> None:
         super().__init__()
--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -328,6 +328,7 @@
             log.error("event=disk_failed error=%s", error)
             return
         self.store.apply(batch.puts)
+        self.store.fold_if_due()
 
     def _on_state_part(self, message: m.StatePart) -> None:
         if not self._follows(message.epoch):
--- a/lynxscale/coordination/replication.py
+++ b/lynxscale/coordination/replication.py
@@ -182,6 +182,7 @@
                 self._send_batches(one, [batch])
         try:
             self._store.save(batch)
+            self._store.fold_if_due()
         except OSError as error:
             self._on_disk_failure(error)
             return
--- a/lynxscale/coordination/store.py
+++ b/lynxscale/coordination/store.py
@@ -49,7 +49,7 @@
 
 
 class Store:
-    """State at ``position``. ``apply`` changes the memory, ``save`` makes the same batch durable."""
+    """State at ``position``. ``apply`` changes the memory, ``save`` makes the same batch durable, in either order."""
 
     def __init__(self, files: Files) -> None:
         self.position = START
@@ -78,7 +78,6 @@
         self._batch_bytes += len(content)
         self.position = batch.position
         self.recent.append(batch)
-        self._fold_if_due()
 
     def since(self, position: Position) -> list[Batch] | None:
         """Batches that lead on from a position, None where they are no longer at hand."""
@@ -108,7 +107,8 @@
             total ^= zlib.crc32(bytes(value), zlib.crc32(key.encode()))
         return total
 
-    def _fold_if_due(self) -> None:
+    def fold_if_due(self) -> None:
+        """Write the version whole where its batches have become many; to be called once the last one is applied."""
         due = self._batch_bytes > LEAST_BATCH_BYTES + 2 * self._state_bytes
         if due or len(self._batch_files) > MOST_BATCH_FILES:
             self._write_whole(WholeState(self.position, self.whole()))
--- a/lynxscale/dataplane/forwarding.py
+++ b/lynxscale/dataplane/forwarding.py
@@ -135,7 +135,12 @@
                 self._give_up()
                 return
             self._hold = self._clock.call_later(left, self._held_too_long)
-        self._around.balancer.wait(self._service, self, self._dispatch)
+        self._around.balancer.wait(self._service, self, self._place_free)
+
+    def _place_free(self) -> None:
+        """A place may have come free; meanwhile the request may have ended."""
+        if self.state is State.QUEUED:
+            self._dispatch()
 
     def _held_too_long(self) -> None:
         self._hold = None
--- a/tests/test_tier_group.py
+++ b/tests/test_tier_group.py
@@ -5,6 +5,7 @@
 from lab.tier.group import Group
 from lab.tier.world import World
 from lynxscale.coordination.messages import address_of
+from lynxscale.coordination.store import Store
 
 
 def started(seed: int = 1, size: int = 3, tolerated: int = 1, **world) -> Group:
@@ -153,6 +154,17 @@
     assert retiring not in [address_of(one) for one in (*leader.record.witnesses, *leader.record.in_sync)]
 
 
+def test_a_version_written_whole_holds_the_batch_that_led_to_it(monkeypatch):
+    """Seen as a turn that was lost: a backup wrote its state whole before it had applied the newest batch."""
+    monkeypatch.setattr("lynxscale.coordination.store.MOST_BATCH_FILES", 3)
+    group = started()
+    for number in range(9):
+        assert group.put(f"k{number}", number)
+        group.world.run(group.world.time + 0.02)
+        for address in group.seeds:
+            assert f"k{number}" in Store(group.world.machine(address).files).values, (number, address)
+
+
 def test_a_full_disk_at_the_primary_moves_the_lead():
     group = started()
     leader = group.wait_for_leader()
