--- a/lynxscale/controlplane/__main__.py
+++ b/lynxscale/controlplane/__main__.py
@@ -16,7 +16,7 @@
 from lynxscale.runtime.http_client import LoopDialer
 from lynxscale.runtime.http_server import ServerConnection, ServerLimits
 from lynxscale.runtime.network import InternalNetwork, split_address
-from lynxscale.runtime.settings import Settings, SettingsError, load
+from lynxscale.runtime.settings import Settings, SettingsError, SettingsWatch, load, watch_until
 
 log = logging.getLogger(__name__)
 
@@ -31,7 +31,6 @@
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.info("event=hup"))
     clock = LoopClock(loop)
     network = InternalNetwork(loop, settings.internal_address)
     files = DurableFiles(settings.data_dir)
@@ -45,7 +44,9 @@
             lambda: ServerConnection(service.handle_request, limits, clock, connections), host, port
         )
     log.info("event=started member=%s state=%s", service.member.me, service.member.state.value)
-    await stopped.wait()
+    watch = SettingsWatch(settings, service.settings_changed)
+    loop.add_signal_handler(signal.SIGHUP, watch.look)
+    await watch_until(stopped, watch)
     service.leave()
     await asyncio.sleep(HAND_OVER_S)
     log.info("event=ended")
--- a/lynxscale/controlplane/endpoints.py
+++ b/lynxscale/controlplane/endpoints.py
@@ -39,7 +39,7 @@
     """Reads all pages, again and again while it runs. ``on_list`` gets each whole list, sorted."""
 
     def __init__(self, address: str, clock: Clock, dial: Dial, on_list: Callable[[list[Endpoint]], None]) -> None:
-        self._address = address
+        self.address = address
         self._clock = clock
         self._dial = dial
         self._on_list = on_list
@@ -66,9 +66,9 @@
 
     def _ask(self, number: int, token: str | None) -> None:
         target = "/instances" + (f"?page-token={quote(token)}" if token else "")
-        request = Request("GET", target, Head(((b"host", self._address.encode()),)))
+        request = Request("GET", target, Head(((b"host", self.address.encode()),)))
         OneRequest(
-            self._address,
+            self.address,
             request,
             self._clock,
             self._dial,
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -53,6 +53,7 @@
         self._reader = EndpointReader(settings.cloud.address, clock, dial, self._on_list)
         self._serving = False
         self._endpoints: list[Endpoint] = []
+        self._members: tuple[str, ...] = ()
         self._numbers: dict[str, int] = {}
         self._roster_dirty = False
         self._sweep_at = self._scrub_at = 0.0
@@ -73,6 +74,11 @@
         elif isinstance(message, m.Suspicion) and self._serving:
             self.roster.suspected(message)
 
+    def settings_changed(self, settings: Settings) -> None:
+        """The settings file has changed: other seeds, another address of the list."""
+        self.member.contacts = settings.contacts
+        self._reader.address = settings.cloud.address
+
     def leave(self) -> None:
         """The process is about to stop."""
         self.member.leave()
@@ -119,7 +125,7 @@
     def _begin_serving(self) -> None:
         self._serving = True
         self.publisher.topics, self.publisher.children, self._numbers = {}, {}, {}
-        self._endpoints = []
+        self._endpoints, self._members = [], ()
         self.roster = Roster(self._clock, self._roster_changed)
         self.ledger = Ledger(self.member.store.values, self._clock)
         self.ledger.begin()
@@ -160,6 +166,10 @@
             return
         if not self._serving:
             self._begin_serving()
+        members = tuple(m.address_of(one) for one in self.member.record.witnesses)
+        if members != self._members:
+            self._members = members
+            self._publish(MEMBERS, members)
         if self._roster_dirty:
             self._roster_dirty = False
             self._publish(ROSTER, self.roster.entries())
--- a/lynxscale/coordination/calls.py
+++ b/lynxscale/coordination/calls.py
@@ -8,7 +8,7 @@
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.ports import Clock, Network, Timer
 
-REPEAT_AFTER_S = 0.25
+REPEAT_AFTER_S = 0.2
 
 
 @dataclass(slots=True)
@@ -19,6 +19,7 @@
     deadline: float
     done: Callable[[m.Message | None], None]
     timer: Timer | None = None
+    sends: int = 0
 
 
 class PrimaryCalls:
@@ -79,4 +80,6 @@
             del self._pending[pending.call.number]
             pending.done(None)
             return
-        self._send(pending, self._primary())
+        pending.sends += 1
+        # The primary may be gone: every other time somebody else is asked, who knows where to turn.
+        self._send(pending, "" if pending.sends % 2 else self._primary())
--- a/lynxscale/coordination/epochs.py
+++ b/lynxscale/coordination/epochs.py
@@ -38,9 +38,10 @@
         self._files = files
         stored = files.read(WITNESS_FILE)
         self.state = msgspec.json.decode(stored, type=WitnessState) if stored else WitnessState(founding)
-        # Grants are not stored: an earlier process may have given one just before it ended.
+        # Grants are not stored: an earlier process may have given one just before it ended, to the record's primary,
+        # as nobody else's epoch can begin while it runs.
         self._lease_until = clock.now() + lease_s if stored else clock.now()
-        self._lease_holder = ""
+        self._lease_holder = self.state.accepted.primary
 
     @property
     def record(self) -> m.EpochRecord:
--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -21,14 +21,14 @@
 
 log = logging.getLogger(__name__)
 
-TICK_S = 0.1
-HEARTBEAT_S = 0.2
-LEASE_S = 0.9
+TICK_S = 0.05
+HEARTBEAT_S = 0.12
+LEASE_S = 0.6
 LEASE_MARGIN = 0.85  # the holder's share of a lease: its clock may run slower than the witnesses'
-ROUND_TIMEOUT_S = 0.35  # for the answers to a prepare or an accept
-RANK_DELAY_S = 0.12  # between the in-sync members' candidacies, so that they seldom meet
+ROUND_TIMEOUT_S = 0.25  # for the answers to a prepare or an accept
+RANK_DELAY_S = 0.1  # between the in-sync members' candidacies, so that they seldom meet
 JOIN_EVERY_S = 0.25
-SILENT_AFTER_S = 0.55  # a member unheard so long is not waited for
+SILENT_AFTER_S = 0.45  # a member unheard so long is not waited for
 PRESENT_S = 3.0  # a machine unheard for so long is none that could be emptied
 KEEP_ROUNDS = 16  # heartbeats whose grants are still counted
 
@@ -68,6 +68,7 @@
     ) -> None:
         self.settings = settings
         self.me = settings.member
+        self.contacts = settings.contacts
         self.witness = Witness(self.me, settings.founding, clock, files, LEASE_S)
         self.state = State.BACKUP if self.me in self.witness.record.witnesses else State.JOINING
         self.store = Store(files)
@@ -86,7 +87,9 @@
         self._round_sent: dict[int, float] = {}
         self._round_granted: dict[int, set[str]] = {}
         self._primary_heard_at = clock.now()
-        self._candidate_at = clock.now() + self._candidacy_delay(0.0)
+        # A primary whose process ended holds no lease any more: it may stand at once, and the others let it.
+        free = self.record.epoch == 0 or self.record.primary == self.me
+        self._candidate_at = clock.now() + self._candidacy_delay(0.0 if free else LEASE_S)
         self._state_parts: dict[int, m.StatePart] = {}
         self._timer: Timer = clock.call_later(TICK_S, self._tick)
 
@@ -432,7 +435,7 @@
     def _announce(self, leaving: bool) -> None:
         known = [m.address_of(one) for one in (self.record.primary, *self.record.witnesses) if one]
         own = m.address_of(self.me)
-        for address in dict.fromkeys([*known, *self.settings.contacts]):
+        for address in dict.fromkeys([*known, *self.contacts]):
             if address != own:
                 self._network.send(address, m.Join(self.me, self.settings.node, leaving))
 
--- a/lynxscale/dataplane/__main__.py
+++ b/lynxscale/dataplane/__main__.py
@@ -15,7 +15,7 @@
 from lynxscale.runtime.http_client import LoopDialer
 from lynxscale.runtime.http_server import ServerConnection
 from lynxscale.runtime.network import InternalNetwork, split_address
-from lynxscale.runtime.settings import Settings, SettingsError, load
+from lynxscale.runtime.settings import Settings, SettingsError, SettingsWatch, load, watch_until
 
 log = logging.getLogger(__name__)
 
@@ -32,7 +32,6 @@
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: log.info("event=hup"))
     clock = LoopClock(loop)
     network = InternalNetwork(loop, settings.internal_address)
     service = RelayService(settings, clock, network, LoopDialer(loop, DIAL_TIMEOUT_S), Random())
@@ -51,7 +50,9 @@
         backlog=BACKLOG,
     )
     log.info("event=started")
-    await stopped.wait()
+    watch = SettingsWatch(settings, service.settings_changed)
+    loop.add_signal_handler(signal.SIGHUP, watch.look)
+    await watch_until(stopped, watch)
     await drain(service, server, clients, loop.time() + settings.bounds.grace_s - END_MARGIN_S)
     log.info("event=ended")
 
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from lynxscale.controlplane.endpoints import Endpoint
-from lynxscale.controlplane.service import CONFIG, ENDPOINTS
+from lynxscale.controlplane.service import CONFIG, ENDPOINTS, MEMBERS
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.calls import PrimaryCalls
 from lynxscale.coordination.ports import Clock, Network
@@ -17,6 +17,7 @@
 from lynxscale.dataplane import headers as h
 from lynxscale.dataplane.balancer import Balancer
 from lynxscale.dataplane.forwarding import ForwardedRequest, Surroundings
+from lynxscale.dataplane.parking import Parking
 from lynxscale.dataplane.routing import RouteTable, decode_table
 from lynxscale.dataplane.turns import TurnLedger
 from lynxscale.runtime.http_client import Dial
@@ -26,8 +27,6 @@
 
 log = logging.getLogger(__name__)
 
-RETRY_AFTER_S = 0.3
-
 
 class RelayService:
     """Handles messages and requests of one data plane process."""
@@ -40,6 +39,9 @@
         self.tree = Subscriber(address, settings.zone, settings.contacts, clock, network, self._on_topics)
         self.ring = RingMember(address, settings.heartbeat_ms / 1000.0, clock, network)
         self.calls = PrimaryCalls(address, clock, network, lambda: self.tree.primary, lambda: self.tree.contacts)
+        self._seeds = settings.contacts
+        self._members: tuple[str, ...] = ()
+        self.parking = Parking(clock, self._serve)
         self._table: RouteTable | None = None
         self._around = Surroundings(clock, self.balancer, TurnLedger(self.calls), random)
 
@@ -56,6 +58,14 @@
             self.ring.primary = self.tree.primary
             self.calls.primary_changed()
 
+    def settings_changed(self, settings: Settings) -> None:
+        """The settings file has changed: other seeds."""
+        self._seeds = settings.contacts
+        self._set_contacts()
+
+    def _set_contacts(self) -> None:
+        self.tree.contacts = list(dict.fromkeys((*self._members, *self._seeds)))
+
     def handle_readiness(self, request: Request, responder: Responder) -> None:
         """Answer the platform's question whether clients may be sent here."""
         responder.whole(h.own_answer(200 if self.ready else 503))
@@ -63,8 +73,10 @@
     def handle_request(self, request: Request, responder: Responder) -> Exchange | None:
         """Begin to serve a client's request."""
         if self._table is None or not self.balancer.known:
-            responder.whole(h.own_answer(503, RETRY_AFTER_S))
-            return None
+            return self.parking.park(request, responder)
+        return self._serve(request, responder)
+
+    def _serve(self, request: Request, responder: Responder) -> Exchange | None:
         route = self._table.find(request.head.text(b"host"), request.path)
         if route is None:
             responder.whole(h.own_answer(404))
@@ -79,8 +91,13 @@
             self._take_configuration(topics[CONFIG].value)
         if ENDPOINTS in names:
             self.balancer.take_list(msgspec.json.decode(topics[ENDPOINTS].value, type=list[Endpoint]))
+        if MEMBERS in names:
+            self._members = msgspec.json.decode(topics[MEMBERS].value, type=tuple[str, ...])
+            self._set_contacts()
         if ROSTER in names:
             self.ring.set_roster(self.tree.roster)
+        if self._table is not None and self.balancer.known:
+            self.parking.release()
 
     def _take_configuration(self, value: msgspec.Raw) -> None:
         try:
--- a/lynxscale/runtime/settings.py
+++ b/lynxscale/runtime/settings.py
@@ -5,12 +5,19 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import logging
 import os
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 
+log = logging.getLogger(__name__)
+
+LOOK_EVERY_S = 2.0
 SETTINGS_VARIABLE = "LYNXSCALE_SETTINGS"
 
 
@@ -124,6 +131,34 @@
     return found
 
 
+class SettingsWatch:
+    """Reads the settings file again once it has changed, with or without a signal."""
+
+    def __init__(self, settings: Settings, on_change: Callable[[Settings], None]) -> None:
+        self._settings = settings
+        self._on_change = on_change
+
+    def look(self) -> None:
+        """Read the file; a faulty one is logged, and what was in force stays."""
+        try:
+            settings = load()
+        except SettingsError as error:
+            log.error("event=settings_unusable error=%s", str(error).replace("\n", "; "))
+            return
+        if settings != self._settings:
+            log.info("event=settings_changed")
+            self._settings = settings
+            self._on_change(settings)
+
+
+async def watch_until(stopped: asyncio.Event, watch: SettingsWatch) -> None:
+    """Look at the file every few seconds, as it may change without a signal, until ``stopped`` is set."""
+    while not stopped.is_set():
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(stopped.wait(), LOOK_EVERY_S)
+        watch.look()
+
+
 def load() -> Settings:
     """The settings of this process. Raises SettingsError."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
