--- a/lynxscale/coordination/replication.py
+++ b/lynxscale/coordination/replication.py
@@ -24,7 +24,7 @@
 
     stored: m.Position = START
     sent: m.Position = START
-    sent_at: float = -1e9
+    waiting_since: float | None = None  # when the oldest message was sent that may yet bring it on
     known: bool = False
     whole: m.Position = START
     whole_sent_at: float = -1e9
@@ -97,7 +97,7 @@
         if first:
             self.submit((), lambda committed: None)
         for one, copy in self.copies.items():
-            copy.sent_at = copy.whole_sent_at = -1e9
+            copy.waiting_since, copy.whole_sent_at = None, -1e9
             self._bring_up(one)
         self._check_commit()
 
@@ -139,6 +139,8 @@
         copy = self.copies.get(member)
         if copy is None:
             return
+        if position != copy.stored or not copy.known:
+            copy.waiting_since = None
         copy.stored, copy.known = position, True
         if position == self._store.position:
             copy.sent = position
@@ -195,7 +197,8 @@
         for batch in batches:
             self._network.send(m.address_of(member), m.Replicate(self._record.epoch, batch))
             copy.sent = batch.position
-        copy.sent_at = self._clock.now()
+        if copy.waiting_since is None:
+            copy.waiting_since = self._clock.now()
 
     def _bring_up(self, member: str) -> None:
         """Send a member what it lacks, unless that is on its way."""
@@ -203,10 +206,12 @@
         now = self._clock.now()
         if copy is None or member == self.member or not copy.known or copy.stored == self._store.position:
             return
-        on_its_way = copy.sent == self._store.position and now - copy.sent_at < RESEND_AFTER_S
+        waits = copy.waiting_since is not None and now - copy.waiting_since < RESEND_AFTER_S
+        on_its_way = waits and copy.sent == self._store.position
         if on_its_way or now - copy.whole_sent_at < STATE_RESEND_AFTER_S:
             return
         batches = self._store.since(copy.stored)
+        copy.waiting_since = None
         if batches is None:
             self._send_whole(member, copy)
         else:
@@ -219,7 +224,7 @@
             part = m.StatePart(self._record.epoch, position, number, len(parts), puts)
             self._network.send(m.address_of(member), part)
         copy.sent = copy.whole = position
-        copy.sent_at = copy.whole_sent_at = self._clock.now()
+        copy.waiting_since = copy.whole_sent_at = self._clock.now()
 
     def _check_commit(self) -> None:
         if self._outstanding is None or self._store.position != self._outstanding.batch.position:
--- a/tests/test_tier_group.py
+++ b/tests/test_tier_group.py
@@ -165,6 +165,25 @@
             assert f"k{number}" in Store(group.world.machine(address).files).values, (number, address)
 
 
+def test_a_backup_that_returns_amid_steady_writes_is_soon_in_sync_again():
+    """Seen on a bench day: batches went on to a member that lacked earlier ones, so it never caught up."""
+    group = started()
+    leader = group.wait_for_leader()
+    backup = next(a for a in group.seeds if a != address_of(leader.me))
+
+    def write():
+        if leader.leads():
+            group.submit(leader, "steady", group.world.time, lambda committed: None)
+        group.world.at(group.world.time + 0.01, write)
+
+    write()
+    group.kill(backup, power=True)
+    group.world.run(group.world.time + 2)
+    member = group.start(backup)
+    assert member.me not in leader.record.in_sync
+    assert group.world.run_until(lambda: member.me in leader.record.in_sync, 1.0)
+
+
 def test_a_full_disk_at_the_primary_moves_the_lead():
     group = started()
     leader = group.wait_for_leader()
