--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -29,6 +29,7 @@
 RANK_DELAY_S = 0.1  # between the in-sync members' candidacies, so that they seldom meet
 JOIN_EVERY_S = 0.25
 SILENT_AFTER_S = 0.45  # a member unheard so long is not waited for
+DISK_ASIDE_S = 1.0  # a member whose disk failed does not stand for so long
 PRESENT_S = 3.0  # a machine unheard for so long is none that could be emptied
 KEEP_ROUNDS = 16  # heartbeats whose grants are still counted
 
@@ -82,6 +83,7 @@
         self._proposal: Proposal | None = None
         self._proposal_at = self._heartbeat_at = self._join_at = -1e9
         self._highest_denied = 0
+        self._disk_failed_at = -1e9
         self._lease_until = self._lead_at = -1e9
         self._round = 0
         self._round_sent: dict[int, float] = {}
@@ -328,7 +330,7 @@
         try:
             self.store.save(batch)
         except OSError as error:
-            log.error("event=disk_failed error=%s", error)
+            self._on_disk_failure(error)
             return
         self.store.apply(batch.puts)
         self.store.fold_if_due()
@@ -347,7 +349,7 @@
         try:
             self.store.install(message.position, puts)
         except OSError as error:
-            log.error("event=disk_failed error=%s", error)
+            self._on_disk_failure(error)
         self._tell_position(message.epoch)
 
     def _follows(self, epoch: int) -> bool:
@@ -489,6 +491,7 @@
             tolerated=self.settings.tolerated,
             peers=self.peers,
             caught_up={one for one in self.peers if self.replicator.caught_up(one)},
+            lagging=self.replicator.lagging(),
             retiring={one for one in self.peers if self.peers[one].node in self.retiring},
         )
 
@@ -551,8 +554,13 @@
         self._on_lead(False)
 
     def _on_disk_failure(self, error: OSError) -> None:
-        log.error("event=disk_failed error=%s", error)
+        """This member can promise and store nothing: it stands aside for a while."""
+        now = self._clock.now()
+        if now - self._disk_failed_at > DISK_ASIDE_S:
+            log.error("event=disk_failed error=%s", error)
+            self._disk_failed_at = now
         if self.state is State.PRIMARY:
             self._hand_over()
+        if self.state in (State.PRIMARY, State.CANDIDATE):
             self._become(State.BACKUP)
-            self._candidate_at = self._clock.now() + 2 * LEASE_S
+        self._candidate_at = max(self._candidate_at, now + DISK_ASIDE_S)
--- a/lynxscale/coordination/replication.py
+++ b/lynxscale/coordination/replication.py
@@ -14,6 +14,7 @@
 from lynxscale.coordination.store import START, Store
 
 STATE_PART_BYTES = 200_000
+LAG_S = 0.4  # a member that has not stored a batch after so long is not waited for
 RESEND_AFTER_S = 0.3  # to a member that has not stored what was sent
 STATE_RESEND_AFTER_S = 1.5  # the whole state takes longer on its way
 
@@ -43,6 +44,7 @@
     """The batch under way."""
 
     batch: m.Batch
+    begun_at: float
     submissions: list[Submission] = field(default_factory=list)
 
 
@@ -86,6 +88,12 @@
         position = self._outstanding.batch.position
         return {one for one in self._must_store if one != self.member and self.copies[one].stored != position}
 
+    def lagging(self) -> set[str]:
+        """Members that have held up the batch under way for too long, whether they are heard of or not."""
+        if self._outstanding is None or self._clock.now() - self._outstanding.begun_at < LAG_S:
+            return set()
+        return self.lacking
+
     def begin(self, record: m.EpochRecord) -> None:
         """Go on in a new epoch of this primary; the first one opens with an empty batch, so positions differ."""
         first = self._record is None
@@ -178,7 +186,7 @@
         puts = tuple(put for submission in submissions for put in submission.puts)
         previous = self._store.position
         batch = m.Batch(previous, m.Position(self._record.epoch, previous.index + 1), puts)
-        self._outstanding = Outstanding(batch, submissions)
+        self._outstanding = Outstanding(batch, self._clock.now(), submissions)
         for one, copy in self.copies.items():
             if one != self.member and copy.known and copy.sent == previous:
                 self._send_batches(one, [batch])
--- a/lynxscale/coordination/voters.py
+++ b/lynxscale/coordination/voters.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PlanInput:
-    """All that a plan depends on."""
+    """All that a plan depends on. ``lagging``: members that hold up writes, although they may be heard of."""
 
     base: EpochRecord
     me: str
@@ -29,6 +29,7 @@
     tolerated: int
     peers: dict[str, PeerView]
     caught_up: set[str]
+    lagging: set[str]
     retiring: set[str]
 
     def present(self, member: str) -> bool:
@@ -80,8 +81,8 @@
     for one in witnesses:
         if one not in in_sync and one in plan.caught_up and plan.present(one):
             in_sync.append(one)
-    leaving = [one for one in in_sync if one != plan.me and (one not in witnesses or not plan.present(one))]
-    for one in leaving:
-        if len(in_sync) > plan.tolerated + 1:
+    for one in [one for one in in_sync if one != plan.me]:
+        leaving = one not in witnesses or one in plan.lagging or not plan.present(one)
+        if leaving and len(in_sync) > plan.tolerated + 1:
             in_sync.remove(one)
     return tuple(in_sync)
--- a/tests/test_tier_group.py
+++ b/tests/test_tier_group.py
@@ -184,6 +184,21 @@
     assert group.world.run_until(lambda: member.me in leader.record.in_sync, 1.0)
 
 
+def test_a_backup_with_a_full_disk_does_not_hold_up_writes_although_it_answers():
+    group = started()
+    assert group.put("a", 1)
+    group.world.run(group.world.time + 0.5)
+    leader = group.wait_for_leader()
+    backup = next(a for a in group.seeds if a != address_of(leader.me))
+    group.world.machine(backup).files.full = True
+    before = group.world.time
+    assert group.put("b", 1)
+    assert group.world.time - before < 0.8
+    group.world.machine(backup).files.full = False
+    member = group.members[backup]
+    assert group.world.run_until(lambda: member.me in leader.record.in_sync, 2.0)
+
+
 def test_a_full_disk_at_the_primary_moves_the_lead():
     group = started()
     leader = group.wait_for_leader()
