--- a/lynxscale/dataplane/balancer.py
+++ b/lynxscale/dataplane/balancer.py
@@ -11,6 +11,9 @@
 from lynxscale.runtime.http_client import Dial
 
 CROWDED_SHARE = 0.75  # of the slots: beyond that affinity gives way to load
+LOAD_FACTOR, LOAD_SLACK = 1.25, 1.0  # an endpoint takes new programs up to this multiple of the mean load, and so many
+NEAR_SLACK = 0.5  # requests above the mean at which the own zone still goes first
+MOST_REMEMBERED = 20_000  # programs whose last endpoint is remembered
 OTHER_ZONE_LOAD = 0.25  # of the slots that an endpoint of the own zone may be more loaded
 
 
@@ -24,6 +27,7 @@
         self._by_service: dict[str, list[EndpointState]] = {}
         self._clock = clock
         self._dial = dial
+        self._last: dict[str, str] = {}
         self._waiters: dict[str, dict[object, Callable[[], None]]] = {}
 
     def take_list(self, endpoints: list[Endpoint]) -> None:
@@ -51,12 +55,35 @@
         able = [one for one in able if one.endpoint.id not in tried] or able
         if not able:
             return None
-        if key:
-            roomy = [one for one in able if one.load < CROWDED_SHARE * one.slots]
-            near = [one for one in roomy if one.endpoint.zone == self.zone]
-            if near or roomy:
-                return max(near or roomy, key=lambda one: rendezvous(key, one.endpoint.id))
-        return min(able, key=self._cost)
+        if not key:
+            return min(able, key=self._cost)
+        chosen = self._cached_at(key, able) or self._spread(key, able)
+        self._remember(key, chosen)
+        return chosen
+
+    def _cached_at(self, key: str, able: list[EndpointState]) -> EndpointState | None:
+        """Where the key's last request went, unless that endpoint is crowded."""
+        last = self._last.get(key)
+        for one in able:
+            if one.endpoint.id == last and one.load < CROWDED_SHARE * one.slots:
+                return one
+        return None
+
+    def _spread(self, key: str, able: list[EndpointState]) -> EndpointState:
+        """Rendezvous hashing with bounded loads: the own zone first, as long as it bears no more than its part."""
+        mean = sum(one.load for one in able) / len(able)
+        bound = LOAD_FACTOR * mean + LOAD_SLACK
+        roomy = [one for one in able if one.load <= bound]
+        near = [one for one in roomy if one.endpoint.zone == self.zone and one.load <= mean + NEAR_SLACK]
+        if not roomy:
+            return min(able, key=self._cost)
+        return max(near or roomy, key=lambda one: rendezvous(key, one.endpoint.id))
+
+    def _remember(self, key: str, state: EndpointState) -> None:
+        self._last.pop(key, None)
+        self._last[key] = state.endpoint.id
+        if len(self._last) > MOST_REMEMBERED:
+            del self._last[next(iter(self._last))]
 
     def wait(self, service: str, waiter: object, call: Callable[[], None]) -> None:
         """Call once a place of the service may be free."""
