--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -252,7 +252,8 @@
             self._begin_epoch(record)
 
     def _begin_epoch(self, record: m.EpochRecord) -> None:
-        log.info("event=epoch epoch=%d in_sync=%d witnesses=%d", record.epoch, len(record.in_sync), len(record.witnesses))
+        counts = len(record.in_sync), len(record.witnesses)
+        log.info("event=epoch epoch=%d in_sync=%d witnesses=%d", record.epoch, *counts)
         self._round_sent, self._round_granted = {}, {}
         self._heartbeat()
         self.replicator.begin(record)
@@ -423,11 +424,11 @@
 
     def _tick_backup(self, now: float) -> None:
         timed_out = self.state is State.CANDIDATE and now - self._proposal_at > ROUND_TIMEOUT_S
-        if timed_out and now >= self._candidate_at:
+        if timed_out and now >= self._candidate_at or self.state is State.BACKUP and now >= self._candidate_at and self._may_stand():
             self._stand()
-        elif self.state is State.BACKUP and now >= self._candidate_at:
-            if self.me in self.record.in_sync and self.me in self.record.witnesses:
-                self._stand()
+
+    def _may_stand(self) -> bool:
+        return self.me in self.record.in_sync and self.me in self.record.witnesses
 
     def _tick_joining(self, now: float) -> None:
         if now - self._join_at >= JOIN_EVERY_S:
