--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -36,8 +36,9 @@
 
 def check(test: str) -> None:
     """Raises Fault where it does not fail."""
-    done = subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", test],
-                          capture_output=True, text=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", test], capture_output=True, text=True
+    )
     if done.returncode in (NONE_OF_THAT_NAME, NOT_COLLECTED):
         raise Fault(f"{test}: there is no such test")
     if done.returncode != FAILED:
--- a/gannetshift/brain.py
+++ b/gannetshift/brain.py
@@ -240,9 +240,9 @@
     def join(self, member) -> Endpoint:
         endpoint = self.endpoints[member.endpoint] = Endpoint(member.endpoint)
         dest = self.dests.setdefault(member.destination, Dest(member.destination))
-        endpoint.per_call = (self.s.per_call[member.kind:member.kind + 1] or [1])[0]
-        endpoint.fee = (self.s.route_fee[member.zone:member.zone + 1] or [0.0])[0]
-        apart = any(self.s.routes_apart[member.kind:member.kind + 1])
+        endpoint.per_call = (self.s.per_call[member.kind : member.kind + 1] or [1])[0]
+        endpoint.fee = (self.s.route_fee[member.zone : member.zone + 1] or [0.0])[0]
+        apart = any(self.s.routes_apart[member.kind : member.kind + 1])
         if apart or not dest.lanes:
             dest.lanes.append(Lane(dest, self.now, self.s.senders))
         endpoint.lane, endpoint.zone, endpoint.kind = dest.lanes[-1], member.zone, member.kind
@@ -585,7 +585,7 @@
             rows = self.rows(dest)
             if not rows:
                 return
-            for row in rows[-max(1, len(rows) // 4):]:
+            for row in rows[-max(1, len(rows) // 4) :]:
                 self.give_up(row[4])
 
     def closed_for(self, dest: Dest) -> float:  # until one of its lanes may be called
@@ -684,8 +684,14 @@
             return False
         if endpoint.lane.health.state == FAILING and not self.repeatable(msg, self.now):
             # In an outage what may be repeated is tried first: a try that fails may have run.
-            able = [r for r in dest.queue if r[3] == r[4].version and r[4].zone in (None, endpoint.zone)
-                    and self.repeatable(r[4], self.now) and not self.hopeless(r[4])]
+            able = [
+                r
+                for r in dest.queue
+                if r[3] == r[4].version
+                and r[4].zone in (None, endpoint.zone)
+                and self.repeatable(r[4], self.now)
+                and not self.hopeless(r[4])
+            ]
             msg = min(able, default=(msg,))[-1]
         self.send(msg, endpoint)
         return True
@@ -695,8 +701,7 @@
         best, least, opens = None, INF, INF
         sick = any(lane.health.state == FAILING or lane.slow() for lane in dest.lanes)
         no_slot = self.used >= self.s.slots or dest.inflight >= (self.most_sick if sick else self.most_calls)
-        able = [e for lane in dest.lanes for e in lane.endpoints
-                if e.ready and (msg.zone is None or e.zone == msg.zone)]
+        able = [e for lane in dest.lanes for e in lane.endpoints if e.ready and msg.zone in (None, e.zone)]
         able = [e for e in able if not self.avoided(e, msg.cls)] or able
         for endpoint in able:
             at = self.may_send(endpoint, endpoint.lane, no_slot)
--- a/gannetshift/knowledge.py
+++ b/gannetshift/knowledge.py
@@ -13,8 +13,19 @@
 from gannetshift.brain import FAILING, OK, WARMING, Health, Lane, Sender
 
 LANE = ("window", "restarts", "lost_restarts", "tau", "median", "recent", "limit", "wait_until")
-HEALTH = ("state", "streak", "hard", "bad_at", "last_ok", "count", "count_at", "warm_from", "next_try", "base",
-          "first_bad")
+HEALTH = (
+    "state",
+    "streak",
+    "hard",
+    "bad_at",
+    "last_ok",
+    "count",
+    "count_at",
+    "warm_from",
+    "next_try",
+    "base",
+    "first_bad",
+)
 SHARE = ("cut", "level", "boost", "cut_at", "refused_at", "heard_at")
 ENDPOINT = ("rest_until", "unconnected", "unconnected_at", "answered", "pace")
 SAMPLE = 40  # finished and unfinished tries of each lane that go along: enough for a time-out
@@ -28,9 +39,16 @@
         for lane in dest.lanes:
             if not lane.tries and not lane.wait_until and not lane.health.streak:
                 continue  # never called
-            lanes.append([dest.number, [one.number for one in lane.endpoints], _told(lane, LANE),
-                          _told(lane.health, HEALTH), _told(lane.share, SHARE),
-                          [[round(at), _finite(took)] for at, took in list(lane.tries)[-SAMPLE:]]])
+            lanes.append(
+                [
+                    dest.number,
+                    [one.number for one in lane.endpoints],
+                    _told(lane, LANE),
+                    _told(lane.health, HEALTH),
+                    _told(lane.share, SHARE),
+                    [[round(at), _finite(took)] for at, took in list(lane.tries)[-SAMPLE:]],
+                ]
+            )
             for one in lane.endpoints:
                 own = [_told(health, HEALTH) for health in one.healths if health is not lane.health]
                 endpoints.append([one.number, _told(one, ENDPOINT), own])
--- a/gannetshift/pools.py
+++ b/gannetshift/pools.py
@@ -53,8 +53,11 @@
             self.age, self.age_at = min(self.age, SHARE * idle), now
         new = self.rows[0][0] / max(1.0, self.rows[0][1])
         for unsafe, risk in enumerate((RISK, RISK_UNSAFE)):
-            bad = (place for place, (resets, uses) in enumerate(self.rows)
-                   if place and resets >= SEEN and resets / uses > new + risk)
+            bad = (
+                place
+                for place, (resets, uses) in enumerate(self.rows)
+                if place and resets >= SEEN and resets / uses > new + risk
+            )
             if (place := next(bad, None)) is not None:
                 self.young[unsafe] = (2.0 ** (place - 1), now + YOUNG_MS)
 
--- a/gannetshift/reader.py
+++ b/gannetshift/reader.py
@@ -20,8 +20,9 @@
     """A setting is missing or not of use."""
 
 
-def _number(table: dict, path: str, name: str, needed: bool = False, least: float = 0.0,
-            most: float = float("inf")) -> float | None:
+def _number(
+    table: dict, path: str, name: str, needed: bool = False, least: float = 0.0, most: float = float("inf")
+) -> float | None:
     value = table.get(name)
     if value is None:
         if needed:
--- a/gannetshift/restart.py
+++ b/gannetshift/restart.py
@@ -1,4 +1,4 @@
-"""Restart timing, shared by the relay and the serving tier: van Moorsel and Wolter, "Analysis of restart mechanisms"."""
+"""Restart timing, shared by the relay and the tier (van Moorsel and Wolter, "Analysis of restart mechanisms")."""
 
 from __future__ import annotations
 
--- a/lab/bench_cluster.py
+++ b/lab/bench_cluster.py
@@ -118,8 +118,13 @@
 def kill_times(nodes: int, seeds: range) -> dict[str, list[float]]:
     """Seconds from a kill to: first suspicion; failed at the first, the median and the last node; out of the view at
     all."""
-    found: dict[str, list[float]] = {"suspected": [], "failed_first": [], "failed_median": [], "failed_last": [],
-                                     "out": []}
+    found: dict[str, list[float]] = {
+        "suspected": [],
+        "failed_first": [],
+        "failed_median": [],
+        "failed_last": [],
+        "out": [],
+    }
     for seed in seeds:
         world = simulated(nodes, seed, 0.0, 5)
         killed = world.now
@@ -171,8 +176,15 @@
     return found
 
 
-async def real_rest(count: int, seconds: float, folder: Path, loss: float = 0.0, rate: float = 0.0,
-                    alone: bool = False, cores: set[int] | None = None) -> dict[str, float]:
+async def real_rest(
+    count: int,
+    seconds: float,
+    folder: Path,
+    loss: float = 0.0,
+    rate: float = 0.0,
+    alone: bool = False,
+    cores: set[int] | None = None,
+) -> dict[str, float]:
     """What a node costs: bytes and datagrams it sends, CPU share, memory; with ``rate`` messages a second to the first,
     its CPU a message. ``alone``: the program without a cluster."""
     async with Cluster(folder, count, 1) as cluster:
@@ -198,11 +210,20 @@
         took = time.monotonic() - began
         cpu, memory = usage(first.process.pid, "VmRSS")
         after = cluster.mesh.sent_by(first.name)
-        removals = sum(len(re.findall(r"\S+/", event["gone"])) for node in cluster.nodes.values()
-                       for event in node.events() if event["event"] == "cluster_view" and event["gone"])
-        return {"bytes_s": (after.bytes - sent.bytes) / took, "datagrams_s": (after.datagrams - sent.datagrams) / took,
-                "cpu_share": (cpu - spent) / took, "rss_mb": memory / 1024, "removals": removals,
-                "cpu_us_message": (cpu - spent) * 1e6 / max(1, len(desk.sent))}
+        removals = sum(
+            len(re.findall(r"\S+/", event["gone"]))
+            for node in cluster.nodes.values()
+            for event in node.events()
+            if event["event"] == "cluster_view" and event["gone"]
+        )
+        return {
+            "bytes_s": (after.bytes - sent.bytes) / took,
+            "datagrams_s": (after.datagrams - sent.datagrams) / took,
+            "cpu_share": (cpu - spent) / took,
+            "rss_mb": memory / 1024,
+            "removals": removals,
+            "cpu_us_message": (cpu - spent) * 1e6 / max(1, len(desk.sent)),
+        }
 
 
 def main() -> None:
@@ -218,40 +239,60 @@
             print(f"simulated, {nodes} nodes, kill to: " + "; ".join(f"{k} {row(v)} s" for k, v in times.items()))
         for nodes, seconds in ((5, 20), (50, 20), (200, 10)):
             world = simulated(nodes, 1, 0.0, seconds, measure=True)
-            print(f"simulated, {nodes} nodes at rest: {world.bytes / seconds / nodes:.0f} bytes and "
-                  f"{world.datagrams / seconds / nodes:.1f} datagrams a second and node, steps and frames "
-                  f"{world.cpu_s / seconds / nodes:.2%} of a core; all to all heartbeats "
-                  f"{Heartbeats(nodes, 1, 0).bytes_per_s():.0f} bytes", flush=True)
+            print(
+                f"simulated, {nodes} nodes at rest: {world.bytes / seconds / nodes:.0f} bytes and "
+                f"{world.datagrams / seconds / nodes:.1f} datagrams a second and node, steps and frames "
+                f"{world.cpu_s / seconds / nodes:.2%} of a core; all to all heartbeats "
+                f"{Heartbeats(nodes, 1, 0).bytes_per_s():.0f} bytes",
+                flush=True,
+            )
     if "false" in parts:
         for loss in (0.0, 0.1, 0.3):
-            print(f"heartbeats, 5 nodes, one hour at {loss:.0%} loss: {Heartbeats(5, 1, loss).false_failures(3600)} "
-                  "believed failed in error")
-        for what, strike in (("no loss", lossy(0.0)), ("10 % loss", lossy(0.1)), ("30 % loss", lossy(0.3)),
-                             ("one-way cuts", one_way), ("stops of 4 s", stops)):
+            print(
+                f"heartbeats, 5 nodes, one hour at {loss:.0%} loss: {Heartbeats(5, 1, loss).false_failures(3600)} "
+                "believed failed in error"
+            )
+        for what, strike in (
+            ("no loss", lossy(0.0)),
+            ("10 % loss", lossy(0.1)),
+            ("30 % loss", lossy(0.3)),
+            ("one-way cuts", one_way),
+            ("stops of 4 s", stops),
+        ):
             of_struck, of_others = removals(5, 1, 3600, strike)
-            print(f"simulated, 5 nodes, one hour of {what}: {of_others} removed in error, {of_struck} that stood still",
-                  flush=True)
+            print(
+                f"simulated, 5 nodes, one hour of {what}: {of_others} removed in error, {of_struck} that stood still",
+                flush=True,
+            )
     for count in (3, 5, 16) if "kills" in parts else ():
         with fresh_folder() as folder:
-            print(f"{count} processes, SIGKILL to the view without it: "
-                  f"{row(asyncio.run(real_kills(count, told.rounds if count < 16 else 3, Path(folder))))} s")
+            print(
+                f"{count} processes, SIGKILL to the view without it: "
+                f"{row(asyncio.run(real_kills(count, told.rounds if count < 16 else 3, Path(folder))))} s"
+            )
     for count in (3, 5, 16) if "rest" in parts else ():
         with fresh_folder() as one, fresh_folder() as other:
             with_ = asyncio.run(real_rest(count, told.seconds, Path(one)))
             without = asyncio.run(real_rest(count, told.seconds, Path(other), alone=True))
-            print(f"{count} processes at rest: {with_['bytes_s']:.0f} bytes and {with_['datagrams_s']:.1f} datagrams a "
-                  f"second; CPU {with_['cpu_share']:.2%} of a core, without a cluster {without['cpu_share']:.2%}; "
-                  f"memory {with_['rss_mb']:.1f} MB, without {without['rss_mb']:.1f}")
+            print(
+                f"{count} processes at rest: {with_['bytes_s']:.0f} bytes and {with_['datagrams_s']:.1f} datagrams a "
+                f"second; CPU {with_['cpu_share']:.2%} of a core, without a cluster {without['cpu_share']:.2%}; "
+                f"memory {with_['rss_mb']:.1f} MB, without {without['rss_mb']:.1f}"
+            )
     if "loss" in parts:
         with fresh_folder() as folder:
             bad = asyncio.run(real_rest(5, told.seconds * 3, Path(folder), loss=0.3))
-            print(f"5 processes, {told.seconds * 3:.0f} s at 30 % loss: {bad['removals']:.0f} removals, "
-                  f"{bad['bytes_s']:.0f} bytes a second")
+            print(
+                f"5 processes, {told.seconds * 3:.0f} s at 30 % loss: {bad['removals']:.0f} removals, "
+                f"{bad['bytes_s']:.0f} bytes a second"
+            )
     if "core" in parts:
         with fresh_folder() as folder:
             crowded = asyncio.run(real_rest(5, told.seconds * 3, Path(folder), rate=50.0, cores={0}))
-            print(f"5 processes on one core, {told.seconds * 3:.0f} s, 50 messages a second to one of them: "
-                  f"{crowded['removals']:.0f} removals")
+            print(
+                f"5 processes on one core, {told.seconds * 3:.0f} s, 50 messages a second to one of them: "
+                f"{crowded['removals']:.0f} removals"
+            )
     if "cost" in parts:
         ratios = []
         for _ in range(3):
@@ -259,8 +300,10 @@
                 with_ = asyncio.run(real_rest(3, told.seconds, Path(one), rate=100.0))
                 without = asyncio.run(real_rest(3, told.seconds, Path(other), rate=100.0, alone=True))
                 ratios.append(with_["cpu_us_message"] / without["cpu_us_message"])
-        print(f"CPU a message with a cluster of 3 against without, 100 a second: median "
-              f"{statistics.median(ratios):.3f} ({min(ratios):.3f} to {max(ratios):.3f})")
+        print(
+            f"CPU a message with a cluster of 3 against without, 100 a second: median "
+            f"{statistics.median(ratios):.3f} ({min(ratios):.3f} to {max(ratios):.3f})"
+        )
 
 
 if __name__ == "__main__":
--- a/lab/bench_journal.py
+++ b/lab/bench_journal.py
@@ -120,8 +120,10 @@
         if not number % 500:
             most = max(most, sum(blocks(path.stat().st_size) for path in folder.iterdir()))
     journal.close()
-    click.echo(f"filled to {share:.0%} of what may be live: {port.written / own:.2f} bytes written a byte of records; "
-               f"at most {most / budget:.2f} of the budget on disk; {refused} refused")
+    click.echo(
+        f"filled to {share:.0%} of what may be live: {port.written / own:.2f} bytes written a byte of records; "
+        f"at most {most / budget:.2f} of the budget on disk; {refused} refused"
+    )
 
 
 @click.command()
--- a/lab/bench_lists.py
+++ b/lab/bench_lists.py
@@ -33,8 +33,18 @@
 
 def rows(count: int, tag: str = "x", weight: float = 5.0) -> list[Entry]:
     """Endpoints that nobody calls, fifty a destination."""
-    return [Entry(f"{tag}-{place:05}", (f"127.{8 + (place >> 16)}.{place >> 8 & 255}.{place & 255}", 9),
-                  100 + place // 50, "a", "club-reservas", Lifecycle.READY, weight) for place in range(count)]
+    return [
+        Entry(
+            f"{tag}-{place:05}",
+            (f"127.{8 + (place >> 16)}.{place >> 8 & 255}.{place & 255}", 9),
+            100 + place // 50,
+            "a",
+            "club-reservas",
+            Lifecycle.READY,
+            weight,
+        )
+        for place in range(count)
+    ]
 
 
 def usage(relay: Own) -> tuple[float, float]:
@@ -102,9 +112,11 @@
             now = other
         load.cancel()
         first.sort()
-        click.echo(f"write to first effect, {times} times at {RATE:.0f} messages a second: median "
-                   f"{first[times // 2] * 1000:.0f} ms, 99th {first[int(times * 0.99)] * 1000:.0f} ms; "
-                   f"drain to last call: worst {max(last) * 1000:.0f} ms")
+        click.echo(
+            f"write to first effect, {times} times at {RATE:.0f} messages a second: median "
+            f"{first[times // 2] * 1000:.0f} ms, 99th {first[int(times * 0.99)] * 1000:.0f} ms; "
+            f"drain to last call: worst {max(last) * 1000:.0f} ms"
+        )
 
 
 async def ping(relay: Own, until: asyncio.Event) -> list[float]:
@@ -146,11 +158,15 @@
             at, digest = bench.write(entries)
             seen, longest = await watched(bench.relay, bench.applied(digest))
             after, resident = usage(bench.relay)
-            cells.append(f"{what} {(seen - at) * 1000:.0f} ms (CPU {(after - spent) * 1000:.0f} ms, longest round trip "
-                         f"{longest * 1000:.1f} ms)")
+            cells.append(
+                f"{what} {(seen - at) * 1000:.0f} ms (CPU {(after - spent) * 1000:.0f} ms, longest round trip "
+                f"{longest * 1000:.1f} ms)"
+            )
         holds = (await bench.relay.counters()).get("lists", {}).get("longest_hold_us", 0)
-        click.echo(f"{count} endpoints: {', '.join(cells)}; at rest {still * 1000:.1f} ms; longest slice "
-                   f"{holds / 1000:.1f} ms; memory {before:.0f} to {resident:.0f} MB")
+        click.echo(
+            f"{count} endpoints: {', '.join(cells)}; at rest {still * 1000:.1f} ms; longest slice "
+            f"{holds / 1000:.1f} ms; memory {before:.0f} to {resident:.0f} MB"
+        )
 
 
 async def large_drain(folder: Path, count: int, times: int) -> None:
@@ -168,11 +184,15 @@
             at, digest = bench.write([bench.live(name, Lifecycle.DRAINING), bench.live(other), *rows(count, tag, 7.0)])
             await bench.applied(digest)
             await asyncio.sleep(0.5)
-            late.append(max((call.at for call in bench.partner.calls if call.at > at and call.endpoint == name),
-                            default=at) - at)
+            late.append(
+                max((call.at for call in bench.partner.calls if call.at > at and call.endpoint == name), default=at)
+                - at
+            )
         load.cancel()
-        click.echo(f"drain in a list of {count} that is all new, {times} times at {RATE:.0f} messages a second: last "
-                   f"call after {min(late) * 1000:.0f} to {max(late) * 1000:.0f} ms")
+        click.echo(
+            f"drain in a list of {count} that is all new, {times} times at {RATE:.0f} messages a second: last "
+            f"call after {min(late) * 1000:.0f} to {max(late) * 1000:.0f} ms"
+        )
 
 
 async def rest(folder: Path, count: int, seconds: float) -> None:
@@ -199,6 +219,7 @@
 @click.option("--seconds", default=10.0, help="Of rest.")
 def main(only: tuple[str, ...], times: int, sizes: str, seconds: float) -> None:
     """Print the figures, a line each."""
+
     def run(part: str, act, *args) -> None:
         if not only or part in only:
             with fresh_folder() as folder:
--- a/lab/bench_operation.py
+++ b/lab/bench_operation.py
@@ -35,9 +35,13 @@
         self.port = self.listener.getsockname()[1]
         self.state = folder / "state"
         self.state.mkdir()
-        table = {"name": "bench", "seed": "1", "limits": {"sockets": 512, "disk_mb": 3},
-                 "settings": settings(most_held=HELD),
-                 "known": {"generation": 1, "reset": True, "instances": self.discovery.rows}}
+        table = {
+            "name": "bench",
+            "seed": "1",
+            "limits": {"sockets": 512, "disk_mb": 3},
+            "settings": settings(most_held=HELD),
+            "known": {"generation": 1, "reset": True, "instances": self.discovery.rows},
+        }
         (folder / "config.json").write_text(json.dumps(table))
         (folder / "lynxscale.conf").write_text("begin log\n    traffic 1s\nend log\n")
         self.log = folder / "log"
@@ -47,13 +51,18 @@
             free.bind(("127.0.0.1", 0))
             admin = free.getsockname()[1]
         env = os.environ | {
-            "NODE_CONFIG": str(self.folder / "config.json"), "NODE_STATE": str(self.state),
-            "NODE_LISTEN": f"127.0.0.1:{self.port}", "NODE_DISCOVERY": self.discovery.at,
-            "NODE_ACCEPT_FD": str(self.listener.fileno()), "NODE_ADMIN_ADDR": f"127.0.0.1:{admin}",
-            "LYNXSCALE_CONF": str(self.folder / "lynxscale.conf")}
+            "NODE_CONFIG": str(self.folder / "config.json"),
+            "NODE_STATE": str(self.state),
+            "NODE_LISTEN": f"127.0.0.1:{self.port}",
+            "NODE_DISCOVERY": self.discovery.at,
+            "NODE_ACCEPT_FD": str(self.listener.fileno()),
+            "NODE_ADMIN_ADDR": f"127.0.0.1:{admin}",
+            "LYNXSCALE_CONF": str(self.folder / "lynxscale.conf"),
+        }
         with self.log.open("a") as log:
-            process = subprocess.Popen([sys.executable, "-m", "lynxscale"], env=env, stdout=log, stderr=log,
-                                       pass_fds=(self.listener.fileno(),))
+            process = subprocess.Popen(
+                [sys.executable, "-m", "lynxscale"], env=env, stdout=log, stderr=log, pass_fds=(self.listener.fileno(),)
+            )
         until(lambda: self.ask(admin) is not None, "the yes")
         return process, admin
 
@@ -86,8 +95,10 @@
                 waits.append(took)
             time.sleep(0.02)
         turns = [int(ms) for ms in TURN.findall(self.log.read_bytes()[at:].decode())]
-        print(f"{what:12}  door worst {max(waits) / ALLOWED:.3f}  middle {statistics.median(waits) / ALLOWED:.3f}  "
-              f"longest turn {max(turns, default=0) / 1000 / ALLOWED:.3f}  ({len(waits)} asked)")
+        print(
+            f"{what:12}  door worst {max(waits) / ALLOWED:.3f}  middle {statistics.median(waits) / ALLOWED:.3f}  "
+            f"longest turn {max(turns, default=0) / 1000 / ALLOWED:.3f}  ({len(waits)} asked)"
+        )
 
 
 def main() -> None:
--- a/lab/bench_trace.py
+++ b/lab/bench_trace.py
@@ -53,8 +53,11 @@
     """Bytes of what is recorded in a folder: as it is, as JSON lines, and those in zstandard."""
     files = sorted(folder.glob("*.lxt"))
     lines = b"".join(orjson.dumps(row) + b"\n" for frame in Merge(files) for row in objects(frame))
-    return {"trace": sum(path.stat().st_size for path in files), "json": len(lines),
-            "json in zstandard": len(zstandard.ZstdCompressor(level=3).compress(lines))}
+    return {
+        "trace": sum(path.stat().st_size for path in files),
+        "json": len(lines),
+        "json in zstandard": len(zstandard.ZstdCompressor(level=3).compress(lines)),
+    }
 
 
 def sizes_and_cpu(pairs: int) -> None:
@@ -63,19 +66,24 @@
         for level in LEVELS:
             _cpu, taken, sizes = run_at((level, 3000, 300, 1))
             shown = "  ".join(f"{form} {size / taken:.1f}" for form, size in sizes.items())
-            click.echo(f"bytes a message, level {level}: {shown}  "
-                       f"(of JSON {sizes['trace'] / sizes['json']:.3f}, of JSON in zstandard "
-                       f"{sizes['trace'] / sizes['json in zstandard']:.2f})")
+            click.echo(
+                f"bytes a message, level {level}: {shown}  "
+                f"(of JSON {sizes['trace'] / sizes['json']:.3f}, of JSON in zstandard "
+                f"{sizes['trace'] / sizes['json in zstandard']:.2f})"
+            )
         for level in LEVELS[:2]:
             ratios, added = [], []
             for seed in range(pairs):
                 (with_, _t, _s), (without, _u, _v) = pool.map(
-                    run_at, [(level, 3000, 300, seed), (None, 3000, 300, seed)], chunksize=1)
+                    run_at, [(level, 3000, 300, seed), (None, 3000, 300, seed)], chunksize=1
+                )
                 ratios.append(with_ / without)
                 added.append(with_ - without)
-            click.echo(f"CPU a message, level {level} over none: {statistics.median(ratios):.3f} "
-                       f"(of {pairs} pairs, {min(ratios):.3f} to {max(ratios):.3f}; "
-                       f"{statistics.median(added):.0f} us added)")
+            click.echo(
+                f"CPU a message, level {level} over none: {statistics.median(ratios):.3f} "
+                f"(of {pairs} pairs, {min(ratios):.3f} to {max(ratios):.3f}; "
+                f"{statistics.median(added):.0f} us added)"
+            )
 
 
 class Told:
@@ -89,9 +97,15 @@
     """Records a second by the recorder alone, with batches of 20 messages."""
     with fresh_folder() as name:
         due: list = []
-        one = Recorder(TraceConf(folder=name), settings_from(settings()), "lab", 1,
-                       lambda number: (f"s-{number:04x}", "127.0.0.1:1"), click.echo,
-                       lambda _after, act: due.append(act))
+        one = Recorder(
+            TraceConf(folder=name),
+            settings_from(settings()),
+            "lab",
+            1,
+            lambda number: (f"s-{number:04x}", "127.0.0.1:1"),
+            click.echo,
+            lambda _after, act: due.append(act),
+        )
         told = [Told(number) for number in range(messages)]
         now = begun = time.process_time_ns()
         for number, envelope in enumerate(told):
@@ -109,8 +123,10 @@
                 due.pop()()
         spent = time.process_time_ns() - begun
         one.stop(now, 0)
-        click.echo(f"recorder alone, level tries: {messages * 5 / spent * 1e9:,.0f} records a second, "
-                   f"{spent / messages / 1000:.1f} us a message")
+        click.echo(
+            f"recorder alone, level tries: {messages * 5 / spent * 1e9:,.0f} records a second, "
+            f"{spent / messages / 1000:.1f} us a message"
+        )
 
 
 def an_hour(rate: float) -> Iterator[Frame]:
@@ -118,8 +134,13 @@
     chance, seq, at = random.Random(7), 0, 0.0
     source, number = "lab/0123456789ab", 0
     start = settings()
-    yield Frame(source, 0, 0, ZERO, [(r.START, ["lab", "0123456789ab", "1", "tries", 1.0, "", "1",
-                                                orjson.dumps(start).decode(), "x"])])
+    yield Frame(
+        source,
+        0,
+        0,
+        ZERO,
+        [(r.START, ["lab", "0123456789ab", "1", "tries", 1.0, "", "1", orjson.dumps(start).decode(), "x"])],
+    )
     seq = 1
     while at < 3600e6:
         at += chance.expovariate(rate / 1e6)
@@ -127,16 +148,31 @@
         grade = chance.choices(range(3), [row[-1] for row in CLASSES])[0]
         tenant = chance.randrange(3)
         dest = chance.randrange(16)
-        msg = r.Msg(number, f"{chance.getrandbits(64):016x}", (grade, CLASSES[grade][0]), (tenant, TENANTS[tenant]),
-                    dest)
+        msg = r.Msg(
+            number, f"{chance.getrandbits(64):016x}", (grade, CLASSES[grade][0]), (tenant, TENANTS[tenant]), dest
+        )
         endpoint = (dest, f"s-{dest:04x}")
         latency = int(20_000 * chance.lognormvariate(0, 0.4))
-        for gap, found in ((0, [(r.MESSAGE, [msg, 15_900_000, chance.randrange(100, 300), 0]),
-                                (r.ADMIT, [msg, r.reason("taken"), 0.0]),
-                                (r.TRY_START, [msg, 0, endpoint, chance.randrange(1_000_000, 9_000_000), False])]),
-                           (latency, [(r.TRY_END, [msg, 0, endpoint, r.reason("ok"), latency, 0.0, False,
-                                                   (round(chance.random(), 3), 5.5)]),
-                                      (r.END, [msg, r.reason("delivered"), 0.0])])):
+        for gap, found in (
+            (
+                0,
+                [
+                    (r.MESSAGE, [msg, 15_900_000, chance.randrange(100, 300), 0]),
+                    (r.ADMIT, [msg, r.reason("taken"), 0.0]),
+                    (r.TRY_START, [msg, 0, endpoint, chance.randrange(1_000_000, 9_000_000), False]),
+                ],
+            ),
+            (
+                latency,
+                [
+                    (
+                        r.TRY_END,
+                        [msg, 0, endpoint, r.reason("ok"), latency, 0.0, False, (round(chance.random(), 3), 5.5)],
+                    ),
+                    (r.END, [msg, r.reason("delivered"), 0.0]),
+                ],
+            ),
+        ):
             yield Frame(source, int(at) + gap, seq, ZERO, found)
             seq += len(found)
 
@@ -155,14 +191,28 @@
                 for place in places:
                     head = v2.read_block_head(data, place.offset)
                     begin = place.offset + v2.BLOCK.size
-                    summary = v2.read_summary(data[begin:begin + head.summary])
-                    stored = data[begin + head.summary:begin + head.summary + head.stored]
+                    summary = v2.read_summary(data[begin : begin + head.summary])
+                    stored = data[begin + head.summary : begin + head.summary + head.stored]
                     summary.first += again * span
                     summary.last += again * span
                     packed = summary.pack()
-                    block = v2.pack_block_head(v2.BlockHead(
-                        head.state, number, head.base_time + again * span, head.base_seq + again * records, head.stored,
-                        head.raw, len(packed), head.checksum, crc32c(packed))) + packed + stored
+                    block = (
+                        v2.pack_block_head(
+                            v2.BlockHead(
+                                head.state,
+                                number,
+                                head.base_time + again * span,
+                                head.base_seq + again * records,
+                                head.stored,
+                                head.raw,
+                                len(packed),
+                                head.checksum,
+                                crc32c(packed),
+                            )
+                        )
+                        + packed
+                        + stored
+                    )
                     index.add(v2.Place(at, len(block), number, summary))
                     at += out.write(block)
                     number += 1
@@ -173,8 +223,11 @@
 def tool(*words: object) -> tuple[float, float]:
     """Seconds and peak memory (MB) of a command."""
     begun = time.monotonic()
-    process = subprocess.Popen([sys.executable, "-m", "lynxscale", "trace", *map(str, words)],
-                               stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "lynxscale", "trace", *map(str, words)],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
     _pid, status, usage = os.wait4(process.pid, 0)
     if status:
         raise click.ClickException(f"trace {' '.join(map(str, words))} ended with {os.waitstatus_to_exitcode(status)}")
@@ -188,7 +241,7 @@
     bare, old = folder / "bare.lxt", folder / "old.lxt"
     with Reader(hour) as reader:
         end = list(reader.index())[-1]
-    bare.write_bytes(hour.read_bytes()[:end.offset + end.size])
+    bare.write_bytes(hour.read_bytes()[: end.offset + end.size])
     tool("convert", "--to-version", 1, "-o", old, hour)
     for what, path in (("its index", hour), ("summaries, as it has no index", bare), ("a scan, in version 1", old)):
         spent = min(tool("cut", *words, path)[0] for _ in range(3))
@@ -202,9 +255,16 @@
     out = folder / "out.lxt"
     jobs = [("info",), ("cut", "--from", ZERO / 1e6 + 600, "--to", ZERO / 1e6 + 660, "-o", out)]
     if all_tools:
-        jobs += [("verify",), ("summarise",), ("dump",), ("cut", "--class", "pago-premio", "-o", out),
-                 ("merge", "-o", out), ("anonymise", "--key", key, "-o", out), ("convert", "-o", out),
-                 ("message", "0" * 16)]
+        jobs += [
+            ("verify",),
+            ("summarise",),
+            ("dump",),
+            ("cut", "--class", "pago-premio", "-o", out),
+            ("merge", "-o", out),
+            ("anonymise", "--key", key, "-o", out),
+            ("convert", "-o", out),
+            ("message", "0" * 16),
+        ]
     files = []
     for size in (small, big):
         files.append(folder / f"{size}.lxt")
@@ -229,6 +289,7 @@
 @click.option("--only", multiple=True, type=click.Choice(["relay", "recorder", "cut", "memory"]))
 def main(pairs: int, small: str, big: str, tools: bool, only: tuple[str, ...]) -> None:
     """Print the figures, a line each."""
+
     def wanted(part: str) -> bool:
         return not only or part in only
 
--- a/lab/clients.py
+++ b/lab/clients.py
@@ -9,9 +9,11 @@
 
 from lab.rules import Sent
 
-CLASSES = (("aviso-ronda", "idempotent", 3000.0, 16000.0, 1.0, 0.4, 0.55),
-           ("inscripcion", "deduplicated", 3000.0, 28000.0, 1.0, 0.5, 0.26),
-           ("pago-premio", "at_most_once", 2000.0, 28000.0, 3.0, 0.3, 0.19))
+CLASSES = (
+    ("aviso-ronda", "idempotent", 3000.0, 16000.0, 1.0, 0.4, 0.55),
+    ("inscripcion", "deduplicated", 3000.0, 28000.0, 1.0, 0.5, 0.26),
+    ("pago-premio", "at_most_once", 2000.0, 28000.0, 3.0, 0.3, 0.19),
+)
 TENANTS = ("club-donostia", "club-oviedo", "club-santander")
 
 
@@ -46,12 +48,17 @@
         tenant = chance.choices(TENANTS, (40, 36, 24))[0]
         id_ = f"{chance.getrandbits(64):016x}"
         left = grade[3] / 1000 - 0.1 if self.left is None else self.left
-        return id_, grade[0], (
-            f"POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: {id_}\r\nReq-Kind: {grade[0]}\r\n"
-            f"Req-Owner: {tenant}\r\nReq-Deadline: {left:.3f}\r\n"
-            f"Idempotency-Key: {chance.getrandbits(128):032x}\r\n"
-            f"X-Envelope: dest={chance.randrange(self.destinations)}\r\nContent-Length: {len(body)}\r\n\r\n"
-        ).encode() + body
+        return (
+            id_,
+            grade[0],
+            (
+                f"POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: {id_}\r\nReq-Kind: {grade[0]}\r\n"
+                f"Req-Owner: {tenant}\r\nReq-Deadline: {left:.3f}\r\n"
+                f"Idempotency-Key: {chance.getrandbits(128):032x}\r\n"
+                f"X-Envelope: dest={chance.randrange(self.destinations)}\r\nContent-Length: {len(body)}\r\n\r\n"
+            ).encode()
+            + body,
+        )
 
     async def run(self, numbers: Iterable[int], rate: float) -> None:
         """Hand in these messages, so many a second; ends when each was answered or its connection has ended."""
--- a/lab/cluster/check.py
+++ b/lab/cluster/check.py
@@ -40,8 +40,20 @@
 )
 
 # What of a Views counts in what it does by the events used here; the rest are times of looks and of rests.
-COUNTS = ("me", "kept", "marks", "checked", "_quiet_until", "_granted", "_withheld", "_asked", "_grants", "_token",
-          "_round", "split")
+COUNTS = (
+    "me",
+    "kept",
+    "marks",
+    "checked",
+    "_quiet_until",
+    "_granted",
+    "_withheld",
+    "_asked",
+    "_grants",
+    "_token",
+    "_round",
+    "split",
+)
 PROPOSAL = ("number", "ballot", "step", "bound", "promises", "ready", "accepts", "refused", "asking")
 UNIT, BEGIN = 1_000_000, 100  # µs; a search begins after so many of them, long after the nodes' start
 
@@ -93,8 +105,14 @@
     def key(self) -> tuple:
         """Equal where all that it will do is equal."""
         views, proposal = self.views, self.views._proposal
-        return (self.life, self.disk, self.mark, self.writes, *(_plain(getattr(views, name)) for name in COUNTS),
-                proposal and tuple(_plain(getattr(proposal, name)) for name in PROPOSAL))
+        return (
+            self.life,
+            self.disk,
+            self.mark,
+            self.writes,
+            *(_plain(getattr(views, name)) for name in COUNTS),
+            proposal and tuple(_plain(getattr(proposal, name)) for name in PROPOSAL),
+        )
 
 
 def _plain(value: object) -> object:
@@ -124,8 +142,13 @@
             setattr(other, name, value.copy())
     proposal = views._proposal
     if proposal is not None:
-        other._proposal = replace(proposal, promises=proposal.promises.copy(), ready=proposal.ready.copy(),
-                                  accepts=proposal.accepts.copy(), refused=proposal.refused.copy())
+        other._proposal = replace(
+            proposal,
+            promises=proposal.promises.copy(),
+            ready=proposal.ready.copy(),
+            accepts=proposal.accepts.copy(),
+            refused=proposal.refused.copy(),
+        )
     return other
 
 
@@ -214,8 +237,17 @@
             elif isinstance(order, Say) and order.to == name:
                 queue += views.heard(now, name, views.me, order.word)
             elif isinstance(order, Say):
-                said |= self._say(Said(name, views.me, order.to, order.word, views.number,
-                                       mark if self.scenario.marks else 0, type(order.word)))
+                said |= self._say(
+                    Said(
+                        name,
+                        views.me,
+                        order.to,
+                        order.word,
+                        views.number,
+                        mark if self.scenario.marks else 0,
+                        type(order.word),
+                    )
+                )
         if self.scenario.marks and name == self.scenario.crash_of:
             for other in self.names:  # any frame's head tells how much it remembers
                 if other != name:
@@ -262,8 +294,12 @@
         scenario = self.scenario
         self._one = View(1, 7, tuple(Identity(name, 1, 1) for name in self.names))
         ids = tuple(self._intern(self._start(name, 1, Kept(self._one), 0)) for name in self.names)
-        left = (tuple(scenario.proposals.get(name, 0) for name in self.names),
-                tuple(scenario.asks.get(name, 0) for name in self.names), scenario.crashes, scenario.presses)
+        left = (
+            tuple(scenario.proposals.get(name, 0) for name in self.names),
+            tuple(scenario.asks.get(name, 0) for name in self.names),
+            scenario.crashes,
+            scenario.presses,
+        )
         return ids, 0, 0, left, frozenset([self._one.digest])
 
     def _nexts(self, state: State) -> Iterator[tuple[tuple, State]]:
@@ -277,7 +313,7 @@
             for what, with_, after in self._may(state, place, name):
                 to, more = self._take(name, id_, self._at(time), what, with_)
                 if to != id_ or more | said != said or after is not left:
-                    yield (what, name, with_), ((*ids[:place], to, *ids[place + 1:]), said | more, time, after, past)
+                    yield (what, name, with_), ((*ids[:place], to, *ids[place + 1 :]), said | more, time, after, past)
         if time < self.scenario.times and not writing:
             yield ("goes by", "time", None), (ids, said, time + 1, left, past)
 
@@ -308,16 +344,20 @@
             yield "asks", None, (proposals, _less(asks, place), crashes, presses)
         for other in ids:
             far = self._locals[other]
-            if far.me.name != name and name not in self.scenario.hears and (
-                    far.number > local.number or (local.life > 1 and far.me.name not in local.views.checked)):
+            if (
+                far.me.name != name
+                and name not in self.scenario.hears
+                and (far.number > local.number or (local.life > 1 and far.me.name not in local.views.checked))
+            ):
                 known = far.views.marks | {far.me.name: far.mark} if self.scenario.marks else {}
                 yield "exchanges", (far.me.name, far.views.view, tuple(sorted(known.items()))), left
 
     def _known(self, ids: tuple[int, ...], name: str, mark: int) -> bool:
         """Have all others heard what this node has said? An older disk that nobody could know to be so is no fault that
         is claimed to be found (the note's honest limits)."""
-        return all(self._locals[id_].views.marks.get(name, 0) >= mark for id_ in ids
-                   if self._locals[id_].me.name != name)
+        return all(
+            self._locals[id_].views.marks.get(name, 0) >= mark for id_ in ids if self._locals[id_].me.name != name
+        )
 
     def _judge(self, state: State) -> State:
         """The state with the views that were met. Raises Breach."""
@@ -349,13 +389,15 @@
         steps = []
         while way is not None:
             (what, name, with_), way = way
-            steps.append(f"{name} {what} " + (f"{self._said[with_].frm}'s {self._said[with_].word}" if what == "hears"
-                                              else str(with_ or "")))
+            steps.append(
+                f"{name} {what} "
+                + (f"{self._said[with_].frm}'s {self._said[with_].word}" if what == "hears" else str(with_ or ""))
+            )
         return "; ".join(reversed(steps))
 
 
 def _less(counts: tuple[int, ...], place: int) -> tuple[int, ...]:
-    return (*counts[:place], counts[place] - 1, *counts[place + 1:])
+    return (*counts[:place], counts[place] - 1, *counts[place + 1 :])
 
 
 def without(name: str) -> Step:
@@ -371,18 +413,64 @@
     Scenario("two proposers", 3, RIVALS, {"r1": 1, "r2": 1}),
     Scenario("two of two, each without the other", 2, RIVALS, {"r1": 1, "r2": 1}),
     Scenario("two proposers apart, an acceptor starts anew", 3, RIVALS, {"r1": 1, "r2": 1}, "r3", 1, hears=APART),
-    Scenario("two proposers apart, an acceptor forgets", 3, RIVALS, {"r1": 1, "r2": 1}, "r3", 1, (OLDER_DISK, NO_DISK),
-             hears=APART),
-    Scenario("a lease and a removal", 3, OUT, {"r1": 1}, asks={"r3": 1, "r1": 1}, lease=1, times=2,
-             hears={"r1": (Promise, Accepted, LeaseGrant)}),
-    Scenario("a lease that is asked for long after a removal was accepted", 3, OUT, {"r1": 1}, asks={"r3": 1, "r1": 1},
-             lease=1, times=1, jump=3, hears={"r1": (Promise, Accepted, LeaseGrant)}),
-    Scenario("a lease, a removal, a granter starts anew", 3, OUT, {"r1": 1}, "r2", 1, asks={"r3": 1, "r1": 1}, lease=1,
-             times=2, hears={"r3": (LeaseGrant,), "r1": (Promise, Accepted, LeaseGrant)}),
-    Scenario("two removals, one that hears of neither", 4, {("r1", 1): without("r4"), ("r1", 2): without("r3")},
-             {"r1": 2}, asks={"r3": 1, "r1": 1}, lease=1, times=2,
-             hears={"r3": (LeaseGrant,), "r4": (Prepare, Accept), "r1": (Promise, Accepted, LeaseAsk, LeaseGrant),
-                    "r2": (Prepare, Accept, Decided, LeaseAsk)}),
+    Scenario(
+        "two proposers apart, an acceptor forgets",
+        3,
+        RIVALS,
+        {"r1": 1, "r2": 1},
+        "r3",
+        1,
+        (OLDER_DISK, NO_DISK),
+        hears=APART,
+    ),
+    Scenario(
+        "a lease and a removal",
+        3,
+        OUT,
+        {"r1": 1},
+        asks={"r3": 1, "r1": 1},
+        lease=1,
+        times=2,
+        hears={"r1": (Promise, Accepted, LeaseGrant)},
+    ),
+    Scenario(
+        "a lease that is asked for long after a removal was accepted",
+        3,
+        OUT,
+        {"r1": 1},
+        asks={"r3": 1, "r1": 1},
+        lease=1,
+        times=1,
+        jump=3,
+        hears={"r1": (Promise, Accepted, LeaseGrant)},
+    ),
+    Scenario(
+        "a lease, a removal, a granter starts anew",
+        3,
+        OUT,
+        {"r1": 1},
+        "r2",
+        1,
+        asks={"r3": 1, "r1": 1},
+        lease=1,
+        times=2,
+        hears={"r3": (LeaseGrant,), "r1": (Promise, Accepted, LeaseGrant)},
+    ),
+    Scenario(
+        "two removals, one that hears of neither",
+        4,
+        {("r1", 1): without("r4"), ("r1", 2): without("r3")},
+        {"r1": 2},
+        asks={"r3": 1, "r1": 1},
+        lease=1,
+        times=2,
+        hears={
+            "r3": (LeaseGrant,),
+            "r4": (Prepare, Accept),
+            "r1": (Promise, Accepted, LeaseAsk, LeaseGrant),
+            "r2": (Prepare, Accept, Decided, LeaseAsk),
+        },
+    ),
 )
 QUICK = (*SCENARIOS[:4], SCENARIOS[5])  # some seconds each; the others take minutes
 
@@ -401,8 +489,11 @@
         except Breach as breach:
             print(f"breach: {breach}")
             sys.exit(1)
-        print(f"{scenario.name}, {scenario.nodes} nodes: {check.states} states, {len(check.views)} views, no breach, "
-              f"{time.monotonic() - begun:.0f} s", flush=True)
+        print(
+            f"{scenario.name}, {scenario.nodes} nodes: {check.states} states, {len(check.views)} views, no breach, "
+            f"{time.monotonic() - begun:.0f} s",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/lab/cluster/explore.py
+++ b/lab/cluster/explore.py
@@ -52,11 +52,23 @@
         self.trail: list[str] = []
         self._boot = self._forgotten = 0
         self._apart = ""  # the node that nothing reaches and that reaches nobody, if any
-        self._acts = (self._deliver, self._write, self._propose, self._ask, self._wait, self._crash, self._back,
-                      self._exchange, self._forget, self._bounce, self._cut)
+        self._acts = (
+            self._deliver,
+            self._write,
+            self._propose,
+            self._ask,
+            self._wait,
+            self._crash,
+            self._back,
+            self._exchange,
+            self._forget,
+            self._bounce,
+            self._cut,
+        )
         wide = 2.0 if seed % 4 > 1 else 1.0
-        self._weights = [usual * 2 ** self.chance.uniform(-wide, wide)
-                         for usual in (80, 40, 2, 4, 2.5, 0.3, 4, 4, 0.12, 0.6, 0.8)]
+        self._weights = [
+            usual * 2 ** self.chance.uniform(-wide, wide) for usual in (80, 40, 2, 4, 2.5, 0.3, 4, 4, 0.12, 0.6, 0.8)
+        ]
         if self.terms is VOTES:
             self._weights[3] = 0.0  # nobody asks for leases
             self._weights[2] *= 2
@@ -71,8 +83,7 @@
     def _start(self, place: Place, me: Identity) -> None:
         place.life = me.life
         place.sight = Sight(self.names)
-        place.views = Views(me, self.names, "walk", self.now, place.disk, place.sight, {},
-                            self.terms)
+        place.views = Views(me, self.names, "walk", self.now, place.disk, place.sight, {}, self.terms)
         place.mark = place.views.kept.mark
         place.writes = []
         if self.mistake is not None:
@@ -86,8 +97,9 @@
                 if order.to == place.name:
                     queue += place.views.heard(self.now, place.name, place.views.me, order.word)
                 else:
-                    self.flying.append((place.name, place.views.me, order.to, order.word, place.views.number,
-                                        place.mark))
+                    self.flying.append(
+                        (place.name, place.views.me, order.to, order.word, place.views.number, place.mark)
+                    )
             elif isinstance(order, Persist):
                 place.writes.append(order)
         self._judge(place)
@@ -135,11 +147,16 @@
         gone = [one.name for one in view.members if one.name != place.name]
         if self._apart in gone and self.chance.random() < 0.7:
             gone = [self._apart]
-        come = [other.views.me for other in self.places.values()
-                if other.views is not None and view.life_of(other.name) != other.views.me]
+        come = [
+            other.views.me
+            for other in self.places.values()
+            if other.views is not None and view.life_of(other.name) != other.views.me
+        ]
         self.chance.shuffle(gone)
-        step = Step(tuple(sorted(gone[:self.chance.randint(0, (len(view.members) - 1) // 2)])),
-                    tuple(one for one in come if self.chance.random() < 0.7))
+        step = Step(
+            tuple(sorted(gone[: self.chance.randint(0, (len(view.members) - 1) // 2)])),
+            tuple(one for one in come if self.chance.random() < 0.7),
+        )
         step = Step(tuple(name for name in step.gone if name not in {one.name for one in step.come}), step.come)
         if step.gone or step.come or views.kept.accepted:
             self.trail.append(f"{place.name} proposes {step}")
@@ -199,8 +216,11 @@
 
     def _forget(self, place: Place) -> None:
         """Its memory is lost, or an older one comes back: of the older ones, one whose last votes the others know."""
-        known = all(place.mark <= dict(other.disk.heard).get(place.name, 0) for other in self.places.values()
-                    if other is not place and other.disk is not None)
+        known = all(
+            place.mark <= dict(other.disk.heard).get(place.name, 0)
+            for other in self.places.values()
+            if other is not place and other.disk is not None
+        )
         if self._forgotten >= (len(self.names) - 1) // 2:
             return  # with more of them no majority remembers, and nothing happens any more
         if self.chance.random() < 0.5 and place.older and known:
@@ -221,8 +241,11 @@
             known = self.decided.setdefault(view.number, view)
             if known != view:
                 raise Breach(f"view {view.number} is {known} and {view}")
-        acting = [(other.views.view, other.views.me) for other in self.places.values()
-                  if other.views is not None and other.views.may_act(self.now)]
+        acting = [
+            (other.views.view, other.views.me)
+            for other in self.places.values()
+            if other.views is not None and other.views.may_act(self.now)
+        ]
         for one, me in acting:
             for later, other in acting:
                 if later.number > one.number and me not in later.members:
--- a/lab/cluster/faults.py
+++ b/lab/cluster/faults.py
@@ -33,11 +33,30 @@
 # not more than one at a time, else no majority remembers.
 PROCESS = ("kill", "stop", "term", "early", "all", "forget", "older")
 FORGETS = ("forget", "older")
-LINK = ("loss", "late", "outbound_cut", "inbound_cut", "one_way", "isolated", "halves", "ring", "bridge", "flapping",
-        "doubled", "spoilt", "refused", "trickle", "replayed", "garbage")
+LINK = (
+    "loss",
+    "late",
+    "outbound_cut",
+    "inbound_cut",
+    "one_way",
+    "isolated",
+    "halves",
+    "ring",
+    "bridge",
+    "flapping",
+    "doubled",
+    "spoilt",
+    "refused",
+    "trickle",
+    "replayed",
+    "garbage",
+)
 # Of the partner, for all nodes; of a node's wall clock, and of how long its disk takes to sync, in seconds.
-MOODS = {"slow_partner": Mood(latency_ms=400), "refusing_partner": Mood(refusing=0.5, wait_s=0.2),
-         "failing_partner": Mood(failing=0.2, dropping=0.1)}
+MOODS = {
+    "slow_partner": Mood(latency_ms=400),
+    "refusing_partner": Mood(refusing=0.5, wait_s=0.2),
+    "failing_partner": Mood(failing=0.2, dropping=0.1),
+}
 ODD = {"wall": (odd.WALL, (-3600.0, 3600.0)), "slow_disk": (odd.SYNC, (0.05, 0.2, 0.6))}
 BESIDE = (*MOODS, *ODD)
 ALL = PROCESS + LINK + BESIDE
@@ -98,31 +117,38 @@
         for way, link in self._cluster.mesh.links.items():
             all_ = [weathers[way] for weathers in self._told.values() if way in weathers]
             link.weather = Weather(
-                cut=any(one.cut for one in all_), loss=max((one.loss for one in all_), default=0.0),
+                cut=any(one.cut for one in all_),
+                loss=max((one.loss for one in all_), default=0.0),
                 delay_ms=max((one.delay_ms for one in all_), default=0.0),
                 jitter_ms=max((one.jitter_ms for one in all_), default=0.0),
                 doubled=max((one.doubled for one in all_), default=0.0),
                 spoilt=max((one.spoilt for one in all_), default=0.0),
                 bytes_per_s=max((one.bytes_per_s for one in all_), default=0.0),
                 cut_at=min((one.cut_at for one in all_ if one.cut_at is not None), default=None),
-                refused=any(one.refused for one in all_))
+                refused=any(one.refused for one in all_),
+            )
 
 
-def ways_of(kind: str, struck: tuple[str, ...], names: list[str], chance: random.Random
-            ) -> dict[tuple[str, str], Weather]:
+def ways_of(
+    kind: str, struck: tuple[str, ...], names: list[str], chance: random.Random
+) -> dict[tuple[str, str], Weather]:
     """The weather of each link that a fault of this kind touches."""
     pairs = [(frm, to) for frm in names for to in names if frm != to]
     one = struck[0]
     if kind in ("loss", "late", "doubled", "spoilt", "refused", "trickle"):
-        weather = {"loss": Weather(loss=chance.choice((0.1, 0.3, 0.6, 0.8))),
-                   "late": Weather(delay_ms=chance.choice((20, 80)), jitter_ms=chance.choice((50, 200))),
-                   "doubled": Weather(doubled=0.5), "spoilt": Weather(spoilt=0.3), "refused": Weather(refused=True),
-                   "trickle": Weather(bytes_per_s=1000, cut_at=chance.choice((None, 1, 40, 200)))}[kind]
+        weather = {
+            "loss": Weather(loss=chance.choice((0.1, 0.3, 0.6, 0.8))),
+            "late": Weather(delay_ms=chance.choice((20, 80)), jitter_ms=chance.choice((50, 200))),
+            "doubled": Weather(doubled=0.5),
+            "spoilt": Weather(spoilt=0.3),
+            "refused": Weather(refused=True),
+            "trickle": Weather(bytes_per_s=1000, cut_at=chance.choice((None, 1, 40, 200))),
+        }[kind]
         touched = pairs if chance.random() < 0.5 else [way for way in pairs if one in way]
         return {way: weather for way in touched}
     cut = Weather(cut=True)
     place = {name: k for k, name in enumerate(names)}
-    half = set(names[:(len(names) + 1) // 2])
+    half = set(names[: (len(names) + 1) // 2])
     apart: dict[str, Callable[[str, str], bool]] = {
         "outbound_cut": lambda frm, to: frm == one,
         "inbound_cut": lambda frm, to: to == one,
@@ -136,8 +162,9 @@
     return {(frm, to): cut for frm, to in pairs if apart[kind](frm, to)}
 
 
-async def strike(cluster: Cluster, weathers: Weathers, number: int, fault: Fault, seed: int, left: list[str],
-                 busy: set[str]) -> None:
+async def strike(
+    cluster: Cluster, weathers: Weathers, number: int, fault: Fault, seed: int, left: list[str], busy: set[str]
+) -> None:
     """Carry one fault out and make it good again. ``busy``: nodes that another process fault has in hand; ``left``
     gets the boots of processes that are told to stop."""
     chance = random.Random(f"{seed} {number} strike")
@@ -182,7 +209,8 @@
     looks = await cluster.looks()
     views = [seen.status["view"] for name, seen in looks.items() if name != but.name]
     return len(views) == len(cluster.names) - 1 and all(
-        view is not None and len(view["members"]) == len(cluster.names) for view in views)
+        view is not None and len(view["members"]) == len(cluster.names) for view in views
+    )
 
 
 async def _process(fault: Fault, cluster: Cluster, node: Node, left: list[str], share: float) -> None:
--- a/lab/cluster/judge.py
+++ b/lab/cluster/judge.py
@@ -92,6 +92,9 @@
         words = [f"{name} acts in view {number}, which it is not in"] if life not in self._members[number] else []
         for later, (moment, by) in sorted(self._acted.items()):
             if later > number and life not in self._members[later] and until > moment:
-                return [*words, f"{name} (life {count}) may act in view {number} until {until:.3f}, and {by} acted in "
-                                f"view {later}, which is without it, by {moment:.3f}"]
+                return [
+                    *words,
+                    f"{name} (life {count}) may act in view {number} until {until:.3f}, and {by} acted in "
+                    f"view {later}, which is without it, by {moment:.3f}",
+                ]
         return words
--- a/lab/cluster/links.py
+++ b/lab/cluster/links.py
@@ -34,7 +34,7 @@
         if not data or chance.random() >= self.spoilt:
             return data
         at = chance.randrange(len(data))
-        return data[:at] + bytes([data[at] ^ 1 << chance.randrange(8)]) + data[at + 1:]
+        return data[:at] + bytes([data[at] ^ 1 << chance.randrange(8)]) + data[at + 1 :]
 
     def late(self, chance: random.Random) -> float:
         """Seconds on the way."""
@@ -72,7 +72,8 @@
             self.port = self._server.sockets[0].getsockname()[1]
             try:
                 self._transport, _ = await loop.create_datagram_endpoint(
-                    lambda: self, local_addr=("127.0.0.1", self.port))
+                    lambda: self, local_addr=("127.0.0.1", self.port)
+                )
                 return
             except OSError:
                 self._server.close()
@@ -147,14 +148,14 @@
                 await asyncio.sleep(0.02)
             data = weather.spoil(chance, data)
             if weather.cut_at is not None and sent + len(data) >= weather.cut_at:
-                writer.write(data[:max(0, weather.cut_at - sent)])
+                writer.write(data[: max(0, weather.cut_at - sent)])
                 await writer.drain()
                 for end in ends:
                     end.abort()
                 return
             if weather.bytes_per_s:
                 for at in range(0, len(data), 64):
-                    writer.write(data[at:at + 64])
+                    writer.write(data[at : at + 64])
                     await asyncio.sleep(min(64, len(data) - at) / weather.bytes_per_s)
             else:
                 writer.write(data)
@@ -189,8 +190,9 @@
     def sent_by(self, name: str) -> Passed:
         """What a node has sent to all others."""
         ours = [link.passed for (frm, _), link in self.links.items() if frm == name]
-        return Passed(sum(one.datagrams for one in ours), sum(one.bytes for one in ours),
-                      sum(one.streams for one in ours))
+        return Passed(
+            sum(one.datagrams for one in ours), sum(one.bytes for one in ours), sum(one.streams for one in ours)
+        )
 
     def close(self) -> None:
         for link in self.links.values():
--- a/lab/cluster/mistakes.py
+++ b/lab/cluster/mistakes.py
@@ -136,9 +136,22 @@
             return super().lease_until(now)
 
 
-ALL = (VoteForgotten, SaidBeforeWritten, FenceNotLookedAt, HalfIsEnough, OlderPromiseBroken, AcceptedIgnored,
-       LeaseTooLong, NoWaitAfterAStart, NoWaitAfterAView, GrantsAfterAccepting, VotesWithoutAsking, LossNotMinded,
-       LostMemoryVotes, LeaseKeptByAcceptor)
+ALL = (
+    VoteForgotten,
+    SaidBeforeWritten,
+    FenceNotLookedAt,
+    HalfIsEnough,
+    OlderPromiseBroken,
+    AcceptedIgnored,
+    LeaseTooLong,
+    NoWaitAfterAStart,
+    NoWaitAfterAView,
+    GrantsAfterAccepting,
+    VotesWithoutAsking,
+    LossNotMinded,
+    LostMemoryVotes,
+    LeaseKeptByAcceptor,
+)
 
 
 def spoil(kind: type[Spoilt], views: Views, now: int) -> None:
--- a/lab/cluster/nodes.py
+++ b/lab/cluster/nodes.py
@@ -55,7 +55,8 @@
         rows = "".join(f"    member {name} 127.0.0.1:{port}\n" for name, port in ways.items())
         (self.folder / "cluster.conf").write_text(
             f"begin cluster\n    name {cluster}\n    listen 127.0.0.1:{self.cluster_port}\n    probe {probe_ms}ms\n"
-            f"{rows}end cluster\n")
+            f"{rows}end cluster\n"
+        )
 
     @property
     def running(self) -> bool:
@@ -103,6 +104,7 @@
 
     async def ask(self, path: str = "/admin/cluster", method: str = "GET") -> dict:
         """The answer of its door. Raises OSError where there is none in time."""
+
         async def call() -> bytes:
             reader, writer = await asyncio.open_connection("127.0.0.1", self.door)
             try:
@@ -172,8 +174,11 @@
     def configure(self, name: str, members: list[str]) -> None:
         """Write a node's section for these members."""
         node = self.nodes[name]
-        node.configure(self.name, {to: node.cluster_port if to == name else self.mesh.links[name, to].port
-                                   for to in members}, self.probe_ms)
+        node.configure(
+            self.name,
+            {to: node.cluster_port if to == name else self.mesh.links[name, to].port for to in members},
+            self.probe_ms,
+        )
 
     async def add(self, name: str) -> Node:
         """One more node, not started, with links to and from all; nobody's file names it so far."""
@@ -219,5 +224,8 @@
 def agrees(seen: Seen, names: list[str]) -> bool:
     """Does a node say that it is a member of the view of these?"""
     view = seen.status["view"]
-    return (seen.status["standing"] == "member" and view is not None
-            and sorted(one["name"] for one in view["members"]) == sorted(names))
+    return (
+        seen.status["standing"] == "member"
+        and view is not None
+        and sorted(one["name"] for one in view["members"]) == sorted(names)
+    )
--- a/lab/cluster/play.py
+++ b/lab/cluster/play.py
@@ -37,6 +37,7 @@
 
 async def _watch(cluster: Cluster, saw: Callable[[Seen], None]) -> None:
     """Ask every node over and over, each by itself: one that does not answer holds up nobody's record."""
+
     async def one(name: str) -> None:
         while True:
             node = cluster.nodes[name]
@@ -49,8 +50,15 @@
     await asyncio.gather(*(one(name) for name in cluster.names))
 
 
-async def play(folder: Path, count: int, seed: int, faults: list[Fault], say: Callable[[str], None],
-               rate: float = 20.0, probe_ms: int = 500) -> Played:
+async def play(
+    folder: Path,
+    count: int,
+    seed: int,
+    faults: list[Fault],
+    say: Callable[[str], None],
+    rate: float = 20.0,
+    probe_ms: int = 500,
+) -> Played:
     """Play these faults on ``count`` nodes, with ``rate`` messages a second to each."""
     left: list[str] = []
     judge, played = Judge(), Played(Verdict())
@@ -70,11 +78,15 @@
                 played.verdict = judge.verdict(left)
                 played.verdict.breaches.append(f"no view of all nodes within {FORM_WITHIN:.0f} s of the start")
                 return played
-            say(f"{0:5.1f} s  {count} nodes formed view {formed[cluster.names[0]].status['view']['number']} "
-                f"{played.formed_s:.1f} s after their start")
+            say(
+                f"{0:5.1f} s  {count} nodes formed view {formed[cluster.names[0]].status['view']['number']} "
+                f"{played.formed_s:.1f} s after their start"
+            )
             seconds = max((fault.at + fault.lasts for fault in faults), default=2.0)
-            desks = [Desk(node.port, seed + place, DESTINATIONS, connections=4, left=12.0)
-                     for place, node in enumerate(cluster.nodes.values())]
+            desks = [
+                Desk(node.port, seed + place, DESTINATIONS, connections=4, left=12.0)
+                for place, node in enumerate(cluster.nodes.values())
+            ]
             handing = [asyncio.create_task(desk.run(range(int(seconds * rate)), rate)) for desk in desks if rate]
             weathers, busy = Weathers(cluster), set()
             begun = time.monotonic()
@@ -101,8 +113,11 @@
         played.verdict = judge.verdict(left)
         if settled is None:
             looks = await cluster.looks()
-            said = "; ".join(f"{name}: {seen.status['standing']}, view {(seen.status['view'] or {}).get('number')}, "
-                             f"votes {seen.status['votes']}" for name, seen in sorted(looks.items()))
+            said = "; ".join(
+                f"{name}: {seen.status['standing']}, view {(seen.status['view'] or {}).get('number')}, "
+                f"votes {seen.status['votes']}"
+                for name, seen in sorted(looks.items())
+            )
             played.verdict.breaches.append(f"not one view of all {SETTLE_WITHIN:.0f} s after the last fault: {said}")
         if ended is not None:
             played.messages = ended.table
--- a/lab/cluster/plot.py
+++ b/lab/cluster/plot.py
@@ -55,13 +55,19 @@
     for at, fault in played.faults:
         axes.axvline(at - begun, color="#333333", linewidth=0.6)
         axes.text(at - begun, -1.0, f"{fault.kind} {' '.join(fault.nodes)}", rotation=35, fontsize=7, va="bottom")
-    axes.set_yticks(range(len(pairs)), [f"{who}: {'standing' if of == 'itself' else of}" for who, of in pairs],
-                    fontsize=7)
+    axes.set_yticks(
+        range(len(pairs)), [f"{who}: {'standing' if of == 'itself' else of}" for who, of in pairs], fontsize=7
+    )
     axes.invert_yaxis()
     axes.set_xlabel("s")
-    axes.legend(handles=[Patch(color=colour, label=name) for name, colour in
-                         {**COLOURS, **{f"standing {key}": value for key, value in STANDINGS.items()}}.items()],
-                fontsize=7, loc="lower right")
+    axes.legend(
+        handles=[
+            Patch(color=colour, label=name)
+            for name, colour in {**COLOURS, **{f"standing {key}": value for key, value in STANDINGS.items()}}.items()
+        ],
+        fontsize=7,
+        loc="lower right",
+    )
     figure.tight_layout()
     figure.savefig(path, dpi=110)
     pyplot.close(figure)
--- a/lab/cluster/simulate.py
+++ b/lab/cluster/simulate.py
@@ -85,16 +85,25 @@
 class World:
     """``mistake`` is a hook for the laboratory's own check: it may change each core that is made."""
 
-    def __init__(self, nodes: int, seed: int, timing: Timing | None = None, terms: Terms | None = None,
-                 mistake: Callable[[Core], None] | None = None, measure: bool = False) -> None:
+    def __init__(
+        self,
+        nodes: int,
+        seed: int,
+        timing: Timing | None = None,
+        terms: Terms | None = None,
+        mistake: Callable[[Core], None] | None = None,
+        measure: bool = False,
+    ) -> None:
         self.seed, self.chance = seed, random.Random(f"{seed} world")
         self.timing, self.terms, self.mistake, self.measure = timing, terms, mistake, measure
         self.now = 0
         self._heap: list = []
         self._order = count()
         self.names = [f"r{place + 1}" for place in range(nodes)]
-        self.machines = {name: Machine(name, self.chance.uniform(0.99, 1.01), self.chance.randrange(SECOND * 10_000))
-                         for name in self.names}
+        self.machines = {
+            name: Machine(name, self.chance.uniform(0.99, 1.01), self.chance.randrange(SECOND * 10_000))
+            for name in self.names
+        }
         self.paths = {(a, b): Path() for a in self.names for b in self.names if a != b}
         self.disk_us = DISK_US
         self.digests: dict[int, View] = {}
@@ -120,6 +129,7 @@
 
     def _clock(self, call: Callable) -> Callable:
         """The same, its CPU time added to ``cpu_s``, once where one such step is taken within another."""
+
         def clocked(*args: object, **more: object) -> object:
             if self._clocked:
                 return call(*args, **more)
@@ -325,8 +335,10 @@
             self._without(view)
         for number, when in self.acted.items():
             if number > view.number and process.core.me not in self.digests[number].members:
-                raise Breach(f"{machine.name} may act in view {view.number} until {until}, and someone acted in view "
-                             f"{number}, which is without it, at {when}")
+                raise Breach(
+                    f"{machine.name} may act in view {view.number} until {until}, and someone acted in view "
+                    f"{number}, which is without it, at {when}"
+                )
 
     def _without(self, view: View) -> None:
         """Somebody acts in this view for the first time: may one that it is without act yet?"""
@@ -335,8 +347,11 @@
             if process is None:
                 continue
             theirs = process.core.views
-            if theirs.number < view.number and process.core.me not in view.members \
-                    and theirs.may_act(other.local(self.now)):
+            if (
+                theirs.number < view.number
+                and process.core.me not in view.members
+                and theirs.may_act(other.local(self.now))
+            ):
                 raise Breach(f"{other.name} may act in view {theirs.number} while view {view.number} is acted in")
 
     def agreed(self, names: list[str]) -> bool:
@@ -348,8 +363,12 @@
             if process is None or process.paused:
                 return False
             views = process.core.views
-            if views.view is None or views.view.life_of(name) != process.core.me \
-                    or not views.may_act(machine.local(self.now)) or sorted(views.view.names) != sorted(names):
+            if (
+                views.view is None
+                or views.view.life_of(name) != process.core.me
+                or not views.may_act(machine.local(self.now))
+                or sorted(views.view.names) != sorted(names)
+            ):
                 return False
             found.add(views.view.digest)
         return len(found) == 1
@@ -384,8 +403,24 @@
     while at < end:
         lasts = int(chance.choice((0.3, 1, 3, 7)) * chance.uniform(0.7, 1.4) * SECOND)
         one = chance.choice(names)
-        kind = chance.choice(("kill", "kill", "pause", "leave", "cut", "one_way", "halves", "ring", "loss", "all",
-                              "forget", "older", "bridge", "disk"))
+        kind = chance.choice(
+            (
+                "kill",
+                "kill",
+                "pause",
+                "leave",
+                "cut",
+                "one_way",
+                "halves",
+                "ring",
+                "loss",
+                "all",
+                "forget",
+                "older",
+                "bridge",
+                "disk",
+            )
+        )
         if kind in ("kill", "pause", "leave"):
             struck = chance.sample(names, chance.randint(1, most))
             for name in struck:
@@ -410,10 +445,17 @@
         elif kind in ("cut", "one_way", "halves", "ring", "bridge"):
             place = {name: k for k, name in enumerate(names)}
             half = set(chance.sample(names, (len(names) + 1) // 2))
-            pairs = [(a, b) for a, b in world.paths if {
-                "cut": one in (a, b), "one_way": a == one and b != names[0],
-                "halves": (a in half) != (b in half), "bridge": one not in (a, b) and (a in half) != (b in half),
-                "ring": (place[a] - place[b]) % len(names) not in (1, len(names) - 1)}[kind]]
+            pairs = [
+                (a, b)
+                for a, b in world.paths
+                if {
+                    "cut": one in (a, b),
+                    "one_way": a == one and b != names[0],
+                    "halves": (a in half) != (b in half),
+                    "bridge": one not in (a, b) and (a in half) != (b in half),
+                    "ring": (place[a] - place[b]) % len(names) not in (1, len(names) - 1),
+                }[kind]
+            ]
             world.at(at, cut, pairs, True)
             world.at(at + lasts, cut, pairs, False)
         at += int(lasts * chance.uniform(0.3, 1.5))
@@ -441,8 +483,15 @@
     if not world.digests:
         return False
     names = world.digests[max(world.digests)].names
-    whole = [one for one in names if one != name and (disk := world.machines[one].disk) is not None
-             and disk[1] is not None and disk[1].votes and disk[1].view is not None]
+    whole = [
+        one
+        for one in names
+        if one != name
+        and (disk := world.machines[one].disk) is not None
+        and disk[1] is not None
+        and disk[1].votes
+        and disk[1].view is not None
+    ]
     return 2 * len(whole) > len(names)
 
 
@@ -483,10 +532,12 @@
         views = process.core.views
         if views.number == newest and views.may_act(machine.local(world.now)):
             continue
-        rows.append(f"{name}/{process.core.me.life} {views.standing.value} in view {views.number} "
-                    f"of {' '.join(f'{one.name}/{one.life}' for one in views.view.members) if views.view else '-'} "
-                    f"votes {views.kept.votes} checked {sorted(views.checked)} "
-                    f"sees {' '.join(process.core.detector.living())}")
+        rows.append(
+            f"{name}/{process.core.me.life} {views.standing.value} in view {views.number} "
+            f"of {' '.join(f'{one.name}/{one.life}' for one in views.view.members) if views.view else '-'} "
+            f"votes {views.kept.votes} checked {sorted(views.checked)} "
+            f"sees {' '.join(process.core.detector.living())}"
+        )
     rows[SHOWN:] = [f"and {len(rows) - SHOWN} more"] if len(rows) > SHOWN else []
     head = f"view {newest} has {len(world.digests[newest].members)} members" if newest else "no view"
     return "; ".join([head, *rows])
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -27,10 +27,12 @@
 START_WITHIN, END_WITHIN = 20.0, 35.0
 GOOD = Mood(latency_ms=20)
 # Seconds into the run, what is told, and the partner's mood from then on.
-SCENES = ((1.5, "the partner slows down tenfold", Mood(latency_ms=200)),
-          (3.5, "it recovers, and refuses a third of the calls", Mood(latency_ms=20, refusing=0.33, wait_s=0.1)),
-          (5.0, "it recovers, and fails or drops one call in ten", Mood(latency_ms=20, failing=0.05, dropping=0.05)),
-          (6.5, "it recovers", GOOD))
+SCENES = (
+    (1.5, "the partner slows down tenfold", Mood(latency_ms=200)),
+    (3.5, "it recovers, and refuses a third of the calls", Mood(latency_ms=20, refusing=0.33, wait_s=0.1)),
+    (5.0, "it recovers, and fails or drops one call in ten", Mood(latency_ms=20, failing=0.05, dropping=0.05)),
+    (6.5, "it recovers", GOOD),
+)
 
 
 class Own:
@@ -62,8 +64,16 @@
             env = {key: value for key, value in os.environ.items() if not key.startswith(("NODE_", "LYNXSCALE_"))}
             env["PYTHONPATH"] = str(ROOT)
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, *self.program, "run", "--conf", str(self.conf), cwd=self.folder, env=env,
-                stdout=log, stderr=log)
+                sys.executable,
+                *self.program,
+                "run",
+                "--conf",
+                str(self.conf),
+                cwd=self.folder,
+                env=env,
+                stdout=log,
+                stderr=log,
+            )
 
     async def start(self) -> None:
         """Ready to serve when this returns."""
@@ -128,9 +138,18 @@
 
 def entries_of(partner: Partner, draining: str | None = None) -> list[Entry]:
     """The partner's endpoints as a list has them."""
-    return [Entry(name, at, place % DESTINATIONS, "a", "club-reservas",
-                  Lifecycle.DRAINING if name == draining else Lifecycle.READY, 60.0)
-            for place, (name, at) in enumerate(partner.addresses.items())]
+    return [
+        Entry(
+            name,
+            at,
+            place % DESTINATIONS,
+            "a",
+            "club-reservas",
+            Lifecycle.DRAINING if name == draining else Lifecycle.READY,
+            60.0,
+        )
+        for place, (name, at) in enumerate(partner.addresses.items())
+    ]
 
 
 async def play(folder: Path, messages: int, seed: int, say: Callable[[str], None]) -> Judged:
--- a/lab/disk.py
+++ b/lab/disk.py
@@ -91,7 +91,7 @@
         name = self._handles[handle]
         dies = self._operation("write", len(data))
         if dies:
-            data = data[:self.torn]
+            data = data[: self.torn]
         if self.most is not None:
             room = self.most - self.blocks(name) - len(self.files[name])
             if room <= 0 and data:
@@ -104,9 +104,9 @@
     def overwrite(self, name: str, data: bytes) -> None:
         dies = self._operation("overwrite", len(data))
         if dies:
-            data = data[:self.torn]
+            data = data[: self.torn]
         assert len(data) <= len(self.files[name])
-        self.files[name][:len(data)] = data
+        self.files[name][: len(data)] = data
         self._done(dies)
 
     def truncate(self, handle: int, size: int) -> None:
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -91,19 +91,40 @@
     def begin(self) -> None:
         fleet = self.fleet
         settings = api.Settings(
-            slots=fleet.setup.slots, senders=fleet.senders, me=self.me, classes=CLASSES, most_held=fleet.setup.held,
-            attempts_cap=12, may_cancel=True,
-            idle_close_ms=15_000.0, max_retry_after_ms=3000.0, may_advise_retry=True, asks_for_members=True,
-            report_left=0 if fleet.setup.reports else None, report_limit=1 if fleet.setup.reports else None,
-            weights="nominal", per_call=[fleet.setup.per_call], cold_share=COLD, ramp_time_ms=RAMP_MS,
-            tip_multiple=2.0, tip_after_ms=3000.0, drain_grace_ms=2000.0, handshake_price=0.06, refused_price=0.1,
+            slots=fleet.setup.slots,
+            senders=fleet.senders,
+            me=self.me,
+            classes=CLASSES,
+            most_held=fleet.setup.held,
+            attempts_cap=12,
+            may_cancel=True,
+            idle_close_ms=15_000.0,
+            max_retry_after_ms=3000.0,
+            may_advise_retry=True,
+            asks_for_members=True,
+            report_left=0 if fleet.setup.reports else None,
+            report_limit=1 if fleet.setup.reports else None,
+            weights="nominal",
+            per_call=[fleet.setup.per_call],
+            cold_share=COLD,
+            ramp_time_ms=RAMP_MS,
+            tip_multiple=2.0,
+            tip_after_ms=3000.0,
+            drain_grace_ms=2000.0,
+            handshake_price=0.06,
+            refused_price=0.1,
         )
         self.life, self.alive = self.life + 1, True
         self.tries.clear()
         self.out.clear()
         self.sender = Sender(settings, fleet.random.getrandbits(60))
-        self.give(api.Membership(api.ListKind.CACHED, 1, [
-            api.Member(100 + d.number, api.Lifecycle.READY, d.number, 0, 0, d.listed) for d in fleet.listed]))
+        self.give(
+            api.Membership(
+                api.ListKind.CACHED,
+                1,
+                [api.Member(100 + d.number, api.Lifecycle.READY, d.number, 0, 0, d.listed) for d in fleet.listed],
+            )
+        )
 
     def give(self, *events: object) -> None:
         fleet = self.fleet
@@ -154,8 +175,15 @@
 class Fleet:
     """Senders, destinations and their common clock. ``rates``: messages a second for each destination."""
 
-    def __init__(self, seed: int, limits: list[float], rates: list[float], senders: int = 40,
-                 payouts: float = 0.2, setup: Setup = Setup()) -> None:  # noqa: B008
+    def __init__(
+        self,
+        seed: int,
+        limits: list[float],
+        rates: list[float],
+        senders: int = 40,
+        payouts: float = 0.2,
+        setup: Setup = Setup(),
+    ) -> None:  # noqa: B008
         self.setup = setup
         self.random, self.now, self.senders, self.payouts = Random(seed), 0.0, senders, payouts
         self.heap: list[tuple] = []
@@ -185,6 +213,7 @@
         def one() -> None:
             self.hand_in(number)
             self.at(self.now + self.random.expovariate(rate / 1000), one)
+
         if rate > 0:
             self.at(self.random.expovariate(rate / 1000), one)
 
@@ -192,8 +221,7 @@
         alive = [node for node in self.nodes if node.alive]
         cls = int(self.random.random() < self.payouts)
         self.offered += 1
-        self.random.choice(alive).give(
-            api.Message(next(self.ids), number, cls, 0, self.now + CLASSES[cls].deadline_ms))
+        self.random.choice(alive).give(api.Message(next(self.ids), number, cls, 0, self.now + CLASSES[cls].deadline_ms))
 
     def clump(self, number: int, messages: int) -> None:
         """So many at once for one destination, over all senders."""
--- a/lab/partner.py
+++ b/lab/partner.py
@@ -84,8 +84,9 @@
         for name in list(self._servers):
             self.close(name)
 
-    async def _serve(self, name: str, chance: random.Random, reader: asyncio.StreamReader,
-                     writer: asyncio.StreamWriter) -> None:
+    async def _serve(
+        self, name: str, chance: random.Random, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         while True:
             first = await reader.read(1)
             if not first:
--- a/lab/rules.py
+++ b/lab/rules.py
@@ -27,9 +27,14 @@
     breaches: list[str] = field(default_factory=list)
 
 
-def judge(sent: Mapping[str, Sent], calls: Iterable[Call], finals: Mapping[str, list[str]],
-          once: Iterable[str] = ("pago-premio",), keyed: Iterable[str] = ("inscripcion",),
-          drained: Mapping[str, float] | None = None) -> Judged:
+def judge(
+    sent: Mapping[str, Sent],
+    calls: Iterable[Call],
+    finals: Mapping[str, list[str]],
+    once: Iterable[str] = ("pago-premio",),
+    keyed: Iterable[str] = ("inscripcion",),
+    drained: Mapping[str, float] | None = None,
+) -> Judged:
     """Hold what was sent against what partners did and what was told in the end.
 
     ``finals``: the statuses told of each id; ``drained``: endpoints and since when (monotonic) a file says so.
--- a/lab/standins.py
+++ b/lab/standins.py
@@ -128,8 +128,7 @@
         return self._list(False, self.changed if int(query["after"]) < self.version else [])
 
     def _list(self, whole: bool, rows: list) -> bytes:
-        return reply(200, json.dumps(
-            {"generation": self.version, "reset": whole, "instances": rows}).encode())
+        return reply(200, json.dumps({"generation": self.version, "reset": whole, "instances": rows}).encode())
 
     def change(self, *rows: dict) -> None:
         self.changed = list(rows)
@@ -137,25 +136,58 @@
 
 
 def row(name: str, at: str, cell: int, life: str = "ready") -> dict:
-    return {"instanceId": name, "hostPort": at, "zone": "a", "machineType": "club", "cell": cell,
-            "lifecycle": life, "weight": 20.0, "startedAtMs": 0}
+    return {
+        "instanceId": name,
+        "hostPort": at,
+        "zone": "a",
+        "machineType": "club",
+        "cell": cell,
+        "lifecycle": life,
+        "weight": 20.0,
+        "startedAtMs": 0,
+    }
 
 
 def settings(**allowed) -> dict:
     def grade(name, effect):
-        return {"name": name, "effect": effect, "goal_time_ms": 3000.0, "deadline_ms": 16000.0, "value": 1.0,
-                "late_worth": 0.4, "memory_span_ms": 7500.0, "group": "all"}
+        return {
+            "name": name,
+            "effect": effect,
+            "goal_time_ms": 3000.0,
+            "deadline_ms": 16000.0,
+            "value": 1.0,
+            "late_worth": 0.4,
+            "memory_span_ms": 7500.0,
+            "group": "all",
+        }
 
     return {
-        "allowed": {"attempts_cap": 12, "cancel": True, "idle_close_ms": 15000.0, "dial_timeout_ms": 1500.0,
-                    "max_retry_after_ms": 3000.0, "retry_after": True, "most_held": 100} | allowed,
-        "balancers": 2, "me": 0, "kinds": ["club"], "zones": ["a"], "membership_mode": "ask",
+        "allowed": {
+            "attempts_cap": 12,
+            "cancel": True,
+            "idle_close_ms": 15000.0,
+            "dial_timeout_ms": 1500.0,
+            "max_retry_after_ms": 3000.0,
+            "retry_after": True,
+            "most_held": 100,
+        }
+        | allowed,
+        "balancers": 2,
+        "me": 0,
+        "kinds": ["club"],
+        "zones": ["a"],
+        "membership_mode": "ask",
         "family_info": {"max_calls": 16, "per_call": [1], "routes_apart": [False]},
-        "grades": [grade("safe", "idempotent"), grade("keyed", "deduplicated"),
-                   grade("once", "at_most_once")],
-        "load_info": {"columns": ["x0", "x1"], "source": "inline"}, "weight_source": "nominal",
-        "obligations": {"cold_share": 0.21, "ramp_time_ms": 9200.0, "tip_multiple": 2.0,
-                        "tip_after_ms": 3000.0, "ask_within_ms": 10000.0},
+        "grades": [grade("safe", "idempotent"), grade("keyed", "deduplicated"), grade("once", "at_most_once")],
+        "load_info": {"columns": ["x0", "x1"], "source": "inline"},
+        "weight_source": "nominal",
+        "obligations": {
+            "cold_share": 0.21,
+            "ramp_time_ms": 9200.0,
+            "tip_multiple": 2.0,
+            "tip_after_ms": 3000.0,
+            "ask_within_ms": 10000.0,
+        },
         "orgs": [{"name": "acme"}],
     }
 
@@ -173,8 +205,9 @@
         got = read_http(self.stream)
         return got and (int(got[0].split()[1]), got[1], got[2])
 
-    def hand_in(self, id: str, cls: str = "safe", left: float = 16.0, body: bytes = b"hello", dest: int = 1,
-                **more: str):
+    def hand_in(
+        self, id: str, cls: str = "safe", left: float = 16.0, body: bytes = b"hello", dest: int = 1, **more: str
+    ):
         return self.ask(message(id, cls, left, body, dest, **more))
 
     def close(self) -> None:
@@ -182,10 +215,17 @@
         self.socket.close()
 
 
-def message(id: str, cls: str = "safe", left: float = 16.0, body: bytes = b"hello", dest: int = 1,
-            **more: str) -> bytes:
-    headers = {"Req-Id": id, "Req-Kind": cls, "Req-Owner": "acme", "Req-Deadline": f"{left:.3f}",
-               "X-Envelope": f"dest={dest}", "Content-Length": str(len(body))}
+def message(
+    id: str, cls: str = "safe", left: float = 16.0, body: bytes = b"hello", dest: int = 1, **more: str
+) -> bytes:
+    headers = {
+        "Req-Id": id,
+        "Req-Kind": cls,
+        "Req-Owner": "acme",
+        "Req-Deadline": f"{left:.3f}",
+        "X-Envelope": f"dest={dest}",
+        "Content-Length": str(len(body)),
+    }
     headers |= {name.replace("_", "-"): value for name, value in more.items()}
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     return f"POST /api HTTP/1.1\r\nHost: x\r\n{lines}\r\n".encode() + body
--- a/lab/traffic.py
+++ b/lab/traffic.py
@@ -28,17 +28,43 @@
 def settings(slots: int = 64, most_held: int = 400) -> dict:
     """The settings of one relay of this deployment, as the platform tells them."""
     return {
-        "allowed": {"attempts_cap": 12, "cancel": True, "idle_close_ms": 15000.0, "dial_timeout_ms": 1500.0,
-                    "max_retry_after_ms": 3000.0, "retry_after": True, "most_held": most_held},
-        "balancers": 2, "me": 0, "kinds": ["club-reservas", "pasarela-pago"], "zones": ["a"],
+        "allowed": {
+            "attempts_cap": 12,
+            "cancel": True,
+            "idle_close_ms": 15000.0,
+            "dial_timeout_ms": 1500.0,
+            "max_retry_after_ms": 3000.0,
+            "retry_after": True,
+            "most_held": most_held,
+        },
+        "balancers": 2,
+        "me": 0,
+        "kinds": ["club-reservas", "pasarela-pago"],
+        "zones": ["a"],
         "membership_mode": "ask",
         "family_info": {"max_calls": slots, "per_call": [1, 1], "routes_apart": [False, False]},
-        "grades": [{"name": name, "effect": effect, "goal_time_ms": aim, "deadline_ms": deadline, "value": worth,
-                    "late_worth": late, "memory_span_ms": 7500.0, "group": "all"}
-                   for name, effect, aim, deadline, worth, late, _share in CLASSES],
-        "load_info": {"columns": ["x0", "x1"], "source": "inline"}, "weight_source": "nominal",
-        "obligations": {"cold_share": 0.21, "ramp_time_ms": 9200.0, "tip_multiple": 2.0, "tip_after_ms": 3000.0,
-                        "ask_within_ms": 10000.0},
+        "grades": [
+            {
+                "name": name,
+                "effect": effect,
+                "goal_time_ms": aim,
+                "deadline_ms": deadline,
+                "value": worth,
+                "late_worth": late,
+                "memory_span_ms": 7500.0,
+                "group": "all",
+            }
+            for name, effect, aim, deadline, worth, late, _share in CLASSES
+        ],
+        "load_info": {"columns": ["x0", "x1"], "source": "inline"},
+        "weight_source": "nominal",
+        "obligations": {
+            "cold_share": 0.21,
+            "ramp_time_ms": 9200.0,
+            "tip_multiple": 2.0,
+            "tip_after_ms": 3000.0,
+            "ask_within_ms": 10000.0,
+        },
         "orgs": [{"name": name} for name in TENANTS],
     }
 
@@ -89,29 +115,51 @@
         self.partner = Partner(load.seed, mood=Mood(load.latency_ms, load.failing, load.failing))
         at = "{}:{}".format(*await self.partner.open("all"))
         self.discovery = await self._serve(self._directory)
-        self.rows = [{"instanceId": f"s-{k:04x}", "hostPort": at, "zone": "a",
-                      "machineType": ("club-reservas", "pasarela-pago")[k % 2], "cell": k % self.load.destinations,
-                      "lifecycle": "ready", "weight": 500.0, "startedAtMs": 0}
-                     for k in range(self.load.destinations * 2)]
+        self.rows = [
+            {
+                "instanceId": f"s-{k:04x}",
+                "hostPort": at,
+                "zone": "a",
+                "machineType": ("club-reservas", "pasarela-pago")[k % 2],
+                "cell": k % self.load.destinations,
+                "lifecycle": "ready",
+                "weight": 500.0,
+                "startedAtMs": 0,
+            }
+            for k in range(self.load.destinations * 2)
+        ]
         (self.folder / "state").mkdir(exist_ok=True)
         with socket.socket() as held:
             held.bind(("127.0.0.1", 0))
             self.port = held.getsockname()[1]
-        (self.folder / "node.json").write_bytes(orjson.dumps({
-            "name": "lab", "seed": f"{self.load.seed:x}", "limits": {"sockets": 512, "disk_mb": 64},
-            "settings": settings(), "known": {"generation": 1, "reset": True, "instances": self.rows}}))
+        (self.folder / "node.json").write_bytes(
+            orjson.dumps(
+                {
+                    "name": "lab",
+                    "seed": f"{self.load.seed:x}",
+                    "limits": {"sockets": 512, "disk_mb": 64},
+                    "settings": settings(),
+                    "known": {"generation": 1, "reset": True, "instances": self.rows},
+                }
+            )
+        )
         await self.start()
         return self
 
     async def start(self) -> None:
         """Start the relay, or start it again after ``kill``; ready when this returns."""
-        env = os.environ | {"NODE_CONFIG": str(self.folder / "node.json"), "NODE_STATE": str(self.folder / "state"),
-                            "NODE_LISTEN": f"127.0.0.1:{self.port}", "NODE_DISCOVERY": self.discovery}
+        env = os.environ | {
+            "NODE_CONFIG": str(self.folder / "node.json"),
+            "NODE_STATE": str(self.folder / "state"),
+            "NODE_LISTEN": f"127.0.0.1:{self.port}",
+            "NODE_DISCOVERY": self.discovery,
+        }
         if self.conf:
             env["LYNXSCALE_CONF"] = self.conf
         with open(self.folder / "log", "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(sys.executable, "-m", "lynxscale", cwd=ROOT, env=env,
-                                                                stdout=log, stderr=log)
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "lynxscale", cwd=ROOT, env=env, stdout=log, stderr=log
+            )
         end = asyncio.get_running_loop().time() + START_WITHIN
         while not await self._ready():
             if self.process.returncode is not None or asyncio.get_running_loop().time() > end:
@@ -208,6 +256,7 @@
 
 def one_run(load: Load, conf: str | None, folder: Path) -> Outcome:
     """One relay, one load, from a cold start to its last end."""
+
     async def run() -> Outcome:
         outcome = Outcome()
         async with Stage(folder, load, conf) as stage:
@@ -228,8 +277,9 @@
         return None
     lines = [f"    {name.replace('_', '-')} {value}" for name, value in more.items()]
     path = folder / "lynxscale.conf"
-    path.write_text("\n".join(["begin trace", f"    folder '{folder / 'trace'}'", f"    level {level}", *lines,
-                               "end trace", ""]))
+    path.write_text(
+        "\n".join(["begin trace", f"    folder '{folder / 'trace'}'", f"    level {level}", *lines, "end trace", ""])
+    )
     return str(path)
 
 
--- a/lynxscale/bundle.py
+++ b/lynxscale/bundle.py
@@ -13,8 +13,13 @@
 from gannetshift.interface import Result
 
 PATH = "/events/bundle"
-ENDS = {b"ok": Result.OK, b"error": Result.ERROR, b"later": Result.FULL, b"gone": Result.MOOT,
-        b"exhausted": Result.MOOT}
+ENDS = {
+    b"ok": Result.OK,
+    b"error": Result.ERROR,
+    b"later": Result.FULL,
+    b"gone": Result.MOOT,
+    b"exhausted": Result.MOOT,
+}
 GONE = b"gone"  # nothing more is owed
 LINE_MOST = 512
 
@@ -26,8 +31,9 @@
 
 def body(messages: Iterable[tuple[str, str, bytes]]) -> bytes:
     """The body for messages, each an id, a key or an empty one, and its bytes."""
-    return b"".join(f"{id_} {key or '-'} {len(data)}\r\n".encode("latin-1") + data + b"\r\n"
-                    for id_, key, data in messages)
+    return b"".join(
+        f"{id_} {key or '-'} {len(data)}\r\n".encode("latin-1") + data + b"\r\n" for id_, key, data in messages
+    )
 
 
 def ends(answer: bytes, ids: Sequence[str]) -> tuple[dict[str, tuple[Result, bool]], bool]:
--- a/lynxscale/cli/__init__.py
+++ b/lynxscale/cli/__init__.py
@@ -12,10 +12,17 @@
 
 import click
 
-GROUPS = {"cluster": "lynxscale.cli.cluster:group", "conf": "lynxscale.cli.conf:group",
-          "demo": "lynxscale.cli.demo:command", "fleet": "lynxscale.cli.fleet:group",
-          "journal": "lynxscale.cli.journal:group", "lab": "lynxscale.cli.lab:group",
-          "list": "lynxscale.cli.lists:group", "run": "lynxscale.cli.run:command", "trace": "lynxscale.cli.trace:group"}
+GROUPS = {
+    "cluster": "lynxscale.cli.cluster:group",
+    "conf": "lynxscale.cli.conf:group",
+    "demo": "lynxscale.cli.demo:command",
+    "fleet": "lynxscale.cli.fleet:group",
+    "journal": "lynxscale.cli.journal:group",
+    "lab": "lynxscale.cli.lab:group",
+    "list": "lynxscale.cli.lists:group",
+    "run": "lynxscale.cli.run:command",
+    "trace": "lynxscale.cli.trace:group",
+}
 FAILED, USAGE = 1, 2
 
 
@@ -56,6 +63,7 @@
 
 def example(text: str) -> Any:
     """Give a command's help an example, shown as it would be typed."""
+
     def mark(command: click.Command) -> click.Command:
         command.epilog = "\b\nExample:\n  " + text.strip().replace("\n", "\n  ")
         return command
@@ -99,7 +107,8 @@
     except Exception as error:  # a fault of ours, told plainly; with the variable set it shows where
         if os.environ.get("LYNXSCALE_DEBUG"):
             raise
-        click.echo(f"Error: internal fault: {type(error).__name__}: {error} "
-                   "(set LYNXSCALE_DEBUG=1 for its place)", err=True)
+        click.echo(
+            f"Error: internal fault: {type(error).__name__}: {error} (set LYNXSCALE_DEBUG=1 for its place)", err=True
+        )
         code = FAILED
     sys.exit(code)
--- a/lynxscale/cli/cluster.py
+++ b/lynxscale/cli/cluster.py
@@ -67,12 +67,22 @@
 
 
 def _rows(status: dict) -> list[list[Any]]:
-    return [[row["name"], row["at"], row["zone"] or "-", row["state"],
-             "-" if row["since_ms"] is None else f"{row['since_ms'] / 1000:.1f}",
-             "-" if row["life"] is None else row["life"], "yes" if row["in_view"] else "no",
-             "-" if row["answered_ms"] is None else row["answered_ms"], _others(row), row["slow"] or "-",
-             " ".join(row["differs"]) or "-"]
-            for row in status["nodes"]]
+    return [
+        [
+            row["name"],
+            row["at"],
+            row["zone"] or "-",
+            row["state"],
+            "-" if row["since_ms"] is None else f"{row['since_ms'] / 1000:.1f}",
+            "-" if row["life"] is None else row["life"],
+            "yes" if row["in_view"] else "no",
+            "-" if row["answered_ms"] is None else row["answered_ms"],
+            _others(row),
+            row["slow"] or "-",
+            " ".join(row["differs"]) or "-",
+        ]
+        for row in status["nodes"]
+    ]
 
 
 def _others(row: dict) -> str:
@@ -86,16 +96,22 @@
 def _told(status: dict) -> str:
     """One node in words."""
     view = status["view"]
-    words = [f"{status['node']} of {status['cluster']}, life {status['life']}, up {status['up_ms'] / 1000:.0f} s: "
-             f"{status['standing']}"]
+    words = [
+        f"{status['node']} of {status['cluster']}, life {status['life']}, up {status['up_ms'] / 1000:.0f} s: "
+        f"{status['standing']}"
+    ]
     if view is None:
         words.append("no view yet: the first needs every node that the file names")
     else:
-        words.append(f"view {view['number']} ({view['digest']}) of "
-                     + " ".join(f"{one['name']}/{one['life']}" for one in view["members"])
-                     + f"; it can lose {view['can_lose']}")
-        words.append(f"lease for {status['lease_ms']} ms; granted by {' '.join(status['grants']) or 'nobody'} of "
-                     f"{' '.join(view['asked_for_leases'])}")
+        words.append(
+            f"view {view['number']} ({view['digest']}) of "
+            + " ".join(f"{one['name']}/{one['life']}" for one in view["members"])
+            + f"; it can lose {view['can_lose']}"
+        )
+        words.append(
+            f"lease for {status['lease_ms']} ms; granted by {' '.join(status['grants']) or 'nobody'} of "
+            f"{' '.join(view['asked_for_leases'])}"
+        )
     if not status["votes"]:
         words.append("it does not vote: its memory was lost or is older than what others heard from it")
     if status["split"]:
@@ -105,8 +121,9 @@
     return "\n".join(words)
 
 
-@example("lynxscale cluster status --conf lynxscale.conf\n"
-         "lynxscale cluster status --at 127.0.0.1:9001 --at 127.0.0.1:9002")
+@example(
+    "lynxscale cluster status --conf lynxscale.conf\nlynxscale cluster status --at 127.0.0.1:9001 --at 127.0.0.1:9002"
+)
 @group.command()
 @click.option("--conf", type=click.Path(dir_okay=False), help="A relay's configuration file: what it last wrote.")
 @click.option("--at", multiple=True, help="HOST:PORT of a relay's operators' door; several show all of them.")
@@ -141,18 +158,30 @@
         for number, one in enumerate(told):
             click.echo(("\n" if number else "") + _told(one))
             if "age_s" in one:
-                click.echo(f"as written {one['age_s']} s ago" + (
-                    "; the relay writes it every second: it does not run, or its disk stands still"
-                    if one["age_s"] > 5 else ""))
+                click.echo(
+                    f"as written {one['age_s']} s ago"
+                    + (
+                        "; the relay writes it every second: it does not run, or its disk stands still"
+                        if one["age_s"] > 5
+                        else ""
+                    )
+                )
             if len(told) == 1:
                 click.echo()
                 write_table(list(COLUMNS), _rows(one))
         if len(told) > 1:
             click.echo("\nWho is what, as each of them sees it:")
             names = sorted({row["name"] for one in told for row in one["nodes"]})
-            write_table(["seen by", *names], [
-                [one["node"], *({row["name"]: row["state"] for row in one["nodes"]}.get(name, "not named")
-                                for name in names)] for one in told])
+            write_table(
+                ["seen by", *names],
+                [
+                    [
+                        one["node"],
+                        *({row["name"]: row["state"] for row in one["nodes"]}.get(name, "not named") for name in names),
+                    ]
+                    for one in told
+                ],
+            )
     for line in silent:
         click.echo(line, err=True)
     if silent or any(one["standing"] != "member" for one in told):
@@ -177,8 +206,12 @@
         theirs = {setting.word: setting for setting in settings.of(one)}
         for word in theirs | mine:
             none = f"no {word}"
-            differ(path, word if word in mine else word.split()[0], mine[word].value if word in mine else none,
-                   theirs[word].value if word in theirs else none)
+            differ(
+                path,
+                word if word in mine else word.split()[0],
+                mine[word].value if word in mine else none,
+                theirs[word].value if word in theirs else none,
+            )
     names: dict[str, str] = {}
     places: dict[int, str] = {}
     for path, conf in files:
@@ -188,8 +221,14 @@
             table.setdefault(key, path)
         members = len(conf.cluster.member)
         if conf.relay.relays != members:
-            found.append(Fault(path, _line(path, "relays"), "relays",
-                               f"want {members}, as many as there are members, not {conf.relay.relays}"))
+            found.append(
+                Fault(
+                    path,
+                    _line(path, "relays"),
+                    "relays",
+                    f"want {members}, as many as there are members, not {conf.relay.relays}",
+                )
+            )
     missing = sorted({row["name"] for row in one.cluster.member} - set(names))
     if missing:
         found.append(Fault(first, _line(first, "member"), "member", f"no file was given for {' '.join(missing)}"))
@@ -203,8 +242,14 @@
     from lynxscale.conf.lexer import Lexer
 
     wanted = word.split()
-    return next((line.number for line in Lexer(os.environ).lines(path)
-                 if line.file == path and list(line.words[:len(wanted)]) == wanted), 0)
+    return next(
+        (
+            line.number
+            for line in Lexer(os.environ).lines(path)
+            if line.file == path and list(line.words[: len(wanted)]) == wanted
+        ),
+        0,
+    )
 
 
 @example("lynxscale cluster check r1.conf r2.conf r3.conf")
@@ -225,8 +270,10 @@
     if found:
         click.get_current_context().exit(FAILED)
     cluster = read[0][1].cluster
-    click.echo(f"{len(read)} files of {cluster.name}: {len(cluster.member)} nodes, of which it can lose "
-               f"{(len(cluster.member) - 1) // 2} at once")
+    click.echo(
+        f"{len(read)} files of {cluster.name}: {len(cluster.member)} nodes, of which it can lose "
+        f"{(len(cluster.member) - 1) // 2} at once"
+    )
 
 
 @example("lynxscale cluster forget r3 --at 127.0.0.1:9001")
@@ -246,9 +293,11 @@
     row = next((row for row in told["nodes"] if row["name"] == name), None)
     listed = view is not None and name in [one["name"] for one in view["members"]]
     state = row["state"] if row else "not in the file of " + told["node"]
-    click.echo(f"{name}: {state}, {'in' if listed else 'not in'} view {view['number'] if view else 0}. To forget it "
-               "says that this machine and its folder will not come back: what only it held is given up. Take its "
-               "line out of the files afterwards.")
+    click.echo(
+        f"{name}: {state}, {'in' if listed else 'not in'} view {view['number'] if view else 0}. To forget it "
+        "says that this machine and its folder will not come back: what only it held is given up. Take its "
+        "line out of the files afterwards."
+    )
     if not yes and not click.confirm(f"Forget {name}?"):
         raise Failed("nothing done")
     code, said = _call(at, "POST", f"/admin/cluster/forget?name={name}")
--- a/lynxscale/cli/common.py
+++ b/lynxscale/cli/common.py
@@ -33,8 +33,10 @@
     right = [all(_number(row[k]) for row in cells) for k in range(len(columns))]
 
     def line(row: list[str]) -> str:
-        return "  ".join(cell.rjust(width) if to_right else cell.ljust(width)
-                         for cell, width, to_right in zip(row, widths, right, strict=True)).rstrip()
+        return "  ".join(
+            cell.rjust(width) if to_right else cell.ljust(width)
+            for cell, width, to_right in zip(row, widths, right, strict=True)
+        ).rstrip()
 
     click.echo(line(columns))
     for row in cells:
--- a/lynxscale/cli/conf.py
+++ b/lynxscale/cli/conf.py
@@ -109,10 +109,13 @@
     """The manual page, from the directive table."""
     parts = [INTRODUCTION]
     for section in SECTIONS:
-        parts.append(f"## {section.name}\n\n{section.help}\n\n| directive | wants | default | meaning |\n"
-                     "| --- | --- | --- | --- |\n")
-        parts += [f"| `{one.name}` | {one.wanted()} | {one.shown(one.default)} | {one.help} |\n"
-                  for one in section.directives]
+        parts.append(
+            f"## {section.name}\n\n{section.help}\n\n| directive | wants | default | meaning |\n"
+            "| --- | --- | --- | --- |\n"
+        )
+        parts += [
+            f"| `{one.name}` | {one.wanted()} | {one.shown(one.default)} | {one.help} |\n" for one in section.directives
+        ]
         parts.append("\n")
     return "".join(parts).rstrip() + "\n"
 
--- a/lynxscale/cli/demo.py
+++ b/lynxscale/cli/demo.py
@@ -34,11 +34,14 @@
         write_json({"classes": judged.table, "breaches": judged.breaches})
     else:
         click.echo()
-        write_table(["class", *COLUMNS], [[cls, *(row[name] for name in COLUMNS)]
-                                          for cls, row in sorted(judged.table.items())])
+        write_table(
+            ["class", *COLUMNS], [[cls, *(row[name] for name in COLUMNS)] for cls, row in sorted(judged.table.items())]
+        )
         click.echo()
-        click.echo("deferred: given up with a time to come again; undeliverable: given up for good; twice: an effect "
-                   "more than once, which only a class that is safe to repeat may have")
+        click.echo(
+            "deferred: given up with a time to come again; undeliverable: given up for good; twice: an effect "
+            "more than once, which only a class that is safe to repeat may have"
+        )
     for breach in judged.breaches:
         click.echo(f"rule broken: {breach}", err=True)
     if judged.breaches:
--- a/lynxscale/cli/fleet.py
+++ b/lynxscale/cli/fleet.py
@@ -14,10 +14,39 @@
 if TYPE_CHECKING:
     from lynxscale.fleet.lines import Line, Unread
 
-TRAFFIC = ("from_s", "dest", "offered", "rejected", "calls", "ok", "full", "told_waits", "connect_failed", "reset",
-           "timeout", "error", "deferred", "undeliverable", "limit", "takes", "used", "failing", "warming")
-LOAD = ("from_s", "held", "most_held", "most_oldest_ms", "out", "peers", "dials", "lists_asked", "lists_told",
-        "lists_failed")
+TRAFFIC = (
+    "from_s",
+    "dest",
+    "offered",
+    "rejected",
+    "calls",
+    "ok",
+    "full",
+    "told_waits",
+    "connect_failed",
+    "reset",
+    "timeout",
+    "error",
+    "deferred",
+    "undeliverable",
+    "limit",
+    "takes",
+    "used",
+    "failing",
+    "warming",
+)
+LOAD = (
+    "from_s",
+    "held",
+    "most_held",
+    "most_oldest_ms",
+    "out",
+    "peers",
+    "dials",
+    "lists_asked",
+    "lists_told",
+    "lists_failed",
+)
 LEARNED = ("at_s", "what", "relays", "median_s", "last_s")
 
 
@@ -35,8 +64,9 @@
         paths = files(names)
     except FileNotFoundError as error:
         raise Failed(str(error)) from error
-    return heapq.merge(*(sorted(read(path, unread), key=lambda line: line.at) for path in paths),
-                       key=lambda line: line.at)
+    return heapq.merge(
+        *(sorted(read(path, unread), key=lambda line: line.at) for path in paths), key=lambda line: line.at
+    )
 
 
 def _table(title: str, columns: tuple[str, ...], rows: list[dict[str, Any]]) -> None:
@@ -72,13 +102,23 @@
     if unread.count:
         click.echo(f"{unread.count} lines not read", err=True)
     if as_json:
-        write_json({"relays": sorted(found.relays), "traffic": found.traffic(), "load": found.load(),
-                    "learned": found.learned(), "ended": dict(found.reasons.most_common()),
-                    "unread": {"count": unread.count, "named": unread.named}})
+        write_json(
+            {
+                "relays": sorted(found.relays),
+                "traffic": found.traffic(),
+                "load": found.load(),
+                "learned": found.learned(),
+                "ended": dict(found.reasons.most_common()),
+                "unread": {"count": unread.count, "named": unread.named},
+            }
+        )
         return
     click.echo(f"{len(found.relays)} relays")
     _table("Calls, and what the limit takes, by span and destination:", TRAFFIC, found.traffic())
     _table("Relays together:", LOAD, found.load())
     _table("Learned, and how much later than by the first relay:", LEARNED, found.learned())
-    _table("Connections ended:", ("what", "times"),
-           [{"what": name, "times": times} for name, times in found.reasons.most_common()])
+    _table(
+        "Connections ended:",
+        ("what", "times"),
+        [{"what": name, "times": times} for name, times in found.reasons.most_common()],
+    )
--- a/lynxscale/cli/journal.py
+++ b/lynxscale/cli/journal.py
@@ -51,8 +51,11 @@
         manifest = manifest_of(port, names)
         if manifest is None:  # nothing was ever taken on
             return Manifest(0, ()), Recovered(), {}
-        segments = {row.number: port.read(segment_name(row.number)) for row in manifest.rows
-                    if segment_name(row.number) in names}
+        segments = {
+            row.number: port.read(segment_name(row.number))
+            for row in manifest.rows
+            if segment_name(row.number) in names
+        }
         return manifest, recover(manifest, segments), {number: len(data) for number, data in segments.items()}
     except Refused as error:
         raise Failed(f"{folder}: {error}") from error
@@ -78,14 +81,23 @@
     """Read all of it as a start would, in the state folder STATE; exit code 1 with every gap."""
     manifest, found, sizes = _recovered(state)
     if as_json:
-        write_json({"segments": len(manifest.rows), "bytes": sum(sizes.values()), "open": len(found.entries),
-                    "gaps": [gap._asdict() for gap in found.gaps], "in_doubt": len(found.doubtful)})
+        write_json(
+            {
+                "segments": len(manifest.rows),
+                "bytes": sum(sizes.values()),
+                "open": len(found.entries),
+                "gaps": [gap._asdict() for gap in found.gaps],
+                "in_doubt": len(found.doubtful),
+            }
+        )
     else:
         for gap in found.gaps:
             click.echo(str(gap), err=True)
-        click.echo(f"{state}: {len(manifest.rows)} segments, {sum(sizes.values())} bytes, {len(found.entries)} open "
-                   f"messages, {len(found.gaps) or 'no'} gap{'' if len(found.gaps) == 1 else 's'}, "
-                   f"{len(found.doubtful) or 'none'} in doubt")
+        click.echo(
+            f"{state}: {len(manifest.rows)} segments, {sum(sizes.values())} bytes, {len(found.entries)} open "
+            f"messages, {len(found.gaps) or 'no'} gap{'' if len(found.gaps) == 1 else 's'}, "
+            f"{len(found.doubtful) or 'none'} in doubt"
+        )
     if found.gaps:
         ctx.exit(FAILED)
 
@@ -100,10 +112,21 @@
     shown."""
     _manifest, found, _sizes = _recovered(state)
     rows: list[dict[str, Any]] = [
-        {"id": one.id, "class": one.cls, "tenant": one.tenant, "destination": one.dest, "taken": _when(one.taken),
-         "until": _when(one.expires), "bytes": len(one.body), "tries": one.tries, "may_have_run": len(one.maybe),
-         "end": one.final[0] if one.final else "-"}
-        for one in found.entries.values() if cls in (None, one.cls)]
+        {
+            "id": one.id,
+            "class": one.cls,
+            "tenant": one.tenant,
+            "destination": one.dest,
+            "taken": _when(one.taken),
+            "until": _when(one.expires),
+            "bytes": len(one.body),
+            "tries": one.tries,
+            "may_have_run": len(one.maybe),
+            "end": one.final[0] if one.final else "-",
+        }
+        for one in found.entries.values()
+        if cls in (None, one.cls)
+    ]
     if as_json:
         write_json(rows)
     elif rows:
@@ -127,10 +150,17 @@
     for number, one in found.found:
         kinds.setdefault(number, Counter())[names[one.kind]] += 1
     plan.restore(sorted(manifest.rows, key=lambda row: row.first), found.found, found.sizes)
-    rows = [{"segment": number, "first": one.first, "bytes": sizes.get(number, 0), "live": one.live,
-             "state": "sealed" if one.sealed else "active",
-             **{name: kinds.get(number, {}).get(name, 0) for name in names.values()}}
-            for number, one in plan.segments.items()]
+    rows = [
+        {
+            "segment": number,
+            "first": one.first,
+            "bytes": sizes.get(number, 0),
+            "live": one.live,
+            "state": "sealed" if one.sealed else "active",
+            **{name: kinds.get(number, {}).get(name, 0) for name in names.values()},
+        }
+        for number, one in plan.segments.items()
+    ]
     if as_json:
         write_json(rows)
     elif rows:
@@ -170,17 +200,44 @@
     """Write the open messages as JSON lines, with their bodies and keys: keep the output as you would the messages."""
     _manifest, found, _sizes = _recovered(state)
     for one in found.entries.values():
-        sys.stdout.buffer.write(orjson.dumps({
-            "id": one.id, "class": one.cls, "tenant": one.tenant, "key": one.key, "destination": one.dest,
-            "expires": one.expires, "body": base64.b64encode(one.body).decode(), "tries": one.tries,
-            "maybe": one.maybe, "final": one.final, "taken": one.taken}) + b"\n")
+        sys.stdout.buffer.write(
+            orjson.dumps(
+                {
+                    "id": one.id,
+                    "class": one.cls,
+                    "tenant": one.tenant,
+                    "key": one.key,
+                    "destination": one.dest,
+                    "expires": one.expires,
+                    "body": base64.b64encode(one.body).decode(),
+                    "tries": one.tries,
+                    "maybe": one.maybe,
+                    "final": one.final,
+                    "taken": one.taken,
+                }
+            )
+            + b"\n"
+        )
 
 
 def _imported(path: str, source: BinaryIO) -> list[Entry]:
     from lynxscale.journal import Entry
 
-    found, kinds = [], {"id": str, "class": str, "tenant": str, "key": str, "destination": int, "expires": int,
-                        "body": str, "tries": int, "maybe": list, "taken": int}
+    found, kinds = (
+        [],
+        {
+            "id": str,
+            "class": str,
+            "tenant": str,
+            "key": str,
+            "destination": int,
+            "expires": int,
+            "body": str,
+            "tries": int,
+            "maybe": list,
+            "taken": int,
+        },
+    )
     for number, line in enumerate(source, 1):
         try:
             row = orjson.loads(line)
@@ -190,12 +247,25 @@
             if not all(isinstance(unix, int) for unix in row["maybe"]):
                 raise ValueError("maybe: want whole numbers")
             final = row.get("final")
-            if final is not None and not (isinstance(final, list) and len(final) == 2 and isinstance(final[0], str)
-                                          and isinstance(final[1], int)):
+            if final is not None and not (
+                isinstance(final, list) and len(final) == 2 and isinstance(final[0], str) and isinstance(final[1], int)
+            ):
                 raise ValueError("final: want a status and a number, or null")
-            found.append(Entry(row["id"], row["class"], row["tenant"], row["key"], row["destination"], row["expires"],
-                               base64.b64decode(row["body"], validate=True), row["tries"], row["maybe"],
-                               tuple(final) if final else None, row["taken"]))
+            found.append(
+                Entry(
+                    row["id"],
+                    row["class"],
+                    row["tenant"],
+                    row["key"],
+                    row["destination"],
+                    row["expires"],
+                    base64.b64decode(row["body"], validate=True),
+                    row["tries"],
+                    row["maybe"],
+                    tuple(final) if final else None,
+                    row["taken"],
+                )
+            )
         except (ValueError, AttributeError) as error:
             raise Failed(f"{path}:{number}: want a line of `journal export`: {error}") from None
     return found
--- a/lynxscale/cli/lab.py
+++ b/lynxscale/cli/lab.py
@@ -23,14 +23,25 @@
 @click.option("--minutes", default=1.0, show_default=True, type=click.FloatRange(0.05, 600))
 @click.option("--at-once", default=2, show_default=True, type=click.IntRange(1, 5), help="Faults side by side.")
 @click.option("--kinds", default="", help="Only these kinds of fault, by comma; without it all.")
-@click.option("--rate", default=20.0, show_default=True, type=click.FloatRange(0, 400),
-              help="Messages a second to each node.")
+@click.option(
+    "--rate", default=20.0, show_default=True, type=click.FloatRange(0, 400), help="Messages a second to each node."
+)
 @click.option("--keep", type=click.Path(file_okay=False), help="Work in this folder, and leave it there.")
 @click.option("--plot", type=click.Path(dir_okay=False), help="Draw who believed what of whom, as PNG or SVG.")
 @click.option("--json", "as_json", is_flag=True, help="The verdict as JSON.")
 @click.pass_context
-def cluster(ctx: click.Context, nodes: int, seed: int, minutes: float, at_once: int, kinds: str, rate: float,
-            keep: str | None, plot: str | None, as_json: bool) -> None:
+def cluster(
+    ctx: click.Context,
+    nodes: int,
+    seed: int,
+    minutes: float,
+    at_once: int,
+    kinds: str,
+    rate: float,
+    keep: str | None,
+    plot: str | None,
+    as_json: bool,
+) -> None:
     """Start relays that know each other, break links and processes by a seed, and judge what they say and do.
 
     Exit code 1 where something that is promised did not hold.
@@ -58,17 +69,33 @@
             draw_sight(played, Path(plot))
     verdict = played.verdict
     if as_json:
-        write_json({"seed": seed, "formed_s": played.formed_s, "settled_s": played.settled_s, "views": verdict.views,
-                    "removals": verdict.removals, "messages": played.messages, "breaches": verdict.breaches,
-                    "bytes_per_s": played.sent_bytes, "datagrams_per_s": played.sent_datagrams})
+        write_json(
+            {
+                "seed": seed,
+                "formed_s": played.formed_s,
+                "settled_s": played.settled_s,
+                "views": verdict.views,
+                "removals": verdict.removals,
+                "messages": played.messages,
+                "breaches": verdict.breaches,
+                "bytes_per_s": played.sent_bytes,
+                "datagrams_per_s": played.sent_datagrams,
+            }
+        )
     else:
         click.echo()
-        write_table(["node", *(f"{name}_%" for name in STANDINGS), "removed"], [
-            [node, *(f"{100 * row[name] / row.total():.1f}" for name in STANDINGS), verdict.removals[node]]
-            for node, row in sorted(verdict.table.items())])
-        click.echo(f"\n{len(verdict.views)} views; formed in {played.formed_s:.1f} s, one view again "
-                   f"{played.settled_s:.1f} s after the last fault; {played.sent_bytes:.0f} bytes and "
-                   f"{played.sent_datagrams:.1f} datagrams a second from each node")
+        write_table(
+            ["node", *(f"{name}_%" for name in STANDINGS), "removed"],
+            [
+                [node, *(f"{100 * row[name] / row.total():.1f}" for name in STANDINGS), verdict.removals[node]]
+                for node, row in sorted(verdict.table.items())
+            ],
+        )
+        click.echo(
+            f"\n{len(verdict.views)} views; formed in {played.formed_s:.1f} s, one view again "
+            f"{played.settled_s:.1f} s after the last fault; {played.sent_bytes:.0f} bytes and "
+            f"{played.sent_datagrams:.1f} datagrams a second from each node"
+        )
         for cls, row in sorted(played.messages.items()):
             click.echo(f"{cls}: " + ", ".join(f"{name} {number}" for name, number in row.items()))
     for breach in verdict.breaches:
--- a/lynxscale/cli/lists.py
+++ b/lynxscale/cli/lists.py
@@ -19,8 +19,12 @@
     from lynxscale.upstream.model import Candidate, Entry
     from lynxscale.upstream.state import Lists
 
-conf_option = click.option("--conf", "conf_path", type=click.Path(dir_okay=False),
-                           help="The configuration file (else LYNXSCALE_CONF); its section members rules lists.")
+conf_option = click.option(
+    "--conf",
+    "conf_path",
+    type=click.Path(dir_okay=False),
+    help="The configuration file (else LYNXSCALE_CONF); its section members rules lists.",
+)
 json_option = click.option("--json", "as_json", is_flag=True, help="As JSON.")
 
 
@@ -99,18 +103,33 @@
             one = reading.candidate
             found += finish(conflicts(one, owners))
             finish(owners.replace(path, {}, one.entries, one.destinations))
-            rows.append({"file": path, "generation": one.version, "endpoints": len(one.entries),
-                         "destinations": len(one.destinations), "digest": one.digest})
+            rows.append(
+                {
+                    "file": path,
+                    "generation": one.version,
+                    "endpoints": len(one.entries),
+                    "destinations": len(one.destinations),
+                    "digest": one.digest,
+                }
+            )
         faults += found
     if as_json:
-        write_json({"lists": rows, "faults": [{"file": one.file, "line": one.line, "word": one.word,
-                                               "wanted": one.wanted} for one in faults]})
+        write_json(
+            {
+                "lists": rows,
+                "faults": [
+                    {"file": one.file, "line": one.line, "word": one.word, "wanted": one.wanted} for one in faults
+                ],
+            }
+        )
     else:
         for fault in faults:
             click.echo(str(fault), err=True)
         if rows:
-            write_table(["file", "generation", "endpoints", "destinations", "digest"],
-                        [[*list(row.values())[:-1], row["digest"][:16]] for row in rows])
+            write_table(
+                ["file", "generation", "endpoints", "destinations", "digest"],
+                [[*list(row.values())[:-1], row["digest"][:16]] for row in rows],
+            )
     if faults:
         ctx.exit(FAILED)
 
@@ -118,9 +137,15 @@
 def _row(entry: Entry) -> dict[str, Any]:
     from gannetshift.interface import Lifecycle
 
-    return {"endpoint": entry.id, "address": "{}:{}".format(*entry.address), "destination": entry.destination,
-            "zone": entry.zone or "-", "kind": entry.kind or "-", "weight": entry.weight,
-            "state": "draining" if entry.lifecycle == Lifecycle.DRAINING else "ready"}
+    return {
+        "endpoint": entry.id,
+        "address": "{}:{}".format(*entry.address),
+        "destination": entry.destination,
+        "zone": entry.zone or "-",
+        "kind": entry.kind or "-",
+        "weight": entry.weight,
+        "state": "draining" if entry.lifecycle == Lifecycle.DRAINING else "ready",
+    }
 
 
 @example("lynxscale list show --state state")
@@ -142,10 +167,22 @@
         units += _kept(lists, conf)
         held = sorted(lists.held())
     if as_json:
-        write_json({"lists": [{"unit": unit, "generation": one.version, "digest": one.digest,
-                               "endpoints": [_row(entry) for entry in one.entries.values()
-                                             if destination in (None, entry.destination)]}
-                              for unit, one in units], "held": held})
+        write_json(
+            {
+                "lists": [
+                    {
+                        "unit": unit,
+                        "generation": one.version,
+                        "digest": one.digest,
+                        "endpoints": [
+                            _row(entry) for entry in one.entries.values() if destination in (None, entry.destination)
+                        ],
+                    }
+                    for unit, one in units
+                ],
+                "held": held,
+            }
+        )
         return
     for unit, one in units:
         click.echo(f"{unit}: generation {one.version}, {len(one.entries)} endpoints, digest {one.digest[:16]}")
@@ -193,11 +230,15 @@
     changes = finish(compare(before.entries, after.entries))
     asked = finish(guarded(before.entries, after, changes, guards_of(conf.members)))
     if as_json:
-        write_json({name: getattr(changes, name) for name in changes.counts()}
-                   | {"guards": [str(fault) for fault in asked]})
+        write_json(
+            {name: getattr(changes, name) for name in changes.counts()} | {"guards": [str(fault) for fault in asked]}
+        )
         return
-    rows = [[name, id_, _told(before.entries.get(id_)), _told(after.entries.get(id_))]
-            for name in changes.counts() for id_ in getattr(changes, name)]
+    rows = [
+        [name, id_, _told(before.entries.get(id_)), _told(after.entries.get(id_))]
+        for name in changes.counts()
+        for id_ in getattr(changes, name)
+    ]
     if rows:
         write_table(["change", "endpoint", "before", "after"], rows)
     else:
@@ -227,10 +268,15 @@
         return
     for row in rows:
         when = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(row["ts"]))
-        changed = " ".join(f"{name} {row[name]}" for name in ("added", "gone", "drained", "resumed", "reweighted",
-                                                              "moved") if row.get(name))
-        click.echo(f"{when}  {row['outcome']:8}  {row['unit']}  generation {row['version']}  "
-                   f"{row['digest'][:16]}  {changed}".rstrip())
+        changed = " ".join(
+            f"{name} {row[name]}"
+            for name in ("added", "gone", "drained", "resumed", "reweighted", "moved")
+            if row.get(name)
+        )
+        click.echo(
+            f"{when}  {row['outcome']:8}  {row['unit']}  generation {row['version']}  "
+            f"{row['digest'][:16]}  {changed}".rstrip()
+        )
         for reason in row["reasons"]:
             click.echo(f"    {reason}")
 
@@ -260,16 +306,29 @@
 @example("lynxscale list generate --from lists/partners.list --drain s-0004 -o lists/partners.list")
 @group.command()
 @click.option("--from", "source", type=click.Path(), help="A list in lines or in discovery's JSON to begin with.")
-@click.option("--endpoint", "added", multiple=True, metavar="LINE",
-              help="An endpoint as in the file: ID ADDRESS:PORT destination NUMBER ... ready")
+@click.option(
+    "--endpoint",
+    "added",
+    multiple=True,
+    metavar="LINE",
+    help="An endpoint as in the file: ID ADDRESS:PORT destination NUMBER ... ready",
+)
 @click.option("--remove", multiple=True, metavar="ID")
 @click.option("--drain", multiple=True, metavar="ID")
 @click.option("--weight", "weights", multiple=True, metavar="ID=CALLS")
 @click.option("--generation", type=click.IntRange(0), help="Else one above that of --from, or 1.")
 @click.option("--output", "-o", type=click.Path(), help="Written whole or not at all (else to standard output).")
 @conf_option
-def generate(source: str | None, added: tuple[str, ...], remove: tuple[str, ...], drain: tuple[str, ...],
-             weights: tuple[str, ...], generation: int | None, output: str | None, conf_path: str | None) -> None:
+def generate(
+    source: str | None,
+    added: tuple[str, ...],
+    remove: tuple[str, ...],
+    drain: tuple[str, ...],
+    weights: tuple[str, ...],
+    generation: int | None,
+    output: str | None,
+    conf_path: str | None,
+) -> None:
     """Write a list, with its checksum, from another one and changes; it is checked before it is written."""
     from gannetshift.interface import Lifecycle
     from lynxscale.upstream import files
@@ -316,5 +375,3 @@
     if id_ not in entries:
         raise Misused(f"{id_}: no such endpoint in the list")
     return id_
-
-
--- a/lynxscale/cli/trace/replay.py
+++ b/lynxscale/cli/trace/replay.py
@@ -65,8 +65,10 @@
 
 
 def _tell_replay(one: Any, module: str | None, policy: str) -> None:
-    click.echo(f"{one.source}: {one.steps} steps, {one.events} events, {one.actions} actions, {one.messages} messages"
-               f"{'' if one.whole else ' (its stop is not in the trace)'}")
+    click.echo(
+        f"{one.source}: {one.steps} steps, {one.events} events, {one.actions} actions, {one.messages} messages"
+        f"{'' if one.whole else ' (its stop is not in the trace)'}"
+    )
     if module:
         for kind in sorted(one.recorded | one.replayed):
             click.echo(f"  {kind:12} recorded {one.recorded[kind]:>8}  now {one.replayed[kind]:>8}")
@@ -85,5 +87,3 @@
     click.echo(f"    recorded {first.recorded}\n    replayed {first.replayed}\n  led up to by:")
     for line in first.led_up:
         click.echo(f"    {line}")
-
-
--- a/lynxscale/cli/trace/shared.py
+++ b/lynxscale/cli/trace/shared.py
@@ -48,8 +48,14 @@
 
 files = click.argument("files", nargs=-1, required=True, type=click.Path())
 to_json = click.option("--json", "as_json", is_flag=True, help="As JSON.")
-to_file = click.option("-o", "--output", "output", required=True, type=click.Path(dir_okay=False),
-                       help="The file to write; it appears whole or not at all.")
+to_file = click.option(
+    "-o",
+    "--output",
+    "output",
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="The file to write; it appears whole or not at all.",
+)
 
 
 def _moment(_ctx: click.Context, _option: click.Parameter, value: str | None) -> int | None:
@@ -64,17 +70,25 @@
 
 def selection(command: Callable) -> Callable:
     """The options by which a tool is told which records are wanted."""
-    for option in reversed((
-        click.option("--from", "since", callback=_moment, help="Unix seconds, or a date and time (UTC)."),
-        click.option("--to", "until", callback=_moment, help="As --from; not included."),
-        click.option("--class", "classes", multiple=True, help="Messages of this class; may be given again."),
-        click.option("--tenant", "tenants", multiple=True, help="Messages of this tenant."),
-        click.option("--dest", "dests", multiple=True, type=click.IntRange(0), help="Messages for this destination."),
-        click.option("--endpoint", "endpoints", multiple=True, help="Messages that had a try at this endpoint."),
-        click.option("--id", "ids", multiple=True, help="The message of this id."),
-        click.option("--outcome", "outcomes", multiple=True,
-                     help="Messages with this verdict, end, or result of a try, such as undeliverable or timeout."),
-    )):
+    for option in reversed(
+        (
+            click.option("--from", "since", callback=_moment, help="Unix seconds, or a date and time (UTC)."),
+            click.option("--to", "until", callback=_moment, help="As --from; not included."),
+            click.option("--class", "classes", multiple=True, help="Messages of this class; may be given again."),
+            click.option("--tenant", "tenants", multiple=True, help="Messages of this tenant."),
+            click.option(
+                "--dest", "dests", multiple=True, type=click.IntRange(0), help="Messages for this destination."
+            ),
+            click.option("--endpoint", "endpoints", multiple=True, help="Messages that had a try at this endpoint."),
+            click.option("--id", "ids", multiple=True, help="The message of this id."),
+            click.option(
+                "--outcome",
+                "outcomes",
+                multiple=True,
+                help="Messages with this verdict, end, or result of a try, such as undeliverable or timeout.",
+            ),
+        )
+    ):
         command = option(command)
     return command
 
@@ -100,5 +114,3 @@
 @click.group(cls=Plain)
 def group() -> None:
     """Read, cut, join and replay trace files. A folder stands for the *.lxt files in it."""
-
-
--- a/lynxscale/cli/trace/show.py
+++ b/lynxscale/cli/trace/show.py
@@ -60,8 +60,13 @@
 
 def _info(path: Path, losses: Losses) -> dict[str, Any]:
     with open_reader(path) as reader:
-        row: dict[str, Any] = {"file": str(path), "version": reader.head.major, "bytes": reader.size,
-                               "created": iso(reader.head.created), "writer": reader.head.writer}
+        row: dict[str, Any] = {
+            "file": str(path),
+            "version": reader.head.major,
+            "bytes": reader.size,
+            "created": iso(reader.head.created),
+            "writer": reader.head.writer,
+        }
         index = reader.index() if reader.head.major == 2 else None
         sets: dict[str, set] = {"sources": set(), "classes": set(), "tenants": set()}
         first = last = None
@@ -87,10 +92,15 @@
             for loss in reader.losses:
                 losses(loss)
         return row | {
-            "index": "yes" if index is not None else "no", "blocks": blocks if index is not None else None,
-            "frames": frames, "records": records,
-            "from": iso(first) if first is not None else None, "to": iso(last) if last is not None else None,
-            "relays": sorted(sets["sources"]), "classes": sorted(sets["classes"]), "tenants": sorted(sets["tenants"]),
+            "index": "yes" if index is not None else "no",
+            "blocks": blocks if index is not None else None,
+            "frames": frames,
+            "records": records,
+            "from": iso(first) if first is not None else None,
+            "to": iso(last) if last is not None else None,
+            "relays": sorted(sets["sources"]),
+            "classes": sorted(sets["classes"]),
+            "tenants": sorted(sets["tenants"]),
         }
 
 
@@ -129,8 +139,12 @@
     """Tell the life of one message over all the files, in order."""
     paths = checked(files)
     wanted = Wanted(ids=frozenset((id,)))
-    found = [part for frame in progress(Merge(paths, Losses(), wanted.block, id), "looking")
-             for part in kept(frame, wanted) if any(message_of(*record) for record in part.records)]
+    found = [
+        part
+        for frame in progress(Merge(paths, Losses(), wanted.block, id), "looking")
+        for part in kept(frame, wanted)
+        if any(message_of(*record) for record in part.records)
+    ]
     if not found:
         raise Failed(f"{id}: no record of this message is in the files")
     zero = found[0].unix
@@ -175,14 +189,28 @@
     rows = [row.table(summary.columns) for row in summary.rows()]
     if plot is not None:
         _plot(Path(plot), rows, summary.columns)
-    whole = {"from": _iso(summary.first), "to": _iso(summary.last), "relays": sorted(summary.sources),
-             "dropped_records": summary.dropped}
+    whole = {
+        "from": _iso(summary.first),
+        "to": _iso(summary.last),
+        "relays": sorted(summary.sources),
+        "dropped_records": summary.dropped,
+    }
     if as_json:
         write_json(whole | {"rows": rows})
         return
     click.echo("  ".join(f"{name}: {', '.join(v) if isinstance(v, list) else v}" for name, v in whole.items()))
-    shown = ("messages", "ends", "unfinished", "tries_each", "p50_ms", "p90_ms", "p99_ms", "worth_asked",
-             "worth_in_aim", "worth_late")
+    shown = (
+        "messages",
+        "ends",
+        "unfinished",
+        "tries_each",
+        "p50_ms",
+        "p90_ms",
+        "p99_ms",
+        "worth_asked",
+        "worth_in_aim",
+        "worth_late",
+    )
     names = [*summary.columns, *shown, "rejects"]
     write_table(names, ([_cell(name, row) for name in names] for row in rows))
 
@@ -221,8 +249,16 @@
     """
     rows, damaged = [], False
     for path in trace_files(files):
-        row: dict[str, Any] = {"file": str(path), "records": 0, "gaps": 0, "damaged_bytes": 0, "cut_off_bytes": 0,
-                               "index": None, "losses": [], "state": "whole"}
+        row: dict[str, Any] = {
+            "file": str(path),
+            "records": 0,
+            "gaps": 0,
+            "damaged_bytes": 0,
+            "cut_off_bytes": 0,
+            "index": None,
+            "losses": [],
+            "state": "whole",
+        }
         rows.append(row)
         try:
             with Reader(path) as reader:
@@ -237,9 +273,21 @@
         for row in rows:
             for loss in row["losses"]:
                 losses(loss)
-        write_table(["file", "state", "records", "gaps", "damaged", "cut off", "index"],
-                    ([row["file"], row["state"], row["records"], row["gaps"], row["damaged_bytes"],
-                      row["cut_off_bytes"], row["index"] or "-"] for row in rows))
+        write_table(
+            ["file", "state", "records", "gaps", "damaged", "cut off", "index"],
+            (
+                [
+                    row["file"],
+                    row["state"],
+                    row["records"],
+                    row["gaps"],
+                    row["damaged_bytes"],
+                    row["cut_off_bytes"],
+                    row["index"] or "-",
+                ]
+                for row in rows
+            ),
+        )
     if damaged:
         ctx.exit(FAILED)
 
@@ -258,5 +306,3 @@
         row["state"] = "damaged"
     elif row["cut_off_bytes"] or (reader.head.major == 2 and not reader.indexed):
         row["state"] = "cut off"
-
-
--- a/lynxscale/cli/trace/write.py
+++ b/lynxscale/cli/trace/write.py
@@ -61,8 +61,10 @@
     click.echo(f"{target}: {out.records} records of {len(paths)} files, {stream.doubles} doubles left out")
 
 
-@example('python3 -c "import secrets; print(secrets.token_hex(32))" > names.key\n'
-         "lynxscale trace anonymise --key names.key -o partner.lxt weekend.lxt")
+@example(
+    'python3 -c "import secrets; print(secrets.token_hex(32))" > names.key\n'
+    "lynxscale trace anonymise --key names.key -o partner.lxt weekend.lxt"
+)
 @group.command()
 @files
 @to_file
@@ -127,5 +129,3 @@
             for loss in reader.losses:
                 losses(loss)
         click.echo(f"{path}: {out.records} records, indexed")
-
-
--- a/lynxscale/cluster/core.py
+++ b/lynxscale/cluster/core.py
@@ -24,9 +24,17 @@
 class Core:
     """``dropped`` counts frames that had no effect, by reason."""
 
-    def __init__(self, me: Identity, names: Iterable[str], seed: str, now: int, kept: Kept | None,
-                 timing: Timing | None = None, terms: Terms | None = None,
-                 settings: Mapping[str, int] | None = None) -> None:
+    def __init__(
+        self,
+        me: Identity,
+        names: Iterable[str],
+        seed: str,
+        now: int,
+        kept: Kept | None,
+        timing: Timing | None = None,
+        terms: Terms | None = None,
+        settings: Mapping[str, int] | None = None,
+    ) -> None:
         self.detector = Detector(me, names, seed, now, timing)
         self.views = Views(me, names, seed, now, kept, self.detector.sight, self.detector.answered, terms)
         self.dropped: Counter[str] = Counter()
@@ -93,8 +101,9 @@
 
     def _differ(self, name: str, theirs: Mapping[str, int]) -> list[Action | Order]:
         """Told once a change: who is known by its settings is not refused, as files change one after the other."""
-        groups = tuple(sorted(group for group in set(theirs) | set(self.settings)
-                              if theirs.get(group) != self.settings.get(group)))
+        groups = tuple(
+            sorted(group for group in set(theirs) | set(self.settings) if theirs.get(group) != self.settings.get(group))
+        )
         if groups == self.differing.get(name, ()):
             return []
         self.differing[name] = groups
@@ -126,8 +135,9 @@
         """What is sent, each time under a number of its own."""
         detector = self.detector
         self._number += 1
-        return Message(*detector.me, detector.word, self._number, detector.slow, self.views.number, self._mark, body,
-                       list(news))
+        return Message(
+            *detector.me, detector.word, self._number, detector.slow, self.views.number, self._mark, body, list(news)
+        )
 
     def whole(self, answer: bool) -> Message:
         """All that this node believes and knows."""
--- a/lynxscale/cluster/detector.py
+++ b/lynxscale/cluster/detector.py
@@ -152,8 +152,13 @@
         return int(self._due) if self._due < math.inf else self._next_due()
 
     def _next_due(self) -> int:
-        times = [self._next, self._far_at, self._swap_at, *self._doubted.values(),
-                 *(errand.nack_at for errand in self._errands.values())]
+        times = [
+            self._next,
+            self._far_at,
+            self._swap_at,
+            *self._doubted.values(),
+            *(errand.nack_at for errand in self._errands.values()),
+        ]
         if self._probe is not None:
             times.append(min(self._probe.step_at, self._probe.until))
         times += [self._runs_out(known) for known in self.sight if known.rumour.state is State.SUSPECT]
@@ -166,8 +171,11 @@
 
     def living(self) -> list[str]:
         """The others that are believed to be there, suspects too, by name."""
-        return sorted(known.rumour.name for known in self.sight
-                      if known.rumour.state in LIVING and known.rumour.name != self.me.name)
+        return sorted(
+            known.rumour.name
+            for known in self.sight
+            if known.rumour.state in LIVING and known.rumour.name != self.me.name
+        )
 
     # Events --------------------------------------------------------------------------------------
 
@@ -231,8 +239,7 @@
     def rename(self, now: int, names: Iterable[str]) -> list[Action]:
         """Another configuration names these nodes."""
         for name in self.sight.rename(set(names) | {self.me.name}):
-            for table in (self._news, self._doubted, self.answered, self.slowness, self._strangers,
-                          self._who_at):
+            for table in (self._news, self._doubted, self.answered, self.slowness, self._strangers, self._who_at):
                 table.pop(name, None)
             if self._probe is not None and self._probe.target == name:
                 self._probe = None
@@ -322,9 +329,19 @@
             self.answered.pop(name, None)
         if change.shown:
             before = change.before
-            self._out.append(Told("node", {
-                "node": name, "state": state.name.lower(), "before": before.state.name.lower() if before else "unheard",
-                "life": change.now.life, "word": change.now.word, "by": change.now.by}))
+            self._out.append(
+                Told(
+                    "node",
+                    {
+                        "node": name,
+                        "state": state.name.lower(),
+                        "before": before.state.name.lower() if before else "unheard",
+                        "life": change.now.life,
+                        "word": change.now.word,
+                        "by": change.now.by,
+                    },
+                )
+            )
 
     def _spread(self, rumour: Rumour) -> None:
         self._news[rumour.name] = [rumour, 0]
@@ -382,8 +399,7 @@
         target = self._pick()
         if target is None:
             return
-        probe = self._probe = _Probe(target, self._new_number(), self._next,
-                                     now + self._stretched(self.timing.direct))
+        probe = self._probe = _Probe(target, self._new_number(), self._next, now + self._stretched(self.timing.direct))
         self._out.append(self._send(target, Ping(probe.number)))
 
     def _pick(self) -> str | None:
@@ -438,8 +454,9 @@
             self.answered[ack.node] = now
         stranger = self._strangers.get(ack.node)
         if stranger is not None and stranger[1:] > who[1:]:
-            self._out.append(Told("stranger", {"node": ack.node, "boot": f"{stranger.boot:x}",
-                                               "answers": f"{ack.boot:x}"}))
+            self._out.append(
+                Told("stranger", {"node": ack.node, "boot": f"{stranger.boot:x}", "answers": f"{ack.boot:x}"})
+            )
             del self._strangers[ack.node]
         if ours:
             self._probe = None
@@ -463,8 +480,12 @@
         before = self.slowness.get(name, 0)
         if bits != before:
             self.slowness[name] = bits
-            self._out.append(Told("slow", {"node": name, "by": slow_words(bits) or "nothing",
-                                           "before": slow_words(before) or "nothing"}))
+            self._out.append(
+                Told(
+                    "slow",
+                    {"node": name, "by": slow_words(bits) or "nothing", "before": slow_words(before) or "nothing"},
+                )
+            )
 
     def _body(self, now: int, message: Message, who: Identity) -> None:
         body, frm = message.body, message.frm
@@ -484,8 +505,9 @@
         elif isinstance(body, Ask):
             if body.node in self.sight.names and body.node != self.me.name and len(self._errands) < ERRANDS_MOST:
                 number = self._new_number()
-                self._errands[number] = _Errand(frm, body.probe, body.node, now + self.timing.direct,
-                                                now + self.timing.period * 2)
+                self._errands[number] = _Errand(
+                    frm, body.probe, body.node, now + self.timing.direct, now + self.timing.period * 2
+                )
                 self._out.append(self._send(body.node, Ping(number, frm)))
         elif isinstance(body, Nack) and self._probe is not None and self._probe.number == body.probe:
             self._probe.answered.add(frm)
@@ -527,8 +549,9 @@
     # Those that are far --------------------------------------------------------------------------
 
     def _far(self) -> list[str]:
-        return sorted(name for name in self.sight.names
-                      if name != self.me.name and self.sight.state(name) not in LIVING)
+        return sorted(
+            name for name in self.sight.names if name != self.me.name and self.sight.state(name) not in LIVING
+        )
 
     def _ping_far(self, now: int) -> None:
         """One that is failed, left or unheard of: it may be back, or the cut between us over."""
--- a/lynxscale/cluster/driver.py
+++ b/lynxscale/cluster/driver.py
@@ -161,10 +161,20 @@
     """Carries out what a core asks for. ``told`` gets what is not the network's: Told, Renew, Note and Outvoted;
     ``keep`` puts memory on disk and calls back once it is there."""
 
-    def __init__(self, reactor, deadlines: Deadlines, clock: Clock, counters: Counters, cluster: str, listen: Address,
-                 addresses: Mapping[str, Address], core: Core, probe: int,
-                 told: Callable[[Told | Renew | Note | Outvoted], None],
-                 keep: Callable[[Kept, Callable[[], None]], None]) -> None:
+    def __init__(
+        self,
+        reactor,
+        deadlines: Deadlines,
+        clock: Clock,
+        counters: Counters,
+        cluster: str,
+        listen: Address,
+        addresses: Mapping[str, Address],
+        core: Core,
+        probe: int,
+        told: Callable[[Told | Renew | Note | Outvoted], None],
+        keep: Callable[[Kept, Callable[[], None]], None],
+    ) -> None:
         self._reactor, self.deadlines, self._clock, self._counters = reactor, deadlines, clock, counters
         self.key, self._listen, self._told, self._keep = frame.key_of(cluster, probe), listen, told, keep
         self.core = core
--- a/lynxscale/cluster/frame.py
+++ b/lynxscale/cluster/frame.py
@@ -159,8 +159,11 @@
     if len(frame) < OVERHEAD:
         return "", ""
     magic, version, theirs, size = HEAD.unpack_from(frame)
-    if magic != MAGIC or len(frame) != OVERHEAD + size or TAIL.unpack_from(frame, len(frame) - TAIL.size)[0] != crc32c(
-            frame[:-TAIL.size]):
+    if (
+        magic != MAGIC
+        or len(frame) != OVERHEAD + size
+        or TAIL.unpack_from(frame, len(frame) - TAIL.size)[0] != crc32c(frame[: -TAIL.size])
+    ):
         return "", ""
     if version != VERSION:
         return f"version {version}, ours is {VERSION}", ""
@@ -197,10 +200,10 @@
         raise BadFrame("short")
     if length(key, frame) != len(frame):
         raise BadFrame("length")
-    if TAIL.unpack_from(frame, len(frame) - TAIL.size)[0] != crc32c(frame[:-TAIL.size]):
+    if TAIL.unpack_from(frame, len(frame) - TAIL.size)[0] != crc32c(frame[: -TAIL.size]):
         raise BadFrame("checksum")
     try:
-        return _decode(frame[HEAD.size:-TAIL.size])
+        return _decode(frame[HEAD.size : -TAIL.size])
     except msgspec.MsgspecError as error:
         raise BadFrame("message") from error
 
--- a/lynxscale/cluster/part.py
+++ b/lynxscale/cluster/part.py
@@ -44,16 +44,25 @@
     """The detector's times, all in step with its period."""
     usual = Timing()
     scale = probe / usual.period
-    return Timing(probe, **{name: max(1, int(getattr(usual, name) * scale)) for name in (
-        "direct", "again", "least", "most", "pause", "far_every", "first_swap", "hurry")})
+    return Timing(
+        probe,
+        **{
+            name: max(1, int(getattr(usual, name) * scale))
+            for name in ("direct", "again", "least", "most", "pause", "far_every", "first_swap", "hurry")
+        },
+    )
 
 
 def terms_of(probe: int) -> Terms:
     """The views' times, in step with the detector's period."""
     usual = Terms()
     scale = probe / Timing().period
-    return Terms(**{name: max(1, int(getattr(usual, name) * scale)) for name in (
-        "lease", "settle", "turn", "resend", "give_up", "rest", "fresh", "hold_off")})
+    return Terms(
+        **{
+            name: max(1, int(getattr(usual, name) * scale))
+            for name in ("lease", "settle", "turn", "resend", "give_up", "rest", "fresh", "hold_off")
+        }
+    )
 
 
 class Keeper:
@@ -111,13 +120,24 @@
         addresses, seed = addresses_of(conf), str(host.conf.seed)
         self._clock = Clock(host.deadlines)
         now = self._clock.turn()
-        self._core = Core(me, addresses, seed, now, kept, timing_of(conf.probe), terms_of(conf.probe),
-                          settings.digests(host.own))
+        self._core = Core(
+            me, addresses, seed, now, kept, timing_of(conf.probe), terms_of(conf.probe), settings.digests(host.own)
+        )
         self._detector, self._views = self._core.detector, self._core.views
         self._keeper = Keeper(self._store, self._not_saved, lambda: self._driver.slow(SLOW_DISK))
-        self._driver = Driver(host.reactor, host.deadlines, self._clock, host.counters, conf.name,
-                              platform.address(conf.listen, "listen"), addresses, self._core, conf.probe, self._told,
-                              lambda kept, then: self._keeper.put(self._life, kept, then))
+        self._driver = Driver(
+            host.reactor,
+            host.deadlines,
+            self._clock,
+            host.counters,
+            conf.name,
+            platform.address(conf.listen, "listen"),
+            addresses,
+            self._core,
+            conf.probe,
+            self._told,
+            lambda kept, then: self._keeper.put(self._life, kept, then),
+        )
         self._renewing = self._stopped = self._writing = False
         self._begun = now
         host.calls[STATUS_PATH] = "GET", lambda _query: (200, self.status())
@@ -128,8 +148,15 @@
         # Before the loop closes its sockets, which it does before any part is stopped.
         self._reactor.addSystemEventTrigger("before", "shutdown", self._leave)
         me = self._detector.me
-        log.info("cluster_begun", cluster=self._conf.name, node=me.name, life=me.life, boot=f"{me.boot:x}",
-                 nodes=len(self._detector.sight.names), can_lose=(len(self._detector.sight.names) - 1) // 2)
+        log.info(
+            "cluster_begun",
+            cluster=self._conf.name,
+            node=me.name,
+            life=me.life,
+            boot=f"{me.boot:x}",
+            nodes=len(self._detector.sight.names),
+            can_lose=(len(self._detector.sight.names) - 1) // 2,
+        )
         self._write_status()
 
     def reload(self, conf: Config, own: Conf) -> Collection[str]:
@@ -143,8 +170,11 @@
         before = set(addresses_of(old))
         self._conf = new
         self._driver.rename(addresses)
-        log.info("cluster_nodes", come=" ".join(sorted(set(addresses) - before)),
-                 gone=" ".join(sorted(before - set(addresses))))
+        log.info(
+            "cluster_nodes",
+            come=" ".join(sorted(set(addresses) - before)),
+            gone=" ".join(sorted(before - set(addresses))),
+        )
         return ("cluster",)
 
     def _leave(self) -> None:
@@ -156,9 +186,15 @@
 
     def counters(self) -> dict[str, dict[str, int]]:
         states = [known.rumour.state.name.lower() for known in self._detector.sight]
-        return {"cluster": {"life": self._detector.me.life, "view": self._views.number, "doubt": self._detector.doubt,
-                            **{f"dropped_{reason}": number for reason, number in self._core.dropped.items()},
-                            **{f"nodes_{state}": states.count(state) for state in sorted(set(states))}}}
+        return {
+            "cluster": {
+                "life": self._detector.me.life,
+                "view": self._views.number,
+                "doubt": self._detector.doubt,
+                **{f"dropped_{reason}": number for reason, number in self._core.dropped.items()},
+                **{f"nodes_{state}": states.count(state) for state in sorted(set(states))},
+            }
+        }
 
     def may_act(self) -> bool:
         """Is this node in the view by a lease of a majority, at this very moment? To be asked right before an act."""
@@ -209,31 +245,58 @@
             name = row["name"]
             known, answered = detector.sight.get(name), detector.answered.get(name)
             rumour = known.rumour if known is not None else None
-            nodes.append({
-                "name": name, "at": row["at"], "zone": zones[name],
-                "state": rumour.state.name.lower() if rumour else "unheard",
-                "since_ms": (now - known.since) // 1000 if known else None,
-                "life": rumour.life if rumour else None, "boot": f"{rumour.boot:x}" if rumour else None,
-                "word": rumour.word if rumour else None,
-                "answered_ms": (now - answered) // 1000 if answered is not None else None,
-                "in_view": name in view.names if view is not None else False,
-                "doubted_by": sorted(known.doubters) if known else [], "slow": slow_words(self._slow_of(name)),
-                "differs": self._core.differing.get(name, ()),
-                "seen_as": {far: {"state": states[name], "ms": (now - at) // 1000}
-                            for far, (at, states) in self._core.as_others_see.items() if name in states},
-            })
-        return {"cluster": self._conf.name, "node": detector.me.name, "life": detector.me.life,
-                "boot": f"{detector.me.boot:x}", "pid": os.getpid(), "ts": round(time.time(), 3),
-                "up_ms": (now - self._begun) // 1000, "settled": detector.settled, "doubt": detector.doubt,
-                "living": sum(known.rumour.state in LIVING for known in detector.sight),
-                "standing": views.standing.value if views.may_act(now) or views.standing is not Standing.MEMBER
-                else Standing.CUT_OFF.value,
-                "lease_ms": max(0, views.lease_until(now) - now) // 1000, "votes": views.kept.votes,
-                "grants": views.reach(now), "split": views.split, "view": None if view is None else {
-                    "number": view.number, "lineage": f"{view.lineage:x}", "digest": f"{view.digest:x}",
-                    "members": [one._asdict() | {"boot": f"{one.boot:x}"} for one in view.members],
-                    "asked_for_leases": sorted(committee_of(view, views.terms.committee)),
-                    "can_lose": (len(view.members) - 1) // 2}, "nodes": nodes}
+            nodes.append(
+                {
+                    "name": name,
+                    "at": row["at"],
+                    "zone": zones[name],
+                    "state": rumour.state.name.lower() if rumour else "unheard",
+                    "since_ms": (now - known.since) // 1000 if known else None,
+                    "life": rumour.life if rumour else None,
+                    "boot": f"{rumour.boot:x}" if rumour else None,
+                    "word": rumour.word if rumour else None,
+                    "answered_ms": (now - answered) // 1000 if answered is not None else None,
+                    "in_view": name in view.names if view is not None else False,
+                    "doubted_by": sorted(known.doubters) if known else [],
+                    "slow": slow_words(self._slow_of(name)),
+                    "differs": self._core.differing.get(name, ()),
+                    "seen_as": {
+                        far: {"state": states[name], "ms": (now - at) // 1000}
+                        for far, (at, states) in self._core.as_others_see.items()
+                        if name in states
+                    },
+                }
+            )
+        return {
+            "cluster": self._conf.name,
+            "node": detector.me.name,
+            "life": detector.me.life,
+            "boot": f"{detector.me.boot:x}",
+            "pid": os.getpid(),
+            "ts": round(time.time(), 3),
+            "up_ms": (now - self._begun) // 1000,
+            "settled": detector.settled,
+            "doubt": detector.doubt,
+            "living": sum(known.rumour.state in LIVING for known in detector.sight),
+            "standing": views.standing.value
+            if views.may_act(now) or views.standing is not Standing.MEMBER
+            else Standing.CUT_OFF.value,
+            "lease_ms": max(0, views.lease_until(now) - now) // 1000,
+            "votes": views.kept.votes,
+            "grants": views.reach(now),
+            "split": views.split,
+            "view": None
+            if view is None
+            else {
+                "number": view.number,
+                "lineage": f"{view.lineage:x}",
+                "digest": f"{view.digest:x}",
+                "members": [one._asdict() | {"boot": f"{one.boot:x}"} for one in view.members],
+                "asked_for_leases": sorted(committee_of(view, views.terms.committee)),
+                "can_lose": (len(view.members) - 1) // 2,
+            },
+            "nodes": nodes,
+        }
 
     def _forget(self, query: str) -> tuple[int, dict]:
         name = query.removeprefix("name=")
--- a/lynxscale/cluster/settings.py
+++ b/lynxscale/cluster/settings.py
@@ -27,8 +27,12 @@
 def of(own: Conf) -> Iterator[Setting]:
     """All that has to be the same in every file, in the order of the file's sections."""
     yield Setting("relays", "relays", own.relay.relays)
-    for what, word, group in (("cls", "class", "classes"), ("tenant", "tenant", "tenants"), ("kind", "kind", "kinds"),
-                              ("zone", "zone", "zones")):
+    for what, word, group in (
+        ("cls", "class", "classes"),
+        ("tenant", "tenant", "tenants"),
+        ("kind", "kind", "kinds"),
+        ("zone", "zone", "zones"),
+    ):
         for row in getattr(own.names, what):
             yield Setting(group, f"{word} {row['name']}", row)
     for key in LIMITS:
@@ -44,5 +48,9 @@
         value = sorted(setting.value.items()) if isinstance(setting.value, dict) else setting.value
         texts.setdefault(setting.group, []).append(f"{setting.word} {value!r}")
     # The order of names counts for the groups whose places stand for them; members stand by their names.
-    return {group: int.from_bytes(blake2b("\n".join(sorted(rows) if group == "members" else rows).encode(),
-                                          digest_size=4).digest()) for group, rows in texts.items()}
+    return {
+        group: int.from_bytes(
+            blake2b("\n".join(sorted(rows) if group == "members" else rows).encode(), digest_size=4).digest()
+        )
+        for group, rows in texts.items()
+    }
--- a/lynxscale/cluster/sight.py
+++ b/lynxscale/cluster/sight.py
@@ -77,12 +77,15 @@
         """Would an operator want to know? A higher word alone changes nothing."""
         before = self.before
         return before is None or (self.now.state, self.now.life, self.now.boot) != (
-            before.state, before.life, before.boot)
+            before.state,
+            before.life,
+            before.boot,
+        )
 
 
 @dataclass(slots=True)
 class Known:
-    """``since``: µs, when this state began here, for a suspicion with its word; ``doubters``: who suspects this word."""
+    """``since``: µs, when this state began, for a suspicion with its word; ``doubters``: who suspects this word."""
 
     rumour: Rumour
     since: int
--- a/lynxscale/cluster/stable.py
+++ b/lynxscale/cluster/stable.py
@@ -65,7 +65,7 @@
 
 def decode(data: bytes) -> Found:
     """What stands in a file's bytes; a reason where they are not of use."""
-    magic, rest = data[:len(MAGIC)], data[len(MAGIC) + CHECK.size:]
+    magic, rest = data[: len(MAGIC)], data[len(MAGIC) + CHECK.size :]
     if len(data) < len(MAGIC) + CHECK.size or magic[:-1] != MAGIC[:-1]:
         return Found(None, "no such file's bytes")
     if magic not in (MAGIC, MAGIC_1):
@@ -75,13 +75,13 @@
         if len(data) % BLOCK:
             return Found(None, "cut short")
         serial, length = HEAD.unpack_from(rest)
-        if any(rest[HEAD.size + length:]):
+        if any(rest[HEAD.size + length :]):
             return Found(None, "more than one file's bytes")
-        rest = rest[:HEAD.size + length]
+        rest = rest[: HEAD.size + length]
     if CHECK.unpack_from(data, len(MAGIC))[0] != crc32c(rest):
         return Found(None, "checksum")
     try:
-        return Found(_decode(rest[HEAD.size:] if magic == MAGIC else rest), serial=serial)
+        return Found(_decode(rest[HEAD.size :] if magic == MAGIC else rest), serial=serial)
     except msgspec.MsgspecError as error:
         return Found(None, str(error))
 
@@ -128,8 +128,10 @@
         except FileNotFoundError:
             return None
         if found.stored is not None and (found.stored.cluster, found.stored.node) != self._whose:
-            raise Foreign(f"{path} is of node {found.stored.node} in cluster {found.stored.cluster}; this relay is "
-                          f"{self._whose[1]} in {self._whose[0]}: want the folder that belongs to it, or an empty one")
+            raise Foreign(
+                f"{path} is of node {found.stored.node} in cluster {found.stored.cluster}; this relay is "
+                f"{self._whose[1]} in {self._whose[0]}: want the folder that belongs to it, or an empty one"
+            )
         return found
 
     def save(self, life: int, kept: Kept | None) -> None:
--- a/lynxscale/cluster/views.py
+++ b/lynxscale/cluster/views.py
@@ -140,8 +140,17 @@
     """One node's. ``sight`` is the detector's, looked at and never changed; ``answered`` tells when a node last
     answered a probe of ours; ``others`` the numbers of the views that others say they have."""
 
-    def __init__(self, me: Identity, names: Iterable[str], seed: str, now: int, kept: Kept | None, sight: Sight,
-                 answered: Mapping[str, int], terms: Terms | None = None) -> None:
+    def __init__(
+        self,
+        me: Identity,
+        names: Iterable[str],
+        seed: str,
+        now: int,
+        kept: Kept | None,
+        sight: Sight,
+        answered: Mapping[str, int],
+        terms: Terms | None = None,
+    ) -> None:
         self.me, self.names, self.terms = me, frozenset(names) | {me.name}, terms or Terms()
         self.kept = kept or Kept()
         self.standing = Standing.FORMING
@@ -359,8 +368,9 @@
         """A view that was decided, from somebody who has it."""
         ours = self.kept.view
         if ours is not None and view.lineage != ours.lineage:
-            self._contradicted(f"{frm} is in a cluster that began apart: lineage {view.lineage:x}, ours "
-                               f"{ours.lineage:x}")
+            self._contradicted(
+                f"{frm} is in a cluster that began apart: lineage {view.lineage:x}, ours {ours.lineage:x}"
+            )
         elif view.number == self.number and ours is not None and view.digest != ours.digest:
             self._contradicted(f"{frm} has another view {view.number}: {view.digest:x}, ours {ours.digest:x}")
         elif view.number > self.number:
@@ -392,10 +402,18 @@
         self._hurry_until = now + 2 * self.terms.lease
         self.forgotten &= set(view.names)
         before = set(ours.members) if ours is not None else set()
-        self._out.append(Note("view", {
-            "number": view.number, "digest": f"{view.digest:x}", "members": " ".join(view.names),
-            "come": " ".join(f"{one.name}/{one.life}" for one in view.members if one not in before),
-            "gone": " ".join(f"{one.name}/{one.life}" for one in sorted(before - set(view.members)))}))
+        self._out.append(
+            Note(
+                "view",
+                {
+                    "number": view.number,
+                    "digest": f"{view.digest:x}",
+                    "members": " ".join(view.names),
+                    "come": " ".join(f"{one.name}/{one.life}" for one in view.members if one not in before),
+                    "gone": " ".join(f"{one.name}/{one.life}" for one in sorted(before - set(view.members))),
+                },
+            )
+        )
 
     # Leases --------------------------------------------------------------------------------------
 
@@ -450,8 +468,11 @@
         votes = self.votes(now)
         if not votes and self.kept.votes and now >= self._check_at:
             self._check_at = now + self.terms.settle
-            unchecked = [name for name in sorted(self.names - self.checked - {self.me.name})
-                         if self._sight.state(name) is State.ALIVE]
+            unchecked = [
+                name
+                for name in sorted(self.names - self.checked - {self.me.name})
+                if self._sight.state(name) is State.ALIVE
+            ]
             for name in self._chance.sample(unchecked, min(len(unchecked), 3)):
                 self._out.append(Fetch(name))
         step = None
@@ -472,8 +493,7 @@
         """Our place among those who could propose: they take turns."""
         view = self.kept.view
         names = self.names if view is None else view.names
-        there = sorted(name for name in names
-                       if name == self.me.name or self._sight.state(name) is State.ALIVE)
+        there = sorted(name for name in names if name == self.me.name or self._sight.state(name) is State.ALIVE)
         return there.index(self.me.name) if self.me.name in there else len(there)
 
     def _present(self, name: str) -> Identity | None:
@@ -492,8 +512,11 @@
             if one.name == self.me.name:
                 continue
             known = self._sight.get(one.name)
-            over = one.name in self.forgotten or (known is not None and known.rumour.who[1:] >= one[1:]
-                                                  and known.rumour.state in (State.FAILED, State.LEFT))
+            over = one.name in self.forgotten or (
+                known is not None
+                and known.rumour.who[1:] >= one[1:]
+                and known.rumour.state in (State.FAILED, State.LEFT)
+            )
             if over:
                 gone.append(one.name)
         for name in sorted(self.names - set(gone)):
@@ -507,7 +530,7 @@
             come.append(present)
         # Most of those who are in it stay: what follows is decided by people who know what came before.
         room = (len(view.members) - 1) // 2
-        step = Step(tuple(gone[:room]), tuple(come[:self.terms.come_most]))
+        step = Step(tuple(gone[:room]), tuple(come[: self.terms.come_most]))
         return step if step.gone or step.come else None
 
     def _first(self, now: int) -> Step | None:
@@ -515,13 +538,15 @@
         present = [self._present(name) for name in sorted(self.names)]
         if None in present or any(self.others.get(name, 1) for name in self.names - {self.me.name}):
             return None
-        return Step((), tuple(present[:self.terms.come_most]), 1 + self._chance.getrandbits(62))\
-            if self._wanted is None else self._wanted[0]._replace(come=tuple(present[:self.terms.come_most]))
+        return (
+            Step((), tuple(present[: self.terms.come_most]), 1 + self._chance.getrandbits(62))
+            if self._wanted is None
+            else self._wanted[0]._replace(come=tuple(present[: self.terms.come_most]))
+        )
 
     def _lately(self, name: str, now: int) -> bool:
         answered = self._answered.get(name)
-        return answered is not None and now - answered < max(
-            self.terms.fresh, len(self.names) * self.terms.fresh // 6)
+        return answered is not None and now - answered < max(self.terms.fresh, len(self.names) * self.terms.fresh // 6)
 
     def _held_off_until(self, name: str) -> int:
         """Guards against a node that comes and goes: each removal keeps it out for twice as long as the one before."""
@@ -561,8 +586,9 @@
     def _propose(self, now: int, step: Step, bound: bool = False) -> None:
         self._round = max(self._round, self.kept.promised.round) + 1
         ballot = Ballot(self._round, self.me.name, self.me.boot)
-        self._proposal = _Proposal(self.number + 1, ballot, step, bound or step == self.kept.accepted, now, now,
-                                   now + self.terms.rest // 3)
+        self._proposal = _Proposal(
+            self.number + 1, ballot, step, bound or step == self.kept.accepted, now, now, now + self.terms.rest // 3
+        )
         self._press(now)
 
     def _press(self, now: int) -> None:
@@ -607,8 +633,11 @@
     def _patience(self, now: int) -> int:
         """µs for which the proposal may go without a new answer. Guards those whose disks are slow: begun anew it would
         cost them another write, and never be voted on."""
-        there = {name for name in self._acceptors() - self._proposal.refused if name == self.me.name
-                 or (self._sight.state(name) is State.ALIVE and self._lately(name, now))}
+        there = {
+            name
+            for name in self._acceptors() - self._proposal.refused
+            if name == self.me.name or (self._sight.state(name) is State.ALIVE and self._lately(name, now))
+        }
         return self.terms.patience if self._decides(there) else self.terms.give_up
 
     def _give_up(self, now: int, why: str) -> None:
@@ -711,8 +740,12 @@
     def _is_there(self, who: Identity, now: int) -> bool:
         """Guards a node against those whose own way to it is bad: this very life answers us."""
         known = self._sight.get(who.name)
-        return (known is not None and known.rumour.who == who and known.rumour.state is State.ALIVE
-                and self._lately(who.name, now))
+        return (
+            known is not None
+            and known.rumour.who == who
+            and known.rumour.state is State.ALIVE
+            and self._lately(who.name, now)
+        )
 
     def _on_accepted(self, now: int, frm: str, who: Identity, word: Accepted) -> None:
         proposal = self._proposal
@@ -783,7 +816,13 @@
 LOOK_EVERY, REST_EVERY = 100_000, 500_000  # µs; the second while nothing is wanted
 JOT_AFTER = 5_000_000
 HANDLERS: dict[type, Callable] = {
-    Prepare: Views._on_prepare, Promise: Views._on_promise, Accept: Views._on_accept, Accepted: Views._on_accepted,
-    Refuse: Views._on_refuse, Decided: Views._on_decided, LeaseAsk: Views._on_ask, LeaseGrant: Views._on_grant,
+    Prepare: Views._on_prepare,
+    Promise: Views._on_promise,
+    Accept: Views._on_accept,
+    Accepted: Views._on_accepted,
+    Refuse: Views._on_refuse,
+    Decided: Views._on_decided,
+    LeaseAsk: Views._on_ask,
+    LeaseGrant: Views._on_grant,
     LeaseBack: Views._on_back,
 }
--- a/lynxscale/conf/directive.py
+++ b/lynxscale/conf/directive.py
@@ -56,20 +56,31 @@
         if self.kind == "names":
             return "one or more names"
         if self.kind == "row":
-            return " ".join(["NAME", *(one.place() for one in self.plain),
-                             *(f"[{one.name} {one.place()}]" for one in self.columns)])
+            return " ".join(
+                ["NAME", *(one.place() for one in self.plain), *(f"[{one.name} {one.place()}]" for one in self.columns)]
+            )
         if self.kind in ("path", "text"):
             return f"a {self.kind}"
         if self.kind == "address":
             return "HOST:PORT"
-        what = {"size": "a size such as 64k", "time": "a time such as 250ms", "count": "a whole number",
-                "share": "a number"}[self.kind]
+        what = {
+            "size": "a size such as 64k",
+            "time": "a time such as 250ms",
+            "count": "a whole number",
+            "share": "a number",
+        }[self.kind]
         return f"{what}, {self.shown(self.least)} to {self.shown(self.most)}"
 
     def place(self) -> str:
         """What stands for its value in a row's pattern."""
-        return {"choice": ",".join(self.among), "flag": "yes,no", "time": "TIME", "count": "COUNT",
-                "address": "HOST:PORT", "text": "TEXT"}.get(self.kind, "NUMBER")
+        return {
+            "choice": ",".join(self.among),
+            "flag": "yes,no",
+            "time": "TIME",
+            "count": "COUNT",
+            "address": "HOST:PORT",
+            "text": "TEXT",
+        }.get(self.kind, "NUMBER")
 
     def shown(self, value: Any) -> str:
         """A value as it would be written in the file."""
@@ -132,7 +143,7 @@
         found: dict[str, Any] = {"name": words[0]}
         for one, text in zip(self.plain, words[1:pairs], strict=True):
             found[one.name] = one.read((text,))
-        for name, text in zip(words[pairs::2], words[pairs + 1::2], strict=True):
+        for name, text in zip(words[pairs::2], words[pairs + 1 :: 2], strict=True):
             key = name.replace("-", "_")
             if name not in known or key in found:
                 raise ValueError(name)
--- a/lynxscale/conf/lexer.py
+++ b/lynxscale/conf/lexer.py
@@ -60,9 +60,13 @@
             break
         match = WORD.match(raw, at)
         if match is None or (match.end() < len(raw) and not raw[match.end()].isspace()):
-            raise Unclosed(raw[at:at + 20])
-        words.append("".join(literal or fill(re.sub(r"\\(.)", r"\1", quoted) if quoted else plain)
-                             for quoted, literal, plain in PIECE.findall(match.group())))
+            raise Unclosed(raw[at : at + 20])
+        words.append(
+            "".join(
+                literal or fill(re.sub(r"\\(.)", r"\1", quoted) if quoted else plain)
+                for quoted, literal, plain in PIECE.findall(match.group())
+            )
+        )
         at = match.end()
     return words
 
--- a/lynxscale/conf/own.py
+++ b/lynxscale/conf/own.py
@@ -20,37 +20,62 @@
     """The platform's object of settings, with what these directives say."""
     limits, names, relay = conf.limits, conf.names, conf.relay
     return {
-        "allowed": {"attempts_cap": limits.tries, "cancel": limits.cancel, "idle_close_ms": limits.idle_close / 1000,
-                    "dial_timeout_ms": limits.dial / 1000, "max_retry_after_ms": limits.retry_after_most / 1000,
-                    "retry_after": limits.retry_after_most > 0, "most_held": limits.held, "probes": limits.probes},
-        "balancers": relay.relays, "me": relay.place,
-        "kinds": [row["name"] for row in names.kind], "zones": [row["name"] for row in names.zone],
+        "allowed": {
+            "attempts_cap": limits.tries,
+            "cancel": limits.cancel,
+            "idle_close_ms": limits.idle_close / 1000,
+            "dial_timeout_ms": limits.dial / 1000,
+            "max_retry_after_ms": limits.retry_after_most / 1000,
+            "retry_after": limits.retry_after_most > 0,
+            "most_held": limits.held,
+            "probes": limits.probes,
+        },
+        "balancers": relay.relays,
+        "me": relay.place,
+        "kinds": [row["name"] for row in names.kind],
+        "zones": [row["name"] for row in names.zone],
         "membership_mode": "ask" if relay.discovery else "told",
-        "family_info": {"max_calls": limits.slots, "per_call": [row.get("per_call", 1) for row in names.kind],
-                        "routes_apart": [row.get("apart", False) for row in names.kind],
-                        "route_fee": [row.get("fee", 0.0) for row in names.zone],
-                        "late": "halving" if limits.late == "halving" else "lost"},
+        "family_info": {
+            "max_calls": limits.slots,
+            "per_call": [row.get("per_call", 1) for row in names.kind],
+            "routes_apart": [row.get("apart", False) for row in names.kind],
+            "route_fee": [row.get("fee", 0.0) for row in names.zone],
+            "late": "halving" if limits.late == "halving" else "lost",
+        },
         "grades": [_grade(row) for row in names.cls],
         "load_info": {"columns": list(names.report), "source": "inline" if names.report else "none"},
         "weight_source": "nominal",
-        "obligations": {"cold_share": limits.cold_share, "ramp_time_ms": limits.warm_up / 1000,
-                        "tip_multiple": limits.tip_multiple, "tip_after_ms": limits.tip_after / 1000,
-                        "drain_grace_ms": limits.drain_grace / 1000},
+        "obligations": {
+            "cold_share": limits.cold_share,
+            "ramp_time_ms": limits.warm_up / 1000,
+            "tip_multiple": limits.tip_multiple,
+            "tip_after_ms": limits.tip_after / 1000,
+            "drain_grace_ms": limits.drain_grace / 1000,
+        },
         "orgs": [_org(row) for row in names.tenant],
     }
 
 
 def _grade(row: dict) -> dict[str, Any]:
-    grade = {"name": row["name"], "effect": row["effect"], "goal_time_ms": row["aim"] / 1000,
-             "deadline_ms": row["deadline"] / 1000, "value": row.get("worth", 1.0),
-             "late_worth": row.get("late_worth", 0.0), "group": "all"}
+    grade = {
+        "name": row["name"],
+        "effect": row["effect"],
+        "goal_time_ms": row["aim"] / 1000,
+        "deadline_ms": row["deadline"] / 1000,
+        "value": row.get("worth", 1.0),
+        "late_worth": row.get("late_worth", 0.0),
+        "group": "all",
+    }
     return grade | ({"memory_span_ms": row["span"] / 1000} if "span" in row else {})
 
 
 def _org(row: dict) -> dict[str, Any]:
     org = {"name": row["name"]}
-    return org | ({"quota_per_s": row["quota"]} if "quota" in row else {}) | (
-        {"share": row["share"]} if "share" in row else {})
+    return (
+        org
+        | ({"quota_per_s": row["quota"]} if "quota" in row else {})
+        | ({"share": row["share"]} if "share" in row else {})
+    )
 
 
 def faults(conf: Conf, place: Callable[[str, str], tuple[str, int]]) -> list[Fault]:
@@ -61,16 +86,21 @@
     if conf.relay.listen is None:
         return []
     found = []
-    for wanted, told in (("one class or more in names", conf.names.cls),
-                         ("files in members, or discovery in relay", conf.members.files or conf.relay.discovery),
-                         ("file or http in finals", conf.finals.file or conf.finals.http)):
+    for wanted, told in (
+        ("one class or more in names", conf.names.cls),
+        ("files in members, or discovery in relay", conf.members.files or conf.relay.discovery),
+        ("file or http in finals", conf.finals.file or conf.finals.http),
+    ):
         if not told:
             found.append(Fault(*place("relay", ""), "relay", f"want {wanted}"))
     if conf.relay.place >= conf.relay.relays:
         found.append(Fault(*place("relay", "place"), "place", "want a number below relays"))
     if conf.cluster.name is not None and conf.relay.name not in [row["name"] for row in conf.cluster.member]:
-        found.append(Fault(*place("cluster", "member"), "member",
-                           f"want a line for {conf.relay.name} too, this relay's own name"))
+        found.append(
+            Fault(
+                *place("cluster", "member"), "member", f"want a line for {conf.relay.name} too, this relay's own name"
+            )
+        )
     if not found:
         try:
             settings_from(nested(conf))
--- a/lynxscale/conf/platform.py
+++ b/lynxscale/conf/platform.py
@@ -93,8 +93,9 @@
     if form != (socket.AF_INET, socket.SOCK_STREAM) or not listens:
         raise PlatformError(f"{key}: descriptor {handle} is no listening TCP socket")
     if at != listen and (at[0] != "0.0.0.0" or at[1] != listen[1]):
-        raise PlatformError(f"{key}: descriptor {handle} listens on {at[0]}:{at[1]}, NODE_LISTEN says "
-                            f"{listen[0]}:{listen[1]}")
+        raise PlatformError(
+            f"{key}: descriptor {handle} listens on {at[0]}:{at[1]}, NODE_LISTEN says {listen[0]}:{listen[1]}"
+        )
     return handle
 
 
--- a/lynxscale/controlplane/configuration.py
+++ b/lynxscale/controlplane/configuration.py
@@ -96,9 +96,7 @@
     yield from _same_places(routes)
 
 
-def _entries(
-    name: str, entries: list, findings: Callable[[str, dict], Iterator[Finding]]
-) -> Iterator[Finding]:
+def _entries(name: str, entries: list, findings: Callable[[str, dict], Iterator[Finding]]) -> Iterator[Finding]:
     for number, entry in enumerate(entries):
         place = f"{name}[{number}]"
         if isinstance(entry, dict):
--- a/lynxscale/controlplane/ledger.py
+++ b/lynxscale/controlplane/ledger.py
@@ -121,5 +121,3 @@
 
     def _expiry(self, retention_s: float) -> float:
         return self._clock.wall() + retention_s + KEEP_SLACK_S
-
-
--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -46,7 +46,11 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberSettings:
-    """``member``: own id; ``node``: its machine's name; ``contacts``: internal addresses to join by; ``tolerated``: machines that may be lost."""
+    """Who a member is.
+
+    ``member``: own id; ``node``: its machine's name; ``contacts``: internal addresses to join by; ``tolerated``:
+    machines that may be lost at once.
+    """
 
     member: str
     node: str
@@ -274,9 +278,7 @@
         self._primary_heard_at = self._clock.now()
         self._candidate_at = self._clock.now() + self._candidacy_delay(LEASE_S)
         granted = self.state is not State.LEAVING and self.witness.grant(message)
-        answer = m.LeaseGrant(
-            record.epoch, message.round, self.me, self.settings.node, granted, self.store.position
-        )
+        answer = m.LeaseGrant(record.epoch, message.round, self.me, self.settings.node, granted, self.store.position)
         self._network.send(m.address_of(record.primary), answer)
 
     def _on_lease_grant(self, message: m.LeaseGrant) -> None:
@@ -424,7 +426,13 @@
 
     def _tick_backup(self, now: float) -> None:
         timed_out = self.state is State.CANDIDATE and now - self._proposal_at > ROUND_TIMEOUT_S
-        if timed_out and now >= self._candidate_at or self.state is State.BACKUP and now >= self._candidate_at and self._may_stand():
+        if (
+            timed_out
+            and now >= self._candidate_at
+            or self.state is State.BACKUP
+            and now >= self._candidate_at
+            and self._may_stand()
+        ):
             self._stand()
 
     def _may_stand(self) -> bool:
--- a/lynxscale/daemon.py
+++ b/lynxscale/daemon.py
@@ -44,8 +44,7 @@
 HEIR_SHARE = 0.5  # of the disk: where an heir may come its journal always has the rest
 RESTART_KEYS = ("name", "listen", "admin", "state", "sockets", "disk_bytes", "settings")  # kept until a restart
 
-SIGNALS = {signal.SIGTERM: "stop", signal.SIGINT: "stop", signal.SIGHUP: "reload",
-           signal.SIGUSR1: "print_counters"}
+SIGNALS = {signal.SIGTERM: "stop", signal.SIGINT: "stop", signal.SIGHUP: "reload", signal.SIGUSR1: "print_counters"}
 
 
 class Program:
@@ -69,23 +68,48 @@
         self.loop.at_end = relay.turn
         order = SOURCES if own.members.precedence == FILES else SOURCES[::-1]
         group = relay.group = Group(
-            conf.settings, self.deadlines, relay.put, lambda endpoint: self.peers.close_idle(endpoint, link.GONE),
-            order, own.members.ramp,
+            conf.settings,
+            self.deadlines,
+            relay.put,
+            lambda endpoint: self.peers.close_idle(endpoint, link.GONE),
+            order,
+            own.members.ramp,
         )
         self.peers = relay.tries = Peers(
-            reactor, self.loop, self.deadlines, relay, group.address_of, 0, group.per_call, group.route_of, group.takes,
+            reactor,
+            self.loop,
+            self.deadlines,
+            relay,
+            group.address_of,
+            0,
+            group.per_call,
+            group.route_of,
+            group.takes,
         )
         teller = Teller(self.loop.now, lambda: relay.trace)
-        self.parts = parts.attach(parts.Host(
-            conf, own, reactor, self.loop, self.deadlines, self.counters, relay, group, teller, self.lifecycle,
-            self.drain, self.resume,
-        ))
+        self.parts = parts.attach(
+            parts.Host(
+                conf,
+                own,
+                reactor,
+                self.loop,
+                self.deadlines,
+                self.counters,
+                relay,
+                group,
+                teller,
+                self.lifecycle,
+                self.drain,
+                self.resume,
+            )
+        )
         for part in self.parts:
             self.counters.attach(part.counters)
         self.clients = Clients(self.deadlines, relay, self.lifecycle, conf.memory_bytes // HALF_SHARE)
         self._share(1.0)
-        self.handover = Handover(self.claim, relay, self.deadlines, self.counters, self._accept, self._share,
-                                 group.name_of, group.number_of)
+        self.handover = Handover(
+            self.claim, relay, self.deadlines, self.counters, self._accept, self._share, group.name_of, group.number_of
+        )
         self._looking: Deadline | None = None
         self._told_state = self.lifecycle.state
         self._traffic_every = own.log.traffic
@@ -150,8 +174,11 @@
             self.conf = replace(self.conf, discovery=conf.discovery)
             return
         changed = [one.name for one in fields(Conf) if getattr(own, one.name) != getattr(self.own, one.name)]
-        log.info("reloaded", applied=" ".join(name for name in changed if name in applied),
-                 for_a_restart=" ".join(name for name in changed if name not in applied))
+        log.info(
+            "reloaded",
+            applied=" ".join(name for name in changed if name in applied),
+            for_a_restart=" ".join(name for name in changed if name not in applied),
+        )
         self.own = replace(self.own, **{name: getattr(own, name) for name in changed if name in applied})
 
     def _reload_parts(self, conf: platform.Config, own: Conf) -> set[str]:
@@ -196,8 +223,13 @@
                 return
         if self.lifecycle.state is not before:
             self._told_state = self.lifecycle.state
-            log.info("lifecycle", state=self._told_state.value, before=before.value, open=len(self.relay.held),
-                     clients=self.clients.open())
+            log.info(
+                "lifecycle",
+                state=self._told_state.value,
+                before=before.value,
+                open=len(self.relay.held),
+                clients=self.clients.open(),
+            )
         if not self.lifecycle.serving:
             self._looking = self.deadlines.after(LOOK_EVERY, self._look)
 
@@ -265,4 +297,3 @@
     reactor.addSystemEventTrigger("after", "shutdown", program.leave)
     reactor.run(installSignalHandlers=False)
     return 0
-
--- a/lynxscale/dataplane/__main__.py
+++ b/lynxscale/dataplane/__main__.py
@@ -57,9 +57,7 @@
     log.info("event=ended")
 
 
-async def drain(
-    service: RelayService, server: asyncio.Server, clients: set[ServerConnection], latest: float
-) -> None:
+async def drain(service: RelayService, server: asyncio.Server, clients: set[ServerConnection], latest: float) -> None:
     """Take no more clients once the platform sends none, and wait for those that are served."""
     loop = asyncio.get_running_loop()
     service.stopping = True
--- a/lynxscale/dataplane/turns.py
+++ b/lynxscale/dataplane/turns.py
@@ -81,6 +81,4 @@
         self._calls.call(body, FINISH_TIMEOUT_S, lambda answer: done(answer is not None))
 
     def _finish(self, tokens: int, content: bytes | None) -> m.FinishTurn:
-        return m.FinishTurn(
-            self._program, self._request_id, tokens, self._route.retention_s, content, self._previous
-        )
+        return m.FinishTurn(self._program, self._request_id, tokens, self._route.retention_s, content, self._previous)
--- a/lynxscale/finals.py
+++ b/lynxscale/finals.py
@@ -24,8 +24,16 @@
 class FinalsFile:
     """``on_done`` is told a message's number once its line is written; it is never told in ``owe`` itself."""
 
-    def __init__(self, path: Path, size: int, keep: int, deadlines: Deadlines, on_done: Callable[[int], None],
-                 counters: Counters, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        path: Path,
+        size: int,
+        keep: int,
+        deadlines: Deadlines,
+        on_done: Callable[[int], None],
+        counters: Counters,
+        clock: Callable[[], float],
+    ) -> None:
         self._path, self._size, self._keep = path, size, keep
         self._deadlines, self._on_done, self._counters, self._clock = deadlines, on_done, counters, clock
         self._owed: dict[int, bytes] = {}
@@ -93,8 +101,10 @@
 
     def _turn(self) -> None:
         """The file becomes the first of those that are kept, and the last of them goes."""
-        names = [self._path, *(self._path.with_name(f"{self._path.name}.{place}")
-                               for place in range(1, self._keep + 1))]
+        names = [
+            self._path,
+            *(self._path.with_name(f"{self._path.name}.{place}") for place in range(1, self._keep + 1)),
+        ]
         if not self._keep:
             self._path.unlink()
         for place in range(self._keep, 0, -1):
--- a/lynxscale/fleet/count.py
+++ b/lynxscale/fleet/count.py
@@ -40,8 +40,13 @@
 
     def row(self, zero: float) -> dict[str, Any]:
         lags = sorted(self.relays.values())
-        return {"at_s": round(self.first - zero, 1), "what": self.what, "relays": len(lags),
-                "median_s": round(median(lags), 2), "last_s": round(lags[-1], 2)}
+        return {
+            "at_s": round(self.first - zero, 1),
+            "what": self.what,
+            "relays": len(lags),
+            "median_s": round(median(lags), 2),
+            "last_s": round(lags[-1], 2),
+        }
 
 
 class Count:
@@ -138,20 +143,26 @@
             row |= dict(sorted(cell.counts.items()))
             if cell.limits:  # reports are noisy and old
                 limit = median(cell.limits)
-                row |= {"limit": round(limit, 1), "takes": round(limit * self.every),
-                        "used": round(cell.counts["ok"] / (limit * self.every), 2)}
+                row |= {
+                    "limit": round(limit, 1),
+                    "takes": round(limit * self.every),
+                    "used": round(cell.counts["ok"] / (limit * self.every), 2),
+                }
             rows.append(row | dict(cell.states))
         return rows
 
     def load(self) -> list[dict[str, Any]]:
-        return [{"from_s": round(span * self.every, 1)} | dict(sorted(row.items()))
-                for span, row in sorted(self.loads.items())]
+        return [
+            {"from_s": round(span * self.every, 1)} | dict(sorted(row.items()))
+            for span, row in sorted(self.loads.items())
+        ]
 
     def learned(self) -> list[dict[str, Any]]:
         """Events that more than one relay learned, in order of time."""
         zero = self.zero or 0.0
-        return [event.row(zero) for event in sorted(self.events, key=lambda event: event.first)
-                if len(event.relays) > 1]
+        return [
+            event.row(zero) for event in sorted(self.events, key=lambda event: event.first) if len(event.relays) > 1
+        ]
 
 
 def _number(line: Line, name: str) -> float:
--- a/lynxscale/fleet/lines.py
+++ b/lynxscale/fleet/lines.py
@@ -64,7 +64,7 @@
     if len(text) > LONGEST:
         raise ValueError(f"longer than {LONGEST} characters")
     stamp = STAMP.match(text)
-    found = _fields(text[stamp.end():] if stamp else text)
+    found = _fields(text[stamp.end() :] if stamp else text)
     for key in ("ts", "event"):
         if not isinstance(found.get(key), str):
             raise ValueError(f"no {key}")
--- a/lynxscale/http.py
+++ b/lynxscale/http.py
@@ -22,9 +22,19 @@
 FRAMING = frozenset(("content-length", "transfer-encoding"))
 
 REASONS = {
-    200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-    408: "Request Timeout", 409: "Conflict", 411: "Length Required", 413: "Content Too Large", 429: "Too Many Requests",
-    431: "Request Header Fields Too Large", 501: "Not Implemented", 503: "Service Unavailable",
+    200: "OK",
+    202: "Accepted",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    411: "Length Required",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    501: "Not Implemented",
+    503: "Service Unavailable",
     505: "HTTP Version Not Supported",
 }
 
@@ -226,8 +236,9 @@
         if match is None:
             raise BadHttp(400, "the status line is malformed")
         item = Response(int(match[1]), headers, _closes(first[:8], headers))
-        if "transfer-encoding" in headers and ("content-length" in headers
-                                               or headers["transfer-encoding"].lower() != "chunked"):
+        if "transfer-encoding" in headers and (
+            "content-length" in headers or headers["transfer-encoding"].lower() != "chunked"
+        ):
             raise BadHttp(400, "the body's form is not clear")
         length = _length(headers)
         self._body = bytearray()
@@ -308,8 +319,9 @@
         return self._finish()
 
 
-def answer(status: int, *, body: bytes = b"", kind: str = "text/plain", close: bool = False,
-           retry_after_ms: float = 0.0) -> bytes:
+def answer(
+    status: int, *, body: bytes = b"", kind: str = "text/plain", close: bool = False, retry_after_ms: float = 0.0
+) -> bytes:
     """A whole answer to a client."""
     lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}", f"Content-Length: {len(body)}"]
     if body:
@@ -321,8 +333,7 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-def request(method: str, target: str, host: str, headers: tuple[tuple[str, str], ...] = (),
-            body: bytes = b"") -> bytes:
+def request(method: str, target: str, host: str, headers: tuple[tuple[str, str], ...] = (), body: bytes = b"") -> bytes:
     """A whole request to a peer or to discovery."""
     lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
     lines += [f"{name}: {value}" for name, value in headers]
