--- a/lynxscale/journal/format.py
+++ b/lynxscale/journal/format.py
@@ -85,14 +85,26 @@
     Its checksum begins from its segment's salt. Guards against a body that a client made to look like a record, should
     a reader begin to look for one in the middle of it.
     """
-    rest = RECORD.pack(0, len(payload), kind, seq)[CRC.size:] + payload
+    rest = RECORD.pack(0, len(payload), kind, seq)[CRC.size :] + payload
     return CRC.pack(crc32c(rest, salt)) + rest
 
 
 def message(uid: int, entry: Entry) -> bytes:
     """A message's whole state: stands for all that was written of it before."""
-    meta = orjson.dumps([entry.taken, entry.id, entry.cls, entry.tenant, entry.key, entry.dest, entry.expires,
-                         entry.tries, entry.maybe, entry.final])
+    meta = orjson.dumps(
+        [
+            entry.taken,
+            entry.id,
+            entry.cls,
+            entry.tenant,
+            entry.key,
+            entry.dest,
+            entry.expires,
+            entry.tries,
+            entry.maybe,
+            entry.final,
+        ]
+    )
     return META.pack(uid, len(meta)) + meta + entry.body
 
 
@@ -142,7 +154,7 @@
     size = MANIFEST.size + count * ROW.size
     if len(data) < size + CRC.size or CRC.unpack_from(data, size)[0] != crc32c(data[:size]):
         raise Refused("the manifest's checksum does not fit")
-    rows = tuple(Row(*row) for row in ROW.iter_unpack(data[MANIFEST.size:size]))
+    rows = tuple(Row(*row) for row in ROW.iter_unpack(data[MANIFEST.size : size]))
     return Manifest(generation, rows)
 
 
@@ -153,7 +165,7 @@
     _magic, version, number, first, salt = SEGMENT.unpack_from(data)
     if version > VERSION:
         raise Refused(f"version {version} of the segment, this one reads {VERSION}")
-    if CRC.unpack_from(data, SEGMENT.size)[0] != crc32c(data[:SEGMENT.size]):
+    if CRC.unpack_from(data, SEGMENT.size)[0] != crc32c(data[: SEGMENT.size]):
         raise Refused("the segment's head is damaged")
     return number, first, salt
 
@@ -164,9 +176,9 @@
     while at + RECORD.size <= size:
         checksum, length, kind, seq = RECORD.unpack_from(data, at)
         stop = at + RECORD.size + length
-        if length > PAYLOAD_MOST or stop > size or crc32c(data[at + CRC.size:stop], salt) != checksum:
+        if length > PAYLOAD_MOST or stop > size or crc32c(data[at + CRC.size : stop], salt) != checksum:
             return
-        yield Record(kind, seq, data[at + RECORD.size:stop], stop - at)
+        yield Record(kind, seq, data[at + RECORD.size : stop], stop - at)
         at = stop
 
 
@@ -178,7 +190,7 @@
     for place in range(at, len(data) - RECORD.size + 1):
         _checksum, length, kind, seq = RECORD.unpack_from(data, place)
         likely = kind in KINDS and length <= PAYLOAD_MOST and above < seq <= above + len(data)
-        if likely and next(records(data[:place + RECORD.size + length], place, salt), None) is not None:
+        if likely and next(records(data[: place + RECORD.size + length], place, salt), None) is not None:
             return place
     return None
 
@@ -188,9 +200,15 @@
     uid, payload = one.uid, one.payload
     if one.kind == MESSAGE:
         _, size = META.unpack_from(payload)
-        taken, *told, tries, maybe, final_ = orjson.loads(payload[META.size:META.size + size])
-        entries[uid] = Entry(*told, body=payload[META.size + size:], tries=tries, maybe=maybe,
-                             final=tuple(final_) if final_ else None, taken=taken)
+        taken, *told, tries, maybe, final_ = orjson.loads(payload[META.size : META.size + size])
+        entries[uid] = Entry(
+            *told,
+            body=payload[META.size + size :],
+            tries=tries,
+            maybe=maybe,
+            final=tuple(final_) if final_ else None,
+            taken=taken,
+        )
     elif one.kind == END:
         entries.pop(uid, None)
     elif one.kind not in KINDS:
@@ -201,9 +219,9 @@
         entry.tries += 1
         entry.maybe.append(TRY.unpack(payload)[1])
     elif one.kind == NOT_RUN:
-        if payload[UID.size:] == b"\1" and entry.maybe:
+        if payload[UID.size :] == b"\1" and entry.maybe:
             entry.maybe.pop()
         else:
             entry.tries += 1
     else:
-        entry.final = tuple(orjson.loads(payload[UID.size:]))
+        entry.final = tuple(orjson.loads(payload[UID.size :]))
--- a/lynxscale/journal/log.py
+++ b/lynxscale/journal/log.py
@@ -49,8 +49,13 @@
 class Journal:
     """``budget``: bytes that the folder may take; ``now``: Unix time in µs; ``salt``: draws a number below 2**32."""
 
-    def __init__(self, port: Port, budget: int, now: Callable[[], int],
-                 salt: Callable[[], int] = lambda: random.SystemRandom().getrandbits(32)) -> None:
+    def __init__(
+        self,
+        port: Port,
+        budget: int,
+        now: Callable[[], int],
+        salt: Callable[[], int] = lambda: random.SystemRandom().getrandbits(32),
+    ) -> None:
         self._port, self._now, self._salt = port, now, salt
         self.plan = Plan(budget)
         self.gaps: list[Gap] = []
@@ -86,16 +91,30 @@
         manifest = manifest_of(self._port, names)
         self._slots = {slot for slot in SLOTS if slot in names}
         if manifest is not None:
-            found = recover(manifest, {row.number: self._port.read(segment_name(row.number)) for row in manifest.rows
-                                       if segment_name(row.number) in names})
+            found = recover(
+                manifest,
+                {
+                    row.number: self._port.read(segment_name(row.number))
+                    for row in manifest.rows
+                    if segment_name(row.number) in names
+                },
+            )
             self._restore(manifest, found)
         known = {row for row in map(segment_name, self.plan.segments)}
         for name in names:
             if name.endswith(SUFFIX) and name not in known:
                 with suppress(OSError):
                     self._port.unlink(name)  # of a segment that was to be removed, or was never begun
-        self._number = max([self._number, *(int(name[:-len(SUFFIX)]) + 1 for name in names if name.endswith(SUFFIX)
-                                            and name[:-len(SUFFIX)].isdigit())])
+        self._number = max(
+            [
+                self._number,
+                *(
+                    int(name[: -len(SUFFIX)]) + 1
+                    for name in names
+                    if name.endswith(SUFFIX) and name[: -len(SUFFIX)].isdigit()
+                ),
+            ]
+        )
         fresh = {entry.id for entry in self._entries.values()}
         for entry in older or []:
             if entry.id not in fresh:
@@ -279,8 +298,11 @@
         In place and not by a rename, as some file systems write a file that replaces another out at once.
         """
         active = self.plan.active
-        rows = [Row(one.number, one.first, one.size if one is not active or new is not None else 0)
-                for one in self.plan.segments.values() if one.number not in without]
+        rows = [
+            Row(one.number, one.first, one.size if one is not active or new is not None else 0)
+            for one in self.plan.segments.values()
+            if one.number not in without
+        ]
         data = f.manifest(Manifest(self._generation + 1, (*rows, *([new] if new else []))))
         slot = SLOTS[(self._generation + 1) % 2]
         self._whole = False
--- a/lynxscale/journal/plan.py
+++ b/lynxscale/journal/plan.py
@@ -204,8 +204,11 @@
 
     def needed(self, number: int) -> Iterable[tuple[int, bool]]:
         """What must be carried out of a segment: messages, and whether it is an end alone."""
-        return [(uid, self.held[uid].ended) for uid in sorted(self.segments[number].messages)
-                if number in self.held[uid].live]
+        return [
+            (uid, self.held[uid].ended)
+            for uid in sorted(self.segments[number].messages)
+            if number in self.held[uid].live
+        ]
 
     def slice(self, wrote: int) -> int:
         """Bytes to carry after so many were written, so that cleaning keeps ahead of the writers."""
--- a/lynxscale/journal/recover.py
+++ b/lynxscale/journal/recover.py
@@ -53,7 +53,7 @@
         out.next_seq = max(out.next_seq, row.first)
         for one in _segment(row, segments.get(row.number), row.first == newest and not row.sealed, out):
             out.next_seq = max(out.next_seq, one.seq + 1)
-            out.found.append((row.number, one._replace(payload=one.payload[:f.UID.size])))
+            out.found.append((row.number, one._replace(payload=one.payload[: f.UID.size])))
             if one.seq <= seen:
                 continue  # a copy of a segment, left by a crash between two renames
             seen = one.seq
@@ -80,7 +80,7 @@
             out.gaps.append(Gap(row.number, row.first - 1, None, str(error)))
         return
     if row.sealed:
-        data = data[:row.sealed]  # what is behind it was torn when its process died
+        data = data[: row.sealed]  # what is behind it was torn when its process died
     out.salts[row.number] = salt
     at, expected = f.HEAD_SIZE, row.first
     while True:
--- a/lynxscale/net/clients.py
+++ b/lynxscale/net/clients.py
@@ -41,7 +41,10 @@
 NUMBER = re.compile(r"[0-9]{1,6}(?:\.[0-9]{1,9})?")  # Python's own reading takes nan, inf, signs and 1_0
 ONCE = FRAMING | {"host", "req-id", "req-kind", "req-owner", "req-deadline", "idempotency-key", "x-envelope"}
 STATUS = {
-    Verdict.TAKEN: 202, Verdict.REJECTED: 429, Verdict.NO_ROOM: 503, Verdict.DISK_FULL: 503,
+    Verdict.TAKEN: 202,
+    Verdict.REJECTED: 429,
+    Verdict.NO_ROOM: 503,
+    Verdict.DISK_FULL: 503,
 }
 SERVED, SLOW, SILENT, HEAVY = "served", "slow", "silent", "heavy"
 
@@ -85,8 +88,13 @@
         # Until discovery has told what is new, the list that is known may be old: come again then.
         raise BadMessage("x-envelope: no such destination in the list", 404 if relay.group.told else 503)
     return Envelope(
-        _name(headers, "req-id"), cls, tenant, _name(headers, "idempotency-key", needed=False), int(dest),
-        int(left * 1e6), request.body,
+        _name(headers, "req-id"),
+        cls,
+        tenant,
+        _name(headers, "idempotency-key", needed=False),
+        int(dest),
+        int(left * 1e6),
+        request.body,
     )
 
 
@@ -196,17 +204,22 @@
             rest = min(FAULT_REST_MOST_MS, FAULT_REST_MS * self._faults)
             self._desk.deadlines.after(rest * 1000, self._resume)
 
-    def answer(self, status: int, *, body: bytes = b"", kind: str = "text/plain",
-               retry_after_ms: float = 0.0) -> None:
+    def answer(self, status: int, *, body: bytes = b"", kind: str = "text/plain", retry_after_ms: float = 0.0) -> None:
         request, self._request = self._request, None
         if request is None or self._closing:
             return  # the client has gone meanwhile
         self.served += 1
         parting = not self._desk.lifecycle.serving
         close = request.close or parting or self._leaving
-        self.transport.write(http.answer(
-            status, body=body, kind=kind, close=close, retry_after_ms=retry_after_ms,
-        ))
+        self.transport.write(
+            http.answer(
+                status,
+                body=body,
+                kind=kind,
+                close=close,
+                retry_after_ms=retry_after_ms,
+            )
+        )
         if close:
             self._finish(self._reason or (link.STOPPING if parting else SERVED))
         elif self.idle:
@@ -339,8 +352,11 @@
         closed = 0
         for place in places:
             connection = self._connections.get(place)
-            if (connection is not None and (connection.silent or connection.idle)
-                    and not link.unread(connection.transport)):
+            if (
+                connection is not None
+                and (connection.silent or connection.idle)
+                and not link.unread(connection.transport)
+            ):
                 self._room.closing(place)
                 connection.abandon(reason)
                 closed += 1
--- a/lynxscale/net/discovery.py
+++ b/lynxscale/net/discovery.py
@@ -43,8 +43,17 @@
 class Discovery:
     """Calls the directory at ``where`` and tells the group what it answers."""
 
-    def __init__(self, reactor, deadlines: Deadlines, where: Address, group: Group, counters: Counters,
-                 teller: Teller, pushed: bool = False, grace_ms: float | None = None) -> None:
+    def __init__(
+        self,
+        reactor,
+        deadlines: Deadlines,
+        where: Address,
+        group: Group,
+        counters: Counters,
+        teller: Teller,
+        pushed: bool = False,
+        grace_ms: float | None = None,
+    ) -> None:
         self._reactor, self._deadlines = reactor, deadlines
         self._caller = Caller(reactor, deadlines, where, "group")
         self._group, self._counters, self._teller = group, counters, teller
@@ -198,5 +207,12 @@
     if not (math.isfinite(weight) and isinstance(cell, int) and 0 <= cell < DESTINATION_MOST):
         raise ValueError("weight or cell is out of range")
     zone, kind = row.get("zone"), row.get("machineType")
-    return name, Entry(name, address(row["hostPort"], "hostPort"), cell, zone if isinstance(zone, str) else "",
-                       kind if isinstance(kind, str) else "", LIFECYCLES[life], weight)
+    return name, Entry(
+        name,
+        address(row["hostPort"], "hostPort"),
+        cell,
+        zone if isinstance(zone, str) else "",
+        kind if isinstance(kind, str) else "",
+        LIFECYCLES[life],
+        weight,
+    )
--- a/lynxscale/net/door.py
+++ b/lynxscale/net/door.py
@@ -113,8 +113,15 @@
 
     noisy = False
 
-    def __init__(self, deadlines: Deadlines, counters: Counters, lifecycle: Lifecycle, drain, resume,
-                 calls: Mapping[str, tuple[str, Callable[[str], tuple[int, dict]]]]) -> None:
+    def __init__(
+        self,
+        deadlines: Deadlines,
+        counters: Counters,
+        lifecycle: Lifecycle,
+        drain,
+        resume,
+        calls: Mapping[str, tuple[str, Callable[[str], tuple[int, dict]]]],
+    ) -> None:
         self._calls = calls
         self.deadlines, self.counters, self.lifecycle = deadlines, counters, lifecycle
         self._drain, self._resume = drain, resume
--- a/lynxscale/net/link.py
+++ b/lynxscale/net/link.py
@@ -21,7 +21,15 @@
 
 # Reason codes of ended connections, as they stand in the log.
 FAR_CLOSED, RESET, IDLE, CROWDED, CANCELLED, TIMED_OUT, MALFORMED, STOPPING, MOVED, GONE = (
-    "far_closed", "reset", "idle", "crowded", "cancelled", "timed_out", "malformed", "stopping", "moved",
+    "far_closed",
+    "reset",
+    "idle",
+    "crowded",
+    "cancelled",
+    "timed_out",
+    "malformed",
+    "stopping",
+    "moved",
     "gone",
 )
 
@@ -57,8 +65,14 @@
 class Link(Protocol):
     """A connection to one address. As a pull producer it learns when its last byte has left."""
 
-    def __init__(self, kind: str, deadlines: Deadlines, on_lost: Callable[[Link], None] | None = None,
-                 most: int = BODY_MOST, in_pieces: bool = False) -> None:
+    def __init__(
+        self,
+        kind: str,
+        deadlines: Deadlines,
+        on_lost: Callable[[Link], None] | None = None,
+        most: int = BODY_MOST,
+        in_pieces: bool = False,
+    ) -> None:
         self.kind, self.on_lost, self._deadlines = kind, on_lost, deadlines
         self.up, self._in_pieces = False, in_pieces
         self.calls = 0
@@ -179,8 +193,7 @@
             answer.callback(response)
 
 
-def dial(reactor, deadlines: Deadlines, micros: int, address: tuple[str, int],
-         make: Callable[[], Link]) -> Deferred:
+def dial(reactor, deadlines: Deadlines, micros: int, address: tuple[str, int], make: Callable[[], Link]) -> Deferred:
     """Open a connection, within that time."""
     where = endpoints.TCP4ClientEndpoint(reactor, *address, timeout=None)
     factory = Factory.forProtocol(make)
--- a/lynxscale/net/notices.py
+++ b/lynxscale/net/notices.py
@@ -27,8 +27,15 @@
 
 
 class Notices:
-    def __init__(self, reactor, deadlines: Deadlines, where: Address,
-                 on_done: Callable[[int], None], counters: Counters, path: str = PATH) -> None:
+    def __init__(
+        self,
+        reactor,
+        deadlines: Deadlines,
+        where: Address,
+        on_done: Callable[[int], None],
+        counters: Counters,
+        path: str = PATH,
+    ) -> None:
         self._reactor, self._deadlines, self._path = reactor, deadlines, path
         self._caller = Caller(reactor, deadlines, where, "notices")
         self._on_done, self._counters = on_done, counters
--- a/lynxscale/net/parts.py
+++ b/lynxscale/net/parts.py
@@ -25,9 +25,16 @@
         from lynxscale.net.discovery import Discovery
 
         self._where, self._known = host.conf.discovery, host.conf.known
-        self._discovery = Discovery(host.reactor, host.deadlines, self._where, host.group, host.counters, host.teller,
-                                    pushed=not host.conf.settings.asks_for_members,
-                                    grace_ms=host.conf.settings.drain_grace_ms)
+        self._discovery = Discovery(
+            host.reactor,
+            host.deadlines,
+            self._where,
+            host.group,
+            host.counters,
+            host.teller,
+            pushed=not host.conf.settings.asks_for_members,
+            grace_ms=host.conf.settings.drain_grace_ms,
+        )
         host.group.add(DISCOVERY, self._discovery)
         self.stop = self._discovery.stop
 
@@ -54,14 +61,16 @@
         if not host.conf.by_platform and finals.file is not None:
             from lynxscale.finals import FinalsFile
 
-            return FinalsFile(Path(finals.file), finals.size, finals.files, host.deadlines, done, host.counters,
-                              time.time)
+            return FinalsFile(
+                Path(finals.file), finals.size, finals.files, host.deadlines, done, host.counters, time.time
+            )
         from lynxscale.net.notices import Notices
 
         if host.conf.by_platform:
             return Notices(host.reactor, host.deadlines, self._where, done, host.counters)
-        return Notices(host.reactor, host.deadlines, platform.address(finals.http, "http"), done, host.counters,
-                       finals.path)
+        return Notices(
+            host.reactor, host.deadlines, platform.address(finals.http, "http"), done, host.counters, finals.path
+        )
 
     def reload(self, conf: Config, own: Conf) -> Collection[str]:
         if conf.by_platform and conf.discovery != self._where:
@@ -76,8 +85,7 @@
 
         self.sockets = door.MOST + 2
         self._reactor, self._where = host.reactor, host.conf.admin
-        self._door = door.Door(host.deadlines, host.counters, host.lifecycle, host.drain, host.resume,
-                              host.calls)
+        self._door = door.Door(host.deadlines, host.counters, host.lifecycle, host.drain, host.resume, host.calls)
         self.stop = self._door.stop
 
     def start(self) -> None:
--- a/lynxscale/net/peers.py
+++ b/lynxscale/net/peers.py
@@ -77,11 +77,18 @@
 
 
 class Peers:
-    def __init__(self, reactor, loop: Loop, deadlines: Deadlines, relay: Relay,
-                 address_of: Callable[[int], tuple[str, int] | None], idle_most: int,
-                 per_call: Callable[[int], int] = lambda _endpoint: 1,
-                 route_of: Callable[[int], str | None] = lambda _endpoint: None,
-                 takes: Callable[[int], bool] = lambda _endpoint: True) -> None:
+    def __init__(
+        self,
+        reactor,
+        loop: Loop,
+        deadlines: Deadlines,
+        relay: Relay,
+        address_of: Callable[[int], tuple[str, int] | None],
+        idle_most: int,
+        per_call: Callable[[int], int] = lambda _endpoint: 1,
+        route_of: Callable[[int], str | None] = lambda _endpoint: None,
+        takes: Callable[[int], bool] = lambda _endpoint: True,
+    ) -> None:
         self._reactor, self._loop, self._deadlines, self._relay = reactor, loop, deadlines, relay
         self._address_of, self._idle_most, self._per_call = address_of, idle_most, per_call
         self._route_of, self._takes = route_of, takes
@@ -137,8 +144,11 @@
     def cancel(self, number: int, attempt: int) -> None:
         if (work := self._by_key.get((number, attempt))) is None:
             return
-        if work.call.link is not None and not self._copies and not all(
-                self._relay.repeatable(one.held) for one in self._left(work.call) if one is not work):
+        if (
+            work.call.link is not None
+            and not self._copies
+            and not all(self._relay.repeatable(one.held) for one in self._left(work.call) if one is not work)
+        ):
             # Guards the others of its call: cut along they may have run, and must not go again. The call's answer, or
             # its time-out, is the end of this one too.
             self._relay.counters.add("tries", "not_cut")
@@ -183,8 +193,7 @@
             self._write(call, ready)
             return
         self._relay.counters.add("connections", "peer_opened")
-        dialled = link.dial(self._reactor, self._deadlines, self._dial_for, address,
-                            self._make)
+        dialled = link.dial(self._reactor, self._deadlines, self._dial_for, address, self._make)
         dialled.addCallbacks(self._connected, self._failed, (call, address), None, (call,))
 
     @staticmethod
@@ -273,8 +282,9 @@
             headers.append(("Idempotency-Key", entry.key))
         return http.request("POST", "/events", host, tuple(headers), entry.body)
 
-    def _late(self, place: int, result: Result = Result.TIMEOUT, reason: str = link.TIMED_OUT,
-              looked: bool = False) -> None:
+    def _late(
+        self, place: int, result: Result = Result.TIMEOUT, reason: str = link.TIMED_OUT, looked: bool = False
+    ) -> None:
         if (work := self._tries.get(place)) is None:
             return
         used = work.call.link
@@ -378,8 +388,9 @@
             return ()  # not the fields that the settings name, or no numbers
         return tuple(float(field) for field in fields)
 
-    def _end(self, work: Try, result: Result, *, over: bool = False, wait: float = 0.0,
-             report: tuple[float, ...] = ()) -> None:
+    def _end(
+        self, work: Try, result: Result, *, over: bool = False, wait: float = 0.0, report: tuple[float, ...] = ()
+    ) -> None:
         if work.done:
             return
         work.done = True
@@ -391,8 +402,17 @@
             self._relay.put(api.Probed(work.endpoint, int(result), spent / 1000, report))
             return
         self._by_key.pop((work.number, work.attempt))
-        self._relay.outcome(work.number, work.attempt, work.endpoint, result, spent, work.recorded,
-                            over=over, wait_ms=wait, report=report)
+        self._relay.outcome(
+            work.number,
+            work.attempt,
+            work.endpoint,
+            result,
+            spent,
+            work.recorded,
+            over=over,
+            wait_ms=wait,
+            report=report,
+        )
 
     # Idle connections ----------------------------------------------------------------------------
 
--- a/lynxscale/relay.py
+++ b/lynxscale/relay.py
@@ -77,8 +77,7 @@
 
 
 class TryPort(Protocol):
-    def start(self, number: int, attempt: int, held: Held, endpoint: int, timeout: int,
-              fresh: bool) -> None: ...
+    def start(self, number: int, attempt: int, held: Held, endpoint: int, timeout: int, fresh: bool) -> None: ...
     def turned(self) -> None: ...
     def cancel(self, number: int, attempt: int) -> None: ...
     def close_idle(self, endpoint: int) -> None: ...
@@ -111,15 +110,26 @@
 
     decisions: bool  # it wants each step of the module
 
-    def message(self, now: int, number: int, envelope: Envelope | Entry, cls: int, tenant: int, left: int,
-                tries: int = 0) -> None: ...
+    def message(
+        self, now: int, number: int, envelope: Envelope | Entry, cls: int, tenant: int, left: int, tries: int = 0
+    ) -> None: ...
     def turned_away(self, now: int, envelope: Envelope, verdict: str, again_ms: float) -> None: ...
     def admitted(self, now: int, number: int, verdict: str, again_ms: float) -> None: ...
     def ended(self, now: int, number: int, status: str, again_ms: float = 0.0) -> None: ...
     def forgotten(self, now: int, number: int) -> None: ...
     def try_started(self, now: int, number: int, attempt: int, endpoint: int, timeout: int, fresh: bool) -> None: ...
-    def try_ended(self, now: int, number: int, attempt: int, endpoint: int, result: int, spent: int, wait_ms: float,
-                  over: bool, report: tuple[float, ...]) -> None: ...
+    def try_ended(
+        self,
+        now: int,
+        number: int,
+        attempt: int,
+        endpoint: int,
+        result: int,
+        spent: int,
+        wait_ms: float,
+        over: bool,
+        report: tuple[float, ...],
+    ) -> None: ...
     def probe_started(self, now: int, endpoint: int) -> None: ...
     def noticed(self, now: int, number: int, status: str, again_ms: int) -> None: ...
     def notice_heard(self, now: int, number: int) -> None: ...
@@ -131,8 +141,16 @@
 class Relay:
     """``unix`` gives the Unix time, in µs, that the journal's times are of."""
 
-    def __init__(self, settings: api.Settings, seed: int, loop: Loop, deadlines: Deadlines, journal: Journal,
-                 counters: Counters, unix: Callable[[], int] = lambda: time.time_ns() // 1000) -> None:
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        loop: Loop,
+        deadlines: Deadlines,
+        journal: Journal,
+        counters: Counters,
+        unix: Callable[[], int] = lambda: time.time_ns() // 1000,
+    ) -> None:
         self.settings, self.loop, self.deadlines = settings, loop, deadlines
         self.journal, self.counters = journal, counters
         self.sender = Sender(settings, seed)
@@ -197,9 +215,13 @@
             return
         now = self.loop.now()
         entry = Entry(
-            envelope.id, self.settings.classes[envelope.cls].name,
+            envelope.id,
+            self.settings.classes[envelope.cls].name,
             self.settings.tenants[envelope.tenant].name if self.settings.tenants else "",
-            envelope.key, envelope.dest, self._unix() + envelope.time_left, envelope.body,
+            envelope.key,
+            envelope.dest,
+            self._unix() + envelope.time_left,
+            envelope.body,
         )
         held = Held(entry, cls=envelope.cls, tenant=envelope.tenant, answers=[answer], taken=now)
         held.number = self.held.add(held)
@@ -207,8 +229,9 @@
         self._offered.append(held)
         if self.trace is not None:
             self.trace.message(now, held.number, envelope, envelope.cls, envelope.tenant, envelope.time_left)
-        self.put(api.Message(held.number, envelope.dest, envelope.cls, envelope.tenant,
-                             self._last_call(held, now) / 1000))
+        self.put(
+            api.Message(held.number, envelope.dest, envelope.cls, envelope.tenant, self._last_call(held, now) / 1000)
+        )
 
     def held_back(self, key: int) -> float:
         """For how many ms more this relay, in any of its processes, was told to send nothing there."""
@@ -270,8 +293,19 @@
         span = SPAN_SHARE * 1000 * (grade.memory_span_ms or 0.0) if grade.effect == Effect.KEYED else 0.0
         return self._unix() - min(maybe) < span
 
-    def outcome(self, number: int, attempt: int, endpoint: int, result: Result, spent: int, recorded: bool,
-                *, over: bool = False, wait_ms: float = 0.0, report: tuple[float, ...] = ()) -> None:
+    def outcome(
+        self,
+        number: int,
+        attempt: int,
+        endpoint: int,
+        result: Result,
+        spent: int,
+        recorded: bool,
+        *,
+        over: bool = False,
+        wait_ms: float = 0.0,
+        report: tuple[float, ...] = (),
+    ) -> None:
         """How a try ended; ``recorded``: ``going`` was told of it; ``over``: nothing more is owed."""
         self.out -= 1
         self.counters.add("tries", result.name.lower())
@@ -305,8 +339,13 @@
         """What there was since the last call, as events and their fields for the log."""
         now = self.loop.now()
         oldest = min((held.taken for held in self.held.items() if not held.ended), default=now)
-        load = {"held": len(self.held), "out": self.out, "peers": self.tries.connections(),
-                "oldest_ms": (now - oldest) // 1000, "longest_turn_ms": self.loop.longest() // 1000}
+        load = {
+            "held": len(self.held),
+            "out": self.out,
+            "peers": self.tries.connections(),
+            "oldest_ms": (now - oldest) // 1000,
+            "longest_turn_ms": self.loop.longest() // 1000,
+        }
         return self.tally.lines(now, self.counters.table(), load)
 
     def notified(self, number: int) -> None:
@@ -429,8 +468,9 @@
         self.out += 1
         held.out = True
         if self.trace is not None:
-            self.trace.try_started(self.loop.now(), action.id, attempt, action.endpoint, int(action.timeout * 1000),
-                                   action.fresh)
+            self.trace.try_started(
+                self.loop.now(), action.id, attempt, action.endpoint, int(action.timeout * 1000), action.fresh
+            )
         try:
             self.tries.start(action.id, attempt, held, action.endpoint, int(action.timeout * 1000), action.fresh)
         except Exception:
@@ -584,8 +624,18 @@
             self._backstop(held)
             expires = self._last_call(held, now)
             maybe = (now + min(entry.maybe) - unix) / 1000 if entry.maybe else 0.0
-            self.put(api.Message(held.number, entry.dest, held.cls, held.tenant, expires / 1000, inherited=True,
-                                 attempts=entry.tries, maybe_at=maybe))
+            self.put(
+                api.Message(
+                    held.number,
+                    entry.dest,
+                    held.cls,
+                    held.tenant,
+                    expires / 1000,
+                    inherited=True,
+                    attempts=entry.tries,
+                    maybe_at=maybe,
+                )
+            )
         if again:
             self.counters.add("taken", "replayed", len(again))
             log.info("replayed", open=len(again), notices=notices)
--- a/lynxscale/runtime/http_server.py
+++ b/lynxscale/runtime/http_server.py
@@ -42,7 +42,7 @@
     """What a connection is doing."""
 
     IDLE = "idle"
-    READING = "reading"
+    READING = "receiving"
     ANSWERING = "answering"
     CLOSED = "closed"
 
--- a/lynxscale/trace/anonymise.py
+++ b/lynxscale/trace/anonymise.py
@@ -93,8 +93,7 @@
         fields = r.BY_NUMBER[number].fields
         if len(values) > len(fields):
             self.left_out += 1
-        return [self._value(number, name, kind, value)
-                for (name, kind), value in zip(fields, values, strict=False)]
+        return [self._value(number, name, kind, value) for (name, kind), value in zip(fields, values, strict=False)]
 
     def _value(self, number: int, name: str, kind: str, value: Any) -> Any:
         if kind == "M":
@@ -104,8 +103,14 @@
         if kind == "n":
             return self._handle("tenant", value)
         if kind == "L":
-            return [row._replace(endpoint=self._handle("endpoint", row.endpoint), dest=self._dest(row.dest),
-                                 address=self._name("address", row.address)) for row in value]
+            return [
+                row._replace(
+                    endpoint=self._handle("endpoint", row.endpoint),
+                    dest=self._dest(row.dest),
+                    address=self._name("address", row.address),
+                )
+                for row in value
+            ]
         if number == r.START and name == "relay":
             return self._name("relay", value)
         if number == r.START and name == "settings":
--- a/lynxscale/trace/fields.py
+++ b/lynxscale/trace/fields.py
@@ -83,7 +83,7 @@
 def get_text(data: bytes, at: int) -> tuple[str, int]:
     size, at = get_uint(data, at)
     packed, size = size & 1, size >> 1
-    raw = data[at:at + size]
+    raw = data[at : at + size]
     if size > TEXT_MOST or len(raw) < size:
         raise Cut("a text is cut short")
     try:
--- a/lynxscale/trace/frames.py
+++ b/lynxscale/trace/frames.py
@@ -109,7 +109,7 @@
             else:
                 length = bytearray()
                 put_uint(length, size)
-                body[start - 1:start] = length
+                body[start - 1 : start] = length
         return bytes(out + body)
 
     def _context(self, number: int, part: bytearray) -> None:
@@ -172,8 +172,10 @@
     "F": f"n = len(v)\n{_UINT}\nif n: out += PACK[n](*v) if n < 5 else pack(f'<{{n}}d', *v)",
     "L": "put_members(encoder, out, v)",
     "M": f"n = v[0]\nif known[-1].get(n) is not v: encoder.message(v)\n{_UINT}",
-} | {kind: f"n = v[0]\nif known[{table}].get(n) is not v: encoder.name({table}, v, known[{table}])\n{_UINT}"
-     for kind, table in r.TABLE_OF.items()}
+} | {
+    kind: f"n = v[0]\nif known[{table}].get(n) is not v: encoder.name({table}, v, known[{table}])\n{_UINT}"
+    for kind, table in r.TABLE_OF.items()
+}
 
 
 def _compiled(one: r.Type) -> Callable:
@@ -185,9 +187,16 @@
         lines += [f"    if count == {place}: return", f"    v = values[{place}]"]
         lines += [f"    {line}" for line in _PUT[kind].split("\n")]
     lines.append(f"    if count > {len(one.fields)}: out += values[-1]")
-    space: dict[str, Any] = {"put_uint": put_uint, "put_int": put_int, "put_text": put_text, "put_ms": put_ms,
-                             "put_float": put_float, "put_members": _put_members, "pack": struct.pack,
-                             "PACK": [struct.Struct(f"<{count}d").pack for count in range(5)]}
+    space: dict[str, Any] = {
+        "put_uint": put_uint,
+        "put_int": put_int,
+        "put_text": put_text,
+        "put_ms": put_ms,
+        "put_float": put_float,
+        "put_members": _put_members,
+        "pack": struct.pack,
+        "PACK": [struct.Struct(f"<{count}d").pack for count in range(5)],
+    }
     exec("\n".join(lines), space)  # the text is made of the constants above alone
     return space["put"]
 
@@ -279,8 +288,9 @@
         tenant, at = get_uint(payload, at)
         dest, at = get_uint(payload, at)
         names = self._names
-        names[-1][number] = r.Msg(number, id_, names[r.CLASS].get(cls) or (cls, ""),
-                                  names[r.TENANT].get(tenant) or (tenant, ""), dest)
+        names[-1][number] = r.Msg(
+            number, id_, names[r.CLASS].get(cls) or (cls, ""), names[r.TENANT].get(tenant) or (tenant, ""), dest
+        )
 
 
 def _get_floats(data: bytes, at: int, count: int) -> tuple[tuple[float, ...], int]:
@@ -303,10 +313,17 @@
         kind, at = get_uint(data, at)
         weight, at = get_float(data, at)
         address, at = get_text(data, at)
-        rows.append(r.Member(
-            names[r.ENDPOINT].get(endpoint) or (endpoint, ""), lifecycle, dest, names[r.ZONE].get(zone) or (zone, ""),
-            names[r.KIND].get(kind) or (kind, ""), weight, address,
-        ))
+        rows.append(
+            r.Member(
+                names[r.ENDPOINT].get(endpoint) or (endpoint, ""),
+                lifecycle,
+                dest,
+                names[r.ZONE].get(zone) or (zone, ""),
+                names[r.KIND].get(kind) or (kind, ""),
+                weight,
+                address,
+            )
+        )
     return rows, at
 
 
@@ -333,9 +350,17 @@
         lines.append("    if at >= end: return values, at")
         lines += [f"    {line}" for line in _GET[kind].split("\n")]
     lines.append("    return values, at")
-    space: dict[str, Any] = {"get_uint": get_uint, "get_int": get_int, "get_text": get_text, "get_ms": get_ms,
-                             "get_float": get_float, "get_floats": _get_floats, "get_members": _get_members,
-                             "Msg": r.Msg, "UNKNOWN": r.UNKNOWN}
+    space: dict[str, Any] = {
+        "get_uint": get_uint,
+        "get_int": get_int,
+        "get_text": get_text,
+        "get_ms": get_ms,
+        "get_float": get_float,
+        "get_floats": _get_floats,
+        "get_members": _get_members,
+        "Msg": r.Msg,
+        "UNKNOWN": r.UNKNOWN,
+    }
     exec("\n".join(lines), space)  # the text is made of the constants above alone
     return space["get"]
 
--- a/lynxscale/trace/head.py
+++ b/lynxscale/trace/head.py
@@ -73,10 +73,10 @@
 
 def whole_frame(data: bytes, at: int) -> bytes | None:
     """The payload of the frame at an offset; None where no whole one stands there."""
-    if data[at:at + 2] != FRAME_MARK or at + FRAME.size > len(data):
+    if data[at : at + 2] != FRAME_MARK or at + FRAME.size > len(data):
         return None
     _mark, size, checksum = FRAME.unpack_from(data, at)
-    payload = data[at + FRAME.size:at + FRAME.size + size]
+    payload = data[at + FRAME.size : at + FRAME.size + size]
     if size > FRAME_MOST or len(payload) < size or crc32c(payload) != checksum:
         return None
     return payload
--- a/lynxscale/trace/merge.py
+++ b/lynxscale/trace/merge.py
@@ -25,8 +25,13 @@
 class Merge:
     """The frames of these files. ``on_loss`` hears of what could not be read, file by file."""
 
-    def __init__(self, paths: Iterable[str | Path], on_loss: OnLoss = lambda _loss: None,
-                 select: Select | None = None, id_: str | None = None) -> None:
+    def __init__(
+        self,
+        paths: Iterable[str | Path],
+        on_loss: OnLoss = lambda _loss: None,
+        select: Select | None = None,
+        id_: str | None = None,
+    ) -> None:
         self._paths, self._on_loss, self._select, self._id = list(paths), on_loss, select, id_
         self.doubles = 0  # records left out, as another file had them
 
--- a/lynxscale/trace/part.py
+++ b/lynxscale/trace/part.py
@@ -15,8 +15,14 @@
         conf = host.conf
         self._loop, self._relay = host.loop, host.relay
         self._recorder = host.relay.trace = Recorder(
-            host.own.trace, conf.settings, conf.name, conf.seed, host.group.name_of,
-            lambda event, **fields: log.warning(event, **fields), host.deadlines.after)
+            host.own.trace,
+            conf.settings,
+            conf.name,
+            conf.seed,
+            host.group.name_of,
+            lambda event, **fields: log.warning(event, **fields),
+            host.deadlines.after,
+        )
 
     def stop(self) -> None:
         self._recorder.stop(self._loop.now(), len(self._relay.held))
--- a/lynxscale/trace/plot.py
+++ b/lynxscale/trace/plot.py
@@ -15,15 +15,18 @@
 
 def page(path: Path, rows: list[dict[str, Any]], columns: tuple[str, ...]) -> None:
     """Write a PNG or SVG page, by the path's ending; over time where the rows are windows."""
-    labels = [" ".join(iso(row[name])[11:19] if name == "window" else str(row[name]) for name in columns) or "all"
-              for row in rows]
+    labels = [
+        " ".join(iso(row[name])[11:19] if name == "window" else str(row[name]) for name in columns) or "all"
+        for row in rows
+    ]
     figure, axes = pyplot.subplots(3, 1, figsize=(11, 12), constrained_layout=True)
     places = range(len(rows))
     for name, colour in (("p99_ms", "#b5483a"), ("p90_ms", "#d9a441"), ("p50_ms", "#3a6ea5")):
         # A line joins moments only: rows of other names have no order to be joined in.
         style = "o-" if columns == ("window",) else "o"
-        axes[0].plot(places, [row.get(name, float("nan")) for row in rows], style, color=colour, label=name[:-3],
-                     markersize=4)
+        axes[0].plot(
+            places, [row.get(name, float("nan")) for row in rows], style, color=colour, label=name[:-3], markersize=4
+        )
     axes[0].set(title="Latency of delivered messages", ylabel="ms")
     kinds = sorted({kind for row in rows for kind in row["ends"]})
     bottom = [0.0] * len(rows)
--- a/lynxscale/trace/reader.py
+++ b/lynxscale/trace/reader.py
@@ -90,8 +90,9 @@
 
     # Losses --------------------------------------------------------------------------------------
 
-    def _lose(self, offset: int, size: int, reason: str, torn: bool = False,
-              span: tuple[int, int] | None = None) -> None:
+    def _lose(
+        self, offset: int, size: int, reason: str, torn: bool = False, span: tuple[int, int] | None = None
+    ) -> None:
         if size <= 0:
             return
         if (before := self._waiting) is not None and before.offset + before.size == offset:
@@ -122,11 +123,11 @@
             payload = h.whole_frame(buffer, whole)
             if payload is None:
                 want = h.FRAME.size
-                if buffer[whole:whole + 2] == h.FRAME_MARK and len(buffer) >= whole + h.FRAME.size:
+                if buffer[whole : whole + 2] == h.FRAME_MARK and len(buffer) >= whole + h.FRAME.size:
                     size = h.FRAME.unpack_from(buffer, whole)[1]
                     want += min(size, FRAME_MOST)
                 if read_to < end and len(buffer) - whole < want:
-                    more = os.pread(self._file.fileno(), max(WINDOW, want), read_to)[:end - read_to]
+                    more = os.pread(self._file.fileno(), max(WINDOW, want), read_to)[: end - read_to]
                     if more:
                         buffer, at, whole = buffer[whole:] + more, at + whole, 0
                         read_to += len(more)
@@ -151,7 +152,7 @@
     def _resume(buffer: bytes, at: int) -> int:
         """The first mark of a frame that may go on behind the buffer's end."""
         while (at := buffer.find(h.FRAME_MARK[:1], at)) >= 0:
-            if buffer[at:at + 2] in (h.FRAME_MARK, h.FRAME_MARK[:1]):
+            if buffer[at : at + 2] in (h.FRAME_MARK, h.FRAME_MARK[:1]):
                 if len(buffer) - at < h.FRAME.size:
                     return at
                 size = h.FRAME.unpack_from(buffer, at)[1]
@@ -187,8 +188,9 @@
     def _indexed(self, place: v2.Place, id_: str | None) -> Iterator[Frame]:
         head = self._block_head(place.offset)
         if head is None or head.number != place.number:
-            self._lose(place.offset, place.size, "a block's head is damaged",
-                       span=(place.summary.first, place.summary.last))
+            self._lose(
+                place.offset, place.size, "a block's head is damaged", span=(place.summary.first, place.summary.last)
+            )
         elif head.state == v2.OPEN:
             yield from self._open_block(head, place.offset, place.offset + place.size)
         else:
@@ -197,8 +199,9 @@
     def _block_head(self, offset: int) -> v2.BlockHead | None:
         return v2.read_block_head(os.pread(self._file.fileno(), v2.BLOCK.size, offset))
 
-    def _sealed(self, head: v2.BlockHead, offset: int, select: Select | None, id_: str | None,
-                known: v2.Summary | None = None) -> Iterator[Frame]:
+    def _sealed(
+        self, head: v2.BlockHead, offset: int, select: Select | None, id_: str | None, known: v2.Summary | None = None
+    ) -> Iterator[Frame]:
         at = offset + v2.BLOCK.size
         if select is not None or id_ is not None:
             data = os.pread(self._file.fileno(), head.summary, at)
@@ -218,8 +221,13 @@
         except Cut as error:
             torn = len(stored) < head.stored
             span = self._span(head, at) or (known and (known.first, known.last))
-            self._lose(offset, min(head.size, self.size - offset),
-                       "the end is cut off" if torn else f"a block is damaged: {error}", torn, span)
+            self._lose(
+                offset,
+                min(head.size, self.size - offset),
+                "the end is cut off" if torn else f"a block is damaged: {error}",
+                torn,
+                span,
+            )
 
     def _span(self, head: v2.BlockHead, at: int) -> tuple[int, int] | None:
         """The times that a block's summary tells, if that is whole."""
@@ -267,7 +275,7 @@
                     yield frame
             if (self._waiting, self.lost) != before[:2] and (copy := self._copy(at, end, head)) is not None:
                 self._waiting, self.lost = before[:2]  # the copy has all of it
-                del self.losses[before[2]:]
+                del self.losses[before[2] :]
                 end = copy
             at = end
         if hole >= 0:
--- a/lynxscale/trace/recorder.py
+++ b/lynxscale/trace/recorder.py
@@ -32,8 +32,23 @@
 WORD_BYTES = 32  # of memory that each word told takes until it is written
 STARTED, GONE = 0, -1  # told, and no record: the process has started; a message is over
 # Words told of each: the time, what it is, and what the maker of its record takes.
-WORDS = {STARTED: 2, GONE: 3, r.MESSAGE: 10, r.ADMIT: 5, r.END: 5, r.TRY_START: 7, r.TRY_END: 10, r.PROBE_START: 3,
-         r.PROBE_END: 3, r.NOTICE: 5, r.NOTICE_HEARD: 3, r.LIST: 4, r.VERDICT: 9, r.STEP: 5, r.STOP: 3}
+WORDS = {
+    STARTED: 2,
+    GONE: 3,
+    r.MESSAGE: 10,
+    r.ADMIT: 5,
+    r.END: 5,
+    r.TRY_START: 7,
+    r.TRY_END: 10,
+    r.PROBE_START: 3,
+    r.PROBE_END: 3,
+    r.NOTICE: 5,
+    r.NOTICE_HEARD: 3,
+    r.LIST: 4,
+    r.VERDICT: 9,
+    r.STEP: 5,
+    r.STOP: 3,
+}
 RESULTS = tuple(r.reason(result.name.lower()) if result else r.UNKNOWN for result in (0, *api.Result))
 
 
@@ -65,10 +80,17 @@
     ``told`` hears of what the files do.
     """
 
-    def __init__(self, conf: TraceConf, settings: api.Settings, relay: str, seed: int,
-                 names: Callable[[int], tuple[str, str] | None], told: Callable[..., None],
-                 later: Callable[[int, Callable[[], None]], object],
-                 clock: Callable[[], int] = lambda: time.monotonic_ns() // 1000) -> None:
+    def __init__(
+        self,
+        conf: TraceConf,
+        settings: api.Settings,
+        relay: str,
+        seed: int,
+        names: Callable[[int], tuple[str, str] | None],
+        told: Callable[..., None],
+        later: Callable[[int, Callable[[], None]], object],
+        clock: Callable[[], int] = lambda: time.monotonic_ns() // 1000,
+    ) -> None:
         self._conf, self._names, self._later, self._clock = conf, names, later, clock
         self.decisions = conf.level == "decisions"
         process = os.urandom(6).hex()
@@ -93,16 +115,35 @@
         self._offset = time.time_ns() // 1000 - clock()
         self._most = conf.memory // WORD_BYTES
         self._unkept = 0  # what was told beyond that, since the last flush
-        self._start = (r.START, [
-            relay, process, _version(), conf.level, float(conf.sample), " ".join(conf.classes), str(seed),
-            orjson.dumps(dataclasses.asdict(settings)).decode(), policy_hash(),
-        ])
+        self._start = (
+            r.START,
+            [
+                relay,
+                process,
+                _version(),
+                conf.level,
+                float(conf.sample),
+                " ".join(conf.classes),
+                str(seed),
+                orjson.dumps(dataclasses.asdict(settings)).decode(),
+                policy_hash(),
+            ],
+        )
         self._make = {
-            r.MESSAGE: self._message, r.ADMIT: self._admit, r.END: self._end, r.TRY_START: self._try_start,
-            r.TRY_END: self._try_end, r.PROBE_START: self._probe_start, r.PROBE_END: self._probe_end,
-            r.NOTICE: self._notice, r.NOTICE_HEARD: self._notice_heard, r.LIST: self._list, r.VERDICT: self._verdict,
+            r.MESSAGE: self._message,
+            r.ADMIT: self._admit,
+            r.END: self._end,
+            r.TRY_START: self._try_start,
+            r.TRY_END: self._try_end,
+            r.PROBE_START: self._probe_start,
+            r.PROBE_END: self._probe_end,
+            r.NOTICE: self._notice,
+            r.NOTICE_HEARD: self._notice_heard,
+            r.LIST: self._list,
+            r.VERDICT: self._verdict,
             r.STEP: self._step,
-            r.STOP: self._stop, GONE: self._gone,
+            r.STOP: self._stop,
+            GONE: self._gone,
         }
         self._tell((clock(), STARTED))
 
@@ -132,8 +173,18 @@
         if self._tries:
             self._tell((now, r.TRY_START, number, attempt, endpoint, timeout, fresh))
 
-    def try_ended(self, now: int, number: int, attempt: int, endpoint: int, result: int, spent: int, wait_ms: float,
-                  over: bool, report: tuple[float, ...]) -> None:
+    def try_ended(
+        self,
+        now: int,
+        number: int,
+        attempt: int,
+        endpoint: int,
+        result: int,
+        spent: int,
+        wait_ms: float,
+        over: bool,
+        report: tuple[float, ...],
+    ) -> None:
         if self._tries:
             self._tell((now, r.TRY_END, number, attempt, endpoint, result, spent, wait_ms, over, report))
 
@@ -159,8 +210,17 @@
             elif kind is api.Probed and self._tries:
                 self._tell((now, r.PROBE_END, event))
 
-    def verdict(self, now: int, source: str, unit: str, version: int, digest: str, outcome: str,
-                counts: dict[str, int], reasons: str) -> None:
+    def verdict(
+        self,
+        now: int,
+        source: str,
+        unit: str,
+        version: int,
+        digest: str,
+        outcome: str,
+        counts: dict[str, int],
+        reasons: str,
+    ) -> None:
         """What became of a version of a list."""
         self._tell((now, r.VERDICT, source, unit, version, digest, outcome, counts, reasons))
 
@@ -216,8 +276,9 @@
         records: list[tuple[int, list]] = [self._start] if files.begins else []  # each file tells whose it is
         dropped = files.dropped
         if dropped.records and not files.failing:
-            records.append((r.DROPPED, [dropped.records, dropped.bytes, dropped.first, dropped.last,
-                                        r.reason(dropped.reason)]))
+            records.append(
+                (r.DROPPED, [dropped.records, dropped.bytes, dropped.first, dropped.last, r.reason(dropped.reason)])
+            )
         at, end, make = 0, len(told), self._make
         while at < end:
             if told[at] != time_:
@@ -226,7 +287,7 @@
             what = told[at + 1]
             behind = at + WORDS[what]
             if what != STARTED:
-                make[what](records, *told[at + 2:behind])
+                make[what](records, *told[at + 2 : behind])
             at = behind
         self._frame(frames, time_, records)
         failing = files.failing
@@ -246,8 +307,9 @@
 
     # Records -------------------------------------------------------------------------------------
 
-    def _message(self, records: list, number: int, id_: str, dest: int, size: int, cls: int, tenant: int, left: int,
-                 tries: int) -> None:
+    def _message(
+        self, records: list, number: int, id_: str, dest: int, size: int, cls: int, tenant: int, left: int, tries: int
+    ) -> None:
         if not self._all and not self._wanted(id_, cls):
             return
         msg = self._kept[number] = r.Msg(number, id_, self._classes[cls], self._tenants[tenant], dest)
@@ -271,18 +333,50 @@
             left = timeout if timeout > 0 else 0
             records.append((r.TRY_START, [msg, attempt, self._endpoint(endpoint), left, fresh]))
 
-    def _try_end(self, records: list, number: int, attempt: int, endpoint: int, result: int, spent: int,
-                 wait_ms: float, over: bool, report: tuple[float, ...]) -> None:
+    def _try_end(
+        self,
+        records: list,
+        number: int,
+        attempt: int,
+        endpoint: int,
+        result: int,
+        spent: int,
+        wait_ms: float,
+        over: bool,
+        report: tuple[float, ...],
+    ) -> None:
         if (msg := self._kept.get(number)) is not None:
-            records.append((r.TRY_END, [msg, attempt, self._endpoint(endpoint), RESULTS[result],
-                                        spent if spent > 0 else 0, wait_ms, over, report]))
+            records.append(
+                (
+                    r.TRY_END,
+                    [
+                        msg,
+                        attempt,
+                        self._endpoint(endpoint),
+                        RESULTS[result],
+                        spent if spent > 0 else 0,
+                        wait_ms,
+                        over,
+                        report,
+                    ],
+                )
+            )
 
     def _probe_start(self, records: list, endpoint: int) -> None:
         records.append((r.PROBE_START, [self._endpoint(endpoint)]))
 
     def _probe_end(self, records: list, event: api.Probed) -> None:
-        records.append((r.PROBE_END, [self._endpoint(event.endpoint), RESULTS[event.result],
-                                      max(0, round(event.spent * 1000)), event.report]))
+        records.append(
+            (
+                r.PROBE_END,
+                [
+                    self._endpoint(event.endpoint),
+                    RESULTS[event.result],
+                    max(0, round(event.spent * 1000)),
+                    event.report,
+                ],
+            )
+        )
 
     def _notice(self, records: list, number: int, status: str, again_ms: int) -> None:
         if (msg := self._kept.get(number)) is not None:
@@ -297,8 +391,17 @@
         if self._tries and rows:
             records.append((r.MEMBERS, [rows]))
 
-    def _verdict(self, records: list, source: str, unit: str, version: int, digest: str, outcome: str,
-                 counts: dict[str, int], reasons: str) -> None:
+    def _verdict(
+        self,
+        records: list,
+        source: str,
+        unit: str,
+        version: int,
+        digest: str,
+        outcome: str,
+        counts: dict[str, int],
+        reasons: str,
+    ) -> None:
         changed = [counts[name] for name in ("added", "drained", "resumed", "gone", "reweighted", "moved")]
         records.append((r.VERDICT, [source, unit, version, digest, outcome, *changed, reasons[:REASONS_MOST]]))
 
@@ -329,8 +432,17 @@
         rows = []
         for one in event.members:
             name = self._names(one.endpoint)
-            rows.append(r.Member(self._endpoint(one.endpoint), int(one.lifecycle), one.destination,
-                                 self._zones[one.zone], self._kinds[one.kind], one.weight, name[1] if name else ""))
+            rows.append(
+                r.Member(
+                    self._endpoint(one.endpoint),
+                    int(one.lifecycle),
+                    one.destination,
+                    self._zones[one.zone],
+                    self._kinds[one.kind],
+                    one.weight,
+                    name[1] if name else "",
+                )
+            )
         return rows
 
     def _msg(self, number: int) -> r.Msg:
@@ -339,11 +451,18 @@
     def _event(self, event: Any) -> tuple[int, list]:
         kind = type(event)
         if kind is api.Outcome:
-            return r.IN_OUTCOME, [self._msg(event.id), event.attempt, self._endpoint(event.endpoint), int(event.result),
-                                  event.spent, event.finished, event.wait, event.report]
+            return r.IN_OUTCOME, [
+                self._msg(event.id),
+                event.attempt,
+                self._endpoint(event.endpoint),
+                int(event.result),
+                event.spent,
+                event.finished,
+                event.wait,
+                event.report,
+            ]
         if kind is api.Message:
-            return r.IN_MESSAGE, [self._msg(event.id), event.expires, event.attempts, event.maybe_at,
-                                  event.inherited]
+            return r.IN_MESSAGE, [self._msg(event.id), event.expires, event.attempts, event.maybe_at, event.inherited]
         if kind is api.TimerDue:
             return r.IN_TIMER, [event.mark]
         if kind is api.Withdrawn:
--- a/lynxscale/trace/records.py
+++ b/lynxscale/trace/records.py
@@ -71,8 +71,13 @@
     _type(12, "admit", "ends", "msg:M verdict:r again:x"),
     _type(13, "end", "ends", "msg:M status:r again:x"),
     _type(14, "list", "ends", "kind:u version:u members:u"),
-    _type(15, "verdict", "ends", "source:t unit:t version:u digest:t outcome:t added:u drained:u resumed:u gone:u "
-          "reweighted:u moved:u reasons:t"),
+    _type(
+        15,
+        "verdict",
+        "ends",
+        "source:t unit:t version:u digest:t outcome:t added:u drained:u resumed:u gone:u "
+        "reweighted:u moved:u reasons:t",
+    ),
     _type(16, "try_start", "tries", "msg:M attempt:u endpoint:e timeout:u fresh:b"),
     _type(17, "try_end", "tries", "msg:M attempt:u endpoint:e result:r latency:u wait:x over:b report:F"),
     _type(18, "probe_start", "tries", "endpoint:e"),
@@ -114,8 +119,25 @@
 
 # The codes that the relay itself writes, by their place: the same in every process.
 REASONS = (
-    "taken", "rejected", "no_room", "disk_full", "delivered", "over", "undeliverable", "deferred", "ok", "error",
-    "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "memory", "disk", "again",
+    "taken",
+    "rejected",
+    "no_room",
+    "disk_full",
+    "delivered",
+    "over",
+    "undeliverable",
+    "deferred",
+    "ok",
+    "error",
+    "full",
+    "timeout",
+    "connect_failed",
+    "reset",
+    "cancelled",
+    "moot",
+    "memory",
+    "disk",
+    "again",
 )
 REASON_OF: dict[str, Handle] = {text: (place, text) for place, text in enumerate(REASONS)}
 
--- a/lynxscale/trace/replay.py
+++ b/lynxscale/trace/replay.py
@@ -33,8 +33,7 @@
     """
     try:
         table = orjson.loads(text)
-        table["classes"] = [api.MessageClass(**row | {"effect": api.Effect(row["effect"])})
-                            for row in table["classes"]]
+        table["classes"] = [api.MessageClass(**row | {"effect": api.Effect(row["effect"])}) for row in table["classes"]]
         table["tenants"] = [api.Tenant(**row) for row in table["tenants"]]
         return api.Settings(**table)
     except (ValueError, KeyError, TypeError) as error:
@@ -49,8 +48,16 @@
     if number == r.IN_MESSAGE:
         msg, expires, attempts, maybe = values[:4]
         inherited = len(values) > 4 and bool(values[4])  # not told by older ones
-        return api.Message(msg.number, msg.dest, msg.cls[0], msg.tenant[0], expires, inherited=inherited,
-                           attempts=attempts, maybe_at=maybe)
+        return api.Message(
+            msg.number,
+            msg.dest,
+            msg.cls[0],
+            msg.tenant[0],
+            expires,
+            inherited=inherited,
+            attempts=attempts,
+            maybe_at=maybe,
+        )
     if number == r.IN_TIMER:
         return api.TimerDue(values[0])
     if number == r.IN_WITHDRAWN:
@@ -59,10 +66,16 @@
         return api.Probed(values[0][0], values[1], values[2], values[3])
     if number == r.IN_LIST:
         kind, version, rows = values[:3]
-        return api.Membership(api.ListKind(kind), version, [
-            api.Member(row.endpoint[0], api.Lifecycle(row.lifecycle), row.dest, row.zone[0], row.kind[0], row.weight)
-            for row in rows
-        ])
+        return api.Membership(
+            api.ListKind(kind),
+            version,
+            [
+                api.Member(
+                    row.endpoint[0], api.Lifecycle(row.lifecycle), row.dest, row.zone[0], row.kind[0], row.weight
+                )
+                for row in rows
+            ],
+        )
     return None
 
 
@@ -113,17 +126,30 @@
     replayed: Counter = field(default_factory=Counter)
     moved: Counter = field(default_factory=Counter)  # messages that another module ended otherwise or sent elsewhere
 
-
     def table(self) -> dict[str, Any]:
         """As a JSON object."""
         first = self.difference
         return {
-            "source": self.source, "policy": self.policy, "steps": self.steps, "events": self.events,
-            "actions": self.actions, "messages": self.messages, "whole": self.whole, "anonymised": self.anonymised,
-            "recorded": dict(self.recorded), "replayed": dict(self.replayed), "moved": dict(self.moved),
-            "difference": first and {"step": first.step, "unix": first.unix, "action": first.place,
-                                     "recorded": repr(first.recorded), "replayed": repr(first.replayed),
-                                     "led_up": first.led_up},
+            "source": self.source,
+            "policy": self.policy,
+            "steps": self.steps,
+            "events": self.events,
+            "actions": self.actions,
+            "messages": self.messages,
+            "whole": self.whole,
+            "anonymised": self.anonymised,
+            "recorded": dict(self.recorded),
+            "replayed": dict(self.replayed),
+            "moved": dict(self.moved),
+            "difference": first
+            and {
+                "step": first.step,
+                "unix": first.unix,
+                "action": first.place,
+                "recorded": repr(first.recorded),
+                "replayed": repr(first.replayed),
+                "led_up": first.led_up,
+            },
         }
 
 
@@ -189,8 +215,9 @@
                 self.played.anonymised = True
                 continue
             if one != other or fault:
-                self.played.difference = Difference(frame.source, self.played.steps, frame.unix, place, one, other,
-                                                    list(self.led_up))
+                self.played.difference = Difference(
+                    frame.source, self.played.steps, frame.unix, place, one, other, list(self.led_up)
+                )
                 return
 
     def _keep(self, action: Any, place: int) -> None:
--- a/lynxscale/trace/rotation.py
+++ b/lynxscale/trace/rotation.py
@@ -41,8 +41,13 @@
 class Files:
     """Where frames go. Nothing here raises for what the disk does; ``told`` is called with an event and its fields."""
 
-    def __init__(self, conf: TraceConf, name: str, told: Callable[..., None],
-                 clock: Callable[[], int] = lambda: time.monotonic_ns() // 1000) -> None:
+    def __init__(
+        self,
+        conf: TraceConf,
+        name: str,
+        told: Callable[..., None],
+        clock: Callable[[], int] = lambda: time.monotonic_ns() // 1000,
+    ) -> None:
         assert conf.folder is not None
         self._conf, self._folder, self._told, self._clock = conf, Path(conf.folder), told, clock
         self._name = "".join(c if c.isalnum() or c in "-_" else "_" for c in name)[:80]
--- a/lynxscale/trace/summary.py
+++ b/lynxscale/trace/summary.py
@@ -70,14 +70,26 @@
 
     def table(self, by: tuple[str, ...]) -> dict[str, Any]:
         """As a JSON object: percentiles in ms, worth in the settings' units."""
-        spread = {f"p{str(share).replace('.0', '')}_ms": self.latencies.get_value_at_percentile(share)
-                  for share in (50.0, 90.0, 99.0)} if self.latencies.get_total_count() else {}
+        spread = (
+            {
+                f"p{str(share).replace('.0', '')}_ms": self.latencies.get_value_at_percentile(share)
+                for share in (50.0, 90.0, 99.0)
+            }
+            if self.latencies.get_total_count()
+            else {}
+        )
         return dict(zip(by, self.key, strict=True)) | {
-            "messages": self.messages, "replayed": self.replayed, "verdicts": dict(sorted(self.verdicts.items())),
-            "ends": dict(sorted(self.ends.items())), "unfinished": self.unfinished,
-            "tries": self.tries, "tries_each": round(self.tries / self.messages, 3) if self.messages else 0.0,
-            "results": dict(sorted(self.results.items())), **spread,
-            "worth_asked": round(self.worth_asked, 3), "worth_in_aim": round(self.worth_in_aim, 3),
+            "messages": self.messages,
+            "replayed": self.replayed,
+            "verdicts": dict(sorted(self.verdicts.items())),
+            "ends": dict(sorted(self.ends.items())),
+            "unfinished": self.unfinished,
+            "tries": self.tries,
+            "tries_each": round(self.tries / self.messages, 3) if self.messages else 0.0,
+            "results": dict(sorted(self.results.items())),
+            **spread,
+            "worth_asked": round(self.worth_asked, 3),
+            "worth_in_aim": round(self.worth_in_aim, 3),
             "worth_late": round(self.worth_late, 3),
         }
 
@@ -132,8 +144,12 @@
         for one in self._open.values():
             one.row.unfinished += 1
         self._open.clear()
-        yield from (self._rows[key] for key in sorted(self._rows, key=lambda key: tuple(map(str, key)) if not
-                                                      self._window else (key[0], *map(str, key[1:]))))
+        yield from (
+            self._rows[key]
+            for key in sorted(
+                self._rows, key=lambda key: tuple(map(str, key)) if not self._window else (key[0], *map(str, key[1:]))
+            )
+        )
 
     # Records -------------------------------------------------------------------------------------
 
@@ -141,8 +157,9 @@
         try:
             table = orjson.loads(values[7])
             for row in table["classes"]:
-                self._grades[row["name"]] = Grade(row["aim_ms"], row["deadline_ms"], row["worth"], row["late_worth"],
-                                                  table["late_halves"])
+                self._grades[row["name"]] = Grade(
+                    row["aim_ms"], row["deadline_ms"], row["worth"], row["late_worth"], table["late_halves"]
+                )
         except (ValueError, KeyError, TypeError, IndexError):
             pass  # without them there is no worth in the summary, and all else is
 
@@ -206,5 +223,10 @@
                 one.row.worth_late += worth
 
 
-HANDLED = {r.MESSAGE: Summariser._message, r.ADMIT: Summariser._admit, r.TRY_START: Summariser._try,
-           r.TRY_END: Summariser._tried, r.END: Summariser._end}
+HANDLED = {
+    r.MESSAGE: Summariser._message,
+    r.ADMIT: Summariser._admit,
+    r.TRY_START: Summariser._try,
+    r.TRY_END: Summariser._tried,
+    r.END: Summariser._end,
+}
--- a/lynxscale/trace/v2.py
+++ b/lynxscale/trace/v2.py
@@ -130,7 +130,7 @@
         dest += step
         one.dests.add(dest)
     count, at = get_uint(data, at)
-    raw = data[at:at + 2 * count]
+    raw = data[at : at + 2 * count]
     if len(raw) < 2 * count:
         raise Cut("a summary is cut short")
     one.ids = set(_little(array("H", raw)))
@@ -168,17 +168,28 @@
 
 
 def pack_block_head(head: BlockHead) -> bytes:
-    data = BLOCK.pack(BLOCK_MARK, head.state, head.number, head.base_time, head.base_seq, head.stored, head.raw,
-                      head.summary, head.checksum, head.summary_checksum, 0)[:-4]
+    data = BLOCK.pack(
+        BLOCK_MARK,
+        head.state,
+        head.number,
+        head.base_time,
+        head.base_seq,
+        head.stored,
+        head.raw,
+        head.summary,
+        head.checksum,
+        head.summary_checksum,
+        0,
+    )[:-4]
     return data + crc32c(data).to_bytes(4, "little")
 
 
 def read_block_head(data: bytes, at: int = 0) -> BlockHead | None:
     """The head at an offset; None where no whole one stands there."""
-    if len(data) < at + BLOCK.size or data[at:at + 8] != BLOCK_MARK:
+    if len(data) < at + BLOCK.size or data[at : at + 8] != BLOCK_MARK:
         return None
     _mark, *values, checksum = BLOCK.unpack_from(data, at)
-    if crc32c(data[at:at + BLOCK.size - 4]) != checksum:
+    if crc32c(data[at : at + BLOCK.size - 4]) != checksum:
         return None
     head = BlockHead(*values)
     if head.state > PLAIN or head.raw > RAW_MOST or head.stored > RAW_MOST or head.summary > SUMMARY_MOST:
@@ -235,8 +246,17 @@
         if len(stored) >= len(raw):
             stored, state = bytes(raw), PLAIN
         summary = self.summary.pack()
-        head = BlockHead(state, self.number, self.base_time, self.base_seq, len(stored), len(raw), len(summary),
-                         crc32c(stored), crc32c(summary))
+        head = BlockHead(
+            state,
+            self.number,
+            self.base_time,
+            self.base_seq,
+            len(stored),
+            len(raw),
+            len(summary),
+            crc32c(stored),
+            crc32c(summary),
+        )
         return pack_block_head(head) + summary + stored
 
     def next(self) -> None:
@@ -265,7 +285,7 @@
         size, at = get_uint(raw, at)
         if at + size > len(raw):
             raise Cut("a frame is cut short")
-        yield raw[at:at + size]
+        yield raw[at : at + size]
         at += size
 
 
@@ -313,8 +333,12 @@
         stored = bytes(self._stored)
         where = offset.to_bytes(8, "little")
         head = INDEX.pack(INDEX_MARK, self._count, len(stored), 0)[:-CRC_BYTES]
-        return (head + crc32c(stored, crc32c(head)).to_bytes(CRC_BYTES, "little") + stored
-                + TRAILER.pack(offset, crc32c(where), TRAILER_MARK))
+        return (
+            head
+            + crc32c(stored, crc32c(head)).to_bytes(CRC_BYTES, "little")
+            + stored
+            + TRAILER.pack(offset, crc32c(where), TRAILER_MARK)
+        )
 
 
 def index_offset(tail: bytes) -> int | None:
@@ -357,8 +381,8 @@
                 if not chunk:
                     raise Cut("the index is cut short")
                 buffer += chunk
-            row = bytes(buffer[size[0]:size[1]])
-            del buffer[:size[1]]
+            row = bytes(buffer[size[0] : size[1]])
+            del buffer[: size[1]]
             offset, at = get_uint(row, 0)
             length, at = get_uint(row, at)
             number, at = get_uint(row, at)
--- a/lynxscale/trace/view.py
+++ b/lynxscale/trace/view.py
@@ -35,14 +35,30 @@
 
 def _shown(name: str, kind: str, value: Any) -> dict[str, Any]:
     if kind == "M":
-        return {"id": value.id, "number": value.number, "class": value.cls[1], "tenant": value.tenant[1],
-                "dest": value.dest}
+        return {
+            "id": value.id,
+            "number": value.number,
+            "class": value.cls[1],
+            "tenant": value.tenant[1],
+            "dest": value.dest,
+        }
     if kind in r.TABLE_OF:
         return {name: value[1] or f"#{value[0]}"}
     if kind == "L":
-        return {name: [{"endpoint": row.endpoint[1] or f"#{row.endpoint[0]}", "lifecycle": LIFECYCLES[row.lifecycle],
-                        "dest": row.dest, "zone": row.zone[1], "kind": row.kind[1], "weight": row.weight,
-                        "address": row.address} for row in value]}
+        return {
+            name: [
+                {
+                    "endpoint": row.endpoint[1] or f"#{row.endpoint[0]}",
+                    "lifecycle": LIFECYCLES[row.lifecycle],
+                    "dest": row.dest,
+                    "zone": row.zone[1],
+                    "kind": row.kind[1],
+                    "weight": row.weight,
+                    "address": row.address,
+                }
+                for row in value
+            ]
+        }
     return {name: value}
 
 
@@ -70,8 +86,10 @@
     where = (row.get("endpoint") or (0, ""))[1] or f"#{(row.get('endpoint') or (0, ''))[0]}"
     if number == r.MESSAGE:
         earlier = f", {row['tries']} tries by an earlier process" if row.get("tries") else ""
-        return (f"in: {msg.cls[1]} of {msg.tenant[1] or 'no tenant'} for destination {msg.dest}, {row['size']} bytes, "
-                f"{_ms(row['left'])} left{earlier}")
+        return (
+            f"in: {msg.cls[1]} of {msg.tenant[1] or 'no tenant'} for destination {msg.dest}, {row['size']} bytes, "
+            f"{_ms(row['left'])} left{earlier}"
+        )
     if number == r.ADMIT:
         return f"answered: {row['verdict'][1]}{again}"
     if number == r.TRY_START:
--- a/lynxscale/trace/writer.py
+++ b/lynxscale/trace/writer.py
@@ -18,8 +18,9 @@
 class Output:
     """One file, taken over by its name when it is whole. Used by ``with``; an exception leaves nothing behind."""
 
-    def __init__(self, path: str | Path, version: int = 2, created: int | None = None,
-                 writer: str = "lynxscale") -> None:
+    def __init__(
+        self, path: str | Path, version: int = 2, created: int | None = None, writer: str = "lynxscale"
+    ) -> None:
         self.path = Path(path)
         if version not in (1, 2):
             raise ValueError(f"version {version}: want 1 or 2")
--- a/lynxscale/upgrade/board.py
+++ b/lynxscale/upgrade/board.py
@@ -46,7 +46,7 @@
     # The owner's side ----------------------------------------------------------------------------
 
     def begin(self, generation: int, inode: int) -> None:
-        self._data[self._at:self._at + HALF] = bytes(HALF)
+        self._data[self._at : self._at + HALF] = bytes(HALF)
         HEAD.pack_into(self._data, self._at, MAGIC, VERSION, Stage.STARTING, generation, inode, 0, 0, 0)
 
     def enter(self, stage: Stage) -> None:
@@ -65,7 +65,7 @@
             for over in [one for one, end in waits.items() if end <= now] or [min(waits, key=waits.__getitem__)]:
                 del waits[over]
         rows = b"".join(WAIT.pack(*row) for row in waits.items())
-        self._data[self._at + HEAD.size:self._at + HEAD.size + len(rows)] = rows
+        self._data[self._at + HEAD.size : self._at + HEAD.size + len(rows)] = rows
         told = COUNT.unpack_from(self._data, self._at + TOLD_AT)[0]
         struct.pack_into("<II", self._data, self._at + TOLD_AT, (told + 1) & 0xFFFFFFFF, len(waits))
 
@@ -82,7 +82,7 @@
         """Until when its process was told to wait; 0 for never."""
         told, count = struct.unpack_from("<II", self._data, self._at + TOLD_AT)
         if told != self._seen:
-            rows = self._data[self._at + HEAD.size:self._at + HEAD.size + min(count, MOST_WAITS) * WAIT.size]
+            rows = self._data[self._at + HEAD.size : self._at + HEAD.size + min(count, MOST_WAITS) * WAIT.size]
             self._waits, self._seen = dict(WAIT.iter_unpack(rows)), told
         return self._waits.get(dest, 0)
 
--- a/lynxscale/upgrade/folders.py
+++ b/lynxscale/upgrade/folders.py
@@ -143,12 +143,18 @@
         manifest = manifest_of(self._port, names)
         if manifest is None:
             return {}
-        found = recover(manifest, {row.number: self._port.read(segment_name(row.number)) for row in manifest.rows
-                                   if segment_name(row.number) in names})
+        found = recover(
+            manifest,
+            {
+                row.number: self._port.read(segment_name(row.number))
+                for row in manifest.rows
+                if segment_name(row.number) in names
+            },
+        )
         self.gaps = found.gaps
         marks = self._port.read(TAKEN) if TAKEN in names else b""
         # A mark that was cut short is of a message that the heir keeps and never sent: it knows it by its id.
-        marked = {number for number, in UID.iter_unpack(marks[:len(marks) // UID.size * UID.size])}
+        marked = {number for (number,) in UID.iter_unpack(marks[: len(marks) // UID.size * UID.size])}
         return {uid: entry for uid, entry in found.entries.items() if uid not in marked}
 
     def mark(self, numbers: list[int]) -> None:
@@ -201,7 +207,7 @@
         file.seek(at)
         data = file.read()
         whole = len(data) // UID.size * UID.size
-        return [number for number, in UID.iter_unpack(data[:whole])], at + whole
+        return [number for (number,) in UID.iter_unpack(data[:whole])], at + whole
     return [], at
 
 
--- a/lynxscale/upgrade/handover.py
+++ b/lynxscale/upgrade/handover.py
@@ -29,9 +29,17 @@
 class Handover:
     """``accept``: take clients from now on; ``share``: keep to a part of the descriptors."""
 
-    def __init__(self, claim: Claim, relay: Relay, deadlines: Deadlines, counters: Counters,
-                 accept: Callable[[], None], share: Callable[[float], None],
-                 name_of: Callable[[int], tuple[str, str] | None], number_of: Callable[[str, str], int | None]) -> None:
+    def __init__(
+        self,
+        claim: Claim,
+        relay: Relay,
+        deadlines: Deadlines,
+        counters: Counters,
+        accept: Callable[[], None],
+        share: Callable[[float], None],
+        name_of: Callable[[int], tuple[str, str] | None],
+        number_of: Callable[[str, str], int | None],
+    ) -> None:
         self._claim, self._relay, self._deadlines, self._counters = claim, relay, deadlines, counters
         self._accept, self._share = accept, share
         self._name_of, self._number_of = name_of, number_of
@@ -118,7 +126,8 @@
         elif self._predecessor < 0:
             self._heir = generation
         there = (stage is not Stage.NONE or self._succession.predecessor) and alive(
-            claim.state, generation if wanted else self._predecessor)
+            claim.state, generation if wanted else self._predecessor
+        )
         self._other = (stage if there else Stage.NONE, there)
         return out if there else 0
 
--- a/lynxscale/upstream/decide.py
+++ b/lynxscale/upstream/decide.py
@@ -47,8 +47,9 @@
         self.addresses = Shards()  # to the unit and the id
         self.destinations: dict[int, str] = {}
 
-    def replace(self, unit: str, old: Mapping[str, Entry], new: Mapping[str, Entry],
-                destinations: Collection[int]) -> Slices[None]:
+    def replace(
+        self, unit: str, old: Mapping[str, Entry], new: Mapping[str, Entry], destinations: Collection[int]
+    ) -> Slices[None]:
         """A unit's list is another from now on."""
         for place, (id_, entry) in enumerate(old.items()):
             if not place % SLICE:
@@ -150,14 +151,24 @@
         if not guards.last_endpoint and not left.get(number):
             faults.append(Fault(candidate.unit, 0, f"destination {number}", "its last endpoint would go"))
         elif count > guards.most_removed * ready[number]:
-            faults.append(Fault(candidate.unit, 0, f"destination {number}",
-                                f"{count} of {ready[number]} endpoints would go, most-removed is "
-                                f"{guards.most_removed:g}"))
+            faults.append(
+                Fault(
+                    candidate.unit,
+                    0,
+                    f"destination {number}",
+                    f"{count} of {ready[number]} endpoints would go, most-removed is {guards.most_removed:g}",
+                )
+            )
     for number, amount in shifted.items():
         if weight[number] and amount > guards.most_moved * weight[number]:
-            faults.append(Fault(candidate.unit, 0, f"destination {number}",
-                                f"{amount / weight[number]:.2f} of its weight would move, most-moved is "
-                                f"{guards.most_moved:g}"))
+            faults.append(
+                Fault(
+                    candidate.unit,
+                    0,
+                    f"destination {number}",
+                    f"{amount / weight[number]:.2f} of its weight would move, most-moved is {guards.most_moved:g}",
+                )
+            )
     return faults
 
 
@@ -166,20 +177,32 @@
     if before.version is None or candidate.version > before.version:
         return []
     if candidate.version < before.version:
-        return [Fault(candidate.unit, 0, f"generation {candidate.version}",
-                      f"want one above {before.version}, which is in force")]
-    return [Fault(candidate.unit, 0, f"generation {candidate.version}",
-                  "want a new one: other bytes are in force under it")]
-
-
-def judge(before: InForce, candidate: Candidate, owners: Owners, guards: Guards,
-          approved: Collection[str] = ()) -> Slices[Verdict]:
+        return [
+            Fault(
+                candidate.unit,
+                0,
+                f"generation {candidate.version}",
+                f"want one above {before.version}, which is in force",
+            )
+        ]
+    return [
+        Fault(candidate.unit, 0, f"generation {candidate.version}", "want a new one: other bytes are in force under it")
+    ]
+
+
+def judge(
+    before: InForce, candidate: Candidate, owners: Owners, guards: Guards, approved: Collection[str] = ()
+) -> Slices[Verdict]:
     """The verdict on a version. ``approved``: digests that an operator has confirmed."""
     if candidate.digest == before.digest:
         # Drains of a version that was held are in force besides: the file's return takes them back.
         changes = yield from compare(before.entries, candidate.entries)
-        return Verdict(candidate, Outcome.APPLIED if changes else Outcome.SAME, changes=changes,
-                       entries=candidate.entries if changes else dict(before.entries))
+        return Verdict(
+            candidate,
+            Outcome.APPLIED if changes else Outcome.SAME,
+            changes=changes,
+            entries=candidate.entries if changes else dict(before.entries),
+        )
     faults = numbered(before, candidate) + (yield from conflicts(candidate, owners))
     if faults:
         return Verdict(candidate, Outcome.REJECTED, _few(faults, candidate.unit), entries=dict(before.entries))
@@ -188,8 +211,7 @@
         asked = yield from guarded(before.entries, candidate, changes, guards)
         if asked:
             outcome = Outcome.HELD if guards.holds else Outcome.REJECTED
-            return Verdict(candidate, outcome, _few(asked, candidate.unit), changes,
-                           drained(before.entries, changes))
+            return Verdict(candidate, outcome, _few(asked, candidate.unit), changes, drained(before.entries, changes))
     return Verdict(candidate, Outcome.APPLIED, changes=changes, entries=candidate.entries)
 
 
--- a/lynxscale/upstream/files.py
+++ b/lynxscale/upstream/files.py
@@ -82,8 +82,9 @@
     return hashlib.sha256(data).hexdigest()
 
 
-def read(data: bytes, unit: str, rules: Rules, known: Shards | None = None,
-         digest: str | None = None) -> Slices[Reading]:
+def read(
+    data: bytes, unit: str, rules: Rules, known: Shards | None = None, digest: str | None = None
+) -> Slices[Reading]:
     """Read a file's bytes; ``known`` has lines of the version before, which need not be read again."""
     reading = Reading()
     digest = digest or digest_of(data)
@@ -118,14 +119,21 @@
     match = CONTROL.search(part)
     if match is not None:
         what = {0: "NUL", 13: "carriage return"}.get(match.group()[0], f"control byte {match.group()[0]:#04x}")
-        reading.faults.append(Fault(unit, first + part.count(b"\n", 0, match.start()), what,
-                                    "want text, its lines ended by a line feed alone"))
+        reading.faults.append(
+            Fault(
+                unit,
+                first + part.count(b"\n", 0, match.start()),
+                what,
+                "want text, its lines ended by a line feed alone",
+            )
+        )
         return None
     try:
         return part.decode()
     except UnicodeDecodeError as error:
-        reading.faults.append(Fault(unit, first + part.count(b"\n", 0, error.start), f"byte {part[error.start]:#04x}",
-                                    "want UTF-8"))
+        reading.faults.append(
+            Fault(unit, first + part.count(b"\n", 0, error.start), f"byte {part[error.start]:#04x}", "want UTF-8")
+        )
         return None
 
 
@@ -153,9 +161,10 @@
             raise Wrong(entry.id, f"want each endpoint once: it stands at line {line}{how}")
         other = self.addresses.get(entry.address)
         if other is not None:
-            raise Wrong("{}:{}".format(*entry.address),
-                        f"want one id at an address: {other} is there, line "
-                        f"{line_of(other, self.entries, self.lines)}")
+            raise Wrong(
+                "{}:{}".format(*entry.address),
+                f"want one id at an address: {other} is there, line {line_of(other, self.entries, self.lines)}",
+            )
         if len(self.entries) >= self.rules.entries_most:
             raise Wrong(entry.id, f"want at most {self.rules.entries_most} endpoints")
         self.entries[entry.id] = entry
@@ -220,7 +229,7 @@
                 # Guards the loop against a line of megabytes, that would be searched and split in one go.
                 self.fault(number + 1, "line", f"want lines of at most {LINE_MOST} characters")
                 return
-            part = data[at:min(end, size)]
+            part = data[at : min(end, size)]
             text = _text(part, self.unit, number + 1, self.reading)
             if text is None:
                 return
@@ -259,8 +268,10 @@
             return
         act = self.directives.get(words[0])
         if act is None:
-            raise Wrong(words[0], "want it as the last line alone" if words[0] == "end"
-                        else "want list, destination, endpoint or end")
+            raise Wrong(
+                words[0],
+                "want it as the last line alone" if words[0] == "end" else "want list, destination, endpoint or end",
+            )
         if self.generation is None and words[0] != "list":
             raise Wrong(words[0], f"want list {VERSION} generation NUMBER first")
         act(number, words, raw)
@@ -305,8 +316,11 @@
     def _endpoint(self, number: int, words: list[str], raw: str) -> None:
         life = LIFECYCLES.get(words[-1])
         if len(words) < 4 or life is None:
-            raise Wrong("endpoint", "want endpoint ID ADDRESS:PORT destination NUMBER [zone ZONE] [kind KIND] "
-                                    "[weight CALLS] [since MS] ready|draining")
+            raise Wrong(
+                "endpoint",
+                "want endpoint ID ADDRESS:PORT destination NUMBER [zone ZONE] [kind KIND] "
+                "[weight CALLS] [since MS] ready|draining",
+            )
         id_, address = _id(words[1]), self.address(words[2])
         told = dict(self._pairs(words[3:-1], KEYS))
         if "destination" not in told:
@@ -316,9 +330,16 @@
         kind, weight = told.get("kind"), told.get("weight")
         kind = self.named("kind", kind, self.rules.kinds) if kind is not None else own.kind or ""
         calls = _weight(weight) if weight is not None else own.rate or 0.0
-        entry = Entry(id_, address, dest, self.named("zone", told["zone"], self.rules.zones) if "zone" in told else "",
-                      kind, life, calls if own.rate is None else min(calls, own.rate),
-                      _whole("since", told["since"], GENERATION_MOST) if "since" in told else 0)
+        entry = Entry(
+            id_,
+            address,
+            dest,
+            self.named("zone", told["zone"], self.rules.zones) if "zone" in told else "",
+            kind,
+            life,
+            calls if own.rate is None else min(calls, own.rate),
+            _whole("since", told["since"], GENERATION_MOST) if "since" in told else 0,
+        )
         if not self.rated:
             self.reading.known.put(raw, entry)
         self.add(number, entry)
@@ -333,8 +354,11 @@
             self.fault(number, f"end {int(words[1])}", f"want the number of endpoints, which is {len(self.entries)}")
         if len(words) == 4:
             if int(words[3], 16) != checksum:
-                self.fault(number, f"crc32c {words[3].decode()}",
-                           f"want the checksum of the bytes above, which is {checksum:08x}")
+                self.fault(
+                    number,
+                    f"crc32c {words[3].decode()}",
+                    f"want the checksum of the bytes above, which is {checksum:08x}",
+                )
         elif self.rules.needs_checksum:
             self.fault(number, "end", "want a checksum: end COUNT crc32c HEX")
 
@@ -380,18 +404,27 @@
     if not isinstance(id_, str):
         raise Wrong("instanceId", "want a text")
     weight, dest, since = row.get("weight", 0.0), row.get("cell", 0), row.get("startedAtMs", 0)
-    if isinstance(weight, bool) or not isinstance(weight, (int, float)) or not (
-            math.isfinite(weight) and 0 <= weight <= WEIGHT_MOST):
+    if (
+        isinstance(weight, bool)
+        or not isinstance(weight, (int, float))
+        or not (math.isfinite(weight) and 0 <= weight <= WEIGHT_MOST)
+    ):
         raise Wrong(f"weight {weight}", f"want calls a second, 0 to {WEIGHT_MOST:g}")
     if isinstance(dest, bool) or not isinstance(dest, int) or not 0 <= dest < DESTINATION_MOST:
         raise Wrong(f"cell {dest}", f"want a whole number below {DESTINATION_MOST}")
     zone, kind = row.get("zone", ""), row.get("machineType", "")
     if not isinstance(zone, str) or not isinstance(kind, str):
         raise Wrong("zone" if not isinstance(zone, str) else "machineType", "want a text")
-    entry = Entry(_id(id_), found.address(str(row.get("hostPort"))), dest,
-                  found.named("zone", zone, found.rules.zones if zone else frozenset()),
-                  found.named("kind", kind, found.rules.kinds if kind else frozenset()), life, float(weight),
-                  since if isinstance(since, int) else 0)
+    entry = Entry(
+        _id(id_),
+        found.address(str(row.get("hostPort"))),
+        dest,
+        found.named("zone", zone, found.rules.zones if zone else frozenset()),
+        found.named("kind", kind, found.rules.kinds if kind else frozenset()),
+        life,
+        float(weight),
+        since if isinstance(since, int) else 0,
+    )
     found.add(place, entry)
 
 
@@ -420,8 +453,11 @@
     """A file with these entries, with its checksum."""
     lines = [f"list {VERSION} generation {generation}"]
     for one in destinations:
-        lines.append(f"destination {one.number}" + (f" rate {one.rate:g}" if one.rate is not None else "")
-                     + (f" kind {_quoted(one.kind)}" if one.kind else ""))
+        lines.append(
+            f"destination {one.number}"
+            + (f" rate {one.rate:g}" if one.rate is not None else "")
+            + (f" kind {_quoted(one.kind)}" if one.kind else "")
+        )
     rows = [written(entry) for entry in entries]
     data = "\n".join([*lines, *rows, ""]).encode()
     return data + f"end {len(rows)} crc32c {crc32c(data):08x}\n".encode()
--- a/lynxscale/upstream/group.py
+++ b/lynxscale/upstream/group.py
@@ -34,8 +34,15 @@
 class Group:
     """What the core, the peers and the clients ask of the list."""
 
-    def __init__(self, settings: api.Settings, deadlines: Deadlines, put: Callable[[object], None],
-                 on_gone: Callable[[int], None], order: Iterable[str] = SOURCES, ramp: int = 0) -> None:
+    def __init__(
+        self,
+        settings: api.Settings,
+        deadlines: Deadlines,
+        put: Callable[[object], None],
+        on_gone: Callable[[int], None],
+        order: Iterable[str] = SOURCES,
+        ramp: int = 0,
+    ) -> None:
         self._deadlines, self._put, self._on_gone = deadlines, put, on_gone
         self._ramps = Ramps(ramp)
         self.table = Table(settings.kinds, settings.zones, self._ramps)
@@ -109,8 +116,14 @@
         """A source could not be asked: the module asks again."""
         self._put(api.Membership(api.ListKind.FAILED, version, []))
 
-    def take(self, name: str, kind: api.ListKind, version: int, changes: Iterable[tuple[str, Entry | None]],
-             always: bool = False) -> None:
+    def take(
+        self,
+        name: str,
+        kind: api.ListKind,
+        version: int,
+        changes: Iterable[tuple[str, Entry | None]],
+        always: bool = False,
+    ) -> None:
         """Changes of a source's list, each an id and its entry, None where it goes.
 
         A list of kind FULL or CACHED holds all that the source has. ``always``: the module waits for an answer, and is
@@ -129,7 +142,7 @@
         if kind == api.ListKind.FULL:
             kind = api.ListKind.DELTA  # the other source's endpoints are not in it
         for at in range(0, len(members), MEMBERS_MOST):
-            self._put(api.Membership(kind, version, members[at:at + MEMBERS_MOST]))
+            self._put(api.Membership(kind, version, members[at : at + MEMBERS_MOST]))
         if not members and (always or kind == api.ListKind.CACHED):
             self._put(api.Membership(kind, version, []))
 
@@ -219,7 +232,7 @@
     def _rise(self) -> None:
         members = self.table.rise(self._deadlines.now())
         for at in range(0, len(members), MEMBERS_MOST):
-            self._put(api.Membership(api.ListKind.DELTA, 0, members[at:at + MEMBERS_MOST]))
+            self._put(api.Membership(api.ListKind.DELTA, 0, members[at : at + MEMBERS_MOST]))
         self._rising = len(self._ramps) > 0
         if self._rising:
             self._deadlines.after(self._ramps.every, self._rise)
--- a/lynxscale/upstream/part.py
+++ b/lynxscale/upstream/part.py
@@ -16,8 +16,16 @@
 class WatchPart(Part):
     def __init__(self, host: Host) -> None:
         members, settings = host.own.members, host.conf.settings
-        self._watch = Watch(host.reactor, host.deadlines, members, rules_of(members, settings.kinds, settings.zones),
-                            host.group, Lists(host.conf.state), host.teller, host.counters)
+        self._watch = Watch(
+            host.reactor,
+            host.deadlines,
+            members,
+            rules_of(members, settings.kinds, settings.zones),
+            host.group,
+            Lists(host.conf.state),
+            host.teller,
+            host.counters,
+        )
         host.group.add(FILES, self._watch)
         self.start, self.stop = self._watch.start, self._watch.stop
 
--- a/lynxscale/upstream/rules.py
+++ b/lynxscale/upstream/rules.py
@@ -12,8 +12,7 @@
 
 def rules_of(conf: MembersConf, kinds: Iterable[str], zones: Iterable[str]) -> files.Rules:
     """What a list may say, by the configuration and the settings' names."""
-    return files.Rules(nets(conf.allow, conf.deny), frozenset(kinds), frozenset(zones), conf.entries,
-                       conf.checksum)
+    return files.Rules(nets(conf.allow, conf.deny), frozenset(kinds), frozenset(zones), conf.entries, conf.checksum)
 
 
 def guards_of(conf: MembersConf) -> Guards:
--- a/lynxscale/upstream/sight.py
+++ b/lynxscale/upstream/sight.py
@@ -49,8 +49,9 @@
             seen = os.stat(folder)
             folders[folder] = (seen.st_dev, seen.st_ino)
             if whole:
-                names = sorted(name for name in os.listdir(path)
-                               if name.endswith(SUFFIXES) and not name.startswith("."))
+                names = sorted(
+                    name for name in os.listdir(path) if name.endswith(SUFFIXES) and not name.startswith(".")
+                )
                 if len(names) > UNITS_MOST:
                     faults.append(f"{path}: want at most {UNITS_MOST} files, not {len(names)}: the rest is left out")
                 units += [os.path.join(path, name) for name in names[:UNITS_MOST]]
--- a/lynxscale/upstream/state.py
+++ b/lynxscale/upstream/state.py
@@ -1,9 +1,9 @@
 """What membership keeps in the state folder: last good files, versions that wait for a word, approvals, the verdicts.
 
-    lists/good/NAME.list     the last version of a unit that was applied, behind a line with its digest and path
-    lists/held/DIGEST.list   one that waits for `lynxscale list approve`
-    lists/approved/DIGEST    an operator's word, and whose it is
-    lists/verdicts.jsonl     every verdict, a JSON object a line; verdicts.1.jsonl is the file before it
+lists/good/NAME.list     the last version of a unit that was applied, behind a line with its digest and path
+lists/held/DIGEST.list   one that waits for `lynxscale list approve`
+lists/approved/DIGEST    an operator's word, and whose it is
+lists/verdicts.jsonl     every verdict, a JSON object a line; verdicts.1.jsonl is the file before it
 """
 
 from __future__ import annotations
--- a/lynxscale/upstream/table.py
+++ b/lynxscale/upstream/table.py
@@ -76,7 +76,8 @@
                 self.ramps.aim(number, now, before.weight, entry.weight)
             self._by_number[number] = entry
             (first if entry.lifecycle == api.Lifecycle.DRAINING else last).append(
-                self._member(number, entry, entry.lifecycle))
+                self._member(number, entry, entry.lifecycle)
+            )
         return first + last, gone
 
     def members(self) -> list[api.Member]:
@@ -85,8 +86,10 @@
 
     def rise(self, now: int) -> list[api.Member]:
         """The members whose weight has come a step nearer to the list's."""
-        return [self._member(number, entry, entry.lifecycle)
-                for number, entry in ((number, self._by_number[number]) for number in self.ramps.step(now))]
+        return [
+            self._member(number, entry, entry.lifecycle)
+            for number, entry in ((number, self._by_number[number]) for number in self.ramps.step(now))
+        ]
 
     def _add(self, id_: str, entry: Entry) -> int:
         number = self._numbers[id_] = self._next_number()
@@ -103,5 +106,11 @@
             self._left[entry.destination] = now
 
     def _member(self, number: int, entry: Entry, life: api.Lifecycle) -> api.Member:
-        return api.Member(number, life, entry.destination, self._zones.get(entry.zone, 0),
-                          self._kinds.get(entry.kind, 0), self.ramps.weight(number, entry.weight))
+        return api.Member(
+            number,
+            life,
+            entry.destination,
+            self._zones.get(entry.zone, 0),
+            self._kinds.get(entry.kind, 0),
+            self.ramps.weight(number, entry.weight),
+        )
--- a/lynxscale/upstream/verdicts.py
+++ b/lynxscale/upstream/verdicts.py
@@ -19,8 +19,17 @@
 class Trace(Protocol):
     """What hears of verdicts."""
 
-    def verdict(self, now: int, source: str, unit: str, version: int, digest: str, outcome: str, counts: dict[str, int],
-                reasons: str) -> None: ...
+    def verdict(
+        self,
+        now: int,
+        source: str,
+        unit: str,
+        version: int,
+        digest: str,
+        outcome: str,
+        counts: dict[str, int],
+        reasons: str,
+    ) -> None: ...
 
 
 class Teller:
@@ -36,17 +45,34 @@
         reasons = [str(fault) for fault in verdict.reasons]
         trace = self._trace()
         if trace is not None:
-            trace.verdict(self._now(), source, candidate.unit, candidate.version, candidate.digest,
-                          verdict.outcome.value, counts, "\n".join(reasons))
-        fields: dict[str, Any] = {"source": source, "unit": candidate.unit, "version": candidate.version,
-                                  "digest": candidate.digest[:16], "outcome": verdict.outcome.value}
+            trace.verdict(
+                self._now(),
+                source,
+                candidate.unit,
+                candidate.version,
+                candidate.digest,
+                verdict.outcome.value,
+                counts,
+                "\n".join(reasons),
+            )
+        fields: dict[str, Any] = {
+            "source": source,
+            "unit": candidate.unit,
+            "version": candidate.version,
+            "digest": candidate.digest[:16],
+            "outcome": verdict.outcome.value,
+        }
         fields |= {name: count for name, count in counts.items() if count}
         write = log.info if verdict.outcome == Outcome.APPLIED else log.warning
         if self._may_write():
             more = {"reasons": " | ".join(reasons[:REASONS_LOGGED])} if reasons else {}
             write("list_verdict", **fields, **more)
-        return fields | {"ts": time.time(), "digest": candidate.digest, "reasons": reasons,
-                         "endpoints": len(candidate.entries)}
+        return fields | {
+            "ts": time.time(),
+            "digest": candidate.digest,
+            "reasons": reasons,
+            "endpoints": len(candidate.entries),
+        }
 
     def event(self, event: str, **fields: Any) -> None:
         """Something about a list that is no verdict."""
--- a/lynxscale/upstream/watch.py
+++ b/lynxscale/upstream/watch.py
@@ -64,8 +64,17 @@
 class Watch:
     """The source: ``start`` it once; ``poke`` makes it look at once."""
 
-    def __init__(self, reactor, deadlines: Deadlines, conf: MembersConf, rules: files.Rules, group: Group,
-                 lists: Lists, teller: Teller, counters: Counters) -> None:
+    def __init__(
+        self,
+        reactor,
+        deadlines: Deadlines,
+        conf: MembersConf,
+        rules: files.Rules,
+        group: Group,
+        lists: Lists,
+        teller: Teller,
+        counters: Counters,
+    ) -> None:
         self._reactor, self._deadlines, self._conf = reactor, deadlines, conf
         self._rules, self._guards = rules, guards_of(conf)
         self._group, self._lists, self._teller, self._counters = group, lists, teller, counters
@@ -262,8 +271,9 @@
         if unit.stale != one.reason:
             unit.stale = one.reason
             self._counters.add("lists", "stale")
-            self._teller.event("list_stale", unit=unit.path, reason=one.reason, kept=unit.version,
-                               endpoints=len(unit.entries))
+            self._teller.event(
+                "list_stale", unit=unit.path, reason=one.reason, kept=unit.version, endpoints=len(unit.entries)
+            )
 
     @inlineCallbacks
     def _bytes(self, unit: Unit, one: Sight):
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -19,9 +19,22 @@
 
 def settings(**changes) -> api.Settings:
     base = dict(
-        slots=20, senders=2, me=0, classes=classes(), most_held=200, attempts_cap=8, may_cancel=True,
-        idle_close_ms=5000.0, max_retry_after_ms=2000.0, may_advise_retry=True, per_call=[1],
-        cold_share=0.2, ramp_time_ms=10000.0, tip_multiple=2.0, tip_after_ms=3000.0, key_rest_ms=300.0,
+        slots=20,
+        senders=2,
+        me=0,
+        classes=classes(),
+        most_held=200,
+        attempts_cap=8,
+        may_cancel=True,
+        idle_close_ms=5000.0,
+        max_retry_after_ms=2000.0,
+        may_advise_retry=True,
+        per_call=[1],
+        cold_share=0.2,
+        ramp_time_ms=10000.0,
+        tip_multiple=2.0,
+        tip_after_ms=3000.0,
+        key_rest_ms=300.0,
         drain_grace_ms=1000.0,
     )
     return api.Settings(**(base | changes))
@@ -69,10 +82,16 @@
     def message(self, cls: int = SAFE, dest: int = 1, left: float | None = None, **more) -> int:
         self.next_id += 1
         grade = classes()[cls]
-        self.give(api.Message(
-            self.next_id, dest, cls, more.get("tenant", 0),
-            self.now + (grade.deadline_ms if left is None else left), key=more.get("key", 0),
-        ))
+        self.give(
+            api.Message(
+                self.next_id,
+                dest,
+                cls,
+                more.get("tenant", 0),
+                self.now + (grade.deadline_ms if left is None else left),
+                key=more.get("key", 0),
+            )
+        )
         return self.next_id
 
     def pass_time(self, ms: float) -> None:
@@ -101,9 +120,9 @@
         done = result == api.Result.OK or number in self.finals
         if result == api.Result.OK:
             self.finals.setdefault(number, []).append("delivered")
-        return self.give(api.Outcome(
-            number, key[1], attempt.endpoint, api.Result(result), self.now - sent, done, wait, report
-        ))
+        return self.give(
+            api.Outcome(number, key[1], attempt.endpoint, api.Result(result), self.now - sent, done, wait, report)
+        )
 
     def sent(self) -> list[api.Attempt]:
         return [a for _, a in self.log if isinstance(a, api.Attempt)]
--- a/tests/node.py
+++ b/tests/node.py
@@ -41,9 +41,14 @@
 
     def configure(self, **more) -> Path:
         """Write the configuration file, with these keys besides."""
-        seed = f"{int(os.environ.get('RARE_SEED', 0x8c1f)):04x}"
-        table = {"name": "n1", "seed": seed, "limits": self.limits, "settings": settings(**self.allowed),
-                 "known": {"generation": 1, "reset": True, "instances": self.discovery.rows}}
+        seed = f"{int(os.environ.get('RARE_SEED', 0x8C1F)):04x}"
+        table = {
+            "name": "n1",
+            "seed": seed,
+            "limits": self.limits,
+            "settings": settings(**self.allowed),
+            "known": {"generation": 1, "reset": True, "instances": self.discovery.rows},
+        }
         path = Path(self.folder.name, "config.json")
         path.write_text(json.dumps(table | self.configure_more | more))
         return path
@@ -72,12 +77,23 @@
 
     def spawn(self, path: Path, fds: tuple[int, ...] = (), **more: str) -> subprocess.Popen:
         """A process of the relay, with that configuration and these variables besides."""
-        env = os.environ | {"NODE_CONFIG": str(path), "NODE_STATE": str(self.state), "NODE_NAME": "n1",
-                            "NODE_LISTEN": f"127.0.0.1:{self.port}", "NODE_DISCOVERY": self.discovery.at}
+        env = os.environ | {
+            "NODE_CONFIG": str(path),
+            "NODE_STATE": str(self.state),
+            "NODE_NAME": "n1",
+            "NODE_LISTEN": f"127.0.0.1:{self.port}",
+            "NODE_DISCOVERY": self.discovery.at,
+        }
         self.log = Path(self.folder.name, "log")
         with self.log.open("a") as log:
-            return subprocess.Popen([sys.executable, *self.program], cwd=ROOT, env=env | self.env | more,
-                                    stdout=log, stderr=log, pass_fds=fds)
+            return subprocess.Popen(
+                [sys.executable, *self.program],
+                cwd=ROOT,
+                env=env | self.env | more,
+                stdout=log,
+                stderr=log,
+                pass_fds=fds,
+            )
 
     def _ready(self) -> bool:
         self.assertIsNone(self.process.poll(), self.log.read_text())
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,10 +10,13 @@
 from gannetshift import interface as api
 
 CONF = {
-    "allowed": {"attempts_cap": 8, "cancel": True, "most_held": 50}, "balancers": 2, "me": 1,
+    "allowed": {"attempts_cap": 8, "cancel": True, "most_held": 50},
+    "balancers": 2,
+    "me": 1,
     "family_info": {"max_calls": 9, "per_call": [2], "late": "halving", "new_key": 1},
     "grades": [{"deadline_ms": 8000.0, "effect": "idempotent", "goal_time_ms": 800.0, "value": 1.0}],
-    "load_info": {"columns": ["x0", "x1"]}, "unheard": {},
+    "load_info": {"columns": ["x0", "x1"]},
+    "unheard": {},
 }
 
 
@@ -53,32 +56,38 @@
     assert not host.senders[3].held and host.senders[3].dests[57].lanes[0].limit == 1.25
 
 
-@pytest.mark.parametrize("code, body, event", [
-    ("0001", "192b6f0e", api.Withdrawn(0x0E6F2B19)),
-    ("0601", "4d000000", api.TimerDue(77)),
-    ("0301", "c4913a5d 02 074a1203 0000000000003240", api.AnswerBegun(0x5D3A91C4, 2, 0x03124A07, 18.0)),
-    ("0101", "0000000000003240 074a1203 0100 00", api.Probed(0x03124A07, 1, 18.0)),
-    ("0501", "0100 00000000 02000000", api.PeerSaid(1, b"hi")),
-])
+@pytest.mark.parametrize(
+    "code, body, event",
+    [
+        ("0001", "192b6f0e", api.Withdrawn(0x0E6F2B19)),
+        ("0601", "4d000000", api.TimerDue(77)),
+        ("0301", "c4913a5d 02 074a1203 0000000000003240", api.AnswerBegun(0x5D3A91C4, 2, 0x03124A07, 18.0)),
+        ("0101", "0000000000003240 074a1203 0100 00", api.Probed(0x03124A07, 1, 18.0)),
+        ("0501", "0100 00000000 02000000", api.PeerSaid(1, b"hi")),
+    ],
+)
 def test_other_events(code, body, event):
     record = (bytes.fromhex(code) + b"\3\0" + bytes.fromhex(body)).ljust(48, b"\0")
     read = adapter.READERS[struct.unpack("<H", record[:2])[0]]
     assert read(bytes(16) + record + b"hi", 16, 64) == event
 
 
-@pytest.mark.parametrize("action, record, tail", [
-    (api.Refuse(0x5D3A91C4, 2.0), "0001 0300 c4913a5d 0000000000000040", b""),
-    (api.Attempt(0x5D3A91C4, 0x03124A07, 80.0), "0101 0300 c4913a5d 074a1203 0000000000005440", b""),
-    (api.Fail(0x5D3A91C4), "0201 0300 c4913a5d", b""),
-    (api.Probe(0x03124A07), "0401 0300 074a1203", b""),
-    (api.Note("two"), "0501 0300 06000000 03000000", b"two"),
-    (api.SetTimer(77, 8912.0), "0601 0300 4d000000 000000000068c140", b""),
-    (api.TellPeer(None, b"hi"), "0701 0300 ffffffff 06000000 02000000", b"hi"),
-    (api.CloseIdle(0x03124A07), "0801 0300 074a1203", b""),
-    (api.FetchList(), "0901 0300", b""),
-    (api.Subscribe(True), "0a01 0300 01", b""),
-    (api.Cancel(0x5D3A91C4, 2), "0b01 0300 c4913a5d 02", b""),
-])
+@pytest.mark.parametrize(
+    "action, record, tail",
+    [
+        (api.Refuse(0x5D3A91C4, 2.0), "0001 0300 c4913a5d 0000000000000040", b""),
+        (api.Attempt(0x5D3A91C4, 0x03124A07, 80.0), "0101 0300 c4913a5d 074a1203 0000000000005440", b""),
+        (api.Fail(0x5D3A91C4), "0201 0300 c4913a5d", b""),
+        (api.Probe(0x03124A07), "0401 0300 074a1203", b""),
+        (api.Note("two"), "0501 0300 06000000 03000000", b"two"),
+        (api.SetTimer(77, 8912.0), "0601 0300 4d000000 000000000068c140", b""),
+        (api.TellPeer(None, b"hi"), "0701 0300 ffffffff 06000000 02000000", b"hi"),
+        (api.CloseIdle(0x03124A07), "0801 0300 074a1203", b""),
+        (api.FetchList(), "0901 0300", b""),
+        (api.Subscribe(True), "0a01 0300 01", b""),
+        (api.Cancel(0x5D3A91C4, 2), "0b01 0300 c4913a5d 02", b""),
+    ],
+)
 def test_actions(action, record, tail):
     assert adapter.encode(3, action, 6) == (bytes.fromhex(record), tail)
 
@@ -98,11 +107,16 @@
     assert reply[8:12] == bytes.fromhex("03010300") and b"IndexError" in reply
 
 
-@pytest.mark.parametrize("data, word", [
-    (frame(CALL)[:30], "ends inside"), (frame(CALL), "never started"),
-    (struct.pack("<IId", 10, 1, 0.0), "impossible"), (frame(b"\xff\xff\3\0"), "unknown record code"),
-    (frame(hello()[0]), "outside the tail"),
-])
+@pytest.mark.parametrize(
+    "data, word",
+    [
+        (frame(CALL)[:30], "ends inside"),
+        (frame(CALL), "never started"),
+        (struct.pack("<IId", 10, 1, 0.0), "impossible"),
+        (frame(b"\xff\xff\3\0"), "unknown record code"),
+        (frame(hello()[0]), "outside the tail"),
+    ],
+)
 def test_bad_input_is_one_plain_line(data, word, capsys, monkeypatch):
     streams = type("S", (), {"buffer": io.BytesIO(data)}), type("S", (), {"buffer": io.BytesIO()})
     monkeypatch.setattr(adapter.sys, "stdin", streams[0])
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -48,9 +48,16 @@
     assert_all_answered_once(d)
 
 
-@pytest.mark.parametrize("reports", [
-    ((),), ((0.0, 0.0),), ((1.0, 5.0), ()), ((0.0, 1e9),), ((0.5, 4.0), (0.5, 8.0), ()),
-])
+@pytest.mark.parametrize(
+    "reports",
+    [
+        ((),),
+        ((0.0, 0.0),),
+        ((1.0, 5.0), ()),
+        ((0.0, 1e9),),
+        ((0.5, 4.0), (0.5, 8.0), ()),
+    ],
+)
 def test_reports_absent_stale_or_of_zero(reports):
     d = Driver([member(11, 1), member(12, 2)], report_left=0, report_limit=1, senders=200, slots=3)
     rough_minute(d, reports)
@@ -102,22 +109,25 @@
     assert 10 < rates_of_a_returning_fleet(200, 10000.0, 3000.0) < budget
 
 
-@pytest.mark.parametrize(("path", "value", "told"), [
-    (("grades",), [], "grades is missing"),
-    (("grades", 0, "effect"), "twice", "grades[0].effect is missing or unknown: 'twice'"),
-    (("grades", 1, "memory_span_ms"), None, "grades[1].memory_span_ms is missing"),
-    (("grades", 1, "memory_span_ms"), 0, "grades[1].memory_span_ms is not a number of use: 0, want 1 at least"),
-    (("grades", 1, "name"), "safe", "grades[1].name is there twice: 'safe'"),
-    (("grades", 2, "deadline_ms"), 0, "grades[2].deadline_ms is not a number of use: 0, want 1 at least"),
-    (("grades", 2, "deadline_ms"), float("inf"), "grades[2].deadline_ms is not a number of use: inf"),
-    (("family_info", "max_calls"), 1e18, "family_info.max_calls is not a number of use: 1e+18, want 1 to 1e+06"),
-    (("family_info", "max_calls"), 0, "family_info.max_calls is not a number of use: 0"),
-    (("family_info", "per_call"), [0], "family_info.per_call is not of use: [0]"),
-    (("allowed", "most_held"), 0, "allowed.most_held is not a number of use: 0"),
-    (("balancers",), 0, "balancers is not a number of use: 0"),
-    (("orgs",), ["acme"], "orgs[0] has the wrong form"),
-    (("orgs",), [{"name": "acme"}, {"name": "acme"}], "orgs[1].name is there twice: 'acme'"),
-])
+@pytest.mark.parametrize(
+    ("path", "value", "told"),
+    [
+        (("grades",), [], "grades is missing"),
+        (("grades", 0, "effect"), "twice", "grades[0].effect is missing or unknown: 'twice'"),
+        (("grades", 1, "memory_span_ms"), None, "grades[1].memory_span_ms is missing"),
+        (("grades", 1, "memory_span_ms"), 0, "grades[1].memory_span_ms is not a number of use: 0, want 1 at least"),
+        (("grades", 1, "name"), "safe", "grades[1].name is there twice: 'safe'"),
+        (("grades", 2, "deadline_ms"), 0, "grades[2].deadline_ms is not a number of use: 0, want 1 at least"),
+        (("grades", 2, "deadline_ms"), float("inf"), "grades[2].deadline_ms is not a number of use: inf"),
+        (("family_info", "max_calls"), 1e18, "family_info.max_calls is not a number of use: 1e+18, want 1 to 1e+06"),
+        (("family_info", "max_calls"), 0, "family_info.max_calls is not a number of use: 0"),
+        (("family_info", "per_call"), [0], "family_info.per_call is not of use: [0]"),
+        (("allowed", "most_held"), 0, "allowed.most_held is not a number of use: 0"),
+        (("balancers",), 0, "balancers is not a number of use: 0"),
+        (("orgs",), ["acme"], "orgs[0] has the wrong form"),
+        (("orgs",), [{"name": "acme"}, {"name": "acme"}], "orgs[1].name is there twice: 'acme'"),
+    ],
+)
 def test_settings_of_no_use_are_refused_with_their_key(path, value, told):
     whole = settings_table()
     table = whole
--- a/tests/test_bundle.py
+++ b/tests/test_bundle.py
@@ -25,23 +25,31 @@
     assert sum(bundle.size_of(*one) for one in messages) == len(body)
 
 
-@pytest.mark.parametrize("answer,ends,good", [
-    (b"a1 ok\r\nb2 later\r\nc3 gone\r\n", (OK, LATER, GONE), True),
-    (b"c3 ok\r\na1 error\r\nb2 exhausted\r\n", (ERROR, (Result.MOOT, False), OK), True),
-    (b"a1 ok\r\nb2 ok\r\n", (OK, OK, ERROR), False),  # a line is missing
-    (b"a1 ok\r\nb2 ok\r\nc3 ok", (OK, OK, ERROR), False),  # cut short: it may have gone on
-    (b"a1 ok\r\na1 later\r\nb2 ok\r\nc3 ok\r\n", (ERROR, OK, OK), False),
-    (b"a1 ok\r\na1 ok\r\nb2 ok\r\nc3 ok\r\n", (OK, OK, OK), False),
-    (b"a1 ok\r\nx9 ok\r\nb2 fine\r\nc3 ok\r\n", (OK, ERROR, OK), False),
-    (b"", (ERROR, ERROR, ERROR), False),
-])
+@pytest.mark.parametrize(
+    "answer,ends,good",
+    [
+        (b"a1 ok\r\nb2 later\r\nc3 gone\r\n", (OK, LATER, GONE), True),
+        (b"c3 ok\r\na1 error\r\nb2 exhausted\r\n", (ERROR, (Result.MOOT, False), OK), True),
+        (b"a1 ok\r\nb2 ok\r\n", (OK, OK, ERROR), False),  # a line is missing
+        (b"a1 ok\r\nb2 ok\r\nc3 ok", (OK, OK, ERROR), False),  # cut short: it may have gone on
+        (b"a1 ok\r\na1 later\r\nb2 ok\r\nc3 ok\r\n", (ERROR, OK, OK), False),
+        (b"a1 ok\r\na1 ok\r\nb2 ok\r\nc3 ok\r\n", (OK, OK, OK), False),
+        (b"a1 ok\r\nx9 ok\r\nb2 fine\r\nc3 ok\r\n", (OK, ERROR, OK), False),
+        (b"", (ERROR, ERROR, ERROR), False),
+    ],
+)
 def test_answers(answer, ends, good):
     found, told = bundle.ends(answer, IDS)
     assert (tuple(found[name] for name in IDS), told) == (ends, good)
 
 
-@given(st.lists(st.tuples(st.sampled_from([*IDS, "x", ""]), st.sampled_from(["ok", "later", "gone", "OK", "error"])),
-                max_size=8), st.binary(max_size=6), st.integers(0, 80))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from([*IDS, "x", ""]), st.sampled_from(["ok", "later", "gone", "OK", "error"])), max_size=8
+    ),
+    st.binary(max_size=6),
+    st.integers(0, 80),
+)
 def test_any_answer_tells_one_end_for_each(lines, noise, cut):
     text = "".join(f"{name} {word}\r\n" for name, word in lines).encode()
     found, _good = bundle.ends((text[:cut] + noise + text[cut:])[:200], IDS)
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -36,14 +36,17 @@
     assert (done.returncode, done.stdout, done.stderr) == (0, "", "")
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    ("test_it.py::test_green | it raises | 31", "test_it.py::test_green: does not fail"),
-    ("test_it.py::test_none | it raises | 31", "test_it.py::test_none: there is no such test"),
-    ("test_none.py::test_red | it raises | 31", "test_none.py::test_red: there is no such test"),
-    ("test_it.py::test_red | it raises", "line 1: want test | cause | issue"),
-    ("\ntest_it.py | it raises | 31", "line 2: want test | cause | issue"),
-    ("test_it.py::test_red | it raises | 31\n" * 4, "4 lines, want 3 at most"),
-])
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("test_it.py::test_green | it raises | 31", "test_it.py::test_green: does not fail"),
+        ("test_it.py::test_none | it raises | 31", "test_it.py::test_none: there is no such test"),
+        ("test_none.py::test_red | it raises | 31", "test_none.py::test_red: there is no such test"),
+        ("test_it.py::test_red | it raises", "line 1: want test | cause | issue"),
+        ("\ntest_it.py | it raises | 31", "line 2: want test | cause | issue"),
+        ("test_it.py::test_red | it raises | 31\n" * 4, "4 lines, want 3 at most"),
+    ],
+)
 def test_a_list_that_cannot_stand(tmp_path, text, told):
     done = known_red(tmp_path, text)
     assert (done.returncode, done.stdout) == (1, "")
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -25,19 +25,32 @@
 WORDS = st.one_of(
     st.builds(words.Prepare, SMALL, SMALL, SMALL, STEPS, st.booleans()),
     st.builds(words.Promise, SMALL, BALLOTS, BALLOTS, st.none() | STEPS, SMALL),
-    st.builds(words.Accept, SMALL, SMALL, SMALL, STEPS, st.booleans()), st.builds(words.Accepted, SMALL, BALLOTS),
+    st.builds(words.Accept, SMALL, SMALL, SMALL, STEPS, st.booleans()),
+    st.builds(words.Accepted, SMALL, BALLOTS),
     st.builds(words.Refuse, SMALL, BALLOTS, SMALL, st.just("lease")),
     st.builds(words.Decided, SMALL, SMALL, STEPS),
-    st.builds(words.LeaseAsk, SMALL, SMALL, SMALL), st.builds(words.LeaseGrant, SMALL, SMALL),
-    st.builds(words.LeaseBack, SMALL))
+    st.builds(words.LeaseAsk, SMALL, SMALL, SMALL),
+    st.builds(words.LeaseGrant, SMALL, SMALL),
+    st.builds(words.LeaseBack, SMALL),
+)
 BODIES = st.one_of(
-    st.builds(frame.Ping, SMALL, NAMES), st.builds(frame.Ack, SMALL, NAMES, SMALL, SMALL),
-    st.builds(frame.Ask, SMALL, NAMES), st.builds(frame.Nack, SMALL), st.builds(frame.Tell),
-    st.builds(frame.Exchange, st.booleans(), st.none() | st.builds(View, SMALL, SMALL, st.tuples(LIVES)),
-              st.dictionaries(NAMES, SMALL), st.dictionaries(NAMES, SMALL)),
-    st.builds(frame.views_of, WORDS))
-MESSAGES = st.builds(Message, NAMES, SMALL, SMALL, SMALL, SMALL, SMALL, SMALL, SMALL, BODIES,
-                     st.lists(RUMOURS, max_size=4))
+    st.builds(frame.Ping, SMALL, NAMES),
+    st.builds(frame.Ack, SMALL, NAMES, SMALL, SMALL),
+    st.builds(frame.Ask, SMALL, NAMES),
+    st.builds(frame.Nack, SMALL),
+    st.builds(frame.Tell),
+    st.builds(
+        frame.Exchange,
+        st.booleans(),
+        st.none() | st.builds(View, SMALL, SMALL, st.tuples(LIVES)),
+        st.dictionaries(NAMES, SMALL),
+        st.dictionaries(NAMES, SMALL),
+    ),
+    st.builds(frame.views_of, WORDS),
+)
+MESSAGES = st.builds(
+    Message, NAMES, SMALL, SMALL, SMALL, SMALL, SMALL, SMALL, SMALL, BODIES, st.lists(RUMOURS, max_size=4)
+)
 KEY = frame.key_of("norte")
 
 
@@ -59,8 +72,11 @@
 def test_a_spoilt_or_cut_frame_is_refused_with_a_reason(message, data):
     whole = bytearray(frame.encode(KEY, message))
     at = data.draw(st.integers(0, len(whole) - 1))
-    for spoilt in (whole[:at], whole[:at] + bytes([whole[at] ^ 1 << data.draw(st.integers(0, 7))]) + whole[at + 1:],
-                   whole + b"\0"):
+    for spoilt in (
+        whole[:at],
+        whole[:at] + bytes([whole[at] ^ 1 << data.draw(st.integers(0, 7))]) + whole[at + 1 :],
+        whole + b"\0",
+    ):
         with pytest.raises(BadFrame) as caught:
             frame.decode(KEY, bytes(spoilt))
         assert caught.value.reason in ("garbage", "version", "foreign", "short", "length", "checksum")
@@ -80,8 +96,11 @@
 
 def test_another_cluster_and_another_version_are_told_apart_from_garbage():
     whole = frame.encode(KEY, Message("r1", 1, 1, 0, 1, 0, 0, 0, frame.Tell(), []))
-    for spoilt, reason in ((frame.encode(frame.key_of("sur"), frame.decode(KEY, whole)), "foreign"),
-                           (whole[:3] + b"\x01" + whole[4:], "version"), (b"GET / HTTP/1.1\r\n\r\n", "garbage")):
+    for spoilt, reason in (
+        (frame.encode(frame.key_of("sur"), frame.decode(KEY, whole)), "foreign"),
+        (whole[:3] + b"\x01" + whole[4:], "version"),
+        (b"GET / HTTP/1.1\r\n\r\n", "garbage"),
+    ):
         with pytest.raises(BadFrame, match=reason):
             frame.decode(KEY, spoilt)
 
@@ -113,8 +132,12 @@
     half = len(rumours) // 2
     apart = {}
     for name in {rumour.name for rumour in rumours}:  # two sights, merged with each other
-        apart[name] = greater(*(max((one for one in part if one.name == name), key=lambda one: one.key, default=None)
-                                for part in (rumours[:half], rumours[half:]))).key
+        apart[name] = greater(
+            *(
+                max((one for one in part if one.name == name), key=lambda one: one.key, default=None)
+                for part in (rumours[:half], rumours[half:])
+            )
+        ).key
     assert apart == merged(rumours)
 
 
@@ -158,8 +181,11 @@
 def test_who_hears_of_a_later_life_of_its_own_begins_one_unless_it_only_asked():
     later = Rumour("r1", 8, 1, 0, State.FAILED)
     assert Renew(8) in detector().heard(1000, message("r2", frame.Tell(), [later]))
-    assert not [order for order in detector().heard(1000, message("r2", frame.Exchange(True), [later]), reached=False)
-                if isinstance(order, Renew)]
+    assert not [
+        order
+        for order in detector().heard(1000, message("r2", frame.Exchange(True), [later]), reached=False)
+        if isinstance(order, Renew)
+    ]
 
 
 def test_a_suspicion_is_refuted_by_a_higher_word():
@@ -203,8 +229,10 @@
 
 
 def test_settings_that_differ_and_a_foreign_node_are_told_by_name():
-    one, two = (Core(Identity(name, 1, 5), ["r1", "r2"], "seed", 0, None, settings=settings_)
-                for name, settings_ in (("r1", {"limits": 1, "members": 2}), ("r2", {"limits": 3, "members": 2})))
+    one, two = (
+        Core(Identity(name, 1, 5), ["r1", "r2"], "seed", 0, None, settings=settings_)
+        for name, settings_ in (("r1", {"limits": 1, "members": 2}), ("r2", {"limits": 3, "members": 2}))
+    )
     one.heard(1, two.message(frame.Tell()), True)
     one.detector.listed(2, [two.me])
     told = [order for order in one.heard(3, two.whole(True), False) if isinstance(order, views.Note)]
@@ -221,8 +249,14 @@
 # Memory ---------------------------------------------------------------------------------------------
 
 
-KEPT = Kept(View(4, 9, (Identity("r1", 2, 8),)), Ballot(3, "r2", 1), Ballot(2, "r1", 8),
-            Step(("r3",), (Identity("r4", 1, 2),)), 17, True)
+KEPT = Kept(
+    View(4, 9, (Identity("r1", 2, 8),)),
+    Ballot(3, "r2", 1),
+    Ballot(2, "r1", 8),
+    Step(("r3",), (Identity("r4", 1, 2),)),
+    17,
+    True,
+)
 
 
 def saved(path, count: int) -> stable.Store:
@@ -246,7 +280,7 @@
         whole = path.read_bytes()
         for place in range(len(whole)):
             assert stable.decode(whole[:place]).stored is None
-            assert stable.decode(whole[:place] + bytes([whole[place] ^ 4]) + whole[place + 1:]).stored is None
+            assert stable.decode(whole[:place] + bytes([whole[place] ^ 4]) + whole[place + 1 :]).stored is None
         assert stable.decode(whole[:12] + bytes([whole[12] ^ 4]) + whole[13:]).reason == "checksum"
         path.write_bytes(whole[:-1])
         store = stable.Store(tmp_path, "norte", "r1")
@@ -399,11 +433,21 @@
 
 # Which of the scenarios that are searched in whole shows a mistake.
 SHOWN_BY = {
-    mistakes.AcceptedIgnored: 0, mistakes.HalfIsEnough: 1, mistakes.OlderPromiseBroken: 2, mistakes.VoteForgotten: 2,
-    mistakes.SaidBeforeWritten: 2, mistakes.LossNotMinded: 3, mistakes.VotesWithoutAsking: 3,
-    mistakes.LostMemoryVotes: 3, mistakes.FenceNotLookedAt: 4, mistakes.LeaseTooLong: 5,
-    mistakes.LeaseKeptByAcceptor: 4, mistakes.GrantsAfterAccepting: 5, mistakes.NoWaitAfterAStart: 6,
-    mistakes.NoWaitAfterAView: 7}
+    mistakes.AcceptedIgnored: 0,
+    mistakes.HalfIsEnough: 1,
+    mistakes.OlderPromiseBroken: 2,
+    mistakes.VoteForgotten: 2,
+    mistakes.SaidBeforeWritten: 2,
+    mistakes.LossNotMinded: 3,
+    mistakes.VotesWithoutAsking: 3,
+    mistakes.LostMemoryVotes: 3,
+    mistakes.FenceNotLookedAt: 4,
+    mistakes.LeaseTooLong: 5,
+    mistakes.LeaseKeptByAcceptor: 4,
+    mistakes.GrantsAfterAccepting: 5,
+    mistakes.NoWaitAfterAStart: 6,
+    mistakes.NoWaitAfterAView: 7,
+}
 
 
 @pytest.mark.parametrize("mistake", mistakes.ALL)
--- a/tests/test_cluster_judge.py
+++ b/tests/test_cluster_judge.py
@@ -9,14 +9,36 @@
 THREE, TWO = ("r1", "r2", "r3"), ("r1", "r2")
 
 
-def seen(node: str, at: float, number: int, members: tuple[str, ...], lease_s: float = 0.0, took: float = 0.0,
-         digest: str = "", split: str = "", life: int = 1) -> Seen:
+def seen(
+    node: str,
+    at: float,
+    number: int,
+    members: tuple[str, ...],
+    lease_s: float = 0.0,
+    took: float = 0.0,
+    digest: str = "",
+    split: str = "",
+    life: int = 1,
+) -> Seen:
     """What a node answers that was asked at ``at``, ``took`` seconds later."""
-    return Seen(at, at + took, node, {
-        "standing": "member" if lease_s else "cut_off", "split": split, "boot": f"{node}-boot{life}", "life": life,
-        "lease_ms": lease_s * 1000, "nodes": [{"name": name, "state": "alive"} for name in THREE],
-        "view": {"number": number, "digest": digest or f"digest {number}",
-                 "members": [{"name": name, "life": 1, "boot": f"{name}-boot1"} for name in members]}})
+    return Seen(
+        at,
+        at + took,
+        node,
+        {
+            "standing": "member" if lease_s else "cut_off",
+            "split": split,
+            "boot": f"{node}-boot{life}",
+            "life": life,
+            "lease_ms": lease_s * 1000,
+            "nodes": [{"name": name, "state": "alive"} for name in THREE],
+            "view": {
+                "number": number,
+                "digest": digest or f"digest {number}",
+                "members": [{"name": name, "life": 1, "boot": f"{name}-boot1"} for name in members],
+            },
+        },
+    )
 
 
 def breaches(*answers: Seen, left: tuple[str, ...] = ()) -> list[str]:
--- a/tests/test_cluster_live.py
+++ b/tests/test_cluster_live.py
@@ -49,8 +49,9 @@
 
 
 async def said(cluster: Cluster) -> str:
-    return "; ".join(f"{name} {seen.status['standing']} {seen.status['view']}"
-                     for name, seen in (await cluster.looks()).items())
+    return "; ".join(
+        f"{name} {seen.status['standing']} {seen.status['view']}" for name, seen in (await cluster.looks()).items()
+    )
 
 
 async def become(cluster: Cluster, names: list[str], within: float) -> dict:
@@ -67,8 +68,10 @@
     return found
 
 
-@pytest.mark.parametrize("seed, count, at_once", [
-    (1, 3, 1), (2, 3, 2), (3, 3, 3), (4, 5, 1), (5, 5, 2), (6, 5, 3), (7, 5, 3), (8, 7, 1), (9, 7, 2), (10, 7, 3)])
+@pytest.mark.parametrize(
+    "seed, count, at_once",
+    [(1, 3, 1), (2, 3, 2), (3, 3, 3), (4, 5, 1), (5, 5, 2), (6, 5, 3), (7, 5, 3), (8, 7, 1), (9, 7, 2), (10, 7, 3)],
+)
 def test_seeded_faults(folder, seed, count, at_once):
     names = [f"r{place + 1}" for place in range(count)]
     print(f"seed {seed}, {count} nodes, {at_once} at once")
@@ -103,8 +106,12 @@
     async def scene(cluster):
         await cluster.nodes["r2"].stop(signal.SIGTERM)
         await become(cluster, ["r1", "r3"], OUT_WITHIN)
-        told = [event for name in ("r1", "r3") for event in cluster.nodes[name].events()
-                if event["event"] == "cluster_node" and event["node"] == "r2"]
+        told = [
+            event
+            for name in ("r1", "r3")
+            for event in cluster.nodes[name].events()
+            if event["event"] == "cluster_node" and event["node"] == "r2"
+        ]
         assert {event["state"] for event in told} == {"alive", "left"}
 
     run(folder, 3, scene)
@@ -126,6 +133,7 @@
 
 def test_halves_and_no_majority(folder):
     """The smaller half acts no more and makes no view; with no majority anywhere nobody does."""
+
     async def scene(cluster):
         for frm in cluster.names:
             for to in cluster.names:
@@ -203,8 +211,11 @@
 
 async def told(cluster: Cluster, event: str, **fields) -> bool:
     """Does the log of r1 or r2 have this event with these fields?"""
-    return any(one["event"] == event and fields.items() <= one.items()
-               for name in ("r1", "r2") for one in cluster.nodes[name].events())
+    return any(
+        one["event"] == event and fields.items() <= one.items()
+        for name in ("r1", "r2")
+        for one in cluster.nodes[name].events()
+    )
 
 
 def test_a_slow_turn_and_a_slow_disk_are_told_to_the_others(folder):
@@ -218,8 +229,10 @@
         await cluster.nodes["r1"].stop(signal.SIGTERM)  # a view without it needs the vote of r3
 
         async def slow_disk():
-            return any(one["event"] == "cluster_slow" and one["node"] == "r3" and "disk" in one["by"]
-                       for one in cluster.nodes["r2"].events())
+            return any(
+                one["event"] == "cluster_slow" and one["node"] == "r3" and "disk" in one["by"]
+                for one in cluster.nodes["r2"].events()
+            )
 
         await until(slow_disk)
         await become(cluster, ["r2", "r3"], BACK_WITHIN)
@@ -246,15 +259,29 @@
         ours, foreign = frame.encode(key, tell), frame.encode(other, tell)
         whole = Message("r2", 9, 9, 0, 1, 0, 99, 0, frame.Exchange(True), [])
         spoilt = {  # by the reason under which it is counted
-            "garbage": b"GET / HTTP/1.1\r\n\r\n", "short": b"LX", "foreign": foreign, "unknown": ours,
-            "version": ours[:3] + b"\x01" + ours[4:], "length": frame.HEAD.pack(frame.MAGIC, frame.VERSION, key, 65_535)
-            + bytes(200), "checksum": ours[:-1] + bytes([ours[-1] ^ 1]), "unasked": frame.encode(key, whole),
+            "garbage": b"GET / HTTP/1.1\r\n\r\n",
+            "short": b"LX",
+            "foreign": foreign,
+            "unknown": ours,
+            "version": ours[:3] + b"\x01" + ours[4:],
+            "length": frame.HEAD.pack(frame.MAGIC, frame.VERSION, key, 65_535) + bytes(200),
+            "checksum": ours[:-1] + bytes([ours[-1] ^ 1]),
+            "unasked": frame.encode(key, whole),
             "message": frame.encode(key, msgspec.structs.replace(tell, view=-1)),
-            "own_name": frame.encode(key, msgspec.structs.replace(tell, frm="r1"))}
+            "own_name": frame.encode(key, msgspec.structs.replace(tell, frm="r1")),
+        }
 
         async def dropped() -> Counter:
-            return Counter({name[8:]: number for name, number in (await node.counters())["cluster"].items()
-                            if name.startswith("dropped_")}) - begun
+            return (
+                Counter(
+                    {
+                        name[8:]: number
+                        for name, number in (await node.counters())["cluster"].items()
+                        if name.startswith("dropped_")
+                    }
+                )
+                - begun
+            )
 
         begun = Counter()
         begun = await dropped()
@@ -286,7 +313,8 @@
         for what in ("view", "life", "standing", "votes", "split"):
             assert after[what] == before[what]
         assert {one["name"]: (one["state"], one["life"]) for one in after["nodes"]} == dict.fromkeys(
-            cluster.names, ("alive", 1))
+            cluster.names, ("alive", 1)
+        )
 
     run(folder, 3, scene)
 
@@ -297,6 +325,7 @@
 
 def test_a_second_process_under_one_name_is_not_the_node(folder):
     """It has a copy of the folder, and others' addresses lead to the first: nobody takes it for the node."""
+
     async def scene(cluster):
         first = cluster.nodes["r1"]
         twin = Node("r1", folder / "twin")
@@ -304,13 +333,17 @@
         (twin.folder / "state").mkdir()
         (first.folder / "twin").rename(twin.memory)
         twin.put(entries_of(cluster.partner), 1)
-        twin.configure(cluster.name, {"r1": twin.cluster_port, "r2": cluster.nodes["r2"].cluster_port,
-                                      "r3": cluster.nodes["r3"].cluster_port})
+        twin.configure(
+            cluster.name,
+            {"r1": twin.cluster_port, "r2": cluster.nodes["r2"].cluster_port, "r3": cluster.nodes["r3"].cluster_port},
+        )
         await twin.start()
         try:
+
             async def told():
-                return "cluster_stranger" in {event["event"] for name in ("r2", "r3")
-                                              for event in cluster.nodes[name].events()}
+                return "cluster_stranger" in {
+                    event["event"] for name in ("r2", "r3") for event in cluster.nodes[name].events()
+                }
 
             await until(told)
             await become(cluster, cluster.names, BACK_WITHIN)
@@ -346,8 +379,9 @@
         await become(cluster, names, OUT_WITHIN)
 
     async def gone(cluster, name):
-        return any(event["event"] == "cluster_nodes" and event["gone"] == "r4"
-                   for event in cluster.nodes[name].events())
+        return any(
+            event["event"] == "cluster_nodes" and event["gone"] == "r4" for event in cluster.nodes[name].events()
+        )
 
     run(folder, 3, scene)
 
@@ -356,8 +390,17 @@
     async def scene(cluster):
         async def command(*words, given=b""):
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lynxscale", "cluster", *words, cwd=cluster.nodes["r1"].folder, stdin=-1,
-                stdout=-1, stderr=-1, env=os.environ | {"PYTHONPATH": str(ROOT)})
+                sys.executable,
+                "-m",
+                "lynxscale",
+                "cluster",
+                *words,
+                cwd=cluster.nodes["r1"].folder,
+                stdin=-1,
+                stdout=-1,
+                stderr=-1,
+                env=os.environ | {"PYTHONPATH": str(ROOT)},
+            )
             out, err = await process.communicate(given)
             return process.returncode, out.decode(), err.decode()
 
--- a/tests/test_cluster_machines.py
+++ b/tests/test_cluster_machines.py
@@ -51,9 +51,11 @@
     def speaks(self, who, how):
         """A higher word; a process started anew; one that has lost its memory, and with it how often it was started."""
         last = self.own[who]
-        self.own[who] = {"word": last._replace(word=last.word + 1),
-                         "life": last._replace(life=last.life + 1, boot=last.boot ^ 5, word=0),
-                         "boot": last._replace(boot=last.boot + 1, word=0)}[how]
+        self.own[who] = {
+            "word": last._replace(word=last.word + 1),
+            "life": last._replace(life=last.life + 1, boot=last.boot ^ 5, word=0),
+            "boot": last._replace(boot=last.boot + 1, word=0),
+        }[how]
         self.said.append(self.own[who])
         self.merge(who, self.own[who])
 
@@ -80,18 +82,26 @@
     def each_holds_the_greatest_that_it_was_told(self):
         for who, sight in self.sights.items():
             assert {one.rumour.name: order(one.rumour) for one in sight} == {
-                of: order(self.best(who, of)) for of in self.told[who]}
+                of: order(self.best(who, of)) for of in self.told[who]
+            }
             assert all(sight.state(of) == (self.best(who, of).state if of in self.told[who] else None) for of in NAMES)
 
     def teardown(self) -> None:
         """Once all has reached all, in whatever order, they are of one mind, and nothing old comes back."""
         for place, sight in enumerate(self.sights.values()):
             sight.rename(NAMES)
-            for rumour in self.said[::1 if place else -1] * 2:
+            for rumour in self.said[:: 1 if place else -1] * 2:
                 sight.merge(rumour, self.now)
         held = [{one.rumour.name: order(one.rumour) for one in sight} for sight in self.sights.values()]
-        assert held[0] == held[1] == held[2] == {
-            name: max(order(one) for one in self.said if one.name == name) for name in {one.name for one in self.said}}
+        assert (
+            held[0]
+            == held[1]
+            == held[2]
+            == {
+                name: max(order(one) for one in self.said if one.name == name)
+                for name in {one.name for one in self.said}
+            }
+        )
 
 
 class Wire(RuleBasedStateMachine):
@@ -144,7 +154,7 @@
     @rule(place=st.integers(0, 1 << 16), other=st.integers(0, 1 << 16), at=st.integers(0, 1 << 16))
     def cuts_and_glues(self, place, other, at):
         one, two = self.one(place)[1], self.one(other)[1]
-        self.refused(one[:at % len(one)], KEY)
+        self.refused(one[: at % len(one)], KEY)
         self.refused(one + two, KEY)
         at %= min(len(one), len(two))
         if one[:at] + two[at:] not in (one, two):
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -28,7 +28,9 @@
 def test_words_quotes_variables_units_and_includes(tmp_path):
     (tmp_path / "more").mkdir()
     (tmp_path / "more" / "1.conf").write_text("level decisions\n")
-    conf = read(tmp_path, """
+    conf = read(
+        tmp_path,
+        """
 # a comment
 begin trace  # and one behind words
     folder "${HOME}/a \\"b\\" #c"
@@ -41,37 +43,44 @@
 begin log
     format json
 end log
-""", HOME="h")
+""",
+        HOME="h",
+    )
     trace = conf.trace
     assert (trace.folder, trace.level, trace.file_size, trace.total) == ('h/a "b" #c', "decisions", 2 << 20, 1 << 30)
     assert (trace.file_age, trace.flush, trace.block, conf.log.format) == (90_000_000, 0, 64 << 10, "json")
     assert read(tmp_path, "begin trace\nfolder '${HOME}'\nend trace\n").trace.folder == "${HOME}"
 
 
-@pytest.mark.parametrize("text, told", [
-    ("begin trace\nfoldr x\nend trace", "2: foldr: want a directive of trace"),
-    ("begin trcae\nwhatever\nend trcae",
-     "1: trcae: want a section: log, trace, relay, names, limits, finals, members, cluster, perhaps"),
-    ("begin trace\nblock 1\nend trace", "2: block: want a size such as 64k, 4k to 1m, not 1"),
-    ("begin trace\nblock 64q\nend trace", "2: block: want a size"),
-    ("begin trace\nsample 1.5\nend trace", "2: sample: want a number, 0 to 1, not 1.5"),
-    ("begin trace\nsample nan\nend trace", "2: sample: want a number"),
-    ("begin trace\nlevel all\nend trace", "2: level: want one of ends, tries, decisions, not all"),
-    ("begin trace\nlevel\nend trace", "2: level: want one of ends, tries, decisions, not nothing"),
-    ("begin trace\nlevel ends\nlevel ends\nend trace", "3: level: want it once: it stands at"),
-    ("begin trace\nend trace\nbegin trace\nend trace", "3: trace: want it once"),
-    ("begin trace\nlevel decisions\nsample 0.5\nend trace", "2: level: decisions needs every message"),
-    ("begin trace\ntotal 16m\nend trace", "1: file-size: want at most half of total"),
-    ("begin trace\nfolder \"x\nend trace", "2: \"x: want a closing quote"),
-    ("begin trace\nfolder ${NONE}\nend trace", "2: ${NONE}: want a variable that is set"),
-    ("begin trace", "1: trace: want end trace before the file's end"),
-    ("level ends", "1: level: want begin SECTION before any directive"),
-    ("end log", "1: log: want begin first"),
-    ("begin log\nend trace", "2: trace: want end log"),
-    ("include none.conf", "0: file: want a readable text file: No such file or directory"),
-    ("include x.conf", "1: x.conf: want a file that does not include itself"),
-    ("include", "1: include: want one path"),
-])
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        ("begin trace\nfoldr x\nend trace", "2: foldr: want a directive of trace"),
+        (
+            "begin trcae\nwhatever\nend trcae",
+            "1: trcae: want a section: log, trace, relay, names, limits, finals, members, cluster, perhaps",
+        ),
+        ("begin trace\nblock 1\nend trace", "2: block: want a size such as 64k, 4k to 1m, not 1"),
+        ("begin trace\nblock 64q\nend trace", "2: block: want a size"),
+        ("begin trace\nsample 1.5\nend trace", "2: sample: want a number, 0 to 1, not 1.5"),
+        ("begin trace\nsample nan\nend trace", "2: sample: want a number"),
+        ("begin trace\nlevel all\nend trace", "2: level: want one of ends, tries, decisions, not all"),
+        ("begin trace\nlevel\nend trace", "2: level: want one of ends, tries, decisions, not nothing"),
+        ("begin trace\nlevel ends\nlevel ends\nend trace", "3: level: want it once: it stands at"),
+        ("begin trace\nend trace\nbegin trace\nend trace", "3: trace: want it once"),
+        ("begin trace\nlevel decisions\nsample 0.5\nend trace", "2: level: decisions needs every message"),
+        ("begin trace\ntotal 16m\nend trace", "1: file-size: want at most half of total"),
+        ('begin trace\nfolder "x\nend trace', '2: "x: want a closing quote'),
+        ("begin trace\nfolder ${NONE}\nend trace", "2: ${NONE}: want a variable that is set"),
+        ("begin trace", "1: trace: want end trace before the file's end"),
+        ("level ends", "1: level: want begin SECTION before any directive"),
+        ("end log", "1: log: want begin first"),
+        ("begin log\nend trace", "2: trace: want end log"),
+        ("include none.conf", "0: file: want a readable text file: No such file or directory"),
+        ("include x.conf", "1: x.conf: want a file that does not include itself"),
+        ("include", "1: include: want one path"),
+    ],
+)
 def test_each_fault_is_told_with_line_and_word(tmp_path, text, told):
     assert [fault for fault in faults(tmp_path, text) if fault.startswith(told)], faults(tmp_path, text)
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -54,8 +54,9 @@
         loop = Loop(self.turns.call_later)
         self.journal = Journal(Folder(Path(folder.name)), 1_000_000, lambda: 1)
         self.addCleanup(self.journal.close)
-        self.relay = Relay(settings_from(settings()), 1, loop, Deadlines(loop, self.turns.call_later),
-                           self.journal, Counters())
+        self.relay = Relay(
+            settings_from(settings()), 1, loop, Deadlines(loop, self.turns.call_later), self.journal, Counters()
+        )
         loop.at_end = self.relay.turn
         self.relay.tries = self.relay.group = self.relay.notices = self.ports
         self.relay.replay(self.journal.open())
@@ -64,8 +65,10 @@
         self.turns.run()
 
     def offer(self, id: str, left: float = 16.0, cls: int = 0) -> None:
-        self.relay.offer(Envelope(id, cls, 0, "", 1, int(left * 1e6), b"body"),
-                         lambda verdict, _again: self.answers.append((id, verdict)))
+        self.relay.offer(
+            Envelope(id, cls, 0, "", 1, int(left * 1e6), b"body"),
+            lambda verdict, _again: self.answers.append((id, verdict)),
+        )
 
     def told(self, name: str) -> list:
         return [row for row in self.ports.told if row[0] == name]
@@ -103,7 +106,8 @@
     def test_an_outcome_that_comes_at_once_reaches_the_module(self):
         """A try can end as it is ordered: no later event may be needed for the module to hear of it."""
         self.ports.start = lambda number, attempt, _held, endpoint, *_: self.relay.outcome(
-            number, attempt, endpoint, api.Result.CONNECT_FAILED, 0, False)
+            number, attempt, endpoint, api.Result.CONNECT_FAILED, 0, False
+        )
         self.offer("m1")
         self.turns.run()
         self.turns.run()
@@ -130,6 +134,7 @@
 
     def test_a_fault_of_the_module_loses_no_message(self):
         """What it lost track of is taken, kept, and ended once its time is up."""
+
         def fault(_now, _events):
             self.relay.sender.actions = []
             raise ZeroDivisionError
@@ -147,7 +152,6 @@
         self.assertEqual(self.told("owe")[0][2:4], ("m1", "undeliverable"))
         self.assertEqual(seen[-1]["event"], "message_overdue")
 
-
     def test_a_fault_in_one_thing_of_a_turn_takes_nothing_else_along(self):
         """An answer that fails, and a try that fails as it starts: the others of the turn are answered and go."""
         started = []
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -68,9 +68,13 @@
 
     def test_calls_that_are_none(self):
         self.open_door()
-        for call, status in (("GET /admin/quiesce", 405), ("POST /admin/health", 405), ("GET /", 404),
-                             ("nonsense", 400),
-                             ("GET /admin/health HTTP/1.1\r\nA: " + "x" * 20_000, 431)):
+        for call, status in (
+            ("GET /admin/quiesce", 405),
+            ("POST /admin/health", 405),
+            ("GET /", 404),
+            ("nonsense", 400),
+            ("GET /admin/health HTTP/1.1\r\nA: " + "x" * 20_000, 431),
+        ):
             with self.subTest(call=call[:40]):
                 self.assertEqual(self.door(call)[0], status)
         client = Client(self.admin)
@@ -134,7 +138,8 @@
             for admin in (f"127.0.0.1:{taken.getsockname()[1]}", "nowhere", "127.0.0.1:1"):
                 listen = "127.0.0.1:1" if admin == "127.0.0.1:1" else f"127.0.0.1:{self.free_port()}"
                 env = {"NODE_CONFIG": str(path), "NODE_LISTEN": listen, "NODE_ADMIN_ADDR": admin}
-                ended = subprocess.run([sys.executable, "-m", "lynxscale"], cwd=ROOT, env=env, capture_output=True,
-                                       timeout=20)
+                ended = subprocess.run(
+                    [sys.executable, "-m", "lynxscale"], cwd=ROOT, env=env, capture_output=True, timeout=20
+                )
                 self.assertEqual(ended.returncode, 2, ended)
                 self.assertIn(b"admin_addr", ended.stderr)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -85,4 +85,5 @@
         fleet.clump(0, 40)
         fleet.run(6000.0)
         return fleet.ends, fleet.sums(0, 0, 6), fleet.offered
+
     assert play() == play()
--- a/tests/test_fleet_count.py
+++ b/tests/test_fleet_count.py
@@ -29,37 +29,67 @@
 
 
 def test_sums_over_relays_by_span_and_destination(tmp_path):
-    log(tmp_path, "n1", (0.0, "ready name=n1"),
+    log(
+        tmp_path,
+        "n1",
+        (0.0, "ready name=n1"),
         (5.0, "traffic dest=4 span_ms=5000 limit=40 left=0.1 offered=9 ok=5 full=2"),
-        (5.1, "load span_ms=5000 held=3 out=1"), (6.0, 'module text="dest 4 endpoint 9 failing"'))
-    log(tmp_path, "n2", (0.4, "ready name=n2"), (5.2, "traffic dest=4 span_ms=5000 limit=44 offered=7 ok=6"),
-        (5.3, "load span_ms=5000 held=8 out=0"), (8.5, 'module text="dest 4 endpoint 9 failing"'),
-        (9.0, "connection kind=group reason=timed_out calls=1"))
+        (5.1, "load span_ms=5000 held=3 out=1"),
+        (6.0, 'module text="dest 4 endpoint 9 failing"'),
+    )
+    log(
+        tmp_path,
+        "n2",
+        (0.4, "ready name=n2"),
+        (5.2, "traffic dest=4 span_ms=5000 limit=44 offered=7 ok=6"),
+        (5.3, "load span_ms=5000 held=8 out=0"),
+        (8.5, 'module text="dest 4 endpoint 9 failing"'),
+        (9.0, "connection kind=group reason=timed_out calls=1"),
+    )
     found = counted(tmp_path)
-    assert found["traffic"][0] == {"from_s": 0.0, "dest": "4", "calls": 13, "offered": 16, "ok": 11, "full": 2,
-                                   "limit": 42.0, "takes": 210, "used": 0.05}
+    assert found["traffic"][0] == {
+        "from_s": 0.0,
+        "dest": "4",
+        "calls": 13,
+        "offered": 16,
+        "ok": 11,
+        "full": 2,
+        "limit": 42.0,
+        "takes": 210,
+        "used": 0.05,
+    }
     assert found["traffic"][1] == {"from_s": 5.0, "dest": "4", "calls": 0, "failing": 2}
     assert found["load"][0]["held"] == 11 and found["load"][0]["most_held"] == 8
-    assert found["learned"] == [{"at_s": 0.0, "what": "ready", "relays": 2, "median_s": 0.2, "last_s": 0.4},
-                                {"at_s": 6.0, "what": "destination 4 failing", "relays": 2, "median_s": 1.25,
-                                 "last_s": 2.5}]
+    assert found["learned"] == [
+        {"at_s": 0.0, "what": "ready", "relays": 2, "median_s": 0.2, "last_s": 0.4},
+        {"at_s": 6.0, "what": "destination 4 failing", "relays": 2, "median_s": 1.25, "last_s": 2.5},
+    ]
     assert found["ended"] == {"group timed_out": 1}
 
 
 def test_lines_that_cannot_be_read_are_named_and_the_others_count(tmp_path):
-    log(tmp_path, "n1", (1.0, "traffic dest=1 span_ms=1000 ok=2"), (2.0, "traffic dest=1 span_ms=1000 ok=x"),
-        (3.0, "traffic dest=1 span_ms=1000 ok=4"), end="")
+    log(
+        tmp_path,
+        "n1",
+        (1.0, "traffic dest=1 span_ms=1000 ok=2"),
+        (2.0, "traffic dest=1 span_ms=1000 ok=x"),
+        (3.0, "traffic dest=1 span_ms=1000 ok=4"),
+        end="",
+    )
     with (tmp_path / "n1.log").open("ab") as out:
-        out.write(b"\nTraceback (most recent call last):\n\xff\xfe\nevent=traffic ok=1\n0.5 ts=nonsense event=load\n{\n"
-                  b"ts=2026-12-01T10:00:04Z event=traffic dest=1 ok=")
+        out.write(
+            b"\nTraceback (most recent call last):\n\xff\xfe\nevent=traffic ok=1\n0.5 ts=nonsense event=load\n{\n"
+            b"ts=2026-12-01T10:00:04Z event=traffic dest=1 ok="
+        )
     found = counted(tmp_path)
     assert sum(row.get("ok", 0) for row in found["traffic"]) == 6
     places = [name.split(" ")[0] for name in found["unread"]["named"]]
     assert places == [f"n1.log:{number}:" for number in (4, 5, 6, 7, 8, 9)] and found["unread"]["count"] == 6
 
 
-@pytest.mark.parametrize("words, wanted", [(["--every", "1ms"], "100ms"), (["--every", "soon"], "100ms"),
-                                           ([], "no such file")])
+@pytest.mark.parametrize(
+    "words, wanted", [(["--every", "1ms"], "100ms"), (["--every", "soon"], "100ms"), ([], "no such file")]
+)
 def test_misuse_is_told(tmp_path, words, wanted):
     run = CliRunner().invoke(program, ["fleet", "count", *words, str(tmp_path)])
     assert run.exit_code and wanted in run.output
@@ -96,6 +126,8 @@
         until(lambda: " ok=1" in self.log.read_text(), "its line")
         found = counted(self.log.parent / "log", "--every", "1h")
         row = found["traffic"][0]
-        self.assertEqual({name: row[name] for name in ("dest", "offered", "calls", "ok", "full")},
-                         {"dest": "1", "offered": 1, "calls": 2, "ok": 1, "full": 1})
+        self.assertEqual(
+            {name: row[name] for name in ("dest", "offered", "calls", "ok", "full")},
+            {"dest": "1", "offered": 1, "calls": 2, "ok": 1, "full": 1},
+        )
         self.assertGreaterEqual(found["load"][0]["dials"], 1)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -229,6 +229,7 @@
     bench.start()
     bench.run(50)
     for kind in ("write", "truncate", "create", "overwrite", "rename", "unlink"):
+
         def fails(what, _number, kind=kind):
             if what == kind:
                 raise OSError(5, "Input/output error")
@@ -284,8 +285,10 @@
             place = chance.randrange(len(data))
             data[place] ^= 1 << chance.randrange(8)
             manifest = newest(image)
-            segments = {row.number: bytes(data) if segment_name(row.number) == name else image[segment_name(row.number)]
-                        for row in manifest.rows}
+            segments = {
+                row.number: bytes(data) if segment_name(row.number) == name else image[segment_name(row.number)]
+                for row in manifest.rows
+            }
             found = recover(manifest, segments)
             open_ = {entry.id: entry for entry in found.entries.values()}
             last = name == names[-1] and not found.gaps
@@ -347,7 +350,8 @@
     first = Journal(disk, BUDGET, lambda: 77, lambda: 1).open(older)
     again = Journal(Disk(disk.image()), BUDGET, lambda: 78, lambda: 1).open(older)
     assert [(entry.id, entry.tries, entry.maybe, entry.taken) for entry in again] == [
-        (f"m{place}", 2, [5], 77) for place in range(3)] and len(first) == 3
+        (f"m{place}", 2, [5], 77) for place in range(3)
+    ] and len(first) == 3
 
 
 @pytest.mark.parametrize("name", ["before.bin", "before-torn.bin"])
@@ -355,9 +359,12 @@
     entries, whole = old.read((Path(__file__).parent / "data" / "journal" / name).read_bytes())
     assert whole == 732 and sorted(entries) == [0, 1, 2, 3, 5]
     assert [(one.id, one.cls, one.tries, one.maybe, one.final) for one in entries.values()] == [
-        ("m0", "aviso-ronda", 2, [11], None), ("m1", "inscripcion", 2, [13], None),
-        ("m2", "pago-premio", 1, [14], ("undeliverable", 0)), ("m3", "aviso-ronda", 0, [], ("deferred", 700)),
-        ("m5", "pago-premio", 0, [], None)]
+        ("m0", "aviso-ronda", 2, [11], None),
+        ("m1", "inscripcion", 2, [13], None),
+        ("m2", "pago-premio", 1, [14], ("undeliverable", 0)),
+        ("m3", "aviso-ronda", 0, [], ("deferred", 700)),
+        ("m5", "pago-premio", 0, [], None),
+    ]
     assert entries[5].body == bytes([0, 10, 255, 5]) and entries[5].expires == 1_800_000_000_000_005
 
 
@@ -436,7 +443,8 @@
         journal.open()
         plan, mine = journal.plan, self.bench.journal.plan
         assert {one.number: one.live for one in plan.segments.values()} == {
-            one.number: one.live for one in mine.segments.values()}
+            one.number: one.live for one in mine.segments.values()
+        }
 
 
 Against.TestCase.settings = settings(max_examples=40, stateful_step_count=15, deadline=None)
@@ -460,8 +468,9 @@
 
 
 def command(*words: str) -> subprocess.CompletedProcess:
-    return subprocess.run([sys.executable, "-m", "lynxscale", "journal", *words], capture_output=True, text=True,
-                          timeout=60)
+    return subprocess.run(
+        [sys.executable, "-m", "lynxscale", "journal", *words], capture_output=True, text=True, timeout=60
+    )
 
 
 def test_commands_tell_what_is_open_and_where_it_is_damaged(tmp_path):
--- a/tests/test_journal_live.py
+++ b/tests/test_journal_live.py
@@ -26,6 +26,7 @@
 
 def test_kills_under_load_while_segments_are_cleaned_lose_nothing_and_do_nothing_twice(tmp_path):
     """A process is ended at random moments; partners count the effects of each message, clients what they heard."""
+
     async def play():
         print("seed", SEED)
         chance = random.Random(SEED)
@@ -90,10 +91,15 @@
 
     def test_a_second_process_on_the_folder_refuses_to_start(self):
         self.start()
-        env = os.environ | {"NODE_CONFIG": str(self.configure()), "NODE_STATE": str(self.state),
-                            "NODE_LISTEN": f"127.0.0.1:{self.port}", "NODE_DISCOVERY": self.discovery.at}
-        done = subprocess.run([sys.executable, "-m", "lynxscale"], cwd=ROOT, env=env, capture_output=True, text=True,
-                              timeout=60)
+        env = os.environ | {
+            "NODE_CONFIG": str(self.configure()),
+            "NODE_STATE": str(self.state),
+            "NODE_LISTEN": f"127.0.0.1:{self.port}",
+            "NODE_DISCOVERY": self.discovery.at,
+        }
+        done = subprocess.run(
+            [sys.executable, "-m", "lynxscale"], cwd=ROOT, env=env, capture_output=True, text=True, timeout=60
+        )
         self.assertEqual(done.returncode, 1)
         self.assertIn("another process has this journal", done.stderr)
         self.assertEqual(self.client().hand_in("m1")[0], 202)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -67,8 +67,12 @@
     life, now = come_to(State.STOP_TELLING)
     told = [(at, order) for at in range(0, LEAVE_AT + 1, 50_000) for order in life.look(now + at, 1, True)]
     firsts = {order: next(at for at, other in told if other is order) for order in {order for _, order in told}}
-    assert firsts == {Order.PART: PART_AT, Order.STOP_ACCEPTING: STOP_ACCEPTING_AT,
-                      Order.STOP_SENDING: STOP_SENDING_AT, Order.LEAVE: LEAVE_AT}
+    assert firsts == {
+        Order.PART: PART_AT,
+        Order.STOP_ACCEPTING: STOP_ACCEPTING_AT,
+        Order.STOP_SENDING: STOP_SENDING_AT,
+        Order.LEAVE: LEAVE_AT,
+    }
     assert [order for _, order in told].count(Order.STOP_SENDING) == 1
 
 
@@ -91,8 +95,14 @@
 
 
 @settings(max_examples=300, deadline=None)
-@given(st.lists(st.one_of(st.sampled_from(["quiesce", "resume", "stop"]),
-                          st.tuples(st.integers(0, 800_000), st.integers(0, 2))), max_size=30))
+@given(
+    st.lists(
+        st.one_of(
+            st.sampled_from(["quiesce", "resume", "stop"]), st.tuples(st.integers(0, 800_000), st.integers(0, 2))
+        ),
+        max_size=30,
+    )
+)
 def test_in_any_order(steps):
     """A stop cannot be taken back and ends; a relay that was drained for long holds nobody without closing it."""
     life, now, stopped = Lifecycle(), 0, None
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -18,9 +18,17 @@
 def rough_hour(seed: int) -> list:
     members = [member(n, n % 4, kind=n % 2, zone=n % 3, weight=3.0) for n in range(10, 24)]
     d = Driver(
-        members, seed, per_call=[1, 5], routes_apart=[False, True], report_left=0, report_limit=1,
-        weights="rough", tenants=[api.Tenant("a", 5.0, 0.5), api.Tenant("b", 5.0, 0.5)],
-        over_share_worth=0.2, route_fee=[0.1, 0.0, 0.0], handshake_price=0.1,
+        members,
+        seed,
+        per_call=[1, 5],
+        routes_apart=[False, True],
+        report_left=0,
+        report_limit=1,
+        weights="rough",
+        tenants=[api.Tenant("a", 5.0, 0.5), api.Tenant("b", 5.0, 0.5)],
+        over_share_worth=0.2,
+        route_fee=[0.1, 0.0, 0.0],
+        handshake_price=0.1,
     )
     results = [1, 1, 3, 1, 5, 1, 2, 1, 6, 1, 1, 4, 1]
     for k in range(200):
@@ -38,9 +46,19 @@
 
 def test_absent_settings_leave_it_working():
     d = Driver(
-        most_held=None, attempts_cap=None, may_cancel=False, idle_close_ms=None, max_retry_after_ms=None,
-        may_advise_retry=False, per_call=[], cold_share=None, ramp_time_ms=None, tip_multiple=None,
-        tip_after_ms=None, key_rest_ms=None, drain_grace_ms=None,
+        most_held=None,
+        attempts_cap=None,
+        may_cancel=False,
+        idle_close_ms=None,
+        max_retry_after_ms=None,
+        may_advise_retry=False,
+        per_call=[],
+        cold_share=None,
+        ramp_time_ms=None,
+        tip_multiple=None,
+        tip_after_ms=None,
+        key_rest_ms=None,
+        drain_grace_ms=None,
     )
     d.warm_up(40)
     numbers = [d.message(cls, key=3) for cls in (SAFE, UNSAFE, KEYED, ORDERED)]
@@ -51,9 +69,13 @@
 def test_news_of_unknown_things_is_passed_over():
     d = Driver()
     d.give(
-        api.Outcome(999, 0, 11, api.Result.OK, 5.0, True), api.Withdrawn(999), api.TimerDue(123456),
+        api.Outcome(999, 0, 11, api.Result.OK, 5.0, True),
+        api.Withdrawn(999),
+        api.TimerDue(123456),
         api.Membership(api.ListKind.DELTA, 2, [member(77, life=0)]),
-        api.Membership(api.ListKind.DELTA, 2, [member(11)]), api.Probed(11, 1, 5.0), api.PeerSaid(1, b"x"),
+        api.Membership(api.ListKind.DELTA, 2, [member(11)]),
+        api.Probed(11, 1, 5.0),
+        api.PeerSaid(1, b"x"),
         api.AnswerBegun(999, 0, 11, 5.0),
     )
     d.warm_up(3)
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -39,8 +39,12 @@
     """The rows of these clients at the process that listens at ``port``, by one look at the system's table: with tens
     of thousands of closed connections in it a look for each would outlast what is looked for."""
     with open("/proc/net/tcp") as table:
-        found = {row[2][-5:]: row for line in table if f":{port:04X} " in line
-                 if (row := line.split())[1].endswith(f":{port:04X}")}
+        found = {
+            row[2][-5:]: row
+            for line in table
+            if f":{port:04X} " in line
+            if (row := line.split())[1].endswith(f":{port:04X}")
+        }
     return [found.get(f":{client.getsockname()[1]:04X}", []) for client in clients]
 
 
@@ -51,7 +55,7 @@
 
 def accepted_at(port: int, client: socket.socket) -> bool:
     """Has the process that listens at ``port`` accepted this client? Only then has its socket an inode there."""
-    row, = rows_at(port, [client])
+    (row,) = rows_at(port, [client])
     return bool(row) and row[9] != "0"
 
 
@@ -366,9 +370,9 @@
         size = -(-len(answer) // self.pieces)
         for at in range(0, len(answer) - size, size):
             for link in list(self.open):  # there is one: the relay's only connection for lists
-                link.sendall(answer[at:at + size])
+                link.sendall(answer[at : at + size])
             time.sleep(0.2)
-        return answer[len(answer) - len(answer) % size:] if len(answer) % size else answer[-size:]
+        return answer[len(answer) - len(answer) % size :] if len(answer) % size else answer[-size:]
 
 
 class Lists(NodeCase):
@@ -411,7 +415,6 @@
         self.assertEqual(self.calls("m1"), [])
         self.assertEqual(self.counters()["group"].get("silent"), 1)
 
-
     def test_a_watch_whose_answer_stops_half_way_is_opened_anew_at_once(self):
         self.discovery.half = 1
         self.start()
@@ -441,7 +444,6 @@
         sleep_until(begun + 1.5)
         self.assertLessEqual(len(self.asked()), 2 + self.asks_in_1500_ms)
 
-
     def test_discovery_moves_and_says_nothing_at_its_new_address(self):
         """What it tells once it speaks is taken, whole, and the watch goes on from there."""
         self.start()
@@ -645,8 +647,10 @@
 def test_only_what_was_taken_over_untried_is_spared_at_the_limit():
     for cls in (SAFE, KEYED, UNSAFE):
         d = Driver(members=[member(11, weight=1.0)], weights="nominal")
-        d.give(*(api.Message(100 + k, 1, cls, 0, d.now + 16_000.0, inherited=True) for k in range(12)),
-               *(api.Message(200 + k, 1, cls, 0, d.now + 16_000.0) for k in range(12)))
+        d.give(
+            *(api.Message(100 + k, 1, cls, 0, d.now + 16_000.0, inherited=True) for k in range(12)),
+            *(api.Message(200 + k, 1, cls, 0, d.now + 16_000.0) for k in range(12)),
+        )
         assert not [number for number in d.finals if number < 200]
         assert len(d.finals) >= 12 - 5  # as the limit's part lets five through in ten seconds
 
@@ -679,8 +683,12 @@
 def test_what_was_taken_over_waits_for_a_list_and_for_a_told_wait():
     """With no endpoint at first, and the only one shut when it comes: its first call goes when that is over."""
     d = Driver(members=[])
-    d.give(*(api.Message(100 + k, 1, cls, 0, d.now + 8000.0, inherited=True)
-             for k, cls in enumerate((SAFE, KEYED, UNSAFE))))
+    d.give(
+        *(
+            api.Message(100 + k, 1, cls, 0, d.now + 8000.0, inherited=True)
+            for k, cls in enumerate((SAFE, KEYED, UNSAFE))
+        )
+    )
     d.pass_time(3000.0)
     assert not d.finals
     d.give(api.Membership(api.ListKind.FULL, 2, [member(11)]))
--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -36,27 +36,33 @@
     """The deployed file says what the platform tells a relay of this deployment, but for what the file leaves out."""
     ours = settings_from(own.nested(reader.read(CONF, {})))
     theirs = settings_from(traffic.settings())
-    apart = {name: (mine, getattr(theirs, name)) for name, mine in dataclasses.asdict(ours).items()
-             if mine != dataclasses.asdict(theirs)[name]}
+    apart = {
+        name: (mine, getattr(theirs, name))
+        for name, mine in dataclasses.asdict(ours).items()
+        if mine != dataclasses.asdict(theirs)[name]
+    }
     assert set(apart) == {"senders", "asks_for_members", "ask_within_ms", "route_fee", "drain_grace_ms", "classes"}
     for mine, one in zip(ours.classes, theirs.classes, strict=True):
         # The platform tells a span for every class; it has a meaning for keyed ones alone.
         assert dataclasses.replace(one, memory_span_ms=mine.memory_span_ms) == mine
 
 
-@pytest.mark.parametrize("old, new, fault", [
-    ("effect at_most_once", "effect twice", "class: want NAME [effect idempotent,deduplicated,at_most_once]"),
-    ("  span 7500ms", "", "class: want span for inscripcion, as its key is kept so long"),
-    ("aim 2s ", "", "class: want aim for pago-premio"),
-    ("class pago-premio", "class inscripcion", "class: want inscripcion once"),
-    ("tenant club-oviedo", "tenant club-oviedo quota", "tenant: want NAME [quota NUMBER]"),
-    ("listen 127.0.0.1:8080", "listen 8080", "listen: want HOST:PORT, not 8080"),
-    ("allow 127.0.0.0/8", "allow 127.0.0.0/40", "allow: want IPv4 networks such as 10.1.0.0/16, not 127.0.0.0/40"),
-    ("file state/finals.jsonl", "file a\n    http 127.0.0.1:9", "file: want a file or http, not both"),
-    ("    file state/finals.jsonl\n", "", "relay: want file or http in finals"),
-    ("files lists ", "# ", "relay: want files in members, or discovery in relay"),
-    ("files lists ", "files lists lists # ", "files: want each path once"),
-])
+@pytest.mark.parametrize(
+    "old, new, fault",
+    [
+        ("effect at_most_once", "effect twice", "class: want NAME [effect idempotent,deduplicated,at_most_once]"),
+        ("  span 7500ms", "", "class: want span for inscripcion, as its key is kept so long"),
+        ("aim 2s ", "", "class: want aim for pago-premio"),
+        ("class pago-premio", "class inscripcion", "class: want inscripcion once"),
+        ("tenant club-oviedo", "tenant club-oviedo quota", "tenant: want NAME [quota NUMBER]"),
+        ("listen 127.0.0.1:8080", "listen 8080", "listen: want HOST:PORT, not 8080"),
+        ("allow 127.0.0.0/8", "allow 127.0.0.0/40", "allow: want IPv4 networks such as 10.1.0.0/16, not 127.0.0.0/40"),
+        ("file state/finals.jsonl", "file a\n    http 127.0.0.1:9", "file: want a file or http, not both"),
+        ("    file state/finals.jsonl\n", "", "relay: want file or http in finals"),
+        ("files lists ", "# ", "relay: want files in members, or discovery in relay"),
+        ("files lists ", "files lists lists # ", "files: want each path once"),
+    ],
+)
 def test_a_relay_s_sections_are_checked_before_it_starts(tmp_path, old, new, fault):
     assert old in TEXT
     found = faults(tmp_path, TEXT.replace(old, new))
@@ -66,9 +72,14 @@
 def test_a_state_folder_that_cannot_be_made_ends_the_start_with_a_plain_line(tmp_path):
     (tmp_path / "state").write_text("in the way")
     (tmp_path / "a.conf").write_text(TEXT)
-    done = subprocess.run([sys.executable, "-m", "lynxscale", "run", "--conf", "a.conf"], cwd=tmp_path,
-                          env={"PYTHONPATH": str(ROOT), "PATH": os.environ["PATH"]}, capture_output=True, text=True,
-                          timeout=60)
+    done = subprocess.run(
+        [sys.executable, "-m", "lynxscale", "run", "--conf", "a.conf"],
+        cwd=tmp_path,
+        env={"PYTHONPATH": str(ROOT), "PATH": os.environ["PATH"]},
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert done.returncode == 2 and "lynxscale: state: state is not writable" in done.stderr
     assert "Traceback" not in done.stderr
 
@@ -95,8 +106,9 @@
 
 def finals(tmp_path, done: list, size: int = 1 << 20, keep: int = 2) -> tuple[FinalsFile, Hand]:
     hand = Hand()
-    return FinalsFile(tmp_path / "sub" / "finals.jsonl", size, keep, hand.deadlines, done.append, Counters(),
-                      lambda: 12.5), hand
+    return FinalsFile(
+        tmp_path / "sub" / "finals.jsonl", size, keep, hand.deadlines, done.append, Counters(), lambda: 12.5
+    ), hand
 
 
 def test_finals_that_cannot_be_written_are_kept_and_written_once_they_can(tmp_path, monkeypatch):
@@ -111,8 +123,10 @@
     out.owe(2, "b", "undeliverable", 0)
     hand.fire()
     rows = [json.loads(line) for line in (tmp_path / "sub" / "finals.jsonl").read_text().splitlines()]
-    assert rows == [{"id": "a", "status": "deferred", "ts": 12.5, "again_ms": 700},
-                    {"id": "b", "status": "undeliverable", "ts": 12.5}]
+    assert rows == [
+        {"id": "a", "status": "deferred", "ts": 12.5, "again_ms": 700},
+        {"id": "b", "status": "undeliverable", "ts": 12.5},
+    ]
     assert done == [1, 2] and not len(out)
 
 
@@ -130,8 +144,12 @@
         hand.fire()
     names = sorted(one.name for one in path.parent.iterdir())
     assert set(names) <= {"finals.jsonl", "finals.jsonl.1", "finals.jsonl.2"} and "finals.jsonl.2" in names
-    kept = [json.loads(line)["id"] for one in ("finals.jsonl.2", "finals.jsonl.1", "finals.jsonl")
-            if (path.parent / one).exists() for line in (path.parent / one).read_text().splitlines()]
+    kept = [
+        json.loads(line)["id"]
+        for one in ("finals.jsonl.2", "finals.jsonl.1", "finals.jsonl")
+        if (path.parent / one).exists()
+        for line in (path.parent / one).read_text().splitlines()
+    ]
     assert kept == [f"{number:032}" for number in range(301 - len(kept), 301)] and len(done) == 301
 
 
@@ -145,6 +163,7 @@
 
 def test_a_kill_before_the_finals_are_read_loses_none_of_them(tmp_path):
     """Every message that was taken ends: as a call that was served, or as a line."""
+
     async def scene():
         partner, relay = Partner(3, mood=Mood(refusing=1.0, wait_s=0.0)), Own(tmp_path, TEXT)
         await partner.open("s-00")
@@ -176,23 +195,43 @@
 
 def run(*words: str, cwd) -> subprocess.CompletedProcess:
     env = {"PYTHONPATH": str(ROOT), "PATH": os.environ["PATH"], "LYNXSCALE_CONF": str(CONF)}
-    return subprocess.run([sys.executable, "-m", "lynxscale", "list", *words], cwd=cwd, env=env, capture_output=True,
-                          text=True, timeout=60)
+    return subprocess.run(
+        [sys.executable, "-m", "lynxscale", "list", *words],
+        cwd=cwd,
+        env=env,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
 
 
 def test_lists_are_written_checked_and_compared_by_commands(tmp_path):
     line = "s-1 127.0.0.1:9000 destination 1 zone a kind club-reservas weight 5 ready"
-    made = run("generate", "--endpoint", line, "--endpoint", line.replace("s-1", "s-2").replace("9000", "9001"),
-               "-o", "a.list", cwd=tmp_path)
+    made = run(
+        "generate",
+        "--endpoint",
+        line,
+        "--endpoint",
+        line.replace("s-1", "s-2").replace("9000", "9001"),
+        "-o",
+        "a.list",
+        cwd=tmp_path,
+    )
     assert made.returncode == 0 and "generation 1, 2 endpoints" in made.stdout, made.stderr
-    assert run("generate", "--from", "a.list", "--drain", "s-1", "--weight", "s-2=7.5", "-o", "b.list",
-               cwd=tmp_path).returncode == 0
+    assert (
+        run(
+            "generate", "--from", "a.list", "--drain", "s-1", "--weight", "s-2=7.5", "-o", "b.list", cwd=tmp_path
+        ).returncode
+        == 0
+    )
     found = json.loads(run("diff", "a.list", "b.list", "--json", cwd=tmp_path).stdout)
     assert (found["drained"], found["reweighted"], found["guards"]) == (["s-1"], ["s-2"], [])
     removed = run("generate", "--from", "b.list", "--remove", "s-1", "--remove", "s-2", cwd=tmp_path).stdout
     (tmp_path / "c.list").write_text(removed)
-    assert "guard: c.list: destination 1: its last endpoint would go" in run("diff", "b.list", "c.list",
-                                                                             cwd=tmp_path).stdout
+    assert (
+        "guard: c.list: destination 1: its last endpoint would go"
+        in run("diff", "b.list", "c.list", cwd=tmp_path).stdout
+    )
     both = run("check", "a.list", "b.list", cwd=tmp_path)
     assert both.returncode == 1 and "destination 1: want it in one file: a.list has it" in both.stderr
     assert run("check", "a.list", "--json", cwd=tmp_path).returncode == 0
--- a/tests/test_rare_rules.py
+++ b/tests/test_rare_rules.py
@@ -49,8 +49,18 @@
     def __init__(self, clock: Clock, effect: str, span_ms: float) -> None:
         self.clock, self.disk = clock, Disk()
         self.table = table()
-        self.table["grades"] = [{"name": "drawn", "effect": effect, "goal_time_ms": 1.0, "deadline_ms": ALL_MS,
-                                 "value": 1.0, "late_worth": 0.4, "memory_span_ms": span_ms, "group": "all"}]
+        self.table["grades"] = [
+            {
+                "name": "drawn",
+                "effect": effect,
+                "goal_time_ms": 1.0,
+                "deadline_ms": ALL_MS,
+                "value": 1.0,
+                "late_worth": 0.4,
+                "memory_span_ms": span_ms,
+                "group": "all",
+            }
+        ]
         self.relay: Relay | None = None
         self.start()
         self.relay.offer(Envelope("m1", 0, 0, "k", 1, int(ALL_MS * 1000), b"body"), lambda *_: None)
@@ -60,8 +70,9 @@
         self.disk, self.turns = Disk(self.disk.image()), Turns()
         loop = Loop(self.turns.call_later)
         journal = Journal(self.disk, 13 * 4 * 4096, lambda: self.clock.now)
-        self.relay = Relay(settings_from(self.table), 1, loop, Deadlines(loop, self.turns.call_later), journal,
-                           Counters())
+        self.relay = Relay(
+            settings_from(self.table), 1, loop, Deadlines(loop, self.turns.call_later), journal, Counters()
+        )
         loop.at_end = self.relay.turn
         self.relay.tries = self.relay.group = self.relay.notices = Ports()
         self.relay.sender.step = lambda _now, _events: []
@@ -72,13 +83,29 @@
         return self.relay.by_id["m1"]
 
 
-steps = st.lists(st.one_of(
-    st.tuples(st.just("pass"), st.integers(1, 3000)),
-    st.tuples(st.just("try"), st.sampled_from([Result.FULL, Result.ERROR, Result.TIMEOUT, Result.RESET,
-                                               Result.CONNECT_FAILED, Result.MOOT, Result.CANCELLED])),
-    st.tuples(st.just("killed in a try"), st.none()),
-    st.tuples(st.just("killed"), st.none()),
-), min_size=4, max_size=14)
+steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("pass"), st.integers(1, 3000)),
+        st.tuples(
+            st.just("try"),
+            st.sampled_from(
+                [
+                    Result.FULL,
+                    Result.ERROR,
+                    Result.TIMEOUT,
+                    Result.RESET,
+                    Result.CONNECT_FAILED,
+                    Result.MOOT,
+                    Result.CANCELLED,
+                ]
+            ),
+        ),
+        st.tuples(st.just("killed in a try"), st.none()),
+        st.tuples(st.just("killed"), st.none()),
+    ),
+    min_size=4,
+    max_size=14,
+)
 
 
 TWICE = [("try", Result.ERROR), ("pass", 1000), ("try", Result.ERROR), ("pass", 1000), ("try", Result.ERROR)]
@@ -104,8 +131,11 @@
                 continue
             life.turns.run()  # the clock is read once a turn
             first = min(ran, default=None)
-            may = (first is None or EFFECTS[effect] == Effect.IDEMPOTENT
-                   or (EFFECTS[effect] == Effect.KEYED and clock.now - first < SPAN_SHARE * 1000 * span_ms))
+            may = (
+                first is None
+                or EFFECTS[effect] == Effect.IDEMPOTENT
+                or (EFFECTS[effect] == Effect.KEYED and clock.now - first < SPAN_SHARE * 1000 * span_ms)
+            )
             assert life.relay.going(life.number()) == may, (what, ran)
             if not may:
                 continue
@@ -124,15 +154,37 @@
     classes = []
     for place in range(draw(st.integers(1, 4))):
         deadline = draw(st.floats(1000, 30_000))
-        classes.append(api.MessageClass(
-            f"c{place}", draw(st.floats(100, 5000)), deadline, draw(st.floats(0.1, 5)), draw(st.floats(0, 1)),
-            draw(st.sampled_from(list(Effect))), memory_span_ms=draw(st.floats(100, 2 * deadline))))
+        classes.append(
+            api.MessageClass(
+                f"c{place}",
+                draw(st.floats(100, 5000)),
+                deadline,
+                draw(st.floats(0.1, 5)),
+                draw(st.floats(0, 1)),
+                draw(st.sampled_from(list(Effect))),
+                memory_span_ms=draw(st.floats(100, 2 * deadline)),
+            )
+        )
     dests = draw(st.integers(1, 4))
     members = [member(10 + k, 1 + k % dests, weight=draw(st.floats(0.2, 30))) for k in range(draw(st.integers(1, 8)))]
-    messages = draw(st.lists(st.tuples(st.integers(0, len(classes) - 1), st.integers(1, dests), st.floats(0.3, 1.0)),
-                             min_size=1, max_size=60))
-    return classes, members, messages, draw(st.integers(1, 40)), draw(st.integers(2, 80)), draw(st.sampled_from(
-        ["nominal", "rough"])), draw(st.booleans()), draw(st.integers(1, 6)), draw(st.integers(0, 40))
+    messages = draw(
+        st.lists(
+            st.tuples(st.integers(0, len(classes) - 1), st.integers(1, dests), st.floats(0.3, 1.0)),
+            min_size=1,
+            max_size=60,
+        )
+    )
+    return (
+        classes,
+        members,
+        messages,
+        draw(st.integers(1, 40)),
+        draw(st.integers(2, 80)),
+        draw(st.sampled_from(["nominal", "rough"])),
+        draw(st.booleans()),
+        draw(st.integers(1, 6)),
+        draw(st.integers(0, 40)),
+    )
 
 
 @drawn(60)
@@ -140,11 +192,23 @@
 def test_what_a_restart_finds_untried_is_given_up_untried_only_when_its_time_is_up(case, seed):
     """Whatever the limits, the room and the newcomers, while partners answer."""
     classes, members, messages, slots, most_held, weights, halves, senders, newcomers = case
-    d = Driver(members=members, seed=seed, classes=classes, slots=slots, most_held=most_held, weights=weights,
-               late_halves=halves, senders=senders)
+    d = Driver(
+        members=members,
+        seed=seed,
+        classes=classes,
+        slots=slots,
+        most_held=most_held,
+        weights=weights,
+        late_halves=halves,
+        senders=senders,
+    )
     expires = {100 + k: d.now + left * classes[cls].deadline_ms for k, (cls, _dest, left) in enumerate(messages)}
-    d.give(*(api.Message(100 + k, dest, cls, 0, expires[100 + k], inherited=True)
-             for k, (cls, dest, _left) in enumerate(messages)))
+    d.give(
+        *(
+            api.Message(100 + k, dest, cls, 0, expires[100 + k], inherited=True)
+            for k, (cls, dest, _left) in enumerate(messages)
+        )
+    )
     d.give(*(api.Message(1000 + k, 1, 0, 0, d.now + classes[0].deadline_ms) for k in range(newcomers)))
     tried, latency = set(), 40.0
     while any(number not in d.finals for number in expires):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -64,7 +64,6 @@
         until(lambda: "kind=client reason=crowded" in self.log.read_text(), "a crowded connection's line")
         self.assertLess(len(os.listdir(f"/proc/{self.process.pid}/fd")), 64)
 
-
     def test_no_descriptor_left(self):
         """Neither connections nor tries that get no descriptor end the relay; later ones are served."""
         self.start()
@@ -253,8 +252,10 @@
         self.assertEqual(self.notice("once")["status"], "undeliverable")
         self.assertLess(time.monotonic() - ready, 1.5)
         self.delivered(3)
-        self.assertEqual({id: len(self.calls(id)) for id in ("once", "keyed", "safe", "untried")},
-                         {"once": 1, "keyed": 2, "safe": 2, "untried": 1})
+        self.assertEqual(
+            {id: len(self.calls(id)) for id in ("once", "keyed", "safe", "untried")},
+            {"once": 1, "keyed": 2, "safe": 2, "untried": 1},
+        )
         self.assertEqual(self.calls("keyed")[1][1]["idempotency-key"], "keyed")
 
     def test_a_refused_try_proves_that_it_never_ran(self):
@@ -414,24 +415,34 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         conf = Path(folder.name) / "bad.json"
-        for text, key in [("{}", "NODE_STATE"), ("[", "NODE_CONFIG"),
-                          ('{"state":"."}', "settings"),
-                          ('{"state":".","limits":{"sockets":"many"},"settings":{"balancers":1,"grades":'
-                           '[{"effect":"idempotent","goal_time_ms":1,"deadline_ms":2,"value":1}],'
-                           '"family_info":{"max_calls":4}}}', "limits.sockets"),
-                          ('{"state":".","settings":{"balancers":1,"family_info":{"max_calls":4},"grades":[{"effect":"odd"}]}}',
-                           "grades[0].effect"),
-                          (self.with_settings(lambda table: table.update(grades=[])), "setting grades is missing"),
-                          (self.with_settings(lambda table: table["grades"][1].update(memory_span_ms=0)),
-                           "grades[1].memory_span_ms"),
-                          (self.with_settings(lambda table: table["family_info"].update(max_calls=1e18)),
-                           "family_info.max_calls")]:
+        for text, key in [
+            ("{}", "NODE_STATE"),
+            ("[", "NODE_CONFIG"),
+            ('{"state":"."}', "settings"),
+            (
+                '{"state":".","limits":{"sockets":"many"},"settings":{"balancers":1,"grades":'
+                '[{"effect":"idempotent","goal_time_ms":1,"deadline_ms":2,"value":1}],'
+                '"family_info":{"max_calls":4}}}',
+                "limits.sockets",
+            ),
+            (
+                '{"state":".","settings":{"balancers":1,"family_info":{"max_calls":4},"grades":[{"effect":"odd"}]}}',
+                "grades[0].effect",
+            ),
+            (self.with_settings(lambda table: table.update(grades=[])), "setting grades is missing"),
+            (self.with_settings(lambda table: table["grades"][1].update(memory_span_ms=0)), "grades[1].memory_span_ms"),
+            (self.with_settings(lambda table: table["family_info"].update(max_calls=1e18)), "family_info.max_calls"),
+        ]:
             with self.subTest(key=key):
                 env = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")}
                 conf.write_text(text)
                 run = subprocess.run(
-                    [sys.executable, "-m", "lynxscale"], cwd=ROOT, capture_output=True, text=True,
-                    env=env | {"NODE_CONFIG": str(conf)}, timeout=PATIENCE,
+                    [sys.executable, "-m", "lynxscale"],
+                    cwd=ROOT,
+                    capture_output=True,
+                    text=True,
+                    env=env | {"NODE_CONFIG": str(conf)},
+                    timeout=PATIENCE,
                 )
                 self.assertEqual((run.returncode, run.stderr.count("\n")), (2, 1), run.stderr)
                 self.assertIn(key, run.stderr)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -53,8 +53,11 @@
 
     def test_a_bad_file_changes_nothing(self):
         self.start()
-        for table, key in [({"settings": {}}, "grades"), ({"discovery": "nowhere"}, "discovery"),
-                           ({"limits": {"sockets": "many"}}, "limits.sockets")]:
+        for table, key in [
+            ({"settings": {}}, "grades"),
+            ({"discovery": "nowhere"}, "discovery"),
+            ({"limits": {"sockets": "many"}}, "limits.sockets"),
+        ]:
             self.configure(**table)
             self.reload("event=not_reloaded ")
             self.assertIn(key, self.log.read_text().rpartition("event=not_reloaded ")[2].partition("\n")[0])
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -40,8 +40,11 @@
     assert (room.bytes, list(room.heavy())) == (30, [])
 
 
-@given(st.lists(st.tuples(st.sampled_from(["joined", "rests", "works", "closing", "holds"]), st.integers(0, 5)),
-                max_size=60))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["joined", "rests", "works", "closing", "holds"]), st.integers(0, 5)), max_size=60
+    )
+)
 def test_bytes_add_up_and_nobody_at_work_is_a_leaver(steps):
     room, held, at_work, now = Room(50), {}, set(), 0
     for what, place in steps:
@@ -121,7 +124,7 @@
         def act(_call):
             answer, link = reply(200, b"done"), next(iter(self.peer.open))
             for at in range(len(answer) - 1):
-                link.sendall(answer[at:at + 1])
+                link.sendall(answer[at : at + 1])
                 time.sleep(0.0005)
             return answer[-1:]
 
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -67,8 +67,9 @@
         self.start()
         client = self.client()
         hidden = message("hidden")
-        client.socket.sendall(message("m", body=hidden).replace(
-            b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n", 1) + hidden)
+        client.socket.sendall(
+            message("m", body=hidden).replace(b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n", 1) + hidden
+        )
         self.assertEqual(client.stream.read().count(b"HTTP/1.1 "), 1)
         self.assertNotIn("taken", self.counters())
 
@@ -158,8 +159,10 @@
             new = gone | {"instanceId": f"s-{number}", "lifecycle": "ready"}
             self.discovery.rows = [new]
             self.discovery.change(gone, new)
-            until(lambda v=number: any(f"after={v}&" in call[0] for _, call in list(self.discovery.calls)),
-                  "the next watch")
+            until(
+                lambda v=number: any(f"after={v}&" in call[0] for _, call in list(self.discovery.calls)),
+                "the next watch",
+            )
             # At most once, as a slow machine's late answer would have another class called a second time.
             self.assertEqual(client.hand_in(f"m{number}", "once")[0], 202)
             self.delivered(number - 1)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -185,8 +185,13 @@
 
 @pytest.mark.parametrize(
     "result, wait",
-    [(api.Result.CONNECT_FAILED, 0), (api.Result.RESET, 0), (api.Result.ERROR, 0), (api.Result.FULL, 0),
-     (api.Result.FULL, 1500)],
+    [
+        (api.Result.CONNECT_FAILED, 0),
+        (api.Result.RESET, 0),
+        (api.Result.ERROR, 0),
+        (api.Result.FULL, 0),
+        (api.Result.FULL, 1500),
+    ],
 )
 def test_returning_destination_is_loaded_in_its_budget(result, wait):
     d = Driver()
--- a/tests/test_spoilt.py
+++ b/tests/test_spoilt.py
@@ -43,8 +43,7 @@
 
     def test_any_other_spoilt_answer_has_run_maybe(self):
         spoilt = [b"\x16\x03\x01noise\r\n\r\n"] + [
-            b"HTTP/1.1 %d X\r\n" % status + rest
-            for status, rest in zip((429, 503, 504, 410) * 3, SPOILT, strict=False)
+            b"HTTP/1.1 %d X\r\n" % status + rest for status, rest in zip((429, 503, 504, 410) * 3, SPOILT, strict=False)
         ]
         self.answers(*spoilt)
         # Each to a destination of its own: one that fails rests.
@@ -88,8 +87,12 @@
     def test_reports_and_waits_that_are_no_numbers(self):
         reports = ["x0=nan,x1=inf", "x0=-1,x1=-1e400", "x0=1e999,x1=1_0", "=,,=;", "x0"]
         waits = ["nan", "-inf", "-1", "1e9", "0x1"]
-        self.answers(*[reply(503, b"", f"Srv-Load: {report}", f"Retry-After: {wait}")
-                       for report, wait in zip(reports, waits, strict=True)])
+        self.answers(
+            *[
+                reply(503, b"", f"Srv-Load: {report}", f"Retry-After: {wait}")
+                for report, wait in zip(reports, waits, strict=True)
+            ]
+        )
         self.discovery.rows = [row(f"s-{number}", self.peer.at, number) for number in range(len(waits))]
         self.start()
         for number in range(len(waits)):
@@ -100,9 +103,13 @@
 
     def test_a_list_that_cannot_be_read(self):
         whole = self.discovery._list
-        spoilt = [reply(200, b"[]"), reply(200, b'{"generation":"x","reset":true,"instances":[]}'),
-                  reply(200, b'{"generation":2,"reset":true,"instances":{"a":1}}'), b"\0noise\r\n\r\n",
-                  reply(200, b'{"generation":2,"reset":false,"instances":[{"instanceId":[]},7,null]}')]
+        spoilt = [
+            reply(200, b"[]"),
+            reply(200, b'{"generation":"x","reset":true,"instances":[]}'),
+            reply(200, b'{"generation":2,"reset":true,"instances":{"a":1}}'),
+            b"\0noise\r\n\r\n",
+            reply(200, b'{"generation":2,"reset":false,"instances":[{"instanceId":[]},7,null]}'),
+        ]
         self.discovery._list = lambda *args: spoilt.pop(0) if spoilt else whole(*args)
         self.discovery.version = 9  # there is news, so that each call is answered at once
         self.start()
@@ -142,8 +149,10 @@
 
 class Parser(unittest.TestCase):
     def test_cut_anywhere_reads_the_same(self):
-        data = (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n"
-                b"3;x=y\r\nabc\r\n0\r\nT: x\r\n\r\nHTTP/1.1 nonsense\r\n\r\n")
+        data = (
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3;x=y\r\nabc\r\n0\r\nT: x\r\n\r\nHTTP/1.1 nonsense\r\n\r\n"
+        )
         for cut in range(len(data)):
             parser = ResponseParser()
             got = parser.feed(data[:cut]) + parser.feed(data[cut:])
--- a/tests/test_trace_format.py
+++ b/tests/test_trace_format.py
@@ -25,14 +25,24 @@
 
 def values_of(one: r.Type):
     """Values of a type's fields. A number of a table has one text, as a relay's own has."""
+
     def handle(table):
         return counts.map(lambda number: (number, f"{table}{number}"))
 
     msg = st.builds(lambda n, d: r.Msg(n, f"id{n}", (n % 3, f"c{n % 3}"), (n % 2, f"n{n % 2}"), d), counts, st.just(7))
     member = st.builds(r.Member, handle("e"), st.integers(0, 2), counts, handle("z"), handle("k"), floats, texts)
-    kinds = {"u": counts, "i": st.integers(-(1 << 62), 1 << 62), "t": texts, "b": st.booleans(), "x": floats,
-             "a": floats, "f": floats, "F": st.lists(floats, max_size=3).map(tuple), "M": msg,
-             "L": st.lists(member, max_size=3)} | {kind: handle(kind) for kind in r.TABLE_OF}
+    kinds = {
+        "u": counts,
+        "i": st.integers(-(1 << 62), 1 << 62),
+        "t": texts,
+        "b": st.booleans(),
+        "x": floats,
+        "a": floats,
+        "f": floats,
+        "F": st.lists(floats, max_size=3).map(tuple),
+        "M": msg,
+        "L": st.lists(member, max_size=3),
+    } | {kind: handle(kind) for kind in r.TABLE_OF}
     return st.tuples(st.just(one.number), st.tuples(*(kinds[kind] for _, kind in one.fields)).map(list))
 
 
@@ -95,7 +105,7 @@
     except NotATrace:
         assert least == 0
         return
-    assert got == told[:len(got)]
+    assert got == told[: len(got)]
     assert len(got) >= least
     assert all(loss.torn for loss in losses)
     if losses:
@@ -105,8 +115,11 @@
 def test_version_1_cut_at_every_byte(tmp_path):
     told = traces.frames(8)
     data = traces.write(tmp_path / "whole", told, 1).read_bytes()
-    ends = [offset + h.FRAME.size + len(payload)
-            for offset, payload in h.frames_in(data, h.read_head(data).size) if payload is not None]
+    ends = [
+        offset + h.FRAME.size + len(payload)
+        for offset, payload in h.frames_in(data, h.read_head(data).size)
+        if payload is not None
+    ]
     assert len(ends) == len(told)
     for cut in range(len(data) + 1):
         assert_prefix(tmp_path / "cut", data[:cut], told, sum(end <= cut for end in ends))
@@ -218,7 +231,7 @@
             places = list(reader.index())
         most = max(place.summary.frames for place in places)
         if not closed:
-            del data[places[-1].offset + places[-1].size:]
+            del data[places[-1].offset + places[-1].size :]
     keys = [(frame.source, frame.seq) for frame in told]
     path = tmp_path / "flipped"
 
@@ -260,9 +273,13 @@
 
 def test_noise_is_no_trace_and_a_newer_one_is_refused_plainly(tmp_path):
     path = tmp_path / "x"
-    for data, told in ((b"", "no trace"), (b"\x89LX", "within its head"), (os.urandom(99), "no trace"),
-                       (h.pack_head(h.Head(3, 0, 1, "w")), "version 3; this program reads versions 1 to 2"),
-                       (h.pack_head(h.Head(2, 0, 1, "w"))[:-1] + b"?", "damaged")):
+    for data, told in (
+        (b"", "no trace"),
+        (b"\x89LX", "within its head"),
+        (os.urandom(99), "no trace"),
+        (h.pack_head(h.Head(3, 0, 1, "w")), "version 3; this program reads versions 1 to 2"),
+        (h.pack_head(h.Head(2, 0, 1, "w"))[:-1] + b"?", "damaged"),
+    ):
         path.write_bytes(data)
         with pytest.raises(NotATrace, match=told):
             Reader(path)
@@ -275,8 +292,10 @@
     """A later minor version's records are passed over by their length, and tools that copy keep them."""
     msg = r.Msg(5, "feedbeef00112233", traces.CLASSES[0], traces.TENANTS[0], 3)
     strange = (120, bytes([5, 1, 2]))
-    told = [Frame("a/1", 10, 0, 7, [(r.MESSAGE, [msg, 1, 2, 0]), strange]),
-            Frame("a/1", 11, 2, 7, [(r.END, [msg, r.reason("over"), 0.0, b"more"]), strange])]
+    told = [
+        Frame("a/1", 10, 0, 7, [(r.MESSAGE, [msg, 1, 2, 0]), strange]),
+        Frame("a/1", 11, 2, 7, [(r.END, [msg, r.reason("over"), 0.0, b"more"]), strange]),
+    ]
     for version in (1, 2):
         once = traces.read(traces.write(tmp_path / "one", told, version))
         again = traces.read(traces.write(tmp_path / "two", once, 3 - version))
