--- a/tests/test_trace_recorder.py
+++ b/tests/test_trace_recorder.py
@@ -50,7 +50,12 @@
         self.record("level decisions", "block 4k", "file-size 64k", "flush 0us")
         chance = random.Random(3)
         answers = [reply(200, b"", "Srv-Load: x0=0.4,x1=25")] * 40 + [
-            reply(500), reply(429, b"", "Retry-After: 0.05"), reply(503), None, b""]
+            reply(500),
+            reply(429, b"", "Retry-After: 0.05"),
+            reply(503),
+            None,
+            b"",
+        ]
         self.act = lambda call: chance.choice(answers)
         self.discovery.rows.append(row("s-2", self.peer.at, 2))
         number = 0
@@ -89,10 +94,12 @@
     def other_modules(self) -> None:
         """A module that does something else once is found there, and as another version it is counted."""
         path = Path(self.folder.name, "other.py")
-        path.write_text("from gannetshift import brain, interface as api\n\nclass Sender(brain.Sender):\n"
-                        "    def step(self, now, events):\n        actions = super().step(now, events)\n"
-                        "        if self.steps == 40:\n            actions.append(api.Note('odd'))\n"
-                        "        return actions\n")
+        path.write_text(
+            "from gannetshift import brain, interface as api\n\nclass Sender(brain.Sender):\n"
+            "    def step(self, now, events):\n        actions = super().step(now, events)\n"
+            "        if self.steps == 40:\n            actions.append(api.Note('odd'))\n"
+            "        return actions\n"
+        )
         command = [sys.executable, "-m", "lynxscale", "trace", "replay"]
         done = subprocess.run([*command, "--json", "--module", path, self.traces], cwd=ROOT, capture_output=True)
         self.assertEqual(done.returncode, 0, done.stderr)
@@ -125,8 +132,10 @@
             ends = {values[0].id for frame in frames for kind, values in frame.records if kind == r.END}
             # The counters told of each end, after the turn in which it was written.
             self.assertEqual(len(ends), number + 1)
-            self.assertEqual([frame.seq for frame in frames],
-                             [sum(len(one.records) for one in frames[:k]) for k in range(len(frames))])
+            self.assertEqual(
+                [frame.seq for frame in frames],
+                [sum(len(one.records) for one in frames[:k]) for k in range(len(frames))],
+            )
 
     def test_a_message_is_followed_through_rotation_and_restart(self):
         self.record("level tries", "block 4k", "file-size 64k", "file-age 1s")
@@ -140,8 +149,12 @@
         self.start()
         until(lambda: self.counters().get("ends", {}).get("delivered"), "its delivery")
         self.end()
-        done = subprocess.run([sys.executable, "-m", "lynxscale", "trace", "message", "00000000feedbeef", self.traces],
-                              cwd=ROOT, capture_output=True, text=True)
+        done = subprocess.run(
+            [sys.executable, "-m", "lynxscale", "trace", "message", "00000000feedbeef", self.traces],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
         self.assertIn("1 tries by an earlier process", done.stdout)
         self.assertIn("end: delivered", done.stdout.splitlines()[-1])
 
@@ -163,8 +176,16 @@
 
 def recorder(folder: Path, clock=lambda: 0, **changes) -> Recorder:
     conf = TraceConf(folder=str(folder), flush=0, **changes)
-    return Recorder(conf, settings_from(settings()), "n1", 1, lambda number: (f"s-{number}", "10.0.0.1:1"),
-                    lambda *_a, **_k: None, lambda *_a: None, clock)
+    return Recorder(
+        conf,
+        settings_from(settings()),
+        "n1",
+        1,
+        lambda number: (f"s-{number}", "10.0.0.1:1"),
+        lambda *_a, **_k: None,
+        lambda *_a: None,
+        clock,
+    )
 
 
 class Envelope:
@@ -255,8 +276,9 @@
 
 
 def test_files_stay_within_their_total_and_the_oldest_go(tmp_path):
-    files = Files(TraceConf(folder=str(tmp_path), block=4096, file_size=64 << 10, total=256 << 10), "a",
-                  lambda *_a, **_k: None)
+    files = Files(
+        TraceConf(folder=str(tmp_path), block=4096, file_size=64 << 10, total=256 << 10), "a", lambda *_a, **_k: None
+    )
     most = 0
     for seed in range(60):
         for frame in traces.frames(60, process=f"{seed:012x}", seed=seed):
--- a/tests/test_trace_tools.py
+++ b/tests/test_trace_tools.py
@@ -31,6 +31,7 @@
 @pytest.fixture
 def run(capfd):
     """Runs a command in this process: exit code, standard output, standard error."""
+
     def run(*words):
         with pytest.raises(SystemExit) as ended:
             cli.main([str(word) for word in words])
@@ -53,12 +54,14 @@
 def test_every_chain_of_tools_that_loses_nothing_gives_the_same_records(tmp_path, run, whole):
     told = traces.flat(traces.read(whole))
     half = traces.ZERO / 1e6 + 5 + 2.5
-    for words in (["cut", "--to", half, "-o", tmp_path / "a", whole],
-                  ["cut", "--from", half, "-o", tmp_path / "b", whole],
-                  ["merge", "-o", tmp_path / "c", tmp_path / "b", tmp_path / "a"],
-                  ["convert", "--to-version", 1, "-o", tmp_path / "d", tmp_path / "c"],
-                  ["merge", "-o", tmp_path / "e", tmp_path / "d", tmp_path / "a", whole],
-                  ["convert", "-o", tmp_path / "f", tmp_path / "e"]):
+    for words in (
+        ["cut", "--to", half, "-o", tmp_path / "a", whole],
+        ["cut", "--from", half, "-o", tmp_path / "b", whole],
+        ["merge", "-o", tmp_path / "c", tmp_path / "b", tmp_path / "a"],
+        ["convert", "--to-version", 1, "-o", tmp_path / "d", tmp_path / "c"],
+        ["merge", "-o", tmp_path / "e", tmp_path / "d", tmp_path / "a", whole],
+        ["convert", "-o", tmp_path / "f", tmp_path / "e"],
+    ):
         assert run("trace", *words)[0] == 0
     assert traces.flat(traces.read(tmp_path / "f")) == told
     assert len(traces.read(tmp_path / "a")) > 20 < len(traces.read(tmp_path / "b"))
@@ -69,12 +72,15 @@
     first = rows[0]["id"]
     failed = {row["id"] for row in rows if row.get("status") == "undeliverable"}
     tried = {row["id"] for row in rows if row.get("endpoint") == "partner-02"}
-    for words, ids in ((["--class", "pago-premio"], {row["id"] for row in rows if row["class"] == "pago-premio"}),
-                       (["--tenant", "club-oviedo"], {row["id"] for row in rows if row["tenant"] == "club-oviedo"}),
-                       (["--dest", 3], {row["id"] for row in rows if row["dest"] == 3}),
-                       (["--outcome", "undeliverable"], failed), (["--endpoint", "partner-02"], tried),
-                       (["--outcome", "undeliverable", "--endpoint", "partner-02"], failed & tried),
-                       (["--id", first], {first})):
+    for words, ids in (
+        (["--class", "pago-premio"], {row["id"] for row in rows if row["class"] == "pago-premio"}),
+        (["--tenant", "club-oviedo"], {row["id"] for row in rows if row["tenant"] == "club-oviedo"}),
+        (["--dest", 3], {row["id"] for row in rows if row["dest"] == 3}),
+        (["--outcome", "undeliverable"], failed),
+        (["--endpoint", "partner-02"], tried),
+        (["--outcome", "undeliverable", "--endpoint", "partner-02"], failed & tried),
+        (["--id", first], {first}),
+    ):
         assert run("trace", "cut", *words, "-o", tmp_path / "cut", whole)[0] == 0
         assert ids
         got = dump(run, tmp_path / "cut")
@@ -98,8 +104,16 @@
     one = traces.frames(60, relay="n", process="0" * 12)
     two = traces.frames(60, relay="n", process="1" * 12, seed=2, start=900_000_000, offset=traces.ZERO - 894_000_000)
     two = [frame._replace(offset=frame.offset - 3_600_000_000 * (place > 50)) for place, frame in enumerate(two)]
-    parts = [traces.write(tmp_path / f"{name}.lxt", part) for name, part in
-             (("a1", one[:50]), ("a2", one[50:]), ("b1", two[:80]), ("b2", two[80:]), ("again", one[20:90]))]
+    parts = [
+        traces.write(tmp_path / f"{name}.lxt", part)
+        for name, part in (
+            ("a1", one[:50]),
+            ("a2", one[50:]),
+            ("b1", two[:80]),
+            ("b2", two[80:]),
+            ("again", one[20:90]),
+        )
+    ]
     merge = Merge(reversed(parts))
     got = list(merge)
     for told in (one, two):
@@ -113,10 +127,15 @@
 
 def test_one_message_at_two_relays_is_told_in_order(tmp_path, run):
     msg = r.Msg(7, "9b1f03aa5c7e2d41", traces.CLASSES[2], traces.TENANTS[0], 3)
-    first = [Frame("a/1", 10, 0, traces.ZERO, [(r.MESSAGE, [msg, 20_000_000, 9, 0]),
-                                               (r.ADMIT, [msg, r.reason("taken"), 0.0])])]
-    second = [Frame("b/2", 700, 0, traces.ZERO, [(r.MESSAGE, [msg, 19_000_000, 9, 0])]),
-              Frame("b/2", 900, 1, traces.ZERO, [(r.END, [msg, r.reason("delivered"), 0.0])])]
+    first = [
+        Frame(
+            "a/1", 10, 0, traces.ZERO, [(r.MESSAGE, [msg, 20_000_000, 9, 0]), (r.ADMIT, [msg, r.reason("taken"), 0.0])]
+        )
+    ]
+    second = [
+        Frame("b/2", 700, 0, traces.ZERO, [(r.MESSAGE, [msg, 19_000_000, 9, 0])]),
+        Frame("b/2", 900, 1, traces.ZERO, [(r.END, [msg, r.reason("delivered"), 0.0])]),
+    ]
     paths = [traces.write(tmp_path / "b.lxt", second), traces.write(tmp_path / "a.lxt", first)]
     code, out, _err = run("trace", "message", msg.id, *paths)
     lines = out.splitlines()
@@ -136,7 +155,7 @@
         for place in index:
             head = reader._block_head(place.offset)
             at = place.offset + v2.BLOCK.size + head.summary
-            data += b"".join(v2.payloads_in(head, path.read_bytes()[at:at + head.stored]))
+            data += b"".join(v2.payloads_in(head, path.read_bytes()[at : at + head.stored]))
     return data
 
 
@@ -161,7 +180,8 @@
                 assert bytes.fromhex(values[0].id) not in data
     rows = dump(run, tmp_path / "first")
     assert Counter(row["type"] for row in rows) == Counter(row["type"] for row in dump(run, tmp_path / "ab")) - Counter(
-        ["type_120"])
+        ["type_120"]
+    )
     other = Anonymiser(b"another key, 16 or more")
     assert other.hashed("tenant", "club-oviedo") != Anonymiser(b"0123456789abcdef").hashed("tenant", "club-oviedo")
     key.write_text("short")
@@ -178,14 +198,18 @@
         total = Counter()
         for row in told:
             total.update(row[where])
-        seen = Counter(row.get("status") or row.get("result") or row.get("verdict")
-                       for row in rows if row["type"] == kind)
+        seen = Counter(
+            row.get("status") or row.get("result") or row.get("verdict") for row in rows if row["type"] == kind
+        )
         assert total == seen
     _code, out, _err = run("trace", "summarise", "--json", "--class", "aviso-ronda", whole)
     row = json.loads(out)["rows"][0]
     begun = {one["id"]: one["unix"] for one in rows if one["type"] == "message" and one["class"] == "aviso-ronda"}
-    spans = sorted((one["unix"] - begun[one["id"]]) / 1000 for one in rows
-                   if one["type"] == "end" and one["id"] in begun and one["status"] == "delivered")
+    spans = sorted(
+        (one["unix"] - begun[one["id"]]) / 1000
+        for one in rows
+        if one["type"] == "end" and one["id"] in begun and one["status"] == "delivered"
+    )
     assert row["p50_ms"] == pytest.approx(spans[(len(spans) - 1) // 2], rel=0.05, abs=1)
     assert row["worth_asked"] == len(begun)
     assert row["worth_in_aim"] == len(spans)  # each was handed in 1 s after it was sent, and the aim is 3 s
@@ -202,7 +226,7 @@
     with Reader(whole) as reader:
         end = list(reader.index())[-1]
     crashed = tmp_path / "crashed.lxt"
-    crashed.write_bytes(data[:end.offset + end.size])
+    crashed.write_bytes(data[: end.offset + end.size])
     code, out, _err = run("trace", "verify", "--json", crashed)
     assert (code, json.loads(out)[0]["state"]) == (0, "cut off")
     assert run("trace", "reindex", crashed)[0] == 0
@@ -222,17 +246,19 @@
     noise.write_bytes(zlib.compress(b"x" * 1000))
     broken = tmp_path / "broken.py"
     broken.write_text("import nothing_of_this_name")
-    for words, code, told in ((["info", noise], 1, "it is no trace file"),
-                              (["info", tmp_path / "none"], 1, "no such file"),
-                              (["dump", "--from", "soon", whole], 2, "want Unix seconds"),
-                              (["summarise", "--by", "club", whole], 2, "want some of class"),
-                              (["summarise", "--window", "1x", whole], 2, "want a time"),
-                              (["summarise", "--window", "1us", whole], 0, ""),
-                              (["cut", "-o", whole, whole], 2, "want another file"),
-                              (["cut", "-o", tmp_path / "no" / "x", whole], 2, "no such folder"),
-                              (["replay", whole], 1, "recorded at level tries"),
-                              (["replay", "--module", broken, whole], 2, "cannot be loaded"),
-                              (["nothing"], 2, "No such command")):
+    for words, code, told in (
+        (["info", noise], 1, "it is no trace file"),
+        (["info", tmp_path / "none"], 1, "no such file"),
+        (["dump", "--from", "soon", whole], 2, "want Unix seconds"),
+        (["summarise", "--by", "club", whole], 2, "want some of class"),
+        (["summarise", "--window", "1x", whole], 2, "want a time"),
+        (["summarise", "--window", "1us", whole], 0, ""),
+        (["cut", "-o", whole, whole], 2, "want another file"),
+        (["cut", "-o", tmp_path / "no" / "x", whole], 2, "no such folder"),
+        (["replay", whole], 1, "recorded at level tries"),
+        (["replay", "--module", broken, whole], 2, "cannot be loaded"),
+        (["nothing"], 2, "No such command"),
+    ):
         got = run("trace", *words)
         assert (got[0], told in got[2], "Traceback" in got[2]) == (code, True, False), got
 
@@ -248,8 +274,23 @@
 
 
 def test_every_command_shows_an_example(run):
-    groups = {(): ["conf", "run", "trace"], ("conf",): ["check", "manual", "show"], ("trace",): [
-        "anonymise", "convert", "cut", "dump", "info", "merge", "message", "reindex", "replay", "summarise", "verify"]}
+    groups = {
+        (): ["conf", "run", "trace"],
+        ("conf",): ["check", "manual", "show"],
+        ("trace",): [
+            "anonymise",
+            "convert",
+            "cut",
+            "dump",
+            "info",
+            "merge",
+            "message",
+            "reindex",
+            "replay",
+            "summarise",
+            "verify",
+        ],
+    }
     for group, names in groups.items():
         for name in names:
             code, out, _err = run(*group, name, "--help")
@@ -259,8 +300,11 @@
 def test_a_reader_that_leaves_and_ctrl_c_are_quiet(tmp_path):
     files, _sizes = recorded(tmp_path, traces.frames(400))
     for words, code in (([], 0), (["--follow"], 130)):
-        process = subprocess.Popen([sys.executable, "-m", "lynxscale", "trace", "dump", *words, str(files._path)],
-                                   stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "lynxscale", "trace", "dump", *words, str(files._path)],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
         with process.stdout, process.stderr:
             assert process.stdout.readline()
             if words:
@@ -279,7 +323,7 @@
         if place is None:
             files.close()
         else:
-            files.put(told[place:place + 7])
+            files.put(told[place : place + 7])
 
     assert traces.flat(list(follow(files._path, wait))) == traces.flat(told)
 
@@ -292,7 +336,7 @@
     whole = path.read_bytes()
     files, _sizes = recorded(tmp_path / "open", told)
     half = files._path.read_bytes()
-    path.write_bytes(half[:middle] + bytes(300) + half[middle + 300:])
+    path.write_bytes(half[:middle] + bytes(300) + half[middle + 300 :])
     looks = []
 
     def wait():
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -50,13 +50,22 @@
     assert Board(tmp_path).halves()[0].read() is None  # another version, or none
 
 
-@pytest.mark.parametrize("heir,told,orders", [
-    (True, [(Stage.SERVING, True), (Stage.HANDING, True), (Stage.NONE, False)], [[Order.SHARE], [Order.ACCEPT],
-                                                                                 [Order.ALONE, Order.ADOPT]]),
-    (True, [(Stage.SERVING, True), (Stage.NONE, False)], [[Order.SHARE], [Order.ALONE, Order.ACCEPT, Order.ADOPT]]),
-    (False, [(Stage.NONE, False), (Stage.STARTING, True), (Stage.READY, True), (Stage.NONE, False)],
-     [[], [Order.SHARE], [], [Order.ALONE]]),
-])
+@pytest.mark.parametrize(
+    "heir,told,orders",
+    [
+        (
+            True,
+            [(Stage.SERVING, True), (Stage.HANDING, True), (Stage.NONE, False)],
+            [[Order.SHARE], [Order.ACCEPT], [Order.ALONE, Order.ADOPT]],
+        ),
+        (True, [(Stage.SERVING, True), (Stage.NONE, False)], [[Order.SHARE], [Order.ALONE, Order.ACCEPT, Order.ADOPT]]),
+        (
+            False,
+            [(Stage.NONE, False), (Stage.STARTING, True), (Stage.READY, True), (Stage.NONE, False)],
+            [[], [Order.SHARE], [], [Order.ALONE]],
+        ),
+    ],
+)
 def test_who_does_what(heir, told, orders):
     one = Succession(heir)
     assert [one.look(*seen) for seen in told] == orders
@@ -170,10 +179,16 @@
     assert new.is_out(number)
 
 
-@pytest.mark.parametrize("spoil", [
-    lambda told: told.pop("rest"), lambda told: told["lanes"][0].pop(), lambda told: told.update(lanes=[[1]]),
-    lambda told: told["lanes"][0][3].__setitem__(0, "odd"), lambda told: told.update(classes=[["x", 1]] * 4),
-])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda told: told.pop("rest"),
+        lambda told: told["lanes"][0].pop(),
+        lambda told: told.update(lanes=[[1]]),
+        lambda told: told["lanes"][0][3].__setitem__(0, "odd"),
+        lambda told: told.update(classes=[["x", 1]] * 4),
+    ],
+)
 def test_what_is_no_knowledge_is_told(spoil):
     told, old = learned()
     spoil(told)
@@ -181,8 +196,9 @@
         take(Driver().sender, told, old.now)
 
 
-@pytest.mark.parametrize("change,taken", [({}, True), ({"version": 2}, False), ({"unix": 0}, False),
-                                          ({"now": 10**15}, False)])
+@pytest.mark.parametrize(
+    "change,taken", [({}, True), ({"version": 2}, False), ({"unix": 0}, False), ({"now": 10**15}, False)]
+)
 def test_knowledge_is_read_once_and_only_while_it_is_fresh(tmp_path, change, taken):
     told, _old = learned()
     names = {11: ("a", "127.0.0.1:1"), 12: ("b", "127.0.0.1:2")}
@@ -212,8 +228,9 @@
     def process_(self, fd: int | None = None) -> subprocess.Popen:
         self.admins.append(self.free_port())
         fd = self.listener.fileno() if fd is None else fd
-        one = self.spawn(self.configure(), (fd,), NODE_ACCEPT_FD=str(fd),
-                         NODE_ADMIN_ADDR=f"127.0.0.1:{self.admins[-1]}")
+        one = self.spawn(
+            self.configure(), (fd,), NODE_ACCEPT_FD=str(fd), NODE_ADMIN_ADDR=f"127.0.0.1:{self.admins[-1]}"
+        )
         self.processes.append(one)
         self.addCleanup(lambda: (one.kill(), one.wait(PATIENCE)))
         return one
@@ -372,8 +389,11 @@
         second.wait(5.0)
         self.act = lambda _call: reply(200)
         self.assertEqual(self.client().hand_in("m2")[0], 202)
-        until(lambda: {"m1", "m2"} <= {call[1]["req-id"] for _, call in list(self.peer.calls)
-                                       } | set(self.discovery.notices), "their ends")
+        until(
+            lambda: {"m1", "m2"}
+            <= {call[1]["req-id"] for _, call in list(self.peer.calls)} | set(self.discovery.notices),
+            "their ends",
+        )
         self.assertIsNone(third.poll())
         until(lambda: folders.generations(self.state) == [2], "one folder")
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -52,49 +52,60 @@
 # The file ----------------------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("data, fault", [
-    (body(LINE, LINE), "u:3: s-1: want each endpoint once: it stands at line 2 with the same weight"),
-    (body(LINE, LINE.replace("weight 5", "weight 6")), "u:3: s-1: want each endpoint once: it stands at line 2 with "
-     "another weight"),
-    (body(LINE, LINE.replace("s-1", "s-2")), "u:3: 10.1.0.1:7000: want one id at an address: s-1 is there, line 2"),
-    (body(LINE.replace("weight 5", "weight nan")), "u:2: weight nan: want calls a second"),
-    (body(LINE.replace("weight 5", "weight inf")), "u:2: weight inf"),
-    (body(LINE.replace("weight 5", "weight -5")), "u:2: weight -5"),
-    (body(LINE.replace("weight 5", "weight 1e3")), "u:2: weight 1e3"),
-    (body(LINE.replace("weight 5", "weight 1000001")), "u:2: weight 1000001"),
-    (body(LINE.replace("10.1.0.1", "192.168.0.1")), "u:2: 192.168.0.1:7000: want an address in the allowed networks"),
-    (body(LINE.replace("10.1.0.1", "10.9.0.1")), "u:2: 10.9.0.1:7000: want an address in the allowed networks"),
-    (body(LINE.replace("10.1.0.1", "partner.example")), "u:2: partner.example:7000: want an IPv4 address"),
-    (body(LINE.replace("10.1.0.1", "10.1.0.01")), "u:2: 10.1.0.01:7000: want an IPv4 address"),
-    (body(LINE.replace(":7000", ":0")), "u:2: 10.1.0.1:0: want ADDRESS:PORT"),
-    (body(LINE.replace("kind club", "kind bar")), "u:2: bar: want a kind of the settings: club"),
-    (body(LINE.replace("zone a", "zone q")), "u:2: q: want a zone of the settings: a"),
-    (body(LINE.replace("destination 1", "destination -1")), "u:2: destination -1: want a whole number"),
-    (body(LINE.replace("zone a", "zone a zone a")), "u:2: zone: want it once"),
-    (body(LINE.replace("ready", "asleep")), "u:2: endpoint: want endpoint ID"),
-    (body(LINE + " " * 4096), "u:2: endpoint s-1 10.1.0.: want lines of at most 4096 characters"),
-    (body('endpoint "s-1 10.1.0.1:7000 destination 1 ready'), 'u:2: "s-1 10.1.0.1:7000 d: want a closing quote'),
-    (body("endpiont s-1", end="end 0"), "u:2: endpiont: want list, destination, endpoint or end"),
-    (body("destination 1 rate 5", "destination 1 rate 6", end="end 0"), "u:3: destination 1: want it once"),
-    (body(LINE, "destination 1 rate 6"), "u:3: destination 1: want it once, before its endpoints"),
-    (body(LINE, end="end 2"), "u:3: end 2: want the number of endpoints, which is 1"),
-    (body("end 1", LINE), "u:2: end: want it as the last line alone"),
-    (body(LINE, end="end 1 crc32c 00000000"), "u:3: crc32c 00000000: want the checksum of the bytes above"),
-    (body(LINE, head="list 2 generation 4"), "u:1: list 2: want a format version of 1"),
-    (body(LINE, head="list 1 generation x"), "u:1: generation x: want a whole number"),
-    (body(LINE, head=LINE), "u:1: endpoint: want list 1 generation NUMBER first"),
-    (b"end 0\n", "u:1: list: want list 1 generation NUMBER first"),
-    (body(LINE).replace(b"\n", b"\r\n"), "u:1: carriage return: want text"),
-    (body(LINE).replace(b"end 1\n", b"end 1\r\n"), "u:3: carriage return: want text"),
-    (body(LINE).replace(b"zone a", b"zone \x00"), "u:2: NUL: want text"),
-    (body(LINE).replace(b"zone a", b"zone \x1b"), "u:2: control byte 0x1b: want text"),
-    (body(LINE).replace(b"zone a", b"zone \xff"), "u:2: byte 0xff: want UTF-8"),
-    (b"\xef\xbb\xbf" + body(LINE), "u:1: byte-order mark: want plain UTF-8"),
-    (b'{"generation": 1, "reset": false, "instances": []}', "u: reset: want true"),
-    (b'{"generation": 1, "reset": true, "instances": [{"instanceId": "a", "hostPort": "10.1.0.1:1", "cell": 1, '
-     b'"lifecycle": "ready", "weight": -1}]}', "u:1: weight -1: want calls a second"),
-    (b'{"generation": true, "reset": true, "instances": [7]}', "u: generation: want a whole number"),
-])
+@pytest.mark.parametrize(
+    "data, fault",
+    [
+        (body(LINE, LINE), "u:3: s-1: want each endpoint once: it stands at line 2 with the same weight"),
+        (
+            body(LINE, LINE.replace("weight 5", "weight 6")),
+            "u:3: s-1: want each endpoint once: it stands at line 2 with another weight",
+        ),
+        (body(LINE, LINE.replace("s-1", "s-2")), "u:3: 10.1.0.1:7000: want one id at an address: s-1 is there, line 2"),
+        (body(LINE.replace("weight 5", "weight nan")), "u:2: weight nan: want calls a second"),
+        (body(LINE.replace("weight 5", "weight inf")), "u:2: weight inf"),
+        (body(LINE.replace("weight 5", "weight -5")), "u:2: weight -5"),
+        (body(LINE.replace("weight 5", "weight 1e3")), "u:2: weight 1e3"),
+        (body(LINE.replace("weight 5", "weight 1000001")), "u:2: weight 1000001"),
+        (
+            body(LINE.replace("10.1.0.1", "192.168.0.1")),
+            "u:2: 192.168.0.1:7000: want an address in the allowed networks",
+        ),
+        (body(LINE.replace("10.1.0.1", "10.9.0.1")), "u:2: 10.9.0.1:7000: want an address in the allowed networks"),
+        (body(LINE.replace("10.1.0.1", "partner.example")), "u:2: partner.example:7000: want an IPv4 address"),
+        (body(LINE.replace("10.1.0.1", "10.1.0.01")), "u:2: 10.1.0.01:7000: want an IPv4 address"),
+        (body(LINE.replace(":7000", ":0")), "u:2: 10.1.0.1:0: want ADDRESS:PORT"),
+        (body(LINE.replace("kind club", "kind bar")), "u:2: bar: want a kind of the settings: club"),
+        (body(LINE.replace("zone a", "zone q")), "u:2: q: want a zone of the settings: a"),
+        (body(LINE.replace("destination 1", "destination -1")), "u:2: destination -1: want a whole number"),
+        (body(LINE.replace("zone a", "zone a zone a")), "u:2: zone: want it once"),
+        (body(LINE.replace("ready", "asleep")), "u:2: endpoint: want endpoint ID"),
+        (body(LINE + " " * 4096), "u:2: endpoint s-1 10.1.0.: want lines of at most 4096 characters"),
+        (body('endpoint "s-1 10.1.0.1:7000 destination 1 ready'), 'u:2: "s-1 10.1.0.1:7000 d: want a closing quote'),
+        (body("endpiont s-1", end="end 0"), "u:2: endpiont: want list, destination, endpoint or end"),
+        (body("destination 1 rate 5", "destination 1 rate 6", end="end 0"), "u:3: destination 1: want it once"),
+        (body(LINE, "destination 1 rate 6"), "u:3: destination 1: want it once, before its endpoints"),
+        (body(LINE, end="end 2"), "u:3: end 2: want the number of endpoints, which is 1"),
+        (body("end 1", LINE), "u:2: end: want it as the last line alone"),
+        (body(LINE, end="end 1 crc32c 00000000"), "u:3: crc32c 00000000: want the checksum of the bytes above"),
+        (body(LINE, head="list 2 generation 4"), "u:1: list 2: want a format version of 1"),
+        (body(LINE, head="list 1 generation x"), "u:1: generation x: want a whole number"),
+        (body(LINE, head=LINE), "u:1: endpoint: want list 1 generation NUMBER first"),
+        (b"end 0\n", "u:1: list: want list 1 generation NUMBER first"),
+        (body(LINE).replace(b"\n", b"\r\n"), "u:1: carriage return: want text"),
+        (body(LINE).replace(b"end 1\n", b"end 1\r\n"), "u:3: carriage return: want text"),
+        (body(LINE).replace(b"zone a", b"zone \x00"), "u:2: NUL: want text"),
+        (body(LINE).replace(b"zone a", b"zone \x1b"), "u:2: control byte 0x1b: want text"),
+        (body(LINE).replace(b"zone a", b"zone \xff"), "u:2: byte 0xff: want UTF-8"),
+        (b"\xef\xbb\xbf" + body(LINE), "u:1: byte-order mark: want plain UTF-8"),
+        (b'{"generation": 1, "reset": false, "instances": []}', "u: reset: want true"),
+        (
+            b'{"generation": 1, "reset": true, "instances": [{"instanceId": "a", "hostPort": "10.1.0.1:1", "cell": 1, '
+            b'"lifecycle": "ready", "weight": -1}]}',
+            "u:1: weight -1: want calls a second",
+        ),
+        (b'{"generation": true, "reset": true, "instances": [7]}', "u: generation: want a whole number"),
+    ],
+)
 def test_what_is_wrong_is_told_with_its_line_and_nothing_of_the_file_is_taken(data, fault):
     found = told(data)
     assert any(one.startswith(fault) for one in found), found
@@ -120,17 +131,24 @@
         assert not reading.whole and reading.candidate is None, size
     for place in range(len(data)):
         for bit in (1, 16):
-            spoilt = data[:place] + bytes([data[place] ^ bit]) + data[place + 1:]
+            spoilt = data[:place] + bytes([data[place] ^ bit]) + data[place + 1 :]
             assert finish(files.read(spoilt, "u", RULES)).candidate is None, (place, bit)
 
 
 names = st.text(st.characters(codec="utf-8", categories=("L", "N", "P", "S", "Zs")), min_size=1, max_size=12).filter(
-    str.isprintable)
-entries = st.builds(Entry, names, st.tuples(st.sampled_from(["10.1.0.1", "127.0.0.1", "10.255.255.255"]),
-                                            st.integers(1, 65535)),
-                    st.integers(0, 5), st.sampled_from(["", "a"]), st.sampled_from(["", "club"]),
-                    st.sampled_from([READY, DRAINING]), st.integers(0, 10**9).map(lambda n: n / 1000),
-                    st.integers(0, 1 << 50))
+    str.isprintable
+)
+entries = st.builds(
+    Entry,
+    names,
+    st.tuples(st.sampled_from(["10.1.0.1", "127.0.0.1", "10.255.255.255"]), st.integers(1, 65535)),
+    st.integers(0, 5),
+    st.sampled_from(["", "a"]),
+    st.sampled_from(["", "club"]),
+    st.sampled_from([READY, DRAINING]),
+    st.integers(0, 10**9).map(lambda n: n / 1000),
+    st.integers(0, 1 << 50),
+)
 
 
 @settings(max_examples=200, deadline=None)
@@ -160,8 +178,9 @@
 
 
 def test_json_is_read_in_slices():
-    rows = [{"instanceId": f"s-{n}", "hostPort": f"10.1.0.1:{n + 1}", "cell": 1, "lifecycle": "ready"}
-            for n in range(3000)]
+    rows = [
+        {"instanceId": f"s-{n}", "hostPort": f"10.1.0.1:{n + 1}", "cell": 1, "lifecycle": "ready"} for n in range(3000)
+    ]
     data = json.dumps({"generation": 1, "reset": True, "instances": rows}).encode()
     assert sum(1 for _ in files.read(data, "u", RULES)) >= 3000 // 64
     assert len(finish(files.read(data, "u", RULES)).candidate.entries) == 3000
@@ -198,9 +217,11 @@
     finish(owners.replace("one", {}, one.entries, one.destinations))
     two = listing(entry("s-1", 7009, dest=2), entry("s-2", 7001), entry("s-3", dest=2), unit="two")
     found = [str(fault) for fault in verdict(None, two, owners=owners).reasons]
-    assert found == ["two: destination 1: want it in one file: one has it",
-                     "two:2: s-1: want an id of its own: one has it",
-                     "two:4: s-3: want an address of its own: s-1 of one is there"]
+    assert found == [
+        "two: destination 1: want it in one file: one has it",
+        "two:2: s-1: want an id of its own: one has it",
+        "two:4: s-3: want an address of its own: s-1 of one is there",
+    ]
     empty = listing(version=2, unit="one")
     finish(owners.replace("one", one.entries, empty.entries, empty.destinations))
     assert verdict(None, two, owners=owners).outcome == Outcome.APPLIED
@@ -209,18 +230,27 @@
 FOUR = [entry(f"s-{place}", 7000 + place) for place in range(4)]
 
 
-@pytest.mark.parametrize("guards, rows, asks", [
-    (Guards(most_removed=0.5), FOUR[:2], ""),
-    (Guards(most_removed=0.5), FOUR[:1], "3 of 4 endpoints would go, most-removed is 0.5"),
-    (Guards(last_endpoint=False), [], "its last endpoint would go"),
-    (Guards(last_endpoint=False), FOUR[:1], ""),
-    (Guards(most_moved=0.4), [row._replace(weight=7.5) for row in FOUR], "0.50 of its weight would move"),
-    (Guards(most_moved=0.4), [row._replace(weight=6.5) for row in FOUR], ""),
-    (Guards(most_removed=0.3), [row._replace(address=("10.1.0.2", 1 + place)) for place, row in enumerate(FOUR)],
-     "4 of 4 endpoints would go"),
-    (Guards(most_removed=0.0, last_endpoint=False, most_moved=0.0),
-     [row._replace(lifecycle=DRAINING) for row in FOUR], ""),
-])
+@pytest.mark.parametrize(
+    "guards, rows, asks",
+    [
+        (Guards(most_removed=0.5), FOUR[:2], ""),
+        (Guards(most_removed=0.5), FOUR[:1], "3 of 4 endpoints would go, most-removed is 0.5"),
+        (Guards(last_endpoint=False), [], "its last endpoint would go"),
+        (Guards(last_endpoint=False), FOUR[:1], ""),
+        (Guards(most_moved=0.4), [row._replace(weight=7.5) for row in FOUR], "0.50 of its weight would move"),
+        (Guards(most_moved=0.4), [row._replace(weight=6.5) for row in FOUR], ""),
+        (
+            Guards(most_removed=0.3),
+            [row._replace(address=("10.1.0.2", 1 + place)) for place, row in enumerate(FOUR)],
+            "4 of 4 endpoints would go",
+        ),
+        (
+            Guards(most_removed=0.0, last_endpoint=False, most_moved=0.0),
+            [row._replace(lifecycle=DRAINING) for row in FOUR],
+            "",
+        ),
+    ],
+)
 def test_guards_ask_or_pass(guards, rows, asks):
     found = verdict(listing(*FOUR), listing(*rows, version=2), guards)
     assert (found.outcome == Outcome.HELD) == bool(asks), found.reasons
@@ -331,17 +361,30 @@
         self.order = order if both else (FILES,)
         clock = Clock()
         self.module, self.gone = Module(), []
-        self.group = Group(module_settings(kinds=["club"], zones=["a"]), Deadlines(clock, lambda *_: None),
-                           self.module.put, self.gone.append, order)
+        self.group = Group(
+            module_settings(kinds=["club"], zones=["a"]),
+            Deadlines(clock, lambda *_: None),
+            self.module.put,
+            self.gone.append,
+            order,
+        )
         for name in self.order:
             self.group.add(name, None)
         self.model = {name: {} for name in self.order}
         self.numbers: dict[int, Entry] = {}
 
-    rows = st.lists(st.builds(
-        lambda n, port, dest, life, weight: entry(f"s-{n}", port, dest, life, float(weight)),
-        st.integers(0, 5), st.integers(1, 8), st.integers(0, 3), st.sampled_from([READY, DRAINING]), st.integers(0, 3),
-    ), max_size=6, unique_by=lambda one: one.id)
+    rows = st.lists(
+        st.builds(
+            lambda n, port, dest, life, weight: entry(f"s-{n}", port, dest, life, float(weight)),
+            st.integers(0, 5),
+            st.integers(1, 8),
+            st.integers(0, 3),
+            st.sampled_from([READY, DRAINING]),
+            st.integers(0, 3),
+        ),
+        max_size=6,
+        unique_by=lambda one: one.id,
+    )
 
     @rule(rows=rows)
     def a_file(self, rows):
@@ -354,7 +397,8 @@
         if DISCOVERY not in self.order:
             return
         changes = [(row.id, row) for row in rows] + [
-            (f"s-{n}", None) for n in gone if f"s-{n}" not in {row.id for row in rows}]
+            (f"s-{n}", None) for n in gone if f"s-{n}" not in {row.id for row in rows}
+        ]
         if whole:
             changes = [change for change in changes if change[1] is not None]
             self.model[DISCOVERY] = {}
--- a/tests/test_upstream_live.py
+++ b/tests/test_upstream_live.py
@@ -87,18 +87,21 @@
 
     def entries(self, *names: str, draining=(), weight: float = 60.0) -> list[Entry]:
         rows = {one.id: one for one in entries_of(self.partner)}
-        return [rows[name]._replace(destination=0, weight=weight,
-                                    lifecycle=files.LIFECYCLES["draining" if name in draining else "ready"])
-                for name in names]
+        return [
+            rows[name]._replace(
+                destination=0, weight=weight, lifecycle=files.LIFECYCLES["draining" if name in draining else "ready"]
+            )
+            for name in names
+        ]
 
 
 def conf_with(**members: str) -> str:
     """The deployed file with other directives in its section members."""
     lines = CONF.read_text().splitlines()
     begin = lines.index("begin members")
-    kept = [line for line in lines[begin + 1:-1] if line.split()[:1] and line.split()[0] not in members]
+    kept = [line for line in lines[begin + 1 : -1] if line.split()[:1] and line.split()[0] not in members]
     told = [f"    {name.replace('_', '-')} {value}" for name, value in members.items()]
-    return "\n".join([*lines[:begin + 1], *kept, *told, "end members", ""])
+    return "\n".join([*lines[: begin + 1], *kept, *told, "end members", ""])
 
 
 FREE = {"most-removed": "1", "last-endpoint": "allow"}
@@ -110,7 +113,7 @@
     kind = chance.choice(["cut", "twice", "address", "weight", "network", "count", "nul", "crlf", "mark", "tail"])
     lines = data.splitlines(keepends=True)
     if kind == "cut":
-        return data[:chance.randrange(len(data))], "half"
+        return data[: chance.randrange(len(data))], "half"
     if kind == "twice":
         lines.insert(2, lines[1])
     elif kind == "address":
@@ -314,8 +317,17 @@
             assert held["outcome"] == "held" and "3 of 4 endpoints would go" in held["reasons"][0]
             assert "s-00" not in await scene.served_by()
             process = await asyncio.create_subprocess_exec(
-                os.sys.executable, "-m", "lynxscale", "list", "approve", "--state", str(tmp_path / "state"),
-                held["digest"][:12], cwd=CONF.parent.parent, stdout=asyncio.subprocess.PIPE)
+                os.sys.executable,
+                "-m",
+                "lynxscale",
+                "list",
+                "approve",
+                "--state",
+                str(tmp_path / "state"),
+                held["digest"][:12],
+                cwd=CONF.parent.parent,
+                stdout=asyncio.subprocess.PIPE,
+            )
             assert (await process.communicate())[0].decode() == f"approved {held['digest']}\n"
             await until(lambda: scene.verdicts()[-1]["outcome"] == "applied", "the approved version")
             assert not scene.lists.held() and not scene.lists.approved()
@@ -334,8 +346,12 @@
             wants = await scene.verdict((relay.lists / "a.list").read_bytes())
             assert wants["outcome"] == "rejected" and "lists/b.list has it" in wants["reasons"][0]
             relay.put([], 2, "b.list")
-            await until(lambda: [one for one in scene.verdicts() if one["unit"] == "lists/a.list"
-                                 and one["outcome"] == "applied"], "a.list to be taken after all")
+            await until(
+                lambda: [
+                    one for one in scene.verdicts() if one["unit"] == "lists/a.list" and one["outcome"] == "applied"
+                ],
+                "a.list to be taken after all",
+            )
             assert await scene.served_by() == {"s-00", "s-01"}
 
     asyncio.run(play())
@@ -409,6 +425,7 @@
 
 def test_an_id_at_another_address_and_an_id_at_an_old_one_are_new_endpoints(tmp_path):
     """No connection carries over, and the outage of what was there before is not held against what is there now."""
+
     async def play():
         async with Scene(tmp_path, OPEN) as scene:
             relay, rows = scene.relay, scene.entries("s-00", "s-01")
@@ -444,9 +461,24 @@
             fixed = scene.entries("s-00", "s-01")
 
             def large(number: int) -> bytes:
-                return files.write([*fixed, *(
-                    Entry(f"x-{number}-{place}", (f"127.9.{place >> 8}.{place & 255}", 9), 1 + place % 50, "a",
-                          "club-reservas", files.LIFECYCLES["ready"], 1.0) for place in range(8000))], number)
+                return files.write(
+                    [
+                        *fixed,
+                        *(
+                            Entry(
+                                f"x-{number}-{place}",
+                                (f"127.9.{place >> 8}.{place & 255}", 9),
+                                1 + place % 50,
+                                "a",
+                                "club-reservas",
+                                files.LIFECYCLES["ready"],
+                                1.0,
+                            )
+                            for place in range(8000)
+                        ),
+                    ],
+                    number,
+                )
 
             path = relay.lists / "a.list"
             path.write_bytes(large(1))
@@ -480,6 +512,7 @@
 
 def test_a_version_that_was_kept_as_the_process_ended_has_its_verdict(tmp_path):
     """Killed with the version on disk as the last good one, and nothing said of it so far."""
+
     async def play():
         async with Scene(tmp_path, OPEN) as scene:
             relay = scene.relay
@@ -516,8 +549,9 @@
     deadlines = Deadlines(loop, lambda after, act: timers.append(act) or Timer())
     group = Group(module_settings(), deadlines, lambda _: None, lambda _: None)
     conf = MembersConf(files=(str(tmp_path / "a.list"),))
-    one = watch.Watch(None, deadlines, conf, rules_of(conf, (), ()), group, Lists(tmp_path),
-                      Teller(loop.now, lambda: None), counters)
+    one = watch.Watch(
+        None, deadlines, conf, rules_of(conf, (), ()), group, Lists(tmp_path), Teller(loop.now, lambda: None), counters
+    )
     group.add("files", one)
     one._worker = Stuck()
     one._look()
--- a/tests/traces.py
+++ b/tests/traces.py
@@ -12,8 +12,10 @@
 
 CLASSES = ((0, "aviso-ronda"), (1, "inscripcion"), (2, "pago-premio"))
 TENANTS = ((0, "club-donostia"), (1, "club-oviedo"))
-SETTINGS = ('{"classes":[{"name":"aviso-ronda","aim_ms":3000.0,"deadline_ms":16000.0,"worth":1.0,"late_worth":0.4}],'
-            '"tenants":[{"name":"club-donostia"},{"name":"club-oviedo"}],"late_halves":false}')
+SETTINGS = (
+    '{"classes":[{"name":"aviso-ronda","aim_ms":3000.0,"deadline_ms":16000.0,"worth":1.0,"late_worth":0.4}],'
+    '"tenants":[{"name":"club-donostia"},{"name":"club-oviedo"}],"late_halves":false}'
+)
 ZERO = 1_790_000_000_000_000  # Unix µs
 
 
@@ -21,8 +23,14 @@
     return (number, f"partner-{number:02d}")
 
 
-def frames(count: int = 200, relay: str = "a", process: str = "00aa11bb22cc", seed: int = 1, start: int = 5_000_000,
-           offset: int = ZERO) -> list[Frame]:
+def frames(
+    count: int = 200,
+    relay: str = "a",
+    process: str = "00aa11bb22cc",
+    seed: int = 1,
+    start: int = 5_000_000,
+    offset: int = ZERO,
+) -> list[Frame]:
     """So many messages of one process, each with a try and an end, three turns a message."""
     chance, found, seq = random.Random(seed), [], 0
     source = f"{relay}/{process}"
@@ -32,19 +40,31 @@
         found.append(Frame(source, time, seq, offset, records))
         seq += len(records)
 
-    rows = [r.Member(endpoint(k), 1, k % 4, (0, "north"), (0, "club-reservas"), 2.5, f"10.9.8.{k}:7070")
-            for k in range(8)]
-    add(start, [(r.START, [relay, process, "1", "tries", 1.0, "", "7", SETTINGS, "abc"]),
-                (r.LIST, [3, 41, len(rows)]), (r.MEMBERS, [rows])])
+    rows = [
+        r.Member(endpoint(k), 1, k % 4, (0, "north"), (0, "club-reservas"), 2.5, f"10.9.8.{k}:7070") for k in range(8)
+    ]
+    add(
+        start,
+        [
+            (r.START, [relay, process, "1", "tries", 1.0, "", "7", SETTINGS, "abc"]),
+            (r.LIST, [3, 41, len(rows)]),
+            (r.MEMBERS, [rows]),
+        ],
+    )
     time = start
     for number in range(count):
         time += chance.randrange(1000, 20_000)
         dest = chance.randrange(4)
         msg = r.Msg(number, f"{chance.getrandbits(64):016x}", chance.choice(CLASSES), chance.choice(TENANTS), dest)
         at = endpoint(dest)
-        add(time, [(r.MESSAGE, [msg, 15_000_000, chance.randrange(300), 0]),
-                   (r.ADMIT, [msg, r.reason("taken"), 0.0]),
-                   (r.TRY_START, [msg, 0, at, 1_234_567, False])])
+        add(
+            time,
+            [
+                (r.MESSAGE, [msg, 15_000_000, chance.randrange(300), 0]),
+                (r.ADMIT, [msg, r.reason("taken"), 0.0]),
+                (r.TRY_START, [msg, 0, at, 1_234_567, False]),
+            ],
+        )
         time += chance.randrange(1000, 90_000)
         how = chance.choice(("ok", "ok", "ok", "error"))
         add(time, [(r.TRY_END, [msg, 0, at, r.reason(how), 81_234, 0.0, False, (0.25, 4.5)])])
@@ -69,5 +89,8 @@
 
 def flat(given: list[Frame]) -> list[tuple]:
     """Records by their numbers, whatever frames they stand in."""
-    return [(frame.source, frame.seq + place, frame.time, frame.offset, number, values)
-            for frame in given for place, (number, values) in enumerate(frame.records)]
+    return [
+        (frame.source, frame.seq + place, frame.time, frame.offset, number, values)
+        for frame in given
+        for place, (number, values) in enumerate(frame.records)
+    ]
