--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -86,7 +86,7 @@
         self._on_lead = on_lead
         self._proposal: Proposal | None = None
         self._proposal_at = self._heartbeat_at = self._join_at = -1e9
-        self._highest_denied = 0
+        self._highest_denied = self._open_epoch = 0
         self._disk_failed_at = -1e9
         self._lease_until = self._lead_at = -1e9
         self._round = 0
@@ -208,6 +208,7 @@
             self._proposal = None
             return
         proposal.record = record
+        self._open_epoch = 0
         if self.state is State.PRIMARY:
             self.replicator.require_also(set(proposal.base.in_sync) | set(record.in_sync))
         self._send_all(proposal.voters, m.Accept(record))
@@ -278,7 +279,10 @@
         self._primary_heard_at = self._clock.now()
         self._candidate_at = self._clock.now() + self._candidacy_delay(LEASE_S)
         granted = self.state is not State.LEAVING and self.witness.grant(message)
-        answer = m.LeaseGrant(record.epoch, message.round, self.me, self.settings.node, granted, self.store.position)
+        promised = self.witness.state.promised
+        answer = m.LeaseGrant(
+            record.epoch, message.round, self.me, self.settings.node, granted, promised, self.store.position
+        )
         self._network.send(m.address_of(record.primary), answer)
 
     def _on_lease_grant(self, message: m.LeaseGrant) -> None:
@@ -288,8 +292,16 @@
         if message.granted:
             self.peers[message.member].leaving = False
             self._count_grant(message.round, message.member)
+        elif message.promised > self.record.epoch and message.member in self.record.witnesses:
+            self._pass_promise(message.promised)
         self.replicator.on_position(message.member, message.position)
 
+    def _pass_promise(self, promised: int) -> None:
+        """A witness that promised a candidate's epoch, of which nothing came, is bound until a later one is decided."""
+        self._highest_denied = max(self._highest_denied, promised)
+        if self._proposal is None and self._clock.now() < self._lease_until:
+            self._propose()
+
     def _count_grant(self, number: int, member: str) -> None:
         granted = self._round_granted.get(number)
         if granted is None:
@@ -461,7 +473,10 @@
         self._candidate_at = self._clock.now() + self._candidacy_delay(ROUND_TIMEOUT_S)
 
     def _propose(self) -> None:
-        epoch = max(self.record.epoch, self.witness.state.promised, self._highest_denied) + 1
+        lowest = max(self.record.epoch, self._highest_denied) + 1
+        # An epoch for which no record was sent may be tried again: a cut-off candidate must not climb for ever.
+        epoch = self._open_epoch if self._open_epoch >= lowest else max(lowest, self.witness.state.promised + 1)
+        self._open_epoch = epoch
         self._proposal = Proposal(epoch, self.me, self.record.witnesses)
         self._proposal_at = self._clock.now()
         self._send_all(self.record.witnesses, m.Prepare(epoch, self.me))
--- a/lynxscale/coordination/messages.py
+++ b/lynxscale/coordination/messages.py
@@ -94,6 +94,7 @@
     member: str
     node: str
     granted: bool
+    promised: int
     position: Position
 
 
--- a/lynxscale/coordination/replication.py
+++ b/lynxscale/coordination/replication.py
@@ -33,9 +33,10 @@
 
 @dataclass(slots=True)
 class Submission:
-    """Puts that wait for their batch, and whom to tell of its commit."""
+    """Puts that wait for their batch, what undoes them, and whom to tell of the commit."""
 
     puts: tuple[m.Put, ...]
+    undo: tuple[m.Put, ...]
     done: Callable[[bool], None]
 
 
@@ -122,8 +123,8 @@
 
     def submit(self, puts: tuple[m.Put, ...], done: Callable[[bool], None]) -> None:
         """Change the state now; ``done(True)`` once that is committed, ``done(False)`` if this cannot be told."""
+        self._pending.append(Submission(puts, self._store.before(puts), done))
         self._store.apply(puts)
-        self._pending.append(Submission(puts, done))
         self._schedule_flush()
 
     def barrier(self, done: Callable[[bool], None]) -> None:
@@ -131,12 +132,17 @@
         if self.idle:
             done(True)
         elif self._pending:
-            self._pending.append(Submission((), done))
+            self._pending.append(Submission((), (), done))
         else:
-            self._outstanding.submissions.append(Submission((), done))
+            self._outstanding.submissions.append(Submission((), (), done))
 
     def abandon(self) -> None:
-        """Another member is primary: nobody can tell here what becomes of the submissions."""
+        """Another member is primary: nobody can tell here what becomes of the submissions.
+
+        Those that are in no batch yet are undone, as this member may lead again and would take them for committed.
+        """
+        for submission in reversed(self._pending):
+            self._store.apply(submission.undo)
         waiting = self._pending + (self._outstanding.submissions if self._outstanding else [])
         self._pending, self._outstanding = [], None
         for submission in waiting:
@@ -194,6 +200,7 @@
             self._store.save(batch)
             self._store.fold_if_due()
         except OSError as error:
+            self._pending, self._outstanding = submissions + self._pending, None
             self._on_disk_failure(error)
             return
         for one in self.copies:
@@ -226,7 +233,9 @@
             self._send_batches(member, batches)
 
     def _send_whole(self, member: str, copy: Copy) -> None:
-        parts = list(split_puts(self._store.whole()))
+        if self._pending:
+            return  # the memory is ahead of the position; it is not right behind the next batch
+        parts = split_puts(self._store.whole())
         position = self._store.position
         for number, puts in enumerate(parts):
             part = m.StatePart(self._record.epoch, position, number, len(parts), puts)
--- a/lynxscale/coordination/store.py
+++ b/lynxscale/coordination/store.py
@@ -22,6 +22,7 @@
 LEAST_BATCH_BYTES = 1_000_000  # before the batches are folded into a whole version
 RECENT_BATCHES = 512  # kept in memory, for members that missed a few
 START = Position(0, 0)
+REMOVED = msgspec.Raw(b"null")
 
 
 class WholeState(msgspec.Struct, frozen=True):
@@ -69,6 +70,10 @@
             else:
                 self.values[put.key] = put.value
 
+    def before(self, puts: Iterable[Put]) -> tuple[Put, ...]:
+        """Puts that would undo these, if they were applied now."""
+        return tuple(Put(put.key, self.values.get(put.key, REMOVED)) for put in puts)
+
     def save(self, batch: Batch) -> None:
         """Write the batch's version and move on to it. Raises OSError; then the position stays."""
         name = f"{BATCH_PREFIX}{batch.position.index:012d}-{batch.position.epoch:08d}"
--- a/tests/test_tier_group.py
+++ b/tests/test_tier_group.py
@@ -199,6 +199,48 @@
     assert group.world.run_until(lambda: member.me in leader.record.in_sync, 2.0)
 
 
+def test_a_member_that_was_cut_off_soon_votes_and_copies_again():
+    """Seen in an incident: it had promised itself epoch after epoch, and refused the primary's for good."""
+    group = started()
+    leader = group.wait_for_leader()
+    cut = next(a for a in group.seeds if a != address_of(leader.me))
+    for other in group.seeds:
+        if other != cut:
+            group.world.cut(cut, other)
+    group.world.run(group.world.time + 12)
+    group.world.heal()
+    member = group.members[cut]
+    assert group.world.run_until(lambda: member.me in leader.record.in_sync, 1.5)
+    third = next(a for a in group.seeds if a not in (cut, address_of(leader.me)))
+    group.kill(third)
+    assert group.put("a", 1, within=1.5)
+    assert leader.leads()
+
+
+def test_what_was_submitted_and_is_in_no_batch_is_undone_when_the_lead_ends():
+    """Else a member that leads again acknowledges a change that only its own memory holds."""
+    group = started()
+    assert group.put("a", 1)
+    group.world.run(group.world.time + 0.5)
+    leader = group.wait_for_leader()
+    own = address_of(leader.me)
+    for other in group.seeds:
+        if other != own:
+            group.world.cut(own, other)
+    outcomes = []
+    group.submit(leader, "first", 1, outcomes.append)
+    group.world.run(group.world.time + 0.1)
+    group.submit(leader, "second", 2, outcomes.append)
+    assert leader.store.values.keys() == {"a", "first", "second"}
+    group.world.run(group.world.time + 3)
+    assert outcomes == [False, False]
+    assert "second" not in leader.store.values
+    group.world.heal()
+    assert group.put("b", 1)
+    group.world.run(group.world.time + 2)
+    assert {member.store.checksum() for member in group.members.values()} == {leader.store.checksum()}
+
+
 def test_a_full_disk_at_the_primary_moves_the_lead():
     group = started()
     leader = group.wait_for_leader()
@@ -230,6 +272,9 @@
     assert group.put("last", 1, within=10.0)
     for key, value in committed.items():
         assert group.value(key) >= value, (seed, key)
+    world.run(world.time + 3)
+    checksums = {member.store.checksum() for member in group.members.values()}
+    assert len(checksums) == 1, (seed, "the copies differ")
 
 
 def disturb(group: Group, world: World) -> None:
