--- a/lab/tier/cluster.py
+++ b/lab/tier/cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from itertools import count
 from random import Random
 
@@ -51,7 +52,7 @@
     def __init__(self, world: World, relays: int = 3, controls: int = 3, tolerated: int = 1) -> None:
         self.world = world
         self.streams = Streams(world)
-        self.platform = StandInPlatform(world, self.streams)
+        self.platform = StandInPlatform(PLATFORM, world.machine(PLATFORM).clock(), self.listener(PLATFORM))
         self.endpoints: dict[str, StandInEndpoint] = {}
         self.controls: dict[str, ControlService] = {}
         self.relays: dict[str, RelayService] = {}
@@ -72,10 +73,15 @@
         """Start an endpoint and list it."""
         zone = ZONES[len(self.endpoints) % len(ZONES)]
         endpoint = Endpoint(name, service, address, zone, slots, "ready")
-        self.endpoints[name] = StandInEndpoint(self.world, self.streams, endpoint)
+        clock = self.world.machine(address).clock()
+        self.endpoints[name] = StandInEndpoint(endpoint, clock, self.listener(address))
         self.platform.listed.append(endpoint)
         return self.endpoints[name]
 
+    def listener(self, machine: str) -> Callable[[str, Callable[[], ServerConnection]], None]:
+        """Listens on a machine."""
+        return lambda address, factory: self.streams.listen(machine, address, factory)
+
     def settings(self, host: str, bootstrap: bool, listen: Listen, number: int) -> Settings:
         """The settings of a machine."""
         seeds = tuple(f"{one}:{CONTROL_PORT}" for one in self.control_hosts[:3])
--- /dev/null
+++ b/lab/tier/local.py
@@ -0,0 +1,183 @@
+"""A small tier of real processes on loopback, with stand-in endpoints and platform in this process.
+
+Three control members and two relays run the programs as they are, each at an address of its own in 127.0.0.0/8.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from lab.tier.cluster import MODEL, TOOLS, ZONES, default_configuration
+from lab.tier.standins import StandInEndpoint, StandInPlatform
+from lynxscale.controlplane.endpoints import Endpoint
+from lynxscale.runtime.ask import NoAnswer, ask_async
+from lynxscale.runtime.clock import LoopClock
+from lynxscale.runtime.http_types import Head, Request, Response
+from lynxscale.runtime.network import split_address
+
+CONTROLS, RELAYS = 3, 2
+ENDPOINT_PORT = 7399
+START_WITHIN_S = 20.0
+END_WITHIN_S = 10.0
+
+
+@dataclass
+class LocalTier:
+    """Processes by name. ``network``: the second number of all addresses; ``port``: the first of four ports."""
+
+    folder: Path
+    network: int = 77
+    port: int = 7300
+    processes: dict[str, subprocess.Popen] = field(default_factory=dict)
+    endpoints: list[StandInEndpoint] = field(default_factory=list)
+    platform: StandInPlatform | None = None
+
+    # Addresses ---------------------------------------------------------------------------------------
+
+    def host(self, name: str) -> str:
+        """The address of ``control-1``, ``relay-2`` and so on."""
+        role, _, number = name.partition("-")
+        return f"127.{self.network}.{1 if role == 'control' else 2}.{number}"
+
+    def control(self, name: str) -> str:
+        """The control address."""
+        return f"{self.host(name)}:{self.port + 1}"
+
+    def frontend(self, name: str) -> str:
+        """Where clients connect."""
+        return f"{self.host(name)}:{self.port + 2}"
+
+    def readiness(self, name: str) -> str:
+        """Where the platform asks."""
+        return f"{self.host(name)}:{self.port + 3}"
+
+    @property
+    def control_names(self) -> list[str]:
+        """All control members."""
+        return [f"control-{number}" for number in range(1, CONTROLS + 1)]
+
+    @property
+    def relay_names(self) -> list[str]:
+        """All relays."""
+        return [f"relay-{number}" for number in range(1, RELAYS + 1)]
+
+    # Processes ---------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Start everything and wait until the relays are ready. Raises TimeoutError."""
+        loop = asyncio.get_running_loop()
+        clock = LoopClock(loop)
+        servers: list[asyncio.Task] = []
+
+        def listen(address: str, factory: Callable) -> None:
+            servers.append(loop.create_task(loop.create_server(factory, *split_address(address))))
+
+        self.platform = StandInPlatform(f"127.{self.network}.3.1:{ENDPOINT_PORT}", clock, listen)
+        for number in range(4):
+            service = MODEL if number < 2 else TOOLS
+            address = f"127.{self.network}.4.{number + 1}:{ENDPOINT_PORT}"
+            endpoint = Endpoint(f"i-{number}", service, address, ZONES[number % 3], 8, "ready")
+            self.endpoints.append(StandInEndpoint(endpoint, clock, listen))
+            self.platform.listed.append(endpoint)
+        await asyncio.gather(*servers)
+        for name in (*self.control_names, *self.relay_names):
+            self.launch(name, bootstrap=True)
+        async with asyncio.timeout(START_WITHIN_S):
+            await self._configure()
+
+    async def _configure(self) -> None:
+        body = msgspec.json.encode(default_configuration())
+        fields = ((b"lynxscale-base-version", b"0"),)
+        while (await self.call(self.control("control-1"), "POST", "/config/replace", body, fields)).status != 200:
+            await asyncio.sleep(0.1)
+        for name in self.relay_names:
+            while (await self.call(self.readiness(name), "GET", "/ready")).status != 200:
+                await asyncio.sleep(0.1)
+
+    def launch(self, name: str, bootstrap: bool = False) -> None:
+        """Start a process by its settings file."""
+        settings = self.folder / f"{name}.toml"
+        settings.write_text(self.settings_text(name, bootstrap))
+        module = "lynxscale.controlplane" if name.startswith("control") else "lynxscale.dataplane"
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", module],
+                env=os.environ | {"LYNXSCALE_SETTINGS": str(settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def settings_text(self, name: str, bootstrap: bool) -> str:
+        """The settings file of a process."""
+        number = int(name.rpartition("-")[2])
+        seeds = [self.control(one) for one in self.control_names]
+        listen = (
+            f'control = "{self.control(name)}"'
+            if name.startswith("control")
+            else f'frontend = "{self.frontend(name)}"\nreadiness = "{self.readiness(name)}"'
+        )
+        return "\n".join(
+            [
+                f'node-name = "{name}"',
+                f'ip = "{self.host(name)}"',
+                f'zone = "{ZONES[number % 3]}"',
+                f"internal-ports = [{self.port}, {self.port}]",
+                f"seeds = {msgspec.json.encode(seeds).decode()}",
+                f"bootstrap = {str(bootstrap).lower()}",
+                f'data-dir = "{self.folder / name}"',
+                "[fault-tolerance]",
+                "machines = 1",
+                "[listen]",
+                listen,
+                "[cloud]",
+                f'address = "127.{self.network}.3.1:{ENDPOINT_PORT}"',
+                "",
+            ]
+        )
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self) -> None:
+        """End all processes in good order."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGTERM)
+        for process in self.processes.values():
+            try:
+                process.wait(END_WITHIN_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self.processes.clear()
+
+    # Calls -------------------------------------------------------------------------------------------
+
+    async def call(self, address: str, method: str, target: str, body: bytes = b"", fields: tuple = ()) -> Response:
+        """One request; status 0 where nothing answers."""
+        head = Head(((b"host", b"tier.example"), *fields))
+        try:
+            return await ask_async(address, Request(method, target, head, body))
+        except NoAnswer:
+            return Response(0)
+
+    async def primary(self) -> str:
+        """The member that holds the lease. Raises TimeoutError."""
+        async with asyncio.timeout(START_WITHIN_S):
+            while True:
+                for name in self.control_names:
+                    response = await self.call(self.control(name), "GET", "/status")
+                    if response.status == 200 and msgspec.json.decode(response.body)["leads"]:
+                        return name
+                await asyncio.sleep(0.1)
--- a/lab/tier/standins.py
+++ b/lab/tier/standins.py
@@ -10,11 +10,13 @@
 from lab.tier.streams import Streams
 from lab.tier.world import World
 from lynxscale.controlplane.endpoints import Endpoint
+from lynxscale.coordination.ports import Clock
 from lynxscale.dataplane import headers as h
 from lynxscale.runtime.http_client import ClientConnection, Failure
 from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
 from lynxscale.runtime.http_types import Head, Request, Response
 
+Listen = Callable[[str, Callable[[], ServerConnection]], None]
 PLATFORM = "10.200.0.100:80"
 CLIENT = "10.250.0.1:0"
 EVENT_GAP_S = 0.02
@@ -23,7 +25,7 @@
 class StandInEndpoint:
     """Answers with its stamp; streams events where the path says ``/stream``. It notes what it ran."""
 
-    def __init__(self, world: World, streams: Streams, endpoint: Endpoint, events: int = 4) -> None:
+    def __init__(self, endpoint: Endpoint, clock: Clock, listen: Listen, events: int = 4) -> None:
         self.endpoint = endpoint
         self.events = events
         self.ran: list[Request] = []
@@ -33,13 +35,8 @@
         self.refuses = False
         self.fails = False
         self.breaks_after: int | None = None
-        self._world = world
-        self._clock = world.machine(endpoint.address).clock()
-        streams.listen(
-            endpoint.address,
-            endpoint.address,
-            lambda: ServerConnection(self._handle, ServerLimits(), self._clock, set()),
-        )
+        self._clock = clock
+        listen(endpoint.address, lambda: ServerConnection(self._handle, ServerLimits(), clock, set()))
 
     def _handle(self, request: Request, responder: Responder) -> EndpointRun | None:
         if request.head.text(h.EXPECT_INSTANCE) != self.endpoint.id:
@@ -114,12 +111,11 @@
 class StandInPlatform:
     """The list of endpoints, one page."""
 
-    def __init__(self, world: World, streams: Streams) -> None:
+    def __init__(self, address: str, clock: Clock, listen: Listen) -> None:
         self.listed: list[Endpoint] = []
         self.calls = 0
         self.refuses = False
-        clock = world.machine(PLATFORM).clock()
-        streams.listen(PLATFORM, PLATFORM, lambda: ServerConnection(self._handle, ServerLimits(), clock, set()))
+        listen(address, lambda: ServerConnection(self._handle, ServerLimits(), clock, set()))
 
     def _handle(self, request: Request, responder: Responder) -> None:
         self.calls += 1
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -9,7 +9,8 @@
 
 from lynxscale.controlplane.endpoints import Endpoint, EndpointReader
 from lynxscale.controlplane.ledger import Ledger
-from lynxscale.controlplane.operator_api import OperatorApi
+from lynxscale.controlplane.operator_api import OperatorApi, json_response
+from lynxscale.controlplane.status import ControlStatus, ReplicaStatus
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.identity import MemberIdentity, founding_record, load_identity
 from lynxscale.coordination.member import ControlMember, MemberSettings
@@ -61,7 +62,38 @@
 
     def handle_request(self, request: Request, responder: Responder) -> None:
         """Answer the operator."""
-        self.api.handle(request, responder)
+        if (request.method, request.path) == ("GET", "/status"):
+            responder.whole(json_response(200, self.status()))
+        else:
+            self.api.handle(request, responder)
+
+    def status(self) -> ControlStatus:
+        """What this process knows of itself and, as primary, of the others."""
+        member = self.member
+        leads = member.leads()
+        current = self.api.current()
+        return ControlStatus(
+            node=member.settings.node,
+            member=member.me,
+            state=member.state.value,
+            leads=leads,
+            epoch=member.record.epoch,
+            primary=member.primary(),
+            position=f"{member.store.position.epoch}/{member.store.position.index}",
+            configuration=current.generation if current else 0,
+            endpoints=len(self._endpoints) if leads else 0,
+            relays=[entry.address for entry in self.roster.entries()] if leads else [],
+            retiring=sorted(self.api.retiring()),
+            replicas=self._replicas() if leads else [],
+        )
+
+    def _replicas(self) -> list[ReplicaStatus]:
+        now = self._clock.now()
+        record = self.member.record
+        return [
+            ReplicaStatus(one, peer.node, one in record.witnesses, one in record.in_sync, now - peer.heard_at)
+            for one, peer in sorted(self.member.peers.items())
+        ]
 
     def receive(self, message: m.Message) -> None:
         """Handle a message of another node."""
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -19,10 +19,11 @@
 from lynxscale.dataplane.forwarding import ForwardedRequest, Surroundings
 from lynxscale.dataplane.parking import Parking
 from lynxscale.dataplane.routing import RouteTable, decode_table
+from lynxscale.dataplane.status import NEVER_S, EndpointStatus, RelayStatus, tau
 from lynxscale.dataplane.turns import TurnLedger
 from lynxscale.runtime.http_client import Dial
 from lynxscale.runtime.http_server import Exchange, Responder, ServerLimits
-from lynxscale.runtime.http_types import Request
+from lynxscale.runtime.http_types import Head, Request, Response
 from lynxscale.runtime.settings import Settings
 
 log = logging.getLogger(__name__)
@@ -68,7 +69,26 @@
 
     def handle_readiness(self, request: Request, responder: Responder) -> None:
         """Answer the platform's question whether clients may be sent here."""
-        responder.whole(h.own_answer(200 if self.ready else 503))
+        if request.path == "/status":
+            responder.whole(Response(200, Head(()), msgspec.json.encode(self.status())))
+        else:
+            responder.whole(h.own_answer(200 if self.ready else 503))
+
+    def status(self) -> RelayStatus:
+        """What this relay knows."""
+        return RelayStatus(
+            address=self.tree.address,
+            ready=self.ready,
+            stopping=self.stopping,
+            configuration=self._table.generation if self._table else 0,
+            vouched_s=min(self.tree.age, NEVER_S),
+            place=self.tree.place.value,
+            primary=self.tree.primary,
+            endpoints=[
+                EndpointStatus(name, state.endpoint.backend, state.ready, state.in_flight, state.window, tau(state))
+                for name, state in sorted(self.balancer.states.items())
+            ],
+        )
 
     def handle_request(self, request: Request, responder: Responder) -> Exchange | None:
         """Begin to serve a client's request."""
--- a/lynxscale/runtime/files.py
+++ b/lynxscale/runtime/files.py
@@ -46,3 +46,26 @@
     def remove(self, name: str) -> None:
         """Take a file away; durable with the next write."""
         (self._folder / name).unlink(missing_ok=True)
+
+
+class ReadOnlyFiles:
+    """Implements the Files port for looking at a folder: it changes nothing."""
+
+    def __init__(self, folder: str) -> None:
+        self._folder = Path(folder)
+
+    def write(self, name: str, content: bytes) -> None:
+        """Not possible here. Raises OSError."""
+        raise OSError("the folder is only looked at")
+
+    def read(self, name: str) -> bytes | None:
+        """A file's content, None where there is none."""
+        path = self._folder / name
+        return path.read_bytes() if path.is_file() else None
+
+    def names(self) -> list[str]:
+        """All complete files, sorted."""
+        return sorted(path.name for path in self._folder.iterdir() if not path.name.endswith(ASIDE))
+
+    def remove(self, name: str) -> None:
+        """Does nothing."""
--- /dev/null
+++ b/tests/test_tier_live.py
@@ -0,0 +1,167 @@
+"""The programs as they are, on loopback: sockets, files, signals and the command lines."""
+
+import asyncio
+import json
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from lab.tier.cluster import default_configuration
+from lab.tier.local import LocalTier
+from lynxscale.runtime.settings import SettingsError, parse
+
+NETWORK = 83
+
+
+def command(module: str, *words: str) -> subprocess.CompletedProcess:
+    return subprocess.run([sys.executable, "-m", module, *words], capture_output=True, text=True, timeout=60)
+
+
+def control(*words: str) -> subprocess.CompletedProcess:
+    return command("lynxscale.controlplane.cli", *words)
+
+
+def data(*words: str) -> subprocess.CompletedProcess:
+    return command("lynxscale.dataplane.cli", *words)
+
+
+async def off_loop(call, *words):
+    return await asyncio.get_running_loop().run_in_executor(None, call, *words)
+
+
+def turn_fields(name: str, previous: str = "") -> tuple:
+    fields = {"lynxscale-request-id": name, "program": "p", "budget": "1000", "lynxscale-token-count": "10,40"}
+    if previous:
+        fields["previous"] = previous
+    return tuple((key.encode(), value.encode()) for key, value in fields.items())
+
+
+def test_a_tier_of_processes_from_first_start_to_last_signal():
+    folder = Path(tempfile.mkdtemp(prefix="tier-"))
+    try:
+        asyncio.run(play(LocalTier(folder, NETWORK), folder))
+    finally:
+        shutil.rmtree(folder)
+
+
+async def play(tier: LocalTier, folder: Path) -> None:
+    try:
+        await tier.start()
+        await check_turns_and_failover(tier)
+        await check_status(tier)
+        await check_configuration(tier, folder)
+        await check_end(tier)
+    finally:
+        tier.stop()
+    verified = control("storage", "verify", str(folder / "control-1"))
+    assert verified.returncode == 0, verified.stderr
+    exported = control("storage", "export", str(folder / "control-1"))
+    keys = [json.loads(line)["key"] for line in exported.stdout.splitlines()]
+    assert "config/current" in keys and "turn/t1" in keys
+    newest = max(path for path in (folder / "control-1").iterdir() if path.name.startswith(("batch", "state")))
+    newest.write_bytes(newest.read_bytes()[:-1] + b"!")
+    spoilt = control("storage", "verify", str(folder / "control-1"))
+    assert spoilt.returncode == 1 and newest.name in spoilt.stderr
+
+
+async def check_turns_and_failover(tier: LocalTier) -> None:
+    first, second = tier.relay_names
+    answer = await tier.call(tier.frontend(first), "POST", "/kept/stream", b"hello ", turn_fields("t1"))
+    assert answer.status == 200 and answer.body.count(b"data:") == 4
+    primary = await tier.primary()
+    tier.kill(primary)
+    answer = await tier.call(tier.frontend(second), "POST", "/kept/stream", b"more", turn_fields("t2", "t1"))
+    assert answer.status == 200
+    tier.launch(primary)
+
+
+async def check_status(tier: LocalTier) -> None:
+    primary = await tier.primary()
+    told = await off_loop(control, "status", tier.control(primary))
+    assert told.returncode == 0 and "holds the lease" in told.stdout and "relays         2" in told.stdout
+    told = await off_loop(control, "status", tier.control(primary), "--json")
+    assert json.loads(told.stdout)["configuration"] == 1
+    told = await off_loop(data, "status", tier.readiness("relay-1"))
+    assert "relay          127" in told.stdout and "ready" in told.stdout
+    nobody = await off_loop(data, "status", f"127.{NETWORK}.9.9:1")
+    assert nobody.returncode == 2 and "not_connected" in nobody.stderr
+
+
+async def check_configuration(tier: LocalTier, folder: Path) -> None:
+    address = tier.control(tier.control_names[0])
+    files = {}
+    for version in (1, 2):
+        files[version] = folder / f"{version}.json"
+        table = default_configuration(version)
+        table["routes"][0]["timeout-ms"] = 4000 + version
+        files[version].write_bytes(msgspec.json.encode(table))
+    compared = control("config", "diff", str(files[1]), str(files[2]))
+    assert compared.returncode == 1 and compared.stdout == "~ routes kept: timeout-ms\n"
+    assert control("config", "diff", str(files[1]), str(files[1])).returncode == 0
+    pushed = await off_loop(control, "config", "push", address, str(files[2]), "--base", "1")
+    assert pushed.returncode == 0, pushed.stderr
+    again = await off_loop(control, "config", "push", address, str(files[1]), "--base", "1")
+    assert again.returncode == 1 and "412" in again.stderr
+    read = await off_loop(control, "config", "read", address)
+    assert json.loads(read.stdout)["generation"] == 2
+
+
+async def check_end(tier: LocalTier) -> None:
+    """SIGTERM amid a stream: it comes to its end, and the process to exit code 0."""
+    for endpoint in tier.endpoints:
+        endpoint.work_s = 1.0
+    address = tier.frontend("relay-1")
+    fields = ((b"lynxscale-request-id", b"last"),)
+    stream = asyncio.create_task(tier.call(address, "POST", "/open/stream", b"", fields))
+    await asyncio.sleep(0.3)
+    relay = tier.processes["relay-1"]
+    relay.terminate()
+    answer = await stream
+    assert answer.status == 200 and answer.body.count(b"data:") == 4
+    assert (await tier.call(tier.readiness("relay-1"), "GET", "/ready")).status == 503
+    assert await off_loop(relay.wait, 10) == 0
+    del tier.processes["relay-1"]
+
+
+# Settings and configurations as files ------------------------------------------------------------------
+
+
+def test_check_tells_all_findings_with_their_places(tmp_path):
+    table = default_configuration()
+    table["routes"][0]["backend"] = "nobody"
+    table["routes"][1]["timeout-ms"] = 0
+    path = tmp_path / "bad.json"
+    path.write_bytes(msgspec.json.encode(table))
+    checked = control("check", str(path))
+    assert checked.returncode == 1
+    assert checked.stderr.splitlines() == [
+        f"{path}: routes[0].backend: no service is called 'nobody'",
+        f"{path}: routes[1].timeout-ms: want more than 0",
+    ]
+    path.write_bytes(msgspec.json.encode(default_configuration()))
+    assert control("check", str(path)).returncode == 0
+    assert control("check", str(tmp_path / "none")).returncode == 2
+
+
+def test_settings_findings_come_together():
+    with pytest.raises(SettingsError) as raised:
+        parse('ip = 7\nzone = "a"\ninternal-ports = [1]\nseeds = ["a:1"]\nunknown = 1', "s.toml")
+    lines = str(raised.value).splitlines()
+    assert [line.split(":")[1].strip() for line in lines] == ["node-name", "ip", "internal-ports"]
+
+
+def test_check_settings_and_a_start_without_settings(tmp_path, monkeypatch):
+    monkeypatch.delenv("LYNXSCALE_SETTINGS", raising=False)
+    path = tmp_path / "s.toml"
+    path.write_text('node-name = "n"\nip = "127.0.0.1"\nzone = "a"\ninternal-ports = [1, 2]\nseeds = []\n')
+    assert data("check-settings", str(path)).returncode == 0
+    path.write_text("node-name = ")
+    assert control("check-settings", str(path)).returncode == 1
+    for module in ("lynxscale.dataplane", "lynxscale.controlplane"):
+        started = command(module)
+        assert started.returncode == 2 and "LYNXSCALE_SETTINGS" in started.stderr
