--- a/lynxscale/coordination/tree.py
+++ b/lynxscale/coordination/tree.py
@@ -18,6 +18,7 @@
 
 FANOUT = 4
 ATTACH_EVERY_S = 0.25
+SEEK_EVERY_S = 0.08  # while no primary is known
 CHILD_EXPIRES_S = 1.2
 PARENT_SILENT_S = 0.6  # without an answer, another parent is asked
 OLDEST_VOUCH_S = 1.2  # a parent that tells older versions than this is cut off itself
@@ -184,7 +185,8 @@
                 self._attach()
 
     def _tick(self) -> None:
-        self._timer = self._clock.call_later(ATTACH_EVERY_S, self._tick)
+        every = SEEK_EVERY_S if self.place is Place.SEEKING else ATTACH_EVERY_S
+        self._timer = self._clock.call_later(every, self._tick)
         now = self._clock.now()
         silent = now - self._heard_at > PARENT_SILENT_S
         if self.place is Place.UNDER_RELAY and (silent or self.age > OLDEST_VOUCH_S):
--- a/lynxscale/dataplane/balancer.py
+++ b/lynxscale/dataplane/balancer.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Callable
 
 from lynxscale.controlplane.endpoints import Endpoint
 from lynxscale.coordination.ports import Clock
 from lynxscale.dataplane.endpoints import READY, EndpointState
+from lynxscale.dataplane.queue import PlaceQueue
 from lynxscale.runtime.http_client import Dial
 
 CROWDED_SHARE = 0.75  # of the slots: beyond that affinity gives way to load
@@ -18,7 +18,7 @@
 
 
 class Balancer:
-    """All endpoints, by service. ``waiters`` are called when a place may have come free."""
+    """All endpoints, by service, and the queue of requests that wait for a place."""
 
     def __init__(self, zone: str, clock: Clock, dial: Dial) -> None:
         self.zone = zone
@@ -28,7 +28,7 @@
         self._clock = clock
         self._dial = dial
         self._last: dict[str, str] = {}
-        self._waiters: dict[str, dict[object, Callable[[], None]]] = {}
+        self.queue = PlaceQueue(clock, self._has_place)
 
     def take_list(self, endpoints: list[Endpoint]) -> None:
         """A new list; endpoints that are not on it any more are gone."""
@@ -45,8 +45,7 @@
         self._by_service = {}
         for state in self.states.values():
             self._by_service.setdefault(state.endpoint.backend, []).append(state)
-        for service in list(self._waiters):
-            self.released(service)
+        self.queue.wake_all()
 
     def choose(self, service: str, key: str, tried: set[str]) -> EndpointState | None:
         """The endpoint for a request; ``key`` names what its prompt shares with others, empty for none."""
@@ -85,20 +84,9 @@
         if len(self._last) > MOST_REMEMBERED:
             del self._last[next(iter(self._last))]
 
-    def wait(self, service: str, waiter: object, call: Callable[[], None]) -> None:
-        """Call once a place of the service may be free."""
-        self._waiters.setdefault(service, {})[waiter] = call
-
-    def leave(self, service: str, waiter: object) -> None:
-        """Wait no more."""
-        self._waiters.get(service, {}).pop(waiter, None)
-
-    def released(self, service: str) -> None:
-        """A call has ended there: the first that waits may try."""
-        waiters = self._waiters.get(service)
-        if waiters:
-            first = next(iter(waiters))
-            self._clock.call_later(0.0, waiters.pop(first))
+    def _has_place(self, service: str) -> bool:
+        now = self._clock.now()
+        return any(one.may_send(now) for one in self._by_service.get(service, ()))
 
     def _cost(self, state: EndpointState) -> float:
         away = OTHER_ZONE_LOAD if state.endpoint.zone != self.zone else 0.0
--- a/lynxscale/dataplane/forwarding.py
+++ b/lynxscale/dataplane/forwarding.py
@@ -25,7 +25,7 @@
 
 log = logging.getLogger(__name__)
 
-HOLD_SHARE = 0.25  # of the latency objective: a request that finds no place is refused after it
+HOLD_SHARE = 0.25  # of the time left: a request that finds no place is refused after it
 RETRY_AFTER_S = 0.1
 MOST_OFFERS = 6  # endpoints asked in all, refusals included
 LEAST_LEFT_MS = 5.0
@@ -129,13 +129,9 @@
 
     def _wait(self) -> None:
         if self._hold is None:
-            hold_s = HOLD_SHARE * self._route.target_latency_ms / 1000.0
-            left = self._arrived + hold_s - self._clock.now() if self._turn is None else hold_s
-            if left <= 0:
-                self._give_up()
-                return
-            self._hold = self._clock.call_later(left, self._held_too_long)
-        self._around.balancer.wait(self._service, self, self._place_free)
+            hold_s = HOLD_SHARE * min(self._left_ms, self._route.timeout_ms) / 1000.0
+            self._hold = self._clock.call_later(hold_s, self._held_too_long)
+        self._around.balancer.queue.wait(self._service, self, self._route.priority, self._place_free)
 
     def _place_free(self) -> None:
         """A place may have come free; meanwhile the request may have ended."""
@@ -179,7 +175,7 @@
         attempt.cancel()
         self._attempt = None
         self._runs += 1
-        self._around.balancer.released(self._service)
+        self._around.balancer.queue.released(self._service)
         self._dispatch()
 
     def on_answer(self, attempt: Attempt, status: int, head: Head) -> None:
@@ -210,7 +206,7 @@
         """Part of Listener."""
         self._attempt = None
         self._cancel_restart()
-        self._around.balancer.released(self._service)
+        self._around.balancer.queue.released(self._service)
         if outcome is Outcome.COMPLETE:
             self._completed()
         elif outcome is Outcome.NOT_RUN:
@@ -302,7 +298,7 @@
             attempt.state.timed_out()
             attempt.cancel()
             self._runs += 1
-            self._around.balancer.released(self._service)
+            self._around.balancer.queue.released(self._service)
         if self.state in (State.STREAMING, State.SETTLING):
             self._settle_turn()
             self._end_broken()
@@ -319,7 +315,7 @@
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
             attempt.cancel()
-            self._around.balancer.released(self._service)
+            self._around.balancer.queue.released(self._service)
         if self.state is not State.SETTLING:
             self._settle_turn()
         self._become(State.ENDED)
@@ -345,7 +341,7 @@
     def _become(self, state: State) -> None:
         """The one change of state."""
         if state is not State.QUEUED:
-            self._around.balancer.leave(self._service, self)
+            self._around.balancer.queue.leave(self._service, self)
             if self._hold is not None:
                 self._hold.cancel()
                 self._hold = None
