--- a/lab/tier/local.py
+++ b/lab/tier/local.py
@@ -18,11 +18,11 @@
 
 from lab.tier.cluster import MODEL, TOOLS, ZONES, default_configuration
 from lab.tier.standins import StandInEndpoint, StandInPlatform
-from lynxscale.controlplane.endpoints import Endpoint
 from lynxscale.runtime.ask import NoAnswer, ask_async
 from lynxscale.runtime.clock import LoopClock
 from lynxscale.runtime.http_types import Head, Request, Response
 from lynxscale.runtime.network import split_address
+from lynxscale.topics import Endpoint
 
 CONTROLS, RELAYS = 3, 2
 ENDPOINT_PORT = 7399
--- a/lynxscale/controlplane/endpoints.py
+++ b/lynxscale/controlplane/endpoints.py
@@ -10,6 +10,7 @@
 from lynxscale.coordination.ports import Clock, Timer
 from lynxscale.runtime.http_client import Dial, OneRequest
 from lynxscale.runtime.http_types import Head, Request
+from lynxscale.topics import Endpoint
 
 READ_EVERY_S = 0.6
 REFUSED_PAUSE_S = 0.3
@@ -17,17 +18,6 @@
 MOST_PAGES = 200
 
 
-class Endpoint(msgspec.Struct, frozen=True, order=True):
-    """One endpoint of the list."""
-
-    id: str
-    backend: str
-    address: str
-    zone: str
-    slots: int
-    state: str
-
-
 class Page(msgspec.Struct, rename="kebab"):
     """One page of the platform's answer."""
 
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lynxscale.controlplane.endpoints import Endpoint, EndpointReader
+from lynxscale.controlplane.endpoints import EndpointReader
 from lynxscale.controlplane.ledger import Ledger
 from lynxscale.controlplane.operator_api import OperatorApi, json_response
 from lynxscale.controlplane.status import ControlStatus, ReplicaStatus
@@ -21,10 +21,10 @@
 from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Request
 from lynxscale.runtime.settings import Settings
+from lynxscale.topics import CONFIG, ENDPOINTS, MEMBERS, Endpoint
 
 log = logging.getLogger(__name__)
 
-CONFIG, ENDPOINTS, MEMBERS = "config", "endpoints", "members"
 TICK_S = 0.05
 SWEEP_EVERY_S = 5.0
 SCRUB_EVERY_S = 4.0
--- a/lynxscale/dataplane/balancer.py
+++ b/lynxscale/dataplane/balancer.py
@@ -4,16 +4,17 @@
 
 import zlib
 
-from lynxscale.controlplane.endpoints import Endpoint
 from lynxscale.coordination.ports import Clock
 from lynxscale.dataplane.endpoints import READY, EndpointState
 from lynxscale.dataplane.queue import PlaceQueue
 from lynxscale.runtime.http_client import Dial
+from lynxscale.topics import Endpoint
 
 CROWDED_SHARE = 0.75  # of the slots: beyond that affinity gives way to load
 LOAD_FACTOR, LOAD_SLACK = 1.25, 1.0  # an endpoint takes new programs up to this multiple of the mean load, and so many
 NEAR_SLACK = 0.5  # requests above the mean at which the own zone still goes first
 MOST_REMEMBERED = 20_000  # programs whose last endpoint is remembered
+NEW_CONNECTION_LOAD = 0.5  # requests that an endpoint with a kept connection may be more loaded
 OTHER_ZONE_LOAD = 0.25  # of the slots that an endpoint of the own zone may be more loaded
 
 
@@ -91,7 +92,8 @@
     def _cost(self, state: EndpointState) -> float:
         away = OTHER_ZONE_LOAD if state.endpoint.zone != self.zone else 0.0
         pace = max(state.recent_ms, 1.0)
-        return (state.load + 1.0) / state.slots * pace**0.5 + away * pace**0.5
+        fresh = 0.0 if state.has_idle else NEW_CONNECTION_LOAD
+        return ((state.load + 1.0 + fresh) / state.slots + away) * pace**0.5
 
 
 def rendezvous(key: str, name: str) -> int:
--- a/lynxscale/dataplane/endpoints.py
+++ b/lynxscale/dataplane/endpoints.py
@@ -5,9 +5,9 @@
 import math
 
 from gannetshift.restart import INF, TrySample
-from lynxscale.controlplane.endpoints import Endpoint
 from lynxscale.coordination.ports import Clock
 from lynxscale.runtime.http_client import ClientConnection, Dial
+from lynxscale.topics import Endpoint
 
 WINDOW_SHARE = 0.75  # of the slots, at most (design)
 SICK_SHARE = 0.5  # of the slots, while an endpoint is failing or slow (design)
@@ -78,6 +78,11 @@
         self._told_others = max(0.0, running + waiting - self.in_flight)
         self._told_at = self._clock.now()
 
+    @property
+    def has_idle(self) -> bool:
+        """Is there a kept connection?"""
+        return any(connection.reusable for connection in self._idle)
+
     # Outcomes --------------------------------------------------------------------------------------
 
     def succeeded(self, latency_ms: float) -> None:
--- a/lynxscale/dataplane/parking.py
+++ b/lynxscale/dataplane/parking.py
@@ -11,7 +11,7 @@
 
 MOST_PARKED = 500
 MOST_WAIT_S = 1.2
-WAIT_SHARE = 0.3  # of the time that the client gives
+WAIT_SHARE = 0.45  # of the time that the client gives
 RETRY_AFTER_S = 0.4
 
 
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -7,8 +7,6 @@
 
 import msgspec
 
-from lynxscale.controlplane.endpoints import Endpoint
-from lynxscale.controlplane.service import CONFIG, ENDPOINTS, MEMBERS
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.calls import PrimaryCalls
 from lynxscale.coordination.ports import Clock, Network
@@ -25,6 +23,7 @@
 from lynxscale.runtime.http_server import Exchange, Responder, ServerLimits
 from lynxscale.runtime.http_types import Head, Request, Response
 from lynxscale.runtime.settings import Settings
+from lynxscale.topics import CONFIG, ENDPOINTS, MEMBERS, Endpoint
 
 log = logging.getLogger(__name__)
 
