--- a/gannetshift/__init__.py
+++ b/gannetshift/__init__.py
@@ -1,4 +1,4 @@
-"""Decisions of sending: pure, without I/O or a clock. ``Sender`` serves a relay; ``restart`` is shared with the tier."""
+"""Decisions of sending, without I/O or a clock: ``Sender`` serves a relay, ``restart`` is shared with the tier."""
 
 from __future__ import annotations
 
--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -22,13 +22,13 @@
 log = logging.getLogger(__name__)
 
 TICK_S = 0.05
-HEARTBEAT_S = 0.12
-LEASE_S = 0.6
+HEARTBEAT_S = 0.08
+LEASE_S = 0.4
 LEASE_MARGIN = 0.85  # the holder's share of a lease: its clock may run slower than the witnesses'
 ROUND_TIMEOUT_S = 0.25  # for the answers to a prepare or an accept
-RANK_DELAY_S = 0.1  # between the in-sync members' candidacies, so that they seldom meet
+RANK_DELAY_S = 0.07  # between the in-sync members' candidacies, so that they seldom meet
 JOIN_EVERY_S = 0.25
-SILENT_AFTER_S = 0.45  # a member unheard so long is not waited for
+SILENT_AFTER_S = 0.32  # a member unheard so long is not waited for
 DISK_ASIDE_S = 1.0  # a member whose disk failed does not stand for so long
 PRESENT_S = 3.0  # a machine unheard for so long is none that could be emptied
 KEEP_ROUNDS = 16  # heartbeats whose grants are still counted
