--- /dev/null
+++ b/lab/tier/histories.py
@@ -0,0 +1,320 @@
+"""Drawn histories of whole tiers with faults, and a check of the rules over each: ``python -m lab.tier.histories``.
+
+A history is drawn from its seed alone. The checker judges by what clients, operator and endpoints saw, and by the
+members' own state at the end; each broken rule is told by its name and the seed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import sys
+from collections import Counter
+from dataclasses import dataclass, field
+
+import msgspec
+
+from lab.tier.cluster import CONTROL_PORT, INTERNAL_PORT, Tier, default_configuration
+from lab.tier.standins import Answer, send
+from lab.tier.world import World
+from lynxscale.runtime.http_types import Head, Request
+
+STEPS = 40
+MOST_TOKENS, STRIDE, EVENTS = 40, 10, 4
+BUDGETS = (80, 200, 1000)
+OUTPUT = b"word1\nword2\nword3\nword4\n"
+WHOLE = b"".join(b"id: %d\ndata: word%d\n\n" % (number, number) for number in range(1, EVENTS + 1))
+QUIET_S = 6.0
+DRAIN_S = 3.0
+
+
+@dataclass
+class TurnSeen:
+    """One try for a turn, as its client saw it."""
+
+    request_id: str
+    program: str
+    previous: str
+    text: bytes
+    answer: Answer
+    budget: int
+
+
+@dataclass
+class OrderSeen:
+    """One configuration, as the operator saw its answers."""
+
+    base: int
+    table: dict
+    answers: list[Answer] = field(default_factory=list)
+
+    @property
+    def acknowledged(self) -> bool:
+        """Did any of its sends get 200?"""
+        return any(answer.status == 200 for answer in self.answers)
+
+
+class History:
+    """One history: clients, an operator and faults by turns."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.world = World(seed, loss=0.01)
+        self.random = self.world.random
+        self.tier = Tier(self.world).settle()
+        self.turns: list[TurnSeen] = []
+        self.calls: list[tuple[str, Answer]] = []
+        self.orders: list[OrderSeen] = [OrderSeen(0, default_configuration())]
+        self.broken: Counter[str] = Counter()
+        self.draining: dict[str, float] = {}
+        self._seen_versions: dict[object, int] = {}
+        self._ran_at: list[tuple[float, str]] = []
+        self._number = 0
+        self._watch()
+
+    def play(self) -> Counter[str]:
+        """Play it to its end; the rules that were broken, by name."""
+        for _ in range(STEPS):
+            action = self.random.choices((self._turn, self._call, self._order, self._fault), (6, 4, 2, 2))[0]
+            action()
+            self.world.run(self.world.time + self.random.uniform(0.02, 0.5))
+        self._recover()
+        self._check()
+        return self.broken
+
+    def _watch(self) -> None:
+        leaders = sum(one.member.leads() for one in self.tier.controls.values())
+        if leaders > 1:
+            self.broken["two_primaries"] += 1
+        for relay in self.tier.relays.values():
+            version = relay._table.generation if relay._table else 0
+            if version < self._seen_versions.get(relay, 0):
+                self.broken["version_went_back"] += 1
+            self._seen_versions[relay] = version
+        for name, since in self.draining.items():
+            ran = len(self.tier.endpoints[name].ran)
+            if self.world.time - since > DRAIN_S and ran > self._seen_versions.get(name, ran):
+                self.broken["drain"] += 1
+            self._seen_versions[name] = ran
+        self.world.at(self.world.time + 0.02, self._watch)
+
+    # What happens ------------------------------------------------------------------------------------
+
+    def _name(self, kind: str) -> str:
+        self._number += 1
+        return f"{kind}{self._number}"
+
+    def _relay(self) -> str:
+        return self.random.choice(self.tier.relay_hosts)
+
+    def _turn(self) -> None:
+        program = f"p{self.random.randrange(4)}"
+        budget = BUDGETS[int(program[1:]) % len(BUDGETS)]
+        whole = [seen for seen in self.turns if seen.program == program and seen.answer.complete]
+        previous = self.random.choice([seen for seen in whole if seen.answer.status == 200] or [None])
+        name, text = self._name("t"), f"say{self._number} ".encode()
+        fields = {"program": program, "budget": str(budget), "lynxscale_token_count": f"10,{MOST_TOKENS}"}
+        if previous is not None:
+            fields["previous"] = previous.request_id
+        answer, _ = self.tier.begin("/kept/stream", self._relay(), text, request_id=name, **fields)
+        before = previous.request_id if previous else ""
+        self.turns.append(TurnSeen(name, program, before, text, answer, budget))
+
+    def _call(self) -> None:
+        path = self.random.choice(("/book/1", "/look/1"))
+        name = self._name("c")
+        answer, _ = self.tier.begin(path, self._relay(), request_id=name)
+        self.calls.append((f"{path} {name}", answer))
+
+    def _order(self) -> None:
+        repeat = self.random.random() < 0.4
+        if repeat:
+            order = self.random.choice(self.orders)
+        else:
+            base = max(order.table["generation"] for order in self.orders if order.acknowledged or order.base == 0)
+            order = OrderSeen(base, default_configuration(base + self.random.randint(1, 3)))
+            order.table["routes"][0]["target-latency-ms"] = 200 + len(self.orders)
+            self.orders.append(order)
+        host = self.random.choice(self.tier.control_hosts)
+        fields = ((b"host", b"c"), (b"lynxscale-base-version", b"%d" % order.base))
+        request = Request("POST", "/config/replace", Head(fields), msgspec.json.encode(order.table))
+        answer, _ = send(self.world, self.tier.streams, f"{host}:{CONTROL_PORT}", request)
+        order.answers.append(answer)
+
+    def _fault(self) -> None:
+        """One fault of those that are to be borne; the one before is over."""
+        self._mend()
+        self.world.run(self.world.time + self.random.choice((0.0, 0.3, 2.0)))
+        outside = ("relay", "answer", "drain")
+        all_settled = all(self._settled(one) for one in self.tier.control_hosts)
+        # A member counts as lost until it has caught up: no other may be lost meanwhile.
+        kind = self.random.choice(
+            (*outside, "control", "wipe", "freeze", "cut", "link", "all", "full") if all_settled else outside
+        )
+        host = self.random.choice(self.tier.control_hosts)
+        address = f"{host}:{INTERNAL_PORT}"
+        if kind == "control":
+            self.tier.kill_control(host, power=self.random.random() < 0.5)
+        elif kind == "wipe":
+            self.tier.kill_control(host, power=True, wipe=True)
+        elif kind == "relay":
+            self.tier.kill_relay(self._relay())
+        elif kind == "freeze":
+            self.world.machine(address).freeze(self.random.uniform(0.2, 2.5))
+        elif kind == "cut":
+            for other in self.tier.control_hosts:
+                if other != host:
+                    self.world.cut(address, f"{other}:{INTERNAL_PORT}", self.random.random() < 0.6)
+        elif kind == "link":
+            other = self.random.choice([one for one in self.tier.control_hosts if one != host])
+            self.world.cut(address, f"{other}:{INTERNAL_PORT}", self.random.random() < 0.6)
+        elif kind == "answer":
+            self.random.choice(list(self.tier.endpoints.values())).fails = True
+        elif kind == "drain" and not self.draining:
+            self._drain()
+        elif kind == "all":
+            for one in self.tier.control_hosts:
+                self.tier.kill_control(one, power=True)
+        elif kind == "full":
+            self.world.machine(address).files.full = True
+
+    def _settled(self, host: str) -> bool:
+        """Does the member hold a copy that counts?"""
+        primary = self.tier.primary()
+        service = self.tier.controls.get(host)
+        return primary is not None and service is not None and service.member.me in primary.member.record.in_sync
+
+    def _drain(self) -> None:
+        listed = self.tier.platform.listed
+        place = self.random.randrange(2, 4)
+        listed[place] = msgspec.structs.replace(listed[place], state="draining")
+        self.draining[listed[place].id] = self.world.time
+
+    def _mend(self) -> None:
+        self.world.heal()
+        for endpoint in self.tier.endpoints.values():
+            endpoint.fails = False
+        for host in self.tier.control_hosts:
+            self.world.machine(f"{host}:{INTERNAL_PORT}").files.full = False
+            if host not in self.tier.controls:
+                self.tier.start_control(host)
+        for host in self.tier.relay_hosts:
+            if host not in self.tier.relays:
+                self.tier.start_relay(host)
+
+    def _recover(self) -> None:
+        self._mend()
+        self.world.loss = 0.0
+        self.world.run(self.world.time + QUIET_S)
+
+    # The rules ---------------------------------------------------------------------------------------
+
+    def _check(self) -> None:
+        if self.tier.primary() is None:
+            self.broken["no_primary_in_the_end"] += 1
+            return
+        if self.tier.primary().api.current() is None:
+            self.broken["configuration_lost"] += 1
+            return
+        ran = self._runs()
+        self._check_calls(ran)
+        self._check_turns(ran)
+        self._check_budgets()
+        self._check_orders()
+        sums = {one.member.store.checksum() for one in self.tier.controls.values()}
+        if len(sums) > 1:
+            self.broken["copies_differ"] += 1
+
+    def _runs(self) -> dict[str, list[Request]]:
+        runs: dict[str, list[Request]] = {}
+        for endpoint in self.tier.endpoints.values():
+            for request in endpoint.ran:
+                runs.setdefault(request.head.text(b"lynxscale-request-id"), []).append(request)
+        return runs
+
+    def _check_calls(self, ran: dict[str, list[Request]]) -> None:
+        for what, answer in self.calls:
+            path, name = what.split()
+            count = len(ran.get(name, ()))
+            if path == "/book/1" and count > 1:
+                self.broken["twice"] += 1
+            if path == "/book/1" and answer.status in (429, 503) and count:
+                self.broken["refused"] += 1
+            if path == "/look/1" and count > 2:
+                self.broken["attempts"] += 1
+            if answer.status == 200 and answer.body != b"done":
+                self.broken["mixed"] += 1
+            if answer.status == 404:
+                self.broken["denied"] += 1
+
+    def _check_turns(self, ran: dict[str, list[Request]]) -> None:
+        whole = {seen.request_id: seen for seen in self.turns if seen.answer.complete and seen.answer.status == 200}
+        for seen in self.turns:
+            runs = ran.get(seen.request_id, [])
+            if len(runs) > 1:
+                self.broken["twice"] += 1
+            if runs and seen.answer.status in (402, 404, 429, 503):
+                self.broken["refused"] += 1
+            if seen.answer.status == 404:
+                self.broken["turn_lost"] += 1
+            if seen.request_id in whole and seen.answer.body != WHOLE:
+                self.broken["order"] += 1
+            if any(request.body != self._expected(seen, whole) for request in runs):
+                self.broken["unasked"] += 1
+
+    def _expected(self, seen: TurnSeen, whole: dict[str, TurnSeen]) -> bytes:
+        body = seen.text
+        previous = seen.previous
+        while previous:
+            earlier = whole[previous]
+            body = earlier.text + OUTPUT + body
+            previous = earlier.previous
+        return body
+
+    def _check_budgets(self) -> None:
+        handed: Counter[str] = Counter()
+        for seen in self.turns:
+            handed[seen.program] += seen.answer.body.count(b"data:") * STRIDE
+        for seen in self.turns:
+            if handed[seen.program] > seen.budget + MOST_TOKENS:
+                self.broken["budget"] += 1
+                return
+
+    def _check_orders(self) -> None:
+        current = msgspec.json.decode(self.tier.primary().api.current().body)
+        acknowledged = [order for order in self.orders if order.acknowledged]
+        if len({order.base for order in acknowledged}) < len(acknowledged):
+            self.broken["two_on_one_base"] += 1
+        newest = max((order.table["generation"] for order in acknowledged), default=1)
+        if current["generation"] < newest:
+            self.broken["configuration_lost"] += 1
+        if current not in [order.table for order in self.orders]:
+            self.broken["configuration_differs"] += 1
+        for relay in self.tier.relays.values():
+            if relay._table is None or relay._table.generation != current["generation"]:
+                self.broken["not_applied"] += 1
+
+
+def main() -> int:
+    """Exit code 1 where a rule was broken; the seeds are printed."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("first", type=int)
+    parser.add_argument("last", type=int)
+    options = parser.parse_args()
+    logging.disable(logging.CRITICAL)
+    total: Counter[str] = Counter()
+    served = turns = 0
+    for seed in range(options.first, options.last + 1):
+        history = History(seed)
+        broken = history.play()
+        if broken:
+            print(f"seed {seed}: {dict(broken)}", flush=True)
+        total += broken
+        turns += len(history.turns)
+        served += sum(seen.answer.complete and seen.answer.status == 200 for seen in history.turns)
+    print(f"seeds {options.first} to {options.last}: {served} of {turns} turns whole, {sum(total.values())} breaches")
+    return int(bool(total))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/lynxscale/controlplane/endpoints.py
+++ b/lynxscale/controlplane/endpoints.py
@@ -1,4 +1,7 @@
-"""The platform's list of endpoints, read by the primary alone and published down the tree."""
+"""The platform's list of endpoints, read by the primary and published down the tree.
+
+A relay that has had no word of a primary for too long reads it itself, at its part of the platform's rate.
+"""
 
 from __future__ import annotations
 
@@ -35,11 +38,13 @@
         self._on_list = on_list
         self._timer: Timer | None = None
         self._round = 0
+        self._every_s = READ_EVERY_S
         self._found: list[Endpoint] = []
         self._pages = 0
 
-    def start(self) -> None:
-        """Begin to read now."""
+    def start(self, every_s: float = READ_EVERY_S) -> None:
+        """Begin to read now, and again so long after each list."""
+        self._every_s = every_s
         self._round += 1
         self._begin(self._round)
 
@@ -79,7 +84,7 @@
             self._ask(number, page.next_page_token)
             return
         self._on_list(sorted(self._found))
-        self._again(number, READ_EVERY_S)
+        self._again(number, self._every_s)
 
     def _again(self, number: int, delay: float) -> None:
         self._timer = self._clock.call_later(delay, lambda: self._begin(number))
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lynxscale.controlplane.endpoints import EndpointReader
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.calls import PrimaryCalls
 from lynxscale.coordination.ports import Clock, Network
@@ -27,6 +28,11 @@
 
 log = logging.getLogger(__name__)
 
+LOOK_EVERY_S = 0.2
+ALONE_AFTER_S = 1.6  # without a word that a primary vouched for
+OWN_READ_EVERY_S = 0.8
+RATE_SHARE = 0.5  # of the platform's rate, for all relays together
+
 
 class RelayService:
     """Handles messages and requests of one data plane process."""
@@ -41,6 +47,11 @@
         self.calls = PrimaryCalls(address, clock, network, lambda: self.tree.primary, lambda: self.tree.contacts)
         self._seeds = settings.contacts
         self._members: tuple[str, ...] = ()
+        self._reader = EndpointReader(settings.cloud.address, clock, dial, self._on_own_list)
+        self._reading = False
+        self._clock = clock
+        self._rate_per_s = max(1.0, settings.cloud.rate_per_s)
+        clock.call_later(LOOK_EVERY_S, self._look)
         self.parking = Parking(clock, self._serve)
         self._table: RouteTable | None = None
         self._around = Surroundings(clock, self.balancer, TurnLedger(self.calls), random)
@@ -104,6 +115,21 @@
         exchange.start()
         return exchange
 
+    def _look(self) -> None:
+        """Without word from any primary for too long, the relay reads the platform's list itself."""
+        self._clock.call_later(LOOK_EVERY_S, self._look)
+        alone = self._table is not None and self.tree.age > ALONE_AFTER_S
+        if alone and not self._reading:
+            log.info("event=reads_the_list_itself")
+            relays = max(1, len(self.tree.roster))
+            self._reader.start(every_s=max(OWN_READ_EVERY_S, relays / (RATE_SHARE * self._rate_per_s)))
+        elif self._reading and not alone:
+            self._reader.stop()
+        self._reading = alone
+
+    def _on_own_list(self, endpoints: list[Endpoint]) -> None:
+        self.balancer.take_list(endpoints)
+
     def _on_topics(self, names: list[str]) -> None:
         topics = self.tree.publisher.topics
         if CONFIG in names:
--- /dev/null
+++ b/tests/test_tier_checks.py
@@ -0,0 +1,124 @@
+"""The tier's own checkers: histories find nothing, mistakes put in are found, and small parts by themselves."""
+
+import msgspec
+import pytest
+
+from lab.tier import mistakes
+from lab.tier.histories import History
+from lab.tier.world import World
+from lynxscale.controlplane.configuration import check
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.netstring import Decoder, NetstringError, encode
+from lynxscale.coordination.ring import MONITORS, neighbours
+from lynxscale.coordination.store import Store
+from lynxscale.coordination.tree import FANOUT, Publisher, RosterEntry, parent_of
+from lynxscale.dataplane.events import EventScanner
+
+
+@pytest.mark.parametrize("seed", range(1, 41))
+def test_a_drawn_history_breaks_no_rule(seed):
+    assert not History(seed).play(), seed
+
+
+QUICKLY_FOUND = ("lease_is_never_checked", "settled_at_nothing", "chain_lacks_its_oldest", "unsafe_call_is_sent_again")
+
+
+@pytest.mark.parametrize("name", QUICKLY_FOUND)
+def test_a_mistake_put_in_is_found(name):
+    assert mistakes.find(getattr(mistakes, name), most=20) is not None
+
+
+def test_a_topic_never_falls_behind_the_version_held():
+    machine = World(1).machine("a:1")
+    publisher = Publisher("a:1", machine.clock(), machine.network())
+    newer, older = (m.Topic(m.Version(2, number), msgspec.Raw(b"1")) for number in (5, 4))
+    assert publisher.take({"config": newer}) == ["config"]
+    assert publisher.take({"config": older}) == []
+    assert publisher.topics["config"] is newer
+
+
+def test_netstrings_come_in_any_pieces_and_wrong_ones_end_the_stream():
+    data = encode(b"one") + encode(b"") + encode(b"x" * 300)
+    for size in (1, 2, 7, len(data)):
+        decoder, found = Decoder(), []
+        for place in range(0, len(data), size):
+            found += decoder.feed(data[place : place + size])
+        assert found == [b"one", b"", b"x" * 300]
+    for wrong in (b"x:", b"3:abcd", b"999999999999:", b"-1:"):
+        with pytest.raises(NetstringError):
+            Decoder().feed(wrong)
+
+
+def test_every_message_comes_back_as_it_was():
+    record = m.EpochRecord(3, "a#0", ("a#0",), ("a#0", "b#0"))
+    batch = m.Batch(m.Position(1, 2), m.Position(1, 3), (m.put_value("k", {"v": 1}), m.put_value("gone", None)))
+    for message in (m.Accept(record), m.Replicate(3, batch), m.Call(7, "c", m.FinishTurn("p", "r", 3, 60.0, b"\x00"))):
+        assert m.encode(m.decode(m.encode(message))) == m.encode(message)
+    assert batch.puts[1].removes and not batch.puts[0].removes
+    with pytest.raises(msgspec.ValidationError):
+        m.decode(b'{"type":"accept","record":7}')
+
+
+@pytest.mark.parametrize("count", [2, 8, 64, 320])
+def test_the_tree_reaches_every_relay_and_the_ring_has_constant_cost(count):
+    roster = [RosterEntry(f"10.0.{n // 250}.{n % 250}:1", "z") for n in range(count)]
+    addresses = [entry.address for entry in roster]
+    children: dict[str, int] = {}
+    for address in addresses:
+        depth, node = 0, address
+        while node := parent_of(roster, node):
+            depth += 1
+        assert depth <= 5
+        children[parent_of(roster, address)] = children.get(parent_of(roster, address), 0) + 1
+        assert len(neighbours(addresses, address, 1)) == min(MONITORS, count - 1)
+        assert all(address in neighbours(addresses, one, -1) for one in neighbours(addresses, address, 1))
+    assert max(children.values()) <= FANOUT
+
+
+def test_only_whole_events_pass_and_each_counts_once():
+    stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\nda"
+    for size in (1, 5, 100):
+        scanner, passed = EventScanner(keep_data=True), b""
+        for place in range(0, len(stream), size):
+            passed += scanner.feed(stream[place : place + size])
+        assert passed == stream[:-11]
+        assert (scanner.count, scanner.last_id, scanner.content()) == (2, b"2", b"a\nb\nc\n")
+        assert scanner.within_event
+
+
+def test_a_torn_or_foreign_file_is_not_taken_for_a_version():
+    machine = World(2).machine("a:1")
+    store = Store(machine.files)
+    for index in range(1, 4):
+        batch = m.Batch(store.position, m.Position(1, index), (m.put_value(f"k{index}", index),))
+        store.save(batch)
+        store.apply(batch.puts)
+    last = machine.files.names()[-1]
+    machine.files._files[last] = machine.files.read(last)[:-20]
+    reloaded = Store(machine.files)
+    assert (reloaded.position, reloaded.corrupt) == (m.Position(1, 2), [last])
+    assert reloaded.values.keys() == {"k1", "k2"}
+
+
+@pytest.mark.parametrize(
+    ("body", "places"),
+    [
+        (b'{"generation":1,"routes":[', ["body"]),
+        (b"[]", ["body"]),
+        (b"{}", ["generation", "routes", "services"]),
+        (b'{"generation":"x","routes":[7],"services":[{}]}', ["generation", "services[0].name", "routes[0]"]),
+    ],
+)
+def test_what_cannot_be_read_is_told_by_place(body, places):
+    assert [finding.place for finding in check(body).failure()] == places
+
+
+def test_weights_that_sum_to_nothing_and_unknown_services_are_found():
+    route = {"name": "r", "host": "h", "path-prefix": "/", "route-type": "safe", "timeout-ms": 5}
+    split = [{"backend": "a", "weight": 0}, {"backend": "b", "weight": 0}]
+    table = {"generation": 2, "routes": [route | {"weighted-backends": split}], "services": [{"name": "a"}]}
+    findings = [str(finding) for finding in check(msgspec.json.encode(table)).failure()]
+    assert findings == [
+        "routes[0].weighted-backends[1].backend: no service 'b'",
+        "routes[0].weighted-backends: the weights sum to 0",
+    ]
--- a/tests/test_tier_whole.py
+++ b/tests/test_tier_whole.py
@@ -316,6 +316,22 @@
     assert len(one.endpoints["i-2"].ran) == before
 
 
+def test_without_any_primary_relays_read_the_list_themselves():
+    one = tier()
+    one.world.run(one.world.time + 1)
+    for host in one.control_hosts[:2]:
+        one.kill_control(host)
+    index = next(n for n, e in enumerate(one.platform.listed) if e.id == "i-2")
+    one.platform.listed[index] = msgspec.structs.replace(one.platform.listed[index], state="draining")
+    calls = one.platform.calls
+    one.world.run(one.world.time + 3.0)
+    before = len(one.endpoints["i-2"].ran)
+    for _ in range(6):
+        assert one.ask("/book/1").status == 200
+    assert len(one.endpoints["i-2"].ran) == before
+    assert one.platform.calls - calls < 20
+
+
 def test_only_the_primary_reads_the_list():
     one = tier()
     calls, start = one.platform.calls, one.world.time
