--- a/lynxscale/dataplane/attempt.py
+++ b/lynxscale/dataplane/attempt.py
@@ -12,6 +12,7 @@
 from lynxscale.runtime.http_types import Head, Request
 
 MISDIRECTED = 421
+SERVER_ERROR = 500
 
 
 class Outcome(Enum):
@@ -38,7 +39,9 @@
 class Attempt:
     """Implements Receiver of one connection. After an outcome or ``cancel`` the listener hears nothing more."""
 
-    def __init__(self, state: EndpointState, request: Request, listener: Listener, clock: Clock, fresh: bool) -> None:
+    def __init__(
+        self, state: EndpointState, request: Request, listener: Listener, clock: Clock, tokens: int, fresh: bool
+    ) -> None:
         self.state = state
         self.sent_at = clock.now()
         self.answered = False
@@ -46,8 +49,11 @@
         self._listener: Listener | None = listener
         self._clock = clock
         self._refusal = False
+        self._status = 0
         self._first_latency_ms = 0.0
+        self._tokens = tokens
         state.in_flight += 1
+        state.tokens_in_flight += tokens
         self._connection: ClientConnection = state.connection(fresh)
         self._connection.send(request, self)
 
@@ -73,6 +79,7 @@
             self._spoilt()
             return
         self.answered = True
+        self._status = status
         self._listener.on_answer(self, status, head)
 
     def on_data(self, data: bytes) -> None:
@@ -89,6 +96,8 @@
             self._end(Outcome.NOT_RUN)
         else:
             self.state.succeeded(self._first_latency_ms or self.elapsed_ms)
+            if self._status >= SERVER_ERROR:
+                self.state.errored()
             self._end(Outcome.COMPLETE)
 
     def on_failure(self, failure: Failure) -> None:
@@ -104,9 +113,13 @@
         """End the try at the endpoint too; nobody is told."""
         if self._listener is not None:
             self._listener = None
-            self.state.in_flight -= 1
+            self._leave()
             self._connection.close()
 
+    def _leave(self) -> None:
+        self.state.in_flight -= 1
+        self.state.tokens_in_flight -= self._tokens
+
     def _spoilt(self) -> None:
         self._connection.close()
         self.state.failed()
@@ -115,5 +128,5 @@
     def _end(self, outcome: Outcome) -> None:
         listener, self._listener = self._listener, None
         if listener is not None:
-            self.state.in_flight -= 1
+            self._leave()
             listener.on_outcome(self, outcome)
--- a/lynxscale/dataplane/balancer.py
+++ b/lynxscale/dataplane/balancer.py
@@ -4,12 +4,17 @@
 
 import zlib
 
+from attrs import frozen
+
 from lynxscale.coordination.ports import Clock
 from lynxscale.dataplane.endpoints import READY, EndpointState
 from lynxscale.dataplane.queue import PlaceQueue
 from lynxscale.runtime.http_client import Dial
 from lynxscale.topics import Endpoint
 
+OUTLIER_TROUBLE = 0.25  # share of wrong tries beyond which an endpoint is left out
+MEMORY_SHARE = 0.8  # of an endpoint's memory that requests may come to hold together
+USUAL_WEIGHT = 0.05  # of the newest request in the usual one
 CROWDED_SHARE = 0.75  # of the slots: beyond that affinity gives way to load
 LOAD_FACTOR, LOAD_SLACK = 1.25, 1.0  # an endpoint takes new programs up to this multiple of the mean load, and so many
 NEAR_SLACK = 0.5  # requests above the mean at which the own zone still goes first
@@ -18,6 +23,19 @@
 OTHER_ZONE_LOAD = 0.25  # of the slots that an endpoint of the own zone may be more loaded
 
 
+@frozen
+class Demand:
+    """What a request asks of an endpoint.
+
+    ``key`` names what its prompt shares with others, empty for none; ``tokens``: the most that it may come to hold;
+    ``memory``: tokens that an endpoint can hold, 0 for no engine.
+    """
+
+    key: str
+    tokens: int
+    memory: int
+
+
 class Balancer:
     """All endpoints, by service, and the queue of requests that wait for a place."""
 
@@ -28,6 +46,7 @@
         self._by_service: dict[str, list[EndpointState]] = {}
         self._clock = clock
         self._dial = dial
+        self._usual_tokens = 0.0
         self._last: dict[str, str] = {}
         self.queue = PlaceQueue(clock, self._has_place)
 
@@ -48,19 +67,37 @@
             self._by_service.setdefault(state.endpoint.backend, []).append(state)
         self.queue.wake_all()
 
-    def choose(self, service: str, key: str, tried: set[str]) -> EndpointState | None:
-        """The endpoint for a request; ``key`` names what its prompt shares with others, empty for none."""
+    def choose(self, service: str, demand: Demand, tried: set[str]) -> EndpointState | None:
+        """The endpoint for a request, None where it has to wait."""
         now = self._clock.now()
         able = [one for one in self._by_service.get(service, ()) if one.may_send(now)]
         able = [one for one in able if one.endpoint.id not in tried] or able
         if not able:
             return None
-        if not key:
+        able = self._without_outliers(service, able)
+        if demand.memory:
+            self._usual_tokens += (demand.tokens - self._usual_tokens) * USUAL_WEIGHT
+            able = [one for one in able if self._has_memory(one, demand)]
+        if not able:
+            return None
+        if not demand.key:
             return min(able, key=self._cost)
-        chosen = self._cached_at(key, able) or self._spread(key, able)
-        self._remember(key, chosen)
+        chosen = self._cached_at(demand.key, able) or self._spread(demand.key, able)
+        self._remember(demand.key, chosen)
         return chosen
 
+    def _has_memory(self, state: EndpointState, demand: Demand) -> bool:
+        """Would the request fit beside those that run there? What does not is preempted and read again."""
+        if not state.in_flight:
+            return True
+        return state.memory_load(self._usual_tokens) + demand.tokens <= MEMORY_SHARE * demand.memory
+
+    def _without_outliers(self, service: str, able: list[EndpointState]) -> list[EndpointState]:
+        """Leave out endpoints whose tries often go wrong, as long as half of the service's remain."""
+        sound = [one for one in able if one.trouble < OUTLIER_TROUBLE]
+        ready = sum(one.ready for one in self._by_service[service])
+        return sound if 2 * len(sound) >= ready else able
+
     def _cached_at(self, key: str, able: list[EndpointState]) -> EndpointState | None:
         """Where the key's last request went, unless that endpoint is crowded."""
         last = self._last.get(key)
--- a/lynxscale/dataplane/endpoints.py
+++ b/lynxscale/dataplane/endpoints.py
@@ -16,6 +16,8 @@
 REFUSAL_REST_S = 0.05
 FAILURE_REST_S, MOST_REST_S = 0.2, 2.0
 FAILING_STREAK = 2  # failures in a row that make an endpoint failing: a lone error is chance
+TROUBLE_WEIGHT, TROUBLE_HALVES_S = 0.2, 3.0  # of the newest try in the share that went wrong; how it fades
+CUT_TROUBLE = 0.5  # a cut at τ tells less than a failure
 LOAD_KEEPS_S = 1.0  # a told load counts ever less until it is so old
 RECENT_WEIGHT = 0.2
 SLOW_MULTIPLE = 3.0  # recent latencies of so many medians: slow
@@ -30,12 +32,15 @@
         self.endpoint = endpoint
         self.ready = endpoint.state == READY
         self.in_flight = 0
+        self.tokens_in_flight = 0
         self.window = 1
         self.sample = TrySample()
         self.recent_ms = 0.0
         self.restarts = 1.0
         self.rest_until = -INF
         self._failures = 0
+        self._trouble = 0.0
+        self._trouble_at = clock.now()
         self._clock = clock
         self._dial = dial
         self._idle: list[ClientConnection] = []
@@ -52,6 +57,16 @@
         """Has it failed several times in a row?"""
         return self._failures >= FAILING_STREAK
 
+    @property
+    def trouble(self) -> float:
+        """The share of late tries that went wrong, 0 to 1; it fades, so that the endpoint is tried again."""
+        age = self._clock.now() - self._trouble_at
+        return self._trouble * 0.5 ** (age / TROUBLE_HALVES_S)
+
+    def _judge(self, went_wrong: float) -> None:
+        self._trouble = self.trouble + (went_wrong - self.trouble) * TROUBLE_WEIGHT
+        self._trouble_at = self._clock.now()
+
     @property
     def slow(self) -> bool:
         """Does it take much longer than usual?"""
@@ -69,6 +84,10 @@
         age = self._clock.now() - self._told_at
         return self.in_flight + self._told_others * max(0.0, 1.0 - age / LOAD_KEEPS_S)
 
+    def memory_load(self, usual_tokens: float) -> float:
+        """Tokens that the requests there may come to hold, others' estimated by this relay's usual request."""
+        return self.tokens_in_flight + max(0.0, self.load - self.in_flight) * usual_tokens
+
     def may_send(self, now: float) -> bool:
         """Does the window let another call through?"""
         return self.ready and now >= self.rest_until and self.in_flight < self.limit
@@ -92,6 +111,11 @@
         self.window = min(self.window + 1, max(1, math.floor(WINDOW_SHARE * self.slots)))
         self.restarts = min(RESTART_BANK, self.restarts + RESTART_EARNED)
         self._failures = 0
+        self._judge(0.0)
+
+    def errored(self) -> None:
+        """It answered, with an error of its own."""
+        self._judge(1.0)
 
     def refused(self) -> None:
         """It was full, and did not run the request."""
@@ -102,6 +126,7 @@
     def failed(self) -> None:
         """An error, a reset, or no connection."""
         self._observe(INF)
+        self._judge(1.0)
         self._failures += 1
         rest = FAILURE_REST_S * 2 ** min(self._failures - 1, 4)
         if self.failing:
@@ -114,6 +139,7 @@
 
     def cut(self, latency_ms: float) -> None:
         """The relay's own cut at τ: a try that lasted longer."""
+        self._judge(CUT_TROUBLE)
         self.restarts -= 1.0
         self._observe(INF)
 
--- a/lynxscale/dataplane/forwarding.py
+++ b/lynxscale/dataplane/forwarding.py
@@ -16,7 +16,7 @@
 from lynxscale.coordination.ports import Clock, Timer
 from lynxscale.dataplane import headers as h
 from lynxscale.dataplane.attempt import Attempt, Outcome
-from lynxscale.dataplane.balancer import Balancer
+from lynxscale.dataplane.balancer import Balancer, Demand
 from lynxscale.dataplane.events import EventScanner
 from lynxscale.dataplane.routing import Route, RouteTable
 from lynxscale.dataplane.turns import TurnLedger
@@ -67,7 +67,7 @@
         self._clock = around.clock
         self._service = route.pick_backend(around.random)
         self._stride = table.stride(self._service)
-        self._key = h.affinity_key(request.head) if route.streaming else ""
+        self._demand = demand_of(request.head, route, table.memory(self._service))
         client_ms = request.head.number(h.DEADLINE)
         allowed_ms = route.timeout_ms if client_ms is None else min(client_ms, route.timeout_ms)
         self._arrived = self._clock.now()
@@ -118,7 +118,7 @@
         if self._left_ms < LEAST_LEFT_MS or self._offers >= MOST_OFFERS:
             self._give_up()
             return
-        state = self._around.balancer.choose(self._service, self._key, self._tried)
+        state = self._around.balancer.choose(self._service, self._demand, self._tried)
         if state is None:
             self._wait()
             return
@@ -153,7 +153,7 @@
         if self.state is not State.STREAMING:
             self._become(State.SENT)
         request = attrs.evolve(self._request, head=Head(fields))
-        self._attempt = Attempt(state, request, self, self._clock, fresh=False)
+        self._attempt = Attempt(state, request, self, self._clock, self._demand.tokens, fresh=False)
         if self._may_restart():
             tau_ms = state.sample.tau
             if tau_ms < self._left_ms:
@@ -246,7 +246,7 @@
 
     def _again(self) -> None:
         if self.state is State.STREAMING:
-            state = self._around.balancer.choose(self._service, self._key, self._tried)
+            state = self._around.balancer.choose(self._service, self._demand, self._tried)
             if state is None or self._left_ms < LEAST_LEFT_MS:
                 self._settle_turn()
                 self._end_broken()
@@ -359,3 +359,10 @@
 def without_length(fields: Headers) -> Headers:
     """Fields of an answer whose length is told anew."""
     return tuple(entry for entry in fields if entry[0] != h.CONTENT_LENGTH)
+
+
+def demand_of(head: Head, route: Route, memory: int) -> Demand:
+    """What a request asks of an endpoint."""
+    if not route.streaming:
+        return Demand("", 0, 0)
+    return Demand(h.affinity_key(head), h.prompt_tokens(head) + h.most_tokens(head), memory)
--- a/lynxscale/dataplane/headers.py
+++ b/lynxscale/dataplane/headers.py
@@ -49,6 +49,12 @@
     return int(most) if most.strip().isdigit() else 0
 
 
+def prompt_tokens(head: Head) -> int:
+    """Tokens of the prompt: the first number of the token count."""
+    prompt, _, _ = head.text(TOKEN_COUNT).partition(",")
+    return int(prompt) if prompt.strip().isdigit() else 0
+
+
 def server_load(head: Head) -> tuple[int, int] | None:
     """Requests running and waiting, by the endpoint's own word."""
     words = head.text(SERVER_LOAD).split(",")
--- a/lynxscale/dataplane/routing.py
+++ b/lynxscale/dataplane/routing.py
@@ -55,6 +55,7 @@
 
     slots: int = 1
     stream_stride: int = 1
+    kv_capacity_tokens: int = 0
 
 
 class Service(msgspec.Struct, frozen=True, rename="kebab"):
@@ -108,6 +109,11 @@
         engine = self.services[service].engine if service in self.services else None
         return engine.stream_stride if engine else 1
 
+    def memory(self, service: str) -> int:
+        """Tokens that each endpoint of a service can hold, 0 where it is no engine."""
+        engine = self.services[service].engine if service in self.services else None
+        return engine.kv_capacity_tokens if engine else 0
+
 
 def decode_table(value: msgspec.Raw) -> RouteTable:
     """The table of a configuration as it was published."""
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -54,12 +54,17 @@
         clock.call_later(LOOK_EVERY_S, self._look)
         self.parking = Parking(clock, self._serve)
         self._table: RouteTable | None = None
-        self._around = Surroundings(clock, self.balancer, TurnLedger(self.calls), random)
+        self._around = Surroundings(clock, self.balancer, TurnLedger(self.calls, lambda: self.alone), random)
 
     @property
     def ready(self) -> bool:
         """May clients be sent here?"""
-        return self._table is not None and self.balancer.known and not self.stopping
+        return self._table is not None and self.balancer.known and not self.stopping and not self.alone
+
+    @property
+    def alone(self) -> bool:
+        """Has no primary vouched for what this relay holds for long? Then others serve programs better."""
+        return self.tree.age > ALONE_AFTER_S
 
     def receive(self, message: m.Message) -> None:
         """Handle a message of another node."""
@@ -118,7 +123,8 @@
     def _look(self) -> None:
         """Without word from any primary for too long, the relay reads the platform's list itself."""
         self._clock.call_later(LOOK_EVERY_S, self._look)
-        alone = self._table is not None and self.tree.age > ALONE_AFTER_S
+        alone = self._table is not None and self.alone
+        self.limits.closing = alone or self.stopping
         if alone and not self._reading:
             log.info("event=reads_the_list_itself")
             relays = max(1, len(self.tree.roster))
--- a/lynxscale/dataplane/turns.py
+++ b/lynxscale/dataplane/turns.py
@@ -11,6 +11,7 @@
 from lynxscale.runtime.http_types import Request
 
 ADMISSION_TIMEOUT_S = 2.5  # a new primary stands well within it
+ALONE_TIMEOUT_S = 0.3  # another relay may reach one
 FINISH_TIMEOUT_S = 2.5
 SETTLE_TIMEOUT_S = 10.0  # nobody waits for it
 NO_BUDGET = -1
@@ -20,21 +21,25 @@
 class TurnLedger:
     """Makes the turns of a relay's requests."""
 
-    def __init__(self, calls: PrimaryCalls) -> None:
+    def __init__(self, calls: PrimaryCalls, alone: Callable[[], bool]) -> None:
+        """``alone()``: is no primary to be reached for some time already?"""
         self.calls = calls
+        self.alone = alone
 
     def turn(self, request: Request, route: Route) -> Turn | None:
         """The turn that a request is; None where it neither has a budget nor is kept."""
         budget = request.head.number(h.BUDGET)
         if not route.streaming or (budget is None and not route.retained):
             return None
-        return Turn(self.calls, request, route, NO_BUDGET if budget is None else int(budget))
+        timeout_s = ALONE_TIMEOUT_S if self.alone() else ADMISSION_TIMEOUT_S
+        return Turn(self.calls, request, route, NO_BUDGET if budget is None else int(budget), timeout_s)
 
 
 class Turn:
     """One try of a client for a turn."""
 
-    def __init__(self, calls: PrimaryCalls, request: Request, route: Route, budget: int) -> None:
+    def __init__(self, calls: PrimaryCalls, request: Request, route: Route, budget: int, timeout_s: float) -> None:
+        self._timeout_s = timeout_s
         self.input = request.body
         self._calls = calls
         self._route = route
@@ -66,7 +71,7 @@
             else:
                 done(UNSURE, b"")
 
-        self._calls.call(body, min(left_s, ADMISSION_TIMEOUT_S), answered)
+        self._calls.call(body, min(left_s, self._timeout_s), answered)
 
     def settle(self, tokens: int) -> None:
         """The turn has ended, and is not kept."""
--- a/tests/test_tier_whole.py
+++ b/tests/test_tier_whole.py
@@ -164,6 +164,37 @@
     assert relay.balancer.states[hung].sample.tau < 200
 
 
+def test_requests_wait_where_an_endpoints_memory_would_not_hold_them():
+    """Seen on a day with an endpoint less: hundreds of requests were preempted and read again."""
+    one = Tier(World(4))
+    table = default_configuration()
+    table["services"][0]["engine"]["kv-capacity-tokens"] = 1000
+    assert one.push(table, 0).status == 200
+    assert one.world.run_until(lambda: all(relay.ready for relay in one.relays.values()), 5.0)
+    for _ in range(20):
+        one.ask("/open/stream", lynxscale_token_count="100,40")
+    for endpoint in one.endpoints.values():
+        endpoint.most_running = 0
+    answers = [one.begin("/open/stream", lynxscale_token_count="400,100")[0] for _ in range(6)]
+    one.world.run(one.world.time + 2.0)
+    assert all(answer.status == 200 for answer in answers)
+    assert max(endpoint.most_running for endpoint in one.endpoints.values()) == 1
+
+
+def test_an_endpoint_whose_tries_often_go_wrong_is_left_out_and_tried_again_later():
+    one = tier()
+    one.endpoints["i-2"].fails = True
+    for number in range(40):
+        one.ask("/look/1", method="GET", request_id=f"g{number}")
+    late = [number for number in range(20, 40) if "i-2" in runs(one, f"g{number}")]
+    assert len(late) <= 4
+    one.endpoints["i-2"].fails = False
+    one.world.run(one.world.time + 10)
+    for number in range(40):
+        assert one.ask("/look/1", method="GET", request_id=f"h{number}").status == 200
+    assert any("i-2" in runs(one, f"h{number}") for number in range(40))
+
+
 def test_an_address_that_another_endpoint_has_now_runs_nothing():
     one = tier()
     for name in ("i-2", "i-3"):
