--- a/lab/tier/mistakes.py
+++ b/lab/tier/mistakes.py
@@ -17,7 +17,9 @@
 from lynxscale.coordination import identity
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.epochs import Witness
-from lynxscale.coordination.member import ControlMember
+from lynxscale.coordination.follower import Follower
+from lynxscale.coordination.leadership import Leadership
+from lynxscale.coordination.lease import HeldLease
 from lynxscale.coordination.replication import Replicator
 from lynxscale.coordination.store import Store
 from lynxscale.coordination.tree import Publisher
@@ -49,15 +51,7 @@
 def lease_is_never_checked() -> Patches:
     """A primary acts although its lease has ended."""
 
-    def leads(self: ControlMember) -> bool:
-        return self.replicator is not None and self.replicator.committed.epoch > 0
-
-    def tick(self: ControlMember, now: float) -> None:
-        self._lease_until = now + 9.0
-        original(self, now)
-
-    original = ControlMember._tick_primary
-    return [(ControlMember, "leads", leads), (ControlMember, "_tick_primary", tick)]
+    return [(HeldLease, "held", property(lambda self: True)), (Leadership, "lost", property(lambda self: False))]
 
 
 def promise_while_another_holds_a_lease() -> Patches:
@@ -180,14 +174,13 @@
 def late_batches_are_skipped() -> Patches:
     """A copy takes a batch although it lacks the one before."""
 
-    def on_replicate(self: ControlMember, message: m.Replicate) -> None:
-        if self._follows(message.epoch) and message.batch.position > self.store.position:
-            self._save(message.batch)
+    def on_replicate(self: Follower, message: m.Replicate) -> None:
+        if self._follows(message.epoch) and message.batch.position > self._store.position:
+            self._store.save(message.batch)
+            self._store.apply(message.batch.puts)
             self._tell_position(message.epoch)
 
-    handlers = dict(ControlMember._HANDLERS)
-    handlers[m.Replicate] = on_replicate
-    return [(ControlMember, "_HANDLERS", handlers)]
+    return [(Follower, "on_replicate", on_replicate)]
 
 
 def whole_state_lacks_the_last_batch() -> Patches:
--- a/lynxscale/controlplane/operator_api.py
+++ b/lynxscale/controlplane/operator_api.py
@@ -131,7 +131,7 @@
             responder.whole(json_response(404, {"error": "no such call"}))
 
     def _start_retiring(self, node: str, responder: Responder) -> None:
-        present = self._member.present_nodes()
+        present = self._member.leadership.present_nodes()
         if RETIRE_PREFIX + node in self._member.store.values:
             self._answer_when_decided(responder, json_response(200, {"state": "running"}))
         elif node not in present:
@@ -150,7 +150,7 @@
         if RETIRE_PREFIX + node not in self._member.store.values:
             responder.whole(json_response(404, {"error": f"{node!r} is not to be emptied"}))
             return
-        state = "done" if self._member.is_empty(node) else "running"
+        state = "done" if self._member.leadership.is_empty(node) else "running"
         self._answer_when_decided(responder, json_response(200, {"state": state}))
 
 
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -92,7 +92,7 @@
         record = self.member.record
         return [
             ReplicaStatus(one, peer.node, one in record.witnesses, one in record.in_sync, now - peer.heard_at)
-            for one, peer in sorted(self.member.peers.items())
+            for one, peer in sorted(self.member.leadership.peers.items())
         ]
 
     def receive(self, message: m.Message) -> None:
@@ -214,4 +214,4 @@
                 self.member.submit(gone, lambda committed: None)
         if now >= self._scrub_at:
             self._scrub_at = now + SCRUB_EVERY_S
-            self.member.scrub()
+            self.member.leadership.scrub()
--- /dev/null
+++ b/lynxscale/coordination/leadership.py
@@ -0,0 +1,214 @@
+"""What a member does while it is primary: heartbeats, its lease, replication, and who votes and copies."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.epochs import Proposal, Witness
+from lynxscale.coordination.lease import LEASE_S, HeldLease
+from lynxscale.coordination.ports import Clock, Network
+from lynxscale.coordination.proposer import Proposer
+from lynxscale.coordination.replication import Replicator
+from lynxscale.coordination.store import Store
+from lynxscale.coordination.voters import PeerView, PlanInput, plan_record
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.05
+HEARTBEAT_S = 0.08
+SILENT_AFTER_S = 0.32  # a member unheard so long is not waited for
+PRESENT_S = 3.0  # a machine unheard for so long is none that could be emptied
+
+
+class Leadership:
+    """One lead of one member, from the decision of its first epoch to its end.
+
+    ``retiring()``: names of the machines that are to be emptied.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        witness: Witness,
+        store: Store,
+        clock: Clock,
+        network: Network,
+        proposer: Proposer,
+        tolerated: int,
+        retiring: Callable[[], frozenset[str]],
+        on_disk_failure: Callable[[OSError], None],
+    ) -> None:
+        self.me = witness.member
+        self.replicator = Replicator(self.me, store, clock, network, tolerated + 1, on_disk_failure)
+        self.lease = HeldLease(clock)
+        self._node = node
+        self._witness = witness
+        self._store = store
+        self._clock = clock
+        self._network = network
+        self._proposer = proposer
+        self._tolerated = tolerated
+        self._retiring = retiring
+        self._begun_at = clock.now()
+        self._heartbeat_at = -1e9
+        others = (one for one in witness.record.witnesses if one != self.me)
+        self._peers = {one: PeerView(heard_at=self._begun_at) for one in others}
+
+    # State -------------------------------------------------------------------------------------------
+
+    @property
+    def established(self) -> bool:
+        """Does the lease run, and is all that earlier primaries committed known to be so?"""
+        return self.lease.held and self.replicator.committed.epoch > 0
+
+    @property
+    def lost(self) -> bool:
+        """Has the lease ended, or did it never come about in a lease's time?"""
+        return self._clock.now() >= max(self.lease.until, self._begun_at + LEASE_S)
+
+    @property
+    def peers(self) -> dict[str, PeerView]:
+        """The other members that were heard of in this lead."""
+        return self._peers
+
+    def present_nodes(self) -> set[str]:
+        """Machines that are heard of."""
+        oldest = self._clock.now() - PRESENT_S
+        return {self._node} | {peer.node for peer in self._peers.values() if peer.heard_at > oldest}
+
+    def is_empty(self, node: str) -> bool:
+        """Does no copy that counts stand on the machine, and are there enough without it?"""
+        record = self._witness.record
+        there = {one for one, peer in self._peers.items() if peer.node == node}
+        counted = {*record.in_sync, *record.witnesses}
+        enough = len(record.in_sync) > self._tolerated
+        return node != self._node and not there & counted and enough and not self._proposer.active
+
+    # What happens ------------------------------------------------------------------------------------
+
+    def begin_epoch(self, record: m.EpochRecord) -> None:
+        """A record with this member as primary was decided."""
+        self.lease.forget_rounds()
+        self.heartbeat()
+        self.replicator.begin(record)
+        self.replicator.forget(set(record.witnesses))
+
+    def end(self) -> None:
+        """Another may lead from now on."""
+        self.lease.drop()
+        self.replicator.abandon()
+
+    def tick(self) -> None:
+        """Called every ``TICK_S``."""
+        if self._clock.now() - self._heartbeat_at >= HEARTBEAT_S - TICK_S / 2:
+            self.heartbeat()
+        if self._proposer.active and self._proposer.timed_out:
+            self._proposer.propose()
+        self.consider_plan()
+
+    def heartbeat(self) -> None:
+        """Ask for the lease anew, and let everybody know of the record."""
+        self._heartbeat_at = self._clock.now()
+        record = self._witness.record
+        request = m.LeaseRequest(record, self.lease.begin_round())
+        self._send_all((*record.witnesses, *self._peers), request)
+        if self._witness.grant(request):
+            self.lease.grant(request.round, self.me, record.witnesses)
+
+    def on_lease_grant(self, message: m.LeaseGrant) -> None:
+        """A member has answered a heartbeat."""
+        record = self._witness.record
+        peer = self._hear(message.member, message.node)
+        if message.granted:
+            peer.leaving = False
+            self.lease.grant(message.round, message.member, record.witnesses)
+        elif message.promised > record.epoch and message.member in record.witnesses:
+            self._pass_promise(message.promised)
+        self.replicator.on_position(message.member, message.position)
+
+    def on_join(self, message: m.Join) -> None:
+        """A member tells that it is there, or about to go."""
+        self._hear(message.member, message.node).leaving = message.leaving
+        self.consider_plan()
+
+    def on_stored(self, message: m.Stored) -> None:
+        """A member tells what it has stored."""
+        self._hear(message.member)
+        self.replicator.on_position(message.member, message.position)
+
+    def on_digest_reply(self, message: m.DigestReply) -> None:
+        """A copy's checksum: one that differs is sent anew."""
+        same_place = message.position == self._store.position and self.replicator.idle
+        if same_place and message.checksum != self._store.checksum():
+            log.error("event=copy_differs member=%s", message.member)
+            self.replicator.repair(message.member)
+
+    def scrub(self) -> None:
+        """Compare the copies with the own one."""
+        record = self._witness.record
+        if self.established and self.replicator.idle:
+            self._send_all(record.in_sync, m.DigestRequest(record.epoch, self._store.position))
+
+    # Who votes and copies ------------------------------------------------------------------------------
+
+    def plan(self, proposal: Proposal) -> m.EpochRecord:
+        """The record that a round of this primary proposes; until it is decided, more copies are needed."""
+        record = plan_record(self._plan_input(proposal.base), proposal.epoch)
+        self.replicator.require_also(set(proposal.base.in_sync) | set(record.in_sync))
+        return record
+
+    def consider_plan(self) -> None:
+        """Propose a new epoch where other members should vote or copy."""
+        if self._proposer.active or not self.lease.held:
+            return
+        record = self._witness.record
+        planned = plan_record(self._plan_input(record), record.epoch)
+        if (planned.in_sync, planned.witnesses) != (record.in_sync, record.witnesses):
+            self._proposer.propose()
+
+    def hand_over(self) -> bool:
+        """Give the lease back and let an in-sync member stand; False where there is none."""
+        record = self._witness.record
+        oldest = self._clock.now() - SILENT_AFTER_S
+        others = [one for one in record.in_sync if one != self.me and self._peers[one].heard_at > oldest]
+        ready = [one for one in others if self.replicator.caught_up(one)]
+        if not ready:
+            return False
+        self.lease.drop()
+        self._witness.release(record.epoch)
+        self._send_all(record.witnesses, m.LeaseRelease(record.epoch))
+        self._network.send(m.address_of(ready[0]), m.TakeOver(record.epoch))
+        return True
+
+    def _plan_input(self, base: m.EpochRecord) -> PlanInput:
+        retiring = self._retiring()
+        return PlanInput(
+            base=base,
+            me=self.me,
+            now=self._clock.now(),
+            silent_after=SILENT_AFTER_S,
+            tolerated=self._tolerated,
+            peers=self._peers,
+            caught_up={one for one in self._peers if self.replicator.caught_up(one)},
+            lagging=self.replicator.lagging(),
+            retiring={one for one, peer in self._peers.items() if peer.node in retiring},
+        )
+
+    def _pass_promise(self, promised: int) -> None:
+        """A witness that promised a candidate's epoch, of which nothing came, is bound until a later one is decided."""
+        self._proposer.pass_by(promised)
+        if not self._proposer.active and self.lease.held:
+            self._proposer.propose()
+
+    def _hear(self, member: str, node: str = "") -> PeerView:
+        peer = self._peers.setdefault(member, PeerView())
+        peer.heard_at = self._clock.now()
+        peer.node = node or peer.node
+        return peer
+
+    def _send_all(self, members: tuple[str, ...], message: m.Message) -> None:
+        for one in dict.fromkeys(members):
+            if one != self.me:
+                self._network.send(m.address_of(one), message)
--- /dev/null
+++ b/lynxscale/coordination/proposer.py
@@ -0,0 +1,111 @@
+"""Rounds of a candidate or primary for a new epoch: which epoch to ask for, and what becomes of the round."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.epochs import Proposal, Witness
+from lynxscale.coordination.ports import Clock, Network
+
+ROUND_TIMEOUT_S = 0.25  # for the answers to a prepare or an accept
+
+
+class Proposer:
+    """At most one round at a time.
+
+    ``choose(proposal)`` gives the record to propose once a majority has promised, None to give the round up;
+    ``decided(record)`` is called once a majority has accepted it.
+    """
+
+    def __init__(
+        self,
+        witness: Witness,
+        clock: Clock,
+        network: Network,
+        choose: Callable[[Proposal], m.EpochRecord | None],
+        decided: Callable[[m.EpochRecord], None],
+    ) -> None:
+        self._witness = witness
+        self._clock = clock
+        self._network = network
+        self._choose = choose
+        self._decided = decided
+        self._proposal: Proposal | None = None
+        self._begun_at = -1e9
+        self._highest_denied = 0
+        self._open_epoch = 0  # the last one asked for, while no record was sent for it
+
+    @property
+    def active(self) -> bool:
+        """Is a round under way?"""
+        return self._proposal is not None
+
+    @property
+    def timed_out(self) -> bool:
+        """Has the last round had its time?"""
+        return self._clock.now() - self._begun_at > ROUND_TIMEOUT_S
+
+    def cancel(self) -> None:
+        """Answers to the round under way count no more."""
+        self._proposal = None
+
+    def propose(self) -> None:
+        """Begin a round."""
+        lowest = max(self._witness.record.epoch, self._highest_denied) + 1
+        # An epoch for which no record was sent may be asked for again: a cut-off candidate must not climb for ever.
+        reusable = self._open_epoch >= lowest
+        epoch = self._open_epoch if reusable else max(lowest, self._witness.state.promised + 1)
+        self._open_epoch = epoch
+        voters = self._witness.record.witnesses
+        self._proposal = Proposal(epoch, self._witness.member, voters)
+        self._begun_at = self._clock.now()
+        self._send_all(voters, m.Prepare(epoch, self._witness.member))
+
+    def pass_by(self, promised: int) -> None:
+        """A witness is bound by an epoch of which nothing came: the next round asks for a later one."""
+        self._highest_denied = max(self._highest_denied, promised)
+
+    def on_promise(self, message: m.Promise) -> None:
+        """A witness takes part."""
+        proposal = self._proposal
+        if proposal is None:
+            return
+        if not proposal.promise(message):
+            self._ask_new_voters(proposal)
+            return
+        record = self._choose(proposal)
+        if record is None:
+            self._proposal = None
+            return
+        proposal.record = record
+        self._open_epoch = 0
+        self._send_all(proposal.voters, m.Accept(record))
+
+    def on_deny(self, message: m.Deny) -> bool:
+        """A witness does not; was the round under way meant?"""
+        proposal = self._proposal
+        if proposal is None or message.epoch != proposal.epoch or proposal.record is not None:
+            return False
+        self._highest_denied = max(self._highest_denied, message.promised)
+        return True
+
+    def on_accepted(self, message: m.Accepted) -> None:
+        """A witness has stored the record."""
+        proposal = self._proposal
+        if proposal is not None and proposal.accept(message):
+            self._proposal = None
+            self._witness.learn(proposal.record)
+            self._decided(proposal.record)
+
+    def _ask_new_voters(self, proposal: Proposal) -> None:
+        """The record found may name witnesses that were not asked yet."""
+        base = proposal.base
+        if base is None or proposal.record is not None or set(base.witnesses) <= set(self._witness.record.witnesses):
+            return
+        missing = tuple(one for one in base.witnesses if one not in proposal.promised)
+        self._send_all(missing, m.Prepare(proposal.epoch, proposal.candidate))
+
+    def _send_all(self, members: tuple[str, ...], message: m.Message) -> None:
+        for one in members:
+            self._network.send(m.address_of(one), message)
