--- a/lynxscale/controlplane/__main__.py
+++ b/lynxscale/controlplane/__main__.py
@@ -3,24 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import signal
 import sys
 from random import Random
 
 from lynxscale.controlplane.service import ControlService
-from lynxscale.runtime import logs
 from lynxscale.runtime.clock import LoopClock
 from lynxscale.runtime.files import DurableFiles
 from lynxscale.runtime.http_client import LoopDialer
 from lynxscale.runtime.http_server import ServerConnection, ServerLimits
 from lynxscale.runtime.network import InternalNetwork, split_address
-from lynxscale.runtime.settings import Settings, SettingsError, SettingsWatch, load, watch_until
+from lynxscale.runtime.process import run
+from lynxscale.runtime.settings import Settings, SettingsWatch, watch_until
 
 log = logging.getLogger(__name__)
 
-EXIT_SETTINGS = 2
 DIAL_TIMEOUT_S = 1.0
 HAND_OVER_S = 0.3  # for the messages that hand over to leave
 MOST_BODY_BYTES = 8 * 1024 * 1024
@@ -54,15 +52,7 @@
 
 def main() -> int:
     """Exit code 2 where the settings are wrong."""
-    logs.start()
-    try:
-        settings = load()
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        return EXIT_SETTINGS
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(serve(settings))
-    return 0
+    return run(serve)
 
 
 if __name__ == "__main__":
--- a/lynxscale/controlplane/cli.py
+++ b/lynxscale/controlplane/cli.py
@@ -13,7 +13,7 @@
 from lynxscale.controlplane.configuration import check
 from lynxscale.controlplane.status import ControlStatus, render
 from lynxscale.coordination.store import Store
-from lynxscale.runtime.commands import FINDINGS, UNUSABLE, CheckSettings, call, fail, read_file
+from lynxscale.runtime.commands import FINDINGS, UNUSABLE, CheckSettings, call, fail, print_status, read_file
 from lynxscale.runtime.files import ReadOnlyFiles
 
 
@@ -55,11 +55,7 @@
 
     def __call__(self) -> None:
         """Print it."""
-        response = call(self.address, "GET", "/status")
-        if self.json:
-            print(response.body.decode())
-        else:
-            print(render(msgspec.json.decode(response.body, type=ControlStatus)))
+        print_status(self.address, self.json, ControlStatus, render)
 
 
 @cappa.command(help="Read the configuration in force from any control process.")
--- a/lynxscale/coordination/tree.py
+++ b/lynxscale/coordination/tree.py
@@ -17,11 +17,13 @@
 from lynxscale.coordination.ports import Clock, Network, Timer
 
 FANOUT = 4
-ATTACH_EVERY_S = 0.25
+ATTACH_EVERY_S = 0.25  # in a small tier
+MOST_STRETCH, STRETCH_BEYOND = 2.4, 32  # relays: with more, each asks up to so many times less often
 SEEK_EVERY_S = 0.08  # while no primary is known
-CHILD_EXPIRES_S = 1.2
-PARENT_SILENT_S = 0.6  # without an answer, another parent is asked
-OLDEST_VOUCH_S = 1.2  # a parent that tells older versions than this is cut off itself
+CHILD_EXPIRES_S = 2.0
+SILENT_INTERVALS = 2.4  # without an answer for so many, another parent is asked
+OLDEST_INTERVALS = 4.8  # a parent whose versions were vouched for longer ago is cut off itself
+ALONE_INTERVALS = 6.4  # without a word that a primary vouched for, a relay is alone
 ROOT_FOR_S = 3.0  # after trouble with its place in the tree, a relay stays with the primary so long
 ROSTER = "roster"
 
@@ -131,6 +133,7 @@
         self._vouched_at = -1e9
         self._root_until = -1e9
         self._next_contact = 0
+        self._relays = 0
         self._timer: Timer = clock.call_later(0.0, self._tick)
 
     @property
@@ -144,6 +147,16 @@
         topic = self.publisher.topics.get(ROSTER)
         return msgspec.json.decode(topic.value, type=list[RosterEntry]) if topic else []
 
+    @property
+    def alone(self) -> bool:
+        """Has no primary vouched for what is held here for long?"""
+        return self.age > ALONE_INTERVALS * self._interval
+
+    @property
+    def _interval(self) -> float:
+        """Seconds between two questions: a parent's cost grows with its children, not with the tier."""
+        return ATTACH_EVERY_S * min(MOST_STRETCH, max(1.0, self._relays / STRETCH_BEYOND))
+
     def stop(self) -> None:
         """No more timers."""
         self._timer.cancel()
@@ -170,6 +183,8 @@
         newer = self.publisher.take(message.topics)
         if all(message.have.get(name, version) <= version for name, version in self.publisher.versions().items()):
             self._vouched_at = max(self._vouched_at, now - message.age)
+        if ROSTER in newer:
+            self._relays = len(self.roster)
         if newer:
             self._on_topics(newer)
             self.publisher.push(self.primary, self.epoch, self.age)
@@ -185,11 +200,11 @@
                 self._attach()
 
     def _tick(self) -> None:
-        every = SEEK_EVERY_S if self.place is Place.SEEKING else ATTACH_EVERY_S
+        every = SEEK_EVERY_S if self.place is Place.SEEKING else self._interval
         self._timer = self._clock.call_later(every, self._tick)
         now = self._clock.now()
-        silent = now - self._heard_at > PARENT_SILENT_S
-        if self.place is Place.UNDER_RELAY and (silent or self.age > OLDEST_VOUCH_S):
+        silent = now - self._heard_at > SILENT_INTERVALS * self._interval
+        if self.place is Place.UNDER_RELAY and (silent or self.age > OLDEST_INTERVALS * self._interval):
             self._root_until = now + ROOT_FOR_S
             self._settle()
         elif self.place is Place.UNDER_PRIMARY and silent:
--- a/lynxscale/dataplane/__main__.py
+++ b/lynxscale/dataplane/__main__.py
@@ -3,23 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import signal
 import sys
 from random import Random
 
 from lynxscale.dataplane.service import RelayService
-from lynxscale.runtime import logs
 from lynxscale.runtime.clock import LoopClock
 from lynxscale.runtime.http_client import LoopDialer
 from lynxscale.runtime.http_server import ServerConnection
 from lynxscale.runtime.network import InternalNetwork, split_address
-from lynxscale.runtime.settings import Settings, SettingsError, SettingsWatch, load, watch_until
+from lynxscale.runtime.process import run
+from lynxscale.runtime.settings import Settings, SettingsWatch, watch_until
 
 log = logging.getLogger(__name__)
 
-EXIT_SETTINGS = 2
 DIAL_TIMEOUT_S = 0.6
 UNREADY_S = 2.6  # until the platform has missed two answers, new connections come
 END_MARGIN_S = 0.8  # before the grace ends
@@ -74,15 +72,7 @@
 
 def main() -> int:
     """Exit code 2 where the settings are wrong."""
-    logs.start()
-    try:
-        settings = load()
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        return EXIT_SETTINGS
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(serve(settings))
-    return 0
+    return run(serve)
 
 
 if __name__ == "__main__":
--- a/lynxscale/dataplane/cli.py
+++ b/lynxscale/dataplane/cli.py
@@ -6,10 +6,9 @@
 from typing import Annotated
 
 import cappa
-import msgspec
 
 from lynxscale.dataplane.status import RelayStatus, render
-from lynxscale.runtime.commands import CheckSettings, call
+from lynxscale.runtime.commands import CheckSettings, print_status
 
 
 @cappa.command(help="Run a relay; the variable LYNXSCALE_SETTINGS names its settings file.")
@@ -34,11 +33,7 @@
 
     def __call__(self) -> None:
         """Print it."""
-        response = call(self.address, "GET", "/status")
-        if self.json:
-            print(response.body.decode())
-        else:
-            print(render(msgspec.json.decode(response.body, type=RelayStatus)))
+        print_status(self.address, self.json, RelayStatus, render)
 
 
 @cappa.command(name="lynxscale-dataplane", help="Relays that take requests from clients and pass them to endpoints.")
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -29,7 +29,6 @@
 log = logging.getLogger(__name__)
 
 LOOK_EVERY_S = 0.2
-ALONE_AFTER_S = 1.6  # without a word that a primary vouched for
 OWN_READ_EVERY_S = 0.8
 RATE_SHARE = 0.5  # of the platform's rate, for all relays together
 
@@ -64,7 +63,7 @@
     @property
     def alone(self) -> bool:
         """Has no primary vouched for what this relay holds for long? Then others serve programs better."""
-        return self.tree.age > ALONE_AFTER_S
+        return self.tree.alone
 
     def receive(self, message: m.Message) -> None:
         """Handle a message of another node."""
--- a/lynxscale/runtime/commands.py
+++ b/lynxscale/runtime/commands.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
+from typing import TypeVar
 
 import cappa
+import msgspec
 
 from lynxscale.runtime.ask import NoAnswer, ask
 from lynxscale.runtime.http_types import Response
 from lynxscale.runtime.settings import SettingsError, parse
 
+T = TypeVar("T")
+
 GOOD, FINDINGS, UNUSABLE = 0, 1, 2
 
 
@@ -37,6 +42,12 @@
         raise fail(f"{address}: {error}", UNUSABLE) from None
 
 
+def print_status(address: str, as_json: bool, kind: type[T], render: Callable[[T], str]) -> None:
+    """Print what a process tells of itself, as it came or as text. Raises cappa.Exit."""
+    response = call(address, "GET", "/status")
+    print(response.body.decode() if as_json else render(msgspec.json.decode(response.body, type=kind)))
+
+
 @cappa.command(name="check-settings", help="Check a settings file; all findings are told at once.")
 @dataclass
 class CheckSettings:
