--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -21,7 +21,7 @@
 from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Request
 from lynxscale.runtime.settings import Settings
-from lynxscale.topics import CONFIG, ENDPOINTS, MEMBERS, Endpoint
+from lynxscale.topics import CONFIG, ENDPOINTS, MEMBERS, Endpoint, is_foreign_part, part_count, split
 
 log = logging.getLogger(__name__)
 
@@ -54,6 +54,7 @@
         self._reader = EndpointReader(settings.cloud.address, clock, dial, self._on_list)
         self._serving = False
         self._endpoints: list[Endpoint] = []
+        self._parts: dict[str, list[Endpoint]] = {}
         self._members: tuple[str, ...] = ()
         self._numbers: dict[str, int] = {}
         self._roster_dirty = False
@@ -157,7 +158,7 @@
     def _begin_serving(self) -> None:
         self._serving = True
         self.publisher.topics, self.publisher.children, self._numbers = {}, {}, {}
-        self._endpoints, self._members = [], ()
+        self._endpoints, self._parts, self._members = [], {}, ()
         self.roster = Roster(self._clock, self._roster_changed)
         self.ledger = Ledger(self.member.store.values, self._clock)
         self.ledger.begin()
@@ -178,16 +179,32 @@
         if endpoints != self._endpoints and self.member.leads():
             log.info("event=endpoints count=%d", len(endpoints))
             self._endpoints = endpoints
-            self._publish(ENDPOINTS, endpoints)
+            self._publish_endpoints()
+
+    def _publish_endpoints(self) -> None:
+        """Publish the parts of the list that have changed."""
+        count = part_count(len(self._endpoints))
+        parts = split(self._endpoints, count)
+        changed = {name: part for name, part in parts.items() if self._parts.get(name) != part}
+        if len(parts) != len(self._parts):
+            self.publisher.drop(lambda name: is_foreign_part(name, count))
+            changed[ENDPOINTS] = count
+        self._parts = parts
+        for name, value in changed.items():
+            self._set_topic(name, value)
+        self._push()
 
     def _roster_changed(self) -> None:
         self._roster_dirty = True
 
     def _publish(self, name: str, value: object) -> None:
+        self._set_topic(name, value)
+        self._push()
+
+    def _set_topic(self, name: str, value: object) -> None:
         self._numbers[name] = self._numbers.get(name, 0) + 1
         version = m.Version(self.member.record.epoch, self._numbers[name])
         self.publisher.take({name: m.Topic(version, msgspec.Raw(msgspec.json.encode(value)))})
-        self._push()
 
     def _push(self) -> None:
         self.publisher.push(self.publisher.address, self.member.record.epoch, 0.0)
--- a/lynxscale/coordination/tree.py
+++ b/lynxscale/coordination/tree.py
@@ -73,6 +73,10 @@
             self.topics[name] = topics[name]
         return newer
 
+    def drop(self, unwanted: Callable[[str], bool]) -> None:
+        """Forget topics by name."""
+        self.topics = {name: topic for name, topic in self.topics.items() if not unwanted(name)}
+
     def attach(self, request: m.Attach, primary: str, epoch: int, age: float) -> None:
         """Answer a child."""
         self.children[request.sender] = Child(dict(request.have), self._clock.now())
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -24,7 +24,7 @@
 from lynxscale.runtime.http_server import Exchange, Responder, ServerLimits
 from lynxscale.runtime.http_types import Head, Request, Response
 from lynxscale.runtime.settings import Settings
-from lynxscale.topics import CONFIG, ENDPOINTS, MEMBERS, Endpoint
+from lynxscale.topics import CONFIG, ENDPOINTS, MEMBERS, Endpoint, is_foreign_part, part_name
 
 log = logging.getLogger(__name__)
 
@@ -139,8 +139,8 @@
         topics = self.tree.publisher.topics
         if CONFIG in names:
             self._take_configuration(topics[CONFIG].value)
-        if ENDPOINTS in names:
-            self.balancer.take_list(msgspec.json.decode(topics[ENDPOINTS].value, type=list[Endpoint]))
+        if any(name.startswith(ENDPOINTS) for name in names):
+            self._take_endpoints()
         if MEMBERS in names:
             self._members = msgspec.json.decode(topics[MEMBERS].value, type=tuple[str, ...])
             self._set_contacts()
@@ -149,6 +149,18 @@
         if self._table is not None and self.balancer.known:
             self.parking.release()
 
+    def _take_endpoints(self) -> None:
+        """Take the list once all of its parts are there."""
+        publisher = self.tree.publisher
+        if ENDPOINTS not in publisher.topics:
+            return
+        count = msgspec.json.decode(publisher.topics[ENDPOINTS].value, type=int)
+        publisher.drop(lambda name: is_foreign_part(name, count))
+        parts = [publisher.topics.get(part_name(count, number)) for number in range(count)]
+        if all(parts):
+            listed = [msgspec.json.decode(part.value, type=list[Endpoint]) for part in parts]
+            self.balancer.take_list([endpoint for part in listed for endpoint in part])
+
     def _take_configuration(self, value: msgspec.Raw) -> None:
         try:
             self._table = decode_table(value)
--- a/tests/test_tier_checks.py
+++ b/tests/test_tier_checks.py
@@ -4,6 +4,7 @@
 import pytest
 
 from lab.tier import mistakes
+from lab.tier.cluster import Tier
 from lab.tier.histories import History
 from lab.tier.world import World
 from lynxscale.controlplane.configuration import check
@@ -13,6 +14,7 @@
 from lynxscale.coordination.store import Store
 from lynxscale.coordination.tree import FANOUT, Publisher, RosterEntry, parent_of
 from lynxscale.dataplane.events import EventScanner
+from lynxscale.topics import PART_PREFIX, part_count
 
 
 @pytest.mark.parametrize("seed", range(1, 41))
@@ -75,6 +77,23 @@
     assert max(children.values()) <= FANOUT
 
 
+def test_a_long_list_goes_in_parts_and_a_change_costs_one():
+    one = Tier(World(6)).settle()
+    template = one.platform.listed[0]
+    for number in range(350):
+        one.platform.listed.append(msgspec.structs.replace(template, id=f"x{number}", address=f"10.9.0.{number}:1"))
+    one.world.run(one.world.time + 2.0)
+    relay = one.relays[one.relay_hosts[0]]
+    assert len(relay.balancer.states) == 354
+    before = dict(relay.tree.publisher.versions())
+    assert sum(name.startswith(PART_PREFIX) for name in before) == part_count(354) == 4
+    del one.platform.listed[-1]
+    one.world.run(one.world.time + 2.0)
+    assert len(relay.balancer.states) == 353
+    changed = [name for name, version in relay.tree.publisher.versions().items() if before.get(name) != version]
+    assert len(changed) == 1
+
+
 def test_only_whole_events_pass_and_each_counts_once():
     stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\nda"
     for size in (1, 5, 100):
