--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -25,7 +25,8 @@
 
 log = logging.getLogger(__name__)
 
-TICK_S = 0.05
+TICK_S = 0.02
+MOST_UNANSWERED = 10_000  # relays that asked while there was no primary
 SWEEP_EVERY_S = 5.0
 SCRUB_EVERY_S = 4.0
 
@@ -53,6 +54,7 @@
         self.roster = Roster(clock, self._roster_changed)
         self._reader = EndpointReader(settings.cloud.address, clock, dial, self._on_list)
         self._serving = False
+        self._unanswered: set[str] = set()
         self._endpoints: list[Endpoint] = []
         self._parts: dict[str, list[Endpoint]] = {}
         self._members: tuple[str, ...] = ()
@@ -145,7 +147,20 @@
         self.publisher.attach(message, self.publisher.address, self.member.record.epoch, 0.0)
 
     def _redirect(self, address: str) -> None:
-        self._network.send(address, m.Redirect(self.member.primary(), self.member.record.epoch))
+        """Tell who is primary, now or as soon as it is known here."""
+        if self._primary_that_serves():
+            self._network.send(address, m.Redirect(self._primary_that_serves(), self.member.record.epoch))
+        elif len(self._unanswered) < MOST_UNANSWERED:
+            self._unanswered.add(address)
+
+    def _primary_that_serves(self) -> str:
+        return "" if self.member.leads() and not self._serving else self.member.primary()
+
+    def _answer_waiting(self) -> None:
+        if self._unanswered and self._primary_that_serves():
+            waiting, self._unanswered = self._unanswered, set()
+            for address in waiting:
+                self._redirect(address)
 
     # What the primary does ---------------------------------------------------------------------------
 
@@ -211,10 +226,11 @@
 
     def _tick(self) -> None:
         self._timer = self._clock.call_later(TICK_S, self._tick)
+        if self.member.leads() and not self._serving:
+            self._begin_serving()
+        self._answer_waiting()
         if not self.member.leads():
             return
-        if not self._serving:
-            self._begin_serving()
         members = tuple(m.address_of(one) for one in self.member.record.witnesses)
         if members != self._members:
             self._members = members
--- a/lynxscale/coordination/calls.py
+++ b/lynxscale/coordination/calls.py
@@ -8,7 +8,7 @@
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.ports import Clock, Network, Timer
 
-REPEAT_AFTER_S = 0.2
+REPEAT_AFTER_S = 0.15
 
 
 @dataclass(slots=True)
@@ -81,5 +81,5 @@
             pending.done(None)
             return
         pending.sends += 1
-        # The primary may be gone: every other time somebody else is asked, who knows where to turn.
-        self._send(pending, "" if pending.sends % 2 else self._primary())
+        # The primary may be gone: two times of three somebody else is asked, who tells where to turn.
+        self._send(pending, "" if pending.sends % 3 else self._primary())
--- a/tests/test_tier_whole.py
+++ b/tests/test_tier_whole.py
@@ -228,6 +228,20 @@
     assert (answer.status, answer.complete) == (200, True)
 
 
+def test_a_turn_that_begins_as_the_primary_dies_waits_for_little_more_than_its_lease():
+    one = tier()
+    one.world.run(one.world.time + 1.0)
+    for number in range(8):
+        one.kill_control(one.primary().publisher.address.partition(":")[0])
+        begun = one.world.time
+        assert one.turn(f"p{number}", 1000).complete
+        assert one.world.time - begun < 1.1, number
+        for host in one.control_hosts:
+            if host not in one.controls:
+                one.start_control(host)
+        one.world.run(one.world.time + 2.0)
+
+
 def test_an_unknown_turn_is_404_only_when_that_is_certain():
     one = tier()
     assert one.turn("p", 1000, previous="never").status == 404
