--- a/lynxscale/coordination/tree.py
+++ b/lynxscale/coordination/tree.py
@@ -18,7 +18,7 @@
 
 FANOUT = 4
 ATTACH_EVERY_S = 0.25  # in a small tier
-MOST_STRETCH, STRETCH_BEYOND = 2.6, 32  # relays: with more, each asks up to so many times less often
+MOST_STRETCH, STRETCH_BEYOND = 2.8, 32  # beyond so many relays each asks up to so many times less often
 SEEK_EVERY_S = 0.08  # while no primary is known
 CHILD_EXPIRES_S = 2.0
 RESEND_AFTER_S = 2.0  # what a child has not confirmed
