A request told as never sent may have been written, and a head without an id may be another request's

`Attempt.on_head` took an answer that names no id for its own, also on a connection that had carried another request. Change: `not sent` is concluded from what was written alone. On a connection that carried a request before, an answer must name the request's id; else the try may have run.

--- a/lynxscale/dataplane/attempt.py
+++ b/lynxscale/dataplane/attempt.py
@@ -63,8 +63,12 @@
         return (self._clock.now() - self.sent_at) * 1000.0
 
     def on_head(self, status: int, head: Head) -> None:
-        """Part of Receiver. An answer to another request ends the try: its connection is out of step."""
-        if head.get(h.REQUEST_ID) not in (None, self._request_id):
+        """Part of Receiver. An answer to another request ends the try: its connection is out of step.
+
+        An answer without an id may be an earlier request's where the connection carried one.
+        """
+        answered = head.get(h.REQUEST_ID)
+        if answered != self._request_id and (answered is not None or self._connection.used):
             self._spoilt()
             return
         load = h.server_load(head)
--- a/lynxscale/runtime/http_client.py
+++ b/lynxscale/runtime/http_client.py
@@ -62,6 +62,7 @@
         self.state = ClientState.CONNECTING
         self.idle_until = 0.0
         self.used = False
+        self._written = False  # has any byte of a request been handed to the system?
         self._clock = clock
         self._on_idle = on_idle
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEADER_BYTES)
@@ -87,8 +88,8 @@
         self._become(ClientState.CLOSED)
 
     def refused(self) -> None:
-        """The connection could not be brought up."""
-        self._fail(Failure.NOT_CONNECTED)
+        """The dialler gives the connection up. It may have come up in that very moment, and carry a request already."""
+        self._fail(Failure.CLOSED if self._written else Failure.NOT_CONNECTED)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Part of asyncio.Protocol."""
@@ -141,6 +142,7 @@
         except h11.LocalProtocolError:
             self._fail(Failure.NOT_CONNECTED)
             return
+        self._written = True
         self._transport.write(data)
 
     def _read(self) -> None:
