Calls to the primary carry the life of their caller; an admission that timed out gives back what it reserved

Change: each process draws a number of its own that comes back with each answer; a relay that gets no answer in time settles the turn at nothing.

--- a/lynxscale/coordination/calls.py
+++ b/lynxscale/coordination/calls.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.ports import Clock, Network, Timer
 
 REPEAT_AFTER_S = 0.15
+LIFE_BITS = 48
 
 
 @dataclass(slots=True)
@@ -30,6 +32,7 @@
         address: str,
         clock: Clock,
         network: Network,
+        random: Random,
         primary: Callable[[], str],
         contacts: Callable[[], list[str]],
     ) -> None:
@@ -39,14 +42,15 @@
         self._primary = primary
         self._contacts = contacts
         self._pending: dict[int, Pending] = {}
-        # A restarted node must not take the answers to calls of its earlier process.
-        self._number = int(clock.wall() * 1000) << 16
+        # A restarted node must not take the answers to calls of its earlier process, whatever its clock says.
+        self._life = random.getrandbits(LIFE_BITS)
+        self._number = 0
         self._turn = 0
 
     def call(self, body: m.AdmitTurn | m.FinishTurn, timeout_s: float, done: Callable) -> None:
         """``done(answer)``, or ``done(None)`` where none came in time."""
         self._number += 1
-        message = m.Call(self._number, self._address, body)
+        message = m.Call(self._number, self._address, self._life, body)
         pending = Pending(message, self._clock.now() + timeout_s, done)
         self._pending[self._number] = pending
         self._send(pending, self._primary())
@@ -55,7 +59,7 @@
         """Handle an answer; False for messages of other kinds."""
         if not isinstance(message, m.Reply):
             return False
-        pending = self._pending.pop(message.number, None)
+        pending = self._pending.pop(message.number, None) if message.life == self._life else None
         if pending is not None:
             pending.timer.cancel()
             pending.done(message.body)
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -43,7 +43,9 @@
         self.balancer = Balancer(settings.zone, clock, dial)
         self.tree = Subscriber(address, settings.zone, settings.contacts, clock, network, self._on_topics)
         self.ring = RingMember(address, settings.heartbeat_ms / 1000.0, clock, network)
-        self.calls = PrimaryCalls(address, clock, network, lambda: self.tree.primary, lambda: self.tree.contacts)
+        self.calls = PrimaryCalls(
+            address, clock, network, random, lambda: self.tree.primary, lambda: self.tree.contacts
+        )
         self._seeds = settings.contacts
         self._members: tuple[str, ...] = ()
         self._reader = EndpointReader(settings.cloud.address, clock, dial, self._on_own_list)
--- a/lynxscale/dataplane/turns.py
+++ b/lynxscale/dataplane/turns.py
@@ -69,6 +69,8 @@
                 self._settled = True
                 done(answer.status, b"")
             else:
+                # It may be decided yet: what it reserves is given back, as nothing runs.
+                self.settle(0)
                 done(UNSURE, b"")
 
         self._calls.call(body, min(left_s, self._timeout_s), answered)
