One search for all laboratories: lab/explorer.py

A candidate's decision stands in coordination/candidacy.py, so that the search runs the code in service.

--- a/lab/cluster/check.py
+++ b/lab/cluster/check.py
@@ -17,12 +17,11 @@
 from __future__ import annotations
 
 import copy
-from collections import deque
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field, replace
 
 from lab.cluster.mistakes import Spoilt, spoil
-from lab.cluster.simulate import Breach
+from lab.explorer import Breach, search
 from lynxscale.cluster.sight import Identity, Sight
 from lynxscale.cluster.views import Order, Persist, Say, Terms, Views
 from lynxscale.cluster.words import (
@@ -170,23 +169,13 @@
         self._acts: dict[tuple[int, int], bool] = {}
 
     def run(self) -> int:
-        """The number of states. Raises Breach with the way there, RuntimeError where there are too many."""
-        first = self._first()
-        seen, waiting = {first}, deque([(first, None)])
-        while waiting:
-            # Depth first finds a breach of leases far sooner; without time to end it, a mistake may lead on for ever.
-            state, way = waiting.pop() if self.terms.lease else waiting.popleft()
-            for what, after in self._nexts(state):
-                try:
-                    met = self._judge(after)
-                except Breach as breach:
-                    raise Breach(f"{self.scenario.name}: {breach}; by {self._told((what, way))}") from breach
-                if met not in seen:
-                    seen.add(met)
-                    if len(seen) > self.most:
-                        raise RuntimeError(f"{self.scenario.name}: more than {self.most} states")
-                    waiting.append((met, (what, way)))
-        self.states = len(seen)
+        """The number of states. Raises Breach with the way there, TooManyStates (a RuntimeError)."""
+        # Depth first finds a breach of leases far sooner; without time to end it, a mistake may lead on for ever.
+        depth_first = bool(self.terms.lease)
+        try:
+            self.states = search(self._first(), self._nexts, self._judge, self._told, self.most, depth_first)
+        except Breach as breach:
+            raise Breach(f"{self.scenario.name}: {breach}") from breach
         return self.states
 
     def _at(self, time: int) -> int:
@@ -385,15 +374,12 @@
             found = self._acts[id_, time] = local.views.may_act(self._at(time))
         return found
 
-    def _told(self, way: tuple | None) -> str:
-        steps = []
-        while way is not None:
-            (what, name, with_), way = way
-            steps.append(
-                f"{name} {what} "
-                + (f"{self._said[with_].frm}'s {self._said[with_].word}" if what == "hears" else str(with_ or ""))
-            )
-        return "; ".join(reversed(steps))
+    def _told(self, events: list[tuple]) -> str:
+        return "; ".join(
+            f"{name} {what} "
+            + (f"{self._said[with_].frm}'s {self._said[with_].word}" if what == "hears" else str(with_ or ""))
+            for what, name, with_ in events
+        )
 
 
 def _less(counts: tuple[int, ...], place: int) -> tuple[int, ...]:
--- a/lab/cluster/explore.py
+++ b/lab/cluster/explore.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from lab.cluster.simulate import Breach
+from lab.explorer import Breach
 from lynxscale.cluster.sight import Identity, Rumour, Sight, State
 from lynxscale.cluster.views import Persist, Say, Terms, Views
 from lynxscale.cluster.words import Kept, Step, View
--- a/lab/cluster/simulate.py
+++ b/lab/cluster/simulate.py
@@ -13,6 +13,7 @@
 from itertools import count
 from time import process_time
 
+from lab.explorer import Breach
 from lynxscale.cluster import frame
 from lynxscale.cluster.core import Core
 from lynxscale.cluster.detector import Renew, Send, Swap, Timing
@@ -78,10 +79,6 @@
     return data
 
 
-class Breach(AssertionError):
-    """Something promised did not hold."""
-
-
 class World:
     """``mistake`` is a hook for the laboratory's own check: it may change each core that is made."""
 
--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -14,6 +14,7 @@
 from random import Random
 
 from lynxscale.coordination import messages as m
+from lynxscale.coordination.candidacy import Candidacy, decide_candidacy
 from lynxscale.coordination.departure import Departure
 from lynxscale.coordination.epochs import Proposal, Witness
 from lynxscale.coordination.follower import Follower
@@ -22,7 +23,7 @@
 from lynxscale.coordination.ports import Clock, Files, Network, Timer
 from lynxscale.coordination.proposer import ROUND_TIMEOUT_S, Proposer
 from lynxscale.coordination.register import Register
-from lynxscale.coordination.store import NOWHERE, Store
+from lynxscale.coordination.store import Store
 from lynxscale.coordination.voters import FOUNDERS
 
 log = logging.getLogger(__name__)
@@ -300,26 +301,18 @@
         base = proposal.base
         if self.leadership is not None and base.primary == self.me:
             return self.leadership.plan(proposal)
-        if self.state is not State.CANDIDATE or self.me not in base.in_sync or self.me not in base.witnesses:
+        decided = Candidacy()
+        if self.state is State.CANDIDATE:
+            decided = decide_candidacy(self.me, self._held(), proposal, self.settings.tolerated)
+        if decided.further:
+            self._stand_aside(base, decided.further)
+        elif decided.record is None:
             self.witness.learn(base)
             self._become(State.BACKUP if self.me in base.witnesses else State.JOINING)
-            return None
-        if further := self._further_copy(proposal):
-            log.warning("event=stands_aside member=%s", further)
-            self._stand_aside(base, further)
-            return None
-        present = tuple(one for one in base.in_sync if proposal.promised.get(one, NOWHERE) != NOWHERE)
-        enough = len(present) > self.settings.tolerated
-        return m.EpochRecord(proposal.epoch, self.me, present if enough else base.in_sync, base.witnesses)
-
-    def _further_copy(self, proposal: Proposal) -> str:
-        """An in-sync voter whose copy reaches further than the own one, which may have lost its last files."""
-        base = proposal.base
-        voters = [one for one in base.in_sync if one in base.witnesses and one in proposal.promised]
-        best = max(voters, key=lambda one: proposal.promised[one], default=self.me)
-        return best if proposal.promised.get(best, NOWHERE) > self._held() else ""
+        return decided.record
 
     def _stand_aside(self, base: m.EpochRecord, further: str) -> None:
+        log.warning("event=stands_aside member=%s", further)
         self._become(State.BACKUP)
         self._candidate_at = self._clock.now() + self._candidacy_delay(LEASE_S)
         self._network.send(m.address_of(further), m.TakeOver(base.epoch))
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from lab.cluster import check, explore, mistakes, simulate
-from lab.cluster.simulate import SECOND, Breach, World
+from lab.cluster.simulate import SECOND, World
+from lab.explorer import Breach
 from lynxscale.cluster import frame, stable, views, words
 from lynxscale.cluster.core import Core
 from lynxscale.cluster.detector import Detector, Renew, Send
