Small machines in every order: election, admission, transfer; nobody goes who leaves no majority behind

Found by the search of admissions: a leaving member was released while another voter was lost, so that no majority was left until it returned. Change: it is released only where those that stay are a majority.

--- /dev/null
+++ b/lab/tier/orders/admission.py
@@ -0,0 +1,208 @@
+"""Admission, replacement and leaving: the plans of a primary against all that may befall the members meanwhile.
+
+Members fall silent and return, lose their disks, come new, catch up, are asked to stop or to be emptied, and go once
+they may; the primary decides its plan step by step, and its lead may pass to another member.
+
+Judged: with every member that is silent back, and no more disks lost than tolerated, a majority of the voters and a
+copy that counts, on a voter, are there; a copy counts only on a voter that has caught up.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from dataclasses import dataclass
+
+from lab.explorer import Breach, Event
+from lynxscale.coordination.epochs import majority
+from lynxscale.coordination.messages import EpochRecord
+from lynxscale.coordination.voters import PeerView, PlanInput, may_go, plan_record
+
+SILENT_S = 0.3
+
+
+@dataclass(frozen=True)
+class AdmissionBounds:
+    """``newcomers`` may appear, ``losses`` disks be lost, and so on; ``tolerated`` at once."""
+
+    founders: int = 3
+    newcomers: int = 1
+    tolerated: int = 1
+    losses: int = 1
+    silences: int = 1
+    stops: int = 1
+    retirements: int = 0
+
+
+@dataclass
+class MemberView:
+    """What befell one member. ``gone``: its process ended for good, or its disk was lost."""
+
+    present: bool = True
+    gone: bool = False
+    holds: bool = False
+    leaving: bool = False
+    retiring: bool = False
+
+
+class Admission:
+    """The machine that is searched."""
+
+    def __init__(self, bounds: AdmissionBounds) -> None:
+        self.bounds = bounds
+        self.names = [f"m{number}:1#0" for number in range(bounds.founders + bounds.newcomers)]
+        voters = tuple(self.names[: max(3, 2 * bounds.tolerated + 1)])
+        self.record = EpochRecord(1, voters[0], voters, voters)
+        self.members = {name: MemberView(holds=True) for name in self.names[: bounds.founders]}
+        for name in self.names[len(voters) : bounds.founders]:
+            self.members[name].holds = False
+        self._left = {
+            "loses its disk": bounds.losses,
+            "falls silent": bounds.silences,
+            "is asked to stop": bounds.stops,
+            "is to be emptied": bounds.retirements,
+        }
+
+    @property
+    def primary(self) -> str:
+        """The member that plans."""
+        return self.record.primary
+
+    def events(self) -> list[Event]:
+        """What may happen next."""
+        found: list[Event] = []
+        for name in self.names:
+            found += [(name, what) for what in self._may(name)]
+        if self._leads and self._plan() is not None:
+            found.append((self.primary, "decides"))
+        found += [(name, "takes over") for name in self._heirs()]
+        return found
+
+    def _may(self, name: str) -> list[str]:
+        member = self.members.get(name)
+        if member is None:
+            return ["comes"]
+        if member.gone:
+            return []
+        found = [what for what, left in self._left.items() if left and self._allowed(name, what)]
+        if not member.present:
+            found.append("returns")
+        elif not member.holds and name in self.record.witnesses and self._leads:
+            found.append("has caught up")
+        if member.leaving and member.present and self._leads and name != self.primary:
+            if may_go(self._input(), name):
+                found.append("goes")
+        return found
+
+    def _allowed(self, name: str, what: str) -> bool:
+        member = self.members[name]
+        if what in ("loses its disk", "falls silent"):
+            return member.present and len(self._lost_voters() - {name}) < self.bounds.tolerated
+        if what == "is to be emptied":
+            remaining = [one for one, other in self.members.items() if one != name and self._stays(other)]
+            return not member.retiring and len(remaining) >= max(3, 2 * self.bounds.tolerated + 1)
+        return not member.leaving
+
+    @staticmethod
+    def _stays(member: MemberView) -> bool:
+        return member.present and not (member.gone or member.leaving or member.retiring)
+
+    def _lost_voters(self) -> set[str]:
+        """Members that are not there, or came back and have not caught up: the operators count them as lost."""
+        named = {*self.record.witnesses, *self.record.in_sync}
+        return {one for one in named if self.members[one].gone or not self.members[one].present}
+
+    @property
+    def _leads(self) -> bool:
+        member = self.members[self.primary]
+        present = {one for one, other in self.members.items() if other.present and not other.gone}
+        return member.present and not member.gone and majority(self.record.witnesses, present)
+
+    def _heirs(self) -> list[str]:
+        present = {one for one, other in self.members.items() if other.present and not other.gone}
+        if not majority(self.record.witnesses, present):
+            return []
+        voters = set(self.record.witnesses) & set(self.record.in_sync) & present
+        return sorted(voters - {self.primary})
+
+    def do(self, event: Event) -> None:
+        """Let it happen."""
+        name, what = event
+        if what == "comes":
+            self.members[name] = MemberView()
+            return
+        member = self.members[name]
+        if what in self._left:
+            self._left[what] -= 1
+        if what == "loses its disk":
+            member.gone, member.present, member.holds = True, False, False
+        elif what == "falls silent":
+            member.present = False
+        elif what == "returns":
+            member.present = True
+            # What was committed meanwhile it lacks, unless nothing could be without it.
+            member.holds = member.holds and name in self.record.in_sync
+        elif what == "is asked to stop":
+            member.leaving = True
+        elif what == "is to be emptied":
+            member.retiring = True
+        elif what == "has caught up":
+            member.holds = True
+        elif what == "goes":
+            member.gone, member.present = True, False
+        elif what == "takes over":
+            self.record = EpochRecord(self.record.epoch, name, self.record.in_sync, self.record.witnesses)
+        else:
+            self.record = self._plan()
+            for one, other in self.members.items():
+                other.holds = other.holds and one in self.record.in_sync
+
+    def _plan(self) -> EpochRecord | None:
+        planned = plan_record(self._input(), self.record.epoch)
+        return planned if planned != self.record else None
+
+    def _input(self) -> PlanInput:
+        peers = {
+            one: PeerView(0.0 if member.present else -100.0, one, member.leaving)
+            for one, member in self.members.items()
+            if one != self.primary
+        }
+        return PlanInput(
+            base=self.record,
+            me=self.primary,
+            now=0.0,
+            silent_after=SILENT_S,
+            tolerated=self.bounds.tolerated,
+            peers=peers,
+            caught_up={one for one, member in self.members.items() if member.holds},
+            lagging=set(),
+            behind={one for one in self.record.in_sync if not self.members[one].holds},
+            retiring={one for one, member in self.members.items() if member.retiring},
+        )
+
+    def key(self) -> Hashable:
+        """Epochs do not matter."""
+        members = tuple(
+            (name, one.present, one.gone, one.holds, one.leaving, one.retiring)
+            for name, one in sorted(self.members.items())
+        )
+        return self.record.primary, self.record.in_sync, self.record.witnesses, members, tuple(self._left.values())
+
+    def judge(self) -> None:
+        """Raises Breach."""
+        record = self.record
+        if not set(record.in_sync) <= set(record.witnesses):
+            raise Breach(f"a copy counts that is no voter's: {record}")
+        whole = {one for one in record.witnesses if not self.members[one].gone}
+        if not majority(record.witnesses, whole):
+            raise Breach(f"no majority is left of {record.witnesses}")
+        if not any(one in whole and self.members[one].holds for one in record.in_sync):
+            raise Breach(f"no copy is left of {record.in_sync}")
+
+
+BOUNDS = (
+    AdmissionBounds(),
+    AdmissionBounds(newcomers=2, stops=2),
+    AdmissionBounds(founders=4, newcomers=1, losses=1, stops=2),
+    AdmissionBounds(founders=4, newcomers=1, losses=1, stops=1, retirements=1),
+    AdmissionBounds(founders=5, newcomers=1, tolerated=2, losses=2, silences=1, stops=1),
+)
--- /dev/null
+++ b/lab/tier/orders/election.py
@@ -0,0 +1,236 @@
+"""Election and lease: registers, rounds and leases of three members as they run in service.
+
+Messages of one link come in order; those that are left lying never come, and a link may lose what is on its way.
+Refusals are left out, as a member may stand again at any time. A member stands, is primary where its record was decided, asks for its lease,
+may end at any step and start with its register; time goes by in steps shorter than a lease.
+
+Judged: no two records are accepted under one epoch; one member at most holds a lease; a member that holds one has not
+been passed by a later epoch that a majority accepted.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Hashable
+from dataclasses import dataclass
+
+from lab.explorer import Breach, Event, frozen
+from lab.tier.world import World
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.candidacy import decide_candidacy
+from lynxscale.coordination.epochs import Proposal, Witness, majority
+from lynxscale.coordination.lease import LEASE_S, HeldLease
+from lynxscale.coordination.proposer import Proposer
+from lynxscale.coordination.register import MemberIdentity, Register
+from lynxscale.coordination.versions import START
+
+ADDRESSES = ("a:1", "b:1", "c:1")
+TOLERATED = 1
+STEP_S = 0.25  # two of them are longer than a lease
+
+
+@dataclass(frozen=True)
+class ElectionBounds:
+    """How often each thing may happen, by member where it is one's own doing."""
+
+    stands: tuple[int, ...] = (1, 1, 0)
+    leases: tuple[int, ...] = (1, 1, 0)
+    ends: tuple[int, ...] = (0, 0, 0)
+    steps: int = 2
+    cuts: int = 0
+
+
+class Node:
+    """One member's process on its disk."""
+
+    def __init__(self, world: World, address: str) -> None:
+        machine = world.machine(address)
+        self.sent: list[tuple[str, m.Message]] = []
+        self.primary = False
+        register = Register(MemberIdentity(address, True, ADDRESSES), machine.files, world.random)
+        self.witness = Witness(register, machine.clock(), LEASE_S)
+        self.lease = HeldLease(machine.clock())
+        self.proposer = Proposer(self.witness, machine.clock(), self, self._held, self._choose, self._decided)
+
+    def send(self, address: str, message: m.Message) -> None:
+        """Part of the Network port."""
+        self.sent.append((address, message))
+
+    def _held(self) -> m.Position:
+        return START
+
+    def _choose(self, proposal: Proposal) -> m.EpochRecord | None:
+        return decide_candidacy(self.witness.member, START, proposal, TOLERATED).record
+
+    def _decided(self, record: m.EpochRecord) -> None:
+        self.primary = True
+        self.lease.forget_rounds()
+
+    def stand(self) -> None:
+        """Ask for an epoch."""
+        self.primary = False
+        self.lease.drop()
+        self.proposer.propose()
+
+    def ask_for_lease(self) -> None:
+        """One heartbeat."""
+        record = self.witness.record
+        request = m.LeaseRequest(record, self.lease.begin_round())
+        for one in record.witnesses:
+            if one != self.witness.member:
+                self.send(m.address_of(one), request)
+        if self.witness.grant(request):
+            self.lease.grant(request.round, self.witness.member, record.witnesses)
+
+    def receive(self, message: m.Message) -> None:
+        """As ControlMember does."""
+        if isinstance(message, m.Prepare):
+            answer = self.witness.prepare(message, START)
+            if isinstance(answer, m.Promise):
+                self._step_down()
+            self.send(m.address_of(message.candidate), answer)
+        elif isinstance(message, m.Promise):
+            self.proposer.on_promise(message)
+        elif isinstance(message, m.Deny):
+            self.proposer.on_deny(message)
+        elif isinstance(message, m.Accept):
+            answer = self.witness.accept(message.record)
+            if answer is not None:
+                self.send(m.address_of(message.record.primary), answer)
+        elif isinstance(message, m.Accepted):
+            self.proposer.on_accepted(message)
+        elif isinstance(message, m.LeaseRequest):
+            self._on_lease_request(message)
+        elif isinstance(message, m.LeaseGrant) and message.granted and message.epoch == self.witness.record.epoch:
+            self.lease.grant(message.round, message.member, self.witness.record.witnesses)
+
+    def _on_lease_request(self, message: m.LeaseRequest) -> None:
+        if message.record.epoch < self.witness.record.epoch:
+            return
+        self.witness.learn(message.record)
+        self._step_down()
+        granted = self.witness.grant(message)
+        me = self.witness.member
+        answer = m.LeaseGrant(message.record.epoch, message.round, me, "", granted, 0, START)
+        self.send(m.address_of(message.record.primary), answer)
+
+    def _step_down(self) -> None:
+        if self.primary:
+            self.primary = False
+            self.lease.drop()
+        self.proposer.cancel()
+
+
+class Election:
+    """The machine that is searched."""
+
+    def __init__(self, bounds: ElectionBounds) -> None:
+        self.world = World(1)
+        self.nodes = {address: Node(self.world, address) for address in ADDRESSES}
+        self._left = {
+            "stands": list(bounds.stands),
+            "asks for its lease": list(bounds.leases),
+            "ends and starts": list(bounds.ends),
+        }
+        self._steps = bounds.steps
+        self._cuts = bounds.cuts
+        self._links: dict[tuple[str, str], deque[m.Message]] = {}
+        self._accepted: dict[int, dict[str, set[str]]] = {}  # by epoch and record: who accepted it
+        self._records: dict[str, m.EpochRecord] = {}
+
+    def events(self) -> list[Event]:
+        """What may happen next."""
+        found: list[Event] = [("hears", link) for link in self._links]
+        if self._cuts:
+            found += [("loses", link) for link in self._links]
+        for what, left in self._left.items():
+            for place, address in enumerate(ADDRESSES):
+                if left[place] and (what != "asks for its lease" or self.nodes[address].primary):
+                    found.append((what, address))
+        if self._steps:
+            found.append(("time goes by", ""))
+        return found
+
+    def do(self, event: Event) -> None:
+        """Let it happen."""
+        what, which = event
+        if what == "hears":
+            self.nodes[which[1]].receive(self._links[which].popleft())
+        elif what == "loses":
+            self._cuts -= 1
+            self._links[which].clear()
+        elif what == "time goes by":
+            self._steps -= 1
+            self.world.time += STEP_S
+        else:
+            self._left[what][ADDRESSES.index(which)] -= 1
+            if what == "stands":
+                self.nodes[which].stand()
+            elif what == "asks for its lease":
+                self.nodes[which].ask_for_lease()
+            else:
+                self.nodes[which] = Node(self.world, which)
+        self._collect()
+
+    def _collect(self) -> None:
+        for address, node in self.nodes.items():
+            for target, message in node.sent:
+                if not isinstance(message, m.Deny):
+                    self._links.setdefault((address, target), deque()).append(message)
+            node.sent.clear()
+            record = node.witness.record
+            if record.epoch:
+                name = m.encode(m.Accept(record)).decode()
+                self._records[name] = record
+                self._accepted.setdefault(record.epoch, {}).setdefault(name, set()).add(founder(address))
+        self._links = {link: messages for link, messages in sorted(self._links.items()) if messages}
+
+    def key(self) -> Hashable:
+        """Times count as they stand to the present one."""
+        nodes = tuple(
+            (
+                frozen(node.witness.state),
+                round(node.witness.lease_left, 3),
+                node.witness._lease_holder if node.witness.lease_left else "",
+                node.primary,
+                round(max(0.0, node.lease.until - self.world.time), 3),
+                frozen(node.lease._granted),
+                frozen(node.lease._sent),
+                frozen(node.proposer._proposal),
+                node.proposer._highest_denied,
+                node.proposer._open_epoch,
+            )
+            for node in self.nodes.values()
+        )
+        links = tuple((link, *(m.encode(one) for one in messages)) for link, messages in self._links.items())
+        return nodes, links, frozen(self._left), self._steps, self._cuts, frozen(self._accepted)
+
+    def judge(self) -> None:
+        """Raises Breach."""
+        for epoch, records in self._accepted.items():
+            if len(records) > 1:
+                raise Breach(f"two records under epoch {epoch}: {sorted(records)}")
+        holders = [address for address, node in self.nodes.items() if node.primary and node.lease.held]
+        if len(holders) > 1:
+            raise Breach(f"{holders} hold the lease at once")
+        for holder in holders:
+            own = self.nodes[holder].witness.record.epoch
+            for records in self._accepted.values():
+                for name, accepted in records.items():
+                    record = self._records[name]
+                    passed = record.epoch > own and majority(record.witnesses, accepted)
+                    if passed and record.primary != founder(holder):
+                        raise Breach(f"{holder} holds the lease of epoch {own} while {record.epoch} is decided")
+
+
+def founder(address: str) -> str:
+    """The id of the member at an address."""
+    return m.member_id(address, "0")
+
+
+BOUNDS = (
+    ElectionBounds(stands=(1, 1, 0), leases=(0, 0, 0), steps=0),
+    ElectionBounds(stands=(2, 0, 0), leases=(0, 0, 0), ends=(1, 0, 0), steps=0),
+    ElectionBounds(stands=(1, 1, 0), leases=(1, 0, 0), steps=1),
+    ElectionBounds(stands=(1, 1, 0), leases=(1, 0, 0), ends=(0, 0, 1), steps=1),
+)
--- /dev/null
+++ b/lab/tier/orders/transfer.py
@@ -0,0 +1,200 @@
+"""A snapshot on its way: a primary's copy and a follower, with writes, cuts, restarts and another primary between.
+
+Messages of one connection come in order; a cut loses what is on its way. The follower may lose its process, the
+primary its lead to another member with the same state; time goes by.
+
+Judged: what the follower holds at a position is the state that was written at that position, in memory and on disk.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Hashable
+from dataclasses import dataclass
+from unittest.mock import patch
+
+import msgspec
+
+from lab.explorer import Breach, Event, frozen
+from lab.tier.world import World
+from lynxscale.coordination import copies
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.copies import Copy
+from lynxscale.coordination.follower import Follower
+from lynxscale.coordination.store import Store
+
+PRIMARY, FOLLOWER = "p:1", "f:1"
+PAUSE_S = 1.5
+KEYS = 3
+
+
+@dataclass(frozen=True)
+class TransferBounds:
+    """How often each thing may happen. ``repairs``: the primary finds that the copy differs."""
+
+    writes: int = 2
+    cuts: int = 1
+    restarts: int = 0
+    leads: int = 0
+    pauses: int = 1
+    repairs: int = 0
+
+
+class Pipe:
+    """Implements the Network port: one connection in one direction."""
+
+    def __init__(self) -> None:
+        self.messages: deque[m.Message] = deque()
+
+    def send(self, address: str, message: m.Message) -> None:
+        """Part of the Network port."""
+        self.messages.append(message)
+
+
+class SnapshotTransfer:
+    """The machine that is searched."""
+
+    def __init__(self, bounds: TransferBounds) -> None:
+        self.world = World(1)
+        self._epoch = 1
+        self._there, self._back = Pipe(), Pipe()
+        self.store = Store(self.world.machine(PRIMARY).files)
+        self._states: dict[m.Position, dict[str, bytes]] = {self.store.position: {}}
+        self._left = {
+            "write": bounds.writes,
+            "cut": bounds.cuts,
+            "restart": bounds.restarts,
+            "next lead": bounds.leads,
+            "pause": bounds.pauses,
+            "repair": bounds.repairs,
+        }
+        self._settled = True
+        self._written = 0
+        for _ in range(KEYS):
+            self._write()
+        self.store.recent = type(self.store.recent)()  # so that only a whole state helps
+        self._start_follower()
+        self._lead()
+
+    def _lead(self) -> None:
+        network, clock = self._there, self.world.machine(PRIMARY).clock()
+        self.copy = Copy(FOLLOWER, self._epoch, self.store, clock, network, self._is_settled)
+        self.copy.on_position(self.follower_store.held)
+
+    def _is_settled(self) -> bool:
+        return self._settled
+
+    def _start_follower(self) -> None:
+        self.follower_store = Store(self.world.machine(FOLLOWER).files)
+        self.follower = Follower(FOLLOWER, self.follower_store, self._back, self._follows, lambda: PRIMARY)
+
+    def _follows(self, epoch: int) -> bool:
+        return epoch == self._epoch
+
+    def _write(self) -> None:
+        """A write and its batch; keys are rewritten and removed."""
+        self._written += 1
+        value = None if self._written % 5 == 0 else self._written
+        puts = (m.put_value(f"k{self._written % KEYS}", value),)
+        previous = self.store.position
+        batch = m.Batch(previous, m.Position(self._epoch, previous.index + 1), puts)
+        self.store.apply(puts)
+        if hasattr(self, "copy"):
+            self.copy.offer(batch)
+        self.store.save(batch)
+        self._states[self.store.position] = values_of(self.store)
+        if hasattr(self, "copy"):
+            self.copy.pump()
+
+    def events(self) -> list[Event]:
+        """What may happen next."""
+        found: list[Event] = [(what,) for what, left in self._left.items() if left]
+        if self._there.messages:
+            found.append(("follower hears",))
+        if self._back.messages:
+            found.append(("primary hears",))
+        return found
+
+    def do(self, event: Event) -> None:
+        """Let it happen."""
+        (what,) = event
+        if what in self._left:
+            self._left[what] -= 1
+        with patch.multiple(copies, MOST_PART_BYTES=1, LEAST_WINDOW_BYTES=1, MOST_WINDOW_BYTES=4):
+            getattr(self, "_" + what.replace(" ", "_"))()
+
+    def _follower_hears(self) -> None:
+        message = self._there.messages.popleft()
+        handlers = {
+            m.Replicate: self.follower.on_replicate,
+            m.StatePart: self.follower.on_state_part,
+            m.TransferAsk: self.follower.on_transfer_ask,
+        }
+        handlers[type(message)](message)
+
+    def _primary_hears(self) -> None:
+        message = self._back.messages.popleft()
+        if message.epoch != self._epoch:
+            return
+        if isinstance(message, m.Stored):
+            self.copy.on_position(message.position)
+        elif isinstance(message, m.TransferProgress):
+            self.copy.on_progress(message)
+
+    def _cut(self) -> None:
+        self._there.messages.clear()
+        self._back.messages.clear()
+
+    def _restart(self) -> None:
+        self._cut()
+        self._start_follower()
+
+    def _pause(self) -> None:
+        """Time goes by; a heartbeat tells the follower's position, as in service."""
+        self.world.time += PAUSE_S
+        self.copy.tick()
+        self._back.send(PRIMARY, m.Stored(self._epoch, FOLLOWER, self.follower_store.held))
+
+    def _repair(self) -> None:
+        self.copy.restart()
+
+    def _next_lead(self) -> None:
+        self._epoch += 1
+        self._lead()
+
+    def key(self) -> Hashable:
+        """Times count as they stand to the present one."""
+        left_out = frozenset({"_clock", "_network", "_store", "_settled", "_progress_at"})
+        return (
+            frozen(self.copy, left_out),
+            round(self.world.time - self.copy._progress_at, 3),
+            self.store.position,
+            self.follower_store.position,
+            frozen(values_of(self.follower_store)),
+            frozen(self.follower._transfer),
+            tuple(m.encode(message) for message in self._there.messages),
+            tuple(m.encode(message) for message in self._back.messages),
+            tuple(self._left.values()),
+        )
+
+    def judge(self) -> None:
+        """Raises Breach."""
+        for store in (self.follower_store, Store(self.world.machine(FOLLOWER).files)):
+            expected = self._states.get(store.held)
+            if expected is None or values_of(store) != expected:
+                raise Breach(f"at {store.held} the follower has {values_of(store)}, {expected} was written")
+
+
+def values_of(store: Store) -> dict[str, bytes]:
+    """Keys and values as bytes."""
+    return {key: bytes(msgspec.Raw(value)) for key, value in store.values.items()}
+
+
+BOUNDS = (
+    TransferBounds(writes=3, cuts=0, pauses=0),
+    TransferBounds(writes=2, cuts=1, pauses=1),
+    TransferBounds(writes=1, cuts=1, pauses=2),
+    TransferBounds(writes=2, cuts=0, restarts=1, pauses=1),
+    TransferBounds(writes=2, cuts=1, leads=1, pauses=1),
+    TransferBounds(writes=2, cuts=0, pauses=1, repairs=1),
+)
--- a/lynxscale/coordination/voters.py
+++ b/lynxscale/coordination/voters.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from lynxscale.coordination.epochs import majority
 from lynxscale.coordination.messages import EpochRecord, address_of
 
 FOUNDERS = 3
@@ -184,9 +185,13 @@
 def may_go(plan: PlanInput, member: str) -> bool:
     """Does nothing depend any more on a member that is to go?
 
-    Its vote may still be named where nobody can take its place; its copy may not.
+    Its copy may not count any more. Its vote may still be named where nobody can take its place and those that are
+    there, to stay, are a majority without it.
     """
     if member in plan.base.in_sync:
         return False
+    if member not in plan.base.witnesses:
+        return True
     replaceable = bool(plan.successors()) or _catching_up(plan, plan.base.in_sync)
-    return member not in plan.base.witnesses or not replaceable
+    staying = {one for one in plan.base.witnesses if one != member and plan.stays(one)}
+    return not replaceable and majority(plan.base.witnesses, staying)
