--- a/lynxscale/coordination/copies.py
+++ b/lynxscale/coordination/copies.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import logging
 from bisect import bisect_right
 from collections import deque
 from dataclasses import dataclass
@@ -20,11 +21,13 @@
 from lynxscale.coordination.store import Store
 from lynxscale.coordination.versions import START
 
+log = logging.getLogger(__name__)
+
 LEAST_WINDOW_BYTES, MOST_WINDOW_BYTES = 16_000, 512_000  # not confirmed; one batch or part goes in any case
 SLOW_CONFIRM_S = 0.12  # what takes longer is too much for the link: heartbeats wait behind it
 RESEND_AFTER_S = 0.3  # batches, to a member that has not come on
 SLOWEST_BYTES_S = 200_000.0  # of a link: what is on its way is waited for accordingly
-MOST_PART_BYTES = 64_000
+MOST_PART_BYTES = MERGED_BYTES = 64_000
 PROBE_AFTER_S, MOST_PROBE_AFTER_S = 1.0, 8.0  # without progress of a transfer
 END = "\U0010ffff"  # behind all keys: where the last part ends
 
@@ -193,10 +196,16 @@
         return sum(one.size for one in self._in_flight) >= self._window
 
     def _send_next_batch(self) -> bool:
-        batch = self._store.after(self._sent)
-        if batch is not None:
-            self._send_batch(batch)
-        return batch is not None
+        """Send what follows, several small batches as one: a sync each would make a member that was away late."""
+        following, size = [], 0
+        position = self._sent
+        while size < MERGED_BYTES and (batch := self._store.after(position)) is not None:
+            following.append(batch)
+            size += batch.size
+            position = batch.position
+        if following:
+            self._send_batch(merge_batches(following))
+        return bool(following)
 
     def _send_batch(self, batch: m.Batch) -> None:
         if not self._in_flight:
@@ -244,5 +253,15 @@
 
     def _become(self, state: CopyState) -> None:
         """The one change of state."""
+        if state is not self.state:
+            log.info("event=copy member=%s state=%s", self._member, state.value)
         self.state = state
         self._in_flight.clear()
+
+
+def merge_batches(batches: list[m.Batch]) -> m.Batch:
+    """One batch with the effect of several that follow each other."""
+    if len(batches) == 1:
+        return batches[0]
+    puts = {put.key: put for batch in batches for put in batch.puts}
+    return m.Batch(batches[0].previous, batches[-1].position, tuple(puts.values()))
