--- a/lab/tier/orders/admission.py
+++ b/lab/tier/orders/admission.py
@@ -88,9 +88,9 @@
             found.append("returns")
         elif not member.holds and name in self.record.witnesses and self._leads:
             found.append("has caught up")
-        if member.leaving and member.present and self._leads and name != self.primary:
-            if may_go(self._input(), name):
-                found.append("goes")
+        asked = member.leaving and member.present and name != self.primary
+        if asked and self._leads and may_go(self._input(), name):
+            found.append("goes")
         return found
 
     def _allowed(self, name: str, what: str) -> bool:
--- /dev/null
+++ b/lab/tier/orders/catalogue.py
@@ -0,0 +1,41 @@
+"""The small machines that are searched, each with bounds that take seconds and bounds that take minutes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from lab.explorer import Machine
+from lab.tier.orders import admission, calls, election, operators, transfer
+
+
+class Scope(Enum):
+    """How long a search may take."""
+
+    QUICK = "quick"
+    WIDE = "wide"
+
+
+@dataclass(frozen=True)
+class Model:
+    """A machine to be searched: how it is made of bounds, and which of its bounds are quick."""
+
+    name: str
+    make: Callable[[object], Machine]
+    all_bounds: tuple
+    quick: tuple[int, ...]
+
+    def bounds(self, scope: Scope) -> list:
+        """The bounds of a scope."""
+        places = self.quick if scope is Scope.QUICK else range(len(self.all_bounds))
+        return [self.all_bounds[place] for place in places]
+
+
+MODELS = (
+    Model("election", election.Election, election.BOUNDS, (1,)),
+    Model("admission", admission.Admission, admission.BOUNDS, (0,)),
+    Model("transfer", transfer.SnapshotTransfer, transfer.BOUNDS, (0, 1, 3)),
+    Model("operators", operators.Operators, operators.BOUNDS, (0, 2)),
+    Model("calls", calls.OneConnection, calls.BOUNDS, (0,)),
+)
--- a/lab/tier/orders/election.py
+++ b/lab/tier/orders/election.py
@@ -1,8 +1,9 @@
 """Election and lease: registers, rounds and leases of three members as they run in service.
 
 Messages of one link come in order; those that are left lying never come, and a link may lose what is on its way.
-Refusals are left out, as a member may stand again at any time. A member stands, is primary where its record was decided, asks for its lease,
-may end at any step and start with its register; time goes by in steps shorter than a lease.
+Refusals are left out, as a member may stand again at any time. A member stands, is primary where its record was
+decided, asks for its lease, may end at any step and start with its register; time goes by in steps shorter than a
+lease.
 
 Judged: no two records are accepted under one epoch; one member at most holds a lease; a member that holds one has not
 been passed by a later epoch that a majority accepted.
