Records are kept by durations on the steady clock, and a turn for as long as any that goes on from it

Found by the drawn histories once they step the time of day: a primary whose clock is an hour ahead removed turns that are still kept. From reading: each turn of a chain expired by itself, so a conversation longer than its retention got 404 after its first turns were gone. Histories have 3 to 9 members, damaged files, members that leave, halves, disks lost in the dark with relays, and clocks; only copies that count are compared (a spare has none).

--- a/lynxscale/controlplane/ledger.py
+++ b/lynxscale/controlplane/ledger.py
@@ -8,12 +8,13 @@
 
 import msgspec
 
+from lynxscale.controlplane.retention import Retention
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.ports import Clock
 
 PROGRAM_PREFIX, TURN_PREFIX = "program/", "turn/"
 KEEP_PROGRAM_S = 600.0  # a program that was stopped may come again
-KEEP_SLACK_S = 30.0  # beyond retention, as wall clocks differ and may be stepped
+KEEP_SLACK_S = 30.0  # beyond retention, which is counted from the end of the answer
 MOST_CHAIN = 10_000  # turns; a longer chain would be a loop of records
 NO_BUDGET = -1
 
@@ -24,7 +25,7 @@
     budget: int
     spent: int = 0
     open: dict[str, int] = {}
-    expires: float = 0.0
+    keep_s: float = KEEP_PROGRAM_S
 
     @property
     def committed(self) -> int:
@@ -37,13 +38,14 @@
 
     content: bytes
     previous: str = ""
-    expires: float = 0.0
+    keep_s: float = 0.0
 
 
 class Kept(msgspec.Struct):
-    """Of a program or a turn: until when it is kept, by Unix time."""
+    """Of a program or a turn: how long it is kept, and what it went on from."""
 
-    expires: float = 0.0
+    keep_s: float = 0.0
+    previous: str = ""
 
 
 class Ledger:
@@ -52,14 +54,15 @@
     def __init__(self, values: dict[str, msgspec.Raw], clock: Clock) -> None:
         self._values = values
         self._clock = clock
-        self._expires: dict[str, float] = {}
+        self._retention = Retention(clock)
 
     def begin(self) -> None:
         """Another primary wrote before: look at all there is."""
-        self._expires = {}
+        self._retention = Retention(self._clock)
         for key, raw in self._values.items():
             if key.startswith((PROGRAM_PREFIX, TURN_PREFIX)):
-                self._expires[key] = msgspec.json.decode(raw, type=Kept).expires
+                kept = msgspec.json.decode(raw, type=Kept)
+                self._retention.keep(key, kept.keep_s, turn_key(kept.previous))
 
     def admit(self, request: m.AdmitTurn) -> tuple[m.TurnAdmitted | m.TurnRefused, tuple[m.Put, ...]]:
         """The answer to a turn that wants to run, and what has to be durable before the answer goes."""
@@ -88,25 +91,22 @@
             program.spent += request.tokens
             puts.append(self._put_program(request.program, program, request.retention_s))
         if request.content is not None:
-            turn = Turn(request.content, request.previous, self._expiry(request.retention_s))
-            self._expires[TURN_PREFIX + request.request] = turn.expires
-            puts.append(m.put_value(TURN_PREFIX + request.request, turn))
+            turn = Turn(request.content, request.previous, request.retention_s + KEEP_SLACK_S)
+            key = turn_key(request.request)
+            self._retention.keep(key, turn.keep_s, turn_key(request.previous))
+            puts.append(m.put_value(key, turn))
         return tuple(puts)
 
     def expired(self) -> tuple[m.Put, ...]:
         """Puts that remove what is kept no longer."""
-        now = self._clock.wall()
-        gone = [key for key, expires in self._expires.items() if expires < now]
-        for key in gone:
-            del self._expires[key]
-        return tuple(m.put_value(key, None) for key in gone)
+        return tuple(m.put_value(key, None) for key in self._retention.take_expired())
 
     def _history(self, last: str) -> bytes | None:
         """Inputs and outputs of a chain of turns from its oldest on; None where a turn is not there."""
         contents = []
         name = last
         while name:
-            raw = self._values.get(TURN_PREFIX + name)
+            raw = self._values.get(turn_key(name))
             if raw is None or len(contents) > MOST_CHAIN:
                 return None
             turn = msgspec.json.decode(raw, type=Turn)
@@ -119,9 +119,11 @@
         return None if raw is None else msgspec.json.decode(raw, type=Program)
 
     def _put_program(self, name: str, program: Program, retention_s: float) -> m.Put:
-        program.expires = self._clock.wall() + max(KEEP_PROGRAM_S, retention_s)
-        self._expires[PROGRAM_PREFIX + name] = program.expires
+        program.keep_s = max(KEEP_PROGRAM_S, retention_s)
+        self._retention.keep(PROGRAM_PREFIX + name, program.keep_s)
         return m.put_value(PROGRAM_PREFIX + name, program)
 
-    def _expiry(self, retention_s: float) -> float:
-        return self._clock.wall() + retention_s + KEEP_SLACK_S
+
+def turn_key(request: str) -> str:
+    """The key of a retained turn; empty for none."""
+    return TURN_PREFIX + request if request else ""
