A member that was replaced while it was cut off asks for the primary also as a candidate

Change: a candidate that hears no primary asks for it like a backup. Test: failed before, as it never learned the record.

--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -346,7 +346,9 @@
             self._tick_primary()
         elif self.state in (State.BACKUP, State.CANDIDATE):
             self._tick_backup(now)
-        unheard = self.state is State.BACKUP and now - self._primary_heard_at > LEASE_S
+        # Also as a candidate: others may have replaced this member meanwhile, and only a primary's heartbeat tells.
+        waits = self.state in (State.BACKUP, State.CANDIDATE)
+        unheard = waits and now - self._primary_heard_at > LEASE_S
         calls = self.state is State.JOINING or unheard
         every = LEAVE_EVERY_S if self.departure.pending else JOIN_EVERY_S
         if (calls or self.departure.pending) and now - self._join_at >= every:
--- a/tests/test_tier_control_safety.py
+++ b/tests/test_tier_control_safety.py
@@ -448,6 +448,27 @@
         assert group.wait_for_leader() is leader
 
 
+def test_a_member_that_was_replaced_while_it_was_cut_off_is_there_again_in_a_moment():
+    """Seen on a bench day: it went on standing for epochs and told nobody, so it was no successor to anyone."""
+    for seed in range(6):
+        group = started(seed)
+        group.start(NEWCOMER)
+        assert group.put("a", 1)
+        cut = group.seeds[seed % 3]
+        for other in (*group.seeds, NEWCOMER):
+            if other != cut:
+                group.world.cut(cut, other)
+        group.world.run(group.world.time + 12)
+        group.world.heal()
+        member = group.members[cut]
+        leader = group.wait_for_leader()
+        assert member.me not in leader.record.witnesses
+        assert group.world.run_until(lambda m=member, r=leader.record: m.record == r, 1.0), seed
+        lost = next(a for a in group.seeds if a not in (cut, address_of(leader.me)))
+        group.kill(lost, wipe=True)
+        assert group.world.run_until(lambda m=member, g=group: m.me in g.wait_for_leader().record.in_sync, 2.0), seed
+
+
 def test_the_time_of_day_is_stepped_and_nothing_depends_on_it():
     group = started()
     assert group.put("a", 1)
