--- a/Makefile
+++ b/Makefile
@@ -59,8 +59,11 @@
 	seq 0 1250 8750 | xargs -P 8 -I{} sh -c '$(PYTHON) -m lab.cluster.simulate {} $$(({} + 1249)) && \
 		$(PYTHON) -m lab.cluster.explore {} $$(({} + 1249))'
 
-# Drawn histories of whole tiers, ten thousand, and the mistakes put in on purpose that they must find.
+# Small machines in every order, a further loss in every instant of a change of the group, drawn histories of whole tiers,
+# ten thousand, and the mistakes put in on purpose that these must find. Hours on eight cores; each command runs by itself.
 sim-tier: build
+	$(PYTHON) -m lab.tier.orders
+	$(PYTHON) -m lab.tier.second_loss
 	seq 1 1250 8751 | xargs -P 8 -I{} sh -c '$(PYTHON) -m lab.tier.histories {} $$(({} + 1249))'
 	$(PYTHON) -m lab.tier.mistakes
 
--- /dev/null
+++ b/lab/tier/bench_store.py
@@ -0,0 +1,96 @@
+"""How long the longest step of a store takes at several sizes: ``python -m lab.tier.bench_store [MEGABYTES …]``.
+
+A step holds up everything else of its process; one of more than a lease (0.4 s) would cost the lease.
+"""
+
+from __future__ import annotations
+
+import gc
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from lynxscale.controlplane.ledger import Ledger, Turn
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.store import Store
+from lynxscale.coordination.table import Table
+from lynxscale.runtime.clock import LoopClock
+from lynxscale.runtime.files import DurableFiles
+
+TURN_BYTES = 2500  # input and output of a usual turn
+
+
+class Steps:
+    """Runs deferred steps one by one and keeps the time of the longest."""
+
+    def __init__(self) -> None:
+        self.longest_s = 0.0
+        self._waiting: list[Callable[[], None]] = []
+
+    def defer(self, step: Callable[[], None]) -> None:
+        """Part of Store's port."""
+        self._waiting.append(step)
+
+    def run(self) -> float:
+        """The time of all steps together."""
+        total = 0.0
+        while self._waiting:
+            step = self._waiting.pop(0)
+            took = timed(step)
+            self.longest_s = max(self.longest_s, took)
+            total += took
+        return total
+
+
+def timed(call: Callable[[], object]) -> float:
+    """Seconds that a call takes."""
+    begun = time.perf_counter()
+    call()
+    return time.perf_counter() - begun
+
+
+def filled(megabytes: int) -> tuple[m.Put, ...]:
+    """Turns of so many bytes in all."""
+    value = msgspec.Raw(msgspec.json.encode(Turn(b"x" * TURN_BYTES, "", 90.0)))
+    count = megabytes * 1_000_000 // len(bytes(value))
+    return tuple(m.Put(f"turn/{number:012x}", value) for number in range(count))
+
+
+def measure(megabytes: int) -> str:
+    """One size, as a line of a table."""
+    import asyncio
+
+    loop = asyncio.new_event_loop()
+    puts = filled(megabytes)
+    with tempfile.TemporaryDirectory() as folder:
+        steps = Steps()
+        store = Store(DurableFiles(folder), steps.defer)
+        table = Table()
+        table.apply(puts)
+        installing = timed(lambda: store.install(m.Position(1, 1), table, lambda: None))
+        in_all = steps.run()
+        compare = timed(store.checksum)
+        ledger = Ledger(store.values, LoopClock(loop))
+        gc.collect()
+        begin = timed(ledger.begin)
+        keys = timed(lambda: sorted(store.values))
+        load = timed(lambda: Store(DurableFiles(folder)))
+    loop.close()
+    cells = (installing, steps.longest_s, in_all, compare, begin, keys, load)
+    return f"| {megabytes} | " + " | ".join(f"{1000 * cell:.1f}" for cell in cells) + " |"
+
+
+def main() -> None:
+    """Print a table, times in ms."""
+    sizes = [int(word) for word in sys.argv[1:]] or [1, 20, 100]
+    print("| MB | begin a whole version | longest step | all steps | compare | new lead's look | sort keys | start |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    for size in sizes:
+        print(measure(size), flush=True)
+
+
+if __name__ == "__main__":
+    main()
