--- a/lab/tier/mistakes.py
+++ b/lab/tier/mistakes.py
@@ -35,7 +35,6 @@
 from lynxscale.coordination.replication import Replicator
 from lynxscale.coordination.store import Store
 from lynxscale.coordination.tree import Publisher
-from lynxscale.coordination.versions import LoadedVersion
 from lynxscale.coordination.voters import PlanInput
 from lynxscale.dataplane.attempt import Attempt, Outcome
 from lynxscale.dataplane.forwarding import ForwardedRequest
@@ -214,7 +213,7 @@
 
 def damaged_files_lead() -> Patches:
     """Files with a gap count for as far as they lead (seen: eight of twelve acknowledged values gone)."""
-    return [(LoadedVersion, "damage", property(lambda self: [], lambda self, names: None))]
+    return [(Store, "intact", property(lambda self: True))]
 
 
 def undo_is_left_out() -> Patches:
