Updates of the configuration: POST /config/update

Ruled out: a wrong path or method; the call did not exist. Change: named routes and services are added, replaced and removed on a base version; the outcome is a whole configuration that is checked, stored and published as one. Orders are known by kind, base and bytes. Mistake put in: an update that goes by any version.

--- a/lab/tier/cluster.py
+++ b/lab/tier/cluster.py
@@ -174,6 +174,10 @@
         """Send a configuration."""
         return self.operator_call("POST", "/config/replace", msgspec.json.encode(configuration), str(base))
 
+    def update(self, update: dict, base: int) -> Answer:
+        """Send an update of the configuration."""
+        return self.operator_call("POST", "/config/update", msgspec.json.encode(update), str(base))
+
     def settle(self) -> Tier:
         """Push the first configuration and wait until all relays are ready."""
         assert self.push(default_configuration(), 0).status == 200
--- a/lab/tier/histories.py
+++ b/lab/tier/histories.py
@@ -59,10 +59,11 @@
 
 @dataclass
 class OrderSeen:
-    """One configuration, as the operator saw its answers."""
+    """One configuration, as the operator saw its answers. ``update``: what was sent instead of the whole."""
 
     base: int
     table: dict
+    update: dict | None = None
     answers: list[Answer] = field(default_factory=list)
 
     @property
@@ -149,16 +150,27 @@
         if repeat:
             order = self.random.choice(self.orders)
         else:
-            base = max(order.table["generation"] for order in self.orders if order.acknowledged or order.base == 0)
-            order = OrderSeen(base, default_configuration(base + self.random.randint(1, 3)))
-            order.table["routes"][0]["target-latency-ms"] = 200 + len(self.orders)
+            order = self._new_order()
             self.orders.append(order)
         host = self.random.choice(self.tier.control_hosts)
         fields = ((b"host", b"c"), (b"lynxscale-base-version", b"%d" % order.base))
-        request = Request("POST", "/config/replace", Head(fields), msgspec.json.encode(order.table))
+        path = "/config/update" if order.update else "/config/replace"
+        request = Request("POST", path, Head(fields), msgspec.json.encode(order.update or order.table))
         answer, _ = send(self.world, self.tier.streams, f"{host}:{CONTROL_PORT}", request)
         order.answers.append(answer)
 
+    def _new_order(self) -> OrderSeen:
+        """One on the newest acknowledged version: a replacement, or an update where that version is one order's."""
+        base = max(order.table["generation"] for order in self.orders if order.acknowledged or order.base == 0)
+        order = OrderSeen(base, default_configuration(base + self.random.randint(1, 3)))
+        route = order.table["routes"][0]
+        route["target-latency-ms"] = 200 + len(self.orders)
+        made = [one.table for one in self.orders if one.table["generation"] == base]
+        if len(made) == 1 and len(self.orders) % 2:
+            # All configurations here differ in the first route alone.
+            order.update = {"generation": order.table["generation"], "upsert": {"routes": [route]}}
+        return order
+
     def _fault(self) -> None:
         """One fault of those that are to be borne; the one before is over."""
         self._mend()
--- a/lab/tier/mistakes.py
+++ b/lab/tier/mistakes.py
@@ -40,7 +40,7 @@
 from lynxscale.dataplane.headers import NOT_EXECUTED, REQUEST_ID
 from lynxscale.dataplane.turns import Turn as RelayTurn
 from lynxscale.runtime.http_client import ClientConnection, Failure
-from lynxscale.runtime.http_types import Head
+from lynxscale.runtime.http_types import Head, Request
 
 MOST_HISTORIES = 1000
 MOST_STATES = 60_000
@@ -168,19 +168,14 @@
 def orders_are_not_remembered() -> Patches:
     """The base version of an order is not looked at."""
 
-    def current(self):  # noqa: ANN001, ANN202
-        found = original(self)
-        return found
-
-    original = operator_api.OperatorApi.current
-
-    def replace(self, request, responder) -> None:  # noqa: ANN001
-        import msgspec
-
-        table = msgspec.json.decode(request.body)
-        self._take(table["generation"], request.body, operator_api.order_digest("", request.body), responder)
+    def order(self: operator_api.OperatorApi, kind: operator_api.OrderKind, request, responder) -> None:  # noqa: ANN001
+        digest = operator_api.order_digest(kind, "", request.body)
+        if kind is operator_api.OrderKind.UPDATE:
+            self._take_update(msgspec.json.decode(request.body), digest, responder)
+        else:
+            self._take(msgspec.json.decode(request.body)["generation"], request.body, digest, responder)
 
-    return [(operator_api.OperatorApi, "_replace", replace), (operator_api.OperatorApi, "current", current)]
+    return [(operator_api.OperatorApi, "_order", order)]
 
 
 def late_batches_are_skipped() -> Patches:
@@ -302,15 +297,29 @@
 def resend_is_judged_by_its_number() -> Patches:
     """An order whose version is in force counts as taken."""
 
-    def replace(self: operator_api.OperatorApi, request, responder) -> None:  # noqa: ANN001
+    def order(self: operator_api.OperatorApi, kind: operator_api.OrderKind, request, responder) -> None:  # noqa: ANN001
         current = self.current()
         if current is not None and msgspec.json.decode(request.body)["generation"] == current.generation:
             self._answer_when_decided(responder, operator_api.json_response(200, {}))
         else:
-            original(self, request, responder)
+            original(self, kind, request, responder)
+
+    original = operator_api.OperatorApi._order
+    return [(operator_api.OperatorApi, "_order", order)]
+
+
+def update_goes_by_any_version() -> Patches:
+    """An update is applied to whatever is in force."""
+
+    def order(self: operator_api.OperatorApi, kind: operator_api.OrderKind, request, responder) -> None:  # noqa: ANN001
+        current = self.current()
+        if kind is operator_api.OrderKind.UPDATE and current is not None:
+            fields = ((operator_api.BASE_HEADER, b"%d" % current.generation),)
+            request = Request(request.method, request.path, Head(fields), request.body)
+        original(self, kind, request, responder)
 
-    original = operator_api.OperatorApi._replace
-    return [(operator_api.OperatorApi, "_replace", replace)]
+    original = operator_api.OperatorApi._order
+    return [(operator_api.OperatorApi, "_order", order)]
 
 
 def resend_is_refused() -> Patches:
@@ -489,6 +498,7 @@
     Mistake(lease_runs_from_the_answer, by_search("election", (2,), depth_first=True)),
     Mistake(resend_is_judged_by_its_number, by_search("operators")),
     Mistake(resend_is_refused, by_search("operators")),
+    Mistake(update_goes_by_any_version, by_search("operators")),
     Mistake(refusal_rests_on_what_is_undecided, by_search("operators")),
     Mistake(snapshot_is_mixed_of_two, by_search("transfer")),
     Mistake(batches_between_parts_are_lost, by_search("transfer")),
--- a/lab/tier/orders/operators.py
+++ b/lab/tier/orders/operators.py
@@ -25,13 +25,17 @@
 
 @dataclass(frozen=True)
 class OperatorBounds:
-    """``versions``: what each operator's order makes of version 1. ``later``: may an order follow a confirmed one?"""
+    """``versions``: what each operator's order makes of version 1. ``later``: may an order follow a confirmed one?
+
+    ``updates``: operators whose orders are updates; a later order is one too.
+    """
 
     versions: tuple[int, ...] = (2, 2)
     sends: int = 2
     failovers: int = 1
     losses: int = 2
     later: bool = False
+    updates: tuple[int, ...] = ()
 
 
 @dataclass
@@ -78,6 +82,15 @@
             done(True)
 
 
+@dataclass(frozen=True)
+class SentOrder:
+    """What an operator sends. The service that it names stands in the configuration that it makes."""
+
+    path: str
+    base: str
+    table: dict
+
+
 class Wire:
     """One send's answer on its way."""
 
@@ -96,22 +109,29 @@
         self._committed: list[tuple[m.Put, ...]] = []
         self._sends: list[list[Wire]] = [[] for _ in bounds.versions]
         self._heard: list[int | None] = [None for _ in bounds.versions]
-        self._orders = [self._order(1, version, place) for place, version in enumerate(bounds.versions)]
+        self._orders = [
+            self._order(1, version, place, place in bounds.updates) for place, version in enumerate(bounds.versions)
+        ]
         if bounds.later:
-            self._orders.append(self._order(2, 5, 9))
+            self._orders.append(self._order(2, 5, len(bounds.versions), bool(bounds.updates)))
             self._sends.append([])
             self._heard.append(None)
         self._later = bounds.later
         self._left = {"sends": bounds.sends, "failovers": bounds.failovers, "losses": bounds.losses}
         self._sent = [0 for _ in self._orders]
         self._given: list[set[int]] = [set() for _ in self._orders]
-        first = m.put_value(CURRENT_KEY, {"generation": 1, "body": {"generation": 1}})
+        body = {"generation": 1, "routes": [], "services": []}
+        first = m.put_value(CURRENT_KEY, {"generation": 1, "body": body})
         self._commit((first,))
         self._lead()
 
     @staticmethod
-    def _order(base: int, version: int, place: int) -> tuple[str, bytes]:
-        return str(base), msgspec.json.encode({"generation": version, "routes": [], "services": [], "by": place})
+    def _order(base: int, version: int, place: int, update: bool) -> SentOrder:
+        services = [{"name": f"by-{place}"}]
+        if update:
+            return SentOrder("/config/update", str(base), {"generation": version, "upsert": {"services": services}})
+        table = {"generation": version, "routes": [], "services": services}
+        return SentOrder("/config/replace", str(base), table)
 
     def _commit(self, puts: tuple[m.Put, ...]) -> None:
         if puts:
@@ -165,12 +185,12 @@
             self._given[place] |= {wire.answer.status for wire in sends if wire.answer is not None}
 
     def _send(self, place: int) -> None:
-        base, body = self._orders[place]
+        order = self._orders[place]
         wire = Wire()
         self._sends[place].append(wire)
         self._sent[place] += 1
-        head = Head(((BASE_HEADER, base.encode()),))
-        self.api.handle(Request("POST", "/config/replace", head, body), wire)
+        head = Head(((BASE_HEADER, order.base.encode()),))
+        self.api.handle(Request("POST", order.path, head, msgspec.json.encode(order.table)), wire)
 
     def _hear(self, place: int, number: int) -> None:
         status = self._sends[place].pop(number).answer.status
@@ -203,14 +223,14 @@
 
     def judge(self) -> None:
         """Raises Breach."""
-        on_one_base = [place for place, (base, _) in enumerate(self._orders) if base == "1"]
+        on_one_base = [place for place, order in enumerate(self._orders) if order.base == "1"]
         confirmed = [place for place in on_one_base if 200 in self._given[place]]
         if len(confirmed) > 1:
             raise Breach(f"orders {confirmed} on one version are all confirmed")
         taken = {bytes(put.value) for puts in self._committed for put in puts if put.key == CURRENT_KEY}
-        for place, (_, body) in enumerate(self._orders):
+        for place in range(len(self._orders)):
             refused = [status for status in self._given[place] if status in (400, 409, 412)]
-            if refused and any(body in value for value in taken):
+            if refused and any(b'"by-%d"' % place in value for value in taken):
                 raise Breach(f"order {place} was taken and is refused with {refused}")
         versions = [
             msgspec.json.decode(put.value)["generation"]
@@ -227,4 +247,6 @@
     OperatorBounds(versions=(2, 3), sends=3, failovers=2, losses=2),
     OperatorBounds(versions=(2, 2), sends=2, failovers=1, losses=1, later=True),
     OperatorBounds(versions=(2, 2, 3), sends=2, failovers=1, losses=1),
+    OperatorBounds(versions=(2, 2), sends=2, failovers=2, losses=2, updates=(1,)),
+    OperatorBounds(versions=(2, 3), sends=2, failovers=1, losses=1, later=True, updates=(0, 1)),
 )
--- a/lynxscale/controlplane/cli.py
+++ b/lynxscale/controlplane/cli.py
@@ -10,8 +10,9 @@
 import msgspec
 from returns.result import Failure
 
-from lynxscale.controlplane.configuration import check
+from lynxscale.controlplane.configuration import Configuration, check
 from lynxscale.controlplane.status import ControlStatus, render
+from lynxscale.controlplane.update import apply_update, check_update
 from lynxscale.coordination.store import Store
 from lynxscale.runtime.commands import FINDINGS, UNUSABLE, CheckSettings, call, fail, print_status, read_file
 from lynxscale.runtime.files import ReadOnlyFiles
@@ -73,19 +74,21 @@
         print(response.body.decode())
 
 
-@cappa.command(help="Send a configuration to any control process.")
+@cappa.command(help="Send a configuration, or an update of the one in force, to any control process.")
 @dataclass
 class Push:
-    """Replace the configuration in force."""
+    """Replace or update the configuration in force."""
 
     address: str
     file: str
     base: Annotated[int, cappa.Arg(long=True, help="The version that it builds on.")]
+    update: Annotated[bool, cappa.Arg(long=True, help="FILE is an update: generation, upsert and remove.")] = False
 
     def __call__(self) -> None:
         """Send it and tell the answer."""
         fields = ((b"lynxscale-base-version", b"%d" % self.base),)
-        response = call(self.address, "POST", "/config/replace", read_file(self.file), fields)
+        path = "/config/update" if self.update else "/config/replace"
+        response = call(self.address, "POST", path, read_file(self.file), fields)
         if response.status != 200:
             raise fail(f"{self.address}: {response.status}: {response.body.decode()}", FINDINGS)
         print(f"{self.file}: acknowledged")
@@ -98,17 +101,26 @@
 
     before: str
     after: str
+    update: Annotated[bool, cappa.Arg(long=True, help="AFTER is an update of BEFORE.")] = False
 
     def __call__(self) -> None:
         """One line for each difference; exit code 1 where there are any."""
-        tables = [_table(path) for path in (self.before, self.after)]
-        lines = [line for part in ("routes", "services") for line in differences(part, *tables)]
+        before = _table(self.before)
+        after = _updated(before, self.after) if self.update else _table(self.after)
+        lines = [line for part in ("routes", "services") for line in differences(part, before, after)]
         print("\n".join(lines) if lines else "no difference")
         if lines:
             raise cappa.Exit(code=FINDINGS)
 
 
-def _table(path: str) -> dict:
+def _updated(before: Configuration, path: str) -> Configuration:
+    changed = check_update(read_file(path)).bind(lambda update: apply_update(before, update))
+    if isinstance(changed, Failure):
+        raise fail("\n".join(f"{path}: {finding}" for finding in changed.failure()), UNUSABLE)
+    return changed.unwrap()
+
+
+def _table(path: str) -> Configuration:
     checked = check(read_file(path))
     if isinstance(checked, Failure):
         raise fail("\n".join(f"{path}: {finding}" for finding in checked.failure()), UNUSABLE)
--- a/lynxscale/controlplane/configuration.py
+++ b/lynxscale/controlplane/configuration.py
@@ -70,19 +70,34 @@
 
 def check(body: bytes) -> Result[Configuration, tuple[Finding, ...]]:
     """The configuration of a request's body, or everything that is wrong with it."""
+    return decode_table(body).bind(check_table)
+
+
+def decode_table(body: bytes) -> Result[dict, tuple[Finding, ...]]:
+    """The object of a request's body, unchecked."""
     try:
         table = msgspec.json.decode(body)
     except msgspec.DecodeError as error:
         return Failure((Finding("body", str(error)),))
     if not isinstance(table, dict):
         return Failure((Finding("body", "want an object"),))
+    return Success(table)
+
+
+def check_table(table: dict) -> Result[Configuration, tuple[Finding, ...]]:
+    """The same object where it is a valid configuration, or everything that is wrong with it."""
     findings = tuple(_findings(table))
     return Failure(findings) if findings else Success(table)
 
 
-def _findings(table: dict) -> Iterator[Finding]:
+def generation_findings(table: dict) -> Iterator[Finding]:
+    """What is wrong with the version of a configuration or an update."""
     if type(table.get("generation")) is not int:
         yield Finding("generation", "want a whole number")
+
+
+def _findings(table: dict) -> Iterator[Finding]:
+    yield from generation_findings(table)
     for name in ("routes", "services"):
         if not isinstance(table.get(name), list):
             yield Finding(name, "want a list")
--- a/lynxscale/controlplane/operator_api.py
+++ b/lynxscale/controlplane/operator_api.py
@@ -1,18 +1,21 @@
-"""The operator's calls: replace and read the configuration, retire a machine.
+"""The operator's calls: replace, update and read the configuration, retire a machine.
 
-An order is known by its base version and content. One that was taken before is acknowledged again, also by another
-primary and when others came since; one that cannot be decided gets no clear answer. The oldest orders are forgotten:
-whether one on so old a version was taken cannot be told any more, so it gets no clear answer either.
+An order is known by its kind, base version and content. One that was taken before is acknowledged again, also by
+another primary and when others came since; one that cannot be decided gets no clear answer. The oldest orders are
+forgotten: whether one on so old a version was taken cannot be told any more, so it gets no clear answer either.
 """
 
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
+from enum import Enum
 
 import msgspec
-from returns.result import Failure
+from returns.result import Failure, Result, Success
 
-from lynxscale.controlplane.configuration import check
+from lynxscale.controlplane.configuration import Configuration, Finding, check
+from lynxscale.controlplane.update import EMPTY_CONFIGURATION, Update, apply_update, check_update
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.member import ControlMember
 from lynxscale.runtime.http_server import Responder
@@ -35,15 +38,26 @@
     body: msgspec.Raw
 
 
-def order_digest(base: str, body: bytes) -> str:
+class OrderKind(Enum):
+    """What an order makes of the configuration; the value tells the kinds' digests apart."""
+
+    REPLACE = b""
+    UPDATE = b"update"
+
+
+ORDER_PATHS = {"/config/replace": OrderKind.REPLACE, "/config/update": OrderKind.UPDATE}
+
+
+def order_digest(kind: OrderKind, base: str, body: bytes) -> str:
     """What an order is known by."""
-    return hashlib.blake2b(base.encode() + b"\n" + body, digest_size=DIGEST_BYTES).hexdigest()
+    content = base.encode() + b"\n" + body
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES, person=kind.value).hexdigest()
 
 
 class OperatorApi:
     """Handles the operator's requests on any member; only the primary decides."""
 
-    def __init__(self, member: ControlMember, control_port: int, on_commit) -> None:
+    def __init__(self, member: ControlMember, control_port: int, on_commit: Callable[[], None]) -> None:
         """``on_commit()`` is called once a new configuration or a retirement is committed."""
         self._member = member
         self._port = control_port
@@ -53,8 +67,8 @@
         """Answer a request, now or once its change is committed."""
         if not self._member.leads():
             self._send_elsewhere(request, responder)
-        elif (request.method, request.path) == ("POST", "/config/replace"):
-            self._replace(request, responder)
+        elif request.method == "POST" and request.path in ORDER_PATHS:
+            self._order(ORDER_PATHS[request.path], request, responder)
         elif (request.method, request.path) == ("GET", "/config/read"):
             self._member.barrier(lambda decided: self._read(responder, decided))
         elif request.path.startswith("/retire/"):
@@ -80,30 +94,50 @@
         location = f"http://{primary.rpartition(':')[0]}:{self._port}{request.target}"
         responder.whole(Response(307, Head(((b"location", location.encode()),))))
 
-    def _replace(self, request: Request, responder: Responder) -> None:
+    def _order(self, kind: OrderKind, request: Request, responder: Responder) -> None:
+        """Decide on an order that replaces or updates the configuration."""
         base = request.head.text(BASE_HEADER, "0").strip()
-        digest = order_digest(base, request.body)
+        digest = order_digest(kind, base, request.body)
         if ORDER_PREFIX + digest in self._member.store.values:
             self._answer_when_decided(responder, json_response(200, {"state": "taken before"}))
             return
-        checked = check(request.body)
-        if isinstance(checked, Failure):
-            findings = [{"place": finding.place, "error": finding.text} for finding in checked.failure()]
-            responder.whole(json_response(400, {"findings": findings}))
+        read = check(request.body) if kind is OrderKind.REPLACE else check_update(request.body)
+        if isinstance(read, Failure):
+            responder.whole(invalid(read.failure()))
             return
-        generation = checked.unwrap()["generation"]
+        order = read.unwrap()
+        refusal = self._refusal(base, order["generation"])
+        if refusal is not None:
+            self._answer_when_decided(responder, refusal)
+        elif kind is OrderKind.REPLACE:
+            self._take(order["generation"], request.body, digest, responder)
+        else:
+            self._take_update(order, digest, responder)
+
+    def _refusal(self, base: str, generation: int) -> Response | None:
+        """The answer to an order on another version, or one that makes no later version; None to all others."""
         current = self.current()
         in_force = current.generation if current else 0
         if base != str(in_force) and self._may_be_forgotten(base):
-            self._answer_when_decided(responder, undecided("orders on so old a version are remembered no longer"))
-        elif base != str(in_force):
-            self._answer_when_decided(responder, json_response(412, {"error": f"version {in_force} is current"}))
-        elif generation <= in_force:
-            text = f"want a version above {in_force}"
-            findings = [{"place": "generation", "error": text}]
-            self._answer_when_decided(responder, json_response(400, {"findings": findings}))
-        else:
-            self._take(generation, request.body, digest, responder)
+            return undecided("orders on so old a version are remembered no longer")
+        if base != str(in_force):
+            return json_response(412, {"error": f"version {in_force} is current"})
+        if generation <= in_force:
+            return invalid((Finding("generation", f"want a version above {in_force}"),))
+        return None
+
+    def _take_update(self, update: Update, digest: str, responder: Responder) -> None:
+        changed = self._updated(update)
+        if isinstance(changed, Failure):
+            # What it is applied to may not be committed yet.
+            self._answer_when_decided(responder, invalid(changed.failure()))
+            return
+        self._take(update["generation"], msgspec.json.encode(changed.unwrap()), digest, responder)
+
+    def _updated(self, update: Update) -> Result[Configuration, tuple[Finding, ...]]:
+        current = self.current()
+        in_force = Success(EMPTY_CONFIGURATION) if current is None else check(bytes(current.body))
+        return in_force.bind(lambda table: apply_update(table, update))
 
     def _take(self, generation: int, body: bytes, digest: str, responder: Responder) -> None:
         value = CurrentConfiguration(generation, msgspec.Raw(body))
@@ -205,6 +239,12 @@
     return Response(status, Head(((b"content-type", b"application/json"),)), msgspec.json.encode(value))
 
 
+def invalid(findings: tuple[Finding, ...]) -> Response:
+    """The refusal of an order that cannot be taken as it is: everything that is wrong with it."""
+    told = [{"place": finding.place, "error": finding.text} for finding in findings]
+    return json_response(400, {"findings": told})
+
+
 def undecided(text: str) -> Response:
     """No clear answer: the caller asks again."""
     response = json_response(UNDECIDED, {"error": text})
--- a/tests/test_tier_checks.py
+++ b/tests/test_tier_checks.py
@@ -8,6 +8,7 @@
 from lab.tier.histories import History
 from lab.tier.world import World
 from lynxscale.controlplane.configuration import check
+from lynxscale.controlplane.update import apply_update, check_update
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.epochs import Witness
 from lynxscale.coordination.netstring import Decoder, NetstringError, encode
@@ -34,6 +35,7 @@
     "vote_goes_and_copy_stays",
     "resend_is_judged_by_its_number",
     "resend_is_refused",
+    "update_goes_by_any_version",
     "refusal_rests_on_what_is_undecided",
     "snapshot_is_mixed_of_two",
     "batches_between_parts_are_lost",
@@ -189,6 +191,48 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("body", "places"),
+    [
+        (b"7", ["body"]),
+        (b'{"upsert":[],"remove":{"limits":[]},"routes":[]}', ["generation", "routes", "upsert", "remove.limits"]),
+        (
+            b'{"generation":2,"upsert":{"routes":[7,{}]},"remove":{"services":[1]}}',
+            ["upsert.routes[0]", "upsert.routes[1].name", "remove.services[0]"],
+        ),
+        (
+            b'{"generation":2,"upsert":{"routes":[{"name":"a"},{"name":"a"}]},"remove":{"routes":["a","b","b"]}}',
+            ["upsert.routes", "remove.routes", "remove.routes"],
+        ),
+    ],
+)
+def test_what_is_wrong_with_an_update_is_told_by_place(body, places):
+    assert [finding.place for finding in check_update(body).failure()] == places
+
+
+def test_an_update_changes_only_what_it_names_and_its_outcome_is_checked_whole():
+    route = {"name": "r", "host": "h", "path-prefix": "/", "route-type": "safe", "timeout-ms": 5, "backend": "a"}
+    other = route | {"name": "o", "path-prefix": "/o/"}
+    limits = {"idle-timeout-ms": 9}
+    table = {"generation": 2, "routes": [route, other], "services": [{"name": "a"}], "limits": limits}
+
+    def outcome(**parts):
+        return check_update(msgspec.json.encode({"generation": 5} | parts)).bind(lambda one: apply_update(table, one))
+
+    changed, added = route | {"timeout-ms": 7.5}, route | {"name": "n", "path-prefix": "/n/"}
+    whole = outcome(upsert={"routes": [added, changed]}, remove={"routes": ["o"]}).unwrap()
+    assert whole == {"generation": 5, "routes": [changed, added], "services": [{"name": "a"}], "limits": limits}
+    refused = {
+        "remove.routes[0]": outcome(remove={"routes": ["nobody"]}),
+        "result.routes[0].backend": outcome(remove={"services": ["a"]}),
+        "result.routes[2]": outcome(upsert={"routes": [added | {"path-prefix": "/o/"}]}),
+        "result.routes[0].timeout-ms": outcome(upsert={"routes": [route | {"timeout-ms": 0}]}),
+    }
+    assert {place: answer.failure()[0].place for place, answer in refused.items()} == {
+        place: place for place in refused
+    }
+
+
 def test_versions_in_quick_succession_do_not_queue_up_on_a_slow_link():
     """Seen on a variant's day: ten configurations a second on 12 Mbit/s were seconds late, as each was sent."""
     machine = World(3).machine("a:1")
--- a/tests/test_tier_whole.py
+++ b/tests/test_tier_whole.py
@@ -331,6 +331,39 @@
     assert one.push(default_configuration(2), 3).status == 400
 
 
+def test_an_update_is_taken_like_a_replacement_and_read_back_whole():
+    """Seen on the Stadtwerke Steyr days: POST /config/update was answered 404, and every day missed a duty."""
+    one = tier()
+    route = default_configuration()["routes"][0] | {"timeout-ms": 1234}
+    update = {"generation": 4, "upsert": {"routes": [route]}, "remove": {"routes": ["look"]}}
+    assert one.update(update, 1).status == 200
+    assert one.update(update, 1).status == 200
+    wanted = default_configuration(4)
+    wanted["routes"] = [route, wanted["routes"][1], wanted["routes"][3]]
+    assert msgspec.json.decode(one.operator_call("GET", "/config/read").body) == wanted
+    assert one.world.run_until(lambda: all(r._table.generation == 4 for r in one.relays.values()), 2.0)
+    one.kill_control(one.primary().publisher.address.partition(":")[0], power=True)
+    assert one.update(update, 1).status == 200
+    assert one.push(default_configuration(6), 4).status == 200
+    assert one.update(update, 1).status == 200
+    assert msgspec.json.decode(one.operator_call("GET", "/config/read").body)["generation"] == 6
+
+
+def test_an_update_and_a_replacement_on_one_version_never_both_win():
+    one = tier()
+    update = {"generation": 3, "remove": {"routes": ["look"]}}
+    assert one.update(update, 1).status == 200
+    assert one.push(default_configuration(3), 1).status == 412
+    assert one.push(default_configuration(5), 3).status == 200
+    assert one.update({"generation": 6}, 3).status == 412
+    assert one.update({"generation": 5}, 5).status == 400
+    answer = one.update({"generation": 7, "remove": {"routes": ["nobody"]}}, 5)
+    assert answer.status == 400
+    assert [found["place"] for found in msgspec.json.decode(answer.body)["findings"]] == ["remove.routes[0]"]
+    # The same bytes under the other kind are another order.
+    assert one.operator_call("POST", "/config/replace", msgspec.json.encode(update), "1").status == 400
+
+
 def test_findings_of_an_invalid_configuration_come_together_with_their_places():
     one = tier()
     broken = default_configuration(9)
