A change of primary takes one round of voters: pre-votes, support, and syncs that nothing waits behind

Ruled out: the lease itself (0.5 s with free disks). Changes: pre-votes without a write; a voter keeps out of the way of one that stands, as long as its own register writes take; the two register files share a sync of the folder; what was sent leaves before a disk is waited for (batches left behind the primary's own 18 ms); a lease goes on while its holder asks for its next epoch (the test that refused this was stricter than safety asks: the promise is to the same member; it now checks that nobody else gets lease or promise meanwhile); a primary that lost its lease says so. A start that finds its two register files unlike writes both (the test of damaged files breaks both at once for that).

Cause of copy_differs (docs/incidents/copy-differs.md): a batch that went ahead of a transfer's first part was in no part. Mended, with a test and a search that find it; the scrub compares by position at any time, and a copy that differs does not count.

--- a/lynxscale/controlplane/__main__.py
+++ b/lynxscale/controlplane/__main__.py
@@ -32,7 +32,7 @@
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     clock = LoopClock(loop)
     network = InternalNetwork(loop, settings.internal_address)
-    files = DurableFiles(settings.data_dir)
+    files = DurableFiles(settings.data_dir, network.flush)
     service = ControlService(settings, clock, network, files, LoopDialer(loop, DIAL_TIMEOUT_S), Random())
     limits = ServerLimits(body_bytes=MOST_BODY_BYTES)
     connections: set[ServerConnection] = set()
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -29,7 +29,7 @@
 TICK_S = 0.02
 MOST_UNANSWERED = 10_000  # relays that asked while there was no primary
 SWEEP_EVERY_S = 5.0
-SCRUB_EVERY_S = 4.0
+SCRUB_EVERY_S = 1.0
 
 
 class ControlService:
--- /dev/null
+++ b/lynxscale/coordination/campaign.py
@@ -0,0 +1,247 @@
+"""When a backup stands for primary: it waits until nobody leads, asks the voters first, and keeps out of others' way.
+
+Asking first is a pre-vote: it writes nothing, so a member that could not win disturbs nobody. A voter that has told one
+member that it would promise prefers it for a moment, unless a member with a better place asks; once that one tells that
+it stands, or was promised, the voter supports it and tells all others to wait. So candidates do not meet, and a young
+primary gets its lease. All this is advice; what is safe rests on the registers and leases alone.
+
+How long support lasts follows from how long this member's own register writes take, so it fits fast and slow disks.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.epochs import Witness, majority
+from lynxscale.coordination.lease import LEASE_S, NEVER
+from lynxscale.coordination.ports import Clock, Network, Timer
+
+RANK_DELAY_S = 0.02  # between the in-sync members' first questions, so that they seldom meet
+JITTER_S = 0.01
+LEAVING_STANDS_LATER_S = 0.3  # than others: it stands where nobody else does
+ROUND_S = 0.05  # for question and answer, beside what disks take
+STANDING_S, STANDING_WRITES = 0.1, 6.0  # from a won pre-vote to the lease of the new primary
+FRUITLESS_ROUNDS = 5.0  # a member that asks for so long and never stands may hear no answers: others go first as long
+
+
+class PreVoteRound:
+    """One question to all voters, and what they have answered."""
+
+    def __init__(self, number: int, voters: tuple[str, ...], asked_at: float) -> None:
+        self.number = number
+        self.asked_at = asked_at
+        self.positions: dict[str, m.Position] = {}
+        self._voters = voters
+        self._free_at: dict[str, float] = {}
+
+    def on_reply(self, reply: m.PreVoteReply, now: float) -> None:
+        """Count an answer."""
+        self.positions[reply.witness] = reply.position
+        self._free_at[reply.witness] = now if reply.granted else now + reply.wait_s
+
+    def won(self, now: float) -> bool:
+        """Would a majority promise?"""
+        return majority(self._voters, {one for one, free_at in self._free_at.items() if free_at <= now})
+
+    def majority_free_at(self) -> float | None:
+        """When a majority may be free, by what they told; None where too few have answered."""
+        answered = sorted(at for one, at in self._free_at.items() if one in self._voters)
+        needed = len(self._voters) // 2 + 1
+        return answered[needed - 1] if len(answered) >= needed else None
+
+
+class Campaign:
+    """``may_stand()``: is this member one that may lead? ``stand(further)``: a majority would promise.
+
+    ``further`` names an in-sync voter whose copy reaches further than the own one, empty for none.
+    """
+
+    def __init__(
+        self,
+        witness: Witness,
+        clock: Clock,
+        network: Network,
+        random: Random,
+        held: Callable[[], m.Position],
+        may_stand: Callable[[], bool],
+        stand: Callable[[str], None],
+    ) -> None:
+        self.leaving = False
+        self._witness = witness
+        self._clock = clock
+        self._network = network
+        self._random = random
+        self._held = held
+        self._may_stand = may_stand
+        self._stand = stand
+        self._ask_at = clock.now()
+        self._timer: Timer | None = None
+        self._round: PreVoteRound | None = None
+        self._number = 0
+        self._preferred, self._preferred_until = "", NEVER
+        self._supported, self._supported_until = "", NEVER
+        self._asking_since: dict[str, float] = {}
+
+    # When to ask -------------------------------------------------------------------------------------
+
+    @property
+    def standing_s(self) -> float:
+        """Seconds that a candidate with its promises gets to become a primary with a lease."""
+        return STANDING_S + STANDING_WRITES * self._witness.write_s
+
+    def wait(self, after_s: float) -> None:
+        """Ask no voter before so many seconds, and a little more by one's place among the in-sync members."""
+        self._ask_at = self._clock.now() + after_s + self._rank_delay()
+        self._schedule()
+
+    def wait_at_least(self, after_s: float) -> None:
+        """Ask no voter before so many seconds."""
+        self._ask_at = max(self._ask_at, self._clock.now() + after_s)
+        self._schedule()
+
+    def primary_heard(self) -> None:
+        """Somebody leads: nobody has to stand before its lease is over."""
+        self._round = None
+        self._asking_since.clear()
+        self.wait(LEASE_S)
+
+    @property
+    def _round_s(self) -> float:
+        return ROUND_S + self._witness.write_s
+
+    def _rank(self, member: str) -> int:
+        """A member's place among those that may stand; the primary that was lost comes last."""
+        record = self._witness.record
+        ranked = [one for one in record.in_sync if one != record.primary or one == self._witness.member]
+        return ranked.index(member) if member in ranked else len(ranked)
+
+    def _rank_delay(self) -> float:
+        later = LEAVING_STANDS_LATER_S if self.leaving else 0.0
+        return later + self._rank(self._witness.member) * RANK_DELAY_S + self._random.uniform(0.0, JITTER_S)
+
+    def _schedule(self) -> None:
+        """One timer, which looks at the time again when it fires: heartbeats put it off all the time."""
+        if self._timer is None:
+            self._timer = self._clock.call_later(max(0.0, self._ask_at - self._clock.now()), self._due)
+
+    def _due(self) -> None:
+        self._timer = None
+        now = self._clock.now()
+        if now < self._ask_at:
+            self._schedule()
+        elif self._may_stand():
+            self._ask()
+        else:
+            self.wait(LEASE_S)
+
+    # The candidate's side ----------------------------------------------------------------------------
+
+    def _ask(self) -> None:
+        now = self._clock.now()
+        self._number += 1
+        question = m.PreVote(self._number, self._witness.member)
+        own = self._answer(question)
+        self._round = PreVoteRound(self._number, self._witness.record.witnesses, now)
+        self._send_others(question)
+        self._ask_at = now + self._round_s + self._random.uniform(0.0, JITTER_S)
+        self._schedule()
+        self.on_reply(own)
+
+    def on_reply(self, reply: m.PreVoteReply) -> None:
+        """A voter tells whether it would promise."""
+        current = self._round
+        if current is None or reply.round != current.number:
+            return
+        now = self._clock.now()
+        current.on_reply(reply, now)
+        if current.won(now) and now - current.asked_at < self._round_s:
+            self._win(current)
+            return
+        free_at = current.majority_free_at()
+        if free_at is not None:
+            self._ask_at = max(free_at, now) + self._random.uniform(0.0, JITTER_S)
+            self._schedule_sooner()
+
+    def _win(self, answered: PreVoteRound) -> None:
+        self._round = None
+        further = self._further_copy(answered)
+        if not further:
+            self.support(self._witness.member)
+            self._send_others(m.PreVote(answered.number, self._witness.member, standing=True))
+        self._stand(further)
+
+    def _send_others(self, question: m.PreVote) -> None:
+        for one in self._witness.record.witnesses:
+            if one != self._witness.member:
+                self._network.send(m.address_of(one), question)
+
+    def _schedule_sooner(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._schedule()
+
+    def _further_copy(self, answered: PreVoteRound) -> str:
+        record = self._witness.record
+        voters = [one for one in record.in_sync if one in record.witnesses and one in answered.positions]
+        best = max(voters, key=lambda one: answered.positions[one], default="")
+        return best if best and answered.positions[best] > self._held() else ""
+
+    # The voter's side --------------------------------------------------------------------------------
+
+    def on_pre_vote(self, question: m.PreVote) -> None:
+        """Tell a member whether it would be promised an epoch now; or one tells that it stands."""
+        if not question.standing:
+            self._network.send(m.address_of(question.candidate), self._answer(question))
+        elif self._bound_for(question.candidate) <= 0:
+            self.support(question.candidate)
+
+    def support(self, candidate: str) -> None:
+        """Keep out of the way of a member that is about to lead: it stands, was promised, or asked to take over."""
+        until = self._clock.now() + self.standing_s
+        again = candidate == self._supported
+        self._supported_until = max(self._supported_until, until) if again else until
+        self._supported = candidate
+        self._preferred = ""
+        self._asking_since.pop(candidate, None)
+        self._keep_out_for(candidate, self.standing_s)
+
+    def _answer(self, question: m.PreVote) -> m.PreVoteReply:
+        wait_s = self._bound_for(question.candidate)
+        if wait_s <= 0:
+            self._prefer(question.candidate)
+        return m.PreVoteReply(question.round, self._witness.member, wait_s <= 0, max(0.0, wait_s), self._held())
+
+    def _prefer(self, candidate: str) -> None:
+        now = self._clock.now()
+        self._preferred, self._preferred_until = candidate, now + self._round_s
+        self._asking_since.setdefault(candidate, now)
+        self._keep_out_for(candidate, self._round_s)
+
+    def _keep_out_for(self, candidate: str, seconds: float) -> None:
+        if candidate != self._witness.member:
+            self._round = None
+            self.wait_at_least(seconds + self._rank_delay())
+
+    def _bound_for(self, candidate: str) -> float:
+        """Seconds for which a lease of another's may run, or this voter keeps out of another's way."""
+        now = self._clock.now()
+        waits = [self._witness.bound_for(candidate), self._rest_of(candidate, now)]
+        if candidate != self._supported:
+            waits.append(self._supported_until - now)
+        if candidate != self._preferred and self._preferred and self._rank(self._preferred) <= self._rank(candidate):
+            waits.append(self._preferred_until - now)
+        return max(waits)
+
+    def _rest_of(self, candidate: str, now: float) -> float:
+        """Seconds for which others go first, as the member has asked for long and never stood."""
+        since = self._asking_since.get(candidate)
+        if since is None:
+            return 0.0
+        fruitless_s = FRUITLESS_ROUNDS * self._round_s
+        if now - since >= 2 * fruitless_s:
+            del self._asking_since[candidate]
+            return 0.0
+        return since + 2 * fruitless_s - now if now - since > fruitless_s else 0.0
--- a/lynxscale/coordination/copies.py
+++ b/lynxscale/coordination/copies.py
@@ -13,6 +13,7 @@
 import logging
 from bisect import bisect_right
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -54,7 +55,9 @@
 class Copy:
     """One member's copy, as its primary knows it. ``settled()``: is the store's memory what its position says?"""
 
-    def __init__(self, member: str, epoch: int, store: Store, clock: Clock, network: Network, settled) -> None:
+    def __init__(
+        self, member: str, epoch: int, store: Store, clock: Clock, network: Network, settled: Callable[[], bool]
+    ) -> None:
         self.state = CopyState.UNKNOWN
         self.stored = START
         self.known = False
@@ -147,21 +150,29 @@
         if message.installing:
             self._become(CopyState.INSTALLING)
             return
-        self._keys = sorted(self._store.values)
         self._last_sent = False
         if message.upto and self._store.reaches(message.position):
+            self._keys = sorted(self._store.values)
             self._sent, self._upto = message.position, message.upto
             self._cursor = bisect_right(self._keys, message.upto)
         else:
-            self._sent, self._upto, self._cursor = self._store.position, "", 0
+            self._upto = ""
         self._become(CopyState.PARTS)
 
+    def _begin_parts(self) -> None:
+        """The first part is about to go: the transfer is of the state as it is now.
+
+        Not before: a batch that went ahead of the first part would be in no transfer, and its new keys in no part.
+        """
+        self._keys = sorted(self._store.values)
+        self._sent, self._cursor = self._store.position, 0
+
     # What is sent --------------------------------------------------------------------------------------
 
     def offer(self, batch: m.Batch) -> None:
         """A batch that is about to be stored here too: it may go at once."""
         current = self.state is CopyState.BATCHES and not self._window_full
-        if (current or self.state is CopyState.PARTS) and self._sent == batch.previous:
+        if (current or self._parts_begun) and self._sent == batch.previous:
             self._send_batch(batch)
 
     def pump(self) -> None:
@@ -170,6 +181,8 @@
             while not self._window_full and self._send_next_batch():
                 pass
         elif self.state is CopyState.PARTS and self._settled():
+            if not self._parts_begun:
+                self._begin_parts()
             while self._send_next_batch():
                 pass
             if self._sent != self._store.position:
@@ -191,6 +204,15 @@
             self._repairing = True
             self._ask()
 
+    @property
+    def repairing(self) -> bool:
+        """Was the copy found to differ, and is not yet replaced?"""
+        return self._repairing
+
+    @property
+    def _parts_begun(self) -> bool:
+        return self.state is CopyState.PARTS and bool(self._upto)
+
     @property
     def _window_full(self) -> bool:
         return sum(one.size for one in self._in_flight) >= self._window
--- a/lynxscale/coordination/epochs.py
+++ b/lynxscale/coordination/epochs.py
@@ -17,12 +17,20 @@
     return 2 * len(present.intersection(voters)) > len(voters)
 
 
+EXPECTED_WRITE_S = 0.03  # before the first was seen
+WRITE_FADES = 0.8  # of the slowest late write, with each that is faster
+
+
 class Witness:
-    """One member's votes. ``lease_s``: how long a grant binds it, by its own steady clock."""
+    """One member's votes. ``lease_s``: how long a grant binds it, by its own steady clock.
+
+    ``write_s``: what a write of the register takes, by the slowest of the late ones.
+    """
 
     def __init__(self, register: Register, clock: Clock, lease_s: float) -> None:
         self.member = register.state.member
         self.lease_s = lease_s
+        self.write_s = EXPECTED_WRITE_S
         self._clock = clock
         self._register = register
         # Grants are not stored: an earlier process may have given one just before it ended, to the record's primary,
@@ -45,6 +53,10 @@
         """Seconds for which a lease granted here may still be held by somebody."""
         return max(0.0, self._lease_until - self._clock.now())
 
+    def bound_for(self, candidate: str) -> float:
+        """Seconds for which a lease of another member than the candidate may run."""
+        return 0.0 if self._lease_holder == candidate else self.lease_left
+
     def learn(self, record: m.EpochRecord) -> bool:
         """Take over a record that a majority has accepted; was it news?"""
         if record.epoch <= self.record.epoch:
@@ -62,8 +74,7 @@
         candidate, as each process has its own epoch on its disk before it asks anyone else for it.
         """
         repeated = request.epoch == self.state.promised and request.candidate == self.state.promised_to
-        bound = self.lease_left > 0 and self._lease_holder != request.candidate
-        if bound or (request.epoch <= self.state.promised and not repeated):
+        if self.bound_for(request.candidate) > 0 or (request.epoch <= self.state.promised and not repeated):
             return m.Deny(request.epoch, self.member, self.state.promised, self.lease_left, self.record)
         if not repeated:
             self._save(self.record, request.epoch, request.candidate)
@@ -79,9 +90,10 @@
         return m.Accepted(record.epoch, self.member)
 
     def grant(self, request: m.LeaseRequest) -> bool:
-        """Grant the lease of the accepted epoch to its primary."""
+        """Grant the lease of the accepted epoch to its primary, also while that one asks for its next epoch."""
         record = request.record
-        if record.epoch != self.record.epoch or self.state.promised > record.epoch:
+        passed_by = self.state.promised > record.epoch and self.state.promised_to != record.primary
+        if record.epoch != self.record.epoch or passed_by:
             return False
         if self.member not in record.witnesses:
             return False
@@ -96,7 +108,9 @@
 
     def _save(self, accepted: m.EpochRecord, promised: int, promised_to: str) -> None:
         """Store the state, and only then go by it. Raises OSError."""
+        begun = self._clock.now()
         self._register.save(RegisterState(self.member, accepted, promised, promised_to))
+        self.write_s = max(self._clock.now() - begun, self.write_s * WRITE_FADES)
 
 
 class Proposal:
--- a/lynxscale/coordination/follower.py
+++ b/lynxscale/coordination/follower.py
@@ -53,7 +53,7 @@
         if batch.previous == self._store.held:
             self._store.save(batch)
             self._store.apply(batch.puts)
-            self._store.fold_if_due()
+            self._store.settle()
         elif staged:
             return
         self._tell_position(message.epoch)
@@ -79,10 +79,10 @@
             self._install(message.epoch)
 
     def on_digest_request(self, message: m.DigestRequest) -> None:
-        """Tell the checksum of the state, where it is at the position asked for."""
-        if self._follows(message.epoch) and message.position == self._store.held:
-            checksum = self._store.checksum()
-            self._send(m.DigestReply(message.epoch, self._member, self._store.position, checksum))
+        """Tell the checksum that the state had at the position asked for, where that is known."""
+        checksum = self._store.checksum_at(message.position)
+        if self._follows(message.epoch) and self._store.intact and checksum is not None:
+            self._send(m.DigestReply(message.epoch, self._member, message.position, checksum))
 
     def abandon_transfer(self) -> None:
         """What has come of a whole state cannot be made durable: it has to come again."""
--- a/lynxscale/coordination/leadership.py
+++ b/lynxscale/coordination/leadership.py
@@ -170,16 +170,16 @@
 
     def on_digest_reply(self, message: m.DigestReply) -> None:
         """A copy's checksum: one that differs is sent anew."""
-        same_place = message.position == self._store.position and self.replicator.idle
-        if same_place and message.checksum != self._store.checksum():
+        own = self._store.checksum_at(message.position)
+        if own is not None and message.checksum != own:
             log.error("event=copy_differs member=%s", message.member)
             self.replicator.repair(message.member)
 
     def scrub(self) -> None:
-        """Compare the copies with the own one."""
+        """Compare the copies with the own one, at what was committed last."""
         record = self._witness.record
-        if self.established and self.replicator.idle:
-            self._send_all(record.in_sync, m.DigestRequest(record.epoch, self._store.position))
+        if self.established:
+            self._send_all(record.in_sync, m.DigestRequest(record.epoch, self.replicator.committed))
 
     # Who votes and copies ------------------------------------------------------------------------------
 
@@ -191,7 +191,8 @@
 
     def consider_plan(self) -> None:
         """Propose a new epoch where other members should vote or copy."""
-        if self._proposer.active or not self.lease.held:
+        young = not self.established and self._clock.now() - self._begun_at < SILENT_AFTER_S
+        if self._proposer.active or not self.lease.held or young:
             return
         record = self._witness.record
         planned = plan_record(self._plan_input(record), record.epoch)
@@ -207,12 +208,17 @@
         ready = [one for one in others if self.replicator.caught_up(one) and not plan.departing(one)]
         if not ready:
             return False
-        self.lease.drop()
-        self._witness.release(record.epoch)
-        self._send_all(record.witnesses, m.LeaseRelease(record.epoch))
+        self.release(ready[0])
         self._network.send(m.address_of(ready[0]), m.TakeOver(record.epoch))
         return True
 
+    def release(self, successor: str = "") -> None:
+        """Give the lease back, or tell that it has ended, so that nobody waits for it."""
+        record = self._witness.record
+        self.lease.drop()
+        self._witness.release(record.epoch)
+        self._send_all(record.witnesses, m.LeaseRelease(record.epoch, successor))
+
     def _plan_input(self, base: m.EpochRecord) -> PlanInput:
         retiring = self._retiring()
         return PlanInput(
--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -14,6 +14,7 @@
 from random import Random
 
 from lynxscale.coordination import messages as m
+from lynxscale.coordination.campaign import Campaign
 from lynxscale.coordination.candidacy import Candidacy, decide_candidacy
 from lynxscale.coordination.departure import Departure
 from lynxscale.coordination.epochs import Proposal, Witness
@@ -21,18 +22,16 @@
 from lynxscale.coordination.leadership import TICK_S, Leadership
 from lynxscale.coordination.lease import LEASE_S
 from lynxscale.coordination.ports import Clock, Files, Network, Timer
-from lynxscale.coordination.proposer import ROUND_TIMEOUT_S, Proposer
+from lynxscale.coordination.proposer import Proposer
 from lynxscale.coordination.register import Register
 from lynxscale.coordination.store import Store
 from lynxscale.coordination.voters import FOUNDERS
 
 log = logging.getLogger(__name__)
 
-RANK_DELAY_S = 0.07  # between the in-sync members' candidacies, so that they seldom meet
 JOIN_EVERY_S = 0.25
 DISK_ASIDE_S = 1.0  # a member whose disk failed does not stand for so long
 LEAVE_EVERY_S = 0.1  # a member that is about to stop tells so
-LEAVING_STANDS_LATER_S = 0.3  # than others: it stands where nobody else does
 MARK_EVERY_S = 1.0  # the position is noted apart from the versions
 
 
@@ -86,11 +85,14 @@
         self._on_lead = on_lead
         self._proposer = Proposer(self.witness, clock, network, self._held, self._choose, self._decided)
         self._follower = Follower(self.me, self.store, network, self._follows, self._recorded_primary)
+        self._campaign = Campaign(
+            self.witness, clock, network, random, self._held, self._may_stand, self._stand_or_send_on
+        )
         self._join_at = self._disk_failed_at = self._mark_at = -1e9
         self._primary_heard_at = clock.now()
         # A primary whose process ended holds no lease any more: it may stand at once, and the others let it.
         free = self.record.epoch == 0 or self.record.primary == self.me
-        self._candidate_at = clock.now() + self._candidacy_delay(0.0 if free else LEASE_S)
+        self._campaign.wait(0.0 if free else LEASE_S)
         self._timer: Timer = clock.call_later(TICK_S, self._tick)
         if not self.store.intact:
             log.error("event=files_missing damage=%s", ",".join(self.store.damage))
@@ -136,6 +138,7 @@
     def leave(self, on_release: Callable[[], None]) -> None:
         """The process is to stop. It votes and copies on; ``on_release()`` once nothing depends on it any more."""
         self.departure.begin(on_release)
+        self._campaign.leaving = True
         self.yield_lead()
         self._announce()
 
@@ -161,10 +164,18 @@
             self._on_disk_failure(error)
         return True
 
+    def _on_pre_vote(self, message: m.PreVote) -> None:
+        self._campaign.on_pre_vote(message)
+
+    def _on_pre_vote_reply(self, message: m.PreVoteReply) -> None:
+        self._campaign.on_reply(message)
+
     def _on_prepare(self, message: m.Prepare) -> None:
         answer = self.witness.prepare(message, self._held())
-        if isinstance(answer, m.Promise) and message.candidate != self.me and self.state is State.PRIMARY:
-            self._become(State.BACKUP)
+        if isinstance(answer, m.Promise):
+            self._campaign.support(message.candidate)
+            if message.candidate != self.me and self.state is State.PRIMARY:
+                self._become(State.BACKUP)
         self._network.send(m.address_of(message.candidate), answer)
 
     def _on_promise(self, message: m.Promise) -> None:
@@ -175,13 +186,13 @@
             self._wait_for_lease(message.lease_left)
 
     def _wait_for_lease(self, lease_left: float) -> None:
-        now = self._clock.now()
-        wait = lease_left + self._random.uniform(0.01, 0.1)
-        self._candidate_at = min(max(self._candidate_at, now + wait), now + LEASE_S)
+        self._become(State.BACKUP)
+        self._campaign.wait(min(lease_left, LEASE_S))
 
     def _on_accept(self, message: m.Accept) -> None:
         answer = self.witness.accept(message.record)
         if answer is not None:
+            self._campaign.support(message.record.primary)
             self._network.send(m.address_of(message.record.primary), answer)
 
     def _on_accepted(self, message: m.Accepted) -> None:
@@ -197,7 +208,7 @@
             return
         self._become(State.BACKUP if self.me in record.witnesses else State.JOINING)
         self._primary_heard_at = self._clock.now()
-        self._candidate_at = self._clock.now() + self._candidacy_delay(LEASE_S)
+        self._campaign.primary_heard()
         granted = self.witness.grant(message)
         promised = self.witness.state.promised
         answer = m.LeaseGrant(
@@ -217,7 +228,13 @@
             self.leadership.on_lease_grant(message)
 
     def _on_lease_release(self, message: m.LeaseRelease) -> None:
+        if message.epoch != self.record.epoch:
+            return
         self.witness.release(message.epoch)
+        if message.successor:
+            self._campaign.support(message.successor)
+        else:
+            self._campaign.wait(0.0)
 
     def _on_take_over(self, message: m.TakeOver) -> None:
         if message.epoch == self.record.epoch and self.state is State.BACKUP and self._may_stand():
@@ -265,6 +282,8 @@
             self.leadership.on_digest_reply(message)
 
     _HANDLERS = {
+        m.PreVote: _on_pre_vote,
+        m.PreVoteReply: _on_pre_vote_reply,
         m.Prepare: _on_prepare,
         m.Promise: _on_promise,
         m.Deny: _on_deny,
@@ -314,7 +333,7 @@
     def _stand_aside(self, base: m.EpochRecord, further: str) -> None:
         log.warning("event=stands_aside member=%s", further)
         self._become(State.BACKUP)
-        self._candidate_at = self._clock.now() + self._candidacy_delay(LEASE_S)
+        self._campaign.wait(LEASE_S)
         self._network.send(m.address_of(further), m.TakeOver(base.epoch))
 
     def _held(self) -> m.Position:
@@ -344,8 +363,9 @@
         now = self._clock.now()
         if self.leadership is not None:
             self._tick_primary()
-        elif self.state in (State.BACKUP, State.CANDIDATE):
-            self._tick_backup(now)
+        elif self.state is State.CANDIDATE and self._proposer.timed_out:
+            self._become(State.BACKUP)
+            self._campaign.wait(0.0)
         # Also as a candidate: others may have replaced this member meanwhile, and only a primary's heartbeat tells.
         waits = self.state in (State.BACKUP, State.CANDIDATE)
         unheard = waits and now - self._primary_heard_at > LEASE_S
@@ -360,6 +380,7 @@
     def _tick_primary(self) -> None:
         if self.leadership.lost:
             log.warning("event=lease_lost epoch=%d", self.record.epoch)
+            self.leadership.release()
             self._become(State.BACKUP)
             return
         if self.settings.node in self.retiring or self.departure.leaving:
@@ -367,29 +388,28 @@
         if self.leadership is not None:
             self.leadership.tick()
 
-    def _tick_backup(self, now: float) -> None:
-        again = self.state is State.CANDIDATE and self._proposer.timed_out
-        first = self.state is State.BACKUP and self._may_stand()
-        if now >= self._candidate_at and (again or first):
-            self._stand()
-
     def _may_stand(self) -> bool:
-        return self.store.intact and self.me in self.record.in_sync and self.me in self.record.witnesses
+        eligible = self.store.intact and self.me in self.record.in_sync and self.me in self.record.witnesses
+        return eligible and self.state is State.BACKUP
+
+    def _stand_or_send_on(self, further: str) -> None:
+        """A majority would promise; a member whose copy reaches further is to stand instead."""
+        if further:
+            self._stand_aside(self.record, further)
+        else:
+            self._stand()
 
     def _stand(self) -> None:
         self._become(State.CANDIDATE)
-        self._candidate_at = self._clock.now() + self._candidacy_delay(ROUND_TIMEOUT_S)
-        denied = self._proposer.propose()
+        self._campaign.support(self.me)
+        try:
+            denied = self._proposer.propose()
+        except OSError as error:
+            self._on_disk_failure(error)
+            return
         if denied is not None:
             self._wait_for_lease(denied.lease_left)
 
-    def _candidacy_delay(self, after: float) -> float:
-        in_sync = self.record.in_sync
-        rank = in_sync.index(self.me) if self.me in in_sync else len(in_sync)
-        if self.departure.leaving:
-            after += LEAVING_STANDS_LATER_S
-        return after + rank * RANK_DELAY_S + self._random.uniform(0.0, RANK_DELAY_S / 2)
-
     def _announce(self) -> None:
         self._join_at = self._clock.now()
         known = [m.address_of(one) for one in (self.record.primary, *self.record.witnesses) if one]
@@ -427,7 +447,7 @@
         self._on_lead(True)
 
     def _stop_leading(self) -> None:
-        self._candidate_at = self._clock.now() + self._candidacy_delay(LEASE_S)
+        self._campaign.wait(LEASE_S)
         leadership, self.leadership = self.leadership, None
         leadership.end()
         self._on_lead(False)
@@ -456,4 +476,4 @@
             self.leadership.hand_over()
         if self.state in (State.PRIMARY, State.CANDIDATE):
             self._become(State.BACKUP)
-        self._candidate_at = max(self._candidate_at, now + DISK_ASIDE_S)
+        self._campaign.wait_at_least(DISK_ASIDE_S)
--- a/lynxscale/coordination/messages.py
+++ b/lynxscale/coordination/messages.py
@@ -41,6 +41,27 @@
 # Epochs and leases -----------------------------------------------------------------------------
 
 
+class PreVote(Message, frozen=True, tag="pre_vote"):
+    """A member asks a voter whether it would promise an epoch now. ``round`` numbers the member's questions.
+
+    ``standing``: it does not ask, it tells that a majority would, and that it stands.
+    """
+
+    round: int
+    candidate: str
+    standing: bool = False
+
+
+class PreVoteReply(Message, frozen=True, tag="pre_vote_reply"):
+    """The voter's answer, with the seconds to wait where it would not, and how far its own copy reaches."""
+
+    round: int
+    witness: str
+    granted: bool
+    wait_s: float
+    position: Position
+
+
 class Prepare(Message, frozen=True, tag="prepare"):
     """A candidate asks a witness to take part in no lower epoch."""
 
@@ -101,9 +122,10 @@
 
 
 class LeaseRelease(Message, frozen=True, tag="lease_release"):
-    """The primary of that epoch acts no more, so witnesses need not wait."""
+    """The primary of that epoch acts no more, so witnesses need not wait. ``successor``: whom it asked to take over."""
 
     epoch: int
+    successor: str = ""
 
 
 class TakeOver(Message, frozen=True, tag="take_over"):
@@ -350,7 +372,9 @@
 
 
 Wire = (
-    Prepare
+    PreVote
+    | PreVoteReply
+    | Prepare
     | Promise
     | Deny
     | Accept
--- a/lynxscale/coordination/ports.py
+++ b/lynxscale/coordination/ports.py
@@ -32,7 +32,10 @@
 
 
 class Network(Protocol):
-    """Datagrams between nodes: a message arrives once, in order, or not at all."""
+    """Datagrams between nodes: a message arrives once, in order, or not at all.
+
+    What was sent before a write of ``Files`` is on its way before that write's syncs.
+    """
 
     def send(self, address: str, message: Message) -> None:
         """Send to the node at ``address`` (``host:port`` of its internal listener)."""
@@ -57,6 +60,9 @@
     def write(self, name: str, content: bytes) -> None:
         """Returns once the content and the name are on stable storage. Raises OSError."""
 
+    def write_all(self, contents: dict[str, bytes]) -> None:
+        """Write several files with one sync of the folder; they take their names in order. Raises OSError."""
+
     def create(self, name: str) -> FileWriter:
         """Begin a file of that name, which counts once it is finished. Raises OSError."""
 
--- a/lynxscale/coordination/proposer.py
+++ b/lynxscale/coordination/proposer.py
@@ -8,7 +8,8 @@
 from lynxscale.coordination.epochs import Proposal, Witness
 from lynxscale.coordination.ports import Clock, Network
 
-ROUND_TIMEOUT_S = 0.25  # for the answers to a prepare or an accept
+ROUND_TIMEOUT_S = 0.25  # for the answers to a prepare or an accept, beside what disks take
+ROUND_WRITES = 4.0  # register writes that a round waits for
 
 
 class Proposer:
@@ -46,7 +47,8 @@
     @property
     def timed_out(self) -> bool:
         """Has the last round had its time?"""
-        return self._clock.now() - self._begun_at > ROUND_TIMEOUT_S
+        allowed_s = ROUND_TIMEOUT_S + ROUND_WRITES * self._witness.write_s
+        return self._clock.now() - self._begun_at > allowed_s
 
     def cancel(self) -> None:
         """Answers to the round under way count no more."""
--- a/lynxscale/coordination/register.py
+++ b/lynxscale/coordination/register.py
@@ -51,6 +51,9 @@
         self.restored = stored is not None
         if stored is not None:
             self.state = msgspec.json.decode(stored, type=RegisterState)
+            if not self._pair.whole:
+                # What is promised from here on may rest on one file: were it damaged, the other would tell less.
+                self.save(self.state)
         else:
             self.save(_new_state(identity, first_start, random))
 
--- a/lynxscale/coordination/replication.py
+++ b/lynxscale/coordination/replication.py
@@ -152,13 +152,14 @@
     def caught_up(self, member: str) -> bool:
         """Does the member hold all that may be committed, also by earlier primaries?"""
         copy = self.copies.get(member)
-        if copy is None or not copy.known:
+        if copy is None or not copy.known or copy.repairing:
             return False
         return copy.stored >= max(self.committed, self._inherited) and self._store.reaches(copy.stored)
 
     def behind(self) -> set[str]:
-        """Members that lack what is committed, although their copies may count: their files were damaged."""
-        return {one for one, copy in self.copies.items() if copy.known and copy.stored < self.committed}
+        """Members whose copies may count and lack what is committed: damaged files, or one that differs."""
+        lacking = {one for one, copy in self.copies.items() if copy.known and copy.stored < self.committed}
+        return lacking | {one for one, copy in self.copies.items() if copy.repairing}
 
     def repair(self, member: str) -> None:
         """Send a member the whole state, since its copy differs."""
@@ -195,7 +196,7 @@
             copy.offer(batch)
         try:
             self._store.save(batch)
-            self._store.fold_if_due()
+            self._store.settle()
         except OSError as error:
             self._pending, self._outstanding = submissions + self._pending, None
             self._on_disk_failure(error)
--- a/lynxscale/coordination/sealed.py
+++ b/lynxscale/coordination/sealed.py
@@ -40,19 +40,25 @@
         self._names = (name, name + SECOND_COPY)
 
     def load(self) -> bytes | None:
-        """The value saved last, None where neither file holds one. The first file is never the older one."""
-        for name in self._names:
-            sealed = self._files.read(name)
-            if sealed is None:
-                continue
-            try:
-                return unseal(name, sealed)
-            except CorruptFile:
-                continue
-        return None
+        """The value saved last, None where neither file holds one. The first file counts where it is whole."""
+        first, second = map(self._read, self._names)
+        return second if first is None else first
+
+    @property
+    def whole(self) -> bool:
+        """Do both files hold the same value?"""
+        first, second = map(self._read, self._names)
+        return first is not None and first == second
 
     def save(self, content: bytes) -> None:
-        """Returns once both files hold the value. Raises OSError; the first may then hold it already."""
-        sealed = seal(content)
-        for name in self._names:
-            self._files.write(name, sealed)
+        """Returns once both files hold the value. Raises OSError; either may then hold it already."""
+        self._files.write_all(dict.fromkeys(self._names, seal(content)))
+
+    def _read(self, name: str) -> bytes | None:
+        sealed = self._files.read(name)
+        if sealed is None:
+            return None
+        try:
+            return unseal(name, sealed)
+        except CorruptFile:
+            return None
--- a/lynxscale/coordination/store.py
+++ b/lynxscale/coordination/store.py
@@ -14,6 +14,7 @@
 MOST_BATCH_FILES = 1000
 LEAST_BATCH_BYTES = 1_000_000  # before the batches are folded into a whole version
 FOLD_AGAIN_FILES = 200  # batches more, after an attempt that failed
+KEPT_CHECKSUMS = 1024  # of the latest positions, so that copies can be compared while writes go on
 NOWHERE = Position(-1, -1)  # of a member whose files have a gap: it holds nothing that counts
 REMOVED = msgspec.Raw(b"null")
 
@@ -43,6 +44,8 @@
         self._writer: WholeWriter | None = None
         self._marked = START
         self._no_fold_before = 0
+        self._checksums: dict[Position, int] = {}
+        self._keep_checksum()
 
     @property
     def intact(self) -> bool:
@@ -91,6 +94,20 @@
         """Checksum of all keys and values, the same on members with equal state."""
         return self._table.checksum
 
+    def checksum_at(self, position: Position) -> int | None:
+        """Checksum of the state at a position; None where it was not stored here lately as one batch's end."""
+        return self._checksums.get(position)
+
+    def settle(self) -> None:
+        """To be called where the memory is what the position says, after each batch."""
+        self._keep_checksum()
+        self._fold_if_due()
+
+    def _keep_checksum(self) -> None:
+        self._checksums[self.position] = self.checksum()
+        if len(self._checksums) > KEPT_CHECKSUMS:
+            del self._checksums[next(iter(self._checksums))]
+
     def mark(self) -> None:
         """Note the position apart from the versions, where it has moved. Raises OSError."""
         if self.intact and self.position != self._marked:
@@ -111,12 +128,14 @@
             self.position, self._table, self.damage = position, table, []
             self.recent = type(self.recent)()
             self._batch_files = self._batch_bytes = 0
+            self._checksums.clear()
+            self._keep_checksum()
             done()
 
         self._write_whole(position, table, installed)
 
-    def fold_if_due(self) -> None:
-        """Write the version whole where its batches have become many; to be called once the last one is applied."""
+    def _fold_if_due(self) -> None:
+        """Write the version whole where its batches have become many."""
         due = self._batch_bytes > LEAST_BATCH_BYTES + self._whole_bytes or self._batch_files > MOST_BATCH_FILES
         if self._writer is not None or not due or self._batch_files < self._no_fold_before:
             return
--- a/lynxscale/runtime/files.py
+++ b/lynxscale/runtime/files.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 from pathlib import Path
 
 ASIDE = ".aside"
@@ -10,9 +11,13 @@
 
 
 class DurableFiles:
-    """Implements the Files port. A write returns once content and name are on stable storage."""
+    """Implements the Files port. A write returns once content and name are on stable storage.
 
-    def __init__(self, folder: str) -> None:
+    ``before_sync()`` is called before a write waits for the disk.
+    """
+
+    def __init__(self, folder: str, before_sync: Callable[[], None] = lambda: None) -> None:
+        self._before_sync = before_sync
         self._folder = Path(folder)
         self._folder.mkdir(parents=True, exist_ok=True)
         self._descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
@@ -21,9 +26,25 @@
 
     def write(self, name: str, content: bytes) -> None:
         """Store a file. Raises OSError; the file of that name is then as before."""
-        file = self.create(name)
-        file.append(content)
-        file.finish()
+        self.write_all({name: content})
+
+    def write_all(self, contents: dict[str, bytes]) -> None:
+        """Store several files. Raises OSError; files that have not taken their names are then as before."""
+        self._before_sync()
+        files = []
+        try:
+            for name, content in contents.items():
+                file = self.create(name)
+                files.append(file)
+                file.append(content)
+                file.sync()
+        except OSError:
+            for file in files:
+                file.discard()
+            raise
+        for file in files:
+            file.take_name()
+        os.fsync(self._descriptor)
 
     def create(self, name: str) -> AsideFile:
         """Begin a file. Raises OSError."""
@@ -70,14 +91,22 @@
 
     def finish(self) -> None:
         """Make content and name durable. Raises OSError."""
+        self.sync()
+        self.take_name()
+        os.fsync(self._folder)
+
+    def sync(self) -> None:
+        """Make the content durable. Raises OSError."""
         try:
             os.fdatasync(self._descriptor)
         except OSError:
             self.discard()
             raise
+
+    def take_name(self) -> None:
+        """Put the file in its place; that lasts once the folder is synced. Raises OSError."""
         self._close()
         os.rename(self._aside, self._path)
-        os.fsync(self._folder)
 
     def discard(self) -> None:
         """Leave nothing behind."""
@@ -100,6 +129,10 @@
         """Not possible here. Raises OSError."""
         raise OSError("the folder is only looked at")
 
+    def write_all(self, contents: dict[str, bytes]) -> None:
+        """Not possible here. Raises OSError."""
+        raise OSError("the folder is only looked at")
+
     def create(self, name: str) -> AsideFile:
         """Not possible here. Raises OSError."""
         raise OSError("the folder is only looked at")
--- a/lynxscale/runtime/network.py
+++ b/lynxscale/runtime/network.py
@@ -85,7 +85,7 @@
         self._waiting.append(payload)
         if not self._flush_due and self._transport is not None:
             self._flush_due = True
-            self._loop.call_soon(self._flush)
+            self._loop.call_soon(self.flush)
 
     async def _connect(self) -> None:
         host, port = split_address(self._address)
@@ -102,14 +102,15 @@
         """Part of asyncio.Protocol."""
         self._transport = transport
         tune(transport)
-        self._flush()
+        self.flush()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Part of asyncio.Protocol."""
         self._transport = None
         self._waiting.clear()
 
-    def _flush(self) -> None:
+    def flush(self) -> None:
+        """Write what waits."""
         self._flush_due = False
         if self._transport is None or not self._waiting:
             return
@@ -137,6 +138,11 @@
         host, port = split_address(self.address)
         self._server = await self._loop.create_server(lambda: Inbound(receive), host, port)
 
+    def flush(self) -> None:
+        """Write what was sent in this turn now: the loop is about to stand still, as it waits for a disk."""
+        for link in self._links.values():
+            link.flush()
+
     def send(self, address: str, message: Message) -> None:
         """Send a message; one to this node itself arrives with the loop's next turn."""
         if not address:
--- a/tests/test_tier_checks.py
+++ b/tests/test_tier_checks.py
@@ -65,7 +65,10 @@
     assert witness.grant(m.LeaseRequest(record, 1))
     assert isinstance(witness.prepare(m.Prepare(4, "c#0"), start), m.Deny)
     assert isinstance(witness.prepare(m.Prepare(4, "b#0"), start), m.Promise)
-    assert not witness.grant(m.LeaseRequest(record, 2))
+    # Its holder asks for its own next epoch: the lease goes on. Nobody else gets a promise or a lease meanwhile.
+    assert witness.grant(m.LeaseRequest(record, 2))
+    assert isinstance(witness.prepare(m.Prepare(5, "c#0"), start), m.Deny)
+    assert not witness.grant(m.LeaseRequest(m.EpochRecord(3, "c#0", ("c#0",), record.witnesses), 1))
     restarted = Witness(Register(MemberIdentity("a:1", False, ()), machine.files, world.random), clock, 0.4)
     assert isinstance(restarted.prepare(m.Prepare(5, "c#0"), start), m.Deny)
     world.run(world.time + 0.41)
--- a/tests/test_tier_control_safety.py
+++ b/tests/test_tier_control_safety.py
@@ -18,6 +18,7 @@
 from lynxscale.coordination.register import REGISTER_FILE, MemberIdentity, Register
 from lynxscale.coordination.sealed import SECOND_COPY
 from lynxscale.coordination.store import NOWHERE, Store
+from lynxscale.coordination.table import RecentBatches
 from lynxscale.coordination.versions import BATCH_PREFIX, MARK_FILE, STATE_PREFIX
 
 NEWCOMER = "10.0.0.9:7000"
@@ -207,8 +208,11 @@
         else:
             getattr(machine.files, how)(name, group.world.random)
 
+    for name in (REGISTER_FILE, REGISTER_FILE + SECOND_COPY):
+        break_file(name)
+        # The start that finds one damaged writes both anew.
+        assert Register(MemberIdentity(address, False, group.seeds), machine.files, group.world.random).state == before
     break_file(REGISTER_FILE)
-    assert Register(MemberIdentity(address, False, group.seeds), machine.files, group.world.random).state == before
     break_file(REGISTER_FILE + SECOND_COPY)
     member = group.start(address, bootstrap=True)
     assert member.me != before.member
@@ -311,6 +315,49 @@
     assert member.me in leader.record.in_sync
 
 
+def test_a_copy_that_differs_is_out_of_the_in_sync_set_until_it_is_repaired():
+    """A copy that counts has to hold all that was committed; the comparison waits for no moment without writes."""
+    group = started(size=5, tolerated=2)
+    steady(group, 0.004)
+    member = group.members[backups(group)[0]]
+    leader = group.wait_for_leader()
+    member.store.apply((m.put_value("lost", 1),))
+    group.world.run(group.world.time + 0.05)
+    leader.leadership.scrub()
+    assert group.world.run_until(lambda: member.me not in leader.record.in_sync, 0.5)
+    assert group.world.run_until(lambda: member.me in leader.record.in_sync, 3.0)
+    assert "lost" not in member.store.values
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_a_member_brought_up_by_parts_amid_new_keys_has_them_all(seed):
+    """Seen on trouble-3 (copy_differs) and in history 19: a batch that went before the first part was in no part."""
+    group = started(seed)
+    filled(group, 1)
+    for address, one in group.members.items():
+        group.world.machine(address).sync_s = 0.004
+        one.store.recent = RecentBatches()  # so that only a whole state helps
+    wiped = backups(group)[0]
+    group.kill(wiped, power=True, wipe=True)
+    number = 0
+
+    def write() -> None:
+        nonlocal number
+        number += 1
+        for leader in group.leaders():
+            group.submit(leader, f"new{number:05}", number, lambda committed: None)
+        if number < 900:
+            group.world.at(group.world.time + 0.003, write)
+
+    write()
+    group.world.run(group.world.time + 0.3)
+    member = group.start(wiped)
+    leader = group.wait_for_leader()
+    assert group.world.run_until(lambda: member.me in leader.record.in_sync, 6.0)
+    group.world.run(group.world.time + 4.0)
+    assert member.store.checksum() == leader.store.checksum(), set(leader.store.values) - set(member.store.values)
+
+
 def test_a_thousand_changes_away_and_back():
     group = started()
     address = backups(group)[0]
--- /dev/null
+++ b/tests/test_tier_takeover.py
@@ -0,0 +1,137 @@
+"""How a primary is followed by another: who asks, who waits, and for how long nobody serves."""
+
+import asyncio
+
+import pytest
+
+from lab.tier.group import Group
+from lab.tier.takeover import Case, silence
+from lab.tier.world import World
+from lynxscale.coordination import messages as m
+from lynxscale.coordination.epochs import Witness
+from lynxscale.coordination.lease import LEASE_S
+from lynxscale.coordination.messages import address_of
+from lynxscale.coordination.register import REGISTER_FILE, MemberIdentity, Register, RegisterState
+from lynxscale.coordination.sealed import SECOND_COPY
+from lynxscale.runtime.files import DurableFiles
+from lynxscale.runtime.network import InternalNetwork
+
+
+def started(seed: int = 1, size: int = 5, tolerated: int = 2, sync_s: float = 0.0) -> Group:
+    group = Group(World(seed, delay_s=0.0015), size, tolerated)
+    for address in group.seeds:
+        group.world.machine(address).sync_s = sync_s
+    group.start_all()
+    group.wait_for_leader(20.0)
+    group.world.run(group.world.time + 1.0)
+    return group
+
+
+@pytest.mark.parametrize("how", ["kill", "wipe", "cut", "deaf", "mute"])
+@pytest.mark.parametrize(("sync_s", "median_s", "most_s"), [(0.0, 0.45, 0.6), (0.0092, 0.62, 0.85), (0.03, 1.25, 2.0)])
+def test_another_primary_serves_soon_on_fast_and_slow_disks(how, sync_s, median_s, most_s):
+    """Seen on scale-1 and trouble-3 of the Stadtwerke Steyr site: 1.4 to 1.7 s, as candidates put each other aside."""
+    times = sorted(silence(Case(seed, sync_s, how=how)) for seed in range(1, 10))
+    assert times[len(times) // 2] <= median_s and times[-1] <= most_s, times
+
+
+def test_one_member_only_asks_for_an_epoch_where_a_primary_is_lost():
+    for seed in range(1, 7):
+        group = started(seed, sync_s=0.0092)
+        asked: set[str] = set()
+        deliver = group.world.deliver
+
+        def watch(source: str, target: str, message: m.Message, asked=asked, deliver=deliver) -> None:
+            if isinstance(message, m.Prepare):
+                asked.add(message.candidate)
+            deliver(source, target, message)
+
+        lost = address_of(group.wait_for_leader().me)
+        group.kill(lost)
+        group.world.deliver = watch
+        group.wait_for_leader(2.0)
+        assert len(asked) == 1, seed
+
+
+def test_a_member_that_hears_no_primary_alone_disturbs_nobody():
+    """Its pre-votes are refused: it writes nothing, asks for no epoch, and the primary goes on."""
+    group = started()
+    leader = group.wait_for_leader()
+    backup = next(one for one in group.members.values() if one is not leader)
+    epoch, promised = leader.record.epoch, backup.witness.state.promised
+    group.world.cut(address_of(leader.me), address_of(backup.me), both_ways=False)
+    group.world.run(group.world.time + 5)
+    assert leader.leads() and backup.witness.state.promised in (promised, leader.record.epoch)
+    assert leader.record.epoch <= epoch + 2  # it left the in-sync set, no more
+    group.world.heal()
+    assert group.put("a", 1)
+
+
+def test_a_primary_keeps_its_lease_while_its_own_next_epoch_takes_long():
+    """Seen simulated with 30 ms a sync: each change of the in-sync set cost the primary its lease, for ever again."""
+    world = World(1)
+    machine = world.machine("a:1")
+    record = m.EpochRecord(3, "b#0", ("b#0",), ("a#0", "b#0", "c#0"))
+    register = Register(MemberIdentity("a:1", True, ("a:1",)), machine.files, world.random)
+    register.save(RegisterState("a#0", record, 3, "b#0"))
+    witness = Witness(register, machine.clock(), LEASE_S)
+    assert isinstance(witness.prepare(m.Prepare(4, "b#0"), m.Position(0, 0)), m.Promise)
+    assert witness.grant(m.LeaseRequest(record, 1))
+    assert isinstance(witness.prepare(m.Prepare(5, "c#0"), m.Position(0, 0)), m.Deny)
+    world.run(world.time + LEASE_S + 0.01)
+    assert isinstance(witness.prepare(m.Prepare(5, "c#0"), m.Position(0, 0)), m.Promise)
+    assert not witness.grant(m.LeaseRequest(record, 2))
+
+
+def test_a_register_whose_second_file_is_behind_is_written_anew_at_the_start():
+    """Else a promise made from the first file alone would be forgotten where that one is damaged later."""
+    machine = World(1).machine("a:1")
+    identity = MemberIdentity("a:1", True, ("a:1",))
+    register = Register(identity, machine.files, machine.world.random)
+    before = machine.files.read(REGISTER_FILE + SECOND_COPY)
+    register.save(RegisterState("a#0", register.state.accepted, 7, "b#0"))
+    machine.files._files[REGISTER_FILE + SECOND_COPY] = before
+    assert Register(identity, machine.files, machine.world.random).state.promised == 7
+    machine.files.tear(REGISTER_FILE, machine.world.random)
+    assert Register(identity, machine.files, machine.world.random).state.promised == 7
+
+
+def test_what_was_sent_before_a_write_leaves_before_the_disk_is_waited_for(tmp_path):
+    """Seen from reading: a batch left for its copies only when the primary's own syncs were over."""
+
+    async def play() -> list[m.Message]:
+        loop = asyncio.get_running_loop()
+        sender, receiver = InternalNetwork(loop, "127.0.0.1:0"), InternalNetwork(loop, "127.0.0.1:0")
+        heard: list[m.Message] = []
+        await receiver.listen(heard.append)
+        address = f"127.0.0.1:{receiver._server.sockets[0].getsockname()[1]}"
+        sender.send(address, m.Heartbeat("first"))
+        while not heard:
+            await asyncio.sleep(0)
+        written: list[int] = []
+        link = sender._links[address]
+
+        def before_sync() -> None:
+            sender.flush()
+            written.append(len(link._waiting))
+
+        files = DurableFiles(str(tmp_path), before_sync)
+        sender.send(address, m.Heartbeat("second"))
+        assert len(link._waiting) == 1
+        files.write("a", b"1")
+        assert written == [0]
+        receiver._server.close()
+        return heard
+
+    asyncio.run(play())
+    assert DurableFiles(str(tmp_path)).read("a") == b"1"
+
+
+def test_several_files_are_stored_in_order_and_none_where_one_cannot_be(tmp_path):
+    files = DurableFiles(str(tmp_path))
+    files.write_all({"a": b"1", "b": b"2"})
+    assert (files.read("a"), files.read("b"), files.names()) == (b"1", b"2", ["a", "b"])
+    with pytest.raises(OSError):
+        files.write_all({"a": b"3", "no-such-folder/b": b"4"})
+    assert files.read("a") == b"1"
+    assert files.names() == ["a", "b"]
