Members hand messages straight to the part whose business they are; fields and calls that nobody used are gone

Readability: twelve pass-through handlers of member.py, the never true fresh of tries and connections, three stop() without a caller, and untyped callbacks. No change of behaviour; tier tests and 200 takeovers a row pass as before.

--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -14,7 +14,7 @@
 from lynxscale.controlplane.status import ControlStatus, ReplicaStatus
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.member import ControlMember, MemberSettings
-from lynxscale.coordination.ports import Clock, Files, Network, Timer
+from lynxscale.coordination.ports import Clock, Files, Network
 from lynxscale.coordination.register import MemberIdentity, Register
 from lynxscale.coordination.ring import Roster
 from lynxscale.coordination.tree import ROSTER, Publisher
@@ -57,7 +57,7 @@
         self._numbers: dict[str, int] = {}
         self._roster_dirty = False
         self._sweep_at = self._scrub_at = 0.0
-        self._timer: Timer = clock.call_later(TICK_S, self._tick)
+        clock.call_later(TICK_S, self._tick)
 
     def handle_request(self, request: Request, responder: Responder) -> None:
         """Answer the operator."""
@@ -221,7 +221,7 @@
         self.publisher.push(self.publisher.address, self.member.record.epoch, 0.0)
 
     def _tick(self) -> None:
-        self._timer = self._clock.call_later(TICK_S, self._tick)
+        self._clock.call_later(TICK_S, self._tick)
         if self.member.leads() and not self._serving:
             self._begin_serving()
         self._answer_waiting()
--- a/lynxscale/coordination/calls.py
+++ b/lynxscale/coordination/calls.py
@@ -13,13 +13,16 @@
 LIFE_BITS = 48
 
 
+Answered = Callable[[m.Message | None], None]
+
+
 @dataclass(slots=True)
 class Pending:
     """A call without an answer."""
 
     call: m.Call
     deadline: float
-    done: Callable[[m.Message | None], None]
+    done: Answered
     timer: Timer | None = None
     sends: int = 0
 
@@ -47,7 +50,7 @@
         self._number = 0
         self._turn = 0
 
-    def call(self, body: m.AdmitTurn | m.FinishTurn, timeout_s: float, done: Callable) -> None:
+    def call(self, body: m.AdmitTurn | m.FinishTurn, timeout_s: float, done: Answered) -> None:
         """``done(answer)``, or ``done(None)`` where none came in time."""
         self._number += 1
         message = m.Call(self._number, self._address, self._life, body)
--- a/lynxscale/coordination/leadership.py
+++ b/lynxscale/coordination/leadership.py
@@ -142,6 +142,17 @@
         if self._witness.grant(request):
             self.lease.grant(request.round, self.me, record.witnesses)
 
+    def receive(self, message: m.LeaseGrant | m.TransferProgress | m.Stored | m.DigestReply) -> None:
+        """Handle an answer of another member to this epoch."""
+        if isinstance(message, m.LeaseGrant):
+            self.on_lease_grant(message)
+        elif isinstance(message, m.TransferProgress):
+            self.on_transfer_progress(message)
+        elif isinstance(message, m.Stored):
+            self.on_stored(message)
+        else:
+            self.on_digest_reply(message)
+
     def on_lease_grant(self, message: m.LeaseGrant) -> None:
         """A member has answered a heartbeat."""
         record = self._witness.record
--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -21,7 +21,7 @@
 from lynxscale.coordination.follower import Follower
 from lynxscale.coordination.leadership import TICK_S, Leadership
 from lynxscale.coordination.lease import LEASE_S
-from lynxscale.coordination.ports import Clock, Files, Network, Timer
+from lynxscale.coordination.ports import Clock, Files, Network
 from lynxscale.coordination.proposer import Proposer
 from lynxscale.coordination.register import Register
 from lynxscale.coordination.store import Store
@@ -88,12 +88,13 @@
         self._campaign = Campaign(
             self.witness, clock, network, random, self._held, self._may_stand, self._stand_or_send_on
         )
+        self._handlers = self._message_handlers()
         self._join_at = self._disk_failed_at = self._mark_at = -1e9
         self._primary_heard_at = clock.now()
         # A primary whose process ended holds no lease any more: it may stand at once, and the others let it.
         free = self.record.epoch == 0 or self.record.primary == self.me
         self._campaign.wait(0.0 if free else LEASE_S)
-        self._timer: Timer = clock.call_later(TICK_S, self._tick)
+        clock.call_later(TICK_S, self._tick)
         if not self.store.intact:
             log.error("event=files_missing damage=%s", ",".join(self.store.damage))
 
@@ -147,29 +148,19 @@
         if self.leadership is not None and self.leadership.hand_over():
             self._become(State.BACKUP)
 
-    def stop(self) -> None:
-        """No more timers."""
-        self._timer.cancel()
-
     # Messages ------------------------------------------------------------------------------------
 
     def receive(self, message: m.Message) -> bool:
         """Handle a message of the members; False where it is of another kind."""
-        handler = self._HANDLERS.get(type(message))
+        handler = self._handlers.get(type(message))
         if handler is None:
             return False
         try:
-            handler(self, message)
+            handler(message)
         except OSError as error:
             self._on_disk_failure(error)
         return True
 
-    def _on_pre_vote(self, message: m.PreVote) -> None:
-        self._campaign.on_pre_vote(message)
-
-    def _on_pre_vote_reply(self, message: m.PreVoteReply) -> None:
-        self._campaign.on_reply(message)
-
     def _on_prepare(self, message: m.Prepare) -> None:
         answer = self.witness.prepare(message, self._held())
         if isinstance(answer, m.Promise):
@@ -178,9 +169,6 @@
                 self._become(State.BACKUP)
         self._network.send(m.address_of(message.candidate), answer)
 
-    def _on_promise(self, message: m.Promise) -> None:
-        self._proposer.on_promise(message)
-
     def _on_deny(self, message: m.Deny) -> None:
         if self._proposer.on_deny(message) and self.state is State.CANDIDATE:
             self._wait_for_lease(message.lease_left)
@@ -195,9 +183,6 @@
             self._campaign.support(message.record.primary)
             self._network.send(m.address_of(message.record.primary), answer)
 
-    def _on_accepted(self, message: m.Accepted) -> None:
-        self._proposer.on_accepted(message)
-
     def _on_lease_request(self, message: m.LeaseRequest) -> None:
         record = message.record
         if record.epoch < self.record.epoch:
@@ -223,10 +208,6 @@
         )
         self._network.send(m.address_of(record.primary), answer)
 
-    def _on_lease_grant(self, message: m.LeaseGrant) -> None:
-        if self._leads_in(message.epoch):
-            self.leadership.on_lease_grant(message)
-
     def _on_lease_release(self, message: m.LeaseRelease) -> None:
         if message.epoch != self.record.epoch:
             return
@@ -257,56 +238,36 @@
         if self.state is State.JOINING and message.primary:
             self._network.send(message.primary, m.Join(self.me, self.settings.node, self.departure.leaving))
 
-    def _on_replicate(self, message: m.Replicate) -> None:
-        self._follower.on_replicate(message)
-
-    def _on_state_part(self, message: m.StatePart) -> None:
-        self._follower.on_state_part(message)
-
-    def _on_transfer_ask(self, message: m.TransferAsk) -> None:
-        self._follower.on_transfer_ask(message)
-
-    def _on_transfer_progress(self, message: m.TransferProgress) -> None:
-        if self._leads_in(message.epoch):
-            self.leadership.on_transfer_progress(message)
-
-    def _on_stored(self, message: m.Stored) -> None:
-        if self._leads_in(message.epoch):
-            self.leadership.on_stored(message)
-
-    def _on_digest_request(self, message: m.DigestRequest) -> None:
-        self._follower.on_digest_request(message)
-
-    def _on_digest_reply(self, message: m.DigestReply) -> None:
-        if self._leads_in(message.epoch):
-            self.leadership.on_digest_reply(message)
-
-    _HANDLERS = {
-        m.PreVote: _on_pre_vote,
-        m.PreVoteReply: _on_pre_vote_reply,
-        m.Prepare: _on_prepare,
-        m.Promise: _on_promise,
-        m.Deny: _on_deny,
-        m.Accept: _on_accept,
-        m.Accepted: _on_accepted,
-        m.LeaseRequest: _on_lease_request,
-        m.LeaseGrant: _on_lease_grant,
-        m.LeaseRelease: _on_lease_release,
-        m.TakeOver: _on_take_over,
-        m.Join: _on_join,
-        m.Released: _on_released,
-        m.Redirect: _on_redirect,
-        m.Replicate: _on_replicate,
-        m.StatePart: _on_state_part,
-        m.TransferAsk: _on_transfer_ask,
-        m.TransferProgress: _on_transfer_progress,
-        m.Stored: _on_stored,
-        m.DigestRequest: _on_digest_request,
-        m.DigestReply: _on_digest_reply,
-    }
-
-    def _leads_in(self, epoch: int) -> bool:
-        return self.leadership is not None and epoch == self.record.epoch
+    def _message_handlers(self) -> dict[type[m.Message], Callable[[m.Message], None]]:
+        """Whose business each message is: this member's own, or one of its parts'."""
+        return {
+            m.PreVote: self._campaign.on_pre_vote,
+            m.PreVoteReply: self._campaign.on_reply,
+            m.Prepare: self._on_prepare,
+            m.Promise: self._proposer.on_promise,
+            m.Deny: self._on_deny,
+            m.Accept: self._on_accept,
+            m.Accepted: self._proposer.on_accepted,
+            m.LeaseRequest: self._on_lease_request,
+            m.LeaseRelease: self._on_lease_release,
+            m.TakeOver: self._on_take_over,
+            m.Join: self._on_join,
+            m.Released: self._on_released,
+            m.Redirect: self._on_redirect,
+            m.Replicate: self._follower.on_replicate,
+            m.StatePart: self._follower.on_state_part,
+            m.TransferAsk: self._follower.on_transfer_ask,
+            m.DigestRequest: self._follower.on_digest_request,
+            m.LeaseGrant: self._to_leadership,
+            m.TransferProgress: self._to_leadership,
+            m.Stored: self._to_leadership,
+            m.DigestReply: self._to_leadership,
+        }
+
+    def _to_leadership(self, message: m.LeaseGrant | m.TransferProgress | m.Stored | m.DigestReply) -> None:
+        """An answer to a primary, of this lead's present epoch."""
+        if self.leadership is not None and message.epoch == self.record.epoch:
+            self.leadership.receive(message)
 
     def _follows(self, epoch: int) -> bool:
         """May a primary of that epoch still write here? Not once a later one was promised."""
@@ -353,7 +314,7 @@
     # Time ----------------------------------------------------------------------------------------
 
     def _tick(self) -> None:
-        self._timer = self._clock.call_later(TICK_S, self._tick)
+        self._clock.call_later(TICK_S, self._tick)
         try:
             self._act()
         except OSError as error:
--- a/lynxscale/coordination/ring.py
+++ b/lynxscale/coordination/ring.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from lynxscale.coordination import messages as m
-from lynxscale.coordination.ports import Clock, Network, Timer
+from lynxscale.coordination.ports import Clock, Network
 from lynxscale.coordination.tree import RosterEntry
 
 MONITORS = 3
@@ -44,7 +44,7 @@
         self._network = network
         self._monitors: list[str] = []
         self._heard: dict[str, float] = {}
-        self._timer: Timer = clock.call_later(interval_s, self._tick)
+        clock.call_later(interval_s, self._tick)
 
     def set_roster(self, roster: list[RosterEntry]) -> None:
         """Take the places that the roster gives; who is newly watched gets a full span to be heard in."""
@@ -62,12 +62,8 @@
             self._heard[message.sender] = self._clock.now()
         return True
 
-    def stop(self) -> None:
-        """No more timers."""
-        self._timer.cancel()
-
     def _tick(self) -> None:
-        self._timer = self._clock.call_later(self._interval, self._tick)
+        self._clock.call_later(self._interval, self._tick)
         for monitor in self._monitors:
             self._network.send(monitor, m.Heartbeat(self.address))
         oldest = self._clock.now() - MISSED_HEARTBEATS * self._interval
--- a/lynxscale/coordination/tree.py
+++ b/lynxscale/coordination/tree.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from lynxscale.coordination import messages as m
-from lynxscale.coordination.ports import Clock, Network, Timer
+from lynxscale.coordination.ports import Clock, Network
 
 FANOUT = 4
 ATTACH_EVERY_S = 0.25  # in a small tier
@@ -159,7 +159,7 @@
         self._root_until = -1e9
         self._next_contact = 0
         self._relays = 0
-        self._timer: Timer = clock.call_later(0.0, self._tick)
+        clock.call_later(0.0, self._tick)
 
     @property
     def age(self) -> float:
@@ -182,10 +182,6 @@
         """Seconds between two questions: a parent's cost grows with its children, not with the tier."""
         return ATTACH_EVERY_S * min(MOST_STRETCH, max(1.0, self._relays / STRETCH_BEYOND))
 
-    def stop(self) -> None:
-        """No more timers."""
-        self._timer.cancel()
-
     def receive(self, message: m.Message) -> bool:
         """Handle a message of the tree; False where it is of another kind."""
         if isinstance(message, m.Attach):
@@ -227,7 +223,7 @@
 
     def _tick(self) -> None:
         every = SEEK_EVERY_S if self.place is Place.SEEKING else self._interval
-        self._timer = self._clock.call_later(every, self._tick)
+        self._clock.call_later(every, self._tick)
         now = self._clock.now()
         silent = now - self._heard_at > SILENT_INTERVALS * self._interval
         if self.place is Place.UNDER_RELAY and (silent or self.age > OLDEST_INTERVALS * self._interval):
--- a/lynxscale/dataplane/attempt.py
+++ b/lynxscale/dataplane/attempt.py
@@ -39,9 +39,7 @@
 class Attempt:
     """Implements Receiver of one connection. After an outcome or ``cancel`` the listener hears nothing more."""
 
-    def __init__(
-        self, state: EndpointState, request: Request, listener: Listener, clock: Clock, tokens: int, fresh: bool
-    ) -> None:
+    def __init__(self, state: EndpointState, request: Request, listener: Listener, clock: Clock, tokens: int) -> None:
         self.state = state
         self.sent_at = clock.now()
         self.answered = False
@@ -54,7 +52,7 @@
         self._tokens = tokens
         state.in_flight += 1
         state.tokens_in_flight += tokens
-        self._connection: ClientConnection = state.connection(fresh)
+        self._connection: ClientConnection = state.connection()
         self._connection.send(request, self)
 
     @property
--- a/lynxscale/dataplane/endpoints.py
+++ b/lynxscale/dataplane/endpoints.py
@@ -153,9 +153,9 @@
 
     # Connections -------------------------------------------------------------------------------------
 
-    def connection(self, fresh: bool = False) -> ClientConnection:
+    def connection(self) -> ClientConnection:
         """A kept connection, else a new one."""
-        while self._idle and not fresh:
+        while self._idle:
             connection = self._idle.pop()
             if connection.reusable:
                 return connection
--- a/lynxscale/dataplane/forwarding.py
+++ b/lynxscale/dataplane/forwarding.py
@@ -17,6 +17,7 @@
 from lynxscale.dataplane import headers as h
 from lynxscale.dataplane.attempt import Attempt, Outcome
 from lynxscale.dataplane.balancer import Balancer, Demand
+from lynxscale.dataplane.endpoints import EndpointState
 from lynxscale.dataplane.events import EventScanner
 from lynxscale.dataplane.routing import Route, RouteTable
 from lynxscale.dataplane.turns import TurnLedger
@@ -143,7 +144,7 @@
         if self.state is State.QUEUED:
             self._give_up()
 
-    def _send(self, state) -> None:
+    def _send(self, state: EndpointState) -> None:
         self._offers += 1
         self._tried.add(state.endpoint.id)
         resume = self._scanner.last_id if self._scanner.count else None
@@ -153,7 +154,7 @@
         if self.state is not State.STREAMING:
             self._become(State.SENT)
         request = attrs.evolve(self._request, head=Head(fields))
-        self._attempt = Attempt(state, request, self, self._clock, self._demand.tokens, fresh=False)
+        self._attempt = Attempt(state, request, self, self._clock, self._demand.tokens)
         if self._may_restart():
             tau_ms = state.sample.tau
             if tau_ms < self._left_ms:
