--- a/lab/tier/mistakes.py
+++ b/lab/tier/mistakes.py
@@ -115,16 +115,16 @@
 def chain_lacks_its_oldest() -> Patches:
     """A history stops after two turns."""
 
-    def history(self: Ledger, last: str) -> bytes | None:
+    def history(self: Ledger, last: str, held: str) -> m.TurnAdmitted | None:
         contents, name = [], last
-        while name and len(contents) < 2:
+        while name and name != held and len(contents) < 2:
             raw = self._values.get("turn/" + name)
             if raw is None:
                 return None
             turn = msgspec_decode(raw)
             contents.append(turn.content)
             name = turn.previous
-        return b"".join(reversed(contents))
+        return m.TurnAdmitted(b"".join(reversed(contents)), name if name == held else "")
 
     return [(Ledger, "_history", history)]
 
@@ -136,6 +136,18 @@
     return msgspec.json.decode(raw, type=Turn)
 
 
+def held_text_is_taken_for_any_chain() -> Patches:
+    """A relay is sent nothing where it holds the session's newest text, whatever the turn goes on from."""
+
+    def history(self: Ledger, last: str, held: str) -> m.TurnAdmitted | None:
+        if held and last:
+            return m.TurnAdmitted(b"", held)
+        return original(self, last, held)
+
+    original = Ledger._history
+    return [(Ledger, "_history", history)]
+
+
 def unsafe_call_is_sent_again() -> Patches:
     """A call that may have run counts as not run."""
 
@@ -481,6 +493,7 @@
             reservation_is_forgotten,
             settled_at_nothing,
             chain_lacks_its_oldest,
+            held_text_is_taken_for_any_chain,
             unsafe_call_is_sent_again,
             promise_after_a_run,
             orders_are_not_remembered,
--- a/lab/tier/orders/calls.py
+++ b/lab/tier/orders/calls.py
@@ -117,7 +117,7 @@
         call.written_before = len(self.transport.written)
         self.calls.append(call)
         request = Request("POST", "/", Head(((b"host", b"h"), (h.REQUEST_ID, call.id))), b"x")
-        self.attempts.append(Attempt(self.state, request, call, self._clock, 0, fresh=False))
+        self.attempts.append(Attempt(self.state, request, call, self._clock, 0))
 
     @property
     def _open(self) -> bool:
--- a/tests/test_tier_checks.py
+++ b/tests/test_tier_checks.py
@@ -30,6 +30,7 @@
     "lease_is_never_checked",
     "settled_at_nothing",
     "chain_lacks_its_oldest",
+    "held_text_is_taken_for_any_chain",
     "unsafe_call_is_sent_again",
     "leaving_member_goes_at_once",
     "one_copy_is_left",
