Reread: voters' support in a module of its own, a cache called a cache, and the tests that were missing

Cause (reading the whole change): campaign.py held the candidate's side and the voter's; a pre-vote with a flag was two messages in one; texts.py was a cache under another name; a rename that failed in write_all left files aside and descriptors open; takeover.py played each case twice to name the worst, and its page spoke of an option that did not exist; mistakes.py and histories.py held two concerns each. Tests: an update as the first configuration, two items of one name, the command line of updates, who asks for long and never stands, the better rank, members outside the group tell the primary alone, a failing rename.

--- a/lab/tier/histories.py
+++ b/lab/tier/histories.py
@@ -10,21 +10,17 @@
 import logging
 import sys
 from collections import Counter
-from dataclasses import dataclass, field
 
 import msgspec
 
 from lab.tier.cluster import CONTROL_PORT, INTERNAL_PORT, Tier, default_configuration
+from lab.tier.history_rules import MOST_TOKENS, OrderSeen, Seen, TurnSeen, judge
 from lab.tier.standins import Answer, send
 from lab.tier.world import World
-from lynxscale.coordination.voters import FOUNDERS
 from lynxscale.runtime.http_types import Head, Request
 
 STEPS = 40
-MOST_TOKENS, STRIDE, EVENTS = 40, 10, 4
 BUDGETS = (80, 200, 1000)
-OUTPUT = b"word1\nword2\nword3\nword4\n"
-WHOLE = b"".join(b"id: %d\ndata: word%d\n\n" % (number, number) for number in range(1, EVENTS + 1))
 QUIET_S = 6.0
 SIZES = ((3, 1), (3, 1), (4, 1), (5, 2), (3, 1), (6, 2), (7, 2), (9, 2))  # control members, and losses to be borne
 CONTROL_FAULTS = (
@@ -45,33 +41,6 @@
 DRAIN_S = 3.0
 
 
-@dataclass
-class TurnSeen:
-    """One try for a turn, as its client saw it."""
-
-    request_id: str
-    program: str
-    previous: str
-    text: bytes
-    answer: Answer
-    budget: int
-
-
-@dataclass
-class OrderSeen:
-    """One configuration, as the operator saw its answers. ``update``: what was sent instead of the whole."""
-
-    base: int
-    table: dict
-    update: dict | None = None
-    answers: list[Answer] = field(default_factory=list)
-
-    @property
-    def acknowledged(self) -> bool:
-        """Did any of its sends get 200?"""
-        return any(answer.status == 200 for answer in self.answers)
-
-
 class History:
     """One history: clients, an operator and faults by turns."""
 
@@ -98,7 +67,7 @@
             action()
             self.world.run(self.world.time + self.random.uniform(0.02, 0.5))
         self._recover()
-        self._check()
+        self.broken += judge(self.tier, Seen(self.turns, self.calls, self.orders))
         return self.broken
 
     def _watch(self) -> None:
@@ -286,98 +255,6 @@
         self.world.loss = 0.0
         self.world.run(self.world.time + QUIET_S)
 
-    # The rules ---------------------------------------------------------------------------------------
-
-    def _check(self) -> None:
-        if self.tier.primary() is None:
-            self.broken["no_primary_in_the_end"] += 1
-            return
-        if self.tier.primary().api.current() is None:
-            self.broken["configuration_lost"] += 1
-            return
-        ran = self._runs()
-        self._check_calls(ran)
-        self._check_turns(ran)
-        self._check_budgets()
-        self._check_orders()
-        counted = self.tier.primary().member.record.in_sync
-        copies = [one.member for one in self.tier.controls.values() if one.member.me in counted]
-        sums = {member.store.checksum() for member in copies}
-        # Everybody is back for seconds: as many copies count as there are to be voters, so nobody was left behind.
-        if len(copies) < max(FOUNDERS, 2 * self.tier.tolerated + 1):
-            self.broken["member_left_behind"] += 1
-        if len(sums) > 1:
-            self.broken["copies_differ"] += 1
-
-    def _runs(self) -> dict[str, list[Request]]:
-        runs: dict[str, list[Request]] = {}
-        for endpoint in self.tier.endpoints.values():
-            for request in endpoint.ran:
-                runs.setdefault(request.head.text(b"lynxscale-request-id"), []).append(request)
-        return runs
-
-    def _check_calls(self, ran: dict[str, list[Request]]) -> None:
-        for what, answer in self.calls:
-            path, name = what.split()
-            count = len(ran.get(name, ()))
-            if path == "/book/1" and count > 1:
-                self.broken["twice"] += 1
-            if path == "/book/1" and answer.status in (429, 503) and count:
-                self.broken["refused"] += 1
-            if path == "/look/1" and count > 2:
-                self.broken["attempts"] += 1
-            if answer.status == 200 and answer.body != b"done":
-                self.broken["mixed"] += 1
-            if answer.status == 404:
-                self.broken["denied"] += 1
-
-    def _check_turns(self, ran: dict[str, list[Request]]) -> None:
-        whole = {seen.request_id: seen for seen in self.turns if seen.answer.complete and seen.answer.status == 200}
-        for seen in self.turns:
-            runs = ran.get(seen.request_id, [])
-            if len(runs) > 1:
-                self.broken["twice"] += 1
-            if runs and seen.answer.status in (402, 404, 429, 503):
-                self.broken["refused"] += 1
-            if seen.answer.status == 404:
-                self.broken["turn_lost"] += 1
-            if seen.request_id in whole and seen.answer.body != WHOLE:
-                self.broken["order"] += 1
-            if any(request.body != self._expected(seen, whole) for request in runs):
-                self.broken["unasked"] += 1
-
-    def _expected(self, seen: TurnSeen, whole: dict[str, TurnSeen]) -> bytes:
-        body = seen.text
-        previous = seen.previous
-        while previous:
-            earlier = whole[previous]
-            body = earlier.text + OUTPUT + body
-            previous = earlier.previous
-        return body
-
-    def _check_budgets(self) -> None:
-        handed: Counter[str] = Counter()
-        for seen in self.turns:
-            handed[seen.program] += seen.answer.body.count(b"data:") * STRIDE
-        for seen in self.turns:
-            if handed[seen.program] > seen.budget + MOST_TOKENS:
-                self.broken["budget"] += 1
-                return
-
-    def _check_orders(self) -> None:
-        current = msgspec.json.decode(self.tier.primary().api.current().body)
-        acknowledged = [order for order in self.orders if order.acknowledged]
-        if len({order.base for order in acknowledged}) < len(acknowledged):
-            self.broken["two_on_one_base"] += 1
-        newest = max((order.table["generation"] for order in acknowledged), default=1)
-        if current["generation"] < newest:
-            self.broken["configuration_lost"] += 1
-        if current not in [order.table for order in self.orders]:
-            self.broken["configuration_differs"] += 1
-        for relay in self.tier.relays.values():
-            if relay._table is None or relay._table.generation != current["generation"]:
-                self.broken["not_applied"] += 1
-
 
 def main() -> int:
     """Exit code 1 where a rule was broken; the seeds are printed."""
--- /dev/null
+++ b/lab/tier/mistakes/replication.py
@@ -0,0 +1,141 @@
+"""Mistakes in what is stored, copied and brought up: batches, whole states, the members that hold them."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+
+from lab.tier.mistakes.finders import Patches
+from lab.tier.orders import admission
+from lynxscale.coordination import messages as m
+from lynxscale.coordination import voters
+from lynxscale.coordination.copies import Copy, CopyState
+from lynxscale.coordination.follower import Follower
+from lynxscale.coordination.replication import Replicator
+from lynxscale.coordination.store import Store
+from lynxscale.coordination.voters import PlanInput
+
+
+def acknowledged_before_stored() -> Patches:
+    """A batch counts as committed as soon as the primary has written it."""
+    return [(Replicator, "lacking", property(lambda self: set()))]
+
+
+def one_copy_is_enough() -> Patches:
+    """The primary acknowledges alone, and members that are silent are not waited for."""
+
+    def check(self: Replicator) -> None:
+        self._must_store, self._least_copies = {self.member}, 1
+        original(self)
+
+    original = Replicator._check_commit
+    return [(Replicator, "_check_commit", check)]
+
+
+def late_batches_are_skipped() -> Patches:
+    """A copy takes a batch although it lacks the one before."""
+
+    def on_replicate(self: Follower, message: m.Replicate) -> None:
+        if self._follows(message.epoch) and message.batch.position > self._store.position:
+            self._store.save(message.batch)
+            self._store.apply(message.batch.puts)
+            self._tell_position(message.epoch)
+
+    return [(Follower, "on_replicate", on_replicate)]
+
+
+def whole_state_lacks_the_last_batch() -> Patches:
+    """A version is written whole before its batch is applied (seen on a bench day)."""
+
+    def save(self: Store, batch: m.Batch) -> None:
+        original(self, batch)
+        writer = self._versions.write_whole(self.position, [m.Put(*entry) for entry in self.values.items()])
+        while not writer.step():
+            pass
+        self._versions.remove_before(self.position)
+
+    original = Store.save
+    return [(Store, "save", save)]
+
+
+def damaged_files_lead() -> Patches:
+    """Files with a gap count for as far as they lead (seen: eight of twelve acknowledged values gone)."""
+    return [(Store, "intact", property(lambda self: True))]
+
+
+def undo_is_left_out() -> Patches:
+    """What was submitted and never stored stays in the memory of a former primary (seen in an incident)."""
+    return [(Store, "before", lambda self, puts: ())]
+
+
+def leaving_member_goes_at_once() -> Patches:
+    """A member that is asked to stop waits for nothing (seen: no primary ever again)."""
+    return [(admission, "may_go", lambda plan, member: True)]
+
+
+def one_copy_is_left() -> Patches:
+    """Copies leave until a single one counts."""
+    return [(PlanInput, "copies_wanted", property(lambda self: 1))]
+
+
+def vote_goes_and_copy_stays() -> Patches:
+    """A voter is replaced although its copy goes on to count."""
+
+    def replaced(plan: PlanInput, member: str, successor: str | None) -> voters.Change:
+        witnesses = [successor if one == member else one for one in plan.base.witnesses]
+        return plan.base.in_sync, tuple(one for one in witnesses if one is not None)
+
+    return [(voters, "_replaced", replaced)]
+
+
+def copy_counts_before_it_confirmed() -> Patches:
+    """A voter is in sync as soon as it is heard of."""
+
+    def commits_without(self: Replicator) -> set[str]:
+        lacking = original.fget(self)
+        return {one for one in lacking if self.copies[one].known and self.copies[one].stored >= self.committed}
+
+    original = Replicator.lacking
+    return [
+        (Replicator, "caught_up", lambda self, member: member in self.copies),
+        (Replicator, "behind", lambda self: set()),
+        (Replicator, "lacking", property(commits_without)),
+    ]
+
+
+def snapshot_is_mixed_of_two() -> Patches:
+    """A transfer goes on at another position, and its parts are taken whatever they belong behind."""
+
+    def on_state_part(self: Follower, message: m.StatePart) -> None:
+        if not self._follows(message.epoch) or self._transfer.installing:
+            return
+        if not message.after:
+            self._transfer = type(self._transfer)(message.position)
+        transfer = self._transfer
+        transfer.table.apply(message.puts)
+        transfer.position, transfer.upto = message.position, message.upto
+        self._tell_progress(message.epoch, 0)
+        if message.last:
+            self._install(message.epoch)
+
+    def resume(self: Copy, message: m.TransferProgress) -> None:
+        original(self, message)
+        if message.upto and self.state is CopyState.PARTS:
+            self._sent, self._upto = self._store.position, message.upto
+            self._cursor = bisect_right(self._keys, message.upto)
+
+    original = Copy._resume
+    return [(Follower, "on_state_part", on_state_part), (Copy, "_resume", resume)]
+
+
+def batches_between_parts_are_lost() -> Patches:
+    """A batch that comes between two parts moves the transfer on without its changes."""
+
+    def on_replicate(self: Follower, message: m.Replicate) -> None:
+        transfer = self._transfer
+        if self._follows(message.epoch) and message.batch.previous == transfer.position and not transfer.installing:
+            transfer.position = message.batch.position
+        else:
+            original(self, message)
+
+    original = Follower.on_replicate
+    return [(Follower, "on_replicate", on_replicate)]
--- /dev/null
+++ b/lab/tier/mistakes/turns.py
@@ -0,0 +1,126 @@
+"""Mistakes in turns, budgets and calls of endpoints."""
+
+from __future__ import annotations
+
+import msgspec
+
+from lab.tier.mistakes.finders import Patches
+from lynxscale.controlplane.ledger import Ledger, Turn
+from lynxscale.coordination import messages as m
+from lynxscale.dataplane.attempt import Attempt, Outcome
+from lynxscale.dataplane.forwarding import ForwardedRequest
+from lynxscale.dataplane.headers import NOT_EXECUTED, REQUEST_ID
+from lynxscale.dataplane.turns import Turn as RelayTurn
+from lynxscale.runtime.http_client import ClientConnection, Failure
+from lynxscale.runtime.http_types import Head
+
+
+def turn_is_durable_later() -> Patches:
+    """A turn's end is acknowledged before its record is stored."""
+
+    def reply(self, call, answer, puts) -> None:  # noqa: ANN001
+        if puts:
+            self.member.submit(puts, lambda committed: None)
+        self._network.send(call.caller, m.Reply(call.number, call.life, answer))
+
+    from lynxscale.controlplane.service import ControlService
+
+    return [(ControlService, "_reply_when_durable", reply)]
+
+
+def reservation_is_forgotten() -> Patches:
+    """Only what was handed out counts, not what open turns may hand out yet."""
+    from lynxscale.controlplane.ledger import Program
+
+    return [(Program, "committed", property(lambda self: self.spent))]
+
+
+def settled_at_nothing() -> Patches:
+    """A turn is settled with no tokens."""
+    original = RelayTurn._finish
+    return [(RelayTurn, "_finish", lambda self, tokens, content: original(self, 0, content))]
+
+
+def chain_lacks_its_oldest() -> Patches:
+    """A history stops after two turns."""
+
+    def history(self: Ledger, last: str, cached: str) -> m.TurnAdmitted | None:
+        contents, name = [], last
+        while name and name != cached and len(contents) < 2:
+            raw = self._values.get("turn/" + name)
+            if raw is None:
+                return None
+            turn = msgspec_decode(raw)
+            contents.append(turn.content)
+            name = turn.previous
+        return m.TurnAdmitted(b"".join(reversed(contents)), name if name == cached else "")
+
+    return [(Ledger, "_history", history)]
+
+
+def msgspec_decode(raw) -> Turn:  # noqa: ANN001
+    """A stored turn."""
+
+    return msgspec.json.decode(raw, type=Turn)
+
+
+def cached_history_is_taken_for_any_chain() -> Patches:
+    """A relay is sent nothing where it has the session's newest history cached, whatever the turn goes on from."""
+
+    def history(self: Ledger, last: str, cached: str) -> m.TurnAdmitted | None:
+        if cached and last:
+            return m.TurnAdmitted(b"", cached)
+        return original(self, last, cached)
+
+    original = Ledger._history
+    return [(Ledger, "_history", history)]
+
+
+def unsafe_call_is_sent_again() -> Patches:
+    """A call that may have run counts as not run."""
+
+    def on_failure(self: Attempt, failure) -> None:  # noqa: ANN001
+        self.state.failed()
+        self._end(Outcome.NOT_RUN)
+
+    return [(Attempt, "on_failure", on_failure)]
+
+
+def promise_after_a_run() -> Patches:
+    """What may have run is answered 503."""
+
+    def broken(self: ForwardedRequest) -> None:
+        self._runs = 0
+        self._give_up()
+
+    return [(ForwardedRequest, "_broken", broken)]
+
+
+def given_up_dial_was_not_sent() -> Patches:
+    """A dial whose time runs out as it comes up counts as never sent (seen: 21 of 21 when forced)."""
+    return [(ClientConnection, "refused", lambda self: self._fail(Failure.NOT_CONNECTED))]
+
+
+def nameless_answer_is_the_own() -> Patches:
+    """An answer without an id is taken on a connection that carried another request."""
+
+    def on_head(self: Attempt, status: int, head: Head) -> None:
+        if head.get(REQUEST_ID) is None:
+            head = Head((*head.fields, (REQUEST_ID, self._request_id)))
+        original(self, status, head)
+
+    original = Attempt.on_head
+    return [(Attempt, "on_head", on_head)]
+
+
+def any_refusal_is_the_own() -> Patches:
+    """A refusal that names another request counts for this one."""
+
+    def on_head(self: Attempt, status: int, head: Head) -> None:
+        if head.get(NOT_EXECUTED) is not None:
+            self._refusal = True
+        else:
+            original(self, status, head)
+
+    original = Attempt.on_head
+    return [(Attempt, "on_head", on_head)]
--- a/lab/tier/takeover.py
+++ b/lab/tier/takeover.py
@@ -10,7 +10,6 @@
 import logging
 import statistics
 import sys
-from collections.abc import Iterator
 from dataclasses import dataclass
 from random import Random
 
@@ -84,32 +83,45 @@
     group.world.at(group.world.time + WRITE_EVERY_S, lambda: _try_to_write(group, lost, committed))
 
 
-def report(cases: list[Case]) -> str:
-    """One line: the number of cases, the median, the 95th percentile and the longest, in seconds."""
-    times = sorted(silence(case) for case in cases)
-    at_95 = times[min(len(times) - 1, int(0.95 * len(times)))]
-    slowest = max(cases, key=silence) if times[-1] > 1.0 and len(cases) < 500 else None
-    worst = f" (seed {slowest.seed})" if slowest else ""
-    return f"n {len(times)} p50 {statistics.median(times):.2f} p95 {at_95:.2f} longest {times[-1]:.2f}{worst}"
+@dataclass(frozen=True)
+class Distribution:
+    """Silences in seconds: how many, the median, the 95th percentile, the longest, and the seed of that one."""
+
+    count: int
+    median_s: float
+    at_95_s: float
+    longest_s: float
+    longest_seed: int
+
+    def __str__(self) -> str:
+        times = f"p50 {self.median_s:.2f} p95 {self.at_95_s:.2f} longest {self.longest_s:.2f}"
+        return f"n {self.count} {times} (seed {self.longest_seed})"
 
 
-def cases(seeds: int, sync_ms: float, how: str) -> Iterator[Case]:
-    """The cases of one row."""
-    return (Case(seed, sync_ms / 1000.0, how=how) for seed in range(1, seeds + 1))
+def measure(seeds: int, sync_ms: float, how: str) -> Distribution:
+    """One loss of a primary with each seed from 1 on."""
+    times = sorted((silence(Case(seed, sync_ms / 1000.0, how=how)), seed) for seed in range(1, seeds + 1))
+    seconds = [time for time, _ in times]
+    at_95 = seconds[min(seeds - 1, int(0.95 * seeds))]
+    return Distribution(seeds, statistics.median(seconds), at_95, *times[-1])
 
 
 def main() -> int:
-    """Exit code 1 where a case took over ``--most`` seconds."""
+    """Exit code 1 where a silence took over ``--most`` seconds."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seeds", type=int, default=40)
-    parser.add_argument("--sync-ms", default="0,9.2,30")
-    parser.add_argument("--hows", default=",".join(HOWS))
+    parser.add_argument("--sync-ms", default="0,9.2,30", help="by commas, of one sync")
+    parser.add_argument("--hows", default=",".join(HOWS), help="by commas, what becomes of the primary")
+    parser.add_argument("--most", type=float, default=2.0, help="seconds")
     options = parser.parse_args()
     logging.disable(logging.CRITICAL)
+    too_long = False
     for sync_ms in map(float, options.sync_ms.split(",")):
         for how in options.hows.split(","):
-            print(f"sync {sync_ms} ms, {how}: {report(list(cases(options.seeds, sync_ms, how)))}", flush=True)
-    return 0
+            found = measure(options.seeds, sync_ms, how)
+            too_long |= found.longest_s > options.most
+            print(f"sync {sync_ms} ms, {how}: {found}", flush=True)
+    return int(too_long)
 
 
 if __name__ == "__main__":
--- a/lynxscale/controlplane/ledger.py
+++ b/lynxscale/controlplane/ledger.py
@@ -66,7 +66,7 @@
 
     def admit(self, request: m.AdmitTurn) -> tuple[m.TurnAdmitted | m.TurnRefused, tuple[m.Put, ...]]:
         """The answer to a turn that wants to run, and what has to be durable before the answer goes."""
-        admitted = self._history(request.previous, request.held)
+        admitted = self._history(request.previous, request.cached)
         if admitted is None:
             return m.TurnRefused(404), ()
         if request.budget == NO_BUDGET:
@@ -98,15 +98,15 @@
         """Puts that remove what is kept no longer."""
         return tuple(m.put_value(key, None) for key in self._retention.take_expired())
 
-    def _history(self, last: str, held: str) -> m.TurnAdmitted | None:
-        """Inputs and outputs of a chain of turns from its oldest on, or from behind the one held.
+    def _history(self, last: str, cached: str) -> m.TurnAdmitted | None:
+        """Inputs and outputs of a chain of turns from its oldest on, or from behind the one that the relay has cached.
 
         None where a turn is not there. A turn is kept as long as any that goes on from it, so behind one that is
         there nothing is missing.
         """
         contents = []
         name = last
-        while name and name != held:
+        while name and name != cached:
             raw = self._values.get(turn_key(name))
             if raw is None or len(contents) > MOST_CHAIN:
                 return None
--- a/lynxscale/coordination/campaign.py
+++ b/lynxscale/coordination/campaign.py
@@ -1,11 +1,7 @@
 """When a backup stands for primary: it waits until nobody leads, asks the voters first, and keeps out of others' way.
 
-Asking first is a pre-vote: it writes nothing, so a member that could not win disturbs nobody. A voter that has told one
-member that it would promise prefers it for a moment, unless a member with a better place asks; once that one tells that
-it stands, or was promised, the voter supports it and tells all others to wait. So candidates do not meet, and a young
-primary gets its lease. All this is advice; what is safe rests on the registers and leases alone.
-
-How long support lasts follows from how long this member's own register writes take, so it fits fast and slow disks.
+Asking first is a pre-vote: it writes nothing, so a member that could not win disturbs nobody. Voters tell all but one
+to wait (``support.py``), so candidates do not meet, and a young primary gets its lease.
 """
 
 from __future__ import annotations
@@ -15,15 +11,13 @@
 
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.epochs import Witness, majority
-from lynxscale.coordination.lease import LEASE_S, NEVER
+from lynxscale.coordination.lease import LEASE_S
 from lynxscale.coordination.ports import Clock, Network, Timer
+from lynxscale.coordination.support import Support
 
 RANK_DELAY_S = 0.02  # between the in-sync members' first questions, so that they seldom meet
 JITTER_S = 0.01
 LEAVING_STANDS_LATER_S = 0.3  # than others: it stands where nobody else does
-ROUND_S = 0.05  # for question and answer, beside what disks take
-STANDING_S, STANDING_WRITES = 0.1, 6.0  # from a won pre-vote to the lease of the new primary
-FRUITLESS_ROUNDS = 5.0  # a member that asks for so long and never stands may hear no answers: others go first as long
 
 
 class PreVoteRound:
@@ -80,17 +74,10 @@
         self._timer: Timer | None = None
         self._round: PreVoteRound | None = None
         self._number = 0
-        self._preferred, self._preferred_until = "", NEVER
-        self._supported, self._supported_until = "", NEVER
-        self._asking_since: dict[str, float] = {}
+        self._support = Support(witness, clock)
 
     # When to ask -------------------------------------------------------------------------------------
 
-    @property
-    def standing_s(self) -> float:
-        """Seconds that a candidate with its promises gets to become a primary with a lease."""
-        return STANDING_S + STANDING_WRITES * self._witness.write_s
-
     def wait(self, after_s: float) -> None:
         """Ask no voter before so many seconds, and a little more by one's place among the in-sync members."""
         self._ask_at = self._clock.now() + after_s + self._rank_delay()
@@ -104,22 +91,13 @@
     def primary_heard(self) -> None:
         """Somebody leads: nobody has to stand before its lease is over."""
         self._round = None
-        self._asking_since.clear()
+        self._support.primary_heard()
         self.wait(LEASE_S)
 
-    @property
-    def _round_s(self) -> float:
-        return ROUND_S + self._witness.write_s
-
-    def _rank(self, member: str) -> int:
-        """A member's place among those that may stand; the primary that was lost comes last."""
-        record = self._witness.record
-        ranked = [one for one in record.in_sync if one != record.primary or one == self._witness.member]
-        return ranked.index(member) if member in ranked else len(ranked)
-
     def _rank_delay(self) -> float:
         later = LEAVING_STANDS_LATER_S if self.leaving else 0.0
-        return later + self._rank(self._witness.member) * RANK_DELAY_S + self._random.uniform(0.0, JITTER_S)
+        rank = self._support.rank(self._witness.member)
+        return later + rank * RANK_DELAY_S + self._random.uniform(0.0, JITTER_S)
 
     def _schedule(self) -> None:
         """One timer, which looks at the time again when it fires: heartbeats put it off all the time."""
@@ -145,7 +123,7 @@
         own = self._answer(question)
         self._round = PreVoteRound(self._number, self._witness.record.witnesses, now)
         self._send_others(question)
-        self._ask_at = now + self._round_s + self._random.uniform(0.0, JITTER_S)
+        self._ask_at = now + self._support.round_s + self._random.uniform(0.0, JITTER_S)
         self._schedule()
         self.on_reply(own)
 
@@ -156,7 +134,7 @@
             return
         now = self._clock.now()
         current.on_reply(reply, now)
-        if current.won(now) and now - current.asked_at < self._round_s:
+        if current.won(now) and now - current.asked_at < self._support.round_s:
             self._win(current)
             return
         free_at = current.majority_free_at()
@@ -169,13 +147,13 @@
         further = self._further_copy(answered)
         if not further:
             self.support(self._witness.member)
-            self._send_others(m.PreVote(answered.number, self._witness.member, standing=True))
+            self._send_others(m.Standing(self._witness.member))
         self._stand(further)
 
-    def _send_others(self, question: m.PreVote) -> None:
+    def _send_others(self, message: m.PreVote | m.Standing) -> None:
         for one in self._witness.record.witnesses:
             if one != self._witness.member:
-                self._network.send(m.address_of(one), question)
+                self._network.send(m.address_of(one), message)
 
     def _schedule_sooner(self) -> None:
         if self._timer is not None:
@@ -192,56 +170,27 @@
     # The voter's side --------------------------------------------------------------------------------
 
     def on_pre_vote(self, question: m.PreVote) -> None:
-        """Tell a member whether it would be promised an epoch now; or one tells that it stands."""
-        if not question.standing:
-            self._network.send(m.address_of(question.candidate), self._answer(question))
-        elif self._bound_for(question.candidate) <= 0:
-            self.support(question.candidate)
+        """Tell a member whether it would be promised an epoch now."""
+        self._network.send(m.address_of(question.candidate), self._answer(question))
+
+    def on_standing(self, message: m.Standing) -> None:
+        """A member stands."""
+        if self._support.bound_for(message.candidate) <= 0:
+            self.support(message.candidate)
 
     def support(self, candidate: str) -> None:
         """Keep out of the way of a member that is about to lead: it stands, was promised, or asked to take over."""
-        until = self._clock.now() + self.standing_s
-        again = candidate == self._supported
-        self._supported_until = max(self._supported_until, until) if again else until
-        self._supported = candidate
-        self._preferred = ""
-        self._asking_since.pop(candidate, None)
-        self._keep_out_for(candidate, self.standing_s)
+        self._support.give(candidate)
+        self._keep_out_for(candidate, self._support.standing_s)
 
     def _answer(self, question: m.PreVote) -> m.PreVoteReply:
-        wait_s = self._bound_for(question.candidate)
+        wait_s = self._support.bound_for(question.candidate)
         if wait_s <= 0:
-            self._prefer(question.candidate)
+            self._support.prefer(question.candidate)
+            self._keep_out_for(question.candidate, self._support.round_s)
         return m.PreVoteReply(question.round, self._witness.member, wait_s <= 0, max(0.0, wait_s), self._held())
 
-    def _prefer(self, candidate: str) -> None:
-        now = self._clock.now()
-        self._preferred, self._preferred_until = candidate, now + self._round_s
-        self._asking_since.setdefault(candidate, now)
-        self._keep_out_for(candidate, self._round_s)
-
     def _keep_out_for(self, candidate: str, seconds: float) -> None:
         if candidate != self._witness.member:
             self._round = None
             self.wait_at_least(seconds + self._rank_delay())
-
-    def _bound_for(self, candidate: str) -> float:
-        """Seconds for which a lease of another's may run, or this voter keeps out of another's way."""
-        now = self._clock.now()
-        waits = [self._witness.bound_for(candidate), self._rest_of(candidate, now)]
-        if candidate != self._supported:
-            waits.append(self._supported_until - now)
-        if candidate != self._preferred and self._preferred and self._rank(self._preferred) <= self._rank(candidate):
-            waits.append(self._preferred_until - now)
-        return max(waits)
-
-    def _rest_of(self, candidate: str, now: float) -> float:
-        """Seconds for which others go first, as the member has asked for long and never stood."""
-        since = self._asking_since.get(candidate)
-        if since is None:
-            return 0.0
-        fruitless_s = FRUITLESS_ROUNDS * self._round_s
-        if now - since >= 2 * fruitless_s:
-            del self._asking_since[candidate]
-            return 0.0
-        return since + 2 * fruitless_s - now if now - since > fruitless_s else 0.0
--- a/lynxscale/coordination/epochs.py
+++ b/lynxscale/coordination/epochs.py
@@ -11,16 +11,15 @@
 from lynxscale.coordination.ports import Clock
 from lynxscale.coordination.register import Register, RegisterState
 
+EXPECTED_WRITE_S = 0.03  # before the first was seen
+WRITE_FADES = 0.8  # of the slowest late write, with each that is faster
+
 
 def majority(voters: tuple[str, ...], present: set[str]) -> bool:
     """Do the present members hold more than half of the votes?"""
     return 2 * len(present.intersection(voters)) > len(voters)
 
 
-EXPECTED_WRITE_S = 0.03  # before the first was seen
-WRITE_FADES = 0.8  # of the slowest late write, with each that is faster
-
-
 class Witness:
     """One member's votes. ``lease_s``: how long a grant binds it, by its own steady clock.
 
--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -243,6 +243,7 @@
         return {
             m.PreVote: self._campaign.on_pre_vote,
             m.PreVoteReply: self._campaign.on_reply,
+            m.Standing: self._campaign.on_standing,
             m.Prepare: self._on_prepare,
             m.Promise: self._proposer.on_promise,
             m.Deny: self._on_deny,
--- a/lynxscale/coordination/messages.py
+++ b/lynxscale/coordination/messages.py
@@ -42,14 +42,10 @@
 
 
 class PreVote(Message, frozen=True, tag="pre_vote"):
-    """A member asks a voter whether it would promise an epoch now. ``round`` numbers the member's questions.
-
-    ``standing``: it does not ask, it tells that a majority would, and that it stands.
-    """
+    """A member asks a voter whether it would promise an epoch now. ``round`` numbers the member's questions."""
 
     round: int
     candidate: str
-    standing: bool = False
 
 
 class PreVoteReply(Message, frozen=True, tag="pre_vote_reply"):
@@ -62,6 +58,12 @@
     position: Position
 
 
+class Standing(Message, frozen=True, tag="standing"):
+    """A member tells the voters that a majority would promise, and that it is about to ask for an epoch."""
+
+    candidate: str
+
+
 class Prepare(Message, frozen=True, tag="prepare"):
     """A candidate asks a witness to take part in no lower epoch."""
 
@@ -266,7 +268,7 @@
 class AdmitTurn(Message, frozen=True, tag="admit_turn"):
     """Reserve a turn's tokens, and compose its prompt where it goes on from an earlier turn.
 
-    ``held``: a turn, perhaps of that chain, whose text and all before it the sender still has; empty for none.
+    ``cached``: a turn, perhaps of that chain, up to which the sender has the history already; empty for none.
     """
 
     program: str
@@ -276,11 +278,11 @@
     retention_s: float
     retained: bool
     previous: str = ""
-    held: str = ""
+    cached: str = ""
 
 
 class TurnAdmitted(Message, frozen=True, tag="turn_admitted"):
-    """The reservation is durable; ``history`` goes before the new input, behind the text up to turn ``after``."""
+    """The reservation is durable; ``history`` goes before the new input, behind the history up to turn ``after``."""
 
     history: bytes = b""
     after: str = ""
@@ -379,6 +381,7 @@
 Wire = (
     PreVote
     | PreVoteReply
+    | Standing
     | Prepare
     | Promise
     | Deny
--- a/lynxscale/coordination/ports.py
+++ b/lynxscale/coordination/ports.py
@@ -34,7 +34,7 @@
 class Network(Protocol):
     """Datagrams between nodes: a message arrives once, in order, or not at all.
 
-    What was sent before a write of ``Files`` is on its way before that write's syncs.
+    What was sent before a ``write`` or ``write_all`` of ``Files`` is on its way before its syncs.
     """
 
     def send(self, address: str, message: Message) -> None:
--- a/lynxscale/dataplane/turns.py
+++ b/lynxscale/dataplane/turns.py
@@ -7,8 +7,8 @@
 from lynxscale.coordination import messages as m
 from lynxscale.coordination.calls import PrimaryCalls
 from lynxscale.dataplane import headers as h
+from lynxscale.dataplane.history_cache import HistoryCache
 from lynxscale.dataplane.routing import Route
-from lynxscale.dataplane.texts import ConversationTexts
 from lynxscale.runtime.http_types import Request
 
 ADMISSION_TIMEOUT_S = 2.5  # a new primary stands well within it
@@ -26,7 +26,7 @@
         """``alone()``: is no primary to be reached for some time already?"""
         self.calls = calls
         self.alone = alone
-        self.texts = ConversationTexts()
+        self.histories = HistoryCache()
 
     def turn(self, request: Request, route: Route) -> Turn | None:
         """The turn that a request is; None where it neither has a budget nor is kept."""
@@ -35,7 +35,7 @@
             return None
         timeout_s = ALONE_TIMEOUT_S if self.alone() else ADMISSION_TIMEOUT_S
         budget_tokens = NO_BUDGET if budget is None else int(budget)
-        return Turn(self.calls, self.texts, request, route, budget_tokens, timeout_s)
+        return Turn(self.calls, self.histories, request, route, budget_tokens, timeout_s)
 
 
 class Turn:
@@ -44,13 +44,13 @@
     def __init__(
         self,
         calls: PrimaryCalls,
-        texts: ConversationTexts,
+        histories: HistoryCache,
         request: Request,
         route: Route,
         budget: int,
         timeout_s: float,
     ) -> None:
-        self._texts = texts
+        self._histories = histories
         self._timeout_s = timeout_s
         self.input = request.body
         self._calls = calls
@@ -66,13 +66,13 @@
 
     def admit(self, left_s: float, done: Callable[[int, bytes], None]) -> None:
         """``done(status, history)``: 200, or 402 or 404 where that is certain, or 503."""
-        held = self._texts.held(self._session, self._previous)
-        # What is held now must still be at hand when the answer comes.
-        text = (self._texts.text(held) if held else b"") or b""
+        cached = self._histories.best_for(self._session, self._previous)
+        # Taken now: by the time of the answer it may be cached no more.
+        history = self._histories.get(cached) or b""
 
         def answered(answer: m.Message | None) -> None:
             if isinstance(answer, m.TurnAdmitted):
-                self._history = (text if answer.after else b"") + answer.history
+                self._history = (history if answer.after else b"") + answer.history
                 done(200, self._history)
             elif isinstance(answer, m.TurnRefused):
                 self._settled = True
@@ -82,9 +82,9 @@
                 self.settle(0)
                 done(UNSURE, b"")
 
-        self._calls.call(self._admission(held), min(left_s, self._timeout_s), answered)
+        self._calls.call(self._admission(cached), min(left_s, self._timeout_s), answered)
 
-    def _admission(self, held: str) -> m.AdmitTurn:
+    def _admission(self, cached: str) -> m.AdmitTurn:
         return m.AdmitTurn(
             self._program,
             self._request_id,
@@ -93,7 +93,7 @@
             self._route.retention_s,
             self._route.retained,
             self._previous,
-            held,
+            cached,
         )
 
     def settle(self, tokens: int) -> None:
@@ -108,7 +108,7 @@
 
         def answered(answer: m.Message | None) -> None:
             if answer is not None:
-                self._texts.keep(self._session, self._request_id, self._history + content)
+                self._histories.put(self._session, self._request_id, self._history + content)
             done(answer is not None)
 
         self._calls.call(self._finish(tokens, content), FINISH_TIMEOUT_S, answered)
--- a/lynxscale/runtime/files.py
+++ b/lynxscale/runtime/files.py
@@ -29,7 +29,7 @@
         self.write_all({name: content})
 
     def write_all(self, contents: dict[str, bytes]) -> None:
-        """Store several files. Raises OSError; files that have not taken their names are then as before."""
+        """Store several files. Raises OSError; those that took no name are then as before."""
         self._before_sync()
         files = []
         try:
@@ -38,13 +38,13 @@
                 files.append(file)
                 file.append(content)
                 file.sync()
+            for file in files:
+                file.take_name()
+            os.fsync(self._descriptor)
         except OSError:
             for file in files:
                 file.discard()
             raise
-        for file in files:
-            file.take_name()
-        os.fsync(self._descriptor)
 
     def create(self, name: str) -> AsideFile:
         """Begin a file. Raises OSError."""
--- a/tests/test_tier_checks.py
+++ b/tests/test_tier_checks.py
@@ -17,7 +17,7 @@
 from lynxscale.coordination.store import NOWHERE, Store
 from lynxscale.coordination.tree import FANOUT, Publisher, RosterEntry, parent_of
 from lynxscale.dataplane.events import EventScanner
-from lynxscale.dataplane.texts import ConversationTexts
+from lynxscale.dataplane.history_cache import HistoryCache
 from lynxscale.topics import PART_PREFIX, part_count
 
 
@@ -30,7 +30,7 @@
     "lease_is_never_checked",
     "settled_at_nothing",
     "chain_lacks_its_oldest",
-    "held_text_is_taken_for_any_chain",
+    "cached_history_is_taken_for_any_chain",
     "unsafe_call_is_sent_again",
     "leaving_member_goes_at_once",
     "one_copy_is_left",
@@ -140,15 +140,17 @@
     assert parent_of(roster, "10.9.9.9:1") == ""
 
 
-def test_texts_are_bounded_and_the_unused_go_first():
-    texts = ConversationTexts(most_bytes=30)
+def test_cached_histories_are_bounded_and_the_unused_go_first():
+    cache = HistoryCache(most_bytes=30)
     for number in range(3):
-        texts.keep(f"s{number}", f"t{number}", b"x" * 10)
-    assert texts.text("t0") == b"x" * 10
-    texts.keep("s3", "t3", b"y" * 10)
-    assert texts.text("t1") is None and texts.text("t0") and texts.text("t3")
-    assert texts.held("s1", "other") == "" and texts.held("s0", "other") == "t0" and texts.held("s0", "") == ""
-    assert texts.held("s0", "t3") == "t3"
+        cache.put(f"s{number}", f"t{number}", b"x" * 10)
+    assert cache.get("t0") == b"x" * 10
+    cache.put("s3", "t3", b"y" * 10)
+    assert cache.get("t1") is None and cache.get("t0") and cache.get("t3")
+    assert (
+        cache.best_for("s1", "other") == "" and cache.best_for("s0", "other") == "t0" and cache.best_for("s0", "") == ""
+    )
+    assert cache.best_for("s0", "t3") == "t3"
 
 
 def test_a_long_list_goes_in_parts_and_a_change_costs_one():
@@ -260,6 +262,18 @@
     }
 
 
+def test_an_update_never_drops_one_of_two_items_with_one_name_in_silence():
+    """Configurations may hold such items: they are told apart by place."""
+    route = {"name": "r", "host": "h", "path-prefix": "/", "route-type": "safe", "timeout-ms": 5, "backend": "a"}
+    twin = route | {"path-prefix": "/twin/"}
+    table = {"generation": 2, "routes": [route, twin], "services": [{"name": "a"}]}
+    other = {"generation": 3, "upsert": {"services": [{"name": "b"}]}}
+    assert apply_update(table, other).unwrap()["routes"] == [route, twin]
+    both = apply_update(table, {"generation": 3, "upsert": {"routes": [route | {"timeout-ms": 9}]}})
+    assert [finding.place for finding in both.failure()] == ["result.routes[1]"]
+    assert apply_update(table, {"generation": 3, "remove": {"routes": ["r"]}}).unwrap()["routes"] == []
+
+
 def test_versions_in_quick_succession_do_not_queue_up_on_a_slow_link():
     """Seen on a variant's day: ten configurations a second on 12 Mbit/s were seconds late, as each was sent."""
     machine = World(3).machine("a:1")
--- a/tests/test_tier_live.py
+++ b/tests/test_tier_live.py
@@ -109,6 +109,22 @@
     assert again.returncode == 1 and "412" in again.stderr
     read = await off_loop(control, "config", "read", address)
     assert json.loads(read.stdout)["generation"] == 2
+    await check_update(address, files[2], folder / "update.json")
+
+
+async def check_update(address: str, before: Path, update: Path) -> None:
+    update.write_bytes(msgspec.json.encode({"generation": 3, "remove": {"routes": ["look"]}}))
+    compared = control("config", "diff", str(before), str(update), "--update")
+    assert compared.returncode == 1 and compared.stdout == "- routes look\n"
+    pushed = await off_loop(control, "config", "push", address, str(update), "--base", "2", "--update")
+    assert pushed.returncode == 0, pushed.stderr
+    read = json.loads((await off_loop(control, "config", "read", address)).stdout)
+    assert read["generation"] == 3 and [route["name"] for route in read["routes"]] == ["kept", "open", "book"]
+    update.write_bytes(msgspec.json.encode({"generation": 4, "remove": {"routes": ["nobody"]}}))
+    refused = await off_loop(control, "config", "push", address, str(update), "--base", "3", "--update")
+    assert refused.returncode == 1 and "remove.routes[0]" in refused.stderr
+    compared = control("config", "diff", str(before), str(update), "--update")
+    assert compared.returncode == 2 and "remove.routes[0]" in compared.stderr
 
 
 async def check_end(tier: LocalTier) -> None:
--- a/tests/test_tier_takeover.py
+++ b/tests/test_tier_takeover.py
@@ -13,6 +13,7 @@
 from lynxscale.coordination.messages import address_of
 from lynxscale.coordination.register import REGISTER_FILE, MemberIdentity, Register, RegisterState
 from lynxscale.coordination.sealed import SECOND_COPY
+from lynxscale.coordination.support import Support
 from lynxscale.runtime.files import DurableFiles
 from lynxscale.runtime.network import InternalNetwork
 
@@ -67,6 +68,68 @@
     assert group.put("a", 1)
 
 
+def test_a_member_that_asks_for_long_and_never_stands_lets_others_go_first():
+    """Seen simulated: a member that heard no answers asked again and again, and all voters kept out of its way."""
+    world = World(1)
+    machine = world.machine("a:1")
+    record = m.EpochRecord(3, "p#0", ("p#0", "b#0", "c#0"), ("a#0", "b#0", "c#0"))
+    register = Register(MemberIdentity("a:1", True, ("a:1",)), machine.files, world.random)
+    register.save(RegisterState("a#0", record, 3, "p#0"))
+    support = Support(Witness(register, machine.clock(), LEASE_S), machine.clock())
+    world.run(LEASE_S)
+    allowed = []
+    for _ in range(40):
+        allowed.append(support.bound_for("b#0") <= 0)
+        if allowed[-1]:
+            support.prefer("b#0")
+        world.run(world.time + support.round_s / 2)
+    first_no = allowed.index(False)
+    next_yes = allowed.index(True, first_no)
+    assert 9 <= first_no <= 12 and 8 <= next_yes - first_no <= 11, allowed
+    world.run(world.time + support.round_s)
+    support.give("b#0")
+    assert support.bound_for("c#0") > 0 and support.bound_for("b#0") <= 0
+
+
+def test_the_better_rank_is_preferred_among_those_that_ask_at_once():
+    world = World(1)
+    machine = world.machine("a:1")
+    record = m.EpochRecord(3, "p#0", ("p#0", "b#0", "c#0"), ("a#0", "b#0", "c#0"))
+    register = Register(MemberIdentity("a:1", True, ("a:1",)), machine.files, world.random)
+    register.save(RegisterState("a#0", record, 3, "p#0"))
+    support = Support(Witness(register, machine.clock(), LEASE_S), machine.clock())
+    world.run(LEASE_S)
+    support.prefer("c#0")
+    assert support.bound_for("b#0") <= 0
+    support.prefer("b#0")
+    assert support.bound_for("c#0") > 0
+    support.give("c#0")
+    assert support.bound_for("b#0") > 0
+
+
+def test_a_member_outside_the_group_announces_itself_to_the_primary_alone():
+    """Seen on the Stadtwerke Steyr site: spare machines told everybody four times a second that they were there."""
+    group = started(size=3, tolerated=1)
+    joins: list[str] = []
+    group.start("10.0.0.8:7000")
+    group.start("10.0.0.9:7000")
+    group.world.run(group.world.time + 1.0)
+    deliver = group.world.deliver
+
+    def watch(source: str, target: str, message: m.Message) -> None:
+        if isinstance(message, m.Join):
+            joins.append(target)
+        deliver(source, target, message)
+
+    group.world.deliver = watch
+    group.world.run(group.world.time + 2.0)
+    primary = address_of(group.wait_for_leader().me)
+    assert joins and set(joins) == {primary}
+    group.kill(primary)
+    group.world.run(group.world.time + 2.0)
+    assert address_of(group.wait_for_leader().me) in joins
+
+
 def test_a_primary_keeps_its_lease_while_its_own_next_epoch_takes_long():
     """Seen simulated with 30 ms a sync: each change of the in-sync set cost the primary its lease, for ever again."""
     world = World(1)
@@ -135,3 +198,8 @@
         files.write_all({"a": b"3", "no-such-folder/b": b"4"})
     assert files.read("a") == b"1"
     assert files.names() == ["a", "b"]
+    (tmp_path / "taken").mkdir()
+    (tmp_path / "taken" / "by-another").touch()
+    with pytest.raises(OSError):
+        files.write_all({"taken": b"5", "c": b"6"})
+    assert sorted(path.name for path in tmp_path.iterdir()) == ["a", "b", "taken"]
--- a/tests/test_tier_whole.py
+++ b/tests/test_tier_whole.py
@@ -394,6 +394,17 @@
     assert msgspec.json.decode(one.operator_call("GET", "/config/read").body)["generation"] == 6
 
 
+def test_an_update_may_be_the_first_configuration():
+    one = Tier(World(1))
+    table = default_configuration()
+    items = {"routes": table["routes"], "services": table["services"]}
+    assert one.update({"generation": 4, "remove": {"routes": ["look"]}}, 0).status == 400
+    assert one.update({"generation": 4, "upsert": items}, 0).status == 200
+    read = msgspec.json.decode(one.operator_call("GET", "/config/read").body)
+    assert read == {"generation": 4, **items}
+    assert one.world.run_until(lambda: all(relay.ready for relay in one.relays.values()), 5.0)
+
+
 def test_an_update_and_a_replacement_on_one_version_never_both_win():
     one = tier()
     update = {"generation": 3, "remove": {"routes": ["look"]}}
