The six faults that reading found: endpoints that turn ready, cut lists, empty seeds, queries, offsets, pre-votes

Cause: an endpoint first listed as not ready, or drained, kept a state that never takes requests; a list of more than MAX_PAGES pages counted as complete; an empty list of seeds passed the check and ended a relay; a redirect dropped the query; the adapter's offset counted discarded records; a pre-vote in flight at a take-over could be won afterwards. Change: an endpoint that turns ready in the list gets a new state (window of one); a list that is too long replaces nothing and is logged (event=endpoint_list_too_long); seeds are checked; the query is kept; the offset begins anew; a member that is about to stand, or defers, drops its own pre-vote. Two tests wrote settings with empty seeds, which are a finding now: they name one.

--- a/lynxscale/coordination/election.py
+++ b/lynxscale/coordination/election.py
@@ -62,7 +62,8 @@
         self._schedule()
 
     def postpone_at_least(self, delay_s: float) -> None:
-        """Start no pre-vote within ``delay_s`` seconds."""
+        """Start no pre-vote within ``delay_s`` seconds; one that is in flight counts no more."""
+        self._round = None
         self._ask_at = max(self._ask_at, self._clock.now() + delay_s)
         self._schedule()
 
@@ -151,7 +152,11 @@
             self.defer_to(message.candidate)
 
     def defer_to(self, candidate: str) -> None:
-        """Leave time to a member that is about to lead: it stands, was promised, or was asked to take over."""
+        """Leave time to a member that is about to lead: it stands, was promised, or was asked to take over.
+
+        An own pre-vote in flight is void: won afterwards, it would begin a candidacy anew.
+        """
+        self._round = None
         self._deference.support(candidate)
         self._stay_back_for(candidate, self._deference.election_s)
 
@@ -166,5 +171,4 @@
 
     def _stay_back_for(self, candidate: str, seconds: float) -> None:
         if candidate != self._acceptor.member:
-            self._round = None
             self.postpone_at_least(seconds + self._rank_delay())
--- a/lynxscale/coordination/member_role.py
+++ b/lynxscale/coordination/member_role.py
@@ -36,9 +36,7 @@
 
 A member that is about to stop keeps its role until its leave is approved (``graceful_leave``).
 
-The sources are what the callers check, not this module: a change is applied from any role. One case stands outside the
-table: a pre-vote round that was in flight when the primary asked this member to take over may be won afterwards, and
-then starts the candidacy anew.
+The sources are what the callers check, not this module: a change is applied from any role.
 """
 
 from __future__ import annotations
--- a/lynxscale/dataplane/load_balancer.py
+++ b/lynxscale/dataplane/load_balancer.py
@@ -61,17 +61,26 @@
         listed = {endpoint.id: endpoint for endpoint in endpoints}
         for endpoint_id in [endpoint_id for endpoint_id in self.states if endpoint_id not in listed]:
             self.states.pop(endpoint_id).mark_unavailable()
-        for endpoint_id, endpoint in listed.items():
-            state = self.states.get(endpoint_id)
-            if state is None:
-                self.states[endpoint_id] = EndpointState(endpoint, self._clock, self._dial)
-            elif endpoint.state != READY:
-                state.mark_unavailable()
+        for endpoint in listed.values():
+            self._update_endpoint(endpoint)
         self._by_service = {}
         for state in self.states.values():
             self._by_service.setdefault(state.endpoint.backend, []).append(state)
         self.queue.notify_all()
 
+    def _update_endpoint(self, endpoint: Endpoint) -> None:
+        """Take an endpoint's listed state; one that has become ready starts afresh, as a new one does.
+
+        What counts is the change in the list: an endpoint that is listed as ready all along, and was found to have
+        lost its address to another, stays unavailable.
+        """
+        known = self.states.get(endpoint.id)
+        if known is None or (endpoint.state == READY and known.endpoint.state != READY):
+            self.states[endpoint.id] = EndpointState(endpoint, self._clock, self._dial)
+        elif endpoint.state != READY:
+            known.endpoint = endpoint
+            known.mark_unavailable()
+
     def choose(self, service: str, demand: EndpointDemand, attempted: set[str]) -> EndpointState | None:
         """The endpoint for a request, None where it has to wait.
 
--- a/lynxscale/discovery/endpoint_poller.py
+++ b/lynxscale/discovery/endpoint_poller.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from http import HTTPStatus
 from urllib.parse import quote
@@ -17,10 +18,12 @@
 from lynxscale.runtime.http_client import Dial, SingleRequest
 from lynxscale.runtime.http_types import Head, Request
 
+log = logging.getLogger(__name__)
+
 POLL_INTERVAL_S = 0.6
 RETRY_DELAY_S = 0.3  # after a failed or rejected request
 REQUEST_TIMEOUT_S = 1.0
-MAX_PAGES = 200  # of one list; pages beyond are not fetched
+MAX_PAGES = 200  # of one list; a list with more replaces nothing
 
 
 class EndpointPage(msgspec.Struct, rename="kebab"):
@@ -85,12 +88,20 @@
             return
         self._endpoints += page.instances
         self._pages += 1
-        if page.next_page_token and self._pages < MAX_PAGES:
-            self._fetch_page(run_number, page.next_page_token)
+        if page.next_page_token:
+            self._fetch_next_page(run_number, page.next_page_token)
             return
         self._on_list(sorted(self._endpoints))
         self._fetch_list_later(run_number, self._interval_s)
 
+    def _fetch_next_page(self, run_number: int, token: str) -> None:
+        if self._pages < MAX_PAGES:
+            self._fetch_page(run_number, token)
+            return
+        # A part of the list would take the endpoints of the other part away from every relay.
+        log.error("event=endpoint_list_too_long pages=%d", self._pages)
+        self._fetch_list_later(run_number, self._interval_s)
+
     def _fetch_list_later(self, run_number: int, delay_s: float) -> None:
         self._timer = self._clock.call_later(delay_s, lambda: self._fetch_list(run_number))
 
--- a/lynxscale/runtime/operator_client.py
+++ b/lynxscale/runtime/operator_client.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from urllib.parse import urlsplit
+from urllib.parse import urlsplit, urlunsplit
 
 from attrs import evolve
 
@@ -74,7 +74,7 @@
             return response
         location = urlsplit(response.head.text(b"location"))
         address = location.netloc
-        request = evolve(request, target=location.path)
+        request = evolve(request, target=urlunsplit(("", "", location.path, location.query, "")))
     return response
 
 
--- a/lynxscale/runtime/settings_reader.py
+++ b/lynxscale/runtime/settings_reader.py
@@ -54,4 +54,6 @@
             msgspec.convert(table[field.encode_name], field.type)
         except msgspec.ValidationError as error:
             found.append(f"{source}: {field.encode_name}: {error}")
+    if table.get("seeds") == []:
+        found.append(f"{source}: seeds: want one address at least")
     return found
--- a/lynxscale/scheduling/simulator_adapter.py
+++ b/lynxscale/scheduling/simulator_adapter.py
@@ -351,11 +351,12 @@
     def _step(self, node: int, now: float, events: list[Event], tail_size: int, broken: dict[int, str]) -> list[Record]:
         if node not in broken:
             records: list[Record] = []
+            offset = tail_size
             try:
                 for action in self.schedulers[node].step(now, events):
-                    record = encode(node, action, tail_size)
+                    record = encode(node, action, offset)
                     records.append(record)
-                    tail_size += len(record.tail)
+                    offset += len(record.tail)
                 return records
             except Exception as error:  # as above
                 broken[node] = f"{type(error).__name__}: {error}"
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -3,8 +3,9 @@
 import pytest
 
 from lab.tier.failover_time import FailoverCase, failover_time_s
-from lynxscale.coordination.messages import Message, Prepare, address_of
-from tests.coordination.control_groups import start_group_with_slow_disks
+from lynxscale.coordination.member_role import MemberRole, RoleChange, RoleState
+from lynxscale.coordination.messages import Message, Prepare, TakeOver, address_of
+from tests.coordination.control_groups import start_group, start_group_with_slow_disks
 
 
 @pytest.mark.parametrize("how", ["kill", "wipe", "cut", "deaf", "mute"])
@@ -45,3 +46,28 @@
     assert leader.record.epoch <= epoch + 2  # it left the in-sync set, no more
     group.world.heal()
     assert group.put("a", 1)
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_a_pre_vote_in_flight_at_a_take_over_begins_no_second_candidacy(seed, monkeypatch):
+    """Found by reading: the round was won while the candidacy that the primary asked for was under way."""
+    started: list[MemberRole] = []
+    apply = RoleState.apply
+
+    def record(role: RoleState, change: RoleChange) -> None:
+        if change is RoleChange.STARTED_CANDIDACY:
+            started.append(role.current)
+        apply(role, change)
+
+    group = start_group(seed)
+    group.world.run(group.world.time + 1.0)
+    leader = group.wait_for_leader()
+    backup = next(one for one in group.members.values() if one is not leader)
+    monkeypatch.setattr(RoleState, "apply", record)
+    for member in group.members.values():
+        member.acceptor.release(leader.record.epoch)  # every voter is free to answer yes
+    backup._campaign._start_round()
+    backup.receive(TakeOver(leader.record.epoch))
+    group.world.run(group.world.time + 2.0)
+    assert started == [MemberRole.BACKUP]
+    assert group.put("a", 1)
--- a/tests/dataplane/test_load_balancer.py
+++ b/tests/dataplane/test_load_balancer.py
@@ -90,3 +90,38 @@
     for number in range(40):
         assert tier.request("/look/1", method="GET", request_id=f"h{number}").status == 200
     assert any("i-2" in endpoints_that_ran(tier, f"h{number}") for number in range(40))
+
+
+def set_listed_state(balancer: LoadBalancer, state: str) -> None:
+    """Replace the list by one with a single endpoint, ``e0``, in that state."""
+    balancer.update_endpoints([Endpoint("e0", "model", "10.0.0.0:1", "north", SLOTS, state)])
+
+
+def test_an_endpoint_that_turns_ready_gets_requests_and_starts_with_a_window_of_one():
+    """Found by reading: one first listed as not ready got nothing for as long as it kept its id."""
+    balancer = load_balancer(())
+    set_listed_state(balancer, "starting")
+    assert balancer.choose("model", EndpointDemand("", 0, 0), set()) is None
+    set_listed_state(balancer, "ready")
+    assert send_to_chosen(balancer, "") == "e0"
+    assert balancer.choose("model", EndpointDemand("", 0, 0), set()) is None
+
+
+def test_an_endpoint_that_drained_and_turns_ready_again_starts_afresh():
+    balancer = load_balancer(("north",))
+    before = balancer.states["e0"]
+    set_listed_state(balancer, "draining")
+    assert balancer.choose("model", EndpointDemand("", 0, 0), set()) is None
+    set_listed_state(balancer, "ready")
+    assert send_to_chosen(balancer, "") == "e0"
+    assert balancer.states["e0"] is not before and balancer.states["e0"].window == 1
+    set_listed_state(balancer, "draining")
+    assert not balancer.states["e0"].ready
+
+
+def test_an_endpoint_that_lost_its_address_stays_unavailable_while_it_is_listed_as_ready():
+    """The platform's list lags: the same list again must not bring it back."""
+    balancer = load_balancer(("north",))
+    balancer.states["e0"].mark_unavailable()
+    set_listed_state(balancer, "ready")
+    assert balancer.choose("model", EndpointDemand("", 0, 0), set()) is None
--- a/tests/discovery/test_endpoint_poller.py
+++ b/tests/discovery/test_endpoint_poller.py
@@ -1,7 +1,13 @@
 """Polling of the platform's endpoint list by the primary, and by relays without one, on a simulated tier."""
 
 import msgspec
+import pytest
 
+from lab.tier.simulated_tier import SimulatedTier
+from lynxscale.discovery.endpoint import Endpoint
+from lynxscale.discovery.endpoint_poller import MAX_PAGES, EndpointPoller
+from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
+from lynxscale.runtime.http_types import Head, Request, Response
 from tests.simulated_tier import settled_tier
 
 
@@ -38,3 +44,39 @@
     calls, start = tier.platform.calls, tier.world.time
     tier.world.run(start + 6)
     assert tier.platform.calls - calls <= 11
+
+
+class PagedPlatform:
+    """Serves a list of one endpoint a page."""
+
+    def __init__(self, tier: SimulatedTier, last: int) -> None:
+        self.address = "10.9.0.1:80"
+        self.pages = 0
+        self._last = last
+        clock = tier.world.machine(self.address).clock()
+        listen = tier.listener(self.address)
+        listen(self.address, lambda: ServerConnection(self._handle, ServerLimits(), clock, set()))
+
+    def _handle(self, request: Request, responder: Responder) -> None:
+        self.pages += 1
+        number = int(request.target.rpartition("=")[2]) if "=" in request.target else 1
+        token = str(number + 1) if number < self._last else None
+        endpoint = Endpoint(f"e{number:04d}", "model", "10.0.0.1:1", "north", 1, "ready")
+        body = msgspec.json.encode({"instances": [endpoint], "next-page-token": token})
+        responder.respond(Response(200, Head(()), body))
+
+
+@pytest.mark.parametrize(("pages", "lists"), [(MAX_PAGES, 1), (MAX_PAGES + 1, 0)])
+def test_a_list_that_is_longer_than_all_pages_replaces_nothing(pages, lists):
+    """Found by reading: its first part counted as complete, so that relays dropped the endpoints of the rest."""
+    tier = settled_tier()
+    world = tier.world
+    platform = PagedPlatform(tier, pages)
+    received: list[list[Endpoint]] = []
+    clock = world.machine("10.9.0.2:1").clock()
+    poller = EndpointPoller(platform.address, clock, tier.streams.dialer("10.9.0.2:1"), received.append)
+    poller.start()
+    assert world.run_until(lambda: platform.pages >= MAX_PAGES, 30.0)
+    world.run(world.time + 0.1)
+    poller.stop()
+    assert [len(one) for one in received] == [pages] * lists
--- a/tests/runtime/test_processes.py
+++ b/tests/runtime/test_processes.py
@@ -143,7 +143,7 @@
 def test_unusable_settings_end_commands_and_programs_with_their_exit_codes(tmp_path, monkeypatch):
     monkeypatch.delenv("LYNXSCALE_SETTINGS", raising=False)
     path = tmp_path / "s.toml"
-    path.write_text('node-name = "n"\nip = "127.0.0.1"\nzone = "a"\ninternal-ports = [1, 2]\nseeds = []\n')
+    path.write_text('node-name = "n"\nip = "127.0.0.1"\nzone = "a"\ninternal-ports = [1, 2]\nseeds = ["127.0.0.1:1"]\n')
     assert dataplane_cli("check-settings", str(path)).returncode == 0
     path.write_text("node-name = ")
     assert controlplane_cli("check-settings", str(path)).returncode == 1
--- a/tests/runtime/test_settings_watcher.py
+++ b/tests/runtime/test_settings_watcher.py
@@ -3,7 +3,7 @@
 from lynxscale.runtime.settings_reader import load_settings
 from lynxscale.runtime.settings_watcher import SettingsWatcher
 
-TEXT = 'node-name = "n"\nip = "127.0.0.1"\nzone = "a"\ninternal-ports = [1, 2]\nseeds = []\n'
+TEXT = 'node-name = "n"\nip = "127.0.0.1"\nzone = "a"\ninternal-ports = [1, 2]\nseeds = ["127.0.0.1:1"]\n'
 
 
 def test_only_a_usable_change_is_applied_and_once(tmp_path, monkeypatch):
--- a/tests/scheduling/test_simulator_adapter.py
+++ b/tests/scheduling/test_simulator_adapter.py
@@ -122,6 +122,17 @@
     assert reply[8:12] == bytes.fromhex("03010300") and b"IndexError" in reply
 
 
+def test_offsets_count_no_discarded_records(monkeypatch):
+    """Found by reading: where encoding failed midway, the reply's tail began after records that were discarded."""
+    host = started()
+    steps = iter([[Note("discarded"), Note("\ud800")]])
+    monkeypatch.setattr(host.schedulers[3], "step", lambda now, events: next(steps))
+    reply = host.reply(frame(CALL))
+    assert reply[8:12] == bytes.fromhex("03010300")
+    offset, size = struct.unpack_from("<II", reply, 12)
+    assert offset == 0 and reply[32 + offset : 32 + offset + size].startswith(b"UnicodeEncodeError")
+
+
 @pytest.mark.parametrize(
     "data, word",
     [
