A change of primary: promises are stored as a lease ends, batches go out with the first heartbeat, nobody is left out by a millisecond

Cause (by phase, killed primary, 9.2 ms a sync): after the lease two acceptor writes in a row before any promise left, a record that lacked members whose promise came a millisecond late and so a second epoch right after, and an opening batch that waited for the replicas' first heartbeat answer behind the primary's own write. Change: a voter stores its promise in the last 60 ms of a grant, when the holder's own lease is over, and gives it as the grant ends; a candidate waits 4 ms for promises beyond a majority, always counts its own, and gives up only where a majority cannot promise any more; batches go out from the positions that came with the promises. The election model stores promises in advance while the holder's lease still runs; a mutation that gives them at once is found at once. The golden test of a tier's files sets the new wait to none, as its data have the epoch that is not needed any more.

--- a/lab/tier/models/election.py
+++ b/lab/tier/models/election.py
@@ -1,8 +1,9 @@
 """Model of election and lease: acceptors, proposers and leases of three members as they run in service.
 
 Messages of one link arrive in order; a link may never deliver them, or drop those in flight. Rejections are left out,
-as a member may stand again at any time. A member stands, is primary once its record is decided, requests its lease, may
-restart at any step with its stored acceptor state; time passes in steps shorter than a lease.
+as a member may stand again at any time. Promises are stored in advance, and given once the grant has ended. A member
+stands, is primary once its record is decided, requests its lease, may restart at any step with its stored acceptor
+state; time passes in steps shorter than a lease.
 
 Invariants: no two records are accepted under one epoch; one member at most holds a lease; no later epoch was accepted
 by a majority while a member holds one.
@@ -11,12 +12,12 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Hashable
+from collections.abc import Hashable, Mapping
 from dataclasses import dataclass
 
 from lab.model_checker import Event, InvariantViolation, frozen
 from lab.tier.world import World
-from lynxscale.coordination.acceptor import Acceptor
+from lynxscale.coordination.acceptor import Acceptor, DeferredPromise
 from lynxscale.coordination.acceptor_state import AcceptorStateFile, MemberIdentity
 from lynxscale.coordination.eligibility import decide_candidacy
 from lynxscale.coordination.lease import LEASE_S, LeaderLease
@@ -43,6 +44,7 @@
 ADDRESSES = ("a:1", "b:1", "c:1")
 TOLERATED = 1
 STEP_S = 0.25  # two of them are longer than a lease
+ADVANCE_S = 0.2  # more than in service: after one step promises are stored in advance while the holder's lease runs
 
 
 @dataclass(frozen=True)
@@ -65,9 +67,10 @@
         self.sent: list[tuple[str, Message]] = []
         self.primary = False
         register = AcceptorStateFile(MemberIdentity(address, True, ADDRESSES), machine.files, world.random)
-        self.acceptor = Acceptor(register, machine.clock(), LEASE_S)
+        self.acceptor = Acceptor(register, machine.clock(), LEASE_S, ADVANCE_S)
+        self.deferred: Prepare | None = None  # promised in advance, and not answered yet
         self.lease = LeaderLease(machine.clock())
-        self.proposer = Proposer(self.acceptor, machine.clock(), self, self._position, self._choose, self._decided)
+        self.proposer = Proposer(self.acceptor, machine.clock(), self, self._position, self._choose, self._decided, 0.0)
 
     def send(self, address: str, message: Message) -> None:
         """Part of the Network port."""
@@ -79,7 +82,7 @@
     def _choose(self, proposal: Proposal) -> EpochRecord | None:
         return decide_candidacy(self.acceptor.member, INITIAL_POSITION, proposal, TOLERATED).record
 
-    def _decided(self, record: EpochRecord) -> None:
+    def _decided(self, record: EpochRecord, positions: Mapping[str, Position]) -> None:
         self.primary = True
         self.lease.discard_rounds()
 
@@ -102,10 +105,7 @@
     def receive(self, message: Message) -> None:
         """As ControlMember does."""
         if isinstance(message, Prepare):
-            answer = self.acceptor.prepare(message, INITIAL_POSITION)
-            if isinstance(answer, Promise):
-                self._step_down()
-            self.send(address_of(message.candidate), answer)
+            self._on_prepare(message)
         elif isinstance(message, Promise):
             self.proposer.on_promise(message)
         elif isinstance(message, PrepareRejected):
@@ -121,6 +121,26 @@
         elif isinstance(message, LeaseGrant) and message.granted and message.epoch == self.acceptor.record.epoch:
             self.lease.on_grant(message.round, message.member, self.acceptor.record.voters)
 
+    def _on_prepare(self, message: Prepare) -> None:
+        answer = self.acceptor.prepare(message, INITIAL_POSITION)
+        if isinstance(answer, DeferredPromise):
+            self.deferred = message
+            return
+        if isinstance(answer, Promise):
+            self._step_down()
+        self.send(address_of(message.candidate), answer)
+
+    @property
+    def may_answer_deferred(self) -> bool:
+        """Is there a deferred promise whose timer has expired? It may fire at any time from then on."""
+        return self.deferred is not None and not self.acceptor.lease_left_for_other(self.deferred.candidate)
+
+    def answer_deferred(self) -> None:
+        """The timer of a deferred promise fires."""
+        message, self.deferred = self.deferred, None
+        if message is not None:
+            self._on_prepare(message)
+
     def _on_lease_request(self, message: LeaseRequest) -> None:
         if message.record.epoch < self.acceptor.record.epoch:
             return
@@ -166,6 +186,7 @@
             for index, address in enumerate(ADDRESSES):
                 if left[index] and (what != "requests its lease" or self.nodes[address].primary):
                     found.append((what, address))
+        found += [("answers", address) for address, node in self.nodes.items() if node.may_answer_deferred]
         if self._steps:
             found.append(("time passes", ""))
         return found
@@ -178,6 +199,8 @@
         elif what == "drops":
             self._partitions -= 1
             self._links[which].clear()
+        elif what == "answers":
+            self.nodes[which].answer_deferred()
         elif what == "time passes":
             self._steps -= 1
             self.world.time += STEP_S
@@ -213,6 +236,7 @@
                 round(node.acceptor.lease_left, 3),
                 node.acceptor._lease_holder if node.acceptor.lease_left else "",
                 node.primary,
+                frozen(node.deferred),
                 round(max(0.0, node.lease.expires_at - self.world.time), 3),
                 frozen(node.lease._granted),
                 frozen(node.lease._sent),
@@ -257,10 +281,24 @@
     ("receives", ("b:1", "a:1")),
     ("receives", ("c:1", "a:1")),
 )
+LED = (  # a leads epoch 1, and b has granted its lease
+    ("stands", "a:1"),
+    ("receives", ("a:1", "b:1")),
+    ("receives", ("b:1", "a:1")),
+    ("receives", ("a:1", "a:1")),
+    ("receives", ("a:1", "b:1")),
+    ("receives", ("a:1", "a:1")),
+    ("receives", ("b:1", "a:1")),
+    ("requests its lease", "a:1"),
+    ("receives", ("a:1", "b:1")),
+    ("receives", ("b:1", "a:1")),
+)
 BOUNDS = (
     ElectionBounds(stands=(1, 1, 0), leases=(0, 0, 0), steps=0),
     ElectionBounds(stands=(2, 0, 0), leases=(0, 0, 0), ends=(1, 0, 0), steps=0),
     ElectionBounds(stands=(1, 1, 0), leases=(1, 0, 0), steps=1),
     ElectionBounds(stands=(1, 1, 0), leases=(1, 0, 0), ends=(0, 0, 1), steps=1),
     ElectionBounds(stands=(2, 0, 0), leases=(0, 0, 0), ends=(1, 0, 0), steps=2, partitions=1, begun=PROMISED),
+    ElectionBounds(stands=(1, 1, 0), leases=(1, 0, 0), steps=1, begun=LED),
+    ElectionBounds(stands=(1, 1, 0), leases=(2, 0, 0), ends=(0, 1, 0), steps=1, begun=LED),
 )
--- a/lab/tier/mutations/catalogue.py
+++ b/lab/tier/mutations/catalogue.py
@@ -31,6 +31,7 @@
     Mutation(replication.replaced_voter_stays_in_sync, by_search("admission")),
     Mutation(replication.replica_counts_before_it_confirmed, by_histories()),
     Mutation(epochs.promise_while_another_holds_a_lease, by_search("election", (2,), depth_first=True)),
+    Mutation(epochs.promise_in_advance_is_given_at_once, by_search("election", (5,))),
     Mutation(epochs.restarted_voter_forgets_its_grant, by_search("election", (3,), depth_first=True)),
     Mutation(epochs.lease_starts_at_the_grant, by_search("election", (2,), depth_first=True)),
     Mutation(operator_changes.retry_is_judged_by_its_generation, by_search("operators")),
--- a/lab/tier/mutations/epochs.py
+++ b/lab/tier/mutations/epochs.py
@@ -4,10 +4,10 @@
 
 from lab.tier.mutations.detectors import Patches
 from lynxscale.coordination import acceptor_state
-from lynxscale.coordination.acceptor import Acceptor
+from lynxscale.coordination.acceptor import Acceptor, DeferredPromise
 from lynxscale.coordination.leadership import Leadership
 from lynxscale.coordination.lease import LEASE_S, NEVER, LeaderLease
-from lynxscale.coordination.messages import EpochRecord, Prepare
+from lynxscale.coordination.messages import EpochRecord, Position, Prepare, PrepareRejected, Promise
 from lynxscale.coordination.proposal import Proposal
 from lynxscale.coordination.proposer import Proposer
 from lynxscale.coordination.quorum import is_majority
@@ -24,6 +24,19 @@
     return [(Acceptor, "lease_left", property(lambda self: 0.0))]
 
 
+def promise_in_advance_is_given_at_once() -> Patches:
+    """A promise that is stored shortly before a lease ends is given before it has ended."""
+
+    def prepare(self: Acceptor, request: Prepare, position: Position) -> Promise | DeferredPromise | PrepareRejected:
+        answer = original(self, request, position)
+        if isinstance(answer, DeferredPromise):
+            return Promise(request.epoch, self.member, self.record, position)
+        return answer
+
+    original = Acceptor.prepare
+    return [(Acceptor, "prepare", prepare)]
+
+
 def wiped_member_votes_as_before() -> Patches:
     """A member without its disk takes its former id."""
 
@@ -51,8 +64,8 @@
 def restarted_voter_forgets_its_grant() -> Patches:
     """A process that starts promises at once, although the one before may have granted a lease."""
 
-    def init(self: Acceptor, stored: acceptor_state.AcceptorStateFile, clock, lease_s: float) -> None:  # noqa: ANN001
-        original(self, stored, clock, lease_s)
+    def init(self: Acceptor, stored: acceptor_state.AcceptorStateFile, clock, *durations: float) -> None:  # noqa: ANN001
+        original(self, stored, clock, *durations)
         self._lease_until = clock.now()
 
     original = Acceptor.__init__
--- a/lynxscale/coordination/acceptor.py
+++ b/lynxscale/coordination/acceptor.py
@@ -7,7 +7,10 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from lynxscale.coordination.acceptor_state import AcceptorState, AcceptorStateFile
+from lynxscale.coordination.lease import MAX_ADVANCE_S
 from lynxscale.coordination.messages import (
     Accepted,
     EpochRecord,
@@ -23,15 +26,28 @@
 WRITE_DECAY = 0.8  # factor on the slowest recent latency, for each write that is faster
 
 
+@dataclass(frozen=True, slots=True)
+class DeferredPromise:
+    """The promise is durable, and may be given in ``wait_s`` seconds, once the lease granted here has ended."""
+
+    wait_s: float
+
+
 class Acceptor:
     """One member's votes. ``lease_s``: seconds for which a grant binds it, by its own steady clock.
 
+    ``advance_s``: in the last so many seconds of a lease that it granted, a promise to another candidate is stored
+    already, and given as the lease ends. It is for speed alone: no promise is given while the lease may run.
+
     ``write_s``: seconds that a write of its durable state takes, by the slowest of the recent ones.
     """
 
-    def __init__(self, state_file: AcceptorStateFile, clock: Clock, lease_s: float) -> None:
+    def __init__(
+        self, state_file: AcceptorStateFile, clock: Clock, lease_s: float, advance_s: float = MAX_ADVANCE_S
+    ) -> None:
         self.member = state_file.state.member
         self.lease_s = lease_s
+        self.advance_s = advance_s
         self.write_s = EXPECTED_WRITE_S
         self._clock = clock
         self._state_file = state_file
@@ -69,17 +85,27 @@
             self._save(record, self.state.promised, self.state.promised_to)
         return True
 
-    def prepare(self, request: Prepare, position: Position) -> Promise | PrepareRejected:
+    def advance_wait_s(self, candidate: str) -> float:
+        """Seconds until a promise to the candidate may be stored, were it asked for; 0 or less for now."""
+        return self.lease_left_for_other(candidate) - self.advance_s
+
+    def prepare(self, request: Prepare, position: Position) -> Promise | DeferredPromise | PrepareRejected:
         """Promise the epoch, unless a higher one was promised or another member may hold the lease.
 
+        Shortly before that lease ends the promise is stored, and has to be asked for again once it has ended.
+
         ``position``: how far the replica beside this acceptor reaches. A repeated request comes from the same
         process of the candidate, as each process has its own promise on its disk before it asks anyone else.
         """
         repeated = request.epoch == self.state.promised and request.candidate == self.state.promised_to
-        if self.lease_left_for_other(request.candidate) > 0 or (request.epoch <= self.state.promised and not repeated):
+        if self.advance_wait_s(request.candidate) > 0 or (request.epoch <= self.state.promised and not repeated):
             return PrepareRejected(request.epoch, self.member, self.state.promised, self.lease_left, self.record)
         if not repeated:
             self._save(self.record, request.epoch, request.candidate)
+        # The clock is read again: the write may have outlasted the lease.
+        wait_s = self.lease_left_for_other(request.candidate)
+        if wait_s > 0:
+            return DeferredPromise(wait_s)
         return Promise(request.epoch, self.member, self.record, position)
 
     def accept(self, record: EpochRecord) -> Accepted | None:
--- a/lynxscale/coordination/election.py
+++ b/lynxscale/coordination/election.py
@@ -68,10 +68,10 @@
         self._schedule()
 
     def on_primary_heartbeat(self) -> None:
-        """Somebody leads: nobody has to stand before its lease has ended."""
+        """Somebody leads: nobody has to ask for promises before its lease is about to end."""
         self._round = None
         self._deference.on_primary_heartbeat()
-        self.postpone(LEASE_S)
+        self.postpone(LEASE_S - self._acceptor.advance_s)
 
     def _rank_delay(self) -> float:
         leaving_delay_s = LEAVING_DELAY_S if self.leaving else 0.0
--- a/lynxscale/coordination/leadership.py
+++ b/lynxscale/coordination/leadership.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from lynxscale.coordination.acceptor import Acceptor
 from lynxscale.coordination.lease import LEASE_S, NEVER, LeaderLease
@@ -18,6 +18,7 @@
     LeaseRequest,
     LeaveApproved,
     Message,
+    Position,
     ReplicateAck,
     SnapshotProgress,
     TakeOver,
@@ -125,11 +126,11 @@
 
     # Events ------------------------------------------------------------------------------------------
 
-    def begin_epoch(self, record: EpochRecord) -> None:
-        """A record with this member as primary was decided."""
+    def begin_epoch(self, record: EpochRecord, positions: Mapping[str, Position]) -> None:
+        """A record with this member as primary was decided; ``positions``: of the replicas, as the voters promised."""
         self.lease.discard_rounds()
         self.heartbeat()
-        self.replicator.begin(record)
+        self.replicator.begin(record, positions)
         self.replicator.retain_only(set(record.voters))
 
     def end(self) -> None:
--- a/lynxscale/coordination/lease.py
+++ b/lynxscale/coordination/lease.py
@@ -10,6 +10,7 @@
 
 LEASE_S = 0.4  # for which a grant binds its voter
 LEASE_MARGIN = 0.85  # the holder's share of a lease: its clock may run slower than the voters'
+MAX_ADVANCE_S = LEASE_S * (1.0 - LEASE_MARGIN)  # of a grant: what is left of it once the holder's own lease is over
 ROUNDS_REMEMBERED = 16  # heartbeats whose grants are still counted
 NEVER = -1e9  # seconds: a time before all that happens
 
--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -275,13 +275,13 @@
             return self.leadership.plan(proposal)
         return self._candidacy.choose_record(proposal)
 
-    def _on_epoch_decided(self, record: EpochRecord) -> None:
+    def _on_epoch_decided(self, record: EpochRecord, positions: Mapping[str, Position]) -> None:
         if self.role is MemberRole.CANDIDATE:
             self._role.apply(RoleChange.EPOCH_DECIDED)
         if self.leadership is not None:
             counts = len(record.in_sync), len(record.voters)
             log.info("event=epoch epoch=%d in_sync=%d voters=%d", record.epoch, *counts)
-            self.leadership.begin_epoch(record)
+            self.leadership.begin_epoch(record, positions)
 
     # Time ----------------------------------------------------------------------------------------------
 
--- a/lynxscale/coordination/proposal.py
+++ b/lynxscale/coordination/proposal.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lynxscale.coordination.messages import Accepted, EpochRecord, Position, Promise
+from lynxscale.coordination.messages import Accepted, EpochRecord, Position, PrepareRejected, Promise
 from lynxscale.coordination.quorum import is_majority
 
 
@@ -19,6 +19,7 @@
         self._base: EpochRecord | None = None
         self.record: EpochRecord | None = None
         self.promised: dict[str, Position] = {}
+        self.rejected: set[str] = set()
         self.accepted: set[str] = set()
         self._voters = voters
 
@@ -44,7 +45,22 @@
         self.promised[answer.voter] = answer.position
         if self._base is None or answer.accepted.epoch > self._base.epoch:
             self._base = answer.accepted
-        return is_majority(self.base.voters, set(self.promised))
+        return self.may_choose
+
+    @property
+    def may_choose(self) -> bool:
+        """Have a majority and the candidate itself promised?"""
+        return self.candidate in self.promised and is_majority(self.base.voters, set(self.promised))
+
+    @property
+    def all_promised(self) -> bool:
+        """Has every voter promised?"""
+        return set(self.base.voters) <= set(self.promised)
+
+    def reject(self, answer: PrepareRejected) -> bool:
+        """Count a rejection; True while a majority of the voters may still promise."""
+        self.rejected.add(answer.voter)
+        return is_majority(self._voters, set(self._voters) - self.rejected)
 
     def accept(self, answer: Accepted) -> bool:
         """Count an accept; True once the record is decided."""
--- a/lynxscale/coordination/proposer.py
+++ b/lynxscale/coordination/proposer.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
-from lynxscale.coordination.acceptor import Acceptor
+from lynxscale.coordination.acceptor import Acceptor, DeferredPromise
 from lynxscale.coordination.lease import NEVER
 from lynxscale.coordination.messages import (
     Accept,
@@ -22,13 +22,17 @@
 
 ROUND_TIMEOUT_S = 0.25  # for the answers to a prepare or an accept, beside what disks take
 ROUND_WRITE_FACTOR = 4.0  # acceptor writes that a round waits for
+LATE_PROMISE_S = 0.004  # a candidate waits so long for promises beyond a majority: who is absent leaves the in-sync set
 
 
 class Proposer:
     """Runs at most one round at a time.
 
     ``replica_position()``: how far the own replica reaches. ``choose_record(proposal)``: the record to propose once a
-    majority has promised, None to give the round up. ``on_decided(record)``: called once a majority has accepted it.
+    majority has promised, None to give the round up. ``on_decided(record, positions)``: called once a majority has
+    accepted it, with how far the replica of each voter that promised reaches.
+
+    ``late_promise_s``: seconds that a candidate waits for promises beyond a majority; ``LATE_PROMISE_S`` by default.
     """
 
     def __init__(
@@ -38,7 +42,8 @@
         network: Network,
         replica_position: Callable[[], Position],
         choose_record: Callable[[Proposal], EpochRecord | None],
-        on_decided: Callable[[EpochRecord], None],
+        on_decided: Callable[[EpochRecord, Mapping[str, Position]], None],
+        late_promise_s: float | None = None,
     ) -> None:
         self._acceptor = acceptor
         self._clock = clock
@@ -46,6 +51,7 @@
         self._replica_position = replica_position
         self._choose_record = choose_record
         self._on_decided = on_decided
+        self._late_promise_s = LATE_PROMISE_S if late_promise_s is None else late_promise_s
         self._proposal: Proposal | None = None
         self._started_at = NEVER
         self._highest_rejected = 0
@@ -70,7 +76,8 @@
         """Start a round; the own acceptor's rejection where it is bound, and then there is no round. Raises OSError.
 
         The own promise is durable before anyone else is asked: no later process of this member asks for that epoch
-        again, so no two records are proposed under one epoch.
+        again, so no two records are proposed under one epoch. It counts from the end of the lease that the own acceptor
+        has granted, as those of the others do.
         """
         self._proposal = None
         epoch = self._next_epoch()
@@ -84,7 +91,11 @@
         voters = self._acceptor.record.voters
         self._proposal = Proposal(epoch, self._acceptor.member, voters)
         self._send_all(tuple(voter for voter in voters if voter != self._acceptor.member), request)
-        self.on_promise(own_answer)
+        if isinstance(own_answer, DeferredPromise):
+            self._started_at += own_answer.wait_s
+            self._send_all((self._acceptor.member,), request)
+        else:
+            self.on_promise(own_answer)
         return None
 
     def _next_epoch(self) -> int:
@@ -104,8 +115,17 @@
         proposal = self._proposal
         if proposal is None:
             return
+        chosen_by_timer = proposal.may_choose
         if not proposal.promise(message):
             self._ask_new_voters(proposal)
+        elif proposal.all_promised or proposal.base.primary == proposal.candidate or not self._late_promise_s:
+            self._choose(proposal)
+        elif not chosen_by_timer:
+            self._clock.call_later(self._late_promise_s, lambda: self._choose(proposal))
+
+    def _choose(self, proposal: Proposal) -> None:
+        """Choose the record and propose it, unless that has been done or the round has ended."""
+        if proposal is not self._proposal or proposal.record is not None:
             return
         record = self._choose_record(proposal)
         if record is None:
@@ -116,12 +136,12 @@
         self._send_all(proposal.voters, Accept(record))
 
     def on_prepare_rejected(self, message: PrepareRejected) -> bool:
-        """A voter rejected; True where that concerns the round under way."""
+        """A voter rejected; True where the round under way cannot get a majority any more."""
         proposal = self._proposal
         if proposal is None or message.epoch != proposal.epoch or proposal.record is not None:
             return False
         self._highest_rejected = max(self._highest_rejected, message.promised)
-        return True
+        return not proposal.reject(message)
 
     def on_accepted(self, message: Accepted) -> None:
         """A voter has stored the record; with a majority it is decided."""
@@ -130,7 +150,7 @@
             return
         self._proposal = None
         self._acceptor.learn(proposal.record)
-        self._on_decided(proposal.record)
+        self._on_decided(proposal.record, proposal.promised)
 
     def _ask_new_voters(self, proposal: Proposal) -> None:
         """The record that was found may name voters that were not asked yet."""
--- a/lynxscale/coordination/replica_progress.py
+++ b/lynxscale/coordination/replica_progress.py
@@ -13,7 +13,7 @@
 ::
 
     state           next            when
-    PROBE           REPLICATE       the batches in memory continue from the position that it reports
+    PROBE           REPLICATE       the batches in memory continue from the position that it reports, or promised with
                     SNAPSHOT_PROBE  they do not
     REPLICATE       SNAPSHOT_PROBE  they do so no longer, or its state differs (``repair``)
     SNAPSHOT_PROBE  SNAPSHOT        it reports what it has of a snapshot
@@ -121,6 +121,15 @@
             self._probe_snapshot()
         self.pump()
 
+    def expect(self, position: Position) -> None:
+        """Send from the position that it had as it promised this epoch; it counts once it reports one itself.
+
+        Nobody else can have written there since.
+        """
+        if self.state is ReplicaState.PROBE and self._store.continues_from(position):
+            self.stored = position
+            self._follow(position)
+
     def repair(self) -> None:
         """Send a snapshot, since the replica's state differs."""
         if not self._repairing:
--- a/lynxscale/coordination/replication.py
+++ b/lynxscale/coordination/replication.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from lynxscale.coordination.messages import Batch, EpochRecord, Position, Put, SnapshotProgress
@@ -71,16 +71,21 @@
 
     # Membership --------------------------------------------------------------------------------------
 
-    def begin(self, record: EpochRecord) -> None:
-        """Continue in a new epoch of this primary; the first one opens with an empty batch, so positions differ."""
+    def begin(self, record: EpochRecord, positions: Mapping[str, Position]) -> None:
+        """Continue in a new epoch of this primary; the first one opens with an empty batch, so positions differ.
+
+        ``positions``: where replicas were as their voters promised the epoch; batches go out from there at once.
+        """
         first = self._record is None
         self._record = record
         self._required = set(record.in_sync)
         self._replicate_to((*record.in_sync, *record.voters))
         if first:
             self.submit((), lambda outcome: None)
-        for replica in self.replicas.values():
+        for member, replica in self.replicas.items():
             replica.begin(record.epoch)
+            if member in positions:
+                replica.expect(positions[member])
         self._check_commit()
 
     def require_also(self, members: set[str]) -> None:
--- a/lynxscale/coordination/vote_deference.py
+++ b/lynxscale/coordination/vote_deference.py
@@ -43,9 +43,9 @@
         return ranked.index(member) if member in ranked else len(ranked)
 
     def wait_s(self, candidate: str) -> float:
-        """Seconds for which another's lease may run, or this voter defers to another; 0 or less: a yes."""
+        """Seconds until a promise could be stored, as another's lease runs or this voter defers; 0 or less: a yes."""
         now = self._clock.now()
-        waits = [self._acceptor.lease_left_for_other(candidate), self._backoff_left(candidate, now)]
+        waits = [self._acceptor.advance_wait_s(candidate), self._backoff_left(candidate, now)]
         if candidate != self._supported:
             waits.append(self._supported_until - now)
         if candidate != self._preferred and self._preferred and self.rank(self._preferred) <= self.rank(candidate):
--- a/lynxscale/coordination/voter.py
+++ b/lynxscale/coordination/voter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lynxscale.coordination.acceptor import DeferredPromise
 from lynxscale.coordination.election import ElectionCampaign
 from lynxscale.coordination.member_context import MemberContext
 from lynxscale.coordination.member_role import MemberRole, RoleChange
@@ -16,6 +17,8 @@
     address_of,
 )
 
+TIMER_MARGIN_S = 0.0005  # so that a timer for the end of a lease finds it ended
+
 
 class Voter:
     """Answers by the acceptor's durable state, in each role.
@@ -30,16 +33,32 @@
         self._tracker = context.tracker
         self._network = context.network
         self._campaign = campaign
+        self._deferred: Prepare | None = None  # to be answered once the lease that was granted here has ended
 
     def on_prepare(self, message: Prepare) -> None:
         """A candidate asks for a promise. A primary that gives it to another stops leading."""
         answer = self._acceptor.prepare(message, self._context.store.durable_position)
+        if isinstance(answer, DeferredPromise):
+            self._campaign.defer_to(message.candidate)
+            self._defer(message, answer.wait_s)
+            return
         if isinstance(answer, Promise):
             self._campaign.defer_to(message.candidate)
             if message.candidate != self._acceptor.member and self._role.current is MemberRole.PRIMARY:
                 self._role.apply(RoleChange.PROMISED_OTHER)
         self._network.send(address_of(message.candidate), answer)
 
+    def _defer(self, message: Prepare, wait_s: float) -> None:
+        """Answer once the lease has ended; of several requests the last one counts."""
+        self._deferred = message
+        self._context.clock.call_later(wait_s + TIMER_MARGIN_S, lambda: self._answer_deferred(message))
+
+    def _answer_deferred(self, message: Prepare) -> None:
+        if self._deferred is message:
+            self._deferred = None
+            # The promise is on the disk, unless a higher epoch was promised since: nothing is written here.
+            self.on_prepare(message)
+
     def on_accept(self, message: Accept) -> None:
         """A candidate asks to store its record; a superseded record is not answered."""
         answer = self._acceptor.accept(message.record)
@@ -80,6 +99,8 @@
         if message.epoch != self._acceptor.record.epoch:
             return
         self._acceptor.release(message.epoch)
+        if self._deferred is not None:
+            self._answer_deferred(self._deferred)
         if message.successor:
             self._campaign.defer_to(message.successor)
         else:
--- a/tests/controlplane/test_golden_state.py
+++ b/tests/controlplane/test_golden_state.py
@@ -6,6 +6,7 @@
 import pytest
 
 from lynxscale.controlplane import idempotency
+from lynxscale.coordination import proposer
 from tests import golden
 
 BEFORE, AFTER = golden.lines("before.jsonl"), golden.lines("after.jsonl")
@@ -41,6 +42,8 @@
 
 def test_the_same_inputs_get_the_golden_answers_and_leave_the_golden_files(tmp_path, monkeypatch):
     monkeypatch.setattr(idempotency, "MAX_IDEMPOTENCY_RECORDS", MAX_IDEMPOTENCY_RECORDS)
+    # The program that wrote the data proposed its record on a majority's promises, and so began one epoch more.
+    monkeypatch.setattr(proposer, "LATE_PROMISE_S", 0.0)
     tier = golden.start_tier(tmp_path)
     answers = golden.drive(tier, BEFORE)
     assert [compared(one) for one in answers] == [compared(step["answer"]) for step in BEFORE]
--- a/tests/coordination/test_acceptor.py
+++ b/tests/coordination/test_acceptor.py
@@ -1,9 +1,9 @@
 """Promises and grants of one acceptor."""
 
 from lab.tier.world import World
-from lynxscale.coordination.acceptor import Acceptor
+from lynxscale.coordination.acceptor import Acceptor, DeferredPromise
 from lynxscale.coordination.acceptor_state import AcceptorState, AcceptorStateFile, MemberIdentity
-from lynxscale.coordination.lease import LEASE_S
+from lynxscale.coordination.lease import LEASE_S, MAX_ADVANCE_S
 from lynxscale.coordination.messages import EpochRecord, LeaseRequest, Position, Prepare, PrepareRejected, Promise
 
 
@@ -44,3 +44,38 @@
     world.run(world.time + 0.41)
     assert isinstance(restarted.prepare(Prepare(5, "c#0"), start), Promise)
     assert restarted.accept(EpochRecord(4, "b#0", ("b#0",), ("a#0", "b#0", "c#0"))) is None
+
+
+def test_a_promise_is_stored_shortly_before_a_lease_ends_and_given_once_it_has():
+    world = World(5)
+    machine = world.machine("a:1")
+    record = EpochRecord(3, "b#0", ("b#0",), ("a#0", "b#0", "c#0"))
+    state_file = AcceptorStateFile(MemberIdentity("a:1", True, ("a:1",)), machine.files, world.random)
+    state_file.save(AcceptorState("a#0", record, 3, "b#0"))
+    acceptor = Acceptor(state_file, machine.clock(), LEASE_S)
+    assert acceptor.grant(LeaseRequest(record, 1))
+    world.run(LEASE_S - MAX_ADVANCE_S - 0.01)
+    assert isinstance(acceptor.prepare(Prepare(4, "c#0"), Position(0, 0)), PrepareRejected)
+    assert acceptor.state.promised == 3
+    world.run(LEASE_S - MAX_ADVANCE_S + 0.01)
+    answer = acceptor.prepare(Prepare(4, "c#0"), Position(0, 0))
+    assert isinstance(answer, DeferredPromise) and 0 < answer.wait_s < MAX_ADVANCE_S
+    assert acceptor.state.promised == 4 and acceptor.state.promised_to == "c#0"
+    assert not acceptor.grant(LeaseRequest(record, 2))
+    world.run(LEASE_S + 0.001)
+    assert isinstance(acceptor.prepare(Prepare(4, "c#0"), Position(0, 0)), Promise)
+
+
+def test_a_stored_promise_does_not_outlive_a_higher_one():
+    world = World(6)
+    machine = world.machine("a:1")
+    record = EpochRecord(3, "b#0", ("b#0",), ("a#0", "b#0", "c#0"))
+    state_file = AcceptorStateFile(MemberIdentity("a:1", True, ("a:1",)), machine.files, world.random)
+    state_file.save(AcceptorState("a#0", record, 3, "b#0"))
+    acceptor = Acceptor(state_file, machine.clock(), LEASE_S)
+    assert acceptor.grant(LeaseRequest(record, 1))
+    world.run(LEASE_S - MAX_ADVANCE_S + 0.01)
+    assert isinstance(acceptor.prepare(Prepare(4, "c#0"), Position(0, 0)), DeferredPromise)
+    assert isinstance(acceptor.prepare(Prepare(5, "b#0"), Position(0, 0)), Promise)  # the lease is its own
+    world.run(LEASE_S + 0.001)
+    assert isinstance(acceptor.prepare(Prepare(4, "c#0"), Position(0, 0)), PrepareRejected)
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -1,15 +1,19 @@
 """A lost primary is followed by another soon, and by one candidate at a time."""
 
+from unittest.mock import patch
+
 import pytest
 
+from lab.tier.control_group import ControlGroup
 from lab.tier.failover_time import FailoverCase, failover_time_s
+from lynxscale.coordination.acceptor import Acceptor, DeferredPromise
 from lynxscale.coordination.member_role import MemberRole, RoleChange, RoleState
-from lynxscale.coordination.messages import Message, Prepare, TakeOver, address_of
+from lynxscale.coordination.messages import Message, Position, Prepare, Promise, TakeOver, address_of
 from tests.coordination.control_groups import start_group, start_group_with_slow_disks
 
 
 @pytest.mark.parametrize("how", ["kill", "wipe", "cut", "deaf", "mute"])
-@pytest.mark.parametrize(("sync_s", "median_s", "most_s"), [(0.0, 0.45, 0.6), (0.0092, 0.62, 0.85), (0.03, 1.25, 2.0)])
+@pytest.mark.parametrize(("sync_s", "median_s", "most_s"), [(0.0, 0.40, 0.46), (0.0092, 0.53, 0.8), (0.03, 0.96, 1.1)])
 def test_failover_time_on_fast_and_slow_disks(how, sync_s, median_s, most_s):
     """Seen on scale-1 and trouble-3 of the Stadtwerke Steyr site: 1.4 to 1.7 s, as candidates put each other aside."""
     times = sorted(failover_time_s(FailoverCase(seed, sync_s, how=how)) for seed in range(1, 10))
@@ -71,3 +75,55 @@
     group.world.run(group.world.time + 2.0)
     assert started == [MemberRole.BACKUP]
     assert group.put("a", 1)
+
+
+@pytest.mark.parametrize("how", ["kill", "cut", "mute"])
+def test_the_failover_time_leaves_no_room_for_what_waits_for_nothing(how):
+    """Before promises were stored in advance: 0.56 s at the median and 0.69 s at p95, at 9.2 ms a sync."""
+    times = sorted(failover_time_s(FailoverCase(seed, 0.0092, how=how)) for seed in range(1, 21))
+    assert times[10] <= 0.50 and times[19] <= 0.60, times
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+@pytest.mark.parametrize(("sync_s", "members"), [(0.0, 3), (0.0092, 1)])
+def test_no_promise_leaves_a_voter_while_the_lease_that_it_granted_may_run(seed, sync_s, members):
+    """Promises are stored before the lease has ended, so that they can be given as it ends."""
+    group = start_group_with_slow_disks(seed, sync_s=sync_s)
+    stored_in_advance: list[str] = []
+    prepare, deliver = Acceptor.prepare, group.world.deliver
+
+    def watch_prepare(acceptor: Acceptor, request: Prepare, position: Position) -> object:
+        answer = prepare(acceptor, request, position)
+        if isinstance(answer, DeferredPromise):
+            stored_in_advance.append(acceptor.member)
+            assert acceptor.state.promised == request.epoch
+        return answer
+
+    def watch_sent(source: str, target: str, message: Message) -> None:
+        if isinstance(message, Promise):
+            assert group.members[source].acceptor.lease_left_for_other(member_at(group, target)) == 0.0
+        deliver(source, target, message)
+
+    with patch.object(Acceptor, "prepare", watch_prepare):
+        group.world.deliver = watch_sent
+        group.kill(address_of(group.wait_for_leader().member_id))
+        group.wait_for_leader(2.0)
+    assert len(set(stored_in_advance)) >= members
+
+
+def member_at(group: ControlGroup, address: str) -> str:
+    """The id of the member at an address."""
+    return group.members[address].member_id
+
+
+def test_a_primary_overtakes_a_promise_that_was_stored_in_advance():
+    """A voter that missed some heartbeats has promised another; the primary goes on, and that one gives up."""
+    group = start_group(3)
+    group.world.run(group.world.time + 1.0)
+    leader = group.wait_for_leader()
+    backup = next(one for one in group.members.values() if one is not leader)
+    promised = leader.record.epoch + 1
+    backup.acceptor._save(backup.record, promised, backup.member_id)
+    group.world.run(group.world.time + 1.0)
+    assert group.leaders() == [leader] and leader.record.epoch > promised
+    assert group.put("a", 1)
