--- a/lab/tier/simulated_files.py
+++ b/lab/tier/simulated_files.py
@@ -48,6 +48,11 @@
         """A file's content, None where there is none."""
         return self._files.get(name)
 
+    def read_chunk(self, name: str, offset: int, size: int) -> bytes | None:
+        """At most ``size`` bytes from an offset, None where there is no such file."""
+        content = self._files.get(name)
+        return None if content is None else content[offset : offset + size]
+
     def names(self) -> list[str]:
         """All files, sorted."""
         return sorted(self._files)
--- a/lynxscale/coordination/acceptor.py
+++ b/lynxscale/coordination/acceptor.py
@@ -134,6 +134,10 @@
         if epoch == self.record.epoch:
             self._lease_until = self._clock.now()
 
+    def rewrite(self) -> None:
+        """Store the state anew, as one of its files is damaged. Raises OSError."""
+        self._state_file.save(self.state)
+
     def _save(self, accepted: EpochRecord, promised: int, promised_to: str) -> None:
         """Store the state before it takes effect. Raises OSError."""
         started_at = self._clock.now()
--- a/lynxscale/coordination/compaction.py
+++ b/lynxscale/coordination/compaction.py
@@ -50,7 +50,12 @@
 
     def compact_if_due(self, position: Position, table: KeyValueTable) -> None:
         """Begin a snapshot of the state at a position where a limit is exceeded. Raises OSError."""
-        if self._snapshot.active or not self._due:
+        if self._due:
+            self.compact(position, table)
+
+    def compact(self, position: Position, table: KeyValueTable) -> None:
+        """Begin a snapshot of the state at a position, unless one is being written. Raises OSError."""
+        if self._snapshot.active:
             return
         covered_files, covered_bytes = self._batch_files, self._batch_bytes
 
--- a/lynxscale/coordination/member.py
+++ b/lynxscale/coordination/member.py
@@ -9,6 +9,7 @@
 - ``follower``: what it stores for a primary
 - ``joining`` and ``graceful_leave``: how it comes and goes
 - ``disk_failure``: what happens where a write fails
+- ``file_scrub``: reads its files again while it runs, and repairs them
 """
 
 from __future__ import annotations
@@ -24,6 +25,7 @@
 from lynxscale.coordination.candidacy import Candidacy
 from lynxscale.coordination.disk_failure import DISK_FAILURE_COOLDOWN_S, DiskFailureHandler
 from lynxscale.coordination.election import ElectionCampaign
+from lynxscale.coordination.file_scrub import StorageScrub
 from lynxscale.coordination.follower import Follower
 from lynxscale.coordination.graceful_leave import GracefulLeave
 from lynxscale.coordination.joining import JoinProtocol
@@ -134,6 +136,7 @@
         self._voter = Voter(context, self._campaign)
         self._joining = JoinProtocol(context, lambda: self.contacts)
         self._follower = Follower(self.member_id, self.store, network, self._accepts_writes_of, self._recorded_primary)
+        self._scrub = StorageScrub(files, self.acceptor, self.store, self._memory_is_at_position)
         self._handlers = self._message_handlers()
         self._watermark_at = NEVER
         self._start()
@@ -252,6 +255,9 @@
     def _replica_position(self) -> Position:
         return self.store.durable_position
 
+    def _memory_is_at_position(self) -> bool:
+        return self.leadership is None or self.leadership.replicator.memory_is_at_position()
+
     def _recorded_primary(self) -> str:
         return self.record.primary
 
@@ -298,6 +304,7 @@
         if now - self._watermark_at >= WATERMARK_INTERVAL_S:
             self._watermark_at = now
             self.store.save_watermark()
+        self._scrub.tick(now)
 
     def _tick_primary(self, leadership: Leadership) -> None:
         if leadership.lost:
--- a/lynxscale/coordination/ports.py
+++ b/lynxscale/coordination/ports.py
@@ -69,6 +69,9 @@
     def read(self, name: str) -> bytes | None:
         """The content, or None where there is no such file."""
 
+    def read_chunk(self, name: str, offset: int, size: int) -> bytes | None:
+        """At most ``size`` bytes from an offset, fewer at the end; None where there is no such file. Raises OSError."""
+
     def names(self) -> list[str]:
         """All complete files, sorted."""
 
--- a/lynxscale/coordination/replication.py
+++ b/lynxscale/coordination/replication.py
@@ -182,7 +182,7 @@
 
     # Batches -----------------------------------------------------------------------------------------
 
-    def _memory_is_at_position(self) -> bool:
+    def memory_is_at_position(self) -> bool:
         """Whether the memory is the state at the store's position: no submission waits for its batch."""
         return not self._pending
 
@@ -191,7 +191,7 @@
         for member in members:
             if member != self.member and member not in self.replicas:
                 self.replicas[member] = ReplicaProgress(
-                    member, epoch, self._store, self._clock, self._network, self._memory_is_at_position
+                    member, epoch, self._store, self._clock, self._network, self.memory_is_at_position
                 )
 
     def _schedule_flush(self) -> None:
--- a/lynxscale/coordination/store.py
+++ b/lynxscale/coordination/store.py
@@ -94,6 +94,19 @@
             self._versions.save_watermark(self.position)
             self._watermark = self.position
 
+    def rewrite_watermark(self) -> None:
+        """Record the position anew, as one of the watermark's files is damaged. Raises OSError."""
+        self._watermark = INITIAL_POSITION
+        self.save_watermark()
+
+    def replace_files(self) -> None:
+        """Write a snapshot in place of all version files, as one is damaged. Raises OSError, here or in a later step.
+
+        The memory has to be the state at ``position``. Until the snapshot is durable the files remain as they are.
+        """
+        if self.intact:
+            self._compactor.compact(self.position, self._table)
+
     # Digests -----------------------------------------------------------------------------------------
 
     def checksum(self) -> int:
--- a/lynxscale/runtime/durable_files.py
+++ b/lynxscale/runtime/durable_files.py
@@ -65,6 +65,10 @@
         except FileNotFoundError:
             return None
 
+    def read_chunk(self, name: str, offset: int, size: int) -> bytes | None:
+        """At most ``size`` bytes from an offset, read from the disk, not from the page cache. Raises OSError."""
+        return read_chunk_from_disk(self._folder / name, offset, size)
+
     def names(self) -> list[str]:
         """All complete files, sorted."""
         return sorted(name for name in os.listdir(self._folder) if not name.endswith(TEMPORARY_SUFFIX))
@@ -74,6 +78,22 @@
         (self._folder / name).unlink(missing_ok=True)
 
 
+def read_chunk_from_disk(path: Path, offset: int, size: int) -> bytes | None:
+    """At most ``size`` bytes of a file from an offset, None where there is none. Raises OSError.
+
+    The pages are dropped from the cache first: what the cache holds says nothing of the disk.
+    """
+    try:
+        descriptor = os.open(path, os.O_RDONLY)
+    except FileNotFoundError:
+        return None
+    try:
+        os.posix_fadvise(descriptor, offset, size, os.POSIX_FADV_DONTNEED)
+        return os.pread(descriptor, size, offset)
+    finally:
+        os.close(descriptor)
+
+
 class AtomicFileWriter:
     """Implements the FileWriter port: a file under a temporary name, renamed once its content is durable."""
 
@@ -152,6 +172,10 @@
         path = self._folder / name
         return path.read_bytes() if path.is_file() else None
 
+    def read_chunk(self, name: str, offset: int, size: int) -> bytes | None:
+        """At most ``size`` bytes from an offset. Raises OSError."""
+        return read_chunk_from_disk(self._folder / name, offset, size)
+
     def names(self) -> list[str]:
         """All complete files, sorted."""
         return sorted(path.name for path in self._folder.iterdir() if not path.name.endswith(TEMPORARY_SUFFIX))
--- a/tests/runtime/test_durable_files.py
+++ b/tests/runtime/test_durable_files.py
@@ -18,3 +18,12 @@
     with pytest.raises(OSError):
         files.write_all({"taken": b"5", "c": b"6"})
     assert sorted(path.name for path in tmp_path.iterdir()) == ["a", "b", "taken"]
+
+
+def test_chunks_are_read_from_an_offset_and_none_where_there_is_no_file(tmp_path):
+    files = DurableFiles(str(tmp_path))
+    files.write("a", b"0123456789")
+    assert files.read_chunk("a", 0, 4) == b"0123"
+    assert files.read_chunk("a", 8, 4) == b"89"
+    assert files.read_chunk("a", 10, 4) == b""
+    assert files.read_chunk("b", 0, 4) is None
