--- a/lynxscale/cli/__init__.py
+++ b/lynxscale/cli/__init__.py
@@ -31,15 +31,18 @@
     """A group whose members are imported when they are asked for."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
+        """The names of all members."""
         return sorted(GROUPS)
 
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        """Import one member; None where there is none of that name."""
         if name not in GROUPS:
             return None
         module, _, attribute = GROUPS[name].partition(":")
         return getattr(importlib.import_module(module), attribute)
 
     def invoke(self, ctx: click.Context) -> Any:
+        """Run the command. Raises OutputClosedError where its output was closed."""
         try:
             return super().invoke(ctx)
         except BrokenPipeError as error:
--- a/lynxscale/cli/cluster.py
+++ b/lynxscale/cli/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +17,7 @@
 from lynxscale.relay.conf.settings import Conf
 
 ANSWER_WITHIN = 3.0
+STALE_AFTER_S = 5.0  # age of a written status beyond which the relay does not run, or its disk stands still
 COLUMNS = ("node", "at", "zone", "state", "for_s", "life", "in_view", "answered_ms", "others say", "slow", "differs")
 
 
@@ -134,61 +136,76 @@
 
     Exit code 1 where a relay that was asked is not a member of a view with a lease.
     """
-    import time
-
     if bool(conf) == bool(at):
         raise InvalidUsageError("want --conf FILE, or --at HOST:PORT once or more")
-    told: list[dict] = []
-    silent: list[str] = []
     if conf:
-        told.append(_of_file(conf))
-        told[0]["age_s"] = round(time.time() - told[0]["ts"], 1)
-    for one in at:
-        try:
-            code, answer = _call(one, "GET", "/admin/cluster")
-        except CommandFailedError as error:
-            silent.append(error.message)
-            continue
-        if code != 200:
-            silent.append(f"{one}: {answer.get('said', code)}")
-        else:
-            told.append(answer)
+        found, silent = [_written_status(conf)], []
+    else:
+        found, silent = _asked_statuses(at)
     if as_json:
-        write_json({"nodes": told, "silent": silent})
+        write_json({"nodes": found, "silent": silent})
     else:
-        for number, one in enumerate(told):
-            click.echo(("\n" if number else "") + _told(one))
-            if "age_s" in one:
-                click.echo(
-                    f"as written {one['age_s']} s ago"
-                    + (
-                        "; the relay writes it every second: it does not run, or its disk stands still"
-                        if one["age_s"] > 5
-                        else ""
-                    )
-                )
-            if len(told) == 1:
-                click.echo()
-                write_table(list(COLUMNS), _rows(one))
-        if len(told) > 1:
-            click.echo("\nWho is what, as each of them sees it:")
-            names = sorted({row["name"] for one in told for row in one["nodes"]})
-            write_table(
-                ["seen by", *names],
-                [
-                    [
-                        one["node"],
-                        *({row["name"]: row["state"] for row in one["nodes"]}.get(name, "not named") for name in names),
-                    ]
-                    for one in told
-                ],
-            )
+        _show_statuses(found)
     for line in silent:
         click.echo(line, err=True)
-    if silent or any(one["standing"] != "member" for one in told):
+    if silent or any(one["standing"] != "member" for one in found):
         click.get_current_context().exit(FAILED)
 
 
+def _written_status(conf: str) -> dict[str, Any]:
+    """What a relay last wrote of itself, and how many seconds ago."""
+    import time
+
+    status = _of_file(conf)
+    return status | {"age_s": round(time.time() - status["ts"], 1)}
+
+
+def _asked_statuses(addresses: tuple[str, ...]) -> tuple[list[dict[str, Any]], list[str]]:
+    """What relays answer of themselves, and a line for each that does not."""
+    found: list[dict[str, Any]] = []
+    silent: list[str] = []
+    for address in addresses:
+        try:
+            code, answer = _call(address, "GET", "/admin/cluster")
+        except CommandFailedError as error:
+            silent.append(error.message)
+            continue
+        if code == HTTPStatus.OK:
+            found.append(answer)
+        else:
+            silent.append(f"{address}: {answer.get('said', code)}")
+    return found, silent
+
+
+def _show_statuses(found: list[dict[str, Any]]) -> None:
+    """Each node in words; with the table of all nodes where there is one, else how each of them sees the others."""
+    for number, one in enumerate(found):
+        click.echo(("\n" if number else "") + _told(one))
+        if "age_s" in one:
+            click.echo(_age_text(one["age_s"]))
+    if len(found) == 1:
+        click.echo()
+        write_table(list(COLUMNS), _rows(found[0]))
+    elif found:
+        _show_views(found)
+
+
+def _age_text(age_s: float) -> str:
+    stale = "; the relay writes it every second: it does not run, or its disk stands still"
+    return f"as written {age_s} s ago" + (stale if age_s > STALE_AFTER_S else "")
+
+
+def _show_views(found: list[dict[str, Any]]) -> None:
+    """A table of what each node takes each other one for."""
+    click.echo("\nWho is what, as each of them sees it:")
+    names = sorted({row["name"] for one in found for row in one["nodes"]})
+    rows = []
+    for one in found:
+        states = {row["name"]: row["state"] for row in one["nodes"]}
+        rows.append([one["node"], *(states.get(name, "not named") for name in names)])
+    write_table(["seen by", *names], rows)
+
+
 def _differing(files: list[tuple[str, Conf]]) -> list[Fault]:
     """What one file says otherwise than the first, or of another node than that node's own file does."""
     from lynxscale.relay.cluster import settings
--- a/lynxscale/cli/common.py
+++ b/lynxscale/cli/common.py
@@ -81,6 +81,7 @@
         self.damaged = self.torn = 0
 
     def __call__(self, loss: Any) -> None:
+        """Tell one loss and count it."""
         from lynxscale.trace.view import iso
 
         span = f"after {iso(loss.after)}" if loss.after is not None else "before any record"
--- a/lynxscale/cli/conf.py
+++ b/lynxscale/cli/conf.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import os
+from typing import Any
 
 import click
 import orjson
@@ -11,7 +12,7 @@
 from lynxscale.cli import example
 from lynxscale.cli.exceptions import USAGE, InvalidUsageError
 from lynxscale.relay.conf import reader
-from lynxscale.relay.conf.directive import field_of
+from lynxscale.relay.conf.directive import Directive, field_of
 from lynxscale.relay.conf.settings import Conf
 from lynxscale.relay.conf.table import SECTIONS
 
@@ -83,7 +84,7 @@
         click.echo(f"end {section.name}\n")
 
 
-def _row(directive, row: dict) -> str:
+def _row(directive: Directive, row: dict) -> str:
     words = [_word(row["name"]), *(_word(one.shown(row[one.name])) for one in directive.plain)]
     for column in directive.columns:
         if (value := row.get(field_of(column.name))) is not None:
@@ -95,7 +96,7 @@
     return text if text.replace("-", "").replace("/", "").replace(".", "").replace("_", "").isalnum() else f"'{text}'"
 
 
-def _quoted(directive, value) -> str:
+def _quoted(directive: Directive, value: Any) -> str:
     words = value if directive.kind == "names" else (directive.shown(value),)
     return " ".join(map(_word, words))
 
--- a/lynxscale/cli/trace/replay.py
+++ b/lynxscale/cli/trace/replay.py
@@ -35,13 +35,13 @@
     """
     from lynxscale.scheduling.scheduler import Scheduler
     from lynxscale.trace.recorder import policy_hash
-    from lynxscale.trace.replay import NotReplayable
+    from lynxscale.trace.replay import NotReplayableError
     from lynxscale.trace.replay import replay as play
 
     make = _module(module) if module else Scheduler
     try:
         played = play(progress(Merge(checked(files), Losses()), "replaying"), make, strict=not module)
-    except NotReplayable as error:
+    except NotReplayableError as error:
         raise CommandFailedError(str(error)) from error
     different = any(one.difference for one in played)
     if as_json:
--- a/lynxscale/cli/trace/shared.py
+++ b/lynxscale/cli/trace/shared.py
@@ -16,27 +16,29 @@
 )
 from lynxscale.cli.exceptions import CommandFailedError
 from lynxscale.trace.merge import Merge
-from lynxscale.trace.reader import NotATrace, Reader
-from lynxscale.trace.select import TooMany, Wanted, gather, unix_from
+from lynxscale.trace.reader import NotATraceError, Reader
+from lynxscale.trace.select import TooManyMatchesError, Wanted, gather, unix_from
 
 
 class Plain(click.Group):
     """Turns what files can be into plain lines."""
 
     def invoke(self, ctx: click.Context) -> Any:
+        """Run the command. Raises CommandFailedError where a file is no trace or too much matches."""
         try:
             return super().invoke(ctx)
-        except NotATrace as error:
+        except NotATraceError as error:
             raise CommandFailedError(str(error)) from error
-        except TooMany as error:
+        except TooManyMatchesError as error:
             raise CommandFailedError(str(error)) from error
 
 
 def open_reader(path: Path) -> Reader:
+    """The reader of a file. Raises NotATraceError, whose text names the file."""
     try:
         return Reader(path)
-    except NotATrace as error:
-        raise NotATrace(f"{path}: {error}") from error
+    except NotATraceError as error:
+        raise NotATraceError(f"{path}: {error}") from error
 
 
 def checked(names: tuple[str, ...]) -> list[Path]:
@@ -95,6 +97,7 @@
 
 
 def wanted_from(since: int | None, until: int | None, **sets: tuple) -> Wanted:
+    """What the options of ``selection`` ask for."""
     return Wanted(since, until, **{name: frozenset(values) for name, values in sets.items()})
 
 
@@ -107,6 +110,7 @@
 
 
 def frames_of(paths: list[Path], wanted: Wanted, losses: Callable) -> Merge:
+    """The frames of all files in the order of time; blocks without a wanted record are passed over."""
     one = next(iter(wanted.ids)) if len(wanted.ids) == 1 and wanted.ids else None
     return Merge(paths, losses, wanted.block, one)
 
--- a/lynxscale/cli/trace/show.py
+++ b/lynxscale/cli/trace/show.py
@@ -32,7 +32,7 @@
 )
 from lynxscale.trace import records as r
 from lynxscale.trace.merge import Merge
-from lynxscale.trace.reader import NotATrace, Reader, follow
+from lynxscale.trace.reader import NotATraceError, Reader, follow
 from lynxscale.trace.select import Wanted, kept, message_of
 from lynxscale.trace.view import iso, life, objects
 
@@ -168,7 +168,7 @@
 def summarise(files: tuple[str, ...], by: str, window: str, plot: str | None, as_json: bool, **words: Any) -> None:
     """Count messages, ends, tries and worth, with percentiles of latency (ms), by class, tenant and destination."""
     from lynxscale.relay.conf.directive import TIMES, amount
-    from lynxscale.trace.summary import BY, Summariser, TooManyRows
+    from lynxscale.trace.summary import BY, Summariser, TooManyRowsError
 
     columns = tuple(name for name in by.split(",") if name)
     if not set(columns) <= set(BY):
@@ -185,7 +185,7 @@
     try:
         for frame in progress(frames_of(paths, wanted, Losses()), "summarising"):
             summary.add(frame)
-    except TooManyRows as error:
+    except TooManyRowsError as error:
         raise InvalidUsageError(str(error)) from error
     rows = [row.table(summary.columns) for row in summary.rows()]
     if plot is not None:
@@ -264,7 +264,7 @@
         try:
             with Reader(path) as reader:
                 _verify(reader, row)
-        except (NotATrace, OSError) as error:
+        except (NotATraceError, OSError) as error:
             row["state"] = f"not read: {error}"
         damaged |= row["state"] not in ("whole", "cut off")
     if as_json:
--- a/lynxscale/trace/component.py
+++ b/lynxscale/trace/component.py
@@ -11,6 +11,8 @@
 
 
 class TraceComponent(Component):
+    """Owns the recorder, and stops it with the relay."""
+
     def __init__(self, context: ComponentContext) -> None:
         conf = context.conf
         self._loop, self._relay = context.loop, context.relay
@@ -25,4 +27,5 @@
         )
 
     def stop(self) -> None:
+        """Part of Component: write what is pending and close the file."""
         self._recorder.stop(self._loop.now(), len(self._relay.pending))
--- a/lynxscale/trace/fields.py
+++ b/lynxscale/trace/fields.py
@@ -16,6 +16,7 @@
 
 
 def put_uint(out: bytearray, value: int) -> None:
+    """Append an unsigned number. Raises ValueError for a negative one."""
     if value < 0x4000:
         if value > 0x7F:
             out.append(value & 0x7F | 0x80)
@@ -54,10 +55,12 @@
 
 
 def put_int(out: bytearray, value: int) -> None:
+    """Append a signed number, zigzag coded."""
     put_uint(out, value << 1 if value >= 0 else (-value << 1) - 1)
 
 
 def get_int(data: bytes, at: int) -> tuple[int, int]:
+    """The signed number at an offset, and the offset behind it."""
     value, at = get_uint(data, at)
     return (value >> 1) ^ -(value & 1), at
 
@@ -79,6 +82,7 @@
 
 
 def get_text(data: bytes, at: int) -> tuple[str, int]:
+    """The text at an offset, and the offset behind it."""
     size, at = get_uint(data, at)
     packed, size = size & 1, size >> 1
     raw = data[at : at + size]
@@ -91,10 +95,12 @@
 
 
 def put_float(out: bytearray, value: float) -> None:
+    """Append a number as the eight bytes of its IEEE 754 form."""
     out += F64.pack(value)
 
 
 def get_float(data: bytes, at: int) -> tuple[float, int]:
+    """The eight-byte number at an offset, and the offset behind it."""
     try:
         return F64.unpack_from(data, at)[0], at + 8
     except struct.error:
@@ -117,6 +123,7 @@
 
 
 def get_ms(data: bytes, at: int, zero: int = 0) -> tuple[float, int]:
+    """The milliseconds at an offset, as ``put_ms`` stored them from ``zero``, and the offset behind them."""
     value, at = get_uint(data, at)
     if value & 1:
         return get_float(data, at)
--- a/lynxscale/trace/frames.py
+++ b/lynxscale/trace/frames.py
@@ -214,6 +214,7 @@
         self.reset()
 
     def reset(self) -> None:
+        """Forget all names: what comes next was written to be read by itself."""
         self._tables: dict[int, dict[int, dict[int, Any]]] = {}
         self._anchors: dict[int, int] = {}
         self._names: dict[int, dict[int, Any]] = {}
--- a/lynxscale/trace/head.py
+++ b/lynxscale/trace/head.py
@@ -8,7 +8,7 @@
 
 from crc32c import crc32c
 
-from lynxscale.trace.exceptions import MalformedDataError
+from lynxscale.trace.exceptions import MalformedDataError, TraceError
 from lynxscale.trace.fields import get_text, get_uint, put_text, put_uint
 from lynxscale.trace.frames import FRAME_MOST
 
@@ -22,12 +22,14 @@
 FRAME = struct.Struct("<2sII")  # mark, length of the payload, its crc32c
 
 
-class NotATrace(Exception):
+class NotATraceError(TraceError):
     """The file cannot be read as a trace; the text says why, for its user."""
 
 
 @dataclass(frozen=True, slots=True)
 class Head:
+    """A file's head: format version, when it was created, and the program that wrote it."""
+
     major: int
     minor: int
     created: int  # Unix time, µs
@@ -36,6 +38,7 @@
 
 
 def pack_head(head: Head) -> bytes:
+    """The bytes of a head."""
     rest = bytearray()
     put_uint(rest, head.created)
     put_text(rest, head.writer)
@@ -46,29 +49,32 @@
 def read_head(data: bytes) -> Head:
     """The head at the start of a file.
 
-    Raises NotATrace where there is none, or one of a major version that this program doesn't know.
+    Raises NotATraceError where there is none, or one of a major version that this program doesn't know.
     """
     if len(data) < FIXED.size:
-        raise NotATrace("it ends within its head" if MAGIC.startswith(data[:8]) and data else "it is no trace file")
+        raise NotATraceError(
+            "it ends within its head" if MAGIC.startswith(data[:8]) and data else "it is no trace file"
+        )
     magic, major, minor, size = FIXED.unpack_from(data)
     if magic != MAGIC:
-        raise NotATrace("it is no trace file")
+        raise NotATraceError("it is no trace file")
     if major > MAJOR_MOST:
-        raise NotATrace(f"it is of version {major}; this program reads versions 1 to {MAJOR_MOST}")
+        raise NotATraceError(f"it is of version {major}; this program reads versions 1 to {MAJOR_MOST}")
     end = FIXED.size + size
     if size > HEAD_MOST or len(data) < end + CRC.size:
-        raise NotATrace("it ends within its head")
+        raise NotATraceError("it ends within its head")
     if CRC.unpack_from(data, end)[0] != crc32c(data[:end]):
-        raise NotATrace("its head is damaged")
+        raise NotATraceError("its head is damaged")
     try:
         created, at = get_uint(data, FIXED.size)
         writer, _at = get_text(data, at)
     except MalformedDataError as error:
-        raise NotATrace("its head is damaged") from error
+        raise NotATraceError("its head is damaged") from error
     return Head(major, minor, created, writer, end + CRC.size)
 
 
 def pack_frame(payload: bytes) -> bytes:
+    """A payload with its frame: mark, length and checksum."""
     return FRAME.pack(FRAME_MARK, len(payload), crc32c(payload)) + payload
 
 
--- a/lynxscale/trace/reader.py
+++ b/lynxscale/trace/reader.py
@@ -14,7 +14,7 @@
 from lynxscale.trace import v2
 from lynxscale.trace.exceptions import MalformedDataError
 from lynxscale.trace.frames import FRAME_MOST, Decoder, Frame
-from lynxscale.trace.head import NotATrace
+from lynxscale.trace.head import NotATraceError
 
 WINDOW = 1 << 18  # bytes read at once where a file is looked through
 # Looks at a live file in which something cannot be read, until what is behind that is given: guards against a block
@@ -41,7 +41,7 @@
 class Reader:
     """One file. ``select`` may pass over blocks by their summary; a block without one is always read.
 
-    Raises NotATrace where the file is none, OSError where it cannot be read.
+    Raises NotATraceError where the file is none, OSError where it cannot be read.
     """
 
     def __init__(self, path: str | Path) -> None:
@@ -60,6 +60,7 @@
         self.resume = (self.head.size, -1)  # offset of the latest block, and the number before it
 
     def close(self) -> None:
+        """Close the file."""
         self._file.close()
 
     def __enter__(self) -> Reader:
@@ -70,6 +71,7 @@
 
     @property
     def size(self) -> int:
+        """The present size of the file, in bytes."""
         return os.fstat(self._file.fileno()).st_size
 
     def frames(self, select: Select | None = None, id_: str | None = None) -> Iterator[Frame]:
@@ -338,4 +340,4 @@
         wait()
 
 
-__all__ = ["Loss", "NotATrace", "Reader", "follow"]
+__all__ = ["Loss", "NotATraceError", "Reader", "follow"]
--- a/lynxscale/trace/recorder.py
+++ b/lynxscale/trace/recorder.py
@@ -164,9 +164,11 @@
         self.admitted(now, self._away, verdict, again_ms)
 
     def admitted(self, now: int, number: int, verdict: str, again_ms: float) -> None:
+        """A message was answered: its verdict, and when the client may come again, in milliseconds."""
         self._tell((now, r.ADMIT, number, verdict, again_ms))
 
     def ended(self, now: int, number: int, status: str, again_ms: float = 0.0) -> None:
+        """A message came to its end."""
         self._tell((now, r.END, number, status, again_ms))
 
     def forgotten(self, now: int, number: int) -> None:
@@ -174,6 +176,7 @@
         self._tell((now, GONE, number))
 
     def attempt_started(self, now: int, number: int, attempt: int, endpoint: int, timeout: int, fresh: bool) -> None:
+        """An attempt was sent; ``timeout`` in µs, ``fresh``: on a new connection."""
         if self._tries:
             self._tell((now, r.TRY_START, number, attempt, endpoint, timeout, fresh))
 
@@ -189,18 +192,22 @@
         over: bool,
         report: tuple[float, ...],
     ) -> None:
+        """An attempt came to its end; ``spent`` in µs, ``over``: the endpoint finished with it."""
         if self._tries:
             self._tell((now, r.TRY_END, number, attempt, endpoint, result, spent, wait_ms, over, report))
 
     def health_check_started(self, now: int, endpoint: int) -> None:
+        """A health check of an endpoint was sent."""
         if self._tries:
             self._tell((now, r.PROBE_START, endpoint))
 
     def notice_queued(self, now: int, number: int, status: str, again_ms: int) -> None:
+        """A notice to the platform is to be sent."""
         if self._tries:
             self._tell((now, r.NOTICE, number, status, again_ms))
 
     def notice_acknowledged(self, now: int, number: int) -> None:
+        """The platform acknowledged a notice."""
         if self._tries:
             self._tell((now, r.NOTICE_HEARD, number))
 
@@ -256,6 +263,7 @@
         del told[end:]
 
     def stop(self, now: int, left: int) -> None:
+        """Write the last record, with the number of messages that are left, and close the file."""
         self._tell((now, r.STOP, left))
         self.flush()
         self._files.close()
--- a/lynxscale/trace/replay.py
+++ b/lynxscale/trace/replay.py
@@ -40,20 +40,21 @@
 )
 from lynxscale.scheduling.settings import Effect, MessageClass, Settings, Tenant
 from lynxscale.trace import records as r
+from lynxscale.trace.exceptions import TraceError
 from lynxscale.trace.frames import Frame
 
 LED_UP = 12  # steps shown before the first difference
 MESSAGES_MOST = 200_000  # whose orders are compared; beyond them the oldest is let go
 
 
-class NotReplayable(Exception):
+class NotReplayableError(TraceError):
     """The trace does not hold what a replay needs; the text says what is missing."""
 
 
 def settings_from_json(text: str) -> Settings:
     """The settings as the recorder wrote them.
 
-    Raises NotReplayable.
+    Raises NotReplayableError.
     """
     try:
         table = orjson.loads(text)
@@ -61,7 +62,7 @@
         table["tenants"] = [Tenant(**row) for row in table["tenants"]]
         return Settings(**table)
     except (ValueError, KeyError, TypeError) as error:
-        raise NotReplayable(f"the settings cannot be read: {error}") from error
+        raise NotReplayableError(f"the settings cannot be read: {error}") from error
 
 
 def event_from(number: int, values: list) -> Any:
@@ -178,9 +179,9 @@
 class _Process:
     def __init__(self, frame: Frame, values: list, make: Callable[[Settings, int], Any], strict: bool) -> None:
         if values[3] != "decisions":
-            raise NotReplayable(f"{frame.source}: it was recorded at level {values[3]}; a replay needs decisions")
+            raise NotReplayableError(f"{frame.source}: it was recorded at level {values[3]}; a replay needs decisions")
         if not values[7]:
-            raise NotReplayable(f"{frame.source}: its settings are not in the trace")
+            raise NotReplayableError(f"{frame.source}: its settings are not in the trace")
         self.scheduler = make(settings_from_json(values[7]), int(values[6]))
         self.played = Played(frame.source, values[8])
         self.next = frame.seq
@@ -190,7 +191,7 @@
 
     def frame(self, frame: Frame) -> None:
         if frame.seq != self.next:
-            raise NotReplayable(f"{frame.source}: records {self.next} to {frame.seq - 1} are missing")
+            raise NotReplayableError(f"{frame.source}: records {self.next} to {frame.seq - 1} are missing")
         self.next += len(frame.records)
         at, records = 0, frame.records
         while at < len(records):
@@ -199,7 +200,7 @@
             if number == r.STOP:
                 self.played.whole = True
             elif number == r.DROPPED:
-                raise NotReplayable(f"{frame.source}: its recorder dropped {values[0]} records")
+                raise NotReplayableError(f"{frame.source}: its recorder dropped {values[0]} records")
             elif number == r.STEP:
                 count, most, failed = values[:3]
                 events = [event_from(*records[at + k]) for k in range(count)]
@@ -276,7 +277,7 @@
     otherwise it is another version, and what it decides is counted beside what was recorded. Both get the recorded
     outcomes, also of tries that the other version would not have made.
 
-    Raises NotReplayable.
+    Raises NotReplayableError.
     """
     processes: dict[str, _Process] = {}
     for frame in frames:
@@ -284,7 +285,7 @@
         if process is None:
             start = next((values for number, values in frame.records if number == r.START), None)
             if start is None or frame.seq != 0:
-                raise NotReplayable(f"{frame.source}: the trace does not begin at the process's start")
+                raise NotReplayableError(f"{frame.source}: the trace does not begin at the process's start")
             process = processes[frame.source] = _Process(frame, start, make, strict)
         process.frame(frame)
     return [process.end() for process in processes.values()]
--- a/lynxscale/trace/select.py
+++ b/lynxscale/trace/select.py
@@ -13,13 +13,14 @@
 from typing import Any
 
 from lynxscale.trace import records as r
+from lynxscale.trace.exceptions import TraceError
 from lynxscale.trace.frames import Frame
 from lynxscale.trace.v2 import Summary
 
 GATHER_MOST = 1_000_000  # messages found in a first pass: guards the memory of a tool
 
 
-class TooMany(Exception):
+class TooManyMatchesError(TraceError):
     """The first pass found more messages than memory is meant for."""
 
 
@@ -51,10 +52,12 @@
 
     @property
     def by_message(self) -> bool:
+        """Is more asked for than a span of time?"""
         return bool(self.classes or self.tenants or self.dests or self.ids or self.endpoints or self.outcomes)
 
     @property
     def two_passes(self) -> bool:
+        """Must the messages be gathered in a first pass?"""
         return bool(self.endpoints or self.outcomes)
 
     def block(self, summary: Summary) -> bool:
@@ -73,9 +76,11 @@
         return True
 
     def timely(self, unix: int) -> bool:
+        """Is that time, in Unix µs, within the span?"""
         return (self.since is None or unix >= self.since) and (self.until is None or unix < self.until)
 
     def message(self, msg: r.Msg) -> bool:
+        """Is this message asked for?"""
         if self.classes and msg.cls[1] not in self.classes:
             return False
         if self.tenants and msg.tenant[1] not in self.tenants:
@@ -102,7 +107,7 @@
 def gather(wanted: Wanted, frames: Iterable[Frame]) -> frozenset[str]:
     """The ids of messages that had a wanted outcome and a try at a wanted endpoint.
 
-    Raises TooMany.
+    Raises TooManyMatchesError.
     """
     at_endpoint: set[str] = set()
     came_out: set[str] = set()
@@ -119,7 +124,9 @@
             if wanted.outcomes and _outcome(row) in wanted.outcomes:
                 came_out.add(msg.id)
         if len(at_endpoint) + len(came_out) > GATHER_MOST:
-            raise TooMany(f"more than {GATHER_MOST} messages match; ask for a shorter time or fewer classes")
+            raise TooManyMatchesError(
+                f"more than {GATHER_MOST} messages match; ask for a shorter time or fewer classes"
+            )
     if wanted.endpoints and wanted.outcomes:
         return frozenset(at_endpoint & came_out)
     return frozenset(at_endpoint or came_out)
--- a/lynxscale/trace/summary.py
+++ b/lynxscale/trace/summary.py
@@ -15,6 +15,7 @@
 from hdrh.histogram import HdrHistogram
 
 from lynxscale.trace import records as r
+from lynxscale.trace.exceptions import TraceError
 from lynxscale.trace.frames import Frame
 from lynxscale.trace.select import Wanted
 
@@ -25,7 +26,7 @@
 BY = ("class", "tenant", "destination")
 
 
-class TooManyRows(Exception):
+class TooManyRowsError(TraceError):
     """The words ask for more rows than a summary is meant for."""
 
 
@@ -121,9 +122,11 @@
 
     @property
     def columns(self) -> tuple[str, ...]:
+        """The names of a row's key."""
         return (("window",) if self._window else ()) + self._by
 
     def add(self, frame: Frame) -> None:
+        """Count the records of a frame."""
         unix = frame.unix
         if not self._wanted.timely(unix):
             return
@@ -171,7 +174,7 @@
         row = self._rows.get(key)
         if row is None:
             if len(self._rows) >= ROWS_MOST:
-                raise TooManyRows(f"more than {ROWS_MOST} rows: ask for a longer window or fewer columns")
+                raise TooManyRowsError(f"more than {ROWS_MOST} rows: ask for a longer window or fewer columns")
             row = self._rows[key] = Row(key)
         return row
 
--- a/lynxscale/trace/v2.py
+++ b/lynxscale/trace/v2.py
@@ -103,6 +103,7 @@
         return bytes(out)
 
     def may_hold_id(self, id_: str) -> bool:
+        """May the block hold a record of that message? Never False where it does."""
         return self.any_id or id_mark(id_) in self.ids
 
 
@@ -152,6 +153,8 @@
 
 @dataclass(frozen=True, slots=True)
 class BlockHead:
+    """The head of a block: its state, number and bases, and sizes and checksums once it is sealed."""
+
     state: int
     number: int
     base_time: int
@@ -169,6 +172,7 @@
 
 
 def pack_block_head(head: BlockHead) -> bytes:
+    """The bytes of a block's head."""
     data = BLOCK.pack(
         BLOCK_MARK,
         head.state,
@@ -216,6 +220,7 @@
 
     @property
     def full(self) -> bool:
+        """Has the block reached its size?"""
         return self.raw >= self._block_bytes
 
     def add(self, frame: Frame) -> bytes:
@@ -261,6 +266,7 @@
         return pack_block_head(head) + summary + stored
 
     def next(self) -> None:
+        """Begin the next block."""
         self.number += 1
         self._begin()
 
@@ -312,6 +318,7 @@
         self._count = 0
 
     def add(self, place: Place) -> None:
+        """Append the row of a block."""
         row = bytearray()
         put_uint(row, place.offset)
         put_uint(row, place.size)
--- a/tests/test_trace_format.py
+++ b/tests/test_trace_format.py
@@ -14,7 +14,7 @@
 from lynxscale.trace.exceptions import MalformedDataError
 from lynxscale.trace.fields import get_ms, get_text, get_uint, put_ms, put_text, put_uint
 from lynxscale.trace.frames import Decoder, Encoder, Frame
-from lynxscale.trace.reader import NotATrace, Reader
+from lynxscale.trace.reader import NotATraceError, Reader
 from tests import traces
 
 DATA = Path(__file__).parent / "data" / "trace"
@@ -103,7 +103,7 @@
         with Reader(path) as reader:
             got = list(reader.frames())
             losses = reader.losses
-    except NotATrace:
+    except NotATraceError:
         assert least == 0
         return
     assert got == told[: len(got)]
@@ -282,7 +282,7 @@
         (h.pack_head(h.Head(2, 0, 1, "w"))[:-1] + b"?", "damaged"),
     ):
         path.write_bytes(data)
-        with pytest.raises(NotATrace, match=told):
+        with pytest.raises(NotATraceError, match=told):
             Reader(path)
 
 
--- a/tests/test_trace_recorder.py
+++ b/tests/test_trace_recorder.py
@@ -19,7 +19,7 @@
 from lynxscale.trace.merge import Merge
 from lynxscale.trace.reader import Reader
 from lynxscale.trace.recorder import Recorder, sampled
-from lynxscale.trace.replay import NotReplayable, replay
+from lynxscale.trace.replay import NotReplayableError, replay
 from lynxscale.trace.rotation import Files
 from tests import traces
 from tests.relay.node import ROOT, NodeCase
@@ -132,7 +132,7 @@
             self.assertEqual(len(one.difference.led_up), 12)
         frames = list(Merge(self.files()[:1]))
         for part, why in ((frames[1:], "does not begin"), (frames[:5] + frames[6:], "records .* are missing")):
-            with self.assertRaisesRegex(NotReplayable, why):
+            with self.assertRaisesRegex(NotReplayableError, why):
                 replay(part, Scheduler)
 
     def test_a_kill_loses_nothing_of_what_was_written_before(self):
