--- a/lab/tier/fakes.py
+++ b/lab/tier/fakes.py
@@ -26,7 +26,9 @@
     """Responds with its signature, and streams events where the path says ``/stream``.
 
     ``executed``: all requests it ran. Faults: ``rejects`` requests unexecuted, ``fails`` amid one, or
-    ``aborts_after`` so many events, once. ``service_time_s``: before a response begins.
+    ``aborts_after`` so many events, once; ``ends_within_event``: the stream ends in the middle of its last event;
+    ``signed`` and ``names_request``: does a response carry its signature, and the request's id? ``load``: the load that
+    it reports, none where empty. ``status``: of what is no stream. ``service_time_s``: before a response begins.
     """
 
     def __init__(self, endpoint: Endpoint, clock: Clock, listen: Listen, events: int = 4) -> None:
@@ -39,6 +41,11 @@
         self.rejects = False
         self.fails = False
         self.aborts_after: int | None = None
+        self.ends_within_event = False
+        self.signed = True
+        self.names_request = True
+        self.load = ""
+        self.status = 200
         self._clock = clock
         listen(endpoint.address, lambda: ServerConnection(self._handle, ServerLimits(), clock, set()))
 
@@ -56,8 +63,11 @@
         return None
 
     def _answer(self, request: Request, status: int, body: bytes, stamped: bool = True) -> Response:
-        fields = [(headers.REQUEST_ID, request.head.get(headers.REQUEST_ID) or b"")]
-        if stamped:
+        request_id = request.head.get(headers.REQUEST_ID) or b""
+        fields = [(headers.REQUEST_ID, request_id if self.names_request else b"another")]
+        if self.load:
+            fields.append((headers.SERVER_LOAD, self.load.encode()))
+        if stamped and self.signed:
             fields.append((headers.RESPONSE_SIGNATURE, self.endpoint.id.encode()))
         return Response(status, Head(tuple(fields)), body)
 
@@ -88,13 +98,15 @@
             self._responder.start(200, (*answer.head.fields, (b"content-type", b"text/event-stream")))
             self._event()
         else:
-            self._responder.respond(self._endpoint._answer(self._request, 200, b"done"))
+            self._responder.respond(self._endpoint._answer(self._request, self._endpoint.status, b"done"))
             self._end()
 
     def _event(self) -> None:
         if self._over:
             return
         if self._number == self._endpoint.events:
+            if self._endpoint.ends_within_event:
+                self._responder.data(b"id: 9\ndata: cut")
             self._responder.end()
             self._end()
         elif self._number == self._endpoint.aborts_after:
--- a/tests/dataplane/test_load_balancer.py
+++ b/tests/dataplane/test_load_balancer.py
@@ -1,9 +1,13 @@
 """Choice of an endpoint: each test fails without the mechanism it names."""
 
+import pytest
+
 from lab.tier.simulated_tier import SimulatedTier, default_configuration
 from lab.tier.world import World
-from lynxscale.dataplane.load_balancer import EndpointDemand, LoadBalancer
+from lynxscale.dataplane import load_balancer as load_balancer_module
+from lynxscale.dataplane.load_balancer import EJECTION_FAILURE_RATE, EndpointDemand, LoadBalancer
 from lynxscale.discovery.endpoint import Endpoint
+from lynxscale.runtime.http_client import ClientState
 from tests.simulated_tier import endpoints_that_ran, settled_tier
 
 SLOTS = 16
@@ -125,3 +129,103 @@
     balancer.states["e0"].mark_unavailable()
     set_listed_state(balancer, "ready")
     assert balancer.choose("model", EndpointDemand("", 0, 0), set()) is None
+
+
+@pytest.mark.parametrize(("failing", "avoided"), [(1, True), (2, True), (3, False)])
+def test_ejection_leaves_at_least_half_of_a_services_endpoints(failing, avoided):
+    """With more than half failing the fault is likely to be elsewhere, and the rest would be overrun."""
+    balancer = load_balancer(("north",) * 4)
+    states = [balancer.states[f"e{number}"] for number in range(4)]
+    for state in states[:failing]:
+        for _ in range(4):
+            state.on_error_response()
+        state.recent_latency_ms = 1.0
+    for state in states[failing:]:
+        state.in_flight = 5  # worse by load: only ejection speaks for them
+        state.recent_latency_ms = 1.0
+    chosen = {balancer.choose("model", EndpointDemand("", 0, 0), set()).endpoint.id for _ in range(8)}
+    assert chosen.isdisjoint({f"e{number}" for number in range(failing)}) == avoided
+
+
+def test_ejected_endpoints_count_against_all_ready_ones_not_only_those_with_room():
+    balancer = load_balancer(("north",) * 4)
+    for number in (0, 1):
+        balancer.states[f"e{number}"].in_flight = SLOTS  # no room
+    for _ in range(4):
+        balancer.states["e2"].on_error_response()
+    balancer.states["e3"].in_flight = 5
+    # Only e2 and e3 have room, and one of four ready endpoints would be left: less than half.
+    assert balancer.choose("model", EndpointDemand("", 0, 0), set()).endpoint.id == "e2"
+
+
+def test_a_failure_rate_at_the_limit_ejects():
+    balancer = load_balancer(("north", "north"))
+    balancer.states["e0"].failure_rate._rate = EJECTION_FAILURE_RATE
+    balancer.states["e1"].in_flight = 5
+    assert balancer.choose("model", EndpointDemand("", 0, 0), set()).endpoint.id == "e1"
+
+
+def test_an_endpoint_that_leaves_the_list_gets_nothing_and_its_connections_are_closed():
+    balancer = load_balancer(("north", "north"))
+    gone = balancer.states["e1"]
+    connection = gone.connections.acquire()
+    gone.connections._idle.append(connection)
+    set_listed_state(balancer, "ready")
+    assert not gone.ready and not gone.connections._idle
+    assert {balancer.choose("model", EndpointDemand("", 0, 0), set()).endpoint.id for _ in range(4)} == {"e0"}
+
+
+def test_a_new_list_serves_the_queue_at_once():
+    world = World(1)
+    balancer = LoadBalancer("north", world.machine("a:1").clock(), lambda address, connection: None)
+    served: list[float] = []
+    balancer.queue.enqueue("model", "waiter", 0, lambda: served.append(world.time))
+    set_listed_state(balancer, "ready")
+    world.run(world.time + 0.01)
+    assert served == [0.0]
+
+
+def test_calls_without_affinity_prefer_own_zone_idle_connections_low_load_and_fast_endpoints():
+    def chosen(balancer: LoadBalancer) -> str:
+        return balancer.choose("model", EndpointDemand("", 0, 0), set()).endpoint.id
+
+    assert chosen(load_balancer(("south", "north"))) == "e1"
+    connected = load_balancer(("north", "north"))
+    idle = connected.states["e1"].connections.acquire()
+    idle.state, idle.idle_until = ClientState.IDLE, 5.0
+    connected.states["e1"].connections._idle.append(idle)
+    assert chosen(connected) == "e1"
+    loaded = load_balancer(("north", "north"))
+    loaded.states["e0"].in_flight = 1
+    assert chosen(loaded) == "e1"
+    slow = load_balancer(("north", "north"))
+    slow.states["e0"].recent_latency_ms, slow.states["e1"].recent_latency_ms = 400.0, 100.0
+    assert chosen(slow) == "e1"
+
+
+def test_the_load_bound_has_slack_so_that_few_requests_do_not_scatter():
+    balancer = load_balancer(("south",) * 4)
+    home = send_to_chosen(balancer, "program")
+    balancer._last_endpoint.clear()
+    assert send_to_chosen(balancer, "program") == home  # one request there is within 1.25 x mean + 1
+
+
+def test_requests_of_other_relays_count_as_typical_ones_in_the_kv_cache():
+    balancer = load_balancer(("north", "north"))
+    for _ in range(200):
+        balancer.choose("model", EndpointDemand("p", 100, 10_000), set())
+    full = balancer.states["e0"]
+    full.in_flight, full.tokens_in_flight = 1, 100
+    full.on_load_report(9)  # eight of others, about 100 tokens each
+    assert balancer.choose("model", EndpointDemand("q", 100, 1_000), set()).endpoint.id == "e1"
+    balancer.states["e1"].mark_unavailable()
+    assert balancer.choose("model", EndpointDemand("q", 100, 1_000), set()) is None
+    assert balancer.choose("model", EndpointDemand("q", 100, 2_000), set()) is full
+
+
+def test_the_keys_remembered_are_bounded_and_the_least_recently_used_goes_first(monkeypatch):
+    monkeypatch.setattr(load_balancer_module, "MAX_REMEMBERED_KEYS", 3)
+    balancer = load_balancer(("north",) * 2)
+    for key in ("a", "b", "c", "a", "d"):
+        balancer.choose("model", EndpointDemand(key, 0, 0), set())
+    assert list(balancer._last_endpoint) == ["c", "a", "d"]
