--- a/lab/tier/world.py
+++ b/lab/tier/world.py
@@ -1,12 +1,14 @@
 """A discrete-event simulation of machines, their clocks and the links between them, all drawn from one seed.
 
-No sockets, no threads, no sleeps: events are called in order of their time, and equal seeds give equal runs.
+No sockets, no threads, no sleeps: events are called in order of their time, and equal seeds give equal runs, whatever
+Python's hash seed.
 """
 
 from __future__ import annotations
 
 import contextlib
 import heapq
+import zlib
 from collections.abc import Callable
 from itertools import count
 from random import Random
@@ -33,6 +35,7 @@
         self.machines: dict[str, Machine] = {}
         self.partitions: set[tuple[str, str]] = set()  # sender and receiver
         self.steps = 0  # messages handled and syncs done, of all machines
+        self.digest = 0  # CRC-32 of all messages carried: equal for equal runs
         self._calls_at_step: dict[int, Callable[[], object]] = {}
         self._events: list[tuple[float, int, Event]] = []
         self._order = count().__next__
@@ -113,6 +116,7 @@
             return
         link = (source, target)
         payload = encode(message)
+        self.digest = zlib.crc32(payload, zlib.crc32(f"{self.time:.9f}{source}{target}".encode(), self.digest))
         machine, sender = self.machine(target), self.machine(source)
         begun = max(self.time, sender.frozen_until)
         if speed := min(machine.bytes_per_s, sender.bytes_per_s):
--- a/lynxscale/controlplane/relay_requests.py
+++ b/lynxscale/controlplane/relay_requests.py
@@ -36,7 +36,7 @@
         self._network = network
         self._admission: TurnAdmission | None = None
         self._roster: Roster | None = None
-        self._pending_redirects: set[str] = set()
+        self._pending_redirects: dict[str, None] = {}  # in the order in which they asked
 
     def start_serving(self, admission: TurnAdmission, roster: Roster) -> None:
         """Answer requests from now on, with the admission state and roster of this lead."""
@@ -73,7 +73,7 @@
     def send_pending_redirects(self) -> None:
         """Redirect the relays that sent requests while no primary was known, where one is known now."""
         if self._pending_redirects and self._serving_primary():
-            addresses, self._pending_redirects = self._pending_redirects, set()
+            addresses, self._pending_redirects = self._pending_redirects, {}
             for address in addresses:
                 self._redirect(address)
 
@@ -94,7 +94,7 @@
         if primary:
             self._network.send(address, Redirect(primary, self._member.record.epoch))
         elif len(self._pending_redirects) < MAX_PENDING_REDIRECTS:
-            self._pending_redirects.add(address)
+            self._pending_redirects[address] = None
 
     def _serving_primary(self) -> str:
         """Return the primary's address; empty where it is unknown, or this member and not serving yet."""
--- a/lynxscale/coordination/leadership.py
+++ b/lynxscale/coordination/leadership.py
@@ -212,7 +212,7 @@
     def plan(self, proposal: Proposal) -> EpochRecord:
         """The record that a round of this primary proposes; until it is decided, commits need the replicas of both."""
         record = plan_next_record(self._plan_input(proposal.base), proposal.epoch)
-        self.replicator.require_also(set(proposal.base.in_sync) | set(record.in_sync))
+        self.replicator.require_also((*proposal.base.in_sync, *record.in_sync))
         return record
 
     def consider_plan(self) -> None:
--- a/lynxscale/coordination/replication.py
+++ b/lynxscale/coordination/replication.py
@@ -88,9 +88,9 @@
                 replica.expect(positions[member])
         self._check_commit()
 
-    def require_also(self, members: set[str]) -> None:
+    def require_also(self, members: tuple[str, ...]) -> None:
         """While a change of the in-sync set is undecided, a commit needs every set that may be in force."""
-        self._required |= members
+        self._required.update(members)
         self._replicate_to(members)
 
     def retain_only(self, members: set[str]) -> None:
