A primary is elected also where replies take long: rounds last as long as replies are seen to take

Cause: a pre-vote counted for 50 ms and one acceptor write, whatever the link. Change: a member measures how long replies to its pre-votes take, those to earlier rounds too; rounds and the time that a candidate is given follow the slowest of the recent ones (at most 0.3 s).

--- a/lab/tier/histories.py
+++ b/lab/tier/histories.py
@@ -9,12 +9,16 @@
 import argparse
 import logging
 import sys
+import time
 from collections import Counter
+from collections.abc import Callable
 
 import msgspec
+from attrs import frozen
 
+from lab.tier.conditions import apply_conditions, draw_conditions
 from lab.tier.fakes import ClientResponse, send_request
-from lab.tier.fault_injection import FaultInjector
+from lab.tier.fault_injection import FaultInjector, internal_address
 from lab.tier.history_checker import MAX_TOKENS, Observations, ObservedChange, ObservedTurn, check_history
 from lab.tier.simulated_tier import CONTROL_PORT, SimulatedTier, default_configuration
 from lab.tier.world import World
@@ -40,12 +44,18 @@
 class History:
     """One history: clients, an operator and faults, interleaved at random."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, varied: bool = False) -> None:
+        """``varied``: disks, links and processors differ, by ``conditions``."""
         self.seed = seed
         self.world = World(seed, loss=LOSS)
         self.random = self.world.random
         size, tolerated = SIZES[seed % len(SIZES)]
-        self.tier = SimulatedTier(self.world, controls=size, tolerated=tolerated).start_serving()
+        self.tier = SimulatedTier(self.world, controls=size, tolerated=tolerated)
+        if varied:
+            storage = [internal_address(host) for host in self.tier.control_hosts]
+            relays = [internal_address(host) for host in self.tier.relay_hosts]
+            apply_conditions(self.world, draw_conditions(seed, storage, relays))
+        self.tier.start_serving()
         self.turns: list[ObservedTurn] = []
         self.calls: list[tuple[str, ClientResponse]] = []
         self.orders: list[ObservedChange] = [ObservedChange(0, default_configuration())]
@@ -139,27 +149,62 @@
         return order
 
 
+@frozen
+class Tally:
+    """Of a range of histories: how many were played, which rules were broken by seed, and the time in seconds."""
+
+    played: int
+    broken: dict[int, Counter[str]]
+    turns: int
+    served: int
+    seconds: float
+
+    def __str__(self) -> str:
+        """One line."""
+        breaches = sum(sum(rules.values()) for rules in self.broken.values())
+        return (
+            f"{self.played} histories played, {len(self.broken)} with breaches ({breaches}); "
+            f"{self.served} of {self.turns} turns complete; {self.seconds:.0f} s"
+        )
+
+
+def play_range(first: int, last: int, varied: bool, on_breach: Callable[[int, Counter[str]], None]) -> Tally:
+    """Play the histories of a range of seeds; one that cannot go on counts as a breach, none is passed over."""
+    begun = time.monotonic()
+    broken: dict[int, Counter[str]] = {}
+    played = served = turns = 0
+    for seed in range(first, last + 1):
+        played += 1
+        try:
+            history = History(seed, varied)
+            rules = history.play()
+        except AssertionError as error:
+            rules = Counter({f"ended: {error}": 1})
+        else:
+            turns += len(history.turns)
+            served += sum(seen.answer.complete and seen.answer.status == 200 for seen in history.turns)
+        if rules:
+            broken[seed] = rules
+            on_breach(seed, rules)
+    return Tally(played, broken, turns, served, time.monotonic() - begun)
+
+
 def main() -> int:
-    """Run the histories of a range of seeds. Exit code 1 where a rule was broken; its seeds are printed."""
+    """Play the histories of a range of seeds. Exit code 1 where a rule was broken; its seeds are printed."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("first", type=int)
     parser.add_argument("last", type=int)
+    parser.add_argument("--varied", action="store_true", help="disks, links and processors differ by machine")
     options = parser.parse_args()
     logging.disable(logging.CRITICAL)
-    total: Counter[str] = Counter()
-    served = turns = 0
-    for seed in range(options.first, options.last + 1):
-        history = History(seed)
-        broken = history.play()
-        if broken:
-            print(f"seed {seed}: {dict(broken)}", flush=True)
-        total += broken
-        turns += len(history.turns)
-        served += sum(seen.answer.complete and seen.answer.status == 200 for seen in history.turns)
-    print(
-        f"seeds {options.first} to {options.last}: {served} of {turns} turns complete, {sum(total.values())} breaches"
+    tally = play_range(
+        options.first,
+        options.last,
+        options.varied,
+        lambda seed, rules: print(f"seed {seed}: {dict(rules)}", flush=True),
     )
-    return int(bool(total))
+    print(f"seeds {options.first} to {options.last}: {tally}", flush=True)
+    return int(bool(tally.broken))
 
 
 if __name__ == "__main__":
--- a/lab/tier/machine.py
+++ b/lab/tier/machine.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import floor
 from typing import TYPE_CHECKING
 
+from attrs import frozen
+
 from lab.tier.simulated_files import SimulatedFiles
 from lynxscale.coordination.messages import Message, decode
 
 if TYPE_CHECKING:
     from lab.tier.world import World
 
+QUOTA_MARGIN_S = 1e-6  # so that an event that was put off is not, by rounding, within the same period again
 START_WALL = 1_800_000_000.0
 """Unix time at the start of a simulation, in seconds."""
 
@@ -33,6 +37,27 @@
         self.call = None
 
 
+@frozen
+class ProcessorQuota:
+    """A process runs at full speed for a share of each period, and not at all for the rest of it.
+
+    ``share``: of the period; ``phase``: of it, by which the periods of this machine begin later.
+    """
+
+    share: float
+    phase: float = 0.0
+    period_s: float = 0.1
+
+    def runs_at(self, time: float) -> float:
+        """The first time from then on at which it runs."""
+        periods = time / self.period_s - self.phase
+        begun = floor(periods)
+        if periods - begun < self.share:
+            return time
+        # The same to the last bit for all that was put off within this period: their order stays.
+        return (begun + 1 + self.phase) * self.period_s + QUOTA_MARGIN_S
+
+
 class Machine:
     """One machine: its files outlast its processes. ``receive`` is the message handler of its present process."""
 
@@ -44,6 +69,7 @@
         self.incarnation = 0  # of its process
         self.frozen_until = 0.0
         self.bytes_per_s = float("inf")  # of its links
+        self.quota: ProcessorQuota | None = None
         self.sync_s = 0.0  # of one sync, for which the process blocks
         self.synced_at = 0.0  # when its last sync is done
         self.clock_step_s = 0.0  # of its Unix time
@@ -79,6 +105,11 @@
             begun = max(self.frozen_until, self.world.time)
             self.frozen_until = self.synced_at = begun + times * self.sync_s
 
+    def runs_at(self, time: float) -> float:
+        """The first time from then on at which its process may run."""
+        thawed = max(time, self.frozen_until)
+        return thawed if self.quota is None else self.quota.runs_at(thawed)
+
     def freeze(self, seconds: float) -> None:
         """Suspend the process; events due meanwhile happen at the end."""
         self.frozen_until = self.world.time + seconds
--- a/lab/tier/simulated_tier.py
+++ b/lab/tier/simulated_tier.py
@@ -22,6 +22,8 @@
 INTERNAL_PORT, CONTROL_PORT, FRONT_PORT, READY_PORT = 7000, 8000, 8080, 8081
 MODEL, TOOLS = "model", "tools"
 HOST = "tier.example"
+FIRST_PUSH_S, PUSH_AGAIN_S = 10.0, 0.1
+"""For which the first configuration is sent again and again, and the time in between."""
 ZONES = ("north", "south", "west")
 
 
@@ -179,8 +181,14 @@
         return self.operator_call("POST", "/config/update", msgspec.json.encode(update), str(base))
 
     def start_serving(self) -> SimulatedTier:
-        """Push the first configuration and wait until all relays are ready."""
-        assert self.push(default_configuration(), 0).status == 200
+        """Push the first configuration and wait until all relays are ready. Raises AssertionError.
+
+        An answer 503 is no definite one, as a primary may be lost at any time: the same request is sent again.
+        """
+        end = self.world.time + FIRST_PUSH_S
+        while (status := self.push(default_configuration(), 0).status) in (0, 503) and self.world.time < end:
+            self.world.run(self.world.time + PUSH_AGAIN_S)
+        assert status == 200, f"the first configuration gets {status}"
         assert self.world.run_until(lambda: all(one.ready for one in self.relays.values()), 5.0), "not ready in time"
         return self
 
--- a/lab/tier/world.py
+++ b/lab/tier/world.py
@@ -13,6 +13,8 @@
 from itertools import count
 from random import Random
 
+from attrs import frozen
+
 from lab.tier.machine import Event, Machine, ProcessEnded
 from lynxscale.coordination.messages import Message, encode
 
@@ -21,10 +23,20 @@
 """A message takes the delay of its link times a factor drawn from this range."""
 
 
+@frozen
+class Link:
+    """One direction of a link of its own. ``delay_s``: one way; ``loss``: the share of messages that it loses."""
+
+    delay_s: float
+    bytes_per_s: float = float("inf")
+    loss: float = 0.0
+
+
 class World:
     """The event queue of all machines, and the links between them.
 
-    ``delay_s``: one-way delay of a link; ``loss``: the probability with which a message is lost.
+    ``delay_s``: one-way delay of a link; ``loss``: the probability with which a message is lost. ``links``: those, by
+    sender and receiver, that differ from this.
     """
 
     def __init__(self, seed: int, delay_s: float = DELAY_S, loss: float = 0.0) -> None:
@@ -33,6 +45,7 @@
         self.loss = loss
         self.time = 0.0
         self.machines: dict[str, Machine] = {}
+        self.links: dict[tuple[str, str], Link] = {}
         self.partitions: set[tuple[str, str]] = set()  # sender and receiver
         self.steps = 0  # messages handled and syncs done, of all machines
         self.digest = 0  # CRC-32 of all messages carried: equal for equal runs
@@ -70,12 +83,16 @@
         self.time, _, event = heapq.heappop(self._events)
         if event.call is None:
             return
-        if event.owner is not None and event.owner.frozen_until > self.time:
-            self.call_at(event.owner.frozen_until, event.call, event.owner)
+        if event.owner is not None and (runs_at := event.owner.runs_at(self.time)) > self.time:
+            self._put_off(event, runs_at)
             return
         with contextlib.suppress(ProcessEnded):
             event.call()
 
+    def _put_off(self, event: Event, time: float) -> None:
+        """The owner does not run now: its events keep their order. A cancelled one stays so."""
+        heapq.heappush(self._events, (time, self._order(), event))
+
     # Steps -------------------------------------------------------------------------------------------
 
     def call_at_step(self, number: int, call: Callable[[], object]) -> None:
@@ -112,17 +129,19 @@
 
     def deliver(self, source: str, target: str, message: Message) -> None:
         """Carry a message over the link, in order, unless it is lost."""
-        if (source, target) in self.partitions or self.random.random() < self.loss:
-            return
         link = (source, target)
+        own = self.links.get(link)
+        loss = self.loss if own is None else max(self.loss, own.loss if self.loss else 0.0)
+        if link in self.partitions or self.random.random() < loss:
+            return
         payload = encode(message)
         self.digest = zlib.crc32(payload, zlib.crc32(f"{self.time:.9f}{source}{target}".encode(), self.digest))
         machine, sender = self.machine(target), self.machine(source)
         begun = max(self.time, sender.frozen_until)
-        if speed := min(machine.bytes_per_s, sender.bytes_per_s):
+        if speed := min(machine.bytes_per_s, sender.bytes_per_s, own.bytes_per_s if own else float("inf")):
             begun = max(begun, self._wire_free_at.get(link, 0.0)) + len(payload) / speed
             self._wire_free_at[link] = begun
-        delay_s = self.delay_s * self.random.uniform(*DELAY_SPREAD)
+        delay_s = (own.delay_s if own else self.delay_s) * self.random.uniform(*DELAY_SPREAD)
         arrival = max(begun + delay_s, self._last_arrival.get(link, 0.0))
         self._last_arrival[link] = arrival
         incarnation = machine.incarnation
--- a/lynxscale/coordination/election.py
+++ b/lynxscale/coordination/election.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from random import Random
 
@@ -19,6 +20,7 @@
 
 RANK_DELAY_S = 0.02  # between the pre-votes of in-sync members, so that they seldom collide
 JITTER_S = 0.01
+ROUNDS_REMEMBERED = 8  # whose replies still tell how long replies take
 LEAVING_DELAY_S = 0.3  # a member that is to stop stands only where nobody else does
 
 
@@ -52,6 +54,7 @@
         self._timer: Timer | None = None
         self._round: PreVoteRound | None = None
         self._last_round_number = 0
+        self._asked_at: deque[tuple[int, float]] = deque(maxlen=ROUNDS_REMEMBERED)  # number and time of the last rounds
         self._deference = VoteDeference(acceptor, clock)
 
     # When to ask -------------------------------------------------------------------------------------
@@ -104,6 +107,7 @@
     def _start_round(self) -> None:
         now = self._clock.now()
         self._last_round_number += 1
+        self._asked_at.append((self._last_round_number, now))
         question = PreVote(self._last_round_number, self._acceptor.member)
         own_reply = self._reply_to(question)
         self._round = PreVoteRound(self._last_round_number, self._acceptor.record.voters, now)
@@ -113,7 +117,8 @@
         self.on_reply(own_reply)
 
     def on_reply(self, reply: PreVoteReply) -> None:
-        """A voter's answer to a pre-vote; answers to earlier rounds do not count."""
+        """A voter's answer to a pre-vote; answers to earlier rounds tell how long they take, and count for no more."""
+        self._note_reply_time(reply)
         current = self._round
         if current is None or reply.round != current.number:
             return
@@ -127,6 +132,11 @@
             self._ask_at = max(free_at, now) + self._random.uniform(0.0, JITTER_S)
             self._schedule_sooner()
 
+    def _note_reply_time(self, reply: PreVoteReply) -> None:
+        asked_at = dict(self._asked_at).get(reply.round)
+        if asked_at is not None and reply.voter != self._acceptor.member:
+            self._deference.on_reply_time(self._clock.now() - asked_at)
+
     def _win(self, won: PreVoteRound) -> None:
         self._round = None
         more_complete = more_complete_voter(self._acceptor.record, won.positions, self._replica_position())
--- a/lynxscale/coordination/vote_deference.py
+++ b/lynxscale/coordination/vote_deference.py
@@ -13,11 +13,16 @@
 
 ROUND_S = 0.05  # for a pre-vote and its replies, beside what disks take
 ELECTION_S, ELECTION_WRITE_FACTOR = 0.1, 6.0  # from a won pre-vote to the lease of the new primary
+REPLY_DECAY = 0.8  # factor on the slowest recent reply, for each that is faster
+MAX_REPLY_S = 0.3  # slower replies are not waited for
+REPLIES_PER_ROUND, REPLIES_PER_ELECTION = 2.0, 5.0  # replies as slow as the slowest that fit beside the rest
 FRUITLESS_ROUNDS = 5.0  # a member that asks for so long and never stands may hear no replies: it backs off as long
 
 
 class VoteDeference:
-    """One voter's deference. How long it lasts follows from the latency of this member's own acceptor writes."""
+    """One voter's deference. How long it lasts follows from this member's own acceptor writes, and from how long other
+    members take to reply: on long links, or beside other processes, a reply may come later than any fixed time.
+    """
 
     def __init__(self, acceptor: Acceptor, clock: Clock) -> None:
         self._acceptor = acceptor
@@ -25,16 +30,22 @@
         self._preferred, self._preferred_until = "", NEVER
         self._supported, self._supported_until = "", NEVER
         self._asking_since: dict[str, float] = {}
+        self._slowest_reply_s = 0.0  # of the recent ones
 
     @property
     def round_s(self) -> float:
         """Seconds for a pre-vote and its replies, and for which a member that asked is preferred."""
-        return ROUND_S + self._acceptor.write_s
+        return max(ROUND_S, REPLIES_PER_ROUND * self._slowest_reply_s) + self._acceptor.write_s
 
     @property
     def election_s(self) -> float:
         """Seconds that a member that stands gets to become a primary with a lease."""
-        return ELECTION_S + ELECTION_WRITE_FACTOR * self._acceptor.write_s
+        replies_s = max(ELECTION_S, REPLIES_PER_ELECTION * self._slowest_reply_s)
+        return replies_s + ELECTION_WRITE_FACTOR * self._acceptor.write_s
+
+    def on_reply_time(self, seconds: float) -> None:
+        """Another member has replied to a pre-vote after so many seconds."""
+        self._slowest_reply_s = min(MAX_REPLY_S, max(seconds, REPLY_DECAY * self._slowest_reply_s))
 
     def rank(self, member: str) -> int:
         """A member's rank among those that may stand, 0 for the first; the primary that was lost comes last."""
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -6,6 +6,8 @@
 
 from lab.tier.control_group import ControlGroup
 from lab.tier.failover_time import FailoverCase, failover_time_s
+from lab.tier.machine import ProcessorQuota
+from lab.tier.world import World
 from lynxscale.coordination.acceptor import Acceptor, DeferredPromise
 from lynxscale.coordination.member_role import MemberRole, RoleChange, RoleState
 from lynxscale.coordination.messages import Message, Position, Prepare, Promise, TakeOver, address_of
@@ -127,3 +129,28 @@
     group.world.run(group.world.time + 1.0)
     assert group.leaders() == [leader] and leader.record.epoch > promised
     assert group.put("a", 1)
+
+
+@pytest.mark.parametrize("delay_s", [0.02, 0.04, 0.06])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_primary_is_elected_and_replaced_over_links_on_which_replies_take_long(seed, delay_s):
+    """Seen in history 5508: replies to pre-votes came after the round's fixed time, each time, for ever."""
+    group = start_group(seed, delay_s=delay_s)
+    group.world.run(group.world.time + 3.0)
+    group.kill(address_of(group.wait_for_leader().member_id))
+    begun = group.world.time
+    group.wait_for_leader(5.0)
+    assert group.world.time - begun < 2.5
+
+
+def test_members_whose_processors_run_at_other_times_elect_a_primary():
+    """A processor quota stops a process for the rest of each tenth of a second: here two never run together."""
+    group = ControlGroup(World(1), 3, 1)
+    group.start_all()
+    group.wait_for_leader()
+    group.world.run(group.world.time + 1.0)
+    group.kill(address_of(group.wait_for_leader().member_id))
+    for number, address in enumerate(sorted(group.members)):
+        group.world.machine(address).quota = ProcessorQuota(0.5, number / 2)
+    group.wait_for_leader(6.0)
+    assert group.put("a", 1)
--- a/tests/dataplane/test_connection_pool.py
+++ b/tests/dataplane/test_connection_pool.py
@@ -37,3 +37,12 @@
     pool.close()
     assert all(connection.state is ClientState.CLOSED for connection in connections)
     assert not pool.has_idle
+
+
+def test_a_closed_pool_keeps_nothing_that_is_released_later():
+    world, pool, (connection,) = pool_with_connections(1)
+    pool.close()
+    pool._release(connection)
+    assert not pool.has_idle
+    world.run(world.time + 0.01)
+    assert connection.state is ClientState.CLOSED
--- a/tests/dataplane/test_request_faults.py
+++ b/tests/dataplane/test_request_faults.py
@@ -198,6 +198,8 @@
     tier, hung = restarting_tier()
     for name in TOOLS:
         tier.endpoints[name].service_time_s = HANGS_S
+        for _ in range(20):
+            states(tier)[name].on_success(50.0)
         states(tier)[name].restart_tokens = 3.0
     answer = tier.request("/look/1", method="GET", request_id="twice")
     assert answer.status == 504
@@ -447,3 +449,84 @@
     tier.world.run(tier.world.time + 2)
     assert (limits.header_bytes, limits.body_bytes) == (5000, 7000)
     assert (limits.header_timeout_s, limits.idle_timeout_s) == (2.5, 3.5)
+
+
+def test_a_request_that_no_endpoint_answers_in_the_time_left_is_rejected_at_once():
+    tier = settled_tier()
+    for name in TOOLS:
+        for _ in range(20):
+            states(tier)[name].on_success(900.0)
+    begun = tier.world.time
+    answer = tier.request("/book/1", lynxscale_deadline_ms="300", request_id="late")
+    assert answer.status == 503 and answer.ended_at - begun < 0.05
+    assert endpoints_that_ran(tier, "late") == []
+
+
+def test_a_restarted_call_that_finds_no_other_endpoint_is_502():
+    """It may have been executed: 503 would tell its client that it was not."""
+    tier, hung = restarting_tier()
+    other = next(name for name in TOOLS if name != hung)
+    tier.endpoints[other].service_time_s = HANGS_S
+    call, _ = tier.start_request("/look/1", method="GET", request_id="c", lynxscale_deadline_ms="4000")
+    assert tier.world.run_until(lambda: endpoints_that_ran(tier, "c") != [], 1.0)
+    first = endpoints_that_ran(tier, "c")[0]
+    states(tier)[first].restart_tokens = 3.0
+    for name in TOOLS:
+        states(tier)[name].cooldown_until = 1e9
+    begun = tier.world.time
+    assert tier.world.run_until(lambda: call.ended, 6.0)
+    assert call.status == 502 and call.ended_at - begun < 2.0
+
+
+def test_a_stream_that_cannot_be_resumed_is_aborted_as_it_breaks_and_its_turn_is_closed():
+    tier = settled_tier()
+    tier.endpoints["i-0"].aborts_after = tier.endpoints["i-1"].aborts_after = 2
+    sent = watch_calls(tier)
+    begun = tier.world.time
+    answer = tier.turn("p", 1000)
+    assert not answer.complete and answer.ended_at - begun < 1.0
+    assert running(tier) == 0
+    tier.world.run(tier.world.time + 1)
+    assert program_record(tier, "p").reservations == {}
+    assert [body.content for body in sent if isinstance(body, FinishTurn)] == [None]
+
+
+def test_a_stream_without_events_is_complete_and_empty():
+    tier = settled_tier()
+    for name in MODELS:
+        tier.endpoints[name].events = 0
+    answer = tier.request("/open/stream")
+    assert (answer.status, answer.body, answer.complete) == (200, b"", True)
+    assert answer.head.text(b"lynxscale-response-signature") in MODELS
+
+
+def test_a_turn_without_retention_retains_nothing():
+    tier = settled_tier()
+    sent = watch_calls(tier)
+    assert tier.turn("p", 1000, path="/open/stream").complete
+    assert [body.content for body in sent if isinstance(body, FinishTurn)] == [None]
+
+
+def test_a_deadline_that_expires_during_the_commit_says_nothing_of_the_endpoint():
+    tier = settled_tier()
+    answer, _ = tier.start_request(
+        "/kept/stream", program="p", budget="1000", lynxscale_token_count="10,40", lynxscale_deadline_ms="900"
+    )
+    assert tier.world.run_until(lambda: answer.body.count(b"data:") >= 1, 3.0)
+    for host in tier.control_hosts:
+        tier.kill_control(host)
+    assert tier.world.run_until(lambda: answer.ended, 2.0)
+    assert all(state.failure_rate.current == 0 and state.in_flight == 0 for state in states(tier).values())
+
+
+def test_a_client_that_leaves_gives_its_slot_to_the_next_at_once():
+    tier = settled_tier()
+    hang(tier)
+    connections = [tier.start_request("/book/1", request_id=f"busy{number}")[1] for number in range(2)]
+    tier.world.run(tier.world.time + 0.1)
+    tier.start_request("/book/1", request_id="waits")
+    tier.world.run(tier.world.time + 0.1)
+    tier.relays[tier.relay_hosts[0]].balancer.queue._poll_timer.cancel()
+    connections[0].close()
+    tier.world.run(tier.world.time + 0.1)
+    assert len(endpoints_that_ran(tier, "waits")) == 1
--- /dev/null
+++ b/tests/lab/test_data_plane_mutations.py
@@ -0,0 +1,32 @@
+"""Each mistake of the catalogue is detected by the test that it names; all of them run by themselves, without it."""
+
+import pytest
+
+from lab.tier.data_plane_mutations import ALL
+from lab.tier.source_mutation import SourceMutation, detects
+
+WANTED = 40
+
+
+def test_the_catalogue_is_large_enough_and_its_names_are_unique():
+    assert len(ALL) >= WANTED
+    assert len({mutation.name for mutation in ALL}) == len(ALL)
+
+
+@pytest.mark.parametrize("mutation", ALL, ids=lambda mutation: mutation.name)
+def test_the_original_stands_in_the_source_once(mutation):
+    assert mutation.apply(mutation.path.read_text()) != mutation.path.read_text()
+
+
+@pytest.mark.parametrize("mutation", ALL, ids=lambda mutation: mutation.name)
+def test_the_named_test_detects_the_mutation(mutation):
+    assert detects(mutation)
+
+
+def test_a_mutation_that_changes_nothing_is_not_detected():
+    """Else a test that fails by itself, or does not exist, would count."""
+    first = ALL[0]
+    same = SourceMutation(first.name, first.module, first.original, first.original + "\n", first.test)
+    assert not detects(same)
+    missing = SourceMutation(first.name, first.module, first.original, first.replacement, first.test + "_gone")
+    assert not detects(missing)
--- a/tests/lab/test_histories.py
+++ b/tests/lab/test_histories.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lab.tier.histories import History
+from lab.tier.histories import History, play_range
 
 
 @pytest.mark.parametrize("seed", range(1, 41))
@@ -14,6 +14,23 @@
     assert not History(seed).play(), seed
 
 
+@pytest.mark.parametrize("seed", range(1, 25))
+def test_a_history_with_unequal_disks_links_and_processors_breaks_no_rule(seed):
+    assert not History(seed, varied=True).play(), seed
+
+
+def test_a_history_that_cannot_go_on_counts_as_a_breach(monkeypatch):
+    monkeypatch.setattr(History, "play", raise_assertion)
+    told: list[int] = []
+    tally = play_range(1, 2, varied=False, on_breach=lambda seed, rules: told.append(seed))
+    assert tally.played == 2 and sorted(tally.broken) == told == [1, 2]
+
+
+def raise_assertion(history: History) -> None:
+    """A history that finds no primary."""
+    raise AssertionError("no primary in time")
+
+
 @pytest.mark.parametrize("seed", [3, 25])
 def test_a_history_follows_from_its_seed_whatever_the_hash_seed_of_python(seed):
     """Seen on these two: what was sent first hung on the order of a set."""
--- /dev/null
+++ b/tests/lab/test_machine.py
@@ -0,0 +1,43 @@
+"""Simulated machines: processor quotas and links of their own."""
+
+import pytest
+
+from lab.tier.machine import ProcessorQuota
+from lab.tier.world import Link, World
+from lynxscale.coordination.messages import Heartbeat
+
+
+@pytest.mark.parametrize("phase", [0.0, 0.37])
+def test_a_quota_lets_a_process_run_for_its_share_of_each_period(phase):
+    quota = ProcessorQuota(0.6, phase)
+    runs = [quota.runs_at(number / 10_000) == number / 10_000 for number in range(10_000)]
+    assert sum(runs) == pytest.approx(6000, abs=20)
+    assert all(0 <= quota.runs_at(number / 997) - number / 997 <= 0.0401 for number in range(997))
+
+
+def test_events_that_a_quota_puts_off_keep_their_order():
+    """Seen in drawn histories: by rounding, bytes of a stream overtook earlier ones."""
+    world = World(1)
+    machine = world.machine("a:1")
+    machine.quota = ProcessorQuota(0.3, 0.123)
+    order: list[int] = []
+    for number in range(3000):
+        world.call_at(number / 3001, lambda number=number: order.append(number), machine)
+    world.run(2.0)
+    assert order == list(range(3000))
+
+
+def test_a_link_of_its_own_has_its_delay_loss_and_bandwidth_in_one_direction():
+    world = World(1, loss=0.001)
+    arrivals: dict[str, list[float]] = {"a:1": [], "b:1": []}
+    for address, times in arrivals.items():
+        world.machine(address).receive = lambda message, times=times: times.append(world.time)
+    world.links["a:1", "b:1"] = Link(0.5, 100.0, 0.0)
+    world.links["b:1", "a:1"] = Link(0.01, loss=1.0)
+    for _ in range(3):
+        world.deliver("a:1", "b:1", Heartbeat("a"))
+        world.deliver("b:1", "a:1", Heartbeat("b"))
+    world.run(10.0)
+    assert arrivals["a:1"] == []
+    first, second, third = arrivals["b:1"]
+    assert first > 0.35 and second - first > 0.05 and third - second > 0.05
