--- a/lab/tier/models/election.py
+++ b/lab/tier/models/election.py
@@ -293,6 +293,12 @@
     ("receives", ("a:1", "b:1")),
     ("receives", ("b:1", "a:1")),
 )
+LATE_GRANT = (  # as LED, but the grant takes a step of time to arrive, and another one passes
+    *LED[:-1],
+    ("time passes", ""),
+    ("receives", ("b:1", "a:1")),
+    ("time passes", ""),
+)
 BOUNDS = (
     ElectionBounds(stands=(1, 1, 0), leases=(0, 0, 0), steps=0),
     ElectionBounds(stands=(2, 0, 0), leases=(0, 0, 0), ends=(1, 0, 0), steps=0),
@@ -301,4 +307,5 @@
     ElectionBounds(stands=(2, 0, 0), leases=(0, 0, 0), ends=(1, 0, 0), steps=2, partitions=1, begun=PROMISED),
     ElectionBounds(stands=(1, 1, 0), leases=(1, 0, 0), steps=1, begun=LED),
     ElectionBounds(stands=(1, 1, 0), leases=(2, 0, 0), ends=(0, 1, 0), steps=1, begun=LED),
+    ElectionBounds(stands=(0, 1, 0), leases=(0, 0, 0), steps=1, begun=LATE_GRANT),
 )
