A further failure amid two changes of the group at once, while two writers race

Cause: only one change at a time was played. Change: eleven pairs (leave, restart or transfer during a retirement, replacement during an addition, two transfers ...), a loss of power or disk at each step of each.

--- a/lab/tier/second_failure.py
+++ b/lab/tier/second_failure.py
@@ -4,6 +4,8 @@
 Then it is run again for each step and each member, which loses its power or its disk at that step. Checked: nothing
 acknowledged is lost, and the group has a primary that commits as soon as the tolerance allows it.
 
+Single changes, and two of them at once (``TWO_CHANGES``), while two writers race for the same keys.
+
 ``python -m lab.tier.second_failure [EVERY]``: every step, or each EVERYth.
 """
 
@@ -21,7 +23,11 @@
 NEWCOMER = "10.0.0.90:7000"
 BEFORE_S, CHANGE_S, RECOVERY_S = 1.0, 1.6, 12.0
 WRITES = 12
+WRITERS = 2
 RESTART_S = 0.5
+SECOND_NEWCOMER = "10.0.0.91:7000"
+OVERLAP_S, RETRY_S = 0.06, 0.02
+"""Between the beginnings of two changes, and until a change that finds no primary is tried again."""
 
 
 @dataclass(frozen=True)
@@ -76,7 +82,7 @@
     """The member of that index, 0 for the primary, is asked to stop and does not come back."""
 
     def begin(group: ControlGroup) -> None:
-        group.leave(members_by_rank(group)[index])
+        group.leave(member_of_rank(group, index))
 
     return begin
 
@@ -85,7 +91,7 @@
     """The member of that index is asked to stop, and starts again."""
 
     def begin(group: ControlGroup) -> None:
-        address = members_by_rank(group)[index]
+        address = member_of_rank(group, index)
         group.leave(
             address, then=lambda: group.world.call_at(group.world.time + RESTART_S, lambda: group.start(address))
         )
@@ -97,7 +103,7 @@
     """The member of that index is gone with its disk; an empty one comes at another address."""
 
     def begin(group: ControlGroup) -> None:
-        group.kill(members_by_rank(group)[index], power=True, wipe=True)
+        group.kill(member_of_rank(group, index), power=True, wipe=True)
         group.world.call_at(group.world.time + 0.3, lambda: group.start(NEWCOMER))
 
     return begin
@@ -114,7 +120,7 @@
     """The member of that index comes back without its disk."""
 
     def begin(group: ControlGroup) -> None:
-        address = members_by_rank(group)[index]
+        address = member_of_rank(group, index)
         group.kill(address, power=True, wipe=True)
         group.world.call_at(group.world.time + 0.3, lambda: group.start(address))
 
@@ -149,6 +155,58 @@
 )
 
 
+def add_another(group: ControlGroup) -> None:
+    """A second empty member is added."""
+    group.start(SECOND_NEWCOMER)
+
+
+def transfer(group: ControlGroup) -> None:
+    """The primary hands its leadership over, and stays."""
+    leader = group.wait_for_leader()
+    leader._transfer_leadership()
+
+
+def together(*changes: Callable[[ControlGroup], None]) -> Callable[[ControlGroup], None]:
+    """Changes that begin one shortly after the other, each before the one before it is over."""
+
+    def begin(group: ControlGroup) -> None:
+        for number, change in enumerate(changes):
+            group.world.call_at(
+                group.world.time + number * OVERLAP_S, lambda change=change: _begin_if_led(group, change)
+            )
+
+    return begin
+
+
+def _begin_if_led(group: ControlGroup, change: Callable[[ControlGroup], None]) -> None:
+    """Begin a change; where nobody leads just then, as soon as somebody does."""
+    if group.leaders():
+        change(group)
+    else:
+        group.world.call_at(group.world.time + RETRY_S, lambda: _begin_if_led(group, change))
+
+
+TWO_CHANGES = (
+    Change("backup leaves during a retirement", together(retire, leave(2)), lost=1, removes_one=True),
+    Change("primary leaves during a retirement", together(retire, leave(0)), lost=1, removes_one=True),
+    Change("backup restarts during a retirement", together(retire, restart(2)), lost=1),
+    Change("backup is replaced during an addition", together(add_another, replace(1)), lost=1),
+    Change("primary is replaced during an addition", together(add_another, replace(0)), lost=1),
+    Change("two members are added", together(add, add_another)),
+    Change("leadership moves during a retirement", together(retire, transfer)),
+    Change("leadership moves during an addition", together(add, transfer)),
+    Change("leadership moves during a leave", together(leave(1), transfer), removes_one=True),
+    Change("leadership moves during a replacement", together(replace_as_planned, transfer)),
+    Change("leadership moves twice", together(transfer, transfer)),
+)
+
+
+def member_of_rank(group: ControlGroup, index: int) -> str:
+    """The present voter of that index, 0 for the primary; the last one where there are fewer."""
+    ranked = members_by_rank(group)
+    return ranked[min(index, len(ranked) - 1)]
+
+
 def members_by_rank(group: ControlGroup) -> list[str]:
     """Addresses of the present voters, the primary first."""
     leader = group.wait_for_leader()
@@ -199,7 +257,8 @@
         self._number += 1
         key, value = f"k{self._number % 3}", self._number
         for leader in self.group.leaders():
-            self.group.submit(leader, key, value, lambda committed: self._written(key, value, committed))
+            for _ in range(WRITERS):  # they race: what one is told of the key holds for both
+                self.group.submit(leader, key, value, lambda committed: self._written(key, value, committed))
 
     def _written(self, key: str, value: int, committed: bool) -> None:
         if committed:
@@ -266,7 +325,7 @@
     every = int(sys.argv[1]) if len(sys.argv) > 1 else 1
     found = 0
     for size in SIZES:
-        for change in CHANGES:
+        for change in (*CHANGES, *TWO_CHANGES):
             broken = list(problems(size, change, every))
             found += len(broken)
             for line in broken[:5]:
