--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 PYTHON := .venv/bin/python
 
 .PHONY: build test lint run bench-trace soak-trace bench-list soak-list bench-journal soak-journal soak-upgrade bench-operation \
-	bench-cluster soak-cluster sim-cluster check-cluster soak-rare soak-faults sim-tier demo-tier upgrade-tier
+	bench-cluster soak-cluster sim-cluster check-cluster soak-rare soak-faults sim-tier demo-tier upgrade-tier \
+	bench-turn
 
 build: .venv/ready
 
@@ -76,6 +77,10 @@
 upgrade-tier: build
 	$(PYTHON) -m lab.tier.rolling_upgrade $(OTHER) $(if $(SEED),--seed $(SEED))
 
+# Processor time of a turn, here and in the checkout that OTHER names: OTHER=PATH. Needs a quiet machine.
+bench-turn: build
+	$(PYTHON) -m lab.tier.bench_turn $(OTHER)
+
 # Every order of what may happen to the views, within each scenario's bounds.
 check-cluster: build
 	$(PYTHON) -m lab.cluster.check
