--- a/lab/tier/models/operators.py
+++ b/lab/tier/models/operators.py
@@ -146,7 +146,7 @@
         for puts in self._committed:
             table.apply(puts)
         self.member = StubMember(table)
-        self.api = OperatorApi(self.member, 1, lambda: None)
+        self.api = OperatorApi(self.member, 1, lambda configuration: None, lambda: None)
 
     def events(self) -> list[Event]:
         """Part of StateMachine."""
