Review, case 3: a relay that wakes answers a turn with 404 from its old routes

Cause: a request without a route gets 404 whatever the age of the route table, also where the relay knows that no primary has confirmed its topics for seconds.

Done: review/3 plays it with real processes: a relay freezes, a route with retained turns is added, a first turn on it is answered whole through the other relay, and the next turn comes to the first relay as it wakes. Nothing was fixed.

--- a/review/test_cases.py
+++ b/review/test_cases.py
@@ -22,3 +22,8 @@
 def test_a_request_that_cannot_be_repeated_runs_once_beside_late_answers() -> None:
     """Case 2."""
     assert not breaches(2)
+
+
+def test_a_turn_is_never_answered_404_from_old_routes() -> None:
+    """Case 3."""
+    assert not breaches(3)
