--- a/review/servers.py
+++ b/review/servers.py
@@ -139,7 +139,7 @@
         if not self._events:
             return response("200 OK", request.id, [signature], b"run by " + self.instance.encode())
         fields = [signature, "Content-Type: text/event-stream", "Versions: 1"]
-        return response("200 OK", request.id, fields, stream(request.id, self._events))
+        return chunked("200 OK", request.id, fields, stream(request.id, self._events))
 
 
 def response(status: str, request_id: str, fields: list[str], body: bytes = b"") -> bytes:
@@ -148,6 +148,12 @@
     return "\r\n".join(lines).encode() + HEAD_END + body
 
 
+def chunked(status: str, request_id: str, fields: list[str], body: bytes) -> bytes:
+    """An HTTP/1.1 answer in chunks."""
+    lines = [f"HTTP/1.1 {status}", f"Lynxscale-Request-Id: {request_id}", *fields, "Transfer-Encoding: chunked"]
+    return "\r\n".join(lines).encode() + HEAD_END + f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+
+
 def stream(request_id: str, events: int) -> bytes:
     """The events of a stream."""
     return b"".join(f"id: {n}\ndata: {request_id} says {n}\n\n".encode() for n in range(1, events + 1))
