Each attempt of a request has a connection that has not carried it before

Cause: an answer was tied to its attempt by its connection and by the request id alone, and the id is the same for all attempts of one request. The pool hands out the connection that was used last, so the request was sent again on the connection on which it had been turned away. An endpoint that repeats the earlier answer where the next one is due then seems to turn the second attempt away too, and runs it.

Change: a request excludes the connections that have carried it; the pool hands out another idle connection, or a new one if there is none. A copy is then always an answer to another request on its connection, which the id shows. The same cause on related paths: a retry after a complete 5xx answer passed on the copy of the error, and a resumed stream was joined with a copy of its own beginning.

--- a/lab/tier/data_plane_mutations.py
+++ b/lab/tier/data_plane_mutations.py
@@ -28,6 +28,7 @@
 FAULTS = "tests/dataplane/test_request_faults.py::"
 STATE = "tests/dataplane/test_endpoint_state.py::"
 CHOICE = "tests/dataplane/test_load_balancer.py::"
+LATE = "tests/dataplane/test_late_answers.py::"
 WAITING = "tests/dataplane/test_pending_until_configured.py::"
 RELAY = "tests/dataplane/test_service.py::"
 
@@ -227,6 +228,20 @@
     ),
 )
 ATTEMPTS = (
+    SourceMutation(
+        "request_is_sent_again_on_its_connection",
+        FORWARDING,
+        "acquire(excluded=self._carriers)",
+        "acquire()",
+        LATE + "test_a_resumed_stream_does_not_repeat_events_from_a_late_copy_of_its_beginning",
+    ),
+    SourceMutation(
+        "request_avoids_only_the_last_connection_that_carried_it",
+        FORWARDING,
+        "        self._carriers.add(connection)\n",
+        "        self._carriers = {connection}\n",
+        LATE + "test_each_attempt_of_a_request_has_a_connection_that_has_not_carried_it",
+    ),
     SourceMutation(
         "unsigned_response_is_passed_on",
         ATTEMPT,
--- a/lab/tier/fakes.py
+++ b/lab/tier/fakes.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lab.tier.late_answers import LateAnswerConnection
 from lab.tier.simulated_tcp import SimulatedTcp
 from lab.tier.world import World
 from lynxscale.coordination.ports import Clock
@@ -28,9 +29,11 @@
     ``executed``: all requests that it ran. ``load``: the load that it reports; none if empty. ``status``: the status of
     responses that are no streams. ``service_time_s``: the time before a response begins.
 
-    Faults: ``rejects`` answers 503 without executing; ``fails`` aborts each request; ``aborts_after`` aborts one stream
-    after this many events; ``ends_within_event`` ends a stream in the middle of an event. Responses carry the
-    endpoint's signature if ``signed``, and the id of their request if ``names_request``.
+    Faults: ``rejects`` answers 503 without executing, and so does the endpoint in the first half of each
+    ``full_period_s``, if that is not 0; ``repeats_late()`` says whether the previous answer on a connection is sent
+    again as the next request arrives there; ``fails`` aborts each request; ``aborts_after`` aborts one stream after
+    this many events; ``ends_within_event`` ends a stream in the middle of an event. Responses carry the endpoint's
+    signature if ``signed``, and the id of their request if ``names_request``.
     """
 
     def __init__(self, endpoint: Endpoint, clock: Clock, listen: Listen, events: int = 4) -> None:
@@ -41,6 +44,8 @@
         self.max_running = 0
         self.service_time_s = 0.05
         self.rejects = False
+        self.full_period_s = 0.0
+        self.repeats_late: Callable[[], bool] = lambda: False
         self.fails = False
         self.aborts_after: int | None = None
         self.ends_within_event = False
@@ -49,12 +54,21 @@
         self.load = ""
         self.status = 200
         self._clock = clock
-        listen(endpoint.address, lambda: ServerConnection(self._handle, ServerLimits(), clock, set()))
+        listen(
+            endpoint.address,
+            lambda: LateAnswerConnection(self._handle, ServerLimits(), clock, lambda: self.repeats_late()),
+        )
+
+    @property
+    def full(self) -> bool:
+        """Whether requests are rejected now."""
+        period_s = self.full_period_s
+        return self.rejects or (period_s > 0 and self._clock.now() % period_s < period_s / 2)
 
     def _handle(self, request: Request, responder: Responder) -> EndpointRun | None:
         if request.head.text(headers.EXPECT_INSTANCE) != self.endpoint.id:
             responder.respond(self._response(request, 421, b"", with_signature=False))
-        elif self.rejects:
+        elif self.full:
             fields = Head(((headers.NOT_EXECUTED, b"1"), (headers.REQUEST_ID, request.head.get(headers.REQUEST_ID))))
             responder.respond(Response(503, fields))
         else:
--- a/lab/tier/models/calls.py
+++ b/lab/tier/models/calls.py
@@ -1,7 +1,8 @@
-"""Model of one call on one connection, and of a second call that reuses it: the relay's HTTP client and attempts.
+"""Model of one call on one connection, and of a second one: the relay's HTTP client, connection pool and attempts.
 
-The connection is established or times out, or both at the same time. The server sends a complete or partial response
-with the call's id, another id or none, a rejection, one response too many, or malformed bytes; it closes or resets the
+The second call is another request, or the first request once more, with the same id. The connection is established or
+times out, or both at the same time. The server sends a complete or partial response with the call's id, another id or
+none, a rejection, a copy of an earlier response, one response too many, or malformed bytes; it closes or resets the
 connection at any step. The relay cancels at any step.
 
 Invariants: an attempt is reported as not executed only if nothing of it was written, or if its own rejection was
@@ -19,13 +20,15 @@
 from lynxscale.dataplane.attempt import Attempt, AttemptOutcome
 from lynxscale.dataplane.endpoint_state import EndpointState
 from lynxscale.discovery.endpoint import Endpoint
+from lynxscale.runtime.http_client import ClientConnection
 from lynxscale.runtime.http_types import Head, Request
 
 ADDRESS = "e:1"
 BODY = b"0123456789"
 HALF_LENGTH = len(BODY) // 2
 MAX_RESPONSES = 3
-RESPONSES = ("own", "half", "other", "without id", "rejection", "late rejection", "malformed")
+RESPONSES = ("own", "half", "other", "without id", "rejection", "late rejection", "copy", "malformed")
+COPIED = ("own", "rejection")  # the responses that the server may send once more
 
 
 @dataclass(frozen=True)
@@ -69,8 +72,10 @@
 class Call:
     """A call of the relay, with the events of its attempt. Implements AttemptListener."""
 
-    def __init__(self, number: int) -> None:
-        self.id = b"r%d" % number
+    def __init__(self, number: int, request: int) -> None:
+        """``number``: the number of the call, which its signature names; ``request``: the number in its id."""
+        self.id = b"r%d" % request
+        self.expected_signature = b"stamp-of-call-%d" % number
         self.outcomes: list[AttemptOutcome] = []
         self.body = b""
         self.signature = b""
@@ -105,9 +110,11 @@
         self.calls: list[Call] = []
         self.attempts: list[Attempt] = []
         self.responses_sent: list[tuple[str, int]] = []  # responses of the server, with the call number
+        self._copy = b""  # the last response that the server may send once more
+        self._carriers: set[ClientConnection] = set()  # the connections that carried the request of the last call
         self.server_closed = False  # whether the server has closed or reset the connection
         self._clock = clock
-        self._begin_call()
+        self._begin_call(request=1)
 
     def _dial(self, address: str, connection) -> None:
         if self.connection is None:
@@ -115,12 +122,16 @@
         else:
             connection.on_connect_failed()  # the model has a single connection
 
-    def _begin_call(self) -> None:
-        call = Call(len(self.calls) + 1)
+    def _begin_call(self, request: int) -> None:
+        call = Call(len(self.calls) + 1, request)
         call.written_before = len(self.transport.written)
         self.calls.append(call)
         request = Request("POST", "/", Head(((b"host", b"h"), (headers.REQUEST_ID, call.id))), b"x")
-        self.attempts.append(Attempt(self.state, request, call, self._clock, 0))
+        if len(self.calls) > 1 and call.id != self.calls[-2].id:
+            self._carriers.clear()
+        connection = self.state.connections.acquire(excluded=self._carriers)
+        self._carriers.add(connection)
+        self.attempts.append(Attempt(self.state, connection, request, call, self._clock, 0))
 
     @property
     def _open(self) -> bool:
@@ -134,13 +145,14 @@
         if self._open and len(self.responses_sent) < MAX_RESPONSES:
             # After a partial response the server can only send the rest: only the length delimits the body.
             partial_sent = bool(self.responses_sent) and self.responses_sent[-1] == ("half", len(self.calls))
-            possible_events += [("server", action) for action in (("rest",) if partial_sent else RESPONSES)]
+            actions = ("rest",) if partial_sent else RESPONSES
+            possible_events += [("server", action) for action in actions if action != "copy" or self._copy]
         if self._open:
             possible_events += [("server", "closes"), ("server", "resets")]
         if not self.calls[-1].outcomes and self.attempts[-1]._listener is not None:
             possible_events.append(("relay", "cancels"))
         if self.calls[-1].outcomes and len(self.calls) < self.bounds.calls:
-            possible_events.append(("relay", "calls again"))
+            possible_events += [("relay", "calls again"), ("relay", "sends again")]
         return possible_events
 
     def apply(self, event: Event) -> None:
@@ -152,7 +164,8 @@
             if action == "cancels":
                 self.attempts[-1].cancel()
             else:
-                self._begin_call()
+                again = action == "sends again"
+                self._begin_call(request=len(self.calls) + (not again))
         elif action in ("closes", "resets"):
             self.server_closed = True
             if action == "closes":
@@ -172,7 +185,7 @@
         number = len(self.calls)
         self.responses_sent.append((action, number))
         call = self.calls[-1]
-        signature = b"stamp-of-" + call.id
+        signature = call.expected_signature
         data = {
             "own": response_bytes(200, call.id, signature),
             "half": response_bytes(200, call.id, signature)[:-HALF_LENGTH],
@@ -181,13 +194,18 @@
             "without id": response_bytes(200, b"", b"stamp-of-r0"),
             "rejection": response_bytes(503, call.id, b"", rejection=True),
             "late rejection": response_bytes(503, b"r0", b"", rejection=True),
+            "copy": self._copy,
             "malformed": b"\x00\x01 no answer\r\n\r\n",
         }[action]
+        if action in COPIED:
+            self._copy = data
         self.connection.data_received(data)
 
     def key(self) -> Hashable:
         """Part of StateMachine."""
-        calls = tuple((tuple(call.outcomes), call.body, call.signature, call.written_before) for call in self.calls)
+        calls = tuple(
+            (call.id, tuple(call.outcomes), call.body, call.signature, call.written_before) for call in self.calls
+        )
         return (
             self.connection.state,
             self.connection.used,
@@ -214,7 +232,7 @@
                 if written and "rejection" not in served:
                     raise InvariantViolation(f"call {number} counts as not executed, but was written")
             first = number == 1 and "without id" in served
-            has_own_signature = call.signature == b"stamp-of-" + call.id or first
+            has_own_signature = call.signature == call.expected_signature or first
             if call.outcomes[0] is AttemptOutcome.COMPLETE and (call.body != BODY or not has_own_signature):
                 raise InvariantViolation(f"call {number} was answered with {call.signature} {call.body}")
 
--- a/lab/tier/mutations/catalogue.py
+++ b/lab/tier/mutations/catalogue.py
@@ -41,6 +41,7 @@
     Mutation(replication.snapshot_mixes_two_positions, by_search("transfer")),
     Mutation(replication.batches_between_chunks_are_lost, by_search("transfer")),
     Mutation(turns.timed_out_connect_counts_as_unsent, by_search("calls")),
+    Mutation(turns.request_is_sent_again_on_its_connection, by_search("calls")),
     Mutation(turns.response_without_id_is_accepted, by_search("calls")),
     Mutation(turns.foreign_rejection_is_accepted, by_search("calls")),
 )
--- a/lab/tier/mutations/turns.py
+++ b/lab/tier/mutations/turns.py
@@ -11,6 +11,7 @@
 from lynxscale.controlplane.turn_history import TurnHistory, TurnRecord, turn_key
 from lynxscale.coordination.messages import Reply, TurnAdmitted
 from lynxscale.dataplane.attempt import Attempt, AttemptOutcome
+from lynxscale.dataplane.connection_pool import ConnectionPool
 from lynxscale.dataplane.forwarding import ForwardedRequest
 from lynxscale.dataplane.headers import NOT_EXECUTED, REQUEST_ID
 from lynxscale.dataplane.turns import Turn as RelayTurn
@@ -94,6 +95,12 @@
     return [(ClientConnection, "on_connect_failed", lambda self: self._fail(ResponseFailure.NOT_CONNECTED))]
 
 
+def request_is_sent_again_on_its_connection() -> Patches:
+    """A connection that has carried a request may carry another attempt of it, with the same id (review case 2)."""
+    original = ConnectionPool.acquire
+    return [(ConnectionPool, "acquire", lambda self, excluded=(): original(self))]
+
+
 def response_without_id_is_accepted() -> Patches:
     """A response without an id is accepted on a connection that carried another request."""
 
--- a/lynxscale/dataplane/attempt.py
+++ b/lynxscale/dataplane/attempt.py
@@ -1,4 +1,8 @@
-"""One attempt to execute a request at one endpoint. Each attempt ends with exactly one outcome."""
+"""One attempt to execute a request at one endpoint. Each attempt ends with exactly one outcome.
+
+An answer belongs to an attempt if it arrives on the attempt's connection and names the request's id. The id is the same
+for all attempts of a request, so each of them needs a connection that has not carried the request before.
+"""
 
 from __future__ import annotations
 
@@ -47,9 +51,18 @@
     """
 
     def __init__(
-        self, endpoint: EndpointState, request: Request, listener: AttemptListener, clock: Clock, max_tokens: int
+        self,
+        endpoint: EndpointState,
+        connection: ClientConnection,
+        request: Request,
+        listener: AttemptListener,
+        clock: Clock,
+        max_tokens: int,
     ) -> None:
-        """Send the request; ``max_tokens`` count against the endpoint's KV cache until the attempt ends."""
+        """Send the request over a connection to the endpoint that has not carried it before.
+
+        ``max_tokens`` count against the endpoint's KV cache until the attempt ends.
+        """
         self.endpoint = endpoint
         self._request_id = request.head.get(headers.REQUEST_ID)
         self._listener: AttemptListener | None = listener
@@ -62,8 +75,8 @@
         self._restart_timer: Timer | None = None
         endpoint.in_flight += 1
         endpoint.tokens_in_flight += max_tokens
-        self._connection: ClientConnection = endpoint.connections.acquire()
-        self._connection.send(request, self)
+        self._connection = connection
+        connection.send(request, self)
 
     @property
     def elapsed_ms(self) -> float:
--- a/lynxscale/dataplane/connection_pool.py
+++ b/lynxscale/dataplane/connection_pool.py
@@ -1,7 +1,14 @@
-"""A pool of idle connections to one endpoint, reused by later attempts at it."""
+"""A pool of idle connections to one endpoint, reused by later attempts at it.
+
+An endpoint may repeat an earlier answer where the next one on the connection is due. The request id in an answer
+identifies the attempt only if no connection carries two attempts of one request, so the caller excludes the connections
+that have carried the request before.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from lynxscale.coordination.ports import Clock
 from lynxscale.runtime.http_client import ClientConnection, Dial
 
@@ -25,10 +32,12 @@
         """Whether an idle connection can carry a request now."""
         return any(connection.reusable for connection in self._idle)
 
-    def acquire(self) -> ClientConnection:
-        """Return an idle connection, or a new one if none can be reused."""
-        while self._idle:
-            connection = self._idle.pop()
+    def acquire(self, excluded: Collection[ClientConnection] = ()) -> ClientConnection:
+        """Return an idle connection that is not ``excluded``, or a new one if no such connection can be reused."""
+        for index in reversed(range(len(self._idle))):
+            if self._idle[index] in excluded:
+                continue
+            connection = self._idle.pop(index)
             if connection.reusable:
                 return connection
             connection.close()
--- a/lynxscale/dataplane/forwarding.py
+++ b/lynxscale/dataplane/forwarding.py
@@ -21,6 +21,7 @@
 from lynxscale.dataplane.responses import BAD_GATEWAY, GATEWAY_TIMEOUT, SERVICE_UNAVAILABLE, relay_response
 from lynxscale.dataplane.routing import Route, RouteTable
 from lynxscale.dataplane.turns import Turn, TurnClient
+from lynxscale.runtime.http_client import ClientConnection
 from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head, Request, Response
 
@@ -59,6 +60,7 @@
         self._sends = 0
         self._executions = 0
         self._attempted: set[str] = set()  # ids of the endpoints that it was sent to
+        self._carriers: set[ClientConnection] = set()  # the connections that it was sent on
         self._turn = context.turns.create_turn(request, route)
         self._response = ResponseStream(responder, route)
         self._queue_wait_timer: Timer | None = None
@@ -135,7 +137,9 @@
         if self.state is not RequestState.STREAMING:
             self._transition(RequestState.SENT)
         request = attrs.evolve(self._request, head=Head(fields))
-        self._attempt = Attempt(endpoint, request, self, self._clock, self._demand.max_tokens)
+        connection = endpoint.connections.acquire(excluded=self._carriers)
+        self._carriers.add(connection)
+        self._attempt = Attempt(endpoint, connection, request, self, self._clock, self._demand.max_tokens)
         if retry_policy.may_restart(self._route, self._executions):
             restart_timeout_ms = endpoint.sample.restart_timeout_ms
             if restart_timeout_ms < self._remaining_ms:
--- a/tests/dataplane/test_connection_pool.py
+++ b/tests/dataplane/test_connection_pool.py
@@ -46,3 +46,12 @@
     assert not pool.has_idle
     world.run(world.time + 0.01)
     assert connection.state is ClientState.CLOSED
+
+
+def test_an_excluded_connection_stays_idle_and_the_next_one_is_used():
+    _, pool, (first, second) = pool_with_connections(2)
+    pool._release(first)
+    pool._release(second)
+    assert pool.acquire(excluded={second}) is first
+    assert pool.acquire(excluded={first, second}) not in (first, second)
+    assert pool.acquire() is second
--- a/tests/lab/test_mutations.py
+++ b/tests/lab/test_mutations.py
@@ -24,6 +24,7 @@
     "snapshot_mixes_two_positions",
     "batches_between_chunks_are_lost",
     "timed_out_connect_counts_as_unsent",
+    "request_is_sent_again_on_its_connection",
     "response_without_id_is_accepted",
     "foreign_rejection_is_accepted",
 )
