SIGHUP during the start no longer ends a process

Operators saw nothing yet: found by a probe that sends SIGHUP to a relay a moment after its start, as signals that come in series do.

Cause: the programs install their handler of SIGHUP when everything else is up; until then the default action ends the process. asyncio restores the default action when its loop closes, too.

Evidence (trial): a relay that got SIGHUP 10, 20, 30 or 50 ms after its start was gone, with exit status -1; at 80 ms and later it lived. Each import adds to this time; where a core is shared it is several times longer.

Change: SIGHUP is blocked first of all, before the program's modules are imported, and unblocked where its handler is in place: a signal in between stays pending and is handled then. It is blocked again as the program ends. The same on the relay in service. The process of each plane stands in `process.py`, so that `__main__.py` imports next to nothing.

--- a/lab/tier/data_plane_mutations.py
+++ b/lab/tier/data_plane_mutations.py
@@ -23,7 +23,7 @@
 STREAM = "lynxscale.dataplane.response_stream"
 RETRIES = "lynxscale.dataplane.retry_policy"
 POOL = "lynxscale.dataplane.connection_pool"
-SHUTDOWN = "lynxscale.dataplane.__main__"
+SHUTDOWN = "lynxscale.dataplane.process"
 
 FAULTS = "tests/dataplane/test_request_faults.py::"
 STATE = "tests/dataplane/test_endpoint_state.py::"
--- a/lynxscale/__main__.py
+++ b/lynxscale/__main__.py
@@ -4,6 +4,8 @@
 import sys
 import time
 
+from lynxscale.runtime.reload_signal import hold_reload_signal
+
 
 def main() -> None:
     """Run the command that the arguments name; without arguments run the relay, as the platform starts it."""
@@ -12,6 +14,7 @@
         from lynxscale.cli import main as command_line
 
         command_line()
+    hold_reload_signal()  # before the import, which takes most of the time of a start
     # Imported objects are never freed, so collecting garbage during the start only costs time: many relays may start at
     # once.
     gc.disable()
--- /dev/null
+++ b/lynxscale/controlplane/process.py
@@ -0,0 +1,73 @@
+"""The process of a control member: ``python -m lynxscale.controlplane``.
+
+SIGTERM starts a graceful shutdown: the member hands over the lease and leaves the group. SIGHUP reloads the settings
+file.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+from random import Random
+
+from lynxscale.controlplane.service import ControlService
+from lynxscale.runtime.clock import LoopClock
+from lynxscale.runtime.durable_files import DurableFiles
+from lynxscale.runtime.http_client import AsyncioDialer
+from lynxscale.runtime.http_server import ServerConnection, ServerLimits
+from lynxscale.runtime.peer_network import PeerNetwork
+from lynxscale.runtime.process import run
+from lynxscale.runtime.reload_signal import reload_signal_handled
+from lynxscale.runtime.settings import Settings
+from lynxscale.runtime.settings_watcher import SettingsWatcher, watch_until
+from lynxscale.runtime.sockets import split_address
+
+log = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 1.0
+SHUTDOWN_MARGIN_S = 1.0  # the process exits this long before the platform kills it
+FLUSH_DELAY_S = 0.05  # lets the last messages be sent before the process exits
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
+async def serve(settings: Settings) -> None:
+    """Serve messages of other nodes and the operator's requests until SIGTERM, then leave the group."""
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    clock = LoopClock(loop)
+    network = PeerNetwork(loop, settings.internal_address)
+    files = DurableFiles(settings.data_dir, network.flush)
+    service = ControlService(settings, clock, network, files, AsyncioDialer(loop, CONNECT_TIMEOUT_S), Random())
+    limits = ServerLimits(body_bytes=MAX_BODY_BYTES)
+    connections: set[ServerConnection] = set()
+    await network.listen(service.receive)
+    if settings.listen.control:
+        host, port = split_address(settings.listen.control)
+        await loop.create_server(
+            lambda: ServerConnection(service.handle_request, limits, clock, connections), host, port
+        )
+    log.info("event=started member=%s state=%s", service.member.member_id, service.member.role.value)
+    watcher = SettingsWatcher(settings, service.settings_changed)
+    with reload_signal_handled(loop, watcher.reload):
+        await watch_until(stopped, watcher)
+        await leave(service, settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
+    log.info("event=ended")
+
+
+async def leave(service: ControlService, timeout_s: float) -> None:
+    """Leave the group; wait until nothing depends on this member any more, at most ``timeout_s`` seconds."""
+    released = asyncio.Event()
+    service.leave(released.set)
+    try:
+        async with asyncio.timeout(max(timeout_s, 0.0)):
+            await released.wait()
+    except TimeoutError:
+        log.warning("event=left_unreleased")
+    await asyncio.sleep(FLUSH_DELAY_S)
+
+
+def main() -> int:
+    """Run a control process until SIGTERM and return its exit code: 2 if its settings are unusable."""
+    return run(serve)
--- /dev/null
+++ b/lynxscale/dataplane/process.py
@@ -0,0 +1,83 @@
+"""The process of a relay: ``python -m lynxscale.dataplane``.
+
+SIGTERM starts a graceful shutdown. SIGHUP reloads the settings file.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+from random import Random
+
+from lynxscale.dataplane.service import RelayService
+from lynxscale.runtime.clock import LoopClock
+from lynxscale.runtime.http_client import AsyncioDialer
+from lynxscale.runtime.http_server import ServerConnection
+from lynxscale.runtime.peer_network import PeerNetwork
+from lynxscale.runtime.process import run
+from lynxscale.runtime.reload_signal import reload_signal_handled
+from lynxscale.runtime.settings import Settings
+from lynxscale.runtime.settings_watcher import SettingsWatcher, watch_until
+from lynxscale.runtime.sockets import split_address
+
+log = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 0.6
+NOT_READY_PERIOD_S = 2.6  # the platform sends new connections until two health checks have failed
+SHUTDOWN_MARGIN_S = 0.8  # the process exits this long before the platform kills it
+DRAIN_POLL_INTERVAL_S = 0.05
+LISTEN_BACKLOG = 512
+
+
+async def serve(settings: Settings) -> None:
+    """Serve until SIGTERM, then drain the requests in flight for at most the grace period, less a margin."""
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    clock = LoopClock(loop)
+    network = PeerNetwork(loop, settings.internal_address)
+    service = RelayService(settings, clock, network, AsyncioDialer(loop, CONNECT_TIMEOUT_S), Random())
+    clients: set[ServerConnection] = set()
+    health_checks: set[ServerConnection] = set()
+    await network.listen(service.receive)
+    host, port = split_address(settings.listen.readiness)
+    await loop.create_server(
+        lambda: ServerConnection(service.handle_readiness, service.limits, clock, health_checks), host, port
+    )
+    host, port = split_address(settings.listen.frontend)
+    server = await loop.create_server(
+        lambda: ServerConnection(service.handle_request, service.limits, clock, clients),
+        host,
+        port,
+        backlog=LISTEN_BACKLOG,
+    )
+    log.info("event=started")
+    watcher = SettingsWatcher(settings, service.settings_changed)
+    with reload_signal_handled(loop, watcher.reload):
+        await watch_until(stopped, watcher)
+        await drain(service, server, clients, loop.time() + settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
+    log.info("event=ended")
+
+
+async def drain(service: RelayService, server: asyncio.Server, clients: set[ServerConnection], deadline: float) -> None:
+    """Close the listener after ``NOT_READY_PERIOD_S``, then idle connections; wait for the requests in flight.
+
+    ``deadline``: the loop time at which the wait ends.
+    """
+    loop = asyncio.get_running_loop()
+    service.stopping = True
+    service.limits.closing = True
+    await asyncio.sleep(NOT_READY_PERIOD_S)
+    server.close()
+    while loop.time() < deadline:
+        for connection in list(clients):
+            connection.close_if_idle()
+        if not any(connection.busy for connection in clients):
+            break
+        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+
+
+def main() -> int:
+    """Run a relay until SIGTERM and return its exit code: 2 if its settings are unusable."""
+    return run(serve)
--- a/lynxscale/relay/daemon.py
+++ b/lynxscale/relay/daemon.py
@@ -35,6 +35,7 @@
 from lynxscale.relay.upstream.group import FILES, SOURCES, Group
 from lynxscale.relay.upstream.verdict_reporter import VerdictReporter
 from lynxscale.relay.wall_clock import unix_clock
+from lynxscale.runtime.reload_signal import release_reload_signal
 
 log = structlog.get_logger()
 
@@ -332,6 +333,7 @@
 
     for number, name in SIGNALS.items():
         signal.signal(number, lambda *_, name=name: on_signal(name))
+    release_reload_signal()
     try:
         conf, product = _read_settings(conf_path)
         logs.configure(product.log)
--- a/tests/dataplane/test_shutdown.py
+++ b/tests/dataplane/test_shutdown.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lynxscale.dataplane import __main__ as program
+from lynxscale.dataplane import process as program
 
 GRACE_S = 8.0
 STEP_S = 0.01
