Histories with endpoints that are full at times and repeat answers late

Streams are checked for their order and their end. Drawn from generators of their own, so the other histories are as they were.

--- a/lab/tier/conditions.py
+++ b/lab/tier/conditions.py
@@ -1,16 +1,19 @@
 """Conditions of a simulated tier, drawn from a seed: disks, links and processors that differ from machine to machine.
 
-``World`` and ``Machine`` apply them. They are drawn from a separate generator, so that they don't change the other
-draws of a history.
+``World`` and ``Machine`` apply them. Endpoints, simulated or on real sockets, may be full for a part of the time,
+repeat earlier answers late and end streams within an event. All are drawn from separate generators, so that they don't
+change the other draws of a history.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from itertools import permutations
 from random import Random
 
 from attrs import frozen
 
+from lab.tier.fakes import FakeEndpoint
 from lab.tier.machine import ProcessorQuota
 from lab.tier.world import Link, World
 
@@ -21,6 +24,9 @@
 LOSSY_LINK_SHARE = 0.25  # share of the links that lose messages
 QUOTA_SHARE_RANGE = (0.35, 0.9)  # share of each period in which a machine runs
 THROTTLED_MACHINE_SHARE = 0.3  # share of the machines with a quota
+FULL_PERIOD_RANGE_S = (0.04, 0.5)  # an endpoint is full in one half of each period
+LATE_ANSWER_SHARE_RANGE = (0.02, 0.5)  # share of the answers that come once more where the next one is due
+INCOMPLETE_STREAM_SHARE = 0.25  # share of the endpoints that end their streams within an event
 
 
 @frozen
@@ -55,3 +61,20 @@
         world.machine(address).sync_s = sync_s
     for address, quota in conditions.quotas.items():
         world.machine(address).quota = quota
+
+
+def crowd_endpoints(endpoints: Iterable[FakeEndpoint], random: Random) -> None:
+    """Let endpoints be full in one half of each period, repeat earlier answers late, and some end streams early."""
+    for endpoint in endpoints:
+        late_share = random.uniform(*LATE_ANSWER_SHARE_RANGE)
+        endpoint.full_period_s = random.uniform(*FULL_PERIOD_RANGE_S)
+        endpoint.repeats_late = lambda share=late_share: random.random() < share
+        endpoint.ends_within_event = random.random() < INCOMPLETE_STREAM_SHARE
+
+
+def relieve_endpoints(endpoints: Iterable[FakeEndpoint]) -> None:
+    """End the conditions of ``crowd_endpoints``."""
+    for endpoint in endpoints:
+        endpoint.full_period_s = 0.0
+        endpoint.repeats_late = lambda: False
+        endpoint.ends_within_event = False
--- a/lab/tier/histories.py
+++ b/lab/tier/histories.py
@@ -17,7 +17,7 @@
 import msgspec
 from attrs import frozen
 
-from lab.tier.conditions import apply_conditions, draw_conditions
+from lab.tier.conditions import apply_conditions, crowd_endpoints, draw_conditions, relieve_endpoints
 from lab.tier.fakes import ClientResponse, send_request
 from lab.tier.fault_injection import FaultInjector, internal_address
 from lab.tier.history_checker import MAX_TOKENS, Observations, ObservedChange, ObservedRead, ObservedTurn, check_history
@@ -37,6 +37,9 @@
 RECOVERY_S = 6.0
 """Time without faults at the end of a history, before the state is checked."""
 WATCH_INTERVAL_S = 0.02
+CROWD_INTERVAL_RANGE_S = (0.01, 0.06)
+"""Time between two requests of the crowd, in histories with crowded endpoints."""
+CROWD_PATHS = ("/book/1", "/book/1", "/look/1", "/open/stream")
 READ_INTERVAL_RANGE_S = (0.05, 0.4)
 """Time between two reads of the configuration."""
 DRAIN_TIMEOUT_S = 3.0
@@ -47,8 +50,10 @@
 class History:
     """One history: random actions of clients and an operator, and random faults."""
 
-    def __init__(self, seed: int, varied: bool = False) -> None:
-        """``varied``: disks, links and processors differ between machines, see ``conditions``."""
+    def __init__(self, seed: int, varied: bool = False, crowded: bool = False) -> None:
+        """``varied``: disks, links and processors differ between machines; ``crowded``: many calls meet endpoints that
+        are full for a part of the time and repeat answers late; see ``conditions``.
+        """
         self.seed = seed
         self.world = World(seed, loss=LOSS_PROBABILITY)
         self.random = self.world.random
@@ -64,6 +69,7 @@
         self.changes: list[ObservedChange] = [ObservedChange(0, default_configuration())]
         self.broken: Counter[str] = Counter()
         self.reads: list[ObservedRead] = []
+        self.streams: list[ClientResponse] = []
         self._read_random = Random(f"reads {seed}")  # separate, so that reads do not change the other draws
         self._faults = FaultInjector(self.tier)
         self._generations: dict[RelayService, int] = {}  # version of the configuration when last checked
@@ -71,6 +77,11 @@
         self._number = 0
         self._watch_invariants()
         self._read()
+        self._crowded = crowded
+        self._crowd_random = Random(f"crowd {seed}")
+        if crowded:
+            crowd_endpoints(self.tier.endpoints.values(), self._crowd_random)
+            self._send_of_crowd()
 
     def play(self) -> Counter[str]:
         """Run the history and check it. Returns how often each rule was broken."""
@@ -80,8 +91,11 @@
             self.world.run(self.world.time + self.random.uniform(*PAUSE_RANGE_S))
         self._faults.repair()
         self.world.loss = 0.0
+        self._crowded = False
+        relieve_endpoints(self.tier.endpoints.values())
         self.world.run(self.world.time + RECOVERY_S)
-        self.broken += check_history(self.tier, Observations(self.turns, self.calls, self.changes, self.reads))
+        observations = Observations(self.turns, self.calls, self.changes, self.reads, self.streams)
+        self.broken += check_history(self.tier, observations)
         return self.broken
 
     def _watch_invariants(self) -> None:
@@ -129,6 +143,19 @@
         response, _ = self.tier.start_request(path, self._relay(), request_id=name)
         self.calls.append((f"{path} {name}", response))
 
+    def _send_of_crowd(self) -> None:
+        """Send a call or a stream to a random relay, and schedule the next one."""
+        if not self._crowded:
+            return
+        path, relay = self._crowd_random.choice(CROWD_PATHS), self._crowd_random.choice(self.tier.relay_hosts)
+        name = self._name("m")
+        response, _ = self.tier.start_request(path, relay, request_id=name)
+        if path == "/open/stream":
+            self.streams.append(response)
+        else:
+            self.calls.append((f"{path} {name}", response))
+        self.world.call_at(self.world.time + self._crowd_random.uniform(*CROWD_INTERVAL_RANGE_S), self._send_of_crowd)
+
     def _change(self) -> None:
         if self.random.random() < RETRY_PROBABILITY:
             change = self.random.choice(self.changes)
@@ -183,7 +210,9 @@
         )
 
 
-def play_range(first: int, last: int, varied: bool, on_breach: Callable[[int, Counter[str]], None]) -> Tally:
+def play_range(
+    first: int, last: int, varied: bool, on_breach: Callable[[int, Counter[str]], None], crowded: bool = False
+) -> Tally:
     """Play the histories of a range of seeds. A history that ends early with an AssertionError counts as a breach."""
     started_at = time.monotonic()
     broken: dict[int, Counter[str]] = {}
@@ -191,7 +220,7 @@
     for seed in range(first, last + 1):
         played += 1
         try:
-            history = History(seed, varied)
+            history = History(seed, varied, crowded)
             rules = history.play()
         except AssertionError as error:
             rules = Counter({f"ended: {error}": 1})
@@ -210,6 +239,7 @@
     parser.add_argument("first", type=int)
     parser.add_argument("last", type=int)
     parser.add_argument("--varied", action="store_true", help="disks, links and processors differ between machines")
+    parser.add_argument("--crowded", action="store_true", help="endpoints are full at times and repeat answers late")
     options = parser.parse_args()
     logging.disable(logging.CRITICAL)
     tally = play_range(
@@ -217,6 +247,7 @@
         options.last,
         options.varied,
         lambda seed, rules: print(f"seed {seed}: {dict(rules)}", flush=True),
+        options.crowded,
     )
     print(f"seeds {options.first} to {options.last}: {tally}", flush=True)
     return int(bool(tally.broken))
--- a/lab/tier/history_checker.py
+++ b/lab/tier/history_checker.py
@@ -66,12 +66,13 @@
 
 @dataclass(frozen=True)
 class Observations:
-    """All external observations: turns, calls by path and id, configuration changes and reads."""
+    """All external observations: turns, calls by path and id, configuration changes, reads and resumable streams."""
 
     turns: list[ObservedTurn]
     calls: list[tuple[str, ClientResponse]]
     changes: list[ObservedChange]
     reads: list[ObservedRead] = field(default_factory=list)
+    streams: list[ClientResponse] = field(default_factory=list)
 
 
 def check_history(tier: SimulatedTier, observations: Observations) -> Counter[str]:
@@ -100,6 +101,7 @@
         executed = self._executions_by_request()
         self._check_calls(executed)
         self._check_turns(executed)
+        self._check_streams()
         self._check_budgets()
         self._check_changes()
         self._check_register()
@@ -134,6 +136,13 @@
             if response.status == 404:
                 self.broken["denied"] += 1
 
+    def _check_streams(self) -> None:
+        for response in self.observations.streams:
+            if response.status == 200 and not COMPLETE_STREAM.startswith(response.body):
+                self.broken["order"] += 1
+            if response.status == 200 and response.complete and response.body != COMPLETE_STREAM:
+                self.broken["cut_short"] += 1
+
     def _check_turns(self, executed: dict[str, list[Request]]) -> None:
         complete = {
             turn.request_id: turn
