Simulator: an event at the beginning of a period does not overtake earlier ones

Cause, in the laboratory: events of a process that has used up its share are postponed to the beginning of the next period, plus a microsecond against rounding. An event that was due within this microsecond was not postponed and came first. A relay that had read a request at such a beginning got the last event of its stream in a pause and the end of the stream exactly one period after the request, so the end overtook the event.

No such order is possible on one connection.

Change: each period begins after the microsecond, for every event.

--- a/lab/tier/machine.py
+++ b/lab/tier/machine.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from lab.tier.world import World
 
-QUOTA_MARGIN_S = 1e-6  # keeps a postponed event out of the period that it was postponed from, in spite of rounding
+QUOTA_MARGIN_S = 1e-6  # each period begins later by this: a postponed event is in the next period, in spite of rounding
 START_UNIX_TIME_S = 1_800_000_000.0
 """Unix time at the start of a simulation, in seconds."""
 
@@ -52,10 +52,16 @@
         """The earliest time, not before ``time``, at which the process runs."""
         periods = time / self.period_s - self.phase
         current_period = floor(periods)
+        begin = self._begin(current_period)
+        if time < begin:
+            return begin  # otherwise it would overtake the events that are postponed until then
         if periods - current_period < self.share:
             return time
-        # Bit for bit the same result for all events postponed within this period, so that they keep their order.
-        return (current_period + 1 + self.phase) * self.period_s + QUOTA_MARGIN_S
+        return self._begin(current_period + 1)
+
+    def _begin(self, period: int) -> float:
+        """When the process begins to run in a period: bit for bit the same for all events, so they keep their order."""
+        return (period + self.phase) * self.period_s + QUOTA_MARGIN_S
 
 
 class Machine:
--- a/tests/lab/test_machine.py
+++ b/tests/lab/test_machine.py
@@ -27,6 +27,18 @@
     assert order == list(range(3000))
 
 
+def test_an_event_at_the_beginning_of_a_period_does_not_overtake_those_postponed_until_then():
+    """Guards against a lost event of a stream in crowded history 477: its end arrived exactly one period later."""
+    world = World(1)
+    machine = world.machine("a:1")
+    machine.quota = ProcessorQuota(0.3)
+    order: list[str] = []
+    for time in (0.05, 0.1):
+        world.call_at(time, lambda time=time: order.append(f"{time}"), machine)
+    world.run(1.0)
+    assert order == ["0.05", "0.1"]
+
+
 def test_a_link_has_its_own_delay_loss_and_bandwidth_in_each_direction():
     world = World(1, loss=0.001)
     arrivals: dict[str, list[float]] = {"a:1": [], "b:1": []}
