Soak: real relays under signals, against full endpoints that repeat answers late

Change: `python -m lab.tier.soak FIRST LAST` starts a tier of real processes on loopback. Clients keep their connection to a relay and use it until the relay closes it, some after pauses longer than a shutdown keeps idle connections; the load of the upgrade test adds turns, calls and changes of the configuration. Three workers disturb at the same time: SIGHUP in series with changed settings, also while a process starts or stops; SIGTERM with further signals, kills, freezes, restarts. Checked: runs of a request (TWICE), promises (REFUSED), lost requests amid planned work, order and ends of streams, answers of other requests, requests that are never answered, processes that end by themselves or not at all, and all that the upgrade test checks. `--relays`, `--controls`, `--clients` and `--seconds` set the size.

--- a/lab/tier/local.py
+++ b/lab/tier/local.py
@@ -1,6 +1,7 @@
 """A small tier of real processes on loopback; the endpoints and the platform are fakes in this process.
 
-Three control members and two relays run as separate processes, each at its own address in 127.0.0.0/8.
+Three control members and two relays, unless stated otherwise, run as separate processes, each at its own address in
+127.0.0.0/8.
 """
 
 from __future__ import annotations
@@ -33,11 +34,16 @@
 
 @dataclass
 class LocalTier:
-    """The processes of a tier, by name. ``network``: second octet of all addresses; ``port``: first of four ports."""
+    """The processes of a tier, by name. ``network``: second octet of all addresses; ``port``: first of four ports.
+
+    ``controls`` and ``relays``: the numbers of processes.
+    """
 
     folder: Path
     network: int = 77
     port: int = 7300
+    controls: int = CONTROL_COUNT
+    relays: int = RELAY_COUNT
     processes: dict[str, subprocess.Popen] = field(default_factory=dict)
     endpoints: list[FakeEndpoint] = field(default_factory=list)
     platform: FakePlatform | None = None
@@ -64,12 +70,12 @@
     @property
     def control_names(self) -> list[str]:
         """The names of all control members."""
-        return [f"control-{number}" for number in range(1, CONTROL_COUNT + 1)]
+        return [f"control-{number}" for number in range(1, self.controls + 1)]
 
     @property
     def relay_names(self) -> list[str]:
         """The names of all relays."""
-        return [f"relay-{number}" for number in range(1, RELAY_COUNT + 1)]
+        return [f"relay-{number}" for number in range(1, self.relays + 1)]
 
     # Processes ---------------------------------------------------------------------------------------
 
--- /dev/null
+++ b/lab/tier/soak.py
@@ -0,0 +1,203 @@
+"""``python -m lab.tier.soak``: real relays under signals, against endpoints that are full and repeat answers late.
+
+Each run draws from its seed: how full the endpoints are and how often they repeat an answer, whether there are kills
+and freezes beside the planned work, and all disturbances. Clients keep their connections until the relay closes them;
+the load of ``upgrade_load`` adds conversations, further calls and changes of the configuration. A seed repeats what a
+run draws; when it happens depends on the machine. Exit code 1 if a rule was broken.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import socket
+import sys
+import tempfile
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from lab.tier.conditions import crowd_endpoints, relieve_endpoints
+from lab.tier.disturbances import Disturber
+from lab.tier.kept_connections import KeptConnectionClients
+from lab.tier.local import LocalTier
+from lab.tier.soak_rules import SoakChecker
+from lab.tier.upgrade_load import Load
+from lab.tier.upgrade_rules import request_violations
+
+DEFAULT_SECONDS = 15.0
+DEFAULT_RELAYS, DEFAULT_CONTROLS = 4, 3
+CLIENTS = 16
+PAUSE_TIMEOUT_S = 25.0
+PLANNED_ONLY_SHARE = 0.5  # share of the seeds without kills and freezes
+FIRST_NETWORK, LAST_NETWORK = 100, 220  # second octets of loopback addresses
+MAX_PRINTED = 20
+FAULT_LOG_WORDS = ("Traceback", "bad_message", "configuration_unusable", "settings_unusable", "never retrieved")
+
+
+@dataclass(frozen=True)
+class SoakSize:
+    """``seconds``: for how long a run disturbs; ``relays``, ``controls`` and ``clients``: their numbers."""
+
+    seconds: float = DEFAULT_SECONDS
+    relays: int = DEFAULT_RELAYS
+    controls: int = DEFAULT_CONTROLS
+    clients: int = CLIENTS
+
+
+@dataclass(frozen=True)
+class SoakResult:
+    """What one run showed."""
+
+    seed: int
+    violations: list[str]
+    statuses: Counter[int]
+    disturbances: Counter[str]
+    late_answers: int
+    changes: int
+    turns: int
+
+    def __str__(self) -> str:
+        """A summary on one line."""
+        statuses = ", ".join(f"{status or 'none'}: {count}" for status, count in sorted(self.statuses.items()))
+        disturbances = ", ".join(f"{kind} {count}" for kind, count in sorted(self.disturbances.items()))
+        return (
+            f"seed {self.seed}: {len(self.violations)} violations; kept connections {statuses}; {self.turns} turns;"
+            f" {self.late_answers} late answers; {disturbances}; {self.changes} changes"
+        )
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, seed: int, size: SoakSize, folder: Path) -> None:
+        self.seed = seed
+        self._size = size
+        self._folder = folder
+        self._random = Random(f"soak {seed}")
+        self._tier = LocalTier(folder, free_network(self._random), controls=size.controls, relays=size.relays)
+        self._late_answers = 0
+        self._streams_break_off = False
+        planned_only = self._random.random() < PLANNED_ONLY_SHARE
+        self._load = Load(self._tier, Random(f"load {seed}"))
+        self._clients = KeptConnectionClients(self._tier, Random(f"clients {seed}"), size.clients)
+        self._disturber = Disturber(self._tier, Random(f"disturbances {seed}"), planned_only)
+
+    async def run(self) -> SoakResult:
+        """Play the run and check it. Raises TimeoutError if the tier does not become healthy."""
+        violations: list[str] = []
+        try:
+            await self._tier.start()
+            self._crowd()
+            async with asyncio.TaskGroup() as group:
+                self._load.begin(group)
+                self._load.resume()
+                self._clients.begin(group)
+                try:
+                    await self._disturber.run(self._size.seconds)
+                except TimeoutError as error:
+                    violations.append(str(error))
+                self._clients.cancel()
+                relieve_endpoints(self._tier.endpoints)
+                await self._load.pause(PAUSE_TIMEOUT_S)
+                self._load.cancel()
+            violations += self._violations()
+        finally:
+            self._tier.stop()
+        violations += self._log_lines()
+        statuses = Counter(request.status if request.complete else 0 for request in self._clients.requests)
+        return SoakResult(
+            self.seed,
+            violations,
+            statuses,
+            self._disturber.counts,
+            self._late_answers,
+            sum(change.acknowledged for change in self._load.changes),
+            len(self._load.turns),
+        )
+
+    def _crowd(self) -> None:
+        crowd_endpoints(self._tier.endpoints, Random(f"crowd {self.seed}"))
+        self._streams_break_off = any(endpoint.ends_within_event for endpoint in self._tier.endpoints)
+        for endpoint in self._tier.endpoints:
+            endpoint.repeats_late = self._counted(endpoint.repeats_late)
+
+    def _counted(self, repeats_late):  # noqa: ANN001, ANN202
+        def repeats() -> bool:
+            late = repeats_late()
+            self._late_answers += late
+            return late
+
+        return repeats
+
+    def _violations(self) -> list[str]:
+        checker = SoakChecker(
+            self._clients.requests,
+            self._tier.endpoints,
+            self._streams_break_off,
+            self._disturber.log,
+            self._load.stalls,
+        )
+        silent = [f"SILENT {one.request_id} {one.path} at {one.relay}" for one in self._clients.silent]
+        loads = request_violations(self._tier.endpoints, self._load) + self._load.faults
+        return [*self._disturber.faults, *checker.violations(), *silent, *loads]
+
+    def _log_lines(self) -> list[str]:
+        return [
+            f"{path.stem}: {line}"
+            for path in sorted(self._folder.glob("*.log"))
+            for line in path.read_text(errors="replace").splitlines()
+            if any(word in line for word in FAULT_LOG_WORDS)
+        ]
+
+
+def free_network(random: Random) -> int:
+    """The second octet of loopback addresses that no other tier on this machine uses."""
+    networks = list(range(FIRST_NETWORK, LAST_NETWORK + 1))
+    random.shuffle(networks)
+    for network in networks:
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"127.{network}.1.1", LocalTier.port))
+            except OSError:
+                continue
+            return network
+    raise OSError("no free loopback network")
+
+
+def play(seed: int, size: SoakSize) -> SoakResult:
+    """Play one run in a temporary folder."""
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        return asyncio.run(Soak(seed, size, Path(folder)).run())
+
+
+def main() -> int:
+    """Play the runs of a range of seeds. Exit code 1 if a rule was broken."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("first", type=int, help="first seed")
+    parser.add_argument("last", type=int, help="last seed")
+    parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS, help="how long each run disturbs")
+    parser.add_argument("--relays", type=int, default=DEFAULT_RELAYS)
+    parser.add_argument("--controls", type=int, default=DEFAULT_CONTROLS)
+    parser.add_argument("--clients", type=int, default=CLIENTS)
+    options = parser.parse_args()
+    logging.disable(logging.CRITICAL)
+    size = SoakSize(options.seconds, options.relays, options.controls, options.clients)
+    broken = 0
+    started_at = time.monotonic()
+    for seed in range(options.first, options.last + 1):
+        result = play(seed, size)
+        broken += bool(result.violations)
+        print(result, flush=True)
+        for violation in result.violations[:MAX_PRINTED]:
+            print(f"  {violation}", flush=True)
+    count = options.last - options.first + 1
+    print(f"{count} runs, {broken} with violations, {time.monotonic() - started_at:.0f} s", flush=True)
+    return int(broken > 0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
