--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON := .venv/bin/python
 
 .PHONY: build test lint run bench-trace soak-trace bench-list soak-list bench-journal soak-journal soak-upgrade bench-operation \
-	bench-cluster soak-cluster sim-cluster check-cluster soak-rare soak-faults sim-tier demo-tier upgrade-tier \
+	bench-cluster soak-cluster sim-cluster check-cluster soak-rare soak-faults sim-tier soak-tier demo-tier upgrade-tier \
 	bench-turn
 
 build: .venv/ready
@@ -70,6 +70,10 @@
 	seq 1 1250 8751 | xargs -P 8 -I{} sh -c '$(PYTHON) -m lab.tier.histories {} $$(({} + 1249))'
 	$(PYTHON) -m lab.tier.mutations
 
+# Soaks real relays under signals and restarts, against endpoints that are full and repeat answers late: FIRST=1, LAST=50.
+soak-tier: build
+	$(PYTHON) -m lab.tier.soak $(or $(FIRST),1) $(or $(LAST),50)
+
 # Demo: a small tier of real processes on loopback serves programs while its primary is killed.
 demo-tier: build
 	$(PYTHON) -m lab.tier.demo
