--- a/lab/cluster/simulate.py
+++ b/lab/cluster/simulate.py
@@ -80,9 +80,8 @@
 
 DISK_WRITE_US = 200, 8000  # bounds of the duration of one write
 CORE_METHODS = (
-    "due",
     "tick",
-    "heard",
+    "receive",
     "receive_own",
     "message",
     "full_state",
