Tiers of real processes take a free loopback network

Cause: the process tests and the upgrade test used fixed addresses, so two runs on one machine collided (listed in the roadmap).

Change: `free_network` stands beside `LocalTier`; the tests, the soak and the rolling upgrade use it.

--- a/lab/tier/local.py
+++ b/lab/tier/local.py
@@ -9,11 +9,13 @@
 import asyncio
 import os
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import Random
 
 import msgspec
 
@@ -27,7 +29,9 @@
 from lynxscale.runtime.sockets import split_address
 
 CONTROL_COUNT, RELAY_COUNT = 3, 2
+FIRST_PORT = 7300
 ENDPOINT_PORT = 7399
+FIRST_NETWORK, LAST_NETWORK = 100, 220  # second octets of loopback addresses
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 
@@ -41,7 +45,7 @@
 
     folder: Path
     network: int = 77
-    port: int = 7300
+    port: int = FIRST_PORT
     controls: int = CONTROL_COUNT
     relays: int = RELAY_COUNT
     processes: dict[str, subprocess.Popen] = field(default_factory=dict)
@@ -188,3 +192,17 @@
                     if response.status == 200 and msgspec.json.decode(response.body)["leads"]:
                         return name
                 await asyncio.sleep(0.1)
+
+
+def free_network(random: Random) -> int:
+    """The second octet of loopback addresses that no other tier on this machine uses."""
+    networks = list(range(FIRST_NETWORK, LAST_NETWORK + 1))
+    random.shuffle(networks)
+    for network in networks:
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"127.{network}.1.1", FIRST_PORT))
+            except OSError:
+                continue
+            return network
+    raise OSError("no free loopback network")
--- a/lab/tier/rolling_upgrade.py
+++ b/lab/tier/rolling_upgrade.py
@@ -25,12 +25,11 @@
 
 import msgspec
 
-from lab.tier.local import LocalTier
+from lab.tier.local import LocalTier, free_network
 from lab.tier.upgrade_load import BUDGET_SPENT_STATUS, LARGE_BUDGET, Conversation, Load, wait_until
 from lab.tier.upgrade_rules import failures, request_violations, stored_state_violations
 
 THIS_CHECKOUT = Path(__file__).resolve().parents[2]
-NETWORK = 91
 SEED_LIMIT = 1_000_000
 EXIT_TIMEOUT_S = 10.0  # longer than the setting grace-s, 8 s
 HEALTHY_TIMEOUT_S = 20.0
@@ -474,7 +473,9 @@
     parser.add_argument("other", type=Path, help="the checkout that is upgraded from")
     parser.add_argument("--seed", type=int, default=None, help="seed of the load and of the order of processes")
     parser.add_argument("--python", default="", help="the interpreter of the other checkout")
-    parser.add_argument("--network", type=int, default=NETWORK, help="second octet of all addresses")
+    parser.add_argument(
+        "--network", type=int, default=None, help="second octet of all addresses; a free one by default"
+    )
     options = parser.parse_args()
     seed = SystemRandom().randrange(SEED_LIMIT) if options.seed is None else options.seed
     other = options.other.resolve()
@@ -487,7 +488,8 @@
         if program_folder(checkout, folder / "bytecode") != str(checkout.path):
             print(f"the {checkout.label} version would not be started from its checkout")
             return 1
-    upgrade = Upgrade(UpgradeTier(folder, options.network, old), old, new, Random(seed))
+    network = free_network(Random()) if options.network is None else options.network
+    upgrade = Upgrade(UpgradeTier(folder, network, old), old, new, Random(seed))
     asyncio.run(run_until_sigterm(run(upgrade, upgrade_and_back)))
     print(upgrade.report())
     if upgrade.reasons:
--- a/lab/tier/soak.py
+++ b/lab/tier/soak.py
@@ -11,11 +11,11 @@
 import argparse
 import asyncio
 import logging
-import socket
 import sys
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -23,7 +23,7 @@
 from lab.tier.conditions import crowd_endpoints, relieve_endpoints
 from lab.tier.disturbances import Disturber
 from lab.tier.kept_connections import KeptConnectionClients
-from lab.tier.local import LocalTier
+from lab.tier.local import LocalTier, free_network
 from lab.tier.soak_rules import SoakChecker
 from lab.tier.upgrade_load import Load
 from lab.tier.upgrade_rules import request_violations
@@ -33,7 +33,6 @@
 CLIENTS = 16
 PAUSE_TIMEOUT_S = 25.0
 PLANNED_ONLY_SHARE = 0.5  # share of the seeds without kills and freezes
-FIRST_NETWORK, LAST_NETWORK = 100, 220  # second octets of loopback addresses
 MAX_PRINTED = 20
 FAULT_LOG_WORDS = ("Traceback", "bad_message", "configuration_unusable", "settings_unusable", "never retrieved")
 
@@ -125,7 +124,9 @@
         for endpoint in self._tier.endpoints:
             endpoint.repeats_late = self._counted(endpoint.repeats_late)
 
-    def _counted(self, repeats_late):  # noqa: ANN001, ANN202
+    def _counted(self, repeats_late: Callable[[], bool]) -> Callable[[], bool]:
+        """The same decisions, counted."""
+
         def repeats() -> bool:
             late = repeats_late()
             self._late_answers += late
@@ -154,20 +155,6 @@
         ]
 
 
-def free_network(random: Random) -> int:
-    """The second octet of loopback addresses that no other tier on this machine uses."""
-    networks = list(range(FIRST_NETWORK, LAST_NETWORK + 1))
-    random.shuffle(networks)
-    for network in networks:
-        with socket.socket() as probe:
-            try:
-                probe.bind((f"127.{network}.1.1", LocalTier.port))
-            except OSError:
-                continue
-            return network
-    raise OSError("no free loopback network")
-
-
 def play(seed: int, size: SoakSize) -> SoakResult:
     """Play one run in a temporary folder."""
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
--- a/tests/runtime/test_processes.py
+++ b/tests/runtime/test_processes.py
@@ -6,14 +6,14 @@
 import tempfile
 import time
 from pathlib import Path
+from random import Random
 
 import msgspec
 
-from lab.tier.local import LocalTier
+from lab.tier.local import LocalTier, free_network
 from lab.tier.simulated_tier import default_configuration
 from tests.programs import controlplane_cli, dataplane_cli, run_module
 
-NETWORK = 83  # second number of the loopback addresses
 RETRY_TIMEOUT_S = 15.0
 
 
@@ -40,7 +40,7 @@
 def test_a_tier_of_processes_from_first_start_to_graceful_shutdown():
     folder = Path(tempfile.mkdtemp(prefix="tier-"))
     try:
-        asyncio.run(check_tier(LocalTier(folder, NETWORK), folder))
+        asyncio.run(check_tier(LocalTier(folder, free_network(Random())), folder))
     finally:
         shutil.rmtree(folder)
 
@@ -84,7 +84,7 @@
     assert json.loads(reported.stdout)["configuration"] == 1
     reported = await run_in_thread(dataplane_cli, "status", tier.readiness("relay-1"))
     assert "relay          127" in reported.stdout and "ready" in reported.stdout
-    unreachable = await run_in_thread(dataplane_cli, "status", f"127.{NETWORK}.9.9:1")
+    unreachable = await run_in_thread(dataplane_cli, "status", f"127.{tier.network}.9.9:1")
     assert unreachable.returncode == 2 and "not_connected" in unreachable.stderr
 
 
--- a/tests/test_rolling_upgrade.py
+++ b/tests/test_rolling_upgrade.py
@@ -4,11 +4,11 @@
 import sys
 from random import Random
 
+from lab.tier.local import free_network
 from lab.tier.rolling_upgrade import THIS_CHECKOUT, Checkout, Upgrade, UpgradeTier, run
 from lab.tier.upgrade_load import ClientResult, Load
 from lab.tier.upgrade_rules import failures, request_violations, stored_state_violations
 
-NETWORK = 92
 SEED = 1
 
 
@@ -24,7 +24,7 @@
 def test_a_backup_and_a_relay_are_replaced_under_load(tmp_path):
     print(f"seed {SEED}")
     old, new = (Checkout(label, THIS_CHECKOUT, sys.executable) for label in ("old", "new"))
-    upgrade = Upgrade(UpgradeTier(tmp_path, NETWORK, old), old, new, Random(SEED))
+    upgrade = Upgrade(UpgradeTier(tmp_path, free_network(Random()), old), old, new, Random(SEED))
     asyncio.run(run(upgrade, replace_a_backup_and_a_relay))
     print(upgrade.report())
     assert upgrade.reasons == []
