Mutations of the data plane: a module for each area

Change: a package with a module for admission and queueing, the choice of an endpoint, attempts and restarts, streams and commits, and ends; the command is its __main__.

--- /dev/null
+++ b/lab/tier/data_plane_mutations/streams.py
@@ -0,0 +1,86 @@
+"""Mutations of streams and commits of turns."""
+
+from __future__ import annotations
+
+from lab.tier.data_plane_mutations.names import FAULTS, FORWARDING, STREAM, TURNS
+from lab.tier.source_mutation import SourceMutation
+
+STREAMS = (
+    SourceMutation(
+        "partial_event_is_continued_by_another_endpoint",
+        STREAM,
+        "        self.events.discard_partial()\n",
+        "",
+        FAULTS + "test_a_stream_that_ends_within_an_event_is_resumed_or_aborted",
+    ),
+    SourceMutation(
+        "stream_that_ends_within_an_event_is_complete",
+        FORWARDING,
+        "            if self._response.events.within_event:\n"
+        "                self._attempt_broken()\n"
+        "            else:\n"
+        "                self._stream_complete()\n",
+        "            self._stream_complete()\n",
+        FAULTS + "test_a_stream_that_ends_within_an_event_is_resumed_or_aborted",
+    ),
+    SourceMutation(
+        "stream_that_cannot_continue_hangs",
+        FORWARDING,
+        "        if endpoint is None or self._remaining_ms < retry_policy.MIN_REMAINING_MS:\n"
+        "            self._abort()\n",
+        "        if endpoint is None or self._remaining_ms < retry_policy.MIN_REMAINING_MS:\n            pass\n",
+        FAULTS + "test_a_stream_that_no_endpoint_can_continue_is_aborted_at_once",
+    ),
+    SourceMutation(
+        "broken_stream_that_is_not_resumable_hangs",
+        FORWARDING,
+        "        elif self.state is RequestState.STREAMING:\n            self._abort()\n",
+        "        elif self.state is RequestState.STREAMING:\n            pass\n",
+        FAULTS + "test_a_stream_that_cannot_be_resumed_is_aborted_as_it_breaks_and_its_turn_is_closed",
+    ),
+    SourceMutation(
+        "stream_without_events_has_no_head",
+        FORWARDING,
+        "        if self.state is RequestState.SENT:\n"
+        "            self._response.start()\n        if self._turn is None",
+        "        if self._turn is None",
+        FAULTS + "test_a_stream_without_events_is_complete_and_empty",
+    ),
+)
+COMMITS = (
+    SourceMutation(
+        "every_turn_with_a_budget_is_retained",
+        FORWARDING,
+        "if self._turn is None or not self._route.retained:",
+        "if self._turn is None:",
+        FAULTS + "test_a_turn_without_retention_retains_nothing",
+    ),
+    SourceMutation(
+        "turn_that_is_not_committed_looks_complete",
+        FORWARDING,
+        "        if self.state is RequestState.COMMITTING:\n            self._abort()\n",
+        "        if self.state is RequestState.COMMITTING:\n            self._end_stream()\n",
+        FAULTS + "test_a_turn_that_no_primary_commits_in_time_is_aborted",
+    ),
+    SourceMutation(
+        "commit_without_reply_is_not_noticed",
+        TURNS,
+        "                listener.on_commit_timeout()\n",
+        "",
+        FAULTS + "test_a_turn_that_no_primary_commits_in_time_is_aborted",
+    ),
+    SourceMutation(
+        "committed_turn_is_closed_too",
+        TURNS,
+        "        self._closed = True\n        content = self._input + output",
+        "        content = self._input + output",
+        FAULTS + "test_a_committed_turn_is_ended_once",
+    ),
+    SourceMutation(
+        "turn_is_not_closed_at_its_end",
+        FORWARDING,
+        "            self._close_turn()\n",
+        "",
+        FAULTS + "test_a_budget_without_retention_is_charged_with_what_was_generated",
+    ),
+)
