--- a/lab/tier/conditions.py
+++ b/lab/tier/conditions.py
@@ -63,7 +63,7 @@
         world.machine(address).quota = quota
 
 
-def crowd_endpoints(endpoints: Iterable[FakeEndpoint], random: Random) -> None:
+def overload_endpoints(endpoints: Iterable[FakeEndpoint], random: Random) -> None:
     """Let endpoints be full in one half of each period, repeat earlier answers late, and some end streams early."""
     for endpoint in endpoints:
         late_share = random.uniform(*LATE_ANSWER_SHARE_RANGE)
@@ -73,7 +73,7 @@
 
 
 def relieve_endpoints(endpoints: Iterable[FakeEndpoint]) -> None:
-    """End the conditions of ``crowd_endpoints``."""
+    """End the conditions of ``overload_endpoints``."""
     for endpoint in endpoints:
         endpoint.full_period_s = 0.0
         endpoint.repeats_late = lambda: False
--- a/lab/tier/disturbances.py
+++ b/lab/tier/disturbances.py
@@ -24,13 +24,13 @@
 from lab.tier.upgrade_load import wait_until
 
 WORKERS = 3
-PAUSE_RANGE_S = (0.0, 0.8)  # between two disturbances of a worker
+PAUSE_RANGE_S = (0.0, 0.8)  # time between two disturbances of a worker
 EXIT_TIMEOUT_S = 9.0  # the setting grace-s is 8 s; the rest is for a busy machine
 START_TIMEOUT_S = 25.0
 FREEZE_RANGE_S = (0.1, 2.0)
-MAX_SIGNALS = 5  # of one series
+MAX_SIGNALS = 5  # number of signals in one series
 SERIES_GAP_S = 0.05  # longest time between two signals of a series
-OVERLAP_RANGE_S = (0.0, 3.0)  # after SIGTERM: when the next signal comes
+OVERLAP_RANGE_S = (0.0, 3.0)  # time after SIGTERM within which further signals are sent
 DOWN_RANGE_S = (0.0, 0.5)
 WATCH_INTERVAL_S = 0.02
 PLANNED = ("reload", "restart")
--- a/lab/tier/histories.py
+++ b/lab/tier/histories.py
@@ -17,7 +17,7 @@
 import msgspec
 from attrs import frozen
 
-from lab.tier.conditions import apply_conditions, crowd_endpoints, draw_conditions, relieve_endpoints
+from lab.tier.conditions import apply_conditions, draw_conditions, overload_endpoints, relieve_endpoints
 from lab.tier.fakes import ClientResponse, send_request
 from lab.tier.fault_injection import FaultInjector, internal_address
 from lab.tier.history_checker import MAX_TOKENS, Observations, ObservedChange, ObservedRead, ObservedTurn, check_history
@@ -37,9 +37,9 @@
 RECOVERY_S = 6.0
 """Time without faults at the end of a history, before the state is checked."""
 WATCH_INTERVAL_S = 0.02
-CROWD_INTERVAL_RANGE_S = (0.01, 0.06)
-"""Time between two requests of the crowd, in histories with crowded endpoints."""
-CROWD_PATHS = ("/book/1", "/book/1", "/look/1", "/open/stream")
+OVERLOAD_INTERVAL_RANGE_S = (0.01, 0.06)
+"""Time between two additional requests in histories with overloaded endpoints."""
+OVERLOAD_PATHS = ("/book/1", "/book/1", "/look/1", "/open/stream")
 READ_INTERVAL_RANGE_S = (0.05, 0.4)
 """Time between two reads of the configuration."""
 DRAIN_TIMEOUT_S = 3.0
@@ -50,9 +50,11 @@
 class History:
     """One history: random actions of clients and an operator, and random faults."""
 
-    def __init__(self, seed: int, varied: bool = False, crowded: bool = False) -> None:
-        """``varied``: disks, links and processors differ between machines; ``crowded``: many calls meet endpoints that
-        are full for a part of the time and repeat answers late; see ``conditions``.
+    def __init__(self, seed: int, varied: bool = False, overloaded: bool = False) -> None:
+        """Start a tier under the conditions of a seed, see ``conditions``.
+
+        ``varied``: disks, links and processors differ between machines. ``overloaded``: endpoints are full for a part
+        of the time and repeat answers late, and clients send many calls and streams.
         """
         self.seed = seed
         self.world = World(seed, loss=LOSS_PROBABILITY)
@@ -77,11 +79,11 @@
         self._number = 0
         self._watch_invariants()
         self._read()
-        self._crowded = crowded
-        self._crowd_random = Random(f"crowd {seed}")
-        if crowded:
-            crowd_endpoints(self.tier.endpoints.values(), self._crowd_random)
-            self._send_of_crowd()
+        self._overloaded = overloaded
+        self._overload_random = Random(f"crowd {seed}")
+        if overloaded:
+            overload_endpoints(self.tier.endpoints.values(), self._overload_random)
+            self._send_overload()
 
     def play(self) -> Counter[str]:
         """Run the history and check it. Returns how often each rule was broken."""
@@ -91,7 +93,7 @@
             self.world.run(self.world.time + self.random.uniform(*PAUSE_RANGE_S))
         self._faults.repair()
         self.world.loss = 0.0
-        self._crowded = False
+        self._overloaded = False
         relieve_endpoints(self.tier.endpoints.values())
         self.world.run(self.world.time + RECOVERY_S)
         observations = Observations(self.turns, self.calls, self.changes, self.reads, self.streams)
@@ -143,18 +145,19 @@
         response, _ = self.tier.start_request(path, self._relay(), request_id=name)
         self.calls.append((f"{path} {name}", response))
 
-    def _send_of_crowd(self) -> None:
+    def _send_overload(self) -> None:
         """Send a call or a stream to a random relay, and schedule the next one."""
-        if not self._crowded:
+        if not self._overloaded:
             return
-        path, relay = self._crowd_random.choice(CROWD_PATHS), self._crowd_random.choice(self.tier.relay_hosts)
+        path, relay = self._overload_random.choice(OVERLOAD_PATHS), self._overload_random.choice(self.tier.relay_hosts)
         name = self._name("m")
         response, _ = self.tier.start_request(path, relay, request_id=name)
         if path == "/open/stream":
             self.streams.append(response)
         else:
             self.calls.append((f"{path} {name}", response))
-        self.world.call_at(self.world.time + self._crowd_random.uniform(*CROWD_INTERVAL_RANGE_S), self._send_of_crowd)
+        interval_s = self._overload_random.uniform(*OVERLOAD_INTERVAL_RANGE_S)
+        self.world.call_at(self.world.time + interval_s, self._send_overload)
 
     def _change(self) -> None:
         if self.random.random() < RETRY_PROBABILITY:
@@ -211,7 +214,7 @@
 
 
 def play_range(
-    first: int, last: int, varied: bool, on_breach: Callable[[int, Counter[str]], None], crowded: bool = False
+    first: int, last: int, varied: bool, on_breach: Callable[[int, Counter[str]], None], overloaded: bool = False
 ) -> Tally:
     """Play the histories of a range of seeds. A history that ends early with an AssertionError counts as a breach."""
     started_at = time.monotonic()
@@ -220,7 +223,7 @@
     for seed in range(first, last + 1):
         played += 1
         try:
-            history = History(seed, varied, crowded)
+            history = History(seed, varied, overloaded)
             rules = history.play()
         except AssertionError as error:
             rules = Counter({f"ended: {error}": 1})
@@ -239,7 +242,7 @@
     parser.add_argument("first", type=int)
     parser.add_argument("last", type=int)
     parser.add_argument("--varied", action="store_true", help="disks, links and processors differ between machines")
-    parser.add_argument("--crowded", action="store_true", help="endpoints are full at times and repeat answers late")
+    parser.add_argument("--overloaded", action="store_true", help="endpoints are full at times and repeat answers late")
     options = parser.parse_args()
     logging.disable(logging.CRITICAL)
     tally = play_range(
@@ -247,7 +250,7 @@
         options.last,
         options.varied,
         lambda seed, rules: print(f"seed {seed}: {dict(rules)}", flush=True),
-        options.crowded,
+        options.overloaded,
     )
     print(f"seeds {options.first} to {options.last}: {tally}", flush=True)
     return int(bool(tally.broken))
--- a/lab/tier/kept_connections.py
+++ b/lab/tier/persistent_clients.py
@@ -16,7 +16,7 @@
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_PAUSE_S = 0.05
 DEADLINE_MS = 2000
-SILENCE_S = 3.0  # beyond the deadline: a request without an answer by then counts as never answered
+ANSWER_SLACK_S = 3.0  # a request without an answer this long after its deadline counts as never answered
 SHORT_PAUSE_S = 0.06  # longest usual pause between two requests of a client
 LONG_PAUSE_S = 5.0  # longer than the time for which a relay that stops keeps idle connections
 LONG_PAUSE_SHARE = 0.08
@@ -24,8 +24,8 @@
 
 
 @dataclass
-class KeptRequest:
-    """One request on a kept connection, as its client observed it. Implements ResponseReceiver; times in seconds.
+class PersistentRequest:
+    """One request on a persistent connection, as its client observed it. Implements ResponseReceiver; times in seconds.
 
     ``number_on_connection``: how many requests the connection carried before. ``failure``: why there is no complete
     response.
@@ -72,12 +72,12 @@
         self.ended.set()
 
 
-class KeptConnectionClients:
-    """A number of such clients. ``requests``: all requests that ended; ``silent``: those that were never answered."""
+class PersistentClients:
+    """Clients with persistent connections. ``requests``: those that ended; ``unanswered``: the others."""
 
     def __init__(self, tier: LocalTier, random: Random, clients: int) -> None:
-        self.requests: list[KeptRequest] = []
-        self.silent: list[KeptRequest] = []
+        self.requests: list[PersistentRequest] = []
+        self.unanswered: list[PersistentRequest] = []
         self._tier = tier
         self._random = random
         self._clients = clients
@@ -107,15 +107,15 @@
                 connection.close()
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
-    async def _use(self, connection: ClientConnection, relay: str, request: KeptRequest) -> None:
+    async def _use(self, connection: ClientConnection, relay: str, request: PersistentRequest) -> None:
         """Wait for the end of a request and send the next one, until the connection is closed."""
         while True:
             try:
-                async with asyncio.timeout(DEADLINE_MS / 1000.0 + SILENCE_S):
+                async with asyncio.timeout(DEADLINE_MS / 1000.0 + ANSWER_SLACK_S):
                     await request.ended.wait()
             except TimeoutError:
                 request.ended_at = time.monotonic()
-                self.silent.append(request)
+                self.unanswered.append(request)
                 return
             if request.failure is not ResponseFailure.NOT_CONNECTED:
                 self.requests.append(request)
@@ -124,10 +124,10 @@
                 return
             request = self._send(connection, relay, request.number_on_connection + 1)
 
-    def _send(self, connection: ClientConnection, relay: str, number_on_connection: int) -> KeptRequest:
+    def _send(self, connection: ClientConnection, relay: str, number_on_connection: int) -> PersistentRequest:
         self._serial += 1
         path = self._random.choice(PATHS)
-        sent = KeptRequest(f"kept-{self._serial}", path, relay, number_on_connection, time.monotonic())
+        sent = PersistentRequest(f"p-{self._serial}", path, relay, number_on_connection, time.monotonic())
         fields = (
             (b"host", b"tier.example"),
             (REQUEST_ID, sent.request_id.encode()),
--- a/lab/tier/soak.py
+++ b/lab/tier/soak.py
@@ -20,10 +20,10 @@
 from pathlib import Path
 from random import Random
 
-from lab.tier.conditions import crowd_endpoints, relieve_endpoints
+from lab.tier.conditions import overload_endpoints, relieve_endpoints
 from lab.tier.disturbances import Disturber
-from lab.tier.kept_connections import KeptConnectionClients
 from lab.tier.local import LocalTier, free_network
+from lab.tier.persistent_clients import PersistentClients
 from lab.tier.soak_rules import SoakChecker
 from lab.tier.upgrade_load import Load
 from lab.tier.upgrade_rules import request_violations
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True)
 class SoakResult:
-    """What one run showed."""
+    """The observations of one run, and the rules that it broke."""
 
     seed: int
     violations: list[str]
@@ -64,13 +64,13 @@
         statuses = ", ".join(f"{status or 'none'}: {count}" for status, count in sorted(self.statuses.items()))
         disturbances = ", ".join(f"{kind} {count}" for kind, count in sorted(self.disturbances.items()))
         return (
-            f"seed {self.seed}: {len(self.violations)} violations; kept connections {statuses}; {self.turns} turns;"
-            f" {self.late_answers} late answers; {disturbances}; {self.changes} changes"
+            f"seed {self.seed}: {len(self.violations)} violations; persistent connections {statuses};"
+            f" {self.turns} turns; {self.late_answers} late answers; {disturbances}; {self.changes} changes"
         )
 
 
 class Soak:
-    """One run."""
+    """One run: a tier, its load, its clients and the disturbances of its processes."""
 
     def __init__(self, seed: int, size: SoakSize, folder: Path) -> None:
         self.seed = seed
@@ -82,7 +82,7 @@
         self._streams_break_off = False
         planned_only = self._random.random() < PLANNED_ONLY_SHARE
         self._load = Load(self._tier, Random(f"load {seed}"))
-        self._clients = KeptConnectionClients(self._tier, Random(f"clients {seed}"), size.clients)
+        self._clients = PersistentClients(self._tier, Random(f"clients {seed}"), size.clients)
         self._disturber = Disturber(self._tier, Random(f"disturbances {seed}"), planned_only)
 
     async def run(self) -> SoakResult:
@@ -90,7 +90,7 @@
         violations: list[str] = []
         try:
             await self._tier.start()
-            self._crowd()
+            self._overload()
             async with asyncio.TaskGroup() as group:
                 self._load.begin(group)
                 self._load.resume()
@@ -118,14 +118,14 @@
             len(self._load.turns),
         )
 
-    def _crowd(self) -> None:
-        crowd_endpoints(self._tier.endpoints, Random(f"crowd {self.seed}"))
+    def _overload(self) -> None:
+        overload_endpoints(self._tier.endpoints, Random(f"crowd {self.seed}"))
         self._streams_break_off = any(endpoint.ends_within_event for endpoint in self._tier.endpoints)
         for endpoint in self._tier.endpoints:
             endpoint.repeats_late = self._counted(endpoint.repeats_late)
 
     def _counted(self, repeats_late: Callable[[], bool]) -> Callable[[], bool]:
-        """The same decisions, counted."""
+        """Count the late answers that ``repeats_late`` decides on."""
 
         def repeats() -> bool:
             late = repeats_late()
@@ -142,9 +142,9 @@
             self._disturber.log,
             self._load.stalls,
         )
-        silent = [f"SILENT {one.request_id} {one.path} at {one.relay}" for one in self._clients.silent]
+        unanswered = [f"UNANSWERED {one.request_id} {one.path} at {one.relay}" for one in self._clients.unanswered]
         loads = request_violations(self._tier.endpoints, self._load) + self._load.faults
-        return [*self._disturber.faults, *checker.violations(), *silent, *loads]
+        return [*self._disturber.faults, *checker.violations(), *unanswered, *loads]
 
     def _log_lines(self) -> list[str]:
         return [
--- a/lab/tier/soak_rules.py
+++ b/lab/tier/soak_rules.py
@@ -8,7 +8,7 @@
 from lab.tier.disturbances import Disturbance
 from lab.tier.fakes import FakeEndpoint
 from lab.tier.history_checker import COMPLETE_STREAM
-from lab.tier.kept_connections import KeptRequest
+from lab.tier.persistent_clients import PersistentRequest
 from lynxscale.dataplane.headers import REQUEST_ID
 
 PROMISES = (408, 421, 429, 503)  # the request has not run and never will
@@ -19,7 +19,7 @@
 
 
 class SoakChecker:
-    """Checks the requests on kept connections.
+    """Checks the requests on persistent connections.
 
     ``streams_break_off``: some endpoints ended their streams within an event. ``stalls``: when this process itself was
     not scheduled, in seconds.
@@ -27,7 +27,7 @@
 
     def __init__(
         self,
-        requests: Sequence[KeptRequest],
+        requests: Sequence[PersistentRequest],
         endpoints: Sequence[FakeEndpoint],
         streams_break_off: bool,
         disturbances: Sequence[Disturbance],
@@ -53,7 +53,7 @@
             elif self._lost(request, runs):
                 yield f"LOST {told}, {request.elapsed_s:.3f} s, request {request.number_on_connection} there"
 
-    def _wrong_answer(self, request: KeptRequest, runs: int, told: str) -> Iterator[str]:
+    def _wrong_answer(self, request: PersistentRequest, runs: int, told: str) -> Iterator[str]:
         if request.status == 200 and (not runs or request.answered_id != request.request_id):
             yield f"MIXED {told}, answer to {request.answered_id}"
         if request.status == 200 and request.body != (COMPLETE_STREAM if request.path == STREAM_PATH else b"done"):
@@ -61,7 +61,7 @@
         if 400 <= request.status < 500 and request.status not in PROMISES:
             yield f"DENIED {told}"
 
-    def _lost(self, request: KeptRequest, runs: int) -> bool:
+    def _lost(self, request: PersistentRequest, runs: int) -> bool:
         """Whether the relay read the request and closed the connection without a complete answer, amid planned work."""
         if request.path == STREAM_PATH and runs and self._streams_break_off:
             return False
--- a/tests/lab/test_histories.py
+++ b/tests/lab/test_histories.py
@@ -23,7 +23,7 @@
 @pytest.mark.parametrize("varied", [False, True])
 def test_a_history_with_endpoints_that_are_full_and_repeat_answers_late_breaks_no_rule(seed, varied):
     """Guards against review case 2: each of the seeds 1 to 24 found it before each attempt had its own connection."""
-    assert not History(seed, varied, crowded=True).play(), seed
+    assert not History(seed, varied, overloaded=True).play(), seed
 
 
 def test_a_history_that_ends_early_counts_as_a_breach(monkeypatch):
--- a/tests/lab/test_machine.py
+++ b/tests/lab/test_machine.py
@@ -28,7 +28,7 @@
 
 
 def test_an_event_at_the_beginning_of_a_period_does_not_overtake_those_postponed_until_then():
-    """Guards against a lost event of a stream in crowded history 477: its end arrived exactly one period later."""
+    """Guards against a lost event of a stream in overloaded history 477: its end arrived exactly one period later."""
     world = World(1)
     machine = world.machine("a:1")
     machine.quota = ProcessorQuota(0.3)
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -4,7 +4,7 @@
 
 from lab.tier.disturbances import Disturbance
 from lab.tier.history_checker import COMPLETE_STREAM
-from lab.tier.kept_connections import KeptRequest
+from lab.tier.persistent_clients import PersistentRequest
 from lab.tier.soak import SoakSize, play
 from lab.tier.soak_rules import SoakChecker
 from lynxscale.dataplane.headers import REQUEST_ID
@@ -27,9 +27,9 @@
         self.executed = [Request("POST", "/", Head(((REQUEST_ID, name.encode()),))) for name in request_ids]
 
 
-def kept_request(path: str = "/book/1", status: int = 200, elapsed_s: float = 0.1, **fields) -> KeptRequest:
+def persistent_request(path: str = "/book/1", status: int = 200, elapsed_s: float = 0.1, **fields) -> PersistentRequest:
     """A request with the id ``a`` that was sent at 100.0 and answered completely, unless ``fields`` say otherwise."""
-    request = KeptRequest("a", path, "relay-1", 0, 100.0, 100.0 + elapsed_s, status, "a")
+    request = PersistentRequest("a", path, "relay-1", 0, 100.0, 100.0 + elapsed_s, status, "a")
     request.body = bytearray(COMPLETE_STREAM if path == "/open/stream" else b"done")
     request.complete = True
     for name, value in fields.items():
@@ -43,20 +43,20 @@
 @pytest.mark.parametrize(
     ("request_seen", "runs", "rule"),
     [
-        (kept_request(), 1, ""),
-        (kept_request(), 2, "TWICE"),
-        (kept_request(status=503), 0, ""),
-        (kept_request(status=503), 1, "REFUSED"),
-        (kept_request("/look/1"), 2, ""),
-        (kept_request("/look/1"), 3, "TWICE"),
-        (kept_request(answered_id="b"), 1, "MIXED"),
-        (kept_request(), 0, "MIXED"),
-        (kept_request("/open/stream", body=bytearray(COMPLETE_STREAM[:-1])), 1, "ORDER"),
-        (kept_request(status=404), 0, "DENIED"),
-        (kept_request(**CLOSED), 1, "LOST"),
-        (kept_request(**CLOSED), 0, ""),
-        (kept_request(**CLOSED, elapsed_s=0.3), 0, "LOST"),
-        (kept_request("/open/stream", **CLOSED), 1, "LOST"),
+        (persistent_request(), 1, ""),
+        (persistent_request(), 2, "TWICE"),
+        (persistent_request(status=503), 0, ""),
+        (persistent_request(status=503), 1, "REFUSED"),
+        (persistent_request("/look/1"), 2, ""),
+        (persistent_request("/look/1"), 3, "TWICE"),
+        (persistent_request(answered_id="b"), 1, "MIXED"),
+        (persistent_request(), 0, "MIXED"),
+        (persistent_request("/open/stream", body=bytearray(COMPLETE_STREAM[:-1])), 1, "ORDER"),
+        (persistent_request(status=404), 0, "DENIED"),
+        (persistent_request(**CLOSED), 1, "LOST"),
+        (persistent_request(**CLOSED), 0, ""),
+        (persistent_request(**CLOSED, elapsed_s=0.3), 0, "LOST"),
+        (persistent_request("/open/stream", **CLOSED), 1, "LOST"),
     ],
 )
 def test_the_checker_finds_what_is_broken(request_seen, runs, rule):
@@ -69,12 +69,12 @@
 )
 def test_only_unplanned_trouble_near_the_request_excuses_a_lost_connection(kind, end, lost):
     disturbance = Disturbance(kind, "relay-1", 90.0, end)
-    checker = SoakChecker([kept_request(**CLOSED)], [Endpoint("a")], False, [disturbance], [])
+    checker = SoakChecker([persistent_request(**CLOSED)], [Endpoint("a")], False, [disturbance], [])
     assert bool(list(checker.violations())) == lost
 
 
 def test_a_stall_of_the_machine_excuses_a_lost_connection_but_no_second_run():
     stall = [(99.9, 100.2)]
-    lost = SoakChecker([kept_request(**CLOSED)], [Endpoint("a")], False, [], stall)
-    twice = SoakChecker([kept_request(**CLOSED)], [Endpoint("a", "a")], False, [], stall)
+    lost = SoakChecker([persistent_request(**CLOSED)], [Endpoint("a")], False, [], stall)
+    twice = SoakChecker([persistent_request(**CLOSED)], [Endpoint("a", "a")], False, [], stall)
     assert not list(lost.violations()) and len(list(twice.violations())) == 1
