A loopback network in use by a tier that is starting is not free

Seen: with five tiers started again and again, two starts ended with "address already in use".

Cause: only the address of a control member was tried, which listens some time after the platform's list of the same tier.

Change: the platform's address is tried too.

--- a/lab/tier/local.py
+++ b/lab/tier/local.py
@@ -195,14 +195,21 @@
 
 
 def free_network(random: Random) -> int:
-    """The second octet of loopback addresses that no other tier on this machine uses."""
+    """Return the second octet of loopback addresses that no other tier on this machine uses. Raises OSError."""
     networks = list(range(FIRST_NETWORK, LAST_NETWORK + 1))
     random.shuffle(networks)
     for network in networks:
-        with socket.socket() as probe:
-            try:
-                probe.bind((f"127.{network}.1.1", FIRST_PORT))
-            except OSError:
-                continue
+        # The platform listens first when a tier starts, and the control members some time later.
+        if is_free(f"127.{network}.3.1", ENDPOINT_PORT) and is_free(f"127.{network}.1.1", FIRST_PORT):
             return network
     raise OSError("no free loopback network")
+
+
+def is_free(host: str, port: int) -> bool:
+    """Whether nothing listens at a loopback address."""
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
