A confirmation of a relay's topics counts from its request, not from when it is read

What callers saw: a relay that woke from a freeze was ready, kept its clients' connections and handed its age on to its children as if a primary had just confirmed its topics, though the confirmation had been sent before the freeze. It had waited in the relay's socket.

Cause: Subscriber._on_update set the time of the confirmation from the moment at which the update was read.

Fix: a request states the time of its sender's monotonic clock, and every update repeats that of the receiver's latest request; the age counts from there. A sender of an earlier version repeats nothing, and its updates count as before.

--- a/lab/tier/mutations/operator_changes.py
+++ b/lab/tier/mutations/operator_changes.py
@@ -19,7 +19,8 @@
     """A parent sends all its topics, and a relay accepts any version."""
 
     def send(self: Publisher, address: str, child, primary: str, epoch: int, age: float) -> None:  # noqa: ANN001
-        self._network.send(address, TopicUpdate(self.address, primary, epoch, age, self.versions(), self.topics))
+        update = TopicUpdate(self.address, primary, epoch, age, self.versions(), self.topics, child.request_sent_at)
+        self._network.send(address, update)
 
     return [(Publisher, "_is_newer", lambda self, name, topic: True), (Publisher, "_send", send)]
 
--- a/lynxscale/coordination/distribution_tree.py
+++ b/lynxscale/coordination/distribution_tree.py
@@ -5,6 +5,10 @@
 confirmed the parent's versions, so a child detects a parent that is partitioned from the primary, and then attaches to
 the primary directly.
 
+A confirmation counts from when its request was sent, not from when the answer is read: an answer may have waited for a
+process that was frozen. It bounds the age of the topics, and proves nothing about the present: the primary may have
+acknowledged a newer version since.
+
 ::
 
     state          next           when
@@ -94,7 +98,7 @@
 
     @property
     def age_s(self) -> float:
-        """Seconds since the primary last confirmed this relay's versions."""
+        """An upper bound of the seconds since the primary last confirmed this relay's versions."""
         return self._clock.now() - self._confirmed_at
 
     @property
@@ -139,16 +143,21 @@
             self._heard_at = now
         newer = self.publisher.update(message.topics)
         if self._confirms_all(message):
-            self._confirmed_at = max(self._confirmed_at, now - message.age_s)
+            self._confirmed_at = max(self._confirmed_at, self._request_sent_at(message) - message.age_s)
         if ROSTER_TOPIC in newer:
             self._relay_count = len(self.roster)
         if newer:
             self._on_topics(newer)
             self.publisher.push(self.primary, self.epoch, self.age_s)
-            self._acknowledge(message.sender)
+            self._request_from(message.sender)  # reports the received versions, so that newer ones may be sent
         if self.state is TreeState.SEEKING or newer:
             self._choose_parent()
 
+    def _request_sent_at(self, message: TopicUpdate) -> float:
+        """When the request was sent that the update answers; now if the sender does not repeat that."""
+        now = self._clock.now()
+        return now if message.request_sent_at is msgspec.UNSET else min(now, message.request_sent_at)
+
     def _confirms_all(self, message: TopicUpdate) -> bool:
         """Whether the sender has no newer version of any topic held here."""
         sender = message.known_versions
@@ -192,13 +201,13 @@
         self.state, self._parent = state, parent
         self._heard_at = self._clock.now()
 
-    def _acknowledge(self, parent: str) -> None:
-        """Report the received versions immediately, so that the parent may send newer ones."""
-        self._network.send(parent, Attach(self.address, self._zone, self.publisher.versions()))
-
     def _attach(self) -> None:
         target = self._parent
         if self.state is TreeState.SEEKING:
             self._contact_index = (self._contact_index + 1) % len(self.contacts)
             target = self.contacts[self._contact_index]
-        self._network.send(target, Attach(self.address, self._zone, self.publisher.versions()))
+        self._request_from(target)
+
+    def _request_from(self, target: str) -> None:
+        versions = self.publisher.versions()
+        self._network.send(target, Attach(self.address, self._zone, versions, self._clock.now()))
--- a/lynxscale/coordination/messages/distribution.py
+++ b/lynxscale/coordination/messages/distribution.py
@@ -32,15 +32,22 @@
 
 
 class Attach(Message, frozen=True, tag="attach"):
-    """A relay asks a parent for newer topics. Repeated requests keep the relay attached to that parent."""
+    """A relay asks a parent for newer topics. Repeated requests keep the relay attached to that parent.
+
+    ``sent_at``: the time of the sender's monotonic clock in seconds, which the parent's updates repeat.
+    """
 
     sender: str
     zone: str
     known_versions: dict[str, Version] = msgspec.field(name="have")
+    sent_at: float | msgspec.UnsetType = msgspec.UNSET
 
 
 class TopicUpdate(Message, frozen=True, tag="update"):
-    """Topics that the receiver lacks. ``age_s``: seconds since the primary confirmed the sender's versions."""
+    """Topics that the receiver lacks. ``age_s``: seconds since the primary confirmed the sender's versions.
+
+    ``request_sent_at``: ``Attach.sent_at`` of the receiver's latest request; unset if that did not state it.
+    """
 
     sender: str
     primary: str
@@ -48,6 +55,7 @@
     age_s: float = msgspec.field(name="age")
     known_versions: dict[str, Version] = msgspec.field(name="have")
     topics: dict[str, Topic] = {}
+    request_sent_at: float | msgspec.UnsetType = msgspec.UNSET
 
 
 class Heartbeat(Message, frozen=True, tag="heartbeat"):
--- a/lynxscale/coordination/topic_publisher.py
+++ b/lynxscale/coordination/topic_publisher.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from msgspec import UNSET, UnsetType
+
 from lynxscale.coordination.messages import Attach, Topic, TopicUpdate, Version
 from lynxscale.coordination.ports import Clock, Network
 
@@ -22,10 +24,14 @@
 
 @dataclass(slots=True)
 class Child:
-    """A relay attached to this node: the versions that it reported and those sent to it, by topic."""
+    """A relay attached to this node: the versions that it reported and those sent to it, by topic.
+
+    ``request_sent_at``: ``Attach.sent_at`` of its latest request.
+    """
 
     known_versions: dict[str, Version]
     seen_at: float
+    request_sent_at: float | UnsetType = UNSET
     sent: dict[str, SentVersion] = field(default_factory=dict)
 
     def needs(self, name: str, version: Version, now: float) -> bool:
@@ -69,6 +75,7 @@
         now = self._clock.now()
         child = self.children.setdefault(request.sender, Child({}, now))
         child.known_versions, child.seen_at = request.known_versions, now
+        child.request_sent_at = request.sent_at
         self._send(request.sender, child, primary, epoch, age_s)
 
     def push(self, primary: str, epoch: int, age_s: float) -> None:
@@ -88,4 +95,6 @@
         now = self._clock.now()
         needed = {name: topic for name, topic in self.topics.items() if child.needs(name, topic.version, now)}
         child.sent |= {name: SentVersion(topic.version, now) for name, topic in needed.items()}
-        self._network.send(address, TopicUpdate(self.address, primary, epoch, age_s, self.versions(), needed))
+        versions = self.versions()
+        update = TopicUpdate(self.address, primary, epoch, age_s, versions, needed, child.request_sent_at)
+        self._network.send(address, update)
