A turn with a Previous gets no final answer by routes that may be old

Cause: a relay took its route table for the newest configuration whatever it knew of the primary. No age proves that: a change may be acknowledged and used elsewhere right after a confirmation. The simulator missed it, as a frozen process read everything in the order of its arrival; now it reads its connections in a drawn order (World.wake_random), timers last, as an event loop does.

Fix: a linearizable read, as Raft's ReadIndex. A turn that the primary admits states the version that the relay has received; a primary with a newer one replies configuration_outdated instead, and the relay routes the request anew once that version has arrived. This costs no message. A request with a Previous that would be refused, or would run without an admission, first asks the primary for the newest version; without a reply it is 503. A repeated admission whose tokens are reserved is admitted again. Known routes cost no message more, unknown ones without Previous are 404 at once.

--- a/lab/tier/data_plane_mutations/admission.py
+++ b/lab/tier/data_plane_mutations/admission.py
@@ -37,15 +37,15 @@
     SourceMutation(
         "call_without_a_budget_is_a_turn",
         TURNS,
-        "if not route.streaming or (budget is None and not route.retained):",
-        "if not route.streaming:",
+        "    return route.retained or request.head.number(headers.BUDGET) is not None\n",
+        "    return True\n",
         FAULTS + "test_a_call_without_budget_or_retention_asks_the_primary_for_nothing",
     ),
     SourceMutation(
         "turn_without_a_budget_is_not_retained",
         TURNS,
-        "(budget is None and not route.retained)",
-        "budget is None",
+        "    return route.retained or request.head.number(headers.BUDGET) is not None\n",
+        "    return request.head.number(headers.BUDGET) is not None\n",
         FAULTS + "test_a_retained_turn_without_a_budget_is_committed_before_its_end",
     ),
 )
--- a/lab/tier/machine.py
+++ b/lab/tier/machine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from math import floor
 from typing import TYPE_CHECKING
 
@@ -24,13 +24,17 @@
 
 
 class Event:
-    """A scheduled call that can be cancelled. Implements the Timer port."""
+    """A scheduled call that can be cancelled. Implements the Timer port.
 
-    __slots__ = ("call", "owner")
+    ``stream``: the connection or link on which it arrives; events of one stream keep their order. None for a timer.
+    """
+
+    __slots__ = ("call", "owner", "stream")
 
-    def __init__(self, call: Callable[[], object], owner: Machine | None) -> None:
+    def __init__(self, call: Callable[[], object], owner: Machine | None, stream: Hashable | None) -> None:
         self.call: Callable[[], object] | None = call
         self.owner = owner
+        self.stream = stream
 
     def cancel(self) -> None:
         """Cancel the call."""
--- a/lab/tier/models/operators.py
+++ b/lab/tier/models/operators.py
@@ -14,7 +14,8 @@
 import msgspec
 
 from lab.model_checker import Event, InvariantViolation, frozen
-from lynxscale.controlplane.configuration_endpoint import BASE_HEADER, CURRENT_KEY
+from lynxscale.controlplane.configuration_endpoint import BASE_HEADER
+from lynxscale.controlplane.newest_configuration import CURRENT_KEY
 from lynxscale.controlplane.operator_api import OperatorApi
 from lynxscale.coordination.key_value_table import KeyValueTable
 from lynxscale.coordination.messages import Put, put_value
--- a/lab/tier/simulated_tcp.py
+++ b/lab/tier/simulated_tcp.py
@@ -80,7 +80,7 @@
             elif not peer._closing:
                 handle(peer)
 
-        self.world.call_at(self._arrival, arrive, self.world.machine(peer.local))
+        self.world.call_at(self._arrival, arrive, self.world.machine(peer.local), id(peer))
 
 
 class SimulatedTcp:
--- a/lab/tier/world.py
+++ b/lab/tier/world.py
@@ -9,7 +9,7 @@
 import contextlib
 import heapq
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from itertools import count
 from random import Random
 
@@ -21,6 +21,7 @@
 DEFAULT_DELAY_S = 0.002
 DELAY_FACTOR_RANGE = (0.7, 1.5)
 """The delay of each message is the delay of its link times a factor drawn from this range."""
+TIMER_RANK = 1.0  # ranks of streams are below it
 
 
 @frozen
@@ -37,6 +38,9 @@
 
     ``delay_s``: one-way delay of a link; ``loss``: the probability that a message is lost. ``links``: by sender and
     receiver, the links that have other properties.
+
+    ``wake_random``: if set, a process that was frozen reads the bytes that have arrived meanwhile in a drawn order of
+    their connections, and runs its timers behind them, as an event loop does. Otherwise it reads them as they arrived.
     """
 
     def __init__(self, seed: int, delay_s: float = DEFAULT_DELAY_S, loss: float = 0.0) -> None:
@@ -49,18 +53,26 @@
         self.partitions: set[tuple[str, str]] = set()  # pairs of sender and receiver
         self.steps = 0  # messages handled and disk syncs done on all machines
         self.digest = 0  # CRC-32 of all messages sent: equal for equal runs
+        self.wake_random: Random | None = None
+        self._wake_ranks: dict[str, tuple[float, dict[Hashable, float]]] = {}
         self._calls_at_step: dict[int, Callable[[], object]] = {}
-        self._events: list[tuple[float, int, Event]] = []
+        self._events: list[tuple[float, float, int, Event]] = []
         self._next_sequence_number = count().__next__
         self._last_arrival: dict[tuple[str, str], float] = {}
         self._link_free_at: dict[tuple[str, str], float] = {}
 
     # Time --------------------------------------------------------------------------------------------
 
-    def call_at(self, time: float, call: Callable[[], object], owner: Machine | None = None) -> Event:
+    def call_at(
+        self,
+        time: float,
+        call: Callable[[], object],
+        owner: Machine | None = None,
+        stream: Hashable | None = None,
+    ) -> Event:
         """Schedule a call. It is postponed while the process of its owner cannot run."""
-        event = Event(call, owner)
-        heapq.heappush(self._events, (time, self._next_sequence_number(), event))
+        event = Event(call, owner, stream)
+        heapq.heappush(self._events, (time, 0.0, self._next_sequence_number(), event))
         return event
 
     def run(self, until: float) -> None:
@@ -80,7 +92,7 @@
         return True
 
     def _run_next(self) -> None:
-        self.time, _, event = heapq.heappop(self._events)
+        self.time, _, _, event = heapq.heappop(self._events)
         if event.call is None:
             return
         if event.owner is not None and (runs_at := event.owner.runs_at(self.time)) > self.time:
@@ -90,8 +102,24 @@
             event.call()
 
     def _postpone(self, event: Event, time: float) -> None:
-        """Reschedule an event whose owner cannot run now. Events of a machine keep their order, also when postponed."""
-        heapq.heappush(self._events, (time, self._next_sequence_number(), event))
+        """Reschedule an event whose owner cannot run now. Events of a machine keep their order, also when postponed.
+
+        With ``wake_random``, events postponed until a frozen process wakes keep the order of their stream only.
+        """
+        rank = 0.0
+        if self.wake_random is not None and event.owner is not None and event.owner.frozen_until == time:
+            rank = self._wake_rank(self.wake_random, event, event.owner.address, time)
+        heapq.heappush(self._events, (time, rank, self._next_sequence_number(), event))
+
+    def _wake_rank(self, random: Random, event: Event, address: str, time: float) -> float:
+        """The place of an event's stream when a machine wakes at a time: drawn, and that of timers is the last."""
+        if event.stream is None:
+            return TIMER_RANK
+        wakes_at, ranks = self._wake_ranks.get(address, (time, {}))
+        if wakes_at != time:
+            ranks = {}
+        self._wake_ranks[address] = (time, ranks)
+        return ranks.setdefault(event.stream, random.random())
 
     # Steps -------------------------------------------------------------------------------------------
 
@@ -147,4 +175,4 @@
         arrival = max(transmitted_at + delay_s, self._last_arrival.get(link, 0.0))
         self._last_arrival[link] = arrival
         incarnation = machine.incarnation
-        self.call_at(arrival, lambda: machine.on_arrival(incarnation, source, target, payload), machine)
+        self.call_at(arrival, lambda: machine.on_arrival(incarnation, source, target, payload), machine, link)
--- a/lynxscale/controlplane/configuration_endpoint.py
+++ b/lynxscale/controlplane/configuration_endpoint.py
@@ -28,23 +28,16 @@
     service_unavailable,
 )
 from lynxscale.controlplane.idempotency import ChangeKind, IdempotencyRecords, idempotency_key
+from lynxscale.controlplane.newest_configuration import CURRENT_KEY, CurrentConfiguration, NewestConfiguration
 from lynxscale.coordination.member import ControlMember
 from lynxscale.coordination.messages import put_value
 from lynxscale.coordination.outcomes import CommitOutcome
 from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head, Request, Response
 
-CURRENT_KEY = "config/current"
 BASE_HEADER = b"lynxscale-base-version"
 
 
-class CurrentConfiguration(msgspec.Struct, frozen=True):
-    """The configuration in force: its version and its JSON. A replacement is stored byte for byte as it was sent."""
-
-    generation: int
-    body: msgspec.Raw
-
-
 class ConfigurationEndpoint:
     """Handles the operator's requests on the configuration; used by the primary only."""
 
@@ -59,8 +52,7 @@
 
     def current(self) -> CurrentConfiguration | None:
         """Return the newest configuration in this member's store, committed or not; None if there is none yet."""
-        raw = self._member.store.values.get(CURRENT_KEY)
-        return None if raw is None else msgspec.json.decode(raw, type=CurrentConfiguration)
+        return NewestConfiguration(self._member.store.values).get()
 
     def read(self, responder: Responder) -> None:
         """Send the configuration that is the newest now, once it is known to be committed.
--- /dev/null
+++ b/lynxscale/controlplane/newest_configuration.py
@@ -0,0 +1,37 @@
+"""The newest configuration of the store, decoded once for each version."""
+
+from __future__ import annotations
+
+import msgspec
+
+CURRENT_KEY = "config/current"
+
+
+class CurrentConfiguration(msgspec.Struct, frozen=True):
+    """The configuration in force: its version and its JSON. A replacement is stored byte for byte as it was sent."""
+
+    generation: int
+    body: msgspec.Raw
+
+
+class NewestConfiguration:
+    """The newest configuration among a store's entries, committed or not; ``values`` are these entries in memory."""
+
+    def __init__(self, values: dict[str, msgspec.Raw]) -> None:
+        self._values = values
+        self._raw: msgspec.Raw | None = None
+        self._decoded: CurrentConfiguration | None = None
+
+    def get(self) -> CurrentConfiguration | None:
+        """Return the newest configuration, None if there is none yet."""
+        raw = self._values.get(CURRENT_KEY)
+        if raw is not self._raw:
+            self._raw = raw
+            self._decoded = None if raw is None else msgspec.json.decode(raw, type=CurrentConfiguration)
+        return self._decoded
+
+    @property
+    def version(self) -> int:
+        """The version of the newest configuration, 0 if there is none yet."""
+        newest = self.get()
+        return newest.generation if newest else 0
--- a/lynxscale/controlplane/operator_api.py
+++ b/lynxscale/controlplane/operator_api.py
@@ -14,9 +14,10 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from lynxscale.controlplane.configuration_endpoint import ConfigurationEndpoint, CurrentConfiguration
+from lynxscale.controlplane.configuration_endpoint import ConfigurationEndpoint
 from lynxscale.controlplane.http_responses import CommittedResponses, not_found, service_unavailable
 from lynxscale.controlplane.idempotency import ChangeKind
+from lynxscale.controlplane.newest_configuration import CurrentConfiguration
 from lynxscale.controlplane.retirement_endpoint import RetirementEndpoint
 from lynxscale.coordination.member import ControlMember
 from lynxscale.runtime.http_server import Responder
--- a/lynxscale/controlplane/program_state.py
+++ b/lynxscale/controlplane/program_state.py
@@ -60,6 +60,11 @@
         program.budget = max(program.budget, request.budget)
         return (self._store(request.program, program, request.retention_s),)
 
+    def holds_reservation(self, request: AdmitTurn) -> bool:
+        """Return whether tokens are reserved for a turn: its request was admitted before and is repeated."""
+        program = None if request.budget == NO_BUDGET else self._load(request.program)
+        return program is not None and request.request in program.reservations
+
     def settle(self, request: FinishTurn) -> tuple[Put, ...]:
         """Return the puts that replace a turn's reservation by the tokens it used; none if it has no reservation."""
         program = self._load(request.program)
--- a/lynxscale/controlplane/relay_requests.py
+++ b/lynxscale/controlplane/relay_requests.py
@@ -1,20 +1,23 @@
-"""Requests of relays: to admit and finish turns, and to subscribe to topics. Only a serving primary answers them."""
+"""Requests of relays: to admit and finish turns, to read the configuration's version, and to subscribe to topics.
+
+Only a serving primary answers them.
+"""
 
 from __future__ import annotations
 
-from lynxscale.controlplane.turn_admission import TurnAdmission
+from lynxscale.controlplane.turn_admission import AdmissionReply, TurnAdmission
 from lynxscale.coordination.member import ControlMember
 from lynxscale.coordination.messages import (
     AdmitTurn,
     Attach,
     Call,
+    ConfigurationVersion,
     Put,
+    ReadConfigurationVersion,
     Redirect,
     Reply,
     Suspicion,
-    TurnAdmitted,
     TurnFinished,
-    TurnRejected,
 )
 from lynxscale.coordination.outcomes import CommitOutcome
 from lynxscale.coordination.ports import Network
@@ -48,12 +51,14 @@
         self._admission = self._roster = None
 
     def on_call(self, call: Call) -> None:
-        """Admit or finish a turn, and reply once the change is durable."""
+        """Admit or finish a turn, or read the configuration's version; reply once that is durable."""
         if self._admission is None or not self._member.leads():
             self._redirect(call.caller)
         elif isinstance(call.body, AdmitTurn):
             answer, puts = self._admission.admit(call.body)
             self._reply_when_durable(call, answer, puts)
+        elif isinstance(call.body, ReadConfigurationVersion):
+            self._reply_when_durable(call, self._admission.configuration_version(), ())
         else:
             self._reply_when_durable(call, TurnFinished(), self._admission.finish(call.body))
 
@@ -78,7 +83,7 @@
                 self._redirect(address)
 
     def _reply_when_durable(
-        self, call: Call, answer: TurnAdmitted | TurnRejected | TurnFinished, puts: tuple[Put, ...]
+        self, call: Call, answer: AdmissionReply | ConfigurationVersion | TurnFinished, puts: tuple[Put, ...]
     ) -> None:
         def on_outcome(outcome: CommitOutcome) -> None:
             if outcome.committed and self._member.leads():
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -11,8 +11,8 @@
 from http import HTTPStatus
 from random import Random
 
-from lynxscale.controlplane.configuration_endpoint import CurrentConfiguration
 from lynxscale.controlplane.http_responses import json_response
+from lynxscale.controlplane.newest_configuration import CurrentConfiguration
 from lynxscale.controlplane.operator_api import OperatorApi
 from lynxscale.controlplane.relay_requests import RelayRequestHandler
 from lynxscale.controlplane.status import ControlStatus, ReplicaStatus
--- a/lynxscale/controlplane/topic_publication.py
+++ b/lynxscale/controlplane/topic_publication.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from lynxscale.controlplane.configuration_endpoint import CurrentConfiguration
+from lynxscale.controlplane.newest_configuration import CurrentConfiguration
 from lynxscale.coordination.member import ControlMember
 from lynxscale.coordination.messages import Topic, Version, address_of
 from lynxscale.coordination.ports import Clock
--- a/lynxscale/controlplane/turn_admission.py
+++ b/lynxscale/controlplane/turn_admission.py
@@ -1,16 +1,32 @@
-"""Admission and completion of turns on the primary: budgets of programs and histories of conversations."""
+"""Admission and completion of turns on the primary: budgets of programs and histories of conversations.
+
+A turn is admitted only if its relay has received the newest configuration: with an older one, the relay might run it
+without its history, or not retain it. The comparison costs no further message.
+"""
 
 from __future__ import annotations
 
 import msgspec
 
 from lynxscale.controlplane.exceptions import AdmissionError
+from lynxscale.controlplane.newest_configuration import NewestConfiguration
 from lynxscale.controlplane.program_state import PROGRAM_PREFIX, ProgramState
 from lynxscale.controlplane.retention import RetentionRecord, RetentionTracker
 from lynxscale.controlplane.turn_history import TURN_PREFIX, TurnHistory, turn_key
-from lynxscale.coordination.messages import AdmitTurn, FinishTurn, Put, TurnAdmitted, TurnRejected, put_value
+from lynxscale.coordination.messages import (
+    AdmitTurn,
+    ConfigurationOutdated,
+    ConfigurationVersion,
+    FinishTurn,
+    Put,
+    TurnAdmitted,
+    TurnRejected,
+    put_value,
+)
 from lynxscale.coordination.ports import Clock
 
+AdmissionReply = TurnAdmitted | TurnRejected | ConfigurationOutdated
+
 
 class TurnAdmission:
     """Admits and finishes turns.
@@ -20,6 +36,7 @@
 
     def __init__(self, values: dict[str, msgspec.Raw], clock: Clock) -> None:
         self._values = values
+        self._configuration = NewestConfiguration(values)
         self._retention = RetentionTracker(clock)
         self._programs = ProgramState(values, self._retention)
         self._turns = TurnHistory(values, self._retention)
@@ -32,8 +49,17 @@
                 record = msgspec.json.decode(raw, type=RetentionRecord)
                 self._retention.retain(key, record.retention_s, turn_key(record.previous))
 
-    def admit(self, request: AdmitTurn) -> tuple[TurnAdmitted | TurnRejected, tuple[Put, ...]]:
-        """Return the reply to an admission request, and the puts that must be durable before it is sent."""
+    def configuration_version(self) -> ConfigurationVersion:
+        """Return the version of the newest configuration; it has to be committed before it is sent."""
+        return ConfigurationVersion(self._configuration.version)
+
+    def admit(self, request: AdmitTurn) -> tuple[AdmissionReply, tuple[Put, ...]]:
+        """Return the reply to an admission request, and the puts that must be durable before it is sent.
+
+        A repeated request whose tokens are reserved is admitted again, whatever has changed since.
+        """
+        if self._is_older(request.configuration) and not self._programs.holds_reservation(request):
+            return ConfigurationOutdated(self._configuration.version), ()
         try:
             admitted = self._turns.compose(request.previous, request.cached)
             return admitted, self._programs.reserve(request)
@@ -44,6 +70,10 @@
         """Return the puts that must be durable before the end of a turn is acknowledged."""
         return self._programs.settle(request) + self._turns.record(request)
 
+    def _is_older(self, version: int | msgspec.UnsetType) -> bool:
+        """Whether a version is older than the newest configuration; False if it is not stated."""
+        return version is not msgspec.UNSET and version < self._configuration.version
+
     def remove_expired(self) -> tuple[Put, ...]:
         """Return the puts that remove expired records."""
         return tuple(put_value(key, None) for key in self._retention.pop_expired())
--- a/lynxscale/coordination/distribution_tree.py
+++ b/lynxscale/coordination/distribution_tree.py
@@ -201,6 +201,12 @@
         self.state, self._parent = state, parent
         self._heard_at = self._clock.now()
 
+    def ask_primary(self) -> None:
+        """Ask the primary for topics, besides the parent: it holds newer ones than those received."""
+        if self.primary and self.primary != self._parent:
+            self._request_from(self.primary)
+        self._attach()
+
     def _attach(self) -> None:
         target = self._parent
         if self.state is TreeState.SEEKING:
--- a/lynxscale/coordination/messages/calls.py
+++ b/lynxscale/coordination/messages/calls.py
@@ -16,6 +16,8 @@
 
     ``budget``: the program's budget, -1 for none. ``previous``: the turn that this one continues, empty for none.
     ``cached``: a turn up to which the sender already has the history, empty for none; it may belong to another chain.
+    ``configuration``: the newest version of the configuration that the sender has received. A primary with a newer one
+    replies ``ConfigurationOutdated``; unset, the version is not compared.
     """
 
     program: str
@@ -26,6 +28,7 @@
     retained: bool
     previous: str = ""
     cached: str = ""
+    configuration: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class TurnAdmitted(Message, frozen=True, tag="turn_admitted"):
@@ -45,6 +48,22 @@
     status: int
 
 
+class ConfigurationOutdated(Message, frozen=True, tag="configuration_outdated"):
+    """The turn is not admitted, and nothing is reserved: the newest configuration has a later version, ``newest``."""
+
+    newest: int
+
+
+class ReadConfigurationVersion(Message, frozen=True, tag="read_configuration_version"):
+    """Ask for the version of the newest configuration, as of a time after the call was sent (a linearizable read)."""
+
+
+class ConfigurationVersion(Message, frozen=True, tag="configuration_version"):
+    """The version of the newest configuration; 0 if there is none."""
+
+    newest: int
+
+
 class FinishTurn(Message, frozen=True, tag="finish_turn"):
     """End a reservation, charging the ``tokens`` used. ``content``: input and output of a complete, retained turn."""
 
@@ -69,7 +88,7 @@
     number: int
     caller: str
     incarnation: int = msgspec.field(name="life")
-    body: AdmitTurn | FinishTurn
+    body: AdmitTurn | FinishTurn | ReadConfigurationVersion
 
 
 class Reply(Message, frozen=True, tag="reply"):
@@ -77,4 +96,4 @@
 
     number: int
     incarnation: int = msgspec.field(name="life")
-    body: TurnAdmitted | TurnRejected | TurnFinished
+    body: TurnAdmitted | TurnRejected | TurnFinished | ConfigurationOutdated | ConfigurationVersion
--- a/lynxscale/coordination/primary_calls.py
+++ b/lynxscale/coordination/primary_calls.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from lynxscale.coordination.messages import AdmitTurn, Call, FinishTurn, Message, Reply
+from lynxscale.coordination.messages import AdmitTurn, Call, FinishTurn, Message, ReadConfigurationVersion, Reply
 from lynxscale.coordination.ports import Clock, Network, Timer
 
 RETRY_INTERVAL_S = 0.15
@@ -59,7 +59,9 @@
         self._last_number = 0
         self._contact_index = 0
 
-    def call(self, body: AdmitTurn | FinishTurn, timeout_s: float, on_reply: ReplyCallback) -> None:
+    def call(
+        self, body: AdmitTurn | FinishTurn | ReadConfigurationVersion, timeout_s: float, on_reply: ReplyCallback
+    ) -> None:
         """Send a request to the primary and call ``on_reply`` with the reply, or with None after ``timeout_s``."""
         self._last_number += 1
         message = Call(self._last_number, self._address, self._incarnation, body)
--- a/lynxscale/dataplane/forwarding.py
+++ b/lynxscale/dataplane/forwarding.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
 import attrs
@@ -16,13 +17,14 @@
 from lynxscale.dataplane.attempt import FIRST_SERVER_ERROR, Attempt, AttemptOutcome
 from lynxscale.dataplane.endpoint_state import EndpointState
 from lynxscale.dataplane.load_balancer import EndpointDemand, LoadBalancer
+from lynxscale.dataplane.relay_configuration import RouteMatch
 from lynxscale.dataplane.request_state import RequestState
 from lynxscale.dataplane.response_stream import ResponseStream
 from lynxscale.dataplane.responses import BAD_GATEWAY, GATEWAY_TIMEOUT, SERVICE_UNAVAILABLE, relay_response
-from lynxscale.dataplane.routing import Route, RouteTable
+from lynxscale.dataplane.routing import Route
 from lynxscale.dataplane.turns import Turn, TurnClient
 from lynxscale.runtime.http_client import ClientConnection
-from lynxscale.runtime.http_server import Responder
+from lynxscale.runtime.http_server import Exchange, Responder
 from lynxscale.runtime.http_types import Head, Request, Response
 
 RETRY_AFTER_S = 0.1
@@ -30,25 +32,32 @@
 
 @attrs.frozen
 class ForwardingContext:
-    """The objects that all requests of a relay share."""
+    """The objects that all requests of a relay share.
+
+    ``route_by_version(request, responder, version)`` routes a request anew once the relay has a version of the
+    configuration, and returns its exchange.
+    """
 
     clock: Clock
     balancer: LoadBalancer
     turns: TurnClient
     random: Random
+    route_by_version: Callable[[Request, Responder, int], Exchange | None]
 
 
 class ForwardedRequest:
     """Implements Exchange towards the client, AttemptListener towards attempts and TurnListener towards its turn."""
 
-    def __init__(
-        self, request: Request, route: Route, table: RouteTable, responder: Responder, context: ForwardingContext
-    ) -> None:
+    def __init__(self, request: Request, match: RouteMatch, responder: Responder, context: ForwardingContext) -> None:
+        route, table = match.route, match.table
         self.state = RequestState.QUEUED
         self._request = request
         self._route = route
         self._responder = responder
+        self._route_by_version = context.route_by_version
+        self._rerouted: Exchange | None = None
         self._clock = context.clock
+        self._arrived_at = context.clock.now()
         self._balancer = context.balancer
         self._service = route.pick_backend(context.random)
         self._tokens_per_event = table.tokens_per_event(self._service)
@@ -61,7 +70,7 @@
         self._executions = 0
         self._attempted: set[str] = set()  # ids of the endpoints that it was sent to
         self._carriers: set[ClientConnection] = set()  # the connections that it was sent on
-        self._turn = context.turns.create_turn(request, route)
+        self._turn = context.turns.create_turn(request, match)
         self._response = ResponseStream(responder, route)
         self._queue_wait_timer: Timer | None = None
         self._deadline_timer: Timer = self._clock.call_later(timeout_s, self._deadline_expired)
@@ -94,6 +103,13 @@
         if self.state is RequestState.ADMITTING:
             self._respond(relay_response(status, RETRY_AFTER_S if status == SERVICE_UNAVAILABLE else None))
 
+    def on_configuration_outdated(self, version: int) -> None:
+        """Part of TurnListener. Another exchange serves the request once the relay has the version."""
+        if self.state is RequestState.ADMITTING:
+            self._transition(RequestState.ENDED)
+            request = headers.after_wait(self._request, self._clock.now() - self._arrived_at)
+            self._rerouted = self._route_by_version(request, self._responder, version)
+
     # Queueing ----------------------------------------------------------------------------------------
 
     def _dispatch(self) -> None:
@@ -274,6 +290,8 @@
 
     def on_client_disconnected(self) -> None:
         """Part of Exchange. Cancel the attempt; a commit that has begun continues."""
+        if self._rerouted is not None:
+            self._rerouted.on_client_disconnected()
         if self.state is RequestState.ENDED:
             return
         if self._attempt is not None:
--- a/lynxscale/dataplane/headers.py
+++ b/lynxscale/dataplane/headers.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import attrs
+
 from lynxscale.runtime.http_types import Head, Headers, Request
 
 REQUEST_ID = b"lynxscale-request-id"
@@ -49,6 +51,16 @@
     return tuple(fields)
 
 
+def after_wait(request: Request, waited_s: float) -> Request:
+    """Return the request as it is after it has waited: its deadline, if it states one, is that much nearer."""
+    deadline_ms = request.head.number(DEADLINE_MS)
+    if deadline_ms is None:
+        return request
+    remaining = b"%d" % max(MIN_DEADLINE_MS, int(deadline_ms - 1000.0 * waited_s))
+    fields = [(name, remaining if name == DEADLINE_MS else value) for name, value in request.head.fields]
+    return attrs.evolve(request, head=Head(tuple(fields)))
+
+
 def affinity_key(head: Head) -> str:
     """Return the key of requests with a common prompt prefix: their program, or the hash of the first prompt block."""
     return head.text(PROGRAM) or head.text(PROMPT_PREFIX).partition(":")[0]
--- a/lynxscale/dataplane/pending_until_configured.py
+++ b/lynxscale/dataplane/pending_until_configured.py
@@ -1,4 +1,4 @@
-"""Holds requests that arrive before the relay has a configuration and an endpoint list, for a bounded time."""
+"""Holds requests that arrive before the relay has the configuration that they need, for a bounded time."""
 
 from __future__ import annotations
 
@@ -17,11 +17,15 @@
 
 
 class PendingRequest:
-    """One waiting request. Implements Exchange, and forwards a disconnect to the exchange that serves it later."""
+    """One waiting request. Implements Exchange, and forwards a disconnect to the exchange that serves it later.
 
-    def __init__(self, request: Request, responder: Responder) -> None:
+    ``version``: the lowest version of the configuration by which it may be served.
+    """
+
+    def __init__(self, request: Request, responder: Responder, version: int) -> None:
         self.request = request
         self.responder = responder
+        self.version = version
         self.waiting = True
         self.exchange: Exchange | None = None
 
@@ -40,22 +44,23 @@
         self._serve = serve
         self._pending: list[PendingRequest] = []
 
-    def add(self, request: Request, responder: Responder) -> PendingRequest | None:
+    def add(self, request: Request, responder: Responder, version: int = 0) -> PendingRequest | None:
         """Add a request; it is rejected immediately, and None returned, if too many are waiting already."""
         if len(self._pending) >= MAX_PENDING:
             responder.respond(relay_response(SERVICE_UNAVAILABLE, RETRY_AFTER_S))
             return None
-        pending = PendingRequest(request, responder)
+        pending = PendingRequest(request, responder, version)
         self._pending.append(pending)
         deadline_ms = request.head.number(DEADLINE_MS)
         wait_s = MAX_WAIT_S if deadline_ms is None else min(MAX_WAIT_S, WAIT_DEADLINE_SHARE * deadline_ms / 1000.0)
         self._clock.call_later(wait_s, lambda: self._reject(pending))
         return pending
 
-    def serve_all(self) -> None:
-        """Serve all requests that still wait, as the relay is configured now."""
-        all_pending, self._pending = self._pending, []
-        for pending in all_pending:
+    def serve_all(self, version: int = 0) -> None:
+        """Serve all requests that still wait for a configuration of at most this version, as the relay has it now."""
+        served = [pending for pending in self._pending if pending.version <= version]
+        self._pending = [pending for pending in self._pending if pending.version > version]
+        for pending in served:
             if pending.waiting:
                 pending.waiting = False
                 pending.exchange = self._serve(pending.request, pending.responder)
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -14,13 +14,12 @@
 from lynxscale.coordination.primary_calls import PrimaryCalls
 from lynxscale.coordination.relay_roster import ROSTER_TOPIC
 from lynxscale.dataplane.exceptions import UnusableConfigurationError
-from lynxscale.dataplane.forwarding import ForwardedRequest, ForwardingContext
 from lynxscale.dataplane.load_balancer import LoadBalancer
-from lynxscale.dataplane.pending_until_configured import PendingUntilConfigured
-from lynxscale.dataplane.responses import NOT_FOUND, OK, SERVICE_UNAVAILABLE, relay_response
+from lynxscale.dataplane.relay_configuration import RelayConfiguration
+from lynxscale.dataplane.request_router import RequestRouter
+from lynxscale.dataplane.responses import OK, SERVICE_UNAVAILABLE, relay_response
 from lynxscale.dataplane.routing import ClientLimits, RouteTable, decode_route_table
 from lynxscale.dataplane.status import UNKNOWN_AGE_S, RelayStatus, endpoint_status
-from lynxscale.dataplane.turns import TurnClient
 from lynxscale.discovery.endpoint import Endpoint
 from lynxscale.discovery.endpoint_poller import EndpointPoller
 from lynxscale.discovery.topics import (
@@ -47,9 +46,7 @@
 
     def __init__(self, settings: Settings, clock: Clock, network: Network, dial: Dial, random: Random) -> None:
         address = settings.internal_address
-        self.limits = ServerLimits()
         self.stopping = False
-        self.route_table: RouteTable | None = None  # None until there is a configuration
         self.balancer = LoadBalancer(settings.zone, clock, dial)
         self.tree = Subscriber(address, settings.zone, settings.contacts, clock, network, self._on_topics)
         self.ring = RingMember(address, settings.heartbeat_ms / 1000.0, clock, network)
@@ -63,9 +60,16 @@
         self._polls_endpoints = False
         self._platform_rate_per_s = max(1.0, settings.cloud.rate_per_s)
         clock.call_later(ISOLATION_CHECK_INTERVAL_S, self._check_isolation)
-        self._pending = PendingUntilConfigured(clock, self._forward)
-        turns = TurnClient(self.calls, lambda: self.isolated)
-        self._context = ForwardingContext(clock, self.balancer, turns, random)
+        self._configuration = RelayConfiguration(self.tree)
+        self.limits = ServerLimits()
+        self._router = RequestRouter(
+            self._configuration, lambda: self._configured, self.tree, self.calls, self.balancer, clock, random
+        )
+
+    @property
+    def route_table(self) -> RouteTable | None:
+        """The route table in use, None until there is a configuration."""
+        return self._configuration.table
 
     @property
     def ready(self) -> bool:
@@ -105,19 +109,7 @@
 
     def handle_request(self, request: Request, responder: Responder) -> Exchange | None:
         """Serve a client's request, or hold it until the relay is configured."""
-        if not self._configured:
-            return self._pending.add(request, responder)
-        return self._forward(request, responder)
-
-    def _forward(self, request: Request, responder: Responder) -> Exchange | None:
-        assert self.route_table is not None  # nothing is forwarded before the relay is configured
-        route = self.route_table.find(request.head.text(b"host"), request.path)
-        if route is None:
-            responder.respond(relay_response(NOT_FOUND))
-            return None
-        exchange = ForwardedRequest(request, route, self.route_table, responder, self._context)
-        exchange.start()
-        return exchange
+        return self._router.handle(request, responder)
 
     def status(self) -> RelayStatus:
         """Return the status of this relay."""
@@ -165,17 +157,17 @@
             self._update_contacts()
         if ROSTER_TOPIC in names:
             self.ring.set_roster(self.tree.roster)
-        if self._configured:
-            self._pending.serve_all()
+        self._router.topics_changed()
 
     def _apply_configuration(self, value: msgspec.Raw) -> None:
         try:
-            self.route_table = decode_route_table(value)
+            table = decode_route_table(value)
         except UnusableConfigurationError as error:
             log.error("event=configuration_unusable error=%s", error)
             return
-        self._apply_limits(self.route_table.limits)
-        log.info("event=configuration version=%d", self.route_table.generation)
+        self._configuration.table = table
+        self._apply_limits(table.limits)
+        log.info("event=configuration version=%d", table.generation)
 
     def _apply_limits(self, limits: ClientLimits) -> None:
         self.limits.header_bytes = limits.max_header_bytes
--- a/lynxscale/dataplane/turns.py
+++ b/lynxscale/dataplane/turns.py
@@ -1,7 +1,8 @@
 """Turns of agent programs: a client of the control plane that reserves budgets, reads histories and retains turns.
 
 A turn is admitted (its tokens are reserved and its history is read), executed, and then either committed (retained, and
-durable before its response ends) or closed (only its tokens are charged).
+durable before its response ends) or closed (only its tokens are charged). Its admission states which version of the
+configuration the relay has: a primary that knows a newer one does not admit the turn.
 """
 
 from __future__ import annotations
@@ -9,10 +10,20 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from lynxscale.coordination.messages import AdmitTurn, FinishTurn, Message, TurnAdmitted, TurnRejected
+import msgspec
+
+from lynxscale.coordination.messages import (
+    AdmitTurn,
+    ConfigurationOutdated,
+    FinishTurn,
+    Message,
+    TurnAdmitted,
+    TurnRejected,
+)
 from lynxscale.coordination.primary_calls import PrimaryCalls
 from lynxscale.dataplane import headers
 from lynxscale.dataplane.history_cache import HistoryCache
+from lynxscale.dataplane.relay_configuration import RouteMatch
 from lynxscale.dataplane.responses import SERVICE_UNAVAILABLE
 from lynxscale.dataplane.routing import Route
 from lynxscale.runtime.http_types import Request
@@ -36,6 +47,12 @@
         No reservation remains.
         """
 
+    def on_configuration_outdated(self, version: int) -> None:
+        """Called if the turn is not admitted, as a later ``version`` of the configuration is the newest.
+
+        No reservation remains.
+        """
+
     def on_turn_committed(self) -> None:
         """Called once the turn is durable."""
 
@@ -43,6 +60,13 @@
         """Called if no primary acknowledges the commit in time; the turn may or may not be durable."""
 
 
+def is_admitted(request: Request, route: Route | None) -> bool:
+    """Return whether the primary admits the requests on a route: they are retained, or have a budget."""
+    if route is None or not route.streaming:
+        return False
+    return route.retained or request.head.number(headers.BUDGET) is not None
+
+
 class TurnClient:
     """Creates the turns of a relay's requests."""
 
@@ -52,14 +76,17 @@
         self._isolated = isolated
         self._histories = HistoryCache()
 
-    def create_turn(self, request: Request, route: Route) -> Turn | None:
+    def admission_timeout_s(self, request: Request) -> float:
+        """Return for how many seconds a request may wait for a reply of the primary before it is sent."""
+        timeout_s = ISOLATED_ADMISSION_TIMEOUT_S if self._isolated() else ADMISSION_TIMEOUT_S
+        deadline_ms = request.head.number(headers.DEADLINE_MS)
+        return timeout_s if deadline_ms is None else min(timeout_s, deadline_ms / 1000.0)
+
+    def create_turn(self, request: Request, match: RouteMatch) -> Turn | None:
         """Return the turn of a request; None if it has no budget and is not retained, or its route does not stream."""
-        budget = request.head.number(headers.BUDGET)
-        if not route.streaming or (budget is None and not route.retained):
+        if not is_admitted(request, match.route):
             return None
-        timeout_s = ISOLATED_ADMISSION_TIMEOUT_S if self._isolated() else ADMISSION_TIMEOUT_S
-        budget_tokens = NO_BUDGET if budget is None else int(budget)
-        return Turn(self._calls, self._histories, request, route, budget_tokens, timeout_s)
+        return Turn(self._calls, self._histories, request, match, self.admission_timeout_s(request))
 
 
 class Turn:
@@ -70,20 +97,21 @@
         calls: PrimaryCalls,
         histories: HistoryCache,
         request: Request,
-        route: Route,
-        budget_tokens: int,
+        match: RouteMatch,
         admission_timeout_s: float,
     ) -> None:
+        budget = request.head.number(headers.BUDGET)
         self._calls = calls
         self._histories = histories
-        self._route = route
+        self._route = match.route
+        self._stated_version = msgspec.UNSET if match.stated_version is None else match.stated_version
         self._input = request.body
-        self._budget_tokens = budget_tokens
+        self._budget_tokens = NO_BUDGET if budget is None else int(budget)
         self._admission_timeout_s = admission_timeout_s
         self._program = request.head.text(headers.PROGRAM)
         self._session = f"{self._program}/{request.head.text(headers.SESSION)}"
         self._request_id = request.head.text(headers.REQUEST_ID)
-        self._previous_turn = request.head.text(headers.PREVIOUS_TURN) if route.retained else ""
+        self._previous_turn = request.head.text(headers.PREVIOUS_TURN) if match.route.retained else ""
         self._max_tokens = headers.max_output_tokens(request.head)
         self._history = b""
         self._closed = False
@@ -101,6 +129,9 @@
             elif isinstance(reply, TurnRejected):
                 self._closed = True
                 listener.on_turn_rejected(reply.status)
+            elif isinstance(reply, ConfigurationOutdated):
+                self._closed = True
+                listener.on_configuration_outdated(reply.newest)
             else:
                 # The primary may still admit the turn: close it, so that its reservation is released.
                 self.close(0)
@@ -138,6 +169,7 @@
             self._route.retained,
             self._previous_turn,
             cached_turn,
+            self._stated_version,
         )
 
     def _finish(self, tokens: int, content: bytes | None) -> FinishTurn:
--- a/tests/golden.py
+++ b/tests/golden.py
@@ -17,7 +17,7 @@
 
 from lab.tier.simulated_tier import INTERNAL_PORT, SimulatedTier
 from lab.tier.world import World
-from lynxscale.controlplane import configuration_endpoint, program_state, retention, status, turn_history
+from lynxscale.controlplane import newest_configuration, program_state, retention, status, turn_history
 from lynxscale.coordination import acceptor_state, messages
 from lynxscale.coordination.acceptor_state import AcceptorStateFile, MemberIdentity
 from lynxscale.coordination.store import Store
@@ -48,7 +48,7 @@
     "program": program_state.ProgramRecord,
     "turn": turn_history.TurnRecord,
     "kept": retention.RetentionRecord,
-    "current_configuration": configuration_endpoint.CurrentConfiguration,
+    "current_configuration": newest_configuration.CurrentConfiguration,
     "register_state": acceptor_state.AcceptorState,
     "page": EndpointPage,
     "replica_status": status.ReplicaStatus,
