A turn that ends under a newer configuration is retained for as long as that says

What callers saw: a turn began under a configuration whose route retained turns for a second, and ended under one that retains them for two minutes; the next turn got 404 after that second (LOST by its words).

Cause: the relay states the retention of the routes by which the turn began, and the primary took it as it was.

Fix: the relay states the version of these routes too. A primary with a newer configuration retains the turn for the longer of the stated time and the longest of the newest routes: more than asked for harms nothing.

Evidence: test_a_turn_that_ends_under_a_newer_configuration_is_retained_for_as_long_as_that_says fails before. Found by reading, in the search for uses of a route that may be old.

--- a/lynxscale/controlplane/newest_configuration.py
+++ b/lynxscale/controlplane/newest_configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 CURRENT_KEY = "config/current"
@@ -35,3 +37,15 @@
         """The version of the newest configuration, 0 if there is none yet."""
         newest = self.get()
         return newest.generation if newest else 0
+
+    def longest_retention_s(self) -> float:
+        """Return the longest time in seconds for which a route retains its turns, 0 if none does."""
+        newest = self.get()
+        routes = msgspec.json.decode(newest.body).get("routes", ()) if newest else ()
+        return max((retention_s(route) for route in routes if isinstance(route, dict)), default=0.0)
+
+
+def retention_s(route: dict[str, Any]) -> float:
+    """Return for how many seconds a route retains turns; 0 if it retains none, or does not state a number."""
+    seconds = route.get("retention-s")
+    return float(seconds) if route.get("retained") is True and isinstance(seconds, (int, float)) else 0.0
--- a/lynxscale/controlplane/turn_admission.py
+++ b/lynxscale/controlplane/turn_admission.py
@@ -67,7 +67,13 @@
             return TurnRejected(error.status), ()
 
     def finish(self, request: FinishTurn) -> tuple[Put, ...]:
-        """Return the puts that must be durable before the end of a turn is acknowledged."""
+        """Return the puts that must be durable before the end of a turn is acknowledged.
+
+        A turn that ends under a newer configuration than it began with is retained for as long as either asks for.
+        """
+        if request.content is not None and self._is_older(request.configuration):
+            longest_s = max(request.retention_s, self._configuration.longest_retention_s())
+            request = msgspec.structs.replace(request, retention_s=longest_s)
         return self._programs.settle(request) + self._turns.record(request)
 
     def _is_older(self, version: int | msgspec.UnsetType) -> bool:
--- a/lynxscale/coordination/messages/calls.py
+++ b/lynxscale/coordination/messages/calls.py
@@ -65,7 +65,10 @@
 
 
 class FinishTurn(Message, frozen=True, tag="finish_turn"):
-    """End a reservation, charging the ``tokens`` used. ``content``: input and output of a complete, retained turn."""
+    """End a reservation, charging the ``tokens`` used. ``content``: input and output of a complete, retained turn.
+
+    ``configuration``: the version that ``retention_s`` is from; unset if the sender does not state it.
+    """
 
     program: str
     request: str
@@ -73,6 +76,7 @@
     retention_s: float
     content: bytes | None = None
     previous: str = ""
+    configuration: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class TurnFinished(Message, frozen=True, tag="turn_finished"):
--- a/lynxscale/dataplane/turns.py
+++ b/lynxscale/dataplane/turns.py
@@ -105,6 +105,7 @@
         self._histories = histories
         self._route = match.route
         self._stated_version = msgspec.UNSET if match.stated_version is None else match.stated_version
+        self._route_version = match.table.generation
         self._input = request.body
         self._budget_tokens = NO_BUDGET if budget is None else int(budget)
         self._admission_timeout_s = admission_timeout_s
@@ -173,5 +174,12 @@
         )
 
     def _finish(self, tokens: int, content: bytes | None) -> FinishTurn:
-        retention_s = self._route.retention_s
-        return FinishTurn(self._program, self._request_id, tokens, retention_s, content, self._previous_turn)
+        return FinishTurn(
+            self._program,
+            self._request_id,
+            tokens,
+            self._route.retention_s,
+            content,
+            self._previous_turn,
+            self._route_version,
+        )
--- a/tests/dataplane/test_request_router.py
+++ b/tests/dataplane/test_request_router.py
@@ -192,6 +192,22 @@
     assert endpoints_that_ran(tier, "t2") == ["i-9"]
 
 
+def test_a_turn_that_ends_under_a_newer_configuration_is_retained_for_as_long_as_that_says():
+    """Regression: the turn expired after the retention of the routes by which it had begun (LOST)."""
+    tier = settled_tier()
+    relay, other = tier.relay_hosts[:2]
+    assert tier.push(configuration_with(2, added_route(**{"retention-s": 1.0})), 1).status == 200
+    assert tier.world.run_until(lambda: all(one.route_table.generation == 2 for one in tier.relays.values()), 2.0)
+    first = turn(tier, "t1", relay)
+    assert tier.world.run_until(lambda: first.body, 2.0)
+    partition = [(f"{host}:{INTERNAL_PORT}", f"{relay}:{INTERNAL_PORT}") for host in tier.relay_hosts[1:]]
+    freeze(tier, relay, 0.5)
+    assert tier.push(configuration_with(3, added_route(**{"retention-s": 120.0})), 2).status == 200
+    assert partition and wait_for_end(tier, first) == 200 and first.complete
+    tier.world.run(tier.world.time + 60.0)
+    assert wait_for_end(tier, turn(tier, "t2", other, previous="t1")) == 200
+
+
 def test_a_route_that_is_gone_from_the_newest_configuration_is_404_for_a_turn_too():
     tier = settled_tier()
     frozen, other = tier.relay_hosts[:2]
