An isolated relay refuses nothing for good by its old configuration

What callers saw: a relay that no primary had confirmed for seconds answered requests without a Previous on unknown routes with 404, and larger ones than its limits with 413 or 431, all of which end a program, though a newer configuration may allow them elsewhere. The first response after a freeze did not close its connection, so the client stayed with that relay.

Cause: a refusal asked nobody whether the table may be older than its distribution allows; whether responses close their connections was decided by a timer only, which the freeze had stopped too.

Fix: RelayConfiguration.outdated (isolated, or a newer version was received that the relay cannot use) makes these refusals 503 with Retry-After. It is asked as the request is handled, and so is the closing of connections. In touch all is as before.

--- a/lynxscale/dataplane/relay_configuration.py
+++ b/lynxscale/dataplane/relay_configuration.py
@@ -27,6 +27,14 @@
         topic = self._tree.publisher.topics.get(CONFIGURATION_TOPIC)
         return topic.version.number if topic else 0
 
+    @property
+    def outdated(self) -> bool:
+        """Whether the table counts as outdated: no primary confirmed it lately, or the relay cannot use a newer one.
+
+        This bounds the age of the table and is no proof: a primary may have acknowledged a newer version just now.
+        """
+        return self._tree.isolated or self.received_version > self.version
+
 
 @attrs.frozen
 class RouteMatch:
--- a/lynxscale/dataplane/request_router.py
+++ b/lynxscale/dataplane/request_router.py
@@ -7,7 +7,7 @@
 Raft (Ongaro, "Consensus: Bridging Theory and Practice", 2014, section 6.4), and waits for that version if it lacks it.
 Turns that the primary admits need no read, as their admission states the version.
 
-All other requests without a route are refused immediately.
+All other requests without a route are refused immediately, with 503 while the table counts as outdated.
 """
 
 from __future__ import annotations
@@ -116,7 +116,8 @@
             return self._check_version(request, responder)
         if route is not None:
             return self._forward(request, responder, route, self._configuration.received_version)
-        responder.respond(relay_response(NOT_FOUND))
+        outdated = self._configuration.outdated
+        responder.respond(relay_response(SERVICE_UNAVAILABLE, RETRY_AFTER_S) if outdated else relay_response(NOT_FOUND))
         return None
 
     def _route_by_proven_table(self, request: Request, responder: Responder) -> Exchange | None:
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -61,7 +61,7 @@
         self._platform_rate_per_s = max(1.0, settings.cloud.rate_per_s)
         clock.call_later(ISOLATION_CHECK_INTERVAL_S, self._check_isolation)
         self._configuration = RelayConfiguration(self.tree)
-        self.limits = ServerLimits()
+        self.limits = ServerLimits(outdated=lambda: self._configuration.outdated)
         self._router = RequestRouter(
             self._configuration, lambda: self._configured, self.tree, self.calls, self.balancer, clock, random
         )
@@ -109,6 +109,7 @@
 
     def handle_request(self, request: Request, responder: Responder) -> Exchange | None:
         """Serve a client's request, or hold it until the relay is configured."""
+        self._update_closing()  # the timer may not have run since the process was frozen
         return self._router.handle(request, responder)
 
     def status(self) -> RelayStatus:
@@ -129,8 +130,7 @@
     def _check_isolation(self) -> None:
         """While isolated, poll the platform's endpoint list directly, and close client connections after a response."""
         self._clock.call_later(ISOLATION_CHECK_INTERVAL_S, self._check_isolation)
-        isolated = self.route_table is not None and self.isolated
-        self.limits.closing = isolated or self.stopping
+        isolated = self._update_closing()
         if isolated and not self._polls_endpoints:
             log.info("event=polling_endpoints_directly")
             self._endpoint_poller.start(interval_s=self._direct_poll_interval_s())
@@ -138,6 +138,12 @@
             self._endpoint_poller.stop()
         self._polls_endpoints = isolated
 
+    def _update_closing(self) -> bool:
+        """Decide whether responses close their connections; return whether the relay is isolated and configured."""
+        isolated = self.route_table is not None and self.isolated
+        self.limits.closing = isolated or self.stopping
+        return isolated
+
     def _direct_poll_interval_s(self) -> float:
         """Return the seconds between polls that keep all relays together within their share of the platform's rate."""
         relays = max(1, len(self.tree.roster))
--- a/lynxscale/runtime/http_server.py
+++ b/lynxscale/runtime/http_server.py
@@ -22,17 +22,28 @@
 EMPTY_LENGTH: Headers = ((b"content-length", b"0"),)
 REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
+HEADER_FIELDS_TOO_LARGE = 431
+SERVICE_UNAVAILABLE = 503
+
+
+def never() -> bool:
+    """Return False."""
+    return False
 
 
 @define
 class ServerLimits:
-    """Limits on the size and duration of requests; a new configuration changes them in place."""
+    """Limits on the size and duration of requests; a new configuration changes them in place.
+
+    ``outdated()``: whether newer limits may be in force; a request that exceeds these is then answered 503.
+    """
 
     header_bytes: int = 16384
     body_bytes: int = 4 * 1024 * 1024
     header_timeout_s: float = 5.0
     idle_timeout_s: float = 60.0
     closing: bool = False  # if set, each response closes its connection, as in a graceful shutdown
+    outdated: Callable[[], bool] = never
 
 
 class Exchange(Protocol):
@@ -237,6 +248,8 @@
 
     def _reject(self, status: int) -> None:
         """Respond with an error to a request that cannot be read, and close the connection."""
+        if status in (CONTENT_TOO_LARGE, HEADER_FIELDS_TOO_LARGE) and self._limits.outdated():
+            status = SERVICE_UNAVAILABLE
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._queue(h11.Response(status_code=status, headers=[*EMPTY_LENGTH, (b"connection", b"close")]))
             self._queue(h11.EndOfMessage())
--- a/tests/dataplane/test_request_router.py
+++ b/tests/dataplane/test_request_router.py
@@ -10,6 +10,7 @@
 from lab.tier.fakes import ClientResponse
 from lab.tier.simulated_tier import INTERNAL_PORT, SimulatedTier, default_configuration
 from lynxscale.coordination.messages import AdmitTurn, Call, Message, ReadConfigurationVersion
+from lynxscale.dataplane.service import RelayService
 from tests.simulated_tier import OUTPUT, endpoints_that_ran, executed_request, settled_tier
 
 # Duration of a freeze, and when the change comes. The relay is isolated after 1.6 s; its parent drops it after 2 s.
@@ -298,6 +299,7 @@
     relay = tier.relays[tier.relay_hosts[0]]
     assert relay.route_table.generation == 1
     assert wait_for_end(tier, turn(tier, "t1", tier.relay_hosts[0], path="/kept/stream")) == 200
+    assert tier.request("/nowhere/").status == 503  # the unreadable version may contain the route
     assert wait_for_end(tier, turn(tier, "t2", tier.relay_hosts[0], previous="t1", path="/nowhere/stream")) == 503
 
 
@@ -314,3 +316,44 @@
 
     tier.world.deliver = strip
     assert wait_for_end(tier, turn(tier, "t1", tier.relay_hosts[0], path="/kept/stream")) == 200
+
+
+# Without a proof -----------------------------------------------------------------------------------------
+
+
+def isolated_relay(tier: SimulatedTier) -> RelayService:
+    """Cut the first relay off until it counts as isolated."""
+    relay = tier.relays[tier.relay_hosts[0]]
+    partition_from_members(tier, tier.relay_hosts[0], *tier.relay_hosts[1:])
+    assert tier.world.run_until(lambda: relay.isolated, 5.0)
+    return relay
+
+
+def test_an_isolated_relay_answers_an_unknown_route_503_and_serves_calls_on_known_ones():
+    tier = settled_tier()
+    isolated_relay(tier)
+    refused = tier.request("/nowhere/")
+    assert refused.status == 503 and float(refused.head.text(b"retry-after")) > 0
+    assert tier.request("/look/1").status == 200
+    assert tier.request("/open/stream", program="p").status == 200
+
+
+def test_a_body_beyond_the_limit_is_503_at_an_isolated_relay_and_413_in_touch():
+    tier = settled_tier()
+    large = b"x" * 200_000
+    assert tier.request("/look/1", body=large).status == 413
+    isolated_relay(tier)
+    assert tier.request("/look/1", body=large).status == 503
+
+
+def test_an_isolated_relay_that_wakes_closes_the_connection_of_its_first_response():
+    """Regression: only a timer, which the freeze had stopped too, told responses to close their connections."""
+    tier = settled_tier()
+    tier.world.wake_random = Random(1)
+    frozen = tier.relay_hosts[0]
+    freeze(tier, frozen, 4.0)
+    tier.world.run(tier.world.time + 0.5)
+    partition_from_members(tier, frozen, *tier.relay_hosts[1:])
+    answer = tier.request("/nowhere/")
+    assert answer.status == 503
+    assert answer.head.get(b"connection") == b"close"
