A request that waited for a configuration has only the rest of its time

Cause: the deadline was counted from when the request was routed.

Fix: headers.after_wait takes the wait off, here as for requests that wait for a newer configuration.

Evidence: test_an_endpoint_gets_only_the_time_that_is_left_after_the_wait fails before.

--- a/lab/tier/data_plane_mutations/admission.py
+++ b/lab/tier/data_plane_mutations/admission.py
@@ -109,8 +109,8 @@
     SourceMutation(
         "pending_request_that_was_served_is_rejected_later",
         PENDING,
-        "                pending.waiting = False\n                pending.exchange",
-        "                pending.exchange",
+        "                pending.waiting = False\n                request =",
+        "                request =",
         WAITING + "test_a_request_that_was_served_is_not_rejected_later",
     ),
     SourceMutation(
--- a/lynxscale/dataplane/pending_until_configured.py
+++ b/lynxscale/dataplane/pending_until_configured.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from lynxscale.coordination.ports import Clock
-from lynxscale.dataplane.headers import DEADLINE_MS
+from lynxscale.dataplane.headers import DEADLINE_MS, after_wait
 from lynxscale.dataplane.responses import SERVICE_UNAVAILABLE, relay_response
 from lynxscale.runtime.http_server import Exchange, Responder
 from lynxscale.runtime.http_types import Request
@@ -22,10 +22,11 @@
     ``version``: the lowest version of the configuration by which it may be served.
     """
 
-    def __init__(self, request: Request, responder: Responder, version: int) -> None:
+    def __init__(self, request: Request, responder: Responder, version: int, added_at: float) -> None:
         self.request = request
         self.responder = responder
         self.version = version
+        self.added_at = added_at
         self.waiting = True
         self.exchange: Exchange | None = None
 
@@ -49,7 +50,7 @@
         if len(self._pending) >= MAX_PENDING:
             responder.respond(relay_response(SERVICE_UNAVAILABLE, RETRY_AFTER_S))
             return None
-        pending = PendingRequest(request, responder, version)
+        pending = PendingRequest(request, responder, version, self._clock.now())
         self._pending.append(pending)
         deadline_ms = request.head.number(DEADLINE_MS)
         wait_s = MAX_WAIT_S if deadline_ms is None else min(MAX_WAIT_S, WAIT_DEADLINE_SHARE * deadline_ms / 1000.0)
@@ -63,7 +64,8 @@
         for pending in served:
             if pending.waiting:
                 pending.waiting = False
-                pending.exchange = self._serve(pending.request, pending.responder)
+                request = after_wait(pending.request, self._clock.now() - pending.added_at)
+                pending.exchange = self._serve(request, pending.responder)
 
     def _reject(self, pending: PendingRequest) -> None:
         if pending in self._pending:
--- a/tests/dataplane/test_pending_until_configured.py
+++ b/tests/dataplane/test_pending_until_configured.py
@@ -14,6 +14,7 @@
 )
 from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head, Request, Response
+from tests.simulated_tier import executed_request
 
 
 def test_a_request_before_the_first_configuration_is_served_once_that_arrives():
@@ -26,6 +27,17 @@
     assert answer.status == 200
 
 
+def test_an_endpoint_gets_only_the_time_that_is_left_after_the_wait():
+    """Regression: it was told the client's whole deadline, and worked on after the client had left."""
+    tier = SimulatedTier(World(3))
+    tier.world.run(1.5)
+    answer, _ = tier.start_request("/look/1", request_id="r", lynxscale_deadline_ms="2000")
+    tier.world.run(tier.world.time + 0.5)
+    assert tier.push(default_configuration(), 0).status == 200
+    assert tier.world.run_until(lambda: answer.ended, 2.0) and answer.status == 200
+    assert 0 < executed_request(tier, "r").head.number(DEADLINE_MS) < 1500
+
+
 class RecordingResponder:
     """Records the responses. Implements the part of Responder that is used here."""
 
