A kept connection has the header limit that is in force

What callers saw: a request whose head the newest configuration allows got 431 on a connection that was opened under a lower limit; and a lowered limit did not hold there.

Cause: h11 takes the limit when its connection is made, and ServerConnection made one for its whole life.

Fix: an idle connection whose limit differs from that in force begins its next request with a new parser.

Evidence: test_a_kept_connection_has_the_header_limit_that_is_in_force fails before in both directions. Found by reading, in the search for uses of a configuration that may be old.

--- a/lynxscale/runtime/http_server.py
+++ b/lynxscale/runtime/http_server.py
@@ -122,7 +122,8 @@
         self._limits = limits
         self._clock = clock
         self._open_connections = open_connections
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._header_bytes = limits.header_bytes
+        self._http = self._new_parser()
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._responder: Responder | None = None
@@ -154,9 +155,10 @@
         """Part of asyncio.Protocol."""
         if self.state is ConnectionState.CLOSED:
             return
-        self._http.receive_data(data)
         if self.state is ConnectionState.IDLE:
+            self._apply_header_limit()
             self._set_state(ConnectionState.READING)
+        self._http.receive_data(data)
         if self.state is ConnectionState.READING:
             self._read()
 
@@ -202,6 +204,15 @@
             self._transport.write(bytes(self._unsent))
         self._unsent.clear()
 
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._header_bytes)
+
+    def _apply_header_limit(self) -> None:
+        """Use the limit in force: h11 takes it only at the start, and the connection may be older than the limit."""
+        if self._header_bytes != self._limits.header_bytes:
+            self._header_bytes = self._limits.header_bytes
+            self._http = self._new_parser()
+
     def _queue(self, event: h11.Event) -> None:
         try:
             self._unsent += self._http.send(event) or b""
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -1,5 +1,7 @@
 """Limits of the HTTP server on connections that are older than the limits."""
 
+import pytest
+
 from lab.tier.world import World
 from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
 from lynxscale.runtime.http_types import Request, Response
@@ -41,6 +43,19 @@
     connection.data_received(b"\r\n\r\n")
 
 
+@pytest.mark.parametrize(("limit_before", "limit_now", "status"), [(2_000, 16_000, 200), (16_000, 2_000, 431)])
+def test_a_kept_connection_has_the_header_limit_that_is_in_force(limit_before, limit_now, status):
+    """Regression: a connection kept the limit under which it was opened, and answered 431 by it."""
+    limits = ServerLimits(header_bytes=limit_before)
+    transport = RecordingTransport()
+    connection = ServerConnection(answer, limits, World(1).machine("a:1").clock(), set())
+    connection.connection_made(transport)
+    send(connection, 10)
+    limits.header_bytes = limit_now
+    send(connection, 8_000)
+    assert transport.statuses() == [200, status]
+
+
 def test_a_request_beyond_limits_that_may_be_outdated_is_answered_503():
     for outdated, status in ((False, 431), (True, 503)):
         limits = ServerLimits(header_bytes=2_000, outdated=lambda outdated=outdated: outdated)
