A freeze of a relay is not taken for the latency of an endpoint

What callers saw: a relay that was frozen for eight seconds amid its first attempts answered every later request to that endpoint 503 at once, for minutes, though the endpoint was idle: the only latency in its sample was over six seconds, more than any request has left, so no request was sent that could have corrected it.

Cause: an attempt recorded the time until its response was read, also where the process did not run in the meantime.

Fix: a latency beyond the time that the endpoint was given is not recorded. The endpoint stops working at that time, so the rest is the relay's own. A shorter freeze still counts, but leaves requests that correct it.

--- a/lynxscale/dataplane/attempt.py
+++ b/lynxscale/dataplane/attempt.py
@@ -68,6 +68,7 @@
         self._listener: AttemptListener | None = listener
         self._clock = clock
         self._sent_at = clock.now()
+        self._allowed_ms = request.head.number(headers.DEADLINE_MS)
         self._rejected = False
         self._status = 0
         self._first_byte_latency_ms = 0.0
@@ -83,6 +84,12 @@
         """Milliseconds since the attempt was sent."""
         return (self._clock.now() - self._sent_at) * 1000.0
 
+    @property
+    def _endpoint_latency_ms(self) -> float | None:
+        """The time to the response, None if it exceeds what the endpoint was given: this process was frozen then."""
+        latency_ms = self._first_byte_latency_ms or self.elapsed_ms
+        return latency_ms if self._allowed_ms is None or latency_ms <= self._allowed_ms else None
+
     def start_restart_timer(self, timeout_ms: float) -> None:
         """Call the listener's ``on_restart_timeout`` after ``timeout_ms``, unless a response begins earlier."""
         self._restart_timer = self._clock.call_later(timeout_ms / 1000.0, self._restart_timeout_expired)
@@ -125,7 +132,7 @@
             self.endpoint.on_rejected()
             self._end(AttemptOutcome.NOT_EXECUTED)
             return
-        self.endpoint.on_success(self._first_byte_latency_ms or self.elapsed_ms)
+        self.endpoint.on_success(self._endpoint_latency_ms)
         if self._status >= FIRST_SERVER_ERROR:
             self.endpoint.on_error_response()
         self._end(AttemptOutcome.COMPLETE)
--- a/lynxscale/dataplane/endpoint_state.py
+++ b/lynxscale/dataplane/endpoint_state.py
@@ -99,11 +99,12 @@
         self._load_of_others = max(0.0, requests - self.in_flight)
         self._load_reported_at = self._clock.now()
 
-    def on_success(self, latency_ms: float) -> None:
-        """Record a completed attempt and increase the window by one."""
-        self._record_latency(latency_ms)
-        weight = RECENT_LATENCY_WEIGHT if self.recent_latency_ms else 1.0
-        self.recent_latency_ms += (latency_ms - self.recent_latency_ms) * weight
+    def on_success(self, latency_ms: float | None) -> None:
+        """Record a completed attempt and increase the window by one; None if its latency is not the endpoint's."""
+        if latency_ms is not None:
+            self._record_latency(latency_ms)
+            weight = RECENT_LATENCY_WEIGHT if self.recent_latency_ms else 1.0
+            self.recent_latency_ms += (latency_ms - self.recent_latency_ms) * weight
         self.window = min(self.window + 1, max(1, math.floor(MAX_WINDOW_SHARE * self.slots)))
         self.restart_tokens = min(MAX_RESTART_TOKENS, self.restart_tokens + RESTART_TOKENS_PER_SUCCESS)
         self._consecutive_failures = 0
--- a/tests/dataplane/test_attempt.py
+++ b/tests/dataplane/test_attempt.py
@@ -2,7 +2,9 @@
 
 from unittest.mock import patch
 
-from lab.tier.simulated_tier import MODEL
+import pytest
+
+from lab.tier.simulated_tier import INTERNAL_PORT, MODEL
 from lynxscale.runtime.http_client import ClientConnection
 from tests.simulated_tier import endpoints_that_ran, settled_tier
 
@@ -71,3 +73,16 @@
     assert tier.request("/open/stream", request_id="s").complete
     assert len(endpoints_that_ran(tier, "s")) == 1
     assert all(state.failure_rate.current == 0 for state in relay.balancer.states.values())
+
+
+@pytest.mark.parametrize("frozen_s", [2.0, 8.0])
+def test_a_relay_that_was_frozen_amid_its_first_attempts_serves_again(frozen_s):
+    """Regression: it took the freeze for an endpoint's latency, and refused the requests with less time than that."""
+    tier = settled_tier()
+    host = tier.relay_hosts[0]
+    answers = [tier.start_request("/open/stream", lynxscale_token_count="10,40")[0] for _ in range(2)]
+    assert tier.world.run_until(lambda: sum(len(endpoint.executed) for endpoint in tier.endpoints.values()) == 2, 2.0)
+    tier.world.machine(f"{host}:{INTERNAL_PORT}").freeze(frozen_s)
+    assert tier.world.run_until(lambda: all(answer.ended for answer in answers), 12.0)
+    tier.world.run(tier.world.time + 1.0)
+    assert [tier.request("/open/stream", lynxscale_token_count="10,40").status for _ in range(6)] == [200] * 6
