--- a/lab/tier/machine.py
+++ b/lab/tier/machine.py
@@ -27,14 +27,22 @@
     """A scheduled call that can be cancelled. Implements the Timer port.
 
     ``stream``: the connection or link on which it arrives; events of one stream keep their order. None for a timer.
+    ``order``: the time for which it was scheduled, and its number; events that are postponed keep this order.
     """
 
-    __slots__ = ("call", "owner", "stream")
+    __slots__ = ("call", "order", "owner", "stream")
 
-    def __init__(self, call: Callable[[], object], owner: Machine | None, stream: Hashable | None) -> None:
+    def __init__(
+        self,
+        call: Callable[[], object],
+        owner: Machine | None,
+        stream: Hashable | None,
+        order: tuple[float, int],
+    ) -> None:
         self.call: Callable[[], object] | None = call
         self.owner = owner
         self.stream = stream
+        self.order = order
 
     def cancel(self) -> None:
         """Cancel the call."""
@@ -121,8 +129,8 @@
         return resumes_at if self.quota is None else self.quota.runs_at(resumes_at)
 
     def freeze(self, seconds: float) -> None:
-        """Suspend the process; events that become due meanwhile run when it resumes."""
-        self.frozen_until = self.world.time + seconds
+        """Suspend the process; events that become due meanwhile run when it resumes. Never shortens another freeze."""
+        self.frozen_until = max(self.frozen_until, self.world.time + seconds)
 
 
 class MachineClock:
--- a/lab/tier/world.py
+++ b/lab/tier/world.py
@@ -56,7 +56,7 @@
         self.wake_random: Random | None = None
         self._wake_ranks: dict[str, tuple[float, dict[Hashable, float]]] = {}
         self._calls_at_step: dict[int, Callable[[], object]] = {}
-        self._events: list[tuple[float, float, int, Event]] = []
+        self._events: list[tuple[float, float, tuple[float, int], Event]] = []
         self._next_sequence_number = count().__next__
         self._last_arrival: dict[tuple[str, str], float] = {}
         self._link_free_at: dict[tuple[str, str], float] = {}
@@ -71,8 +71,8 @@
         stream: Hashable | None = None,
     ) -> Event:
         """Schedule a call. It is postponed while the process of its owner cannot run."""
-        event = Event(call, owner, stream)
-        heapq.heappush(self._events, (time, 0.0, self._next_sequence_number(), event))
+        event = Event(call, owner, stream, (time, self._next_sequence_number()))
+        heapq.heappush(self._events, (time, 0.0, event.order, event))
         return event
 
     def run(self, until: float) -> None:
@@ -109,7 +109,7 @@
         rank = 0.0
         if self.wake_random is not None and event.owner is not None and event.owner.frozen_until == time:
             rank = self._wake_rank(self.wake_random, event, event.owner.address, time)
-        heapq.heappush(self._events, (time, rank, self._next_sequence_number(), event))
+        heapq.heappush(self._events, (time, rank, event.order, event))
 
     def _wake_rank(self, random: Random, event: Event, address: str, time: float) -> float:
         """The place of an event's stream when a machine wakes at a time: drawn, and that of timers is the last."""
--- a/tests/lab/test_machine.py
+++ b/tests/lab/test_machine.py
@@ -1,5 +1,7 @@
 """Simulated machines: processor quotas, and links with their own properties."""
 
+from random import Random
+
 import pytest
 
 from lab.tier.machine import ProcessorQuota
@@ -39,6 +41,37 @@
     assert order == ["0.05", "0.1"]
 
 
+@pytest.mark.parametrize("second_freeze_s", [0.05, 0.5])
+@pytest.mark.parametrize("wake_random", [None, Random(1)])
+def test_events_of_a_stream_keep_their_order_over_two_freezes(wake_random, second_freeze_s):
+    """Guards against a stream without its second event in route history 24: later ones had overtaken it."""
+    world = World(1)
+    world.wake_random = wake_random
+    machine = world.machine("a:1")
+    order: list[int] = []
+    for number in range(10):
+        world.call_at(0.1 * number, lambda number=number: order.append(number), machine, "stream")
+    machine.freeze(0.35)
+    world.call_at(0.2, lambda: machine.freeze(second_freeze_s))
+    world.run(2.0)
+    assert order == list(range(10))
+
+
+def test_a_process_that_wakes_reads_its_connections_in_a_drawn_order_and_runs_its_timers_last():
+    orders = set()
+    for seed in range(20):
+        world = World(1)
+        world.wake_random = Random(seed)
+        machine = world.machine("a:1")
+        order: list[str] = []
+        for name, stream in (("timer", None), ("a1", "a"), ("b1", "b"), ("a2", "a")):
+            world.call_at(0.1, lambda name=name, order=order: order.append(name), machine, stream)
+        machine.freeze(1.0)
+        world.run(2.0)
+        orders.add(tuple(order))
+    assert orders == {("a1", "a2", "b1", "timer"), ("b1", "a1", "a2", "timer")}
+
+
 def test_a_link_has_its_own_delay_loss_and_bandwidth_in_each_direction():
     world = World(1, loss=0.001)
     arrivals: dict[str, list[float]] = {"a:1": [], "b:1": []}
