--- a/tests/dataplane/test_request_router.py
+++ b/tests/dataplane/test_request_router.py
@@ -9,7 +9,7 @@
 
 from lab.tier.fakes import ClientResponse
 from lab.tier.simulated_tier import INTERNAL_PORT, SimulatedTier, default_configuration
-from lynxscale.coordination.messages import AdmitTurn, Call, Message, ReadConfigurationVersion
+from lynxscale.coordination.messages import AdmitTurn, Call, Message, ReadConfigurationVersion, TopicUpdate
 from lynxscale.dataplane.service import RelayService
 from tests.simulated_tier import OUTPUT, endpoints_that_ran, executed_request, settled_tier
 
@@ -275,6 +275,51 @@
     assert program["spent"] == 40 and program["open"] == {}
 
 
+def test_a_turn_that_was_admitted_runs_though_its_route_is_gone_when_the_call_is_repeated():
+    """The reply to its admission is lost; compared again, the turn would get 404 and leave its reservation."""
+    tier = settled_tier()
+    relay, other = tier.relay_hosts[:2]
+    add_route_and_answer_first_turn(tier, other)
+    assert tier.world.run_until(lambda: all(one.route_table.generation == 3 for one in tier.relays.values()), 2.0)
+    address, primary = f"{relay}:{INTERNAL_PORT}", tier.primary().publisher.address
+    tier.world.partition(primary, address, both_ways=False)
+    answer = turn(tier, "t2", relay, previous="t1")
+    tier.world.run(tier.world.time + 0.1)
+    assert tier.push(default_configuration(5), 3).status == 200
+    tier.world.heal()
+    assert wait_for_end(tier, answer) == 200
+    tier.world.run(tier.world.time + 0.5)
+    assert msgspec.json.decode(tier.primary().member.store.values["program/p"])["open"] == {}
+
+
+def test_a_client_that_leaves_while_its_turn_waits_for_a_newer_configuration_is_not_served():
+    tier = settled_tier()
+    relay = tier.relay_hosts[0]
+    deliver = tier.world.deliver
+    held: list[tuple[str, str, Message]] = []
+
+    def hold_updates(source: str, target: str, message: Message) -> None:
+        if isinstance(message, TopicUpdate):
+            held.append((source, target, message))
+        else:
+            deliver(source, target, message)
+
+    tier.world.deliver = hold_updates
+    assert tier.push(configuration_with(3, added_route()), 1).status == 200
+    fields = {"program": "p", "budget": "1000", "lynxscale_token_count": "100,40"}
+    _, connection = tier.start_request("/kept/stream", relay, b"say t1 ", request_id="t1", **fields)
+    pending = tier.relays[relay]._router._until_newer
+    assert tier.world.run_until(lambda: bool(pending._pending), 1.0)
+    connection.close()
+    tier.world.run(tier.world.time + 0.1)
+    tier.world.deliver = deliver
+    for source, target, message in held:
+        deliver(source, target, message)
+    tier.world.run(tier.world.time + 5.0)
+    assert tier.relays[relay].route_table.generation == 3
+    assert endpoints_that_ran(tier, "t1") == []
+
+
 def test_a_client_that_leaves_while_its_request_waits_for_a_newer_configuration_is_not_served():
     tier = settled_tier()
     frozen, other = tier.relay_hosts[:2]
