Soak: conversations on changing routes over connections that are kept

Cause: the soak's clients kept connections for calls only, its turns went to relays that were ready, over one route that stays.

Change: the operator adds, moves, removes and begins to retain routes; clients hold conversations on them through any relay, on a connection that each keeps until the relay closes it; relays are frozen for up to 5 s (2 s before), and a request without an answer counts as never answered 1 s after the longest freeze, as before.

--- a/lab/tier/changing_routes.py
+++ b/lab/tier/changing_routes.py
@@ -56,9 +56,10 @@
 
 
 class ChangingRoutes:
-    """All routes of a run, and the next change of them."""
+    """All routes of a run, and the next change of them. ``other_service``: the service that routes are moved to."""
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, other_service: str = OTHER_MODEL) -> None:
+        self._other_service = other_service
         self.all: list[ChangingRoute] = []
         self._random = random
         self._present: list[ChangingRoute] = []
@@ -74,7 +75,8 @@
         self._random.choice(kinds)(now)
         configuration = default_configuration(base + self._random.randint(MIN_VERSION_STEP, MAX_VERSION_STEP))
         configuration["routes"] += [route.fields() for route in self._present]
-        configuration["services"].append(configuration["services"][0] | {"name": OTHER_MODEL})
+        if self._other_service == OTHER_MODEL:
+            configuration["services"].append(configuration["services"][0] | {"name": OTHER_MODEL})
         return configuration
 
     def acknowledged(self, now: float) -> None:
@@ -100,7 +102,7 @@
     def _move(self, now: float) -> None:
         for route in self._present:
             if self._random.random() < 0.5:
-                route.backend = OTHER_MODEL if route.backend == MODEL else MODEL
+                route.backend = self._other_service if route.backend == MODEL else MODEL
 
 
 @dataclass(frozen=True)
--- a/lab/tier/disturbances.py
+++ b/lab/tier/disturbances.py
@@ -30,7 +30,7 @@
 PAUSE_RANGE_S = (0.0, 0.8)  # time between two disturbances of a worker
 EXIT_TIMEOUT_S = 9.0  # the setting grace-s is 8 s; the rest is for a busy machine
 START_TIMEOUT_S = 25.0
-FREEZE_RANGE_S = (0.1, 2.0)
+MEMBER_FREEZE_RANGE_S, RELAY_FREEZE_RANGE_S = (0.1, 2.0), (0.1, 5.0)
 MAX_SIGNALS = 5  # number of signals in one series
 SERIES_GAP_S = 0.05  # longest time between two signals of a series
 OVERLAP_RANGE_S = (0.0, 3.0)  # time after SIGTERM within which further signals are sent
@@ -148,8 +148,9 @@
 
     async def _freeze(self, name: str) -> None:
         process = self._tier.processes[name]
+        seconds = MEMBER_FREEZE_RANGE_S if name in self._tier.control_names else RELAY_FREEZE_RANGE_S
         process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self._random.uniform(*FREEZE_RANGE_S))
+        await asyncio.sleep(self._random.uniform(*seconds))
         process.send_signal(signal.SIGCONT)
 
     async def _end(self, kind: str, name: str) -> None:
--- a/lab/tier/persistent_clients.py
+++ b/lab/tier/persistent_clients.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from lab.tier.disturbances import RELAY_FREEZE_RANGE_S
 from lab.tier.local import LocalTier
 from lynxscale.dataplane.headers import REQUEST_ID
 from lynxscale.runtime.clock import LoopClock
@@ -16,7 +17,8 @@
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_PAUSE_S = 0.05
 DEADLINE_MS = 2000
-ANSWER_SLACK_S = 3.0  # a request without an answer this long after its deadline counts as never answered
+# A request without an answer this long after its deadline counts as never answered: a frozen relay answers as it wakes.
+ANSWER_SLACK_S = RELAY_FREEZE_RANGE_S[1] + 1.0
 SHORT_PAUSE_S = 0.06  # longest usual pause between two requests of a client
 LONG_PAUSE_S = 5.0  # longer than the time for which a relay that stops keeps idle connections
 LONG_PAUSE_SHARE = 0.08
--- a/lab/tier/soak.py
+++ b/lab/tier/soak.py
@@ -1,8 +1,9 @@
 """``python -m lab.tier.soak``: real relays under signals, against endpoints that are full and repeat answers late.
 
 Each run draws from its seed: how full the endpoints are and how often they repeat an answer, whether there are kills
-and freezes beside the planned work, and all disturbances. Clients keep their connections until the relay closes them;
-the load of ``upgrade_load`` adds conversations, further calls and changes of the configuration. A seed repeats what a
+and freezes beside the planned work, all disturbances, and the changes of the routes. Clients keep their connections
+until the relay closes them, for calls and for conversations on the routes that change; the load of ``upgrade_load``
+adds conversations on a route that stays, further calls and the operator. A seed repeats what a
 run draws; when it happens depends on the machine. Exit code 1 if a rule was broken.
 """
 
@@ -20,17 +21,20 @@
 from pathlib import Path
 from random import Random
 
+from lab.tier.changing_routes import ChangingRoutes, lost_turns
 from lab.tier.conditions import overload_endpoints, relieve_endpoints
 from lab.tier.disturbances import Disturber
 from lab.tier.local import LocalTier, free_network
 from lab.tier.persistent_clients import PersistentClients
+from lab.tier.persistent_conversations import PersistentConversations
+from lab.tier.simulated_tier import TOOLS
 from lab.tier.soak_rules import SoakChecker
 from lab.tier.upgrade_load import Load
 from lab.tier.upgrade_rules import request_violations
 
 DEFAULT_SECONDS = 15.0
 DEFAULT_RELAYS, DEFAULT_CONTROLS = 4, 3
-CLIENTS = 16
+CLIENTS, CONVERSATION_CLIENTS = 16, 8
 PAUSE_TIMEOUT_S = 25.0
 PLANNED_ONLY_SHARE = 0.5  # share of the seeds without kills and freezes
 MAX_PRINTED = 20
@@ -39,12 +43,13 @@
 
 @dataclass(frozen=True)
 class SoakSize:
-    """``seconds``: for how long a run disturbs; ``relays``, ``controls`` and ``clients``: their numbers."""
+    """``seconds``: for how long a run disturbs; the others are numbers of processes and clients."""
 
     seconds: float = DEFAULT_SECONDS
     relays: int = DEFAULT_RELAYS
     controls: int = DEFAULT_CONTROLS
     clients: int = CLIENTS
+    conversation_clients: int = CONVERSATION_CLIENTS
 
 
 @dataclass(frozen=True)
@@ -58,14 +63,17 @@
     late_answers: int
     changes: int
     turns: int
+    routed_turns: Counter[int]
 
     def __str__(self) -> str:
         """A summary on one line."""
         statuses = ", ".join(f"{status or 'none'}: {count}" for status, count in sorted(self.statuses.items()))
         disturbances = ", ".join(f"{kind} {count}" for kind, count in sorted(self.disturbances.items()))
+        routed = ", ".join(f"{status or 'none'}: {count}" for status, count in sorted(self.routed_turns.items()))
         return (
             f"seed {self.seed}: {len(self.violations)} violations; persistent connections {statuses};"
-            f" {self.turns} turns; {self.late_answers} late answers; {disturbances}; {self.changes} changes"
+            f" turns on changing routes {routed}; {self.turns} other turns; {self.late_answers} late answers;"
+            f" {disturbances}; {self.changes} changes"
         )
 
 
@@ -81,7 +89,10 @@
         self._late_answers = 0
         self._streams_break_off = False
         planned_only = self._random.random() < PLANNED_ONLY_SHARE
-        self._load = Load(self._tier, Random(f"load {seed}"))
+        self._routes = ChangingRoutes(Random(f"routes {seed}"), TOOLS)
+        self._load = Load(self._tier, Random(f"load {seed}"), self._routes)
+        talks = Random(f"conversations {seed}")
+        self._conversations = PersistentConversations(self._tier, self._routes, talks, size.conversation_clients)
         self._clients = PersistentClients(self._tier, Random(f"clients {seed}"), size.clients)
         self._disturber = Disturber(self._tier, Random(f"disturbances {seed}"), planned_only)
 
@@ -95,11 +106,13 @@
                 self._load.begin(group)
                 self._load.resume()
                 self._clients.begin(group)
+                self._conversations.begin(group)
                 try:
                     await self._disturber.run(self._size.seconds)
                 except TimeoutError as error:
                     violations.append(str(error))
                 self._clients.cancel()
+                self._conversations.cancel()
                 relieve_endpoints(self._tier.endpoints)
                 await self._load.pause(PAUSE_TIMEOUT_S)
                 self._load.cancel()
@@ -115,7 +128,8 @@
             self._disturber.counts,
             self._late_answers,
             sum(change.acknowledged for change in self._load.changes),
-            len(self._load.turns),
+            len(self._load.turns) - sum(turn.status not in (404, 410) for turn in self._conversations.turns),
+            Counter(turn.status for turn in self._conversations.turns),
         )
 
     def _overload(self) -> None:
@@ -142,9 +156,14 @@
             self._disturber.log,
             self._load.stalls,
         )
-        unanswered = [f"UNANSWERED {one.request_id} {one.path} at {one.relay}" for one in self._clients.unanswered]
+        never_ended = [*self._clients.unanswered, *self._conversations.unanswered]
+        unanswered = [f"UNANSWERED {one.request_id} {one.path} at {one.relay}" for one in never_ended]
+        conversations = self._conversations.turns
+        lost = lost_turns(turn.judged() for turn in conversations if turn.request.ended_at)
+        # Whether a 404 was allowed is judged above; the checker of histories knows no routes that come and go.
+        self._load.turns += [turn.observed() for turn in conversations if turn.status not in (404, 410)]
         loads = request_violations(self._tier.endpoints, self._load) + self._load.faults
-        return [*self._disturber.faults, *checker.violations(), *unanswered, *loads]
+        return [*self._disturber.faults, *checker.violations(), *lost, *unanswered, *loads]
 
     def _log_lines(self) -> list[str]:
         return [
--- a/lab/tier/upgrade_load.py
+++ b/lab/tier/upgrade_load.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from lab.tier.changing_routes import ChangingRoutes
 from lab.tier.history_checker import MAX_TOKENS, ObservedChange, ObservedTurn
 from lab.tier.local import LocalTier
 from lab.tier.simulated_tier import default_configuration
@@ -98,9 +99,11 @@
 class Load:
     """The clients and the operator of one tier, with all their observations."""
 
-    def __init__(self, tier: LocalTier, random: Random) -> None:
+    def __init__(self, tier: LocalTier, random: Random, routes: ChangingRoutes | None = None) -> None:
+        """``routes``: if given, each change of the configuration is a change of these routes."""
         self.tier = tier
         self.random = random
+        self.routes = routes
         self.conversations: list[Conversation] = []
         self.turns: list[ObservedTurn] = []
         self.calls: list[tuple[str, ClientResult]] = []
@@ -276,16 +279,21 @@
             f"the change of version {change.base} is acknowledged",
             CHANGE_RETRY_INTERVAL_S,
         )
+        if self.routes is not None:
+            self.routes.acknowledged(time.monotonic())
 
     def _new_change(self) -> ObservedChange:
-        """The next change. The first is a replacement; after it all configurations differ only in their first route."""
+        """The next change. Without ``routes``, all after the first, a replacement, differ only in their first route."""
         base = self.in_force["generation"]
-        table = default_configuration(base + self.random.randint(1, 3))
+        if self.routes is None:
+            table = default_configuration(base + self.random.randint(1, 3))
+        else:
+            table = self.routes.next_configuration(base, time.monotonic())
         route = table["routes"][0]
         route["retention-s"] = RETENTION_S
         route["target-latency-ms"] = 200 + len(self.changes)
         change = ObservedChange(base, table)
-        if len(self.changes) > 1 and len(self.changes) % 2:
+        if self.routes is None and len(self.changes) > 1 and len(self.changes) % 2:
             change.update = {"generation": table["generation"], "upsert": {"routes": [route]}}
         return change
 
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -15,7 +15,7 @@
 
 
 def test_short_soaks_break_no_rule():
-    """Guards against review case 2 and against processes that signals end; ``python -m lab.tier.soak`` for longer.
+    """Guards against review cases 2 and 3, and processes that signals end; ``python -m lab.tier.soak`` for longer.
 
     The seeds are played one after the other, as each needs most of a small machine.
     """
@@ -23,6 +23,7 @@
         result = play(seed, SoakSize(seconds=8.0))
         assert not result.violations, (str(result), result.violations)
         assert result.late_answers and result.statuses[200] and result.disturbances["restart"], str(result)
+        assert result.routed_turns[200], str(result)
 
 
 class Endpoint:
