--- a/lynxscale/dataplane/request_router.py
+++ b/lynxscale/dataplane/request_router.py
@@ -39,9 +39,9 @@
 
 
 class CheckState(Enum):
-    """The state of a checked request: READING -> ROUTED, and ENDED from both."""
+    """The state of a checked request: CHECKING -> ROUTED, and ENDED from both."""
 
-    READING = "reading"  # of the newest configuration's version
+    CHECKING = "checking"  # the newest configuration's version is being read
     ROUTED = "routed"  # refused, forwarded, or waiting for a version that the relay lacks
     ENDED = "ended"  # rejected with 503, or the client has disconnected
 
@@ -50,7 +50,7 @@
     """A request whose route is chosen after a read of the configuration's version. Implements Exchange."""
 
     def __init__(self, responder: Responder) -> None:
-        self.state = CheckState.READING
+        self.state = CheckState.CHECKING
         self._responder = responder
         self._exchange: Exchange | None = None
 
@@ -149,7 +149,7 @@
         arrived_at = self._clock.now()
 
         def on_reply(reply: Message | None) -> None:
-            if checked.state is not CheckState.READING:
+            if checked.state is not CheckState.CHECKING:
                 return
             if isinstance(reply, ConfigurationVersion):
                 waited = headers.after_wait(request, self._clock.now() - arrived_at)
