--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -195,6 +195,7 @@
             return http.our_state is h11.DONE
         arrival = Arrival(self.id, head.method.decode(), head.target.decode(), fields, body, self.tier.record.now)
         self.tier.arrivals.append(arrival)
+        self.tier.record.write(f"{self.id} of {self.service} runs {request_id}, {len(body)} bytes")
         self.running += 1
         closed = asyncio.ensure_future(reader.read(1))
         work = asyncio.ensure_future(self._answer(http, arrival, writer))
