A turn is whole for its client only once it is durable, whatever the endpoint's framing

Cause: a retained turn is committed before the end of its response is sent, but the head was forwarded with the endpoint's Content-Length, so that the client had the whole answer before the commit began.

Change: the relay frames streams itself (ResponseStream.start), clients of HTTP/1.0 get a turn's latest event with the next one or with the end, and an abort is a reset there.

--- a/lab/tier/data_plane_mutations/names.py
+++ b/lab/tier/data_plane_mutations/names.py
@@ -21,6 +21,7 @@
 TREE = "lynxscale.coordination.distribution_tree"
 TURN_ADMISSION = "lynxscale.controlplane.turn_admission"
 
+FRAMING = "tests/dataplane/test_stream_framing.py::"
 FAULTS = "tests/dataplane/test_request_faults.py::"
 STATE = "tests/dataplane/test_endpoint_state.py::"
 CHOICE = "tests/dataplane/test_load_balancer.py::"
--- a/lab/tier/data_plane_mutations/streams.py
+++ b/lab/tier/data_plane_mutations/streams.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lab.tier.data_plane_mutations.names import FAULTS, FORWARDING, STREAM, TURNS
+from lab.tier.data_plane_mutations.names import FAULTS, FORWARDING, FRAMING, STREAM, TURNS
 from lab.tier.source_mutation import SourceMutation
 
 STREAMS = (
@@ -48,6 +48,20 @@
     ),
 )
 COMMITS = (
+    SourceMutation(
+        "turn_is_whole_by_the_endpoints_length",
+        STREAM,
+        "without_length(self._head.end_to_end())",
+        "self._head.end_to_end()",
+        FRAMING + "test_a_turn_is_never_whole_for_its_client_before_it_is_durable",
+    ),
+    SourceMutation(
+        "client_without_chunks_gets_the_last_event_at_once",
+        STREAM,
+        "if self._route.retained and not self._responder.end_is_explicit:",
+        "if False:",
+        FRAMING + "test_a_client_without_chunks_gets_the_last_event_of_a_turn_once_it_is_durable",
+    ),
     SourceMutation(
         "every_turn_with_a_budget_is_retained",
         FORWARDING,
--- a/lab/tier/fakes.py
+++ b/lab/tier/fakes.py
@@ -15,7 +15,7 @@
 from lynxscale.discovery.endpoint import Endpoint
 from lynxscale.runtime.http_client import ClientConnection, ResponseFailure
 from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
-from lynxscale.runtime.http_types import Head, Request, Response
+from lynxscale.runtime.http_types import Head, Headers, Request, Response
 
 Listen = Callable[[str, Callable[[], ServerConnection]], None]
 PLATFORM = "10.200.0.100:80"
@@ -34,6 +34,9 @@
     again as the next request arrives there; ``fails`` aborts each request; ``aborts_after`` aborts one stream after
     this many events; ``ends_within_event`` ends a stream in the middle of an event. Responses carry the endpoint's
     signature if ``signed``, and the id of their request if ``names_request``.
+
+    ``states_length``: streams have a ``Content-Length``, which is too large by ``length_error`` bytes. ``event_end``:
+    the bytes behind each event. ``event_tag(request)``: what the data of each event ends with.
     """
 
     def __init__(self, endpoint: Endpoint, clock: Clock, listen: Listen, events: int = 4) -> None:
@@ -51,6 +54,10 @@
         self.ends_within_event = False
         self.signed = True
         self.names_request = True
+        self.states_length = False
+        self.length_error = 0
+        self.event_end = b"\n\n"
+        self.event_tag: Callable[[Request], bytes] = lambda request: b""
         self.load = ""
         self.status = 200
         self._clock = clock
@@ -110,13 +117,25 @@
             self._responder.abort()
             self._end()
         elif "/stream" in self._request.target:
-            response = self._endpoint._response(self._request, 200, b"")
-            self._responder.start(200, (*response.head.fields, (b"content-type", b"text/event-stream")))
+            response = self._endpoint._response(self._request, self._endpoint.status, b"")
+            fields = (*response.head.fields, (b"content-type", b"text/event-stream"), *self._length_fields())
+            self._responder.start(response.status, fields)
             self._send_event()
         else:
             self._responder.respond(self._endpoint._response(self._request, self._endpoint.status, b"done"))
             self._end()
 
+    def _length_fields(self) -> Headers:
+        if not self._endpoint.states_length:
+            return ()
+        numbers = range(self._last_event_id + 1, self._endpoint.events + 1)
+        length = sum(len(self._event(number)) for number in numbers) + self._endpoint.length_error
+        return ((b"content-length", b"%d" % length),)
+
+    def _event(self, number: int) -> bytes:
+        tag = self._endpoint.event_tag(self._request)
+        return b"id: %d\ndata: word%d%s%s" % (number, number, tag, self._endpoint.event_end)
+
     def _send_event(self) -> None:
         if self._ended:
             return
@@ -131,7 +150,7 @@
             self._end()
         else:
             self._last_event_id += 1
-            self._responder.data(b"id: %d\ndata: word%d\n\n" % (self._last_event_id, self._last_event_id))
+            self._responder.data(self._event(self._last_event_id))
             self._endpoint._clock.call_later(EVENT_INTERVAL_S, self._send_event)
 
     def _end(self) -> None:
--- a/lynxscale/dataplane/attempt.py
+++ b/lynxscale/dataplane/attempt.py
@@ -12,10 +12,10 @@
 from lynxscale.coordination.ports import Clock, Timer
 from lynxscale.dataplane import headers
 from lynxscale.dataplane.endpoint_state import EndpointState
+from lynxscale.dataplane.responses import FIRST_REDIRECT
 from lynxscale.runtime.http_client import ClientConnection, ResponseFailure
 from lynxscale.runtime.http_types import Head, Request
 
-FIRST_REDIRECT_STATUS = 300
 MISDIRECTED_REQUEST = 421  # RFC 9110, section 15.5.20
 FIRST_SERVER_ERROR = 500
 
@@ -111,7 +111,7 @@
             if status == MISDIRECTED_REQUEST:
                 self.endpoint.mark_unavailable()
             return
-        if status < FIRST_REDIRECT_STATUS and head.get(headers.RESPONSE_SIGNATURE) is None:
+        if status < FIRST_REDIRECT and head.get(headers.RESPONSE_SIGNATURE) is None:
             self._reject_response()
             return
         self._stop_restart_timer()
--- a/lynxscale/dataplane/forwarding.py
+++ b/lynxscale/dataplane/forwarding.py
@@ -231,7 +231,7 @@
         if self.state is RequestState.SENT:
             self._transition(RequestState.STREAMING)
             self._response.start()
-        self._responder.data(events)
+        self._response.send(events)
 
     def _response_complete(self) -> None:
         if self._response.streams:
@@ -308,7 +308,7 @@
 
     def _end_stream(self) -> None:
         self._transition(RequestState.ENDED)
-        self._responder.end()
+        self._response.end()
 
     def _abort(self) -> None:
         """Close the client's connection, so that it cannot take the response for complete."""
--- a/lynxscale/dataplane/response_stream.py
+++ b/lynxscale/dataplane/response_stream.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from lynxscale.dataplane.responses import OK, forwarded_response
+from lynxscale.dataplane.responses import FIRST_REDIRECT, OK, forwarded_response, without_length
 from lynxscale.dataplane.routing import Route
 from lynxscale.dataplane.server_sent_events import EventScanner
 from lynxscale.runtime.http_server import Responder
@@ -20,16 +20,17 @@
     ``streams``: whether the current response is forwarded event by event; valid once its head was received.
     """
 
-    __slots__ = ("_body", "_head", "_responder", "_route", "events", "status", "streams")
+    __slots__ = ("_body", "_head", "_held", "_responder", "_route", "events", "status", "streams")
 
     def __init__(self, responder: Responder, route: Route) -> None:
         self.status = 0
         self.streams = False
-        self.events = EventScanner(keep_data=route.retained)
+        self.events = EventScanner(keep_events=route.retained)
         self._responder = responder
         self._route = route
         self._head = NO_FIELDS
         self._body = bytearray()
+        self._held = b""  # events that are sent with the next ones, or with the end
 
     @property
     def resume_after(self) -> bytes | None:
@@ -46,7 +47,7 @@
     def set_head(self, status: int, head: Head) -> None:
         """Store the status and header fields of the endpoint's response."""
         self.status = status
-        self.streams = self._route.streaming and status == OK
+        self.streams = self._route.streaming and OK <= status < FIRST_REDIRECT
         self._head = head
 
     def receive(self, data: bytes) -> bytes:
@@ -57,8 +58,29 @@
         return b""
 
     def start(self) -> None:
-        """Send the endpoint's status and header fields to the client."""
-        self._responder.start(self.status, self._head.end_to_end())
+        """Send the endpoint's status and header fields to the client.
+
+        The endpoint's ``Content-Length`` is dropped, so that the response is complete only once ``end`` was called: a
+        retained turn is not durable before, and another endpoint may continue the stream with another length.
+        """
+        self._responder.start(self.status, without_length(self._head.end_to_end()))
+
+    def send(self, events: bytes) -> None:
+        """Send complete events to the client.
+
+        A client that cannot tell an end from a lost connection gets the latest event of a retained turn only with
+        ``end``, or with the next event.
+        """
+        if self._route.retained and not self._responder.end_is_explicit:
+            events, self._held = self._held, events
+        if events:
+            self._responder.data(events)
+
+    def end(self) -> None:
+        """Complete the response."""
+        if self._held:
+            self._responder.data(self._held)
+        self._responder.end()
 
     def send_buffered(self) -> None:
         """Send the buffered response to the client."""
--- a/lynxscale/runtime/http_server.py
+++ b/lynxscale/runtime/http_server.py
@@ -17,7 +17,7 @@
 
 from lynxscale.coordination.ports import Clock, Timer
 from lynxscale.runtime.http_types import Head, Headers, Request, Response
-from lynxscale.runtime.sockets import configure_socket
+from lynxscale.runtime.sockets import configure_socket, reset_on_close
 
 EMPTY_LENGTH: Headers = ((b"content-length", b"0"),)
 REQUEST_TIMEOUT = 408
@@ -85,8 +85,16 @@
                 self._connection.send_data(response.body)
             self._connection.finish()
 
+    @property
+    def end_is_explicit(self) -> bool:
+        """Whether the client can tell the end of a response without a length from a lost connection.
+
+        False for HTTP/1.0, which has no chunks: such a response ends with its connection.
+        """
+        return self._connection is None or self._connection.chunks_supported
+
     def start(self, status: int, fields: Headers) -> None:
-        """Start a response whose body follows in chunks."""
+        """Start a response whose body follows; without a ``Content-Length`` among the fields it is sent in chunks."""
         if self._connection is not None:
             self._connection.send_head(status, fields)
 
@@ -102,9 +110,15 @@
             self._connection.finish()
 
     def abort(self) -> None:
-        """Close the connection without completing the response."""
+        """Close the connection without completing the response.
+
+        Where the end of the connection would look like the end of the response, it is reset.
+        """
         if self._connection is not None:
-            self._connection.close()
+            if self.end_is_explicit:
+                self._connection.close()
+            else:
+                self._connection.reset()
 
 
 class ServerConnection(asyncio.Protocol):
@@ -174,6 +188,18 @@
             self._transport.close()
         self._set_state(ConnectionState.CLOSED)
 
+    def reset(self) -> None:
+        """Close the connection with a TCP reset, so that the client gets an error in place of an end of the stream."""
+        if self._transport is not None:
+            reset_on_close(self._transport)
+            self._transport.abort()
+        self._set_state(ConnectionState.CLOSED)
+
+    @property
+    def chunks_supported(self) -> bool:
+        """Whether the client of the current request understands chunks (HTTP/1.1, RFC 9112, section 7.1)."""
+        return self._head is None or self._head.http_version >= b"1.1"
+
     def send_head(self, status: int, fields: Headers) -> None:
         """Queue the head of the response."""
         extra = ((b"connection", b"close"),) if self._limits.closing else ()
--- a/lynxscale/runtime/sockets.py
+++ b/lynxscale/runtime/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 """The kernel closes a connection whose sent bytes stay unacknowledged for this long (``TCP_USER_TIMEOUT``)."""
@@ -23,3 +24,11 @@
         with contextlib.suppress(OSError):  # the peer may have closed the connection already
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+
+
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Make the kernel end the connection with a reset, which discards unsent bytes (``SO_LINGER`` with no time)."""
+    connection = transport.get_extra_info("socket")
+    if connection is not None:
+        with contextlib.suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
