A turn that its client resumes is stored with the events before the cut

Cause: a turn was stored from the events that the relay of its last run had seen.

Related: the end of any run overwrote what was stored under its id; now the run that was admitted last counts, and the end of another one is rejected. A retained turn is not run behind an event that is not known.

--- a/lab/tier/data_plane_mutations/attempts.py
+++ b/lab/tier/data_plane_mutations/attempts.py
@@ -23,7 +23,7 @@
     SourceMutation(
         "unsigned_response_is_passed_on",
         ATTEMPT,
-        "status < FIRST_REDIRECT_STATUS and head.get(headers.RESPONSE_SIGNATURE) is None",
+        "status < FIRST_REDIRECT and head.get(headers.RESPONSE_SIGNATURE) is None",
         "False",
         FAULTS + "test_a_response_without_signature_or_of_another_request_is_not_passed_on[signed]",
     ),
--- a/lab/tier/data_plane_mutations/streams.py
+++ b/lab/tier/data_plane_mutations/streams.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lab.tier.data_plane_mutations.names import FAULTS, FORWARDING, FRAMING, STREAM, TURNS
+from lab.tier.data_plane_mutations.names import FAULTS, FORWARDING, FRAMING, HISTORY, RESUMED, RUNNING, STREAM, TURNS
 from lab.tier.source_mutation import SourceMutation
 
 STREAMS = (
@@ -55,6 +55,34 @@
         "self._head.end_to_end()",
         FRAMING + "test_a_turn_is_never_whole_for_its_client_before_it_is_durable",
     ),
+    SourceMutation(
+        "resumed_turn_is_retained_without_the_earlier_events",
+        TURNS,
+        "self._input + self._events.earlier_output + output",
+        "self._input + output",
+        RESUMED + "test_a_turn_that_its_client_resumes_is_stored_with_the_events_before_the_cut",
+    ),
+    SourceMutation(
+        "events_of_two_runs_are_guessed",
+        RUNNING,
+        "if not found or any(events != found[0] for events in found):",
+        "if not found:",
+        RESUMED + "test_events_of_two_runs_that_differ_are_not_guessed",
+    ),
+    SourceMutation(
+        "late_end_of_an_earlier_run_overwrites_the_turn",
+        HISTORY,
+        "if run_id != latest_run and (stored is not None or latest_run is not None):",
+        "if False:",
+        RESUMED + "test_the_same_request_again_replaces_the_turn_and_a_late_end_of_its_first_run_does_not",
+    ),
+    SourceMutation(
+        "turn_is_run_though_its_primary_has_no_earlier_events",
+        TURNS,
+        "return bool(self._resume_after) and reply.earlier_events is msgspec.UNSET",
+        "return False",
+        RESUMED + "test_a_primary_that_does_not_know_resumption_gets_no_events_and_its_turns_are_not_resumed",
+    ),
     SourceMutation(
         "client_without_chunks_gets_the_last_event_at_once",
         STREAM,
@@ -79,15 +107,15 @@
     SourceMutation(
         "commit_without_reply_is_not_noticed",
         TURNS,
-        "                listener.on_commit_timeout()\n",
+        "                listener.on_commit_failed()\n",
         "",
         FAULTS + "test_a_turn_that_no_primary_commits_in_time_is_aborted",
     ),
     SourceMutation(
         "committed_turn_is_closed_too",
         TURNS,
-        "        self._closed = True\n        content = self._input + output",
-        "        content = self._input + output",
+        "        self._closed = True\n        content = self._input + self._events",
+        "        content = self._input + self._events",
         FAULTS + "test_a_committed_turn_is_ended_once",
     ),
     SourceMutation(
--- a/lynxscale/controlplane/exceptions.py
+++ b/lynxscale/controlplane/exceptions.py
@@ -27,6 +27,25 @@
         self.turn = turn
 
 
+class EventsUnknownError(AdmissionError):
+    """The events that the client of a resumed turn has are not known; the turn can be run from its start."""
+
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+    def __init__(self, resume_after: str) -> None:
+        super().__init__(f"no events up to {resume_after!r}")
+
+
+class SupersededRunError(AdmissionError):
+    """Another run of the request was admitted later, or is retained with another content."""
+
+    status = HTTPStatus.CONFLICT
+
+    def __init__(self, turn: str) -> None:
+        super().__init__(f"another run of turn {turn!r} counts")
+        self.turn = turn
+
+
 class BudgetExceededError(AdmissionError):
     """The remaining budget is less than the maximum number of tokens that the turn may use."""
 
--- a/lynxscale/controlplane/relay_requests.py
+++ b/lynxscale/controlplane/relay_requests.py
@@ -5,19 +5,23 @@
 
 from __future__ import annotations
 
-from lynxscale.controlplane.turn_admission import AdmissionReply, TurnAdmission
+import msgspec
+
+from lynxscale.controlplane.turn_admission import AdmissionReply, FinishReply, TurnAdmission
 from lynxscale.coordination.member import ControlMember
 from lynxscale.coordination.messages import (
     AdmitTurn,
     Attach,
     Call,
     ConfigurationVersion,
+    FinishTurn,
     Put,
     ReadConfigurationVersion,
     Redirect,
     Reply,
     Suspicion,
-    TurnFinished,
+    TurnEvents,
+    TurnRejected,
 )
 from lynxscale.coordination.outcomes import CommitOutcome
 from lynxscale.coordination.ports import Network
@@ -60,7 +64,20 @@
         elif isinstance(call.body, ReadConfigurationVersion):
             self._reply_when_durable(call, self._admission.configuration_version(), ())
         else:
-            self._reply_when_durable(call, TurnFinished(), self._admission.finish(call.body))
+            self._finish(self._admission, call, call.body)
+
+    def _finish(self, admission: TurnAdmission, call: Call, request: FinishTurn) -> None:
+        answer, puts = admission.finish(request)
+        if isinstance(answer, TurnRejected) and request.run_id is msgspec.UNSET:
+            if puts:  # its program takes each reply for an acknowledgement, so that it gets none
+                self._member.submit(puts, lambda outcome: None)
+        else:
+            self._reply_when_durable(call, answer, puts)
+
+    def on_turn_events(self, message: TurnEvents) -> None:
+        """Add events of a running turn."""
+        if self._admission is not None and self._member.leads():
+            self._admission.running.add(message)
 
     def on_attach(self, message: Attach) -> None:
         """Add a relay to the roster and send it the topics that it lacks."""
@@ -83,7 +100,7 @@
                 self._redirect(address)
 
     def _reply_when_durable(
-        self, call: Call, answer: AdmissionReply | ConfigurationVersion | TurnFinished, puts: tuple[Put, ...]
+        self, call: Call, answer: AdmissionReply | ConfigurationVersion | FinishReply, puts: tuple[Put, ...]
     ) -> None:
         def on_outcome(outcome: CommitOutcome) -> None:
             if outcome.committed and self._member.leads():
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -20,7 +20,7 @@
 from lynxscale.controlplane.turn_admission import TurnAdmission
 from lynxscale.coordination.acceptor_state import AcceptorStateFile, MemberIdentity
 from lynxscale.coordination.member import ControlMember, MemberSettings
-from lynxscale.coordination.messages import Attach, Call, Message, Suspicion
+from lynxscale.coordination.messages import Attach, Call, Message, Suspicion, TurnEvents
 from lynxscale.coordination.outcomes import CommitOutcome
 from lynxscale.coordination.ports import Clock, Files, Network
 from lynxscale.coordination.topic_publisher import Publisher
@@ -75,6 +75,8 @@
             self._relay_requests.on_call(message)
         elif isinstance(message, Attach):
             self._relay_requests.on_attach(message)
+        elif isinstance(message, TurnEvents):
+            self._relay_requests.on_turn_events(message)
         elif isinstance(message, Suspicion):
             self._relay_requests.on_suspicion(message)
 
--- a/lynxscale/controlplane/turn_admission.py
+++ b/lynxscale/controlplane/turn_admission.py
@@ -6,12 +6,15 @@
 
 from __future__ import annotations
 
+import logging
+
 import msgspec
 
 from lynxscale.controlplane.exceptions import AdmissionError
 from lynxscale.controlplane.newest_configuration import NewestConfiguration
 from lynxscale.controlplane.program_state import PROGRAM_PREFIX, ProgramState
 from lynxscale.controlplane.retention import RetentionRecord, RetentionTracker
+from lynxscale.controlplane.running_turns import RunningTurns
 from lynxscale.controlplane.turn_history import TURN_PREFIX, TurnHistory, turn_key
 from lynxscale.coordination.messages import (
     AdmitTurn,
@@ -20,12 +23,16 @@
     FinishTurn,
     Put,
     TurnAdmitted,
+    TurnFinished,
     TurnRejected,
     put_value,
 )
 from lynxscale.coordination.ports import Clock
 
+log = logging.getLogger(__name__)
+
 AdmissionReply = TurnAdmitted | TurnRejected | ConfigurationOutdated
+FinishReply = TurnFinished | TurnRejected
 
 
 class TurnAdmission:
@@ -40,6 +47,7 @@
         self._retention = RetentionTracker(clock)
         self._programs = ProgramState(values, self._retention)
         self._turns = TurnHistory(values, self._retention)
+        self.running = RunningTurns(clock)
 
     def restart_retention(self) -> None:
         """Restart the retention of all stored records, as another primary may have written them."""
@@ -62,24 +70,34 @@
             return ConfigurationOutdated(self._configuration.version), ()
         try:
             admitted = self._turns.compose(request.previous, request.cached)
-            return admitted, self._programs.reserve(request)
+            puts = self._programs.reserve(request)
+            earlier = self.running.begin(request)
         except AdmissionError as error:
             return TurnRejected(error.status), ()
+        if earlier is not None:
+            admitted = msgspec.structs.replace(admitted, earlier_events=earlier)
+        return admitted, puts
 
-    def finish(self, request: FinishTurn) -> tuple[Put, ...]:
-        """Return the puts that must be durable before the end of a turn is acknowledged.
+    def finish(self, request: FinishTurn) -> tuple[FinishReply, tuple[Put, ...]]:
+        """Return the reply to the end of a turn, and the puts that must be durable before it is sent.
 
         A turn that ends under a newer configuration than it began with is retained for as long as either asks for.
         """
         if request.content is not None and self._is_older(request.configuration):
             longest_s = max(request.retention_s, self._configuration.longest_retention_s())
             request = msgspec.structs.replace(request, retention_s=longest_s)
-        return self._programs.settle(request) + self._turns.record(request)
+        settled = self._programs.settle(request)
+        try:
+            return TurnFinished(), settled + self._turns.record(request, self.running.latest_run(request.request))
+        except AdmissionError as error:
+            log.warning("event=turn_not_retained error=%s", error)
+            return TurnRejected(error.status), settled
 
     def _is_older(self, version: int | msgspec.UnsetType) -> bool:
         """Whether a version is older than the newest configuration; False if it is not stated."""
         return version is not msgspec.UNSET and version < self._configuration.version
 
     def remove_expired(self) -> tuple[Put, ...]:
-        """Return the puts that remove expired records."""
+        """Forget expired runs, and return the puts that remove expired records."""
+        self.running.remove_expired()
         return tuple(put_value(key, None) for key in self._retention.pop_expired())
--- a/lynxscale/controlplane/turn_history.py
+++ b/lynxscale/controlplane/turn_history.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from lynxscale.controlplane.exceptions import TurnNotFoundError
+from lynxscale.controlplane.exceptions import SupersededRunError, TurnNotFoundError
 from lynxscale.controlplane.retention import RetentionTracker
 from lynxscale.coordination.messages import FinishTurn, Put, TurnAdmitted, put_value
 
@@ -54,15 +54,35 @@
             raise TurnNotFoundError(turn)
         return TurnAdmitted(b"".join(reversed(contents)), turn)
 
-    def record(self, request: FinishTurn) -> tuple[Put, ...]:
-        """Return the puts that retain a completed turn; none if it need not be retained."""
+    def record(self, request: FinishTurn, latest_run: str | None) -> tuple[Put, ...]:
+        """Return the puts that retain a completed turn; none if it need not be retained.
+
+        ``latest_run``: the run of this request that was admitted last, None if that is not known. Raises
+        SupersededRunError.
+        """
         if request.content is None:
             return ()
         record = TurnRecord(request.content, request.previous, request.retention_s + RETENTION_MARGIN_S)
         key = turn_key(request.request)
+        self._check_run(key, request, latest_run)
         self._retention.retain(key, record.retention_s, turn_key(request.previous))
         return (put_value(key, record),)
 
+    def _check_run(self, key: str, request: FinishTurn, latest_run: str | None) -> None:
+        """Raise SupersededRunError if the turn is retained with another content, or another run of it may be.
+
+        A client has the response of the run that was admitted last. The end of an earlier one may arrive late, from a
+        relay that was frozen.
+        """
+        stored = self._values.get(key)
+        if stored is not None:
+            retained = msgspec.json.decode(stored, type=TurnRecord)
+            if (retained.content, retained.previous) == (request.content, request.previous):
+                return
+        run_id = request.run_id if isinstance(request.run_id, str) else None
+        if run_id != latest_run and (stored is not None or latest_run is not None):
+            raise SupersededRunError(request.request)
+
 
 def turn_key(turn: str) -> str:
     """Return the key of a turn in the store; empty for no turn."""
--- a/lynxscale/coordination/messages/calls.py
+++ b/lynxscale/coordination/messages/calls.py
@@ -11,6 +11,13 @@
 from lynxscale.coordination.messages.base import Message
 
 
+class StreamEvent(msgspec.Struct, frozen=True, array_like=True):
+    """One event of a turn's stream: its id, empty if it has none, and its data."""
+
+    id: str
+    data: bytes
+
+
 class AdmitTurn(Message, frozen=True, tag="admit_turn"):
     """Reserve a turn's tokens, and compose its prompt if it continues an earlier turn.
 
@@ -18,6 +25,12 @@
     ``cached``: a turn up to which the sender already has the history, empty for none; it may belong to another chain.
     ``configuration``: the newest version of the configuration that the sender has received. A primary with a newer one
     replies ``ConfigurationOutdated``; unset, the version is not compared.
+
+    The other fields are unset in requests of programs that did not send them. ``run_id``: identifies this execution of
+    a retained turn; two executions of one request differ in it. Unset, all executions of a request count as the same.
+    ``session``: the line of turns, whose turns run one at a time; set if the turn's stream may be resumed. Unset, it
+    may not. ``resume_after``: the id of the last event that the client has of an earlier run in this session, after the
+    same previous turn. Unset, the turn runs from its start.
     """
 
     program: str
@@ -29,6 +42,9 @@
     previous: str = ""
     cached: str = ""
     configuration: int | msgspec.UnsetType = msgspec.UNSET
+    run_id: str | msgspec.UnsetType = msgspec.UNSET
+    session: str | msgspec.UnsetType = msgspec.UNSET
+    resume_after: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class TurnAdmitted(Message, frozen=True, tag="turn_admitted"):
@@ -36,14 +52,24 @@
 
     ``history`` precedes the new input in the prompt and follows the history up to turn ``base_turn``, which the sender
     of the request already has. Both are empty if there is none.
+
+    ``earlier_events``: the events up to ``AdmitTurn.resume_after``, for a turn that is resumed; the sender may then
+    send ``TurnEvents`` too. Unset if the turn has no session, and in replies of programs that do not know it: such a
+    primary has no events, so a turn that was to be resumed must not run.
     """
 
     history: bytes = b""
     base_turn: str = msgspec.field(name="after", default="")
+    earlier_events: tuple[StreamEvent, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 class TurnRejected(Message, frozen=True, tag="turn_refused"):
-    """The turn is rejected. ``status`` 402: the budget does not cover it; 404: the previous turn does not exist."""
+    """The turn is rejected, or its end is, so that it is not retained.
+
+    ``status`` 402: the budget does not cover it; 404: the previous turn does not exist; 409: another run of the request
+    was admitted later, or is retained; 503: the events up to ``AdmitTurn.resume_after`` are not known. Programs that do
+    not set ``FinishTurn.run_id`` take each reply for an acknowledgement: they get none if the end is rejected.
+    """
 
     status: int
 
@@ -67,7 +93,8 @@
 class FinishTurn(Message, frozen=True, tag="finish_turn"):
     """End a reservation, charging the ``tokens`` used. ``content``: input and output of a complete, retained turn.
 
-    ``configuration``: the version that ``retention_s`` is from; unset if the sender does not state it.
+    ``configuration``: the version that ``retention_s`` is from; unset if the sender does not state it. ``run_id``: that
+    of the admission.
     """
 
     program: str
@@ -77,6 +104,19 @@
     content: bytes | None = None
     previous: str = ""
     configuration: int | msgspec.UnsetType = msgspec.UNSET
+    run_id: str | msgspec.UnsetType = msgspec.UNSET
+
+
+class TurnEvents(Message, frozen=True, tag="turn_events"):
+    """Events of an admitted turn that its relay is about to send to the client; there is no reply.
+
+    ``first``: the number of the first of them in the stream, counted from 1 and from the first event of the earliest
+    run that was resumed. Sent only to the primary that admitted the turn with ``TurnAdmitted.earlier_events``.
+    """
+
+    run_id: str
+    first: int
+    events: tuple[StreamEvent, ...]
 
 
 class TurnFinished(Message, frozen=True, tag="turn_finished"):
--- a/lynxscale/coordination/messages/codec.py
+++ b/lynxscale/coordination/messages/codec.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from lynxscale.coordination.messages.base import Message
-from lynxscale.coordination.messages.calls import Call, Reply
+from lynxscale.coordination.messages.calls import Call, Reply, TurnEvents
 from lynxscale.coordination.messages.distribution import Attach, Heartbeat, Suspicion, TopicUpdate
 from lynxscale.coordination.messages.election import (
     Accept,
@@ -54,6 +54,7 @@
     | DigestReply
     | Call
     | Reply
+    | TurnEvents
     | Attach
     | TopicUpdate
     | Heartbeat
--- a/lynxscale/coordination/primary_calls.py
+++ b/lynxscale/coordination/primary_calls.py
@@ -6,7 +6,15 @@
 from dataclasses import dataclass
 from random import Random
 
-from lynxscale.coordination.messages import AdmitTurn, Call, FinishTurn, Message, ReadConfigurationVersion, Reply
+from lynxscale.coordination.messages import (
+    AdmitTurn,
+    Call,
+    FinishTurn,
+    Message,
+    ReadConfigurationVersion,
+    Reply,
+    TurnEvents,
+)
 from lynxscale.coordination.ports import Clock, Network, Timer
 
 RETRY_INTERVAL_S = 0.15
@@ -69,6 +77,15 @@
         self._pending[message.number] = pending
         self._send(pending, self._primary())
 
+    @property
+    def primary(self) -> str:
+        """The address of the presumed primary, empty if it is unknown."""
+        return self._primary()
+
+    def notify(self, message: TurnEvents) -> None:
+        """Send a message to the presumed primary once; it may be lost."""
+        self._network.send(self._primary(), message)
+
     def receive(self, message: Message) -> bool:
         """Handle a reply; False for messages of other types."""
         if not isinstance(message, Reply):
--- a/lynxscale/dataplane/forwarding.py
+++ b/lynxscale/dataplane/forwarding.py
@@ -225,9 +225,12 @@
 
     def on_response_data(self, attempt: Attempt, data: bytes) -> None:
         """Part of AttemptListener."""
+        known = len(self._response.events.events)
         events = self._response.receive(data)
         if not events:
             return
+        if self._turn is not None:
+            self._turn.report(self._response.events.events[known:])
         if self.state is RequestState.SENT:
             self._transition(RequestState.STREAMING)
             self._response.start()
@@ -259,7 +262,7 @@
         if self.state is RequestState.COMMITTING:
             self._end_stream()
 
-    def on_commit_timeout(self) -> None:
+    def on_commit_failed(self) -> None:
         """Part of TurnListener. Abort: the turn may be lost, so the client must not take it for complete."""
         if self.state is RequestState.COMMITTING:
             self._abort()
--- a/lynxscale/dataplane/request_router.py
+++ b/lynxscale/dataplane/request_router.py
@@ -90,7 +90,7 @@
         self._calls = calls
         self._clock = clock
         self._requested_at = NEVER  # when newer topics were last requested
-        self._turns = TurnClient(calls, lambda: tree.isolated)
+        self._turns = TurnClient(calls, lambda: tree.isolated, random)
         self._context = ForwardingContext(clock, balancer, self._turns, random, self._route_by_version)
         self._until_configured = PendingUntilConfigured(clock, self._route)
         self._until_newer = PendingUntilConfigured(clock, self._route_by_proven_table)
--- a/lynxscale/dataplane/turns.py
+++ b/lynxscale/dataplane/turns.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from random import Random
 from typing import Protocol
 
 import msgspec
@@ -18,6 +19,7 @@
     FinishTurn,
     Message,
     TurnAdmitted,
+    TurnFinished,
     TurnRejected,
 )
 from lynxscale.coordination.primary_calls import PrimaryCalls
@@ -26,12 +28,15 @@
 from lynxscale.dataplane.relay_configuration import RouteMatch
 from lynxscale.dataplane.responses import SERVICE_UNAVAILABLE
 from lynxscale.dataplane.routing import Route
+from lynxscale.dataplane.run_events import RunEvents
+from lynxscale.dataplane.server_sent_events import Event
 from lynxscale.runtime.http_types import Request
 
 ADMISSION_TIMEOUT_S = 2.5  # the election of a new primary takes less
 ISOLATED_ADMISSION_TIMEOUT_S = 0.3  # short, so that the client can retry through a relay that reaches a primary
 COMMIT_TIMEOUT_S = 2.5
 CLOSE_TIMEOUT_S = 10.0  # no client waits for the reply
+RUN_ID_BITS = 64
 NO_BUDGET = -1  # value of ``AdmitTurn.budget`` for a program without a budget
 
 
@@ -56,8 +61,8 @@
     def on_turn_committed(self) -> None:
         """Called once the turn is durable."""
 
-    def on_commit_timeout(self) -> None:
-        """Called if no primary acknowledges the commit in time; the turn may or may not be durable."""
+    def on_commit_failed(self) -> None:
+        """Called if the primary rejects the commit or none replies in time; the turn may or may not be durable."""
 
 
 def is_admitted(request: Request, route: Route | None) -> bool:
@@ -70,9 +75,10 @@
 class TurnClient:
     """Creates the turns of a relay's requests."""
 
-    def __init__(self, calls: PrimaryCalls, isolated: Callable[[], bool]) -> None:
+    def __init__(self, calls: PrimaryCalls, isolated: Callable[[], bool], random: Random) -> None:
         """``isolated()``: whether the relay is isolated from the primary."""
         self._calls = calls
+        self._random = random
         self._isolated = isolated
         self._histories = HistoryCache()
 
@@ -86,7 +92,8 @@
         """Return the turn of a request; None if it has no budget and is not retained, or its route does not stream."""
         if not is_admitted(request, match.route):
             return None
-        return Turn(self._calls, self._histories, request, match, self.admission_timeout_s(request))
+        run_id = f"{self._random.getrandbits(RUN_ID_BITS):x}"
+        return Turn(self._calls, self._histories, request, match, run_id, self.admission_timeout_s(request))
 
 
 class Turn:
@@ -98,6 +105,7 @@
         histories: HistoryCache,
         request: Request,
         match: RouteMatch,
+        run_id: str,
         admission_timeout_s: float,
     ) -> None:
         budget = request.head.number(headers.BUDGET)
@@ -114,6 +122,12 @@
         self._request_id = request.head.text(headers.REQUEST_ID)
         self._previous_turn = request.head.text(headers.PREVIOUS_TURN) if match.route.retained else ""
         self._max_tokens = headers.max_output_tokens(request.head)
+        self._run_id = run_id
+        self._resume_after = request.head.text(headers.LAST_EVENT_ID) if match.route.retained else ""
+        # Without both fields nothing tells the streams of different clients apart.
+        named = bool(self._program and request.head.text(headers.SESSION))
+        self._resumable = match.route.retained and match.route.resumable and named
+        self._events = RunEvents(calls, run_id)
         self._history = b""
         self._closed = False
 
@@ -124,7 +138,8 @@
         cached_history = self._histories.get(cached_turn) or b""
 
         def on_reply(reply: Message | None) -> None:
-            if isinstance(reply, TurnAdmitted):
+            if isinstance(reply, TurnAdmitted) and not self._lacks_earlier_events(reply):
+                self._events.admitted(reply)
                 self._history = (cached_history if reply.base_turn else b"") + reply.history
                 listener.on_turn_admitted(self, self._history)
             elif isinstance(reply, TurnRejected):
@@ -134,12 +149,20 @@
                 self._closed = True
                 listener.on_configuration_outdated(reply.newest)
             else:
-                # The primary may still admit the turn: close it, so that its reservation is released.
+                # The turn may be admitted, now or later: close it, so that its reservation is released.
                 self.close(0)
                 listener.on_turn_rejected(SERVICE_UNAVAILABLE)
 
         self._calls.call(self._admission(cached_turn), min(remaining_s, self._admission_timeout_s), on_reply)
 
+    def _lacks_earlier_events(self, reply: TurnAdmitted) -> bool:
+        """Whether the turn was to be resumed, and the primary's program does not know how."""
+        return bool(self._resume_after) and reply.earlier_events is msgspec.UNSET
+
+    def report(self, events: list[Event]) -> None:
+        """Report events to the primary; to be called before they are sent to the client."""
+        self._events.report(events)
+
     def close(self, tokens: int) -> None:
         """Charge the tokens, release the rest of the reservation, and retain nothing. Repeated calls have no effect."""
         if not self._closed:
@@ -147,13 +170,16 @@
             self._calls.call(self._finish(tokens, None), CLOSE_TIMEOUT_S, lambda reply: None)
 
     def commit(self, tokens: int, output: bytes, listener: TurnListener) -> None:
-        """Charge the tokens and retain the turn's input and output; the listener is called with the outcome."""
+        """Charge the tokens and retain the turn's input and output; the listener is called with the outcome.
+
+        ``output``: what this run has generated. It follows the output of the runs that this one resumes.
+        """
         self._closed = True
-        content = self._input + output
+        content = self._input + self._events.earlier_output + output
 
         def on_reply(reply: Message | None) -> None:
-            if reply is None:
-                listener.on_commit_timeout()
+            if not isinstance(reply, TurnFinished):
+                listener.on_commit_failed()
                 return
             self._histories.put(self._session, self._request_id, self._history + content)
             listener.on_turn_committed()
@@ -171,6 +197,9 @@
             self._previous_turn,
             cached_turn,
             self._stated_version,
+            self._run_id if self._route.retained else msgspec.UNSET,
+            self._session if self._resumable else msgspec.UNSET,
+            self._resume_after or msgspec.UNSET,
         )
 
     def _finish(self, tokens: int, content: bytes | None) -> FinishTurn:
@@ -182,4 +211,5 @@
             content,
             self._previous_turn,
             self._route_version,
+            self._run_id if self._route.retained else msgspec.UNSET,
         )
--- a/tests/controlplane/test_turn_history.py
+++ b/tests/controlplane/test_turn_history.py
@@ -23,7 +23,7 @@
 
     for number in range(6):
         previous = f"t{number - 1}" if number else ""
-        apply(admission.finish(FinishTurn("p", f"t{number}", 0, 60.0, b"x", previous)))
+        apply(admission.finish(FinishTurn("p", f"t{number}", 0, 60.0, b"x", previous))[1])
         machine.world.time += 50.0
         apply(admission.remove_expired())
     request = AdmitTurn("p", "t6", -1, 0, 60.0, True, "t5")
--- a/tests/coordination/test_golden_messages.py
+++ b/tests/coordination/test_golden_messages.py
@@ -6,7 +6,8 @@
 from lynxscale.coordination.messages import Wire, decode, encode
 from tests import golden
 
-MESSAGES = golden.read_lines("messages.jsonl") + golden.read_lines("messages.jsonl", golden.SECOND)
+VERSIONS = (golden.DATA, golden.SECOND, golden.THIRD)
+MESSAGES = [row for version in VERSIONS for row in golden.read_lines("messages.jsonl", version)]
 STRUCTS = golden.read_lines("structs.jsonl") + golden.read_lines("structs.jsonl", golden.SECOND)
 
 
--- a/tests/data/tier/generate.py
+++ b/tests/data/tier/generate.py
@@ -3,6 +3,9 @@
 ``v2`` holds only what has differed since records store their previous voters; it was written by the commit that added
 these, with ``python tests/data/tier/generate.py --second FOLDER``.
 
+``v3`` holds the messages of turns that may be resumed; it was written by the commit that added these, with
+``python tests/data/tier/generate.py --third FOLDER``.
+
 Never regenerate ``v1``: files written by the renamed program do not show that it still reads those of the earlier one.
 If a format changes, add a folder for the new one beside ``v1``, and keep ``v1`` for as long as tiers with such files
 may be upgraded. Run with ``lynxscale`` and ``lab`` of the wanted commit on the path:
@@ -150,6 +153,15 @@
     "promised": (golden.SEEDS[0], True, [NODES[0], UNCHANGED, 6, NODES[1]]),
     "changed": (golden.SEEDS[0], True, [NODES[0], CHANGED, 6, NODES[1]]),
 }
+# Turns that state their runs and whose streams may be resumed; ``v3`` holds only messages.
+RUN, EVENTS = "9f3c0d11e2a45b67", [["1", "a\x00b"], ["", "ü"]]
+THIRD_MESSAGES: list[tuple[str, list]] = [
+    ("call", [6, golden.RELAY, 77, {"admit_turn": [*ADMISSION, "r0", "q0", 3, RUN, "agent-7/main", "12"]}]),
+    ("call", [7, golden.RELAY, 77, {"finish_turn": [*ENDING, "ask\x00answer", "r0", 3, RUN]}]),
+    ("reply", [6, 77, {"turn_admitted": ["ask\x00answer", "q0", EVENTS]}]),
+    ("reply", [7, 77, {"turn_refused": [409]}]),
+    ("turn_events", [RUN, 13, EVENTS]),
+]
 
 
 def line(table: dict[str, type], name: str, fields: list) -> dict:
@@ -372,12 +384,15 @@
     """Write everything into a new folder."""
     target = Path(sys.argv[-1])
     target.mkdir()
+    if "--third" in sys.argv:
+        write_lines(target / "messages.jsonl", [line(golden.WIRE, name, fields) for name, fields in THIRD_MESSAGES])
+        return
     if "--second" in sys.argv:
         write_second(target)
         return
     tagged = golden.WIRE
     write_lines(target / "messages.jsonl", [line(tagged, name, fields) for name, fields in MESSAGES])
-    assert {name for name, _ in MESSAGES} == set(tagged)
+    assert {name for name, _ in MESSAGES + THIRD_MESSAGES} == set(tagged)
     write_lines(target / "structs.jsonl", [line(golden.STRUCTS, name, fields) for name, fields in STRUCTS])
     with tempfile.TemporaryDirectory() as scratch:
         write_tier(target, Path(scratch))
--- a/tests/golden.py
+++ b/tests/golden.py
@@ -30,6 +30,8 @@
 DATA = Path(__file__).parent / "data" / "tier" / "v1"
 SECOND = DATA.parent / "v2"
 """What differs since records store their previous voters."""
+THIRD = DATA.parent / "v3"
+"""The messages of turns that state their runs and may be resumed."""
 SEED = 5
 CONTROL_COUNT = 4
 RELAY = "10.9.0.1:7000"
