What is acknowledged is read by every relay: one definition of the configuration

Cause: the control plane's check looked at five fields of a route, relays decoded all of them strictly.

Change: lynxscale/configuration/ defines the fields once, for the check and for relays; 2.0 is the number 2 where a whole number is wanted; each fault has a finding with its place. What is published has whole numbers, so that relays of the program before read it too. Admissions state the version in use. status tells why a version cannot be used.

The test that admissions state the newest version received asked for the fault itself: turns by routes that are older than those acknowledged may lack their history. Its successor asks that they get 503, that calls on known routes go on, and that all is served again after the next change.

--- a/lab/tier/data_plane_mutations/old_routes.py
+++ b/lab/tier/data_plane_mutations/old_routes.py
@@ -42,16 +42,16 @@
     SourceMutation(
         "admission_states_no_version",
         ROUTER,
-        "self._forward(request, responder, route, self._configuration.received_version)",
+        "self._forward(request, responder, route, self._configuration.version)",
         "self._forward(request, responder, route, None)",
         ROUTES + "test_a_first_turn_on_a_route_that_is_retained_now_is_retained_by_a_relay_that_wakes",
     ),
     SourceMutation(
-        "admission_states_the_version_of_the_table",
+        "admission_states_a_version_that_is_not_in_use",
         ROUTER,
-        "self._forward(request, responder, route, self._configuration.received_version)",
         "self._forward(request, responder, route, self._configuration.version)",
-        ROUTES + "test_the_version_that_an_admission_states_is_the_newest_received_though_it_cannot_be_used",
+        "self._forward(request, responder, route, self._configuration.received_version)",
+        ROUTES + "test_a_turn_is_not_admitted_by_a_version_that_its_relay_cannot_use",
     ),
     SourceMutation(
         "isolated_relay_refuses_unknown_routes_for_good",
--- /dev/null
+++ b/lynxscale/configuration/document.py
@@ -0,0 +1,113 @@
+"""Reads the JSON of a configuration, and converts it into its typed form.
+
+JSON has one kind of number (RFC 8259, section 6): ``2.0`` is the number 2, also where a whole number is wanted.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lynxscale.configuration.field_rules import FieldRule, field_rules
+from lynxscale.configuration.finding import Finding, Findings
+from lynxscale.configuration.model import MAX_WHOLE_NUMBER, Configuration
+
+Document = dict[str, Any]
+"""A JSON object."""
+
+
+class RepeatedNameError(ValueError):
+    """A name occurs twice in one JSON object."""
+
+
+def read_document(body: bytes) -> Result[Document, Findings]:
+    """Read a JSON object; names that occur twice are a finding, as readers differ in which value they take."""
+    document = _read_json(body)
+    if not isinstance(document, Failure):
+        try:
+            json.loads(body, object_pairs_hook=_require_distinct_names)
+        except (RepeatedNameError, RecursionError) as error:
+            return Failure((Finding("body", str(error)),))
+    return document
+
+
+def read_configuration(body: bytes) -> Result[Configuration, Findings]:
+    """Read a configuration as a relay does: by the types of its fields alone. There is one finding at most."""
+    try:
+        return Success(msgspec.json.decode(body, type=Configuration))
+    except (msgspec.DecodeError, RecursionError):
+        return _read_json(body).bind(_convert_with_whole_numbers)
+
+
+def published_form(body: bytes) -> bytes:
+    """Return a configuration's JSON as relays of all versions read it: without fractions where they want none.
+
+    It is returned unchanged if there are none, or if it is no JSON object.
+    """
+    try:
+        msgspec.json.decode(body, type=Configuration)
+    except (msgspec.DecodeError, RecursionError):
+        document = _read_json(body).value_or(None)
+        return body if document is None else msgspec.json.encode(with_whole_numbers(document, Configuration))
+    return body
+
+
+def comparable_form(document: Document) -> Document:
+    """Return a document with whole numbers where they are wanted, for checks of the kinds of its fields."""
+    try:
+        msgspec.convert(document, Configuration)
+    except msgspec.ValidationError:
+        return with_whole_numbers(document, Configuration)
+    return document
+
+
+def _convert_with_whole_numbers(document: Document) -> Result[Configuration, Findings]:
+    try:
+        return Success(msgspec.convert(with_whole_numbers(document, Configuration), Configuration))
+    except msgspec.ValidationError as error:
+        return Failure((Finding("body", str(error)),))
+
+
+def with_whole_numbers(value: Any, struct: type[msgspec.Struct]) -> Any:
+    """Return a JSON value with an ``int`` in each field of the struct that wants one and has a number like 2.0."""
+    if not isinstance(value, dict):
+        return value
+    converted = {
+        rule.name: _with_whole_numbers(value[rule.name], rule) for rule in field_rules(struct) if rule.name in value
+    }
+    return value | converted
+
+
+def _with_whole_numbers(value: Any, rule: FieldRule) -> Any:
+    if rule.kind is int:
+        return as_whole_number(value)
+    if rule.struct is not None:
+        return with_whole_numbers(value, rule.struct)
+    if rule.entries is not None and isinstance(value, list):
+        return [with_whole_numbers(item, rule.entries) for item in value]
+    return value
+
+
+def as_whole_number(value: Any) -> Any:
+    """Return the ``int`` that a number like 2.0 is; any other value is returned unchanged."""
+    if isinstance(value, float) and value.is_integer() and abs(value) <= MAX_WHOLE_NUMBER:
+        return int(value)
+    return value
+
+
+def _read_json(body: bytes) -> Result[Document, Findings]:
+    try:
+        document = msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        return Failure((Finding("body", str(error)),))
+    return Success(document) if isinstance(document, dict) else Failure((Finding("body", "want an object"),))
+
+
+def _require_distinct_names(pairs: list[tuple[str, Any]]) -> None:
+    names = [name for name, _ in pairs]
+    if len(set(names)) < len(names):
+        repeated = next(name for name in names if names.count(name) > 1)
+        raise RepeatedNameError(f"{repeated!r} comes twice in one object")
--- a/lynxscale/controlplane/cli.py
+++ b/lynxscale/controlplane/cli.py
@@ -15,8 +15,9 @@
 import msgspec
 from returns.result import Failure, Result
 
+from lynxscale.configuration.finding import Findings
 from lynxscale.controlplane.configuration import Configuration
-from lynxscale.controlplane.configuration_check import Findings, check_configuration
+from lynxscale.controlplane.configuration_check import check_configuration
 from lynxscale.controlplane.configuration_diff import differences
 from lynxscale.controlplane.configuration_endpoint import BASE_HEADER
 from lynxscale.controlplane.configuration_update import apply_update, check_update
@@ -54,7 +55,7 @@
         if isinstance(checked, Failure):
             raise fail(_finding_lines(self.file, checked.failure()), ExitCode.FINDINGS)
         configuration = checked.unwrap()
-        print(f"{self.file}: good, version {configuration['generation']}, {len(configuration['routes'])} routes")
+        print(f"{self.file}: good, version {int(configuration['generation'])}, {len(configuration['routes'])} routes")
 
 
 @cappa.command(help="Print the status of a control process; ADDRESS is its control address.")
--- a/lynxscale/controlplane/configuration_check.py
+++ b/lynxscale/controlplane/configuration_check.py
@@ -1,132 +1,108 @@
 """Checks a configuration and collects all findings, each with its path, so that an operator can correct all together.
 
-A check returns ``Success`` with the configuration, or ``Failure`` with a non-empty tuple of findings.
+What passes is read by relays: both go by ``lynxscale.configuration.model``. A check returns ``Success`` with the
+configuration, or ``Failure`` with a non-empty tuple of findings.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any, cast
 
 import msgspec
 from returns.result import Failure, Result, Success
 
-from lynxscale.controlplane.configuration import ROUTE_TYPES, Configuration, Finding
+from lynxscale.configuration.document import Document, as_whole_number, comparable_form, read_document
+from lynxscale.configuration.field_check import struct_findings, value_findings
+from lynxscale.configuration.field_rules import field_rules
+from lynxscale.configuration.finding import Finding, Findings
+from lynxscale.configuration.model import ROUTE_TYPES, Route, Service, WeightedBackend
+from lynxscale.configuration.model import Configuration as TypedConfiguration
+from lynxscale.controlplane.configuration import Configuration
 
-Findings = tuple[Finding, ...]
-
-REQUIRED_ROUTE_FIELDS: dict[str, type | tuple[type, ...]] = {
-    "name": str,
-    "host": str,
-    "path-prefix": str,
-    "route-type": str,
-    "timeout-ms": (int, float),
-}
+ENTRY_LISTS = ("routes", "services")
 
 
 def check_configuration(body: bytes) -> Result[Configuration, Findings]:
     """Decode and check the configuration in a request's body."""
-    return decode_object(body).bind(check_decoded)
+    return read_document(body).bind(check_document)
 
 
-def decode_object(body: bytes) -> Result[dict[str, Any], Findings]:
-    """Decode the JSON object in a request's body without checking its fields."""
-    try:
-        decoded = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
-        return Failure((Finding("body", str(error)),))
-    if not isinstance(decoded, dict):
-        return Failure((Finding("body", "want an object"),))
-    return Success(decoded)
+def check_document(document: Document) -> Result[Configuration, Findings]:
+    """Check a document; return the same object, its numbers as they were written, if it is a valid configuration."""
+    findings = tuple(_configuration_findings(comparable_form(document)))
+    return Failure(findings) if findings else Success(cast(Configuration, document))
 
 
-def check_decoded(decoded: dict[str, Any]) -> Result[Configuration, Findings]:
-    """Check a decoded object; return the same object if it is a valid configuration."""
-    findings = tuple(_configuration_findings(decoded))
-    return Failure(findings) if findings else Success(cast(Configuration, decoded))
+def generation_findings(document: Document) -> Iterator[Finding]:
+    """Yield the findings on the version of a configuration or an update."""
+    generation = {"generation": as_whole_number(document.get("generation"))}
+    yield from _field_findings(generation, "generation")
 
 
-def generation_findings(decoded: dict[str, Any]) -> Iterator[Finding]:
-    """Yield the findings on the version of a configuration or an update."""
-    if type(decoded.get("generation")) is not int:
-        yield Finding("generation", "want a whole number")
-
-
-def _configuration_findings(decoded: dict[str, Any]) -> Iterator[Finding]:
-    yield from generation_findings(decoded)
-    routes = decoded.get("routes")
-    services = decoded.get("services")
-    for name, entries in (("routes", routes), ("services", services)):
-        if not isinstance(entries, list):
-            yield Finding(name, "want a list")
-    if not isinstance(routes, list) or not isinstance(services, list):
+def _configuration_findings(document: Document) -> Iterator[Finding]:
+    yield from generation_findings(document)
+    missing = [name for name in ENTRY_LISTS if not isinstance(document.get(name), list)]
+    yield from (Finding(name, "want a list") for name in missing)
+    if missing:
         return
-    yield from _entry_findings("services", services, _service_findings)
-    names = {service.get("name") for service in services if isinstance(service, dict)}
-    yield from _entry_findings("routes", routes, lambda path, route: _route_findings(path, route, names))
+    routes, services = document["routes"], document["services"]
+    for index, service in enumerate(services):
+        yield from struct_findings(f"services[{index}]", service, Service)
+    names = {service["name"] for service in services if _has_name(service)}
+    for index, route in enumerate(routes):
+        yield from _route_findings(f"routes[{index}]", route, names)
     yield from _duplicate_match_findings(routes)
+    if "limits" in document:
+        yield from _field_findings(document, "limits")
 
 
-def _entry_findings(
-    name: str, entries: list[Any], findings: Callable[[str, dict[str, Any]], Iterator[Finding]]
-) -> Iterator[Finding]:
-    for index, entry in enumerate(entries):
-        path = f"{name}[{index}]"
-        if isinstance(entry, dict):
-            yield from findings(path, entry)
-        else:
-            yield Finding(path, "want an object")
+def _field_findings(document: Document, name: str) -> Iterator[Finding]:
+    """Yield the findings on one field of the configuration itself."""
+    rule = next(rule for rule in field_rules(TypedConfiguration) if rule.name == name)
+    yield from value_findings(name, document[name], rule)
 
 
-def _service_findings(path: str, service: dict[str, Any]) -> Iterator[Finding]:
-    if not isinstance(service.get("name"), str) or not service["name"]:
-        yield Finding(f"{path}.name", "want a name")
+def _has_name(entry: Any) -> bool:
+    return isinstance(entry, dict) and isinstance(entry.get("name"), str)
 
 
-def _route_findings(path: str, route: dict[str, Any], services: set[Any]) -> Iterator[Finding]:
-    for field, kind in REQUIRED_ROUTE_FIELDS.items():
-        if not isinstance(route.get(field), kind) or isinstance(route.get(field), bool):
-            yield Finding(f"{path}.{field}", "missing, or of another type")
-    timeout = route.get("timeout-ms")
-    if isinstance(timeout, (int, float)) and timeout <= 0:
-        yield Finding(f"{path}.timeout-ms", "want more than 0")
-    if isinstance(route.get("route-type"), str) and route["route-type"] not in ROUTE_TYPES:
+def _route_findings(path: str, entry: Any, services: set[str]) -> Iterator[Finding]:
+    """Yield the findings on a route: on its fields, or, if these are right, on what they say together."""
+    findings = struct_findings(path, entry, Route)
+    yield from findings
+    if findings:
+        return
+    route = msgspec.convert(entry, Route)
+    if route.route_type not in ROUTE_TYPES:
         yield Finding(f"{path}.route-type", f"want one of {', '.join(ROUTE_TYPES)}")
-    yield from _target_findings(path, route, services)
+    if "weighted-backends" in entry:
+        yield from _split_findings(f"{path}.weighted-backends", route.weighted_backends, services)
+    if ("backend" in entry or not route.weighted_backends) and route.backend not in services:
+        yield Finding(f"{path}.backend", f"no service is called {route.backend!r}")
 
 
-def _target_findings(path: str, route: dict[str, Any], services: set[Any]) -> Iterator[Finding]:
-    split = route.get("weighted-backends")
-    if split is None:
-        if route.get("backend") not in services:
-            yield Finding(f"{path}.backend", f"no service is called {route.get('backend')!r}")
-    elif isinstance(split, list) and all(isinstance(target, dict) for target in split):
-        yield from _split_findings(f"{path}.weighted-backends", split, services)
-    else:
-        yield Finding(f"{path}.weighted-backends", "want a list of objects")
-
-
-def _split_findings(path: str, split: list[dict[str, Any]], services: set[Any]) -> Iterator[Finding]:
-    total = 0.0
+def _split_findings(path: str, split: tuple[WeightedBackend, ...], services: set[str]) -> Iterator[Finding]:
     for index, target in enumerate(split):
-        if target.get("backend") not in services:
-            yield Finding(f"{path}[{index}].backend", f"no service {target.get('backend')!r}")
-        weight = target.get("weight")
-        if not isinstance(weight, (int, float)) or weight < 0:
-            yield Finding(f"{path}[{index}].weight", "want 0 or more")
-        else:
-            total += weight
-    if total <= 0:
+        if target.backend not in services:
+            yield Finding(f"{path}[{index}].backend", f"no service {target.backend!r}")
+    if sum(target.weight for target in split) <= 0:
         yield Finding(path, "the weights sum to 0")
 
 
 def _duplicate_match_findings(routes: list[Any]) -> Iterator[Finding]:
     """Yield a finding for each route with the host and path prefix of an earlier one."""
-    first: dict[tuple[Any, Any], int] = {}
+    first: dict[tuple[str, str], int] = {}
     for index, route in enumerate(routes):
-        if not isinstance(route, dict):
+        match = _match_of(route)
+        if match is None:
             continue
-        match = (route.get("host"), route.get("path-prefix"))
         if match in first:
             yield Finding(f"routes[{index}]", f"host and path-prefix are those of routes[{first[match]}]")
         first.setdefault(match, index)
+
+
+def _match_of(route: Any) -> tuple[str, str] | None:
+    """Return the host and path prefix of a route, None if it lacks one."""
+    host, prefix = (route.get("host"), route.get("path-prefix")) if isinstance(route, dict) else (None, None)
+    return (host, prefix) if isinstance(host, str) and isinstance(prefix, str) else None
--- a/lynxscale/controlplane/configuration_endpoint.py
+++ b/lynxscale/controlplane/configuration_endpoint.py
@@ -12,7 +12,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from lynxscale.controlplane.configuration import Configuration, Finding
+from lynxscale.configuration.finding import Finding, Findings
+from lynxscale.controlplane.configuration import Configuration
 from lynxscale.controlplane.configuration_check import check_configuration
 from lynxscale.controlplane.configuration_update import (
     EMPTY_CONFIGURATION,
@@ -79,7 +80,7 @@
         if isinstance(checked, Failure):
             responder.respond(invalid_request(checked.failure()))
             return
-        generation = checked.unwrap()["generation"]
+        generation = int(checked.unwrap()["generation"])
         if not self._rejects_version(base, generation, responder):
             self._commit(generation, body, key, responder)
 
@@ -89,7 +90,7 @@
             responder.respond(invalid_request(checked.failure()))
             return
         update = checked.unwrap()
-        if not self._rejects_version(base, update["generation"], responder):
+        if not self._rejects_version(base, int(update["generation"]), responder):
             self._commit_update(update, key, responder)
 
     def _rejects_version(self, base: str, generation: int, responder: Responder) -> bool:
@@ -116,11 +117,11 @@
             # The findings may rest on a configuration that is not committed yet.
             self._responses.send_after_barrier(responder, invalid_request(updated.failure()))
             return
-        self._commit(update["generation"], msgspec.json.encode(updated.unwrap()), key, responder)
+        self._commit(int(update["generation"]), msgspec.json.encode(updated.unwrap()), key, responder)
 
-    def _updated(self, update: ConfigurationUpdate) -> Result[Configuration, tuple[Finding, ...]]:
+    def _updated(self, update: ConfigurationUpdate) -> Result[Configuration, Findings]:
         current = self.current()
-        in_force: Result[Configuration, tuple[Finding, ...]] = (
+        in_force: Result[Configuration, Findings] = (
             Success(EMPTY_CONFIGURATION) if current is None else check_configuration(bytes(current.body))
         )
         return in_force.bind(lambda configuration: apply_update(configuration, update))
--- a/lynxscale/controlplane/configuration_update.py
+++ b/lynxscale/controlplane/configuration_update.py
@@ -12,8 +12,10 @@
 
 from returns.result import Failure, Result, Success
 
-from lynxscale.controlplane.configuration import Configuration, Finding
-from lynxscale.controlplane.configuration_check import Findings, check_decoded, decode_object, generation_findings
+from lynxscale.configuration.document import read_document
+from lynxscale.configuration.finding import Finding, Findings
+from lynxscale.controlplane.configuration import Configuration
+from lynxscale.controlplane.configuration_check import check_document, generation_findings
 
 NAMED_LISTS = ("routes", "services")
 UPDATE_FIELDS = {"generation", "upsert", "remove"}
@@ -32,7 +34,7 @@
 
 def check_update(body: bytes) -> Result[ConfigurationUpdate, Findings]:
     """Decode the update in a request's body, and check all that does not depend on the configuration in force."""
-    decoded = decode_object(body)
+    decoded = read_document(body)
     if isinstance(decoded, Failure):
         return decoded
     update = decoded.unwrap()
@@ -48,7 +50,7 @@
     updated: Entry = {**current, "generation": update["generation"]}
     for name in NAMED_LISTS:
         updated[name] = _updated_list(named_entries(current, name), _upserted(update, name), _removed(update, name))
-    return check_decoded(updated).alt(_prefix_result_paths)
+    return check_document(updated).alt(_prefix_result_paths)
 
 
 def named_entries(configuration: Configuration, name: str) -> list[Entry]:
--- a/lynxscale/controlplane/http_responses.py
+++ b/lynxscale/controlplane/http_responses.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lynxscale.controlplane.configuration import Finding
+from lynxscale.configuration.finding import Finding
 from lynxscale.coordination.member import ControlMember
 from lynxscale.coordination.messages import Put
 from lynxscale.coordination.outcomes import CommitOutcome
--- a/lynxscale/controlplane/newest_configuration.py
+++ b/lynxscale/controlplane/newest_configuration.py
@@ -5,6 +5,9 @@
 from typing import Any
 
 import msgspec
+from returns.result import Failure
+
+from lynxscale.configuration.document import read_configuration
 
 CURRENT_KEY = "config/current"
 
@@ -15,6 +18,12 @@
     generation: int
     body: msgspec.Raw
 
+    @property
+    def error(self) -> str:
+        """Why relays cannot use it, empty if they can; a program before may have acknowledged what they cannot read."""
+        read = read_configuration(bytes(self.body))
+        return "; ".join(map(str, read.failure())) if isinstance(read, Failure) else ""
+
 
 class NewestConfiguration:
     """The newest configuration among a store's entries, committed or not; ``values`` are these entries in memory."""
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -11,6 +11,8 @@
 from http import HTTPStatus
 from random import Random
 
+import msgspec
+
 from lynxscale.controlplane.http_responses import json_response
 from lynxscale.controlplane.newest_configuration import CurrentConfiguration
 from lynxscale.controlplane.operator_api import OperatorApi
@@ -107,6 +109,7 @@
             relays=[entry.address for entry in self.publication.roster.entries()] if leads else [],
             retiring=sorted(self.operator_api.retirement.retiring_nodes()),
             replicas=self._replicas() if leads else [],
+            configuration_error=current.error if current and current.error else msgspec.UNSET,
         )
 
     def _replicas(self) -> list[ReplicaStatus]:
--- a/lynxscale/controlplane/status.py
+++ b/lynxscale/controlplane/status.py
@@ -23,6 +23,8 @@
 
     ``leads``: whether it holds the lease. ``position``: epoch and index of the last stored batch. ``configuration``:
     the version in force. ``endpoints``, ``relays`` and ``replicas`` are reported by the primary only.
+    ``configuration_error``: why relays cannot use that version; unset if they can, and in the status of programs that
+    do not report it.
     """
 
     node: str
@@ -37,6 +39,7 @@
     relays: list[str]
     retiring: list[str]
     replicas: list[ReplicaStatus]
+    configuration_error: str | msgspec.UnsetType = msgspec.UNSET
 
 
 def render(status: ControlStatus) -> str:
@@ -48,6 +51,8 @@
         f"position       {status.position}",
         f"configuration  {status.configuration}",
     ]
+    if isinstance(status.configuration_error, str):
+        lines.append(f"unusable       relays cannot use this configuration: {status.configuration_error}")
     if status.leads:
         lines.append(f"endpoints      {status.endpoints}")
         lines.append(f"relays         {len(status.relays)}: {' '.join(status.relays)}")
--- a/lynxscale/dataplane/forwarding.py
+++ b/lynxscale/dataplane/forwarding.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from lynxscale.configuration.model import Route
 from lynxscale.coordination.ports import Clock, Timer
 from lynxscale.dataplane import headers, retry_policy
 from lynxscale.dataplane.attempt import FIRST_SERVER_ERROR, Attempt, AttemptOutcome
@@ -21,7 +22,6 @@
 from lynxscale.dataplane.request_state import RequestState
 from lynxscale.dataplane.response_stream import ResponseStream
 from lynxscale.dataplane.responses import BAD_GATEWAY, GATEWAY_TIMEOUT, SERVICE_UNAVAILABLE, relay_response
-from lynxscale.dataplane.routing import Route
 from lynxscale.dataplane.turns import Turn, TurnClient
 from lynxscale.runtime.http_client import ClientConnection
 from lynxscale.runtime.http_server import Exchange, Responder
--- a/lynxscale/dataplane/relay_configuration.py
+++ b/lynxscale/dataplane/relay_configuration.py
@@ -4,16 +4,21 @@
 
 import attrs
 
+from lynxscale.configuration.model import Route
 from lynxscale.coordination.distribution_tree import Subscriber
-from lynxscale.dataplane.routing import Route, RouteTable
+from lynxscale.dataplane.routing import RouteTable
 from lynxscale.discovery.topics import CONFIGURATION_TOPIC
 
 
 class RelayConfiguration:
-    """``table``: the route table in use, None until there is one."""
+    """``table``: the route table in use, None until there is one.
+
+    ``error``: why the newest version received cannot be used, empty if it can.
+    """
 
     def __init__(self, tree: Subscriber) -> None:
         self.table: RouteTable | None = None
+        self.error = ""
         self._tree = tree
 
     @property
--- a/lynxscale/dataplane/request_router.py
+++ b/lynxscale/dataplane/request_router.py
@@ -17,6 +17,7 @@
 from enum import Enum
 from random import Random
 
+from lynxscale.configuration.model import Route
 from lynxscale.coordination.distribution_tree import Subscriber
 from lynxscale.coordination.messages import ConfigurationVersion, Message, ReadConfigurationVersion
 from lynxscale.coordination.ports import Clock
@@ -27,7 +28,6 @@
 from lynxscale.dataplane.pending_until_configured import PendingUntilConfigured
 from lynxscale.dataplane.relay_configuration import RelayConfiguration, RouteMatch
 from lynxscale.dataplane.responses import NOT_FOUND, SERVICE_UNAVAILABLE, relay_response
-from lynxscale.dataplane.routing import Route
 from lynxscale.dataplane.turns import TurnClient, is_admitted
 from lynxscale.runtime.http_server import Exchange, Responder
 from lynxscale.runtime.http_types import Request
@@ -115,7 +115,7 @@
         if request.head.get(headers.PREVIOUS_TURN) and not is_admitted(request, route):
             return self._check_version(request, responder)
         if route is not None:
-            return self._forward(request, responder, route, self._configuration.received_version)
+            return self._forward(request, responder, route, self._configuration.version)
         outdated = self._configuration.outdated
         responder.respond(relay_response(SERVICE_UNAVAILABLE, RETRY_AFTER_S) if outdated else relay_response(NOT_FOUND))
         return None
--- a/lynxscale/dataplane/response_stream.py
+++ b/lynxscale/dataplane/response_stream.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
+from lynxscale.configuration.model import Route
 from lynxscale.dataplane.responses import FIRST_REDIRECT, OK, forwarded_response, without_length
-from lynxscale.dataplane.routing import Route
 from lynxscale.dataplane.server_sent_events import EventScanner
 from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head
--- a/lynxscale/dataplane/retry_policy.py
+++ b/lynxscale/dataplane/retry_policy.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
+from lynxscale.configuration.model import Route
 from lynxscale.dataplane.endpoint_state import EndpointState
-from lynxscale.dataplane.routing import Route
 
 MAX_SENDS = 6  # per request, including rejected attempts
 MIN_REMAINING_MS = 5.0  # a request with less time left is not sent
--- a/lynxscale/dataplane/routing.py
+++ b/lynxscale/dataplane/routing.py
@@ -1,96 +1,14 @@
-"""The configuration as a relay uses it: routes by host and longest path prefix, services, limits.
-
-Fields have the names of the operators' configuration (``docs/operators/configuration.md``), which are in kebab case
-there. A suffix of the name gives the unit of a time.
-"""
+"""The route table of a relay: the routes by host and longest path prefix, the services and the limits."""
 
 from __future__ import annotations
 
-from random import Random
-
 import msgspec
+from returns.result import Failure
 
+from lynxscale.configuration.document import read_configuration
+from lynxscale.configuration.model import Configuration, Engine, Route
 from lynxscale.dataplane.exceptions import UnusableConfigurationError
 
-STREAMING, SAFE = "streaming", "safe"  # route types; requests of any other type are executed at most once
-
-
-class WeightedBackend(msgspec.Struct, frozen=True):
-    """One service of a route that splits its traffic by weight."""
-
-    backend: str
-    weight: float
-
-
-class Route(msgspec.Struct, frozen=True, rename="kebab"):
-    """A route: which requests it matches, and how they are forwarded."""
-
-    name: str
-    host: str
-    path_prefix: str
-    route_type: str
-    timeout_ms: float
-    target_latency_ms: float = 1000.0
-    priority: int = 5
-    backend: str = ""
-    weighted_backends: tuple[WeightedBackend, ...] = ()
-    max_attempts: int = 1
-    retained: bool = False
-    retention_s: float = 60.0
-    session_affinity: bool = False
-    resumable: bool = False
-
-    @property
-    def streaming(self) -> bool:
-        """Whether the response is a stream of events."""
-        return self.route_type == STREAMING
-
-    @property
-    def idempotent(self) -> bool:
-        """Whether a request may be executed more than once."""
-        return self.route_type == SAFE or (self.streaming and self.resumable)
-
-    def pick_backend(self, random: Random) -> str:
-        """Return the service for one request, drawn by weight; ``random`` is not used if there is only one service."""
-        if not self.weighted_backends:
-            return self.backend
-        weights = [backend.weight for backend in self.weighted_backends]
-        return random.choices(self.weighted_backends, weights)[0].backend
-
-
-class Engine(msgspec.Struct, frozen=True, rename="kebab"):
-    """The model engine of a service. ``stream_stride``: tokens in each event of a stream."""
-
-    slots: int = 1
-    stream_stride: int = 1
-    kv_capacity_tokens: int = 0
-
-
-class Service(msgspec.Struct, frozen=True, rename="kebab"):
-    """A service that endpoints provide; without an engine it runs no model."""
-
-    name: str
-    max_connections: int = 100
-    engine: Engine | None = None
-
-
-class ClientLimits(msgspec.Struct, frozen=True, rename="kebab"):
-    """Limits on the size and duration of clients' requests, and on the idle time of their connections."""
-
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 5000.0
-    idle_timeout_ms: float = 60_000.0
-
-
-class Configuration(msgspec.Struct, frozen=True, rename="kebab"):
-    """A complete configuration; the control plane has validated it."""
-
-    generation: int
-    routes: tuple[Route, ...]
-    services: tuple[Service, ...]
-    limits: ClientLimits = ClientLimits()
-
 
 class RouteTable:
     """Finds routes and services of one configuration."""
@@ -129,7 +47,7 @@
 
 def decode_route_table(value: msgspec.Raw) -> RouteTable:
     """Decode a published configuration into a route table. Raises UnusableConfigurationError."""
-    try:
-        return RouteTable(msgspec.json.decode(value, type=Configuration))
-    except msgspec.ValidationError as error:
-        raise UnusableConfigurationError(str(error)) from error
+    configuration = read_configuration(bytes(value))
+    if isinstance(configuration, Failure):
+        raise UnusableConfigurationError("; ".join(map(str, configuration.failure())))
+    return RouteTable(configuration.unwrap())
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lynxscale.configuration.model import ClientLimits
 from lynxscale.coordination.distribution_tree import Subscriber
 from lynxscale.coordination.heartbeat_ring import RingMember
 from lynxscale.coordination.messages import Message
@@ -18,7 +19,7 @@
 from lynxscale.dataplane.relay_configuration import RelayConfiguration
 from lynxscale.dataplane.request_router import RequestRouter
 from lynxscale.dataplane.responses import OK, SERVICE_UNAVAILABLE, relay_response
-from lynxscale.dataplane.routing import ClientLimits, RouteTable, decode_route_table
+from lynxscale.dataplane.routing import RouteTable, decode_route_table
 from lynxscale.dataplane.status import UNKNOWN_AGE_S, RelayStatus, endpoint_status
 from lynxscale.discovery.endpoint import Endpoint
 from lynxscale.discovery.endpoint_poller import EndpointPoller
@@ -123,6 +124,7 @@
             tree_position=self.tree.state.value,
             primary=self.tree.primary,
             endpoints=[endpoint_status(name, state) for name, state in sorted(self.balancer.states.items())],
+            configuration_error=self._configuration.error or msgspec.UNSET,
         )
 
     # Isolation ---------------------------------------------------------------------------------------
@@ -170,8 +172,9 @@
             table = decode_route_table(value)
         except UnusableConfigurationError as error:
             log.error("event=configuration_unusable error=%s", error)
+            self._configuration.error = str(error)
             return
-        self._configuration.table = table
+        self._configuration.table, self._configuration.error = table, ""
         self._apply_limits(table.limits)
         log.info("event=configuration version=%d", table.generation)
 
--- a/lynxscale/dataplane/status.py
+++ b/lynxscale/dataplane/status.py
@@ -29,7 +29,11 @@
 
 
 class RelayStatus(msgspec.Struct, frozen=True):
-    """The status of one relay. ``confirmed_age_s``: seconds since the primary confirmed the versions of its topics."""
+    """The status of one relay. ``confirmed_age_s``: seconds since the primary confirmed the versions of its topics.
+
+    ``configuration_error``: why the newest version received cannot be used; unset if it can, and in the status of
+    programs that do not report it.
+    """
 
     address: str
     ready: bool
@@ -39,6 +43,7 @@
     tree_position: str = msgspec.field(name="place")
     primary: str
     endpoints: list[EndpointStatus]
+    configuration_error: str | msgspec.UnsetType = msgspec.UNSET
 
 
 def endpoint_status(endpoint_id: str, state: EndpointState) -> EndpointStatus:
@@ -56,6 +61,8 @@
         f"configuration  {status.generation}, confirmed {status.confirmed_age_s:.1f} s ago",
         f"tree           {status.tree_position}, primary {status.primary or 'unknown'}",
     ]
+    if isinstance(status.configuration_error, str):
+        lines.append(f"unusable       the newest configuration: {status.configuration_error}")
     return "\n".join((*lines, *(_endpoint_line(endpoint) for endpoint in status.endpoints)))
 
 
--- a/lynxscale/dataplane/turns.py
+++ b/lynxscale/dataplane/turns.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from lynxscale.configuration.model import Route
 from lynxscale.coordination.messages import (
     AdmitTurn,
     ConfigurationOutdated,
@@ -27,7 +28,6 @@
 from lynxscale.dataplane.history_cache import HistoryCache
 from lynxscale.dataplane.relay_configuration import RouteMatch
 from lynxscale.dataplane.responses import SERVICE_UNAVAILABLE
-from lynxscale.dataplane.routing import Route
 from lynxscale.dataplane.run_events import RunEvents
 from lynxscale.dataplane.server_sent_events import Event
 from lynxscale.runtime.http_types import Request
--- a/tests/dataplane/test_retry_policy.py
+++ b/tests/dataplane/test_retry_policy.py
@@ -3,9 +3,9 @@
 import pytest
 
 from lab.tier.world import World
+from lynxscale.configuration.model import Route
 from lynxscale.dataplane import retry_policy
 from lynxscale.dataplane.endpoint_state import EndpointState
-from lynxscale.dataplane.routing import Route
 from lynxscale.discovery.endpoint import Endpoint
 
 
