A running turn retains the turn that it continues, and none is stored without it

Cause: a turn was retained as long as any stored turn that continues from it; one that ran held nothing.

Change: an admission holds the previous turn for as long as the turn may last, by the relay's own deadline; a new primary, which has no holds, retains each turn for as long as any route allows one to last; a turn whose previous one is missing at its end is not stored, and its relay aborts the response.

--- a/lab/tier/data_plane_mutations/admission.py
+++ b/lab/tier/data_plane_mutations/admission.py
@@ -2,10 +2,41 @@
 
 from __future__ import annotations
 
-from lab.tier.data_plane_mutations.names import FAULTS, FORWARDING, PENDING, QUEUE, TURNS, WAITING
+from lab.tier.data_plane_mutations.names import (
+    FAULTS,
+    FORWARDING,
+    HISTORY,
+    PENDING,
+    QUEUE,
+    RETENTION,
+    TURN_ADMISSION,
+    TURNS,
+    WAITING,
+)
 from lab.tier.source_mutation import SourceMutation
 
 ADMISSION = (
+    SourceMutation(
+        "admission_does_not_hold_the_turn_that_it_continues",
+        TURN_ADMISSION,
+        "        self._retention.hold(turn_key(request.previous), self._hold_s(request))\n",
+        "",
+        RETENTION + "test_a_turn_that_runs_while_the_one_that_it_continues_expires_keeps_its_chain",
+    ),
+    SourceMutation(
+        "new_primary_holds_turns_no_longer_than_they_are_retained",
+        TURN_ADMISSION,
+        "max(record.retention_s, longest_turn_s)",
+        "record.retention_s",
+        RETENTION + "test_a_turn_that_a_primary_before_admitted_keeps_its_chain",
+    ),
+    SourceMutation(
+        "turn_is_retained_though_its_previous_one_is_gone",
+        HISTORY,
+        "if request.previous and turn_key(request.previous) not in self._values:",
+        "if False:",
+        RETENTION + "test_a_turn_whose_previous_one_is_gone_at_its_end_is_not_answered_whole",
+    ),
     SourceMutation(
         "turn_whose_client_left_during_admission_is_never_closed",
         FORWARDING,
--- a/lab/tier/data_plane_mutations/names.py
+++ b/lab/tier/data_plane_mutations/names.py
@@ -23,6 +23,7 @@
 
 RUNNING = "lynxscale.controlplane.running_turns"
 HISTORY = "lynxscale.controlplane.turn_history"
+RETENTION = "tests/dataplane/test_turn_retention.py::"
 RESUMED = "tests/dataplane/test_resumed_turns.py::"
 FRAMING = "tests/dataplane/test_stream_framing.py::"
 FAULTS = "tests/dataplane/test_request_faults.py::"
--- a/lynxscale/controlplane/newest_configuration.py
+++ b/lynxscale/controlplane/newest_configuration.py
@@ -49,12 +49,24 @@
 
     def longest_retention_s(self) -> float:
         """Return the longest time in seconds for which a route retains its turns, 0 if none does."""
+        return max(map(retention_s, self._routes()), default=0.0)
+
+    def longest_timeout_s(self) -> float:
+        """Return the longest time in seconds that a route allows for a request, 0 if there is no route."""
+        return max((number_of(route, "timeout-ms") / 1000.0 for route in self._routes()), default=0.0)
+
+    def _routes(self) -> list[dict[str, Any]]:
         newest = self.get()
         routes = msgspec.json.decode(newest.body).get("routes", ()) if newest else ()
-        return max((retention_s(route) for route in routes if isinstance(route, dict)), default=0.0)
+        return [route for route in routes if isinstance(route, dict)]
 
 
 def retention_s(route: dict[str, Any]) -> float:
     """Return for how many seconds a route retains turns; 0 if it retains none, or does not state a number."""
-    seconds = route.get("retention-s")
-    return float(seconds) if route.get("retained") is True and isinstance(seconds, (int, float)) else 0.0
+    return number_of(route, "retention-s") if route.get("retained") is True else 0.0
+
+
+def number_of(route: dict[str, Any], name: str) -> float:
+    """Return a field of a route as a number, 0 if it is none."""
+    number = route.get(name)
+    return float(number) if isinstance(number, (int, float)) else 0.0
--- a/lynxscale/controlplane/retention.py
+++ b/lynxscale/controlplane/retention.py
@@ -41,9 +41,16 @@
     def retain(self, key: str, retention_s: float, parent: str = "") -> None:
         """Retain a key for ``retention_s`` seconds from now, and its parent for at least as long."""
         self._expires_at[key] = self._clock.now() + retention_s
-        if parent and key not in self._parents:
-            self._parents[key] = parent
-            self._child_counts[parent] += 1
+        if parent != self._parents.get(key, ""):
+            self._remove_parent(key)
+            if parent:
+                self._parents[key] = parent
+                self._child_counts[parent] += 1
+
+    def hold(self, key: str, duration_s: float) -> None:
+        """Retain a tracked key for at least ``duration_s`` seconds from now."""
+        if key in self._expires_at:
+            self._expires_at[key] = max(self._expires_at[key], self._clock.now() + duration_s)
 
     def pop_expired(self) -> list[str]:
         """Return the expired keys, children before their parents, and stop tracking them."""
@@ -63,6 +70,9 @@
     def _untrack(self, key: str) -> None:
         del self._expires_at[key]
         self._child_counts.pop(key, None)
+        self._remove_parent(key)
+
+    def _remove_parent(self, key: str) -> None:
         parent = self._parents.pop(key, "")
         if parent:
             self._child_counts[parent] -= 1
--- a/lynxscale/controlplane/running_turns.py
+++ b/lynxscale/controlplane/running_turns.py
@@ -80,7 +80,9 @@
         if isinstance(request.session, str):
             place = TurnPlace(request.program, request.session, request.previous)
         events = self._events_up_to(place, request.resume_after) if isinstance(request.resume_after, str) else []
-        run = Run(run_id, request.request, place, self._clock.now() + RESUMPTION_WINDOW_S, events)
+        duration_s = request.duration_s if isinstance(request.duration_s, float) else 0.0
+        expires_at = self._clock.now() + duration_s + RESUMPTION_WINDOW_S
+        run = Run(run_id, request.request, place, expires_at, events)
         self._runs[run_id] = run
         self._latest[request.request] = run
         if place is not None:
@@ -102,7 +104,7 @@
         if run is None or run.place is None or message.first != len(run.events) + 1:
             return
         run.events += message.events
-        run.expires_at = self._clock.now() + RESUMPTION_WINDOW_S
+        run.expires_at = max(run.expires_at, self._clock.now() + RESUMPTION_WINDOW_S)
         self._add_bytes(sum(map(event_size, message.events)))
 
     def latest_run(self, request: str) -> str | None:
--- a/lynxscale/controlplane/turn_admission.py
+++ b/lynxscale/controlplane/turn_admission.py
@@ -32,6 +32,7 @@
 log = logging.getLogger(__name__)
 
 AdmissionReply = TurnAdmitted | TurnRejected | ConfigurationOutdated
+HOLD_MARGIN_S = 10.0  # for the commit after a turn's own time, and its retries
 FinishReply = TurnFinished | TurnRejected
 
 
@@ -50,12 +51,16 @@
         self.running = RunningTurns(clock)
 
     def restart_retention(self) -> None:
-        """Restart the retention of all stored records, as another primary may have written them."""
+        """Restart the retention of all stored records, as another primary may have written them.
+
+        Another primary may have admitted turns that continue them, so each is retained as long as a turn may last.
+        """
         self._retention.clear()
+        longest_turn_s = self._longest_turn_s()
         for key, raw in self._values.items():
             if key.startswith((PROGRAM_PREFIX, TURN_PREFIX)):
                 record = msgspec.json.decode(raw, type=RetentionRecord)
-                self._retention.retain(key, record.retention_s, turn_key(record.previous))
+                self._retention.retain(key, max(record.retention_s, longest_turn_s), turn_key(record.previous))
 
     def configuration_version(self) -> ConfigurationVersion:
         """Return the version of the newest configuration; it has to be committed before it is sent."""
@@ -74,10 +79,20 @@
             earlier = self.running.begin(request)
         except AdmissionError as error:
             return TurnRejected(error.status), ()
+        self._retention.hold(turn_key(request.previous), self._hold_s(request))
         if earlier is not None:
             admitted = msgspec.structs.replace(admitted, earlier_events=earlier)
         return admitted, puts
 
+    def _hold_s(self, request: AdmitTurn) -> float:
+        """Return for how many seconds the turn that an admitted one continues is retained at least."""
+        if isinstance(request.duration_s, float):
+            return request.duration_s + HOLD_MARGIN_S
+        return self._longest_turn_s()
+
+    def _longest_turn_s(self) -> float:
+        return self._configuration.longest_timeout_s() + HOLD_MARGIN_S
+
     def finish(self, request: FinishTurn) -> tuple[FinishReply, tuple[Put, ...]]:
         """Return the reply to the end of a turn, and the puts that must be durable before it is sent.
 
--- a/lynxscale/controlplane/turn_history.py
+++ b/lynxscale/controlplane/turn_history.py
@@ -58,13 +58,15 @@
         """Return the puts that retain a completed turn; none if it need not be retained.
 
         ``latest_run``: the run of this request that was admitted last, None if that is not known. Raises
-        SupersededRunError.
+        SupersededRunError, and TurnNotFoundError if the previous turn is gone: nobody could continue from this one.
         """
         if request.content is None:
             return ()
         record = TurnRecord(request.content, request.previous, request.retention_s + RETENTION_MARGIN_S)
         key = turn_key(request.request)
         self._check_run(key, request, latest_run)
+        if request.previous and turn_key(request.previous) not in self._values:
+            raise TurnNotFoundError(request.previous)
         self._retention.retain(key, record.retention_s, turn_key(request.previous))
         return (put_value(key, record),)
 
--- a/lynxscale/coordination/messages/calls.py
+++ b/lynxscale/coordination/messages/calls.py
@@ -23,14 +23,15 @@
 
     ``budget``: the program's budget, -1 for none. ``previous``: the turn that this one continues, empty for none.
     ``cached``: a turn up to which the sender already has the history, empty for none; it may belong to another chain.
-    ``configuration``: the newest version of the configuration that the sender has received. A primary with a newer one
-    replies ``ConfigurationOutdated``; unset, the version is not compared.
+    ``configuration``: the version of the configuration that the sender uses. A primary with a newer one replies
+    ``ConfigurationOutdated``; unset, the version is not compared.
 
     The other fields are unset in requests of programs that did not send them. ``run_id``: identifies this execution of
     a retained turn; two executions of one request differ in it. Unset, all executions of a request count as the same.
     ``session``: the line of turns, whose turns run one at a time; set if the turn's stream may be resumed. Unset, it
     may not. ``resume_after``: the id of the last event that the client has of an earlier run in this session, after the
-    same previous turn. Unset, the turn runs from its start.
+    same previous turn. Unset, the turn runs from its start. ``duration_s``: for how long the turn may last, until its
+    end is acknowledged; the turn that it continues is retained meanwhile. Unset, as long as any route allows.
     """
 
     program: str
@@ -45,6 +46,7 @@
     run_id: str | msgspec.UnsetType = msgspec.UNSET
     session: str | msgspec.UnsetType = msgspec.UNSET
     resume_after: str | msgspec.UnsetType = msgspec.UNSET
+    duration_s: float | msgspec.UnsetType = msgspec.UNSET
 
 
 class TurnAdmitted(Message, frozen=True, tag="turn_admitted"):
--- a/lynxscale/dataplane/turns.py
+++ b/lynxscale/dataplane/turns.py
@@ -153,7 +153,8 @@
                 self.close(0)
                 listener.on_turn_rejected(SERVICE_UNAVAILABLE)
 
-        self._calls.call(self._admission(cached_turn), min(remaining_s, self._admission_timeout_s), on_reply)
+        admission = self._admission(cached_turn, remaining_s + COMMIT_TIMEOUT_S)
+        self._calls.call(admission, min(remaining_s, self._admission_timeout_s), on_reply)
 
     def _lacks_earlier_events(self, reply: TurnAdmitted) -> bool:
         """Whether the turn was to be resumed, and the primary's program does not know how."""
@@ -186,7 +187,7 @@
 
         self._calls.call(self._finish(tokens, content), COMMIT_TIMEOUT_S, on_reply)
 
-    def _admission(self, cached_turn: str) -> AdmitTurn:
+    def _admission(self, cached_turn: str, duration_s: float) -> AdmitTurn:
         return AdmitTurn(
             self._program,
             self._request_id,
@@ -200,6 +201,7 @@
             self._run_id if self._route.retained else msgspec.UNSET,
             self._session if self._resumable else msgspec.UNSET,
             self._resume_after or msgspec.UNSET,
+            duration_s if self._route.retained else msgspec.UNSET,
         )
 
     def _finish(self, tokens: int, content: bytes | None) -> FinishTurn:
--- a/tests/data/tier/generate.py
+++ b/tests/data/tier/generate.py
@@ -157,6 +157,7 @@
 RUN, EVENTS = "9f3c0d11e2a45b67", [["1", "a\x00b"], ["", "ü"]]
 THIRD_MESSAGES: list[tuple[str, list]] = [
     ("call", [6, golden.RELAY, 77, {"admit_turn": [*ADMISSION, "r0", "q0", 3, RUN, "agent-7/main", "12"]}]),
+    ("call", [8, golden.RELAY, 77, {"admit_turn": [*ADMISSION, "r0", "q0", 3, RUN, "agent-7/main", "12", 6.5]}]),
     ("call", [7, golden.RELAY, 77, {"finish_turn": [*ENDING, "ask\x00answer", "r0", 3, RUN]}]),
     ("reply", [6, 77, {"turn_admitted": ["ask\x00answer", "q0", EVENTS]}]),
     ("reply", [7, 77, {"turn_refused": [409]}]),
