Hosts are compared at one place, in lower case and without their port

Cause: the route table looked for the request's host in lower case and without its port, but filed routes under the host as it was written. The check for routes of the same place compared the raw text.

Change: configuration/hosts.py serves the table, the request and the check; hosts are published as they are compared, for relays of the program before.

--- a/lynxscale/configuration/document.py
+++ b/lynxscale/configuration/document.py
@@ -13,6 +13,7 @@
 
 from lynxscale.configuration.field_rules import FieldRule, field_rules
 from lynxscale.configuration.finding import Finding, Findings
+from lynxscale.configuration.hosts import normalized_host
 from lynxscale.configuration.model import MAX_WHOLE_NUMBER, Configuration
 
 Document = dict[str, Any]
@@ -43,16 +44,33 @@
 
 
 def published_form(body: bytes) -> bytes:
-    """Return a configuration's JSON as relays of all versions read it: without fractions where they want none.
+    """Return a configuration's JSON as relays of all versions read it.
 
-    It is returned unchanged if there are none, or if it is no JSON object.
+    It has no fractions where they want whole numbers, and hosts as they compare them. It is returned unchanged if that
+    is so already, or if it is no JSON object.
     """
     try:
-        msgspec.json.decode(body, type=Configuration)
+        configuration = msgspec.json.decode(body, type=Configuration)
+        if all(route.host == normalized_host(route.host) for route in configuration.routes):
+            return body
     except (msgspec.DecodeError, RecursionError):
-        document = _read_json(body).value_or(None)
-        return body if document is None else msgspec.json.encode(with_whole_numbers(document, Configuration))
-    return body
+        pass  # it may have fractions
+    document = _read_json(body).map(_published_document).value_or(None)
+    return body if document is None else msgspec.json.encode(document)
+
+
+def _published_document(document: Document) -> Document:
+    published: Document = with_whole_numbers(document, Configuration)
+    routes = published.get("routes")
+    if isinstance(routes, list):
+        published["routes"] = [_with_normalized_host(route) for route in routes]
+    return published
+
+
+def _with_normalized_host(route: Any) -> Any:
+    if isinstance(route, dict) and isinstance(route.get("host"), str):
+        return route | {"host": normalized_host(route["host"])}
+    return route
 
 
 def comparable_form(document: Document) -> Document:
--- a/lynxscale/controlplane/configuration_check.py
+++ b/lynxscale/controlplane/configuration_check.py
@@ -16,6 +16,7 @@
 from lynxscale.configuration.field_check import struct_findings, value_findings
 from lynxscale.configuration.field_rules import field_rules
 from lynxscale.configuration.finding import Finding, Findings
+from lynxscale.configuration.hosts import normalized_host
 from lynxscale.configuration.model import ROUTE_TYPES, Route, Service, WeightedBackend
 from lynxscale.configuration.model import Configuration as TypedConfiguration
 from lynxscale.controlplane.configuration import Configuration
@@ -103,6 +104,6 @@
 
 
 def _match_of(route: Any) -> tuple[str, str] | None:
-    """Return the host and path prefix of a route, None if it lacks one."""
+    """Return the host and path prefix of a route as relays compare them, None if it lacks one."""
     host, prefix = (route.get("host"), route.get("path-prefix")) if isinstance(route, dict) else (None, None)
-    return (host, prefix) if isinstance(host, str) and isinstance(prefix, str) else None
+    return (normalized_host(host), prefix) if isinstance(host, str) and isinstance(prefix, str) else None
--- a/lynxscale/dataplane/routing.py
+++ b/lynxscale/dataplane/routing.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 
 from lynxscale.configuration.document import read_configuration
+from lynxscale.configuration.hosts import normalized_host
 from lynxscale.configuration.model import Configuration, Engine, Route
 from lynxscale.dataplane.exceptions import UnusableConfigurationError
 
@@ -19,13 +20,13 @@
         self.services = {service.name: service for service in configuration.services}
         self.routes_by_host: dict[str, list[Route]] = {}  # the longest path prefix first
         for route in configuration.routes:
-            self.routes_by_host.setdefault(route.host, []).append(route)
+            self.routes_by_host.setdefault(normalized_host(route.host), []).append(route)
         for routes in self.routes_by_host.values():
             routes.sort(key=lambda route: -len(route.path_prefix))
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest matching path prefix; the port and case of ``host`` are ignored."""
-        for route in self.routes_by_host.get(host.partition(":")[0].lower(), ()):
+        for route in self.routes_by_host.get(normalized_host(host), ()):
             if path.startswith(route.path_prefix):
                 return route
         return None
