Bounds and other settings may have fractions, and whole numbers be written as 2.0

Change: times are read as numbers, and settings go through the reader of whole numbers that configurations go through.

Evidence: the new test of test_settings_reader.py; it fails before by the types of Bounds.

--- a/lynxscale/configuration/document.py
+++ b/lynxscale/configuration/document.py
@@ -11,10 +11,10 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from lynxscale.configuration.field_rules import FieldRule, field_rules
 from lynxscale.configuration.finding import Finding, Findings
 from lynxscale.configuration.hosts import normalized_host
-from lynxscale.configuration.model import MAX_WHOLE_NUMBER, Configuration
+from lynxscale.configuration.model import Configuration
+from lynxscale.configuration.whole_numbers import with_whole_numbers
 
 Document = dict[str, Any]
 """A JSON object."""
@@ -89,33 +89,6 @@
         return Failure((Finding("body", str(error)),))
 
 
-def with_whole_numbers(value: Any, struct: type[msgspec.Struct]) -> Any:
-    """Return a JSON value with an ``int`` in each field of the struct that wants one and has a number like 2.0."""
-    if not isinstance(value, dict):
-        return value
-    converted = {
-        rule.name: _with_whole_numbers(value[rule.name], rule) for rule in field_rules(struct) if rule.name in value
-    }
-    return value | converted
-
-
-def _with_whole_numbers(value: Any, rule: FieldRule) -> Any:
-    if rule.kind is int:
-        return as_whole_number(value)
-    if rule.struct is not None:
-        return with_whole_numbers(value, rule.struct)
-    if rule.entries is not None and isinstance(value, list):
-        return [with_whole_numbers(item, rule.entries) for item in value]
-    return value
-
-
-def as_whole_number(value: Any) -> Any:
-    """Return the ``int`` that a number like 2.0 is; any other value is returned unchanged."""
-    if isinstance(value, float) and value.is_integer() and abs(value) <= MAX_WHOLE_NUMBER:
-        return int(value)
-    return value
-
-
 def _read_json(body: bytes) -> Result[Document, Findings]:
     try:
         document = msgspec.json.decode(body)
--- a/lynxscale/configuration/field_rules.py
+++ b/lynxscale/configuration/field_rules.py
@@ -41,7 +41,10 @@
     kind, *rules = get_args(annotation) if get_origin(annotation) is Annotated else (annotation,)
     arguments = get_args(kind)
     nullable = type(None) in arguments
-    entries = arguments[0] if get_origin(kind) is tuple else None
-    inner = arguments[0] if nullable else kind
-    struct = inner if isinstance(inner, type) and issubclass(inner, msgspec.Struct) else None
+    entries = _as_struct(arguments[0]) if get_origin(kind) is tuple else None
+    struct = _as_struct(arguments[0] if nullable else kind)
     return FieldRule(field.encode_name, field.required, kind, tuple(rules), nullable, entries, struct)
+
+
+def _as_struct(kind: Any) -> type[msgspec.Struct] | None:
+    return kind if isinstance(kind, type) and issubclass(kind, msgspec.Struct) else None
--- a/lynxscale/controlplane/configuration_check.py
+++ b/lynxscale/controlplane/configuration_check.py
@@ -12,13 +12,14 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from lynxscale.configuration.document import Document, as_whole_number, comparable_form, read_document
+from lynxscale.configuration.document import Document, comparable_form, read_document
 from lynxscale.configuration.field_check import struct_findings, value_findings
 from lynxscale.configuration.field_rules import field_rules
 from lynxscale.configuration.finding import Finding, Findings
 from lynxscale.configuration.hosts import normalized_host
 from lynxscale.configuration.model import ROUTE_TYPES, Route, Service, WeightedBackend
 from lynxscale.configuration.model import Configuration as TypedConfiguration
+from lynxscale.configuration.whole_numbers import as_whole_number
 from lynxscale.controlplane.configuration import Configuration
 
 ENTRY_LISTS = ("routes", "services")
--- a/lynxscale/runtime/settings.py
+++ b/lynxscale/runtime/settings.py
@@ -42,13 +42,13 @@
 class Bounds(msgspec.Struct, frozen=True, rename="kebab"):
     """Time bounds of the guarantees."""
 
-    contact_ms: int = 3000
-    ack_ms: int = 4000
-    drain_ms: int = 3000
+    contact_ms: float = 3000.0
+    ack_ms: float = 4000.0
+    drain_ms: float = 3000.0
     grace_s: float = 8.0
-    loss_slack_ms: int = 200
-    config_apply_ms: int = 2000
-    skew_max_ms: int = 5000
+    loss_slack_ms: float = 200.0
+    config_apply_ms: float = 2000.0
+    skew_max_ms: float = 5000.0
     recovery_s: float = 12.0
 
 
@@ -57,7 +57,7 @@
 
     address: str = ""
     rate_per_s: float = 10.0
-    lag_ms: int = 800
+    lag_ms: float = 800.0
 
 
 class Settings(msgspec.Struct, frozen=True, rename="kebab"):
@@ -70,7 +70,7 @@
     seeds: tuple[str, ...]
     bootstrap: bool = False
     data_dir: str = ""
-    heartbeat_ms: int = 1200
+    heartbeat_ms: float = 1200.0
     listen: Listen = Listen()
     limits: Limits = Limits()
     fault_tolerance: FaultTolerance = FaultTolerance()
--- a/lynxscale/runtime/settings_reader.py
+++ b/lynxscale/runtime/settings_reader.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from lynxscale.configuration.whole_numbers import with_whole_numbers
 from lynxscale.runtime.exceptions import SettingsError
 from lynxscale.runtime.settings import Settings
 
@@ -36,6 +37,7 @@
         table = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(f"{source}: {error}") from error
+    table = with_whole_numbers(table, Settings)
     findings = _findings(table, source)
     if findings:
         raise SettingsError("\n".join(findings))
--- a/tests/runtime/test_settings_reader.py
+++ b/tests/runtime/test_settings_reader.py
@@ -18,3 +18,36 @@
     with pytest.raises(SettingsError) as raised:
         parse_settings('node-name = "n"\nip = "a"\nzone = "a"\ninternal-ports = [1, 2]\nseeds = []', "s.toml")
     assert str(raised.value) == "s.toml: seeds: want one address at least"
+
+
+SETTINGS = """node-name = "n"
+ip = "a"
+zone = "a"
+internal-ports = [7380.0, 7395]
+seeds = ["a:1"]
+heartbeat-ms = 1200.5
+[limits]
+max-fds = 4100.0
+[fault-tolerance]
+machines = 1.0
+[bounds]
+contact-ms = 3000.5
+drain-ms = 2500.25
+grace-s = 8
+again_s = true
+[cloud]
+lag-ms = 800.5
+"""
+
+
+def test_bounds_may_have_fractions_and_whole_numbers_may_be_written_with_one():
+    """Regression: each process ended with code 2, though bounds are whole numbers, fractions, true or false."""
+    settings = parse_settings(SETTINGS, "s.toml")
+    assert (settings.bounds.contact_ms, settings.bounds.drain_ms, settings.bounds.grace_s) == (3000.5, 2500.25, 8)
+    assert (settings.internal_ports, settings.limits.max_fds) == ((7380, 7395), 4100)
+    assert (settings.heartbeat_ms, settings.cloud.lag_ms, settings.fault_tolerance.machines) == (1200.5, 800.5, 1)
+
+
+def test_a_count_with_a_fraction_is_a_finding():
+    with pytest.raises(SettingsError, match="s.toml: limits"):
+        parse_settings(SETTINGS.replace("max-fds = 4100.0", "max-fds = 4100.5"), "s.toml")
