--- a/lab/tier/disturbances.py
+++ b/lab/tier/disturbances.py
@@ -22,8 +22,8 @@
 
 import msgspec
 
+from lab.tier.judge_wait import wait_until
 from lab.tier.local import LocalTier
-from lab.tier.upgrade_load import wait_until
 from lynxscale.coordination.membership_plan import voters_wanted
 
 MIN_WORKERS = 3
--- a/tests/dataplane/test_request_faults.py
+++ b/tests/dataplane/test_request_faults.py
@@ -534,3 +534,26 @@
     connections[0].close()
     tier.world.run(tier.world.time + 0.1)
     assert len(endpoints_that_ran(tier, "waits")) == 1
+
+
+def test_a_402_while_a_failed_turn_is_not_settled_may_be_followed_by_a_200():
+    """The trace behind ``Upgrade._next_statuses``: a turn that failed counts at its most until its relay reports it."""
+    tier = settled_tier()
+    relay, other = tier.relay_hosts[:2]
+    assert tier.turn("p", 80, max_tokens=40).complete
+    for name in MODELS:
+        tier.endpoints[name].aborts_after = 1
+    fields = {"program": "p", "budget": "80", "lynxscale_token_count": "100,40"}
+    failed, _ = tier.start_request("/kept/stream", relay=relay, **fields)
+    tier.world.run(tier.world.time + 0.06)  # it is admitted and runs
+    for host in tier.control_hosts:
+        tier.world.partition(f"{relay}:7000", f"{host}:7000")
+    assert tier.world.run_until(lambda: failed.ended, 3.0) and not failed.complete
+    for name in MODELS:
+        tier.endpoints[name].aborts_after = None
+    assert program_record(tier, "p").reservations and program_record(tier, "p").spent_tokens == 40
+    assert tier.turn("p", 80, max_tokens=10, relay=other).status == 402
+    tier.world.heal()
+    tier.world.run(tier.world.time + 2.0)
+    assert not program_record(tier, "p").reservations and program_record(tier, "p").spent_tokens == 50
+    assert tier.turn("p", 80, max_tokens=10, relay=other).status == 200
