Soak: streams in every framing, and clients that resume those that break off

Endpoints now frame streams by chunks, by a length or by the connection's end, and further clients hold conversations on a retained and resumable route.

--- a/lab/tier/conditions.py
+++ b/lab/tier/conditions.py
@@ -78,3 +78,11 @@
         endpoint.full_period_s = 0.0
         endpoint.repeats_late = lambda: False
         endpoint.ends_within_event = False
+
+
+def vary_framing(endpoints: Iterable[FakeEndpoint], random: Random) -> None:
+    """Draw for each endpoint how its streams are framed: by chunks, by a length, or by the end of the connection."""
+    for endpoint in endpoints:
+        framing = random.choice(("chunks", "length", "connection"))
+        endpoint.states_length = framing == "length"
+        endpoint.ends_with_connection = framing == "connection"
--- a/lab/tier/fakes.py
+++ b/lab/tier/fakes.py
@@ -37,6 +37,7 @@
 
     ``states_length``: streams have a ``Content-Length``, which is too large by ``length_error`` bytes. ``event_end``:
     the bytes behind each event. ``event_tag(request)``: what the data of each event ends with.
+    ``event_count(request)``: the number of events. ``ends_with_connection``: streams have neither a length nor chunks.
     """
 
     def __init__(self, endpoint: Endpoint, clock: Clock, listen: Listen, events: int = 4) -> None:
@@ -58,6 +59,8 @@
         self.length_error = 0
         self.event_end = b"\n\n"
         self.event_tag: Callable[[Request], bytes] = lambda request: b""
+        self.event_count: Callable[[Request], int] = lambda request: self.events
+        self.ends_with_connection = False
         self.load = ""
         self.status = 200
         self._clock = clock
@@ -103,6 +106,7 @@
         self._request = request
         self._responder = responder
         self._last_event_id = int(request.head.text(headers.LAST_EVENT_ID) or 0)
+        self._event_count = endpoint.event_count(request)
         self._ended = False
         endpoint._clock.call_later(endpoint.service_time_s, self._begin)
 
@@ -118,17 +122,21 @@
             self._end()
         elif "/stream" in self._request.target:
             response = self._endpoint._response(self._request, self._endpoint.status, b"")
-            fields = (*response.head.fields, (b"content-type", b"text/event-stream"), *self._length_fields())
+            fields = (*response.head.fields, (b"content-type", b"text/event-stream"), *self._framing_fields())
             self._responder.start(response.status, fields)
             self._send_event()
         else:
             self._responder.respond(self._endpoint._response(self._request, self._endpoint.status, b"done"))
             self._end()
 
-    def _length_fields(self) -> Headers:
+    def _framing_fields(self) -> Headers:
+        if self._endpoint.ends_with_connection:
+            # h11 frames the response as for a client of HTTP/1.0, which ends it with the connection.
+            self._responder._connection._http.their_http_version = b"1.0"
+            return ((b"connection", b"close"),)
         if not self._endpoint.states_length:
             return ()
-        numbers = range(self._last_event_id + 1, self._endpoint.events + 1)
+        numbers = range(self._last_event_id + 1, self._event_count + 1)
         length = sum(len(self._event(number)) for number in numbers) + self._endpoint.length_error
         return ((b"content-length", b"%d" % length),)
 
@@ -139,12 +147,12 @@
     def _send_event(self) -> None:
         if self._ended:
             return
-        if self._last_event_id == self._endpoint.events:
+        if self._last_event_id >= self._event_count:
             if self._endpoint.ends_within_event:
                 self._responder.data(b"id: 9\ndata: cut")
             self._responder.end()
             self._end()
-        elif self._last_event_id == self._endpoint.aborts_after:
+        elif self._last_event_id == self._endpoint.aborts_after and not self._endpoint.ends_with_connection:
             self._endpoint.aborts_after = None
             self._responder.abort()
             self._end()
--- a/lab/tier/soak.py
+++ b/lab/tier/soak.py
@@ -4,7 +4,8 @@
 and freezes beside the planned work (with ``--controls 4`` or more also kills of several voters), all disturbances, and
 the changes of the routes. Clients keep their connections until the relay closes them, for calls and for conversations
 on the routes that change; the load of ``upgrade_load`` adds conversations on a route that stays, further calls and the
-operator. The processes run on disks of a fixed speed (``steady_disk``). A seed repeats what a run draws; when that
+operator; others resume streams that break off. Streams are framed by chunks, a length or the connection's end. The
+processes run on disks of a fixed speed (``steady_disk``). A seed repeats what a run draws; when that
 happens depends on the machine. Exit code 1 if a rule was broken.
 """
 
@@ -23,11 +24,12 @@
 from random import Random
 
 from lab.tier.changing_routes import ChangingRoutes, lost_turns
-from lab.tier.conditions import overload_endpoints, relieve_endpoints
+from lab.tier.conditions import overload_endpoints, relieve_endpoints, vary_framing
 from lab.tier.disturbances import Disturber
 from lab.tier.local import LocalTier, free_network
 from lab.tier.persistent_clients import PersistentClients
 from lab.tier.persistent_conversations import PersistentConversations
+from lab.tier.resuming_clients import ResumingClients
 from lab.tier.simulated_tier import TOOLS
 from lab.tier.soak_rules import SoakChecker
 from lab.tier.upgrade_load import Load
@@ -35,7 +37,7 @@
 
 DEFAULT_SECONDS = 15.0
 DEFAULT_RELAYS, DEFAULT_CONTROLS = 4, 3
-CLIENTS, CONVERSATION_CLIENTS = 16, 8
+CLIENTS, CONVERSATION_CLIENTS, RESUMING_CLIENTS = 16, 8, 6
 PAUSE_TIMEOUT_S = 25.0
 PLANNED_ONLY_SHARE = 0.5  # share of the seeds without kills and freezes
 MAX_PRINTED = 20
@@ -51,6 +53,7 @@
     controls: int = DEFAULT_CONTROLS
     clients: int = CLIENTS
     conversation_clients: int = CONVERSATION_CLIENTS
+    resuming_clients: int = RESUMING_CLIENTS
 
 
 @dataclass(frozen=True)
@@ -65,6 +68,8 @@
     changes: int
     turns: int
     routed_turns: Counter[int]
+    resumable_turns: int
+    resumed_turns: int
 
     def __str__(self) -> str:
         """A summary on one line."""
@@ -74,6 +79,7 @@
         return (
             f"seed {self.seed}: {len(self.violations)} violations; persistent connections {statuses};"
             f" turns on changing routes {routed}; {self.turns} other turns; {self.late_answers} late answers;"
+            f" {self.resumable_turns} resumable turns, {self.resumed_turns} resumed;"
             f" {disturbances}; {self.changes} changes"
         )
 
@@ -97,6 +103,7 @@
         talks = Random(f"conversations {seed}")
         self._conversations = PersistentConversations(self._tier, self._routes, talks, size.conversation_clients)
         self._clients = PersistentClients(self._tier, Random(f"clients {seed}"), size.clients)
+        self._resuming = ResumingClients(self._tier, Random(f"resuming {seed}"), size.resuming_clients)
         self._disturber = Disturber(self._tier, Random(f"disturbances {seed}"), planned_only)
 
     async def run(self) -> SoakResult:
@@ -110,12 +117,14 @@
                 self._load.resume()
                 self._clients.begin(group)
                 self._conversations.begin(group)
+                self._resuming.begin(group)
                 try:
                     await self._disturber.run(self._size.seconds)
                 except TimeoutError as error:
                     violations.append(str(error))
                 self._clients.cancel()
                 self._conversations.cancel()
+                self._resuming.cancel()
                 relieve_endpoints(self._tier.endpoints)
                 await self._load.pause(PAUSE_TIMEOUT_S)
                 self._load.cancel()
@@ -133,10 +142,13 @@
             sum(change.acknowledged for change in self._load.changes),
             len(self._load.turns) - sum(turn.status not in (404, 410) for turn in self._conversations.turns),
             Counter(turn.status for turn in self._conversations.turns),
+            self._resuming.turns,
+            self._resuming.resumed,
         )
 
     def _overload(self) -> None:
         overload_endpoints(self._tier.endpoints, Random(f"crowd {self.seed}"))
+        vary_framing(self._tier.endpoints, Random(f"framing {self.seed}"))
         self._streams_break_off = any(endpoint.ends_within_event for endpoint in self._tier.endpoints)
         for endpoint in self._tier.endpoints:
             endpoint.repeats_late = self._counted(endpoint.repeats_late)
@@ -159,14 +171,15 @@
             self._disturber.log,
             self._load.stalls,
         )
-        never_ended = [*self._clients.unanswered, *self._conversations.unanswered]
+        never_ended = [*self._clients.unanswered, *self._conversations.unanswered, *self._resuming.unanswered]
         unanswered = [f"UNANSWERED {one.request_id} {one.path} at {one.relay}" for one in never_ended]
         conversations = self._conversations.turns
         lost = lost_turns(turn.judged() for turn in conversations if turn.request.ended_at)
         # Whether a 404 was allowed is judged above; the checker of histories knows no routes that come and go.
         self._load.turns += [turn.observed() for turn in conversations if turn.status not in (404, 410)]
         loads = request_violations(self._tier.endpoints, self._load) + self._load.faults
-        return [*self._disturber.faults, *checker.violations(), *lost, *unanswered, *loads]
+        resumable = self._resuming.violations(self._tier.endpoints)
+        return [*self._disturber.faults, *checker.violations(), *lost, *unanswered, *loads, *resumable]
 
     def _log_lines(self) -> list[str]:
         return [
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -5,6 +5,7 @@
 from lab.tier.disturbances import VOTERS, Disturbance
 from lab.tier.history_checker import COMPLETE_STREAM
 from lab.tier.persistent_clients import PersistentRequest
+from lab.tier.resumable_turns import Line, unasked_prompts
 from lab.tier.soak import SoakSize, play
 from lab.tier.soak_rules import SoakChecker
 from lynxscale.dataplane.headers import REQUEST_ID
@@ -24,7 +25,7 @@
         result = play(seed, SoakSize(seconds=8.0))
         assert not result.violations, (str(result), result.violations)
         assert result.late_answers and result.statuses[200] and result.disturbances["restart"], str(result)
-        assert result.routed_turns[200], str(result)
+        assert result.routed_turns[200] and result.resumable_turns, str(result)
 
 
 def test_a_short_soak_that_kills_voters_amid_their_replacement_breaks_no_rule():
@@ -93,3 +94,19 @@
     lost = SoakChecker([persistent_request(**CLOSED)], [Endpoint("a")], False, [], stall)
     twice = SoakChecker([persistent_request(**CLOSED)], [Endpoint("a", "a")], False, [], stall)
     assert not list(lost.violations()) and len(list(twice.violations())) == 1
+
+
+def test_lines_of_resumable_turns_are_judged():
+    """What the clients that resume streams would report."""
+    line = Line("line", "/held/stream", 3, resumes=True)
+    line.next_request("a")
+    assert not line.on_response("a", 200, b"id: 1\ndata: x-a\n\nid: 2\r\ndata: y-a\r\n\r\nid: 3\nda", False, 1.0)
+    assert line.next_request("b")["last_event_id"] == "2"
+    assert line.on_response("b", 200, b"id: 3\ndata: z-b\n\n", True, 2.0)
+    assert (line.said, line.previous, line.resumed) == (b"input 0 of line x-a\ny-a\nz-b\n", "b", 1)
+    line.next_request("c")
+    endpoint = Endpoint()
+    endpoint.executed = [Request("POST", "/", Head(((REQUEST_ID, b"c"),)), b"z-b\ninput 1 of line ")]
+    assert [text.split()[0] for text in unasked_prompts([line], [endpoint])] == ["UNASKED"]
+    assert line.on_response("c", 200, b"id: 2\ndata: y\n\n", True, 3.0)
+    assert [text.split()[0] for text in line.broken] == ["ORDER"]
