An event is held for a client of HTTP/1.0 also behind comments and blank lines

Cause: what followed the last event, such as a comment, released it before the turn was durable. Found by reading.

Evidence: the test with a comment behind the last event fails before.

--- a/lab/tier/fakes.py
+++ b/lab/tier/fakes.py
@@ -38,6 +38,7 @@
     ``states_length``: streams have a ``Content-Length``, which is too large by ``length_error`` bytes. ``event_end``:
     the bytes behind each event. ``event_tag(request)``: what the data of each event ends with.
     ``event_count(request)``: the number of events. ``ends_with_connection``: streams have neither a length nor chunks.
+    ``trailer``: what follows the last event of a stream in chunks.
     """
 
     def __init__(self, endpoint: Endpoint, clock: Clock, listen: Listen, events: int = 4) -> None:
@@ -61,6 +62,7 @@
         self.event_tag: Callable[[Request], bytes] = lambda request: b""
         self.event_count: Callable[[Request], int] = lambda request: self.events
         self.ends_with_connection = False
+        self.trailer = b""
         self.load = ""
         self.status = 200
         self._clock = clock
@@ -150,6 +152,8 @@
         if self._last_event_id >= self._event_count:
             if self._endpoint.ends_within_event:
                 self._responder.data(b"id: 9\ndata: cut")
+            if self._endpoint.trailer:
+                self._responder.data(self._endpoint.trailer)
             self._responder.end()
             self._end()
         elif self._last_event_id == self._endpoint.aborts_after and not self._endpoint.ends_with_connection:
--- a/lynxscale/dataplane/response_stream.py
+++ b/lynxscale/dataplane/response_stream.py
@@ -20,7 +20,7 @@
     ``streams``: whether the current response is forwarded event by event; valid once its head was received.
     """
 
-    __slots__ = ("_body", "_head", "_held", "_responder", "_route", "events", "status", "streams")
+    __slots__ = ("_body", "_head", "_held", "_held_count", "_responder", "_route", "events", "status", "streams")
 
     def __init__(self, responder: Responder, route: Route) -> None:
         self.status = 0
@@ -30,6 +30,7 @@
         self._route = route
         self._head = NO_FIELDS
         self._body = bytearray()
+        self._held_count = 0  # number of events up to the latest one that is held
         self._held = b""  # events that are sent with the next ones, or with the end
 
     @property
@@ -72,10 +73,19 @@
         ``end``, or with the next event.
         """
         if self._route.retained and not self._responder.end_is_explicit:
-            events, self._held = self._held, events
+            events = self._hold_latest(events)
         if events:
             self._responder.data(events)
 
+    def _hold_latest(self, events: bytes) -> bytes:
+        """Hold the latest event, with the blank lines and comments behind it; return what was held before."""
+        if self.events.event_count == self._held_count:
+            self._held += events
+            return b""
+        self._held_count = self.events.event_count
+        released, self._held = self._held, events
+        return released
+
     def end(self) -> None:
         """Complete the response."""
         if self._held:
--- a/tests/dataplane/test_stream_framing.py
+++ b/tests/dataplane/test_stream_framing.py
@@ -114,12 +114,15 @@
         self.ended = self.ended or "reset"
 
 
-def test_a_client_without_chunks_gets_the_last_event_of_a_turn_once_it_is_durable():
+@pytest.mark.parametrize("trailer", [b"", b": that was all\n\n"])
+def test_a_client_without_chunks_gets_the_last_event_of_a_turn_once_it_is_durable(trailer):
     """HTTP/1.0 has no end but that of the connection, so that the last event stands for the end."""
     tier = settled_tier()
+    for endpoint in tier.endpoints.values():
+        endpoint.trailer = trailer
     client = OldClient(tier, b"/kept/stream")
     tier.world.run(tier.world.time + 1.0)
-    assert (client.body, client.ended) == (EVENTS, "closed")
+    assert (client.body, client.ended) == (EVENTS + trailer, "closed")
     client = OldClient(tier, b"/kept/stream")
     tier.world.run(tier.world.time + 0.08)
     lose_primaries(tier)
