The test of kills measures segments anew if one is removed meanwhile

The relay is right: cleaning removes segments about once a second.

Change: all files are measured anew then, so that the sum and the numbers are of one listing whose files were all there; the bounds are as before.

--- a/tests/relay/journal/test_journal_live.py
+++ b/tests/relay/journal/test_journal_live.py
@@ -13,8 +13,8 @@
 from lab.demo import CONF, ROOT, StandaloneRelay, entries_of
 from lab.partner import EndpointBehaviour, Partner
 from lab.rules import check_rules
+from lab.segment_sizes import allocated_by_segment
 from lab.standins import reply, until
-from lynxscale.relay.journal.cleaning_plan import allocated_size
 from lynxscale.relay.journal.legacy_format import FILE_NAME, read_legacy_journal
 from tests.relay.node import NodeCase
 
@@ -42,11 +42,9 @@
         for _ in range(KILLS):
             load = asyncio.create_task(desk.run(range(number, number + 400), 350.0))
             await asyncio.sleep(rng.uniform(0.15, 0.6))
-            names = [int(path.stem) for path in (tmp_path / "state" / "segments").glob("*.seg")]
-            max_bytes = max(
-                max_bytes,
-                sum(allocated_size(path.stat().st_size) for path in (tmp_path / "state" / "segments").iterdir()),
-            )
+            allocated = allocated_by_segment(tmp_path / "state" / "segments")
+            names = [int(name.removesuffix(".seg")) for name in allocated if name.endswith(".seg")]
+            max_bytes = max(max_bytes, sum(allocated.values()))
             cleaned = max(cleaned, min(names))
             await relay.stop(signal.SIGKILL)
             load.cancel()
