Admissions read the routes' longest times once a version, and only to continue a turn

Cause: an admission that states no duration (a budget without retention, or a relay of the program before) decoded the whole configuration to learn how long a turn may last, also where there was no previous turn to hold. A status page read the configuration twice to tell whether it is usable.

Change: NewestConfiguration keeps the two figures by version; a turn without a previous one does not ask for them.

The new test of test_turn_retention counts how often routes are decoded.

--- a/lab/tier/data_plane_mutations/admission.py
+++ b/lab/tier/data_plane_mutations/admission.py
@@ -19,7 +19,7 @@
     SourceMutation(
         "admission_does_not_hold_the_turn_that_it_continues",
         TURN_ADMISSION,
-        "        self._retention.hold(turn_key(request.previous), self._hold_s(request))\n",
+        "        self._hold_previous(request)\n",
         "",
         RETENTION + "test_a_turn_that_runs_while_the_one_that_it_continues_expires_keeps_its_chain",
     ),
--- a/lab/tier/data_plane_mutations/old_routes.py
+++ b/lab/tier/data_plane_mutations/old_routes.py
@@ -85,7 +85,7 @@
     SourceMutation(
         "turn_keeps_the_retention_of_old_routes",
         TURN_ADMISSION,
-        "            longest_s = max(request.retention_s, self._configuration.longest_retention_s())\n",
+        "            longest_s = max(request.retention_s, self._configuration.maxima().retention_s)\n",
         "            longest_s = request.retention_s\n",
         ROUTES + "test_a_turn_that_ends_under_a_newer_configuration_is_retained_for_as_long_as_that_says",
     ),
--- a/lynxscale/controlplane/newest_configuration.py
+++ b/lynxscale/controlplane/newest_configuration.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+from attrs import frozen
 from returns.result import Failure
 
 from lynxscale.configuration.document import read_configuration
@@ -25,6 +26,14 @@
         return "; ".join(map(str, read.failure())) if isinstance(read, Failure) else ""
 
 
+@frozen
+class RouteMaxima:
+    """The longest times in seconds that any route of a configuration states, 0 if none does."""
+
+    retention_s: float = 0.0
+    timeout_s: float = 0.0
+
+
 class NewestConfiguration:
     """The newest configuration among a store's entries, committed or not; ``values`` are these entries in memory."""
 
@@ -32,12 +41,13 @@
         self._values = values
         self._raw: msgspec.Raw | None = None
         self._decoded: CurrentConfiguration | None = None
+        self._maxima: RouteMaxima | None = None  # of that version, None until they are asked for
 
     def get(self) -> CurrentConfiguration | None:
         """Return the newest configuration, None if there is none yet."""
         raw = self._values.get(CURRENT_KEY)
         if raw is not self._raw:
-            self._raw = raw
+            self._raw, self._maxima = raw, None
             self._decoded = None if raw is None else msgspec.json.decode(raw, type=CurrentConfiguration)
         return self._decoded
 
@@ -47,18 +57,23 @@
         newest = self.get()
         return newest.generation if newest else 0
 
-    def longest_retention_s(self) -> float:
-        """Return the longest time in seconds for which a route retains its turns, 0 if none does."""
-        return max(map(retention_s, self._routes()), default=0.0)
-
-    def longest_timeout_s(self) -> float:
-        """Return the longest time in seconds that a route allows for a request, 0 if there is no route."""
-        return max((number_of(route, "timeout-ms") / 1000.0 for route in self._routes()), default=0.0)
-
-    def _routes(self) -> list[dict[str, Any]]:
+    def maxima(self) -> RouteMaxima:
+        """Return the longest times of its routes."""
         newest = self.get()
-        routes = msgspec.json.decode(newest.body).get("routes", ()) if newest else ()
-        return [route for route in routes if isinstance(route, dict)]
+        if newest is None:
+            return RouteMaxima()
+        if self._maxima is None:
+            self._maxima = route_maxima(newest.body)
+        return self._maxima
+
+
+def route_maxima(body: msgspec.Raw) -> RouteMaxima:
+    """Return the longest times of a configuration's routes; fields that are no numbers count as 0."""
+    routes = [route for route in msgspec.json.decode(body).get("routes", ()) if isinstance(route, dict)]
+    return RouteMaxima(
+        max(map(retention_s, routes), default=0.0),
+        max((number_of(route, "timeout-ms") / 1000.0 for route in routes), default=0.0),
+    )
 
 
 def retention_s(route: dict[str, Any]) -> float:
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -96,6 +96,7 @@
         member = self.member
         leads = member.leads()
         current = self.operator_api.configuration.current()
+        configuration_error = current.error if current else ""
         return ControlStatus(
             node=member.settings.node,
             member=member.member_id,
@@ -109,7 +110,7 @@
             relays=[entry.address for entry in self.publication.roster.entries()] if leads else [],
             retiring=sorted(self.operator_api.retirement.retiring_nodes()),
             replicas=self._replicas() if leads else [],
-            configuration_error=current.error if current and current.error else msgspec.UNSET,
+            configuration_error=configuration_error or msgspec.UNSET,
         )
 
     def _replicas(self) -> list[ReplicaStatus]:
--- a/lynxscale/controlplane/turn_admission.py
+++ b/lynxscale/controlplane/turn_admission.py
@@ -79,19 +79,21 @@
             earlier = self.running.begin(request)
         except AdmissionError as error:
             return TurnRejected(error.status), ()
-        self._retention.hold(turn_key(request.previous), self._hold_s(request))
+        self._hold_previous(request)
         if earlier is not None:
             admitted = msgspec.structs.replace(admitted, earlier_events=earlier)
         return admitted, puts
 
-    def _hold_s(self, request: AdmitTurn) -> float:
-        """Return for how many seconds the turn that an admitted one continues is retained at least."""
-        if isinstance(request.duration_s, float):
-            return request.duration_s + HOLD_MARGIN_S
-        return self._longest_turn_s()
+    def _hold_previous(self, request: AdmitTurn) -> None:
+        """Retain the turn that an admitted one continues for at least as long as the admitted one may last."""
+        if not request.previous:
+            return
+        stated = request.duration_s
+        duration_s = stated + HOLD_MARGIN_S if isinstance(stated, float) else self._longest_turn_s()
+        self._retention.hold(turn_key(request.previous), duration_s)
 
     def _longest_turn_s(self) -> float:
-        return self._configuration.longest_timeout_s() + HOLD_MARGIN_S
+        return self._configuration.maxima().timeout_s + HOLD_MARGIN_S
 
     def finish(self, request: FinishTurn) -> tuple[FinishReply, tuple[Put, ...]]:
         """Return the reply to the end of a turn, and the puts that must be durable before it is sent.
@@ -99,7 +101,7 @@
         A turn that ends under a newer configuration than it began with is retained for as long as either asks for.
         """
         if request.content is not None and self._is_older(request.configuration):
-            longest_s = max(request.retention_s, self._configuration.longest_retention_s())
+            longest_s = max(request.retention_s, self._configuration.maxima().retention_s)
             request = msgspec.structs.replace(request, retention_s=longest_s)
         settled = self._programs.settle(request)
         try:
--- a/tests/dataplane/test_turn_retention.py
+++ b/tests/dataplane/test_turn_retention.py
@@ -5,7 +5,8 @@
 
 from lab.tier.simulated_tier import default_configuration
 from lab.tier.world import World
-from lynxscale.controlplane.newest_configuration import CURRENT_KEY, CurrentConfiguration
+from lynxscale.controlplane import newest_configuration
+from lynxscale.controlplane.newest_configuration import CURRENT_KEY, CurrentConfiguration, route_maxima
 from lynxscale.controlplane.retention import RetentionTracker
 from lynxscale.controlplane.turn_admission import HOLD_MARGIN_S, TurnAdmission
 from lynxscale.controlplane.turn_history import RETENTION_MARGIN_S, TURN_PREFIX
@@ -102,9 +103,8 @@
 
     def __init__(self, timeout_ms=4000):
         self.machine = World(1).machine("a:1")
-        route = {"timeout-ms": timeout_ms}
-        newest = CurrentConfiguration(1, msgspec.Raw(msgspec.json.encode({"routes": [route]})))
-        self.values = {CURRENT_KEY: msgspec.Raw(msgspec.json.encode(newest))}
+        self.values = {}
+        self.change(1, timeout_ms)
         self.admission = TurnAdmission(self.values, self.machine.clock())
 
     def apply(self, puts):
@@ -114,6 +114,11 @@
             else:
                 self.values[put.key] = put.value
 
+    def change(self, generation, timeout_ms):
+        route = {"timeout-ms": timeout_ms}
+        newest = CurrentConfiguration(generation, msgspec.Raw(msgspec.json.encode({"routes": [route]})))
+        self.values[CURRENT_KEY] = msgspec.Raw(msgspec.json.encode(newest))
+
     def finish(self, turn, previous="", content=b"x"):
         reply, puts = self.admission.finish(FinishTurn("p", turn, 0, RETENTION_S, content, previous))
         self.apply(puts)
@@ -141,6 +146,29 @@
     assert TURN_PREFIX + "t1" not in primary.values
 
 
+def test_admissions_decode_the_routes_once_a_version_and_only_if_they_continue_a_turn(monkeypatch):
+    """Guards against an admission whose time grows with the configuration, for a relay that states no duration."""
+    decoded = []
+
+    def counted(body):
+        decoded.append(body)
+        return route_maxima(body)
+
+    monkeypatch.setattr(newest_configuration, "route_maxima", counted)
+    primary = Primary(timeout_ms=20_000)
+    primary.finish("t1")
+    assert isinstance(primary.admit(""), TurnAdmitted)
+    assert len(decoded) == 0
+    for _ in range(3):
+        assert isinstance(primary.admit("t1"), TurnAdmitted)
+    assert len(decoded) == 1
+    primary.change(2, 90_000)
+    assert isinstance(primary.admit("t1"), TurnAdmitted)
+    assert len(decoded) == 2
+    primary.run(90.0 + HOLD_MARGIN_S - 1.0)
+    assert TURN_PREFIX + "t1" in primary.values
+
+
 def test_several_turns_hold_the_one_that_they_continue_until_the_last_of_them_may_have_ended():
     primary = Primary()
     primary.finish("t1")
