A process that ends begins no further connections

Change: connects to endpoints and to nodes run in ConnectTasks, which the processes close before they return.

--- a/lynxscale/controlplane/process.py
+++ b/lynxscale/controlplane/process.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import signal
+from contextlib import aclosing
 from random import Random
 
 from lynxscale.controlplane.service import ControlService
@@ -36,10 +37,19 @@
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    clock = LoopClock(loop)
     network = PeerNetwork(loop, settings.internal_address)
+    dialer = AsyncioDialer(loop, CONNECT_TIMEOUT_S)
+    async with aclosing(network), aclosing(dialer):
+        await serve_until(stopped, settings, network, dialer)
+    log.info("event=ended")
+
+
+async def serve_until(stopped: asyncio.Event, settings: Settings, network: PeerNetwork, dialer: AsyncioDialer) -> None:
+    """Serve until ``stopped`` is set, and leave the group."""
+    loop = asyncio.get_running_loop()
+    clock = LoopClock(loop)
     files = DurableFiles(settings.data_dir, network.flush)
-    service = ControlService(settings, clock, network, files, AsyncioDialer(loop, CONNECT_TIMEOUT_S), Random())
+    service = ControlService(settings, clock, network, files, dialer, Random())
     limits = ServerLimits(body_bytes=MAX_BODY_BYTES)
     connections: set[ServerConnection] = set()
     await network.listen(service.receive)
@@ -53,7 +63,6 @@
     with reload_signal_handled(loop, watcher.reload):
         await watch_until(stopped, watcher)
         await leave(service, settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
-    log.info("event=ended")
 
 
 async def leave(service: ControlService, timeout_s: float) -> None:
--- a/lynxscale/dataplane/process.py
+++ b/lynxscale/dataplane/process.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 import signal
+from contextlib import aclosing
 from random import Random
 
 from lynxscale.dataplane.service import RelayService
@@ -35,9 +36,18 @@
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    clock = LoopClock(loop)
     network = PeerNetwork(loop, settings.internal_address)
-    service = RelayService(settings, clock, network, AsyncioDialer(loop, CONNECT_TIMEOUT_S), Random())
+    dialer = AsyncioDialer(loop, CONNECT_TIMEOUT_S)
+    async with aclosing(network), aclosing(dialer):
+        await serve_until(stopped, settings, network, dialer)
+    log.info("event=ended")
+
+
+async def serve_until(stopped: asyncio.Event, settings: Settings, network: PeerNetwork, dialer: AsyncioDialer) -> None:
+    """Serve until ``stopped`` is set and the requests in flight have ended."""
+    loop = asyncio.get_running_loop()
+    clock = LoopClock(loop)
+    service = RelayService(settings, clock, network, dialer, Random())
     clients: set[ServerConnection] = set()
     health_checks: set[ServerConnection] = set()
     await network.listen(service.receive)
@@ -57,7 +67,6 @@
     with reload_signal_handled(loop, watcher.reload):
         await watch_until(stopped, watcher)
         await drain(service, server, clients, loop.time() + settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
-    log.info("event=ended")
 
 
 async def drain(service: RelayService, server: asyncio.Server, clients: set[ServerConnection], deadline: float) -> None:
--- a/lynxscale/runtime/http_client.py
+++ b/lynxscale/runtime/http_client.py
@@ -15,6 +15,7 @@
 import h11
 
 from lynxscale.coordination.ports import Clock, Timer
+from lynxscale.runtime.connect_tasks import ConnectTasks
 from lynxscale.runtime.http_types import Head, Headers, Request
 from lynxscale.runtime.sockets import configure_socket, split_address
 
@@ -224,13 +225,15 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, timeout_s: float) -> None:
         self._loop = loop
         self._timeout_s = timeout_s
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._attempts = ConnectTasks(loop)
 
     def __call__(self, address: str, connection: ClientConnection) -> None:
-        """Connect in the background and call the connection with the outcome."""
-        task = self._loop.create_task(self._connect(address, connection))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        """Connect in the background and call the connection with the outcome; no effect once this is closed."""
+        self._attempts.start(lambda: self._connect(address, connection))
+
+    async def aclose(self) -> None:
+        """End the attempts that are under way; connections get no outcome any more."""
+        await self._attempts.aclose()
 
     async def _connect(self, address: str, connection: ClientConnection) -> None:
         host, port = split_address(address)
--- a/lynxscale/runtime/peer_network.py
+++ b/lynxscale/runtime/peer_network.py
@@ -16,6 +16,7 @@
 from lynxscale.coordination.messages import Message, decode, encode
 from lynxscale.coordination.netstring import Decoder
 from lynxscale.coordination.netstring import encode as encode_frame
+from lynxscale.runtime.connect_tasks import ConnectTasks
 from lynxscale.runtime.sockets import configure_socket, split_address
 
 log = logging.getLogger(__name__)
@@ -57,9 +58,10 @@
     It is disconnected (no transport), connecting (``_connecting`` is set) or connected (with a transport).
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: str) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: str, attempts: ConnectTasks) -> None:
         self._loop = loop
         self._address = address
+        self._attempts = attempts
         self._transport: asyncio.Transport | None = None
         self._connecting = False
         self._backoff_until = 0.0
@@ -72,7 +74,7 @@
             if self._loop.time() < self._backoff_until:
                 return
             self._connecting = True
-            self._loop.create_task(self._connect())
+            self._attempts.start(self._connect)
         self._unsent.append(payload)
         if not self._flush_scheduled and self._transport is not None:
             self._flush_scheduled = True
@@ -120,6 +122,7 @@
         self.address = address
         self._loop = loop
         self._connections: dict[str, OutboundConnection] = {}
+        self._attempts = ConnectTasks(loop)
         self._receive: Callable[[Message], None] = lambda message: None
         self._server: asyncio.Server | None = None
 
@@ -129,6 +132,10 @@
         host, port = split_address(self.address)
         self._server = await self._loop.create_server(lambda: InboundConnection(receive), host, port)
 
+    async def aclose(self) -> None:
+        """End the connection attempts that are under way, and begin no others; their messages are lost."""
+        await self._attempts.aclose()
+
     def flush(self) -> None:
         """Write all unsent messages now; called before the event loop blocks on a disk."""
         for connection in self._connections.values():
@@ -142,5 +149,5 @@
             self._loop.call_soon(self._receive, message)
             return
         if address not in self._connections:
-            self._connections[address] = OutboundConnection(self._loop, address)
+            self._connections[address] = OutboundConnection(self._loop, address, self._attempts)
         self._connections[address].send(encode(message))
