A relay's cached history counts only if its last turn is stored by the same run

What callers saw: a turn that was sent again under its id, and answered by another relay, was continued with the first run's events, which the client never got (UNASKED).

Cause: the primary knew a cached history by the turn's id alone; the run that is stored under it may be another one than the relay has.

Change: turns are stored with their run, and an admission states the run of the cached turn; otherwise the relay gets the whole history.

--- a/lab/tier/data_plane_mutations/streams.py
+++ b/lab/tier/data_plane_mutations/streams.py
@@ -76,6 +76,13 @@
         "if False:",
         RESUMED + "test_the_same_request_again_replaces_the_turn_and_a_late_end_of_its_first_run_does_not",
     ),
+    SourceMutation(
+        "history_of_another_run_of_the_turn_is_used",
+        HISTORY,
+        "if turn == cached and msgspec.json.decode(raw, type=StoredRun).run_id == cached_run:",
+        "if turn == cached:",
+        RESUMED + "test_a_turn_that_ran_again_is_continued_as_it_is_stored_also_by_the_relay_of_its_first_run",
+    ),
     SourceMutation(
         "turn_is_run_though_its_primary_has_no_earlier_events",
         TURNS,
--- a/lab/tier/mutations/turns.py
+++ b/lab/tier/mutations/turns.py
@@ -44,7 +44,7 @@
 def history_lacks_its_oldest_turns() -> Patches:
     """A history contains only its two newest turns."""
 
-    def compose(self: TurnHistory, last: str, cached: str) -> TurnAdmitted:
+    def compose(self: TurnHistory, last: str, cached: str, cached_run: str) -> TurnAdmitted:
         contents, name = [], last
         while name and name != cached and len(contents) < 2:
             raw = self._values.get(turn_key(name))
@@ -61,10 +61,10 @@
 def cached_history_is_used_for_any_chain() -> Patches:
     """A relay that has the session's newest history cached is sent nothing, whichever turn is continued."""
 
-    def compose(self: TurnHistory, last: str, cached: str) -> TurnAdmitted:
+    def compose(self: TurnHistory, last: str, cached: str, cached_run: str) -> TurnAdmitted:
         if cached and last:
             return TurnAdmitted(b"", cached)
-        return original(self, last, cached)
+        return original(self, last, cached, cached_run)
 
     original = TurnHistory.compose
     return [(TurnHistory, "compose", compose)]
--- a/lab/tier/resumable_turns.py
+++ b/lab/tier/resumable_turns.py
@@ -17,11 +17,19 @@
 
 
 def tag_events(endpoints: Iterable[FakeEndpoint], path_prefix: str, events: int) -> None:
-    """Let the events of the streams on a path name their run; ``events``: their number."""
-    for endpoint in endpoints:
+    """Let the events of the streams on a path name their run; ``events``: their number.
+
+    Runs of one request have different names too.
+    """
+    run_numbers: dict[int, int] = {}  # by the identity of the request, which its endpoint keeps
 
-        def tag(request: Request) -> bytes:
-            return b"-" + request.head.get(REQUEST_ID) if request.target.startswith(path_prefix) else b""
+    def tag(request: Request) -> bytes:
+        if not request.target.startswith(path_prefix):
+            return b""
+        number = run_numbers.setdefault(id(request), len(run_numbers))
+        return b"-%b.%d" % (request.head.get(REQUEST_ID), number)
+
+    for endpoint in endpoints:
 
         def count(request: Request, usual: int = endpoint.events) -> int:
             return events if request.target.startswith(path_prefix) else usual
--- a/lynxscale/controlplane/turn_admission.py
+++ b/lynxscale/controlplane/turn_admission.py
@@ -47,8 +47,8 @@
         self._configuration = NewestConfiguration(values)
         self._retention = RetentionTracker(clock)
         self._programs = ProgramState(values, self._retention)
-        self._turns = TurnHistory(values, self._retention)
         self.running = RunningTurns(clock)
+        self._turns = TurnHistory(values, self._retention, self.running)
 
     def restart_retention(self) -> None:
         """Restart the retention of all stored records, as another primary may have written them.
@@ -74,7 +74,7 @@
         if self._is_older(request.configuration) and not self._programs.holds_reservation(request):
             return ConfigurationOutdated(self._configuration.version), ()
         try:
-            admitted = self._turns.compose(request.previous, request.cached)
+            admitted = self._turns.compose(request.previous, request.cached, request.cached_run)
             puts = self._programs.reserve(request)
             earlier = self.running.begin(request)
         except AdmissionError as error:
@@ -105,7 +105,7 @@
             request = msgspec.structs.replace(request, retention_s=longest_s)
         settled = self._programs.settle(request)
         try:
-            return TurnFinished(), settled + self._turns.record(request, self.running.latest_run(request.request))
+            return TurnFinished(), settled + self._turns.record(request)
         except AdmissionError as error:
             log.warning("event=turn_not_retained error=%s", error)
             return TurnRejected(error.status), settled
--- a/lynxscale/coordination/messages/calls.py
+++ b/lynxscale/coordination/messages/calls.py
@@ -32,6 +32,8 @@
     may not. ``resume_after``: the id of the last event that the client has of an earlier run in this session, after the
     same previous turn. Unset, the turn runs from its start. ``duration_s``: for how long the turn may last, until its
     end is acknowledged; the turn that it continues is retained meanwhile. Unset, as long as any route allows.
+    ``cached_run``: the run of turn ``cached`` that the sender has. Unset, it has that of a program that did not state
+    runs.
     """
 
     program: str
@@ -47,6 +49,7 @@
     session: str | msgspec.UnsetType = msgspec.UNSET
     resume_after: str | msgspec.UnsetType = msgspec.UNSET
     duration_s: float | msgspec.UnsetType = msgspec.UNSET
+    cached_run: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class TurnAdmitted(Message, frozen=True, tag="turn_admitted"):
--- a/lynxscale/dataplane/turns.py
+++ b/lynxscale/dataplane/turns.py
@@ -135,12 +135,12 @@
         """Reserve the turn's tokens and get its history."""
         cached_turn = self._histories.best_match(self._session, self._previous_turn)
         # Read now, as the entry may be evicted before the reply arrives.
-        cached_history = self._histories.get(cached_turn) or b""
+        cached = self._histories.get(cached_turn)
 
         def on_reply(reply: Message | None) -> None:
             if isinstance(reply, TurnAdmitted) and not self._lacks_earlier_events(reply):
                 self._events.admitted(reply)
-                self._history = (cached_history if reply.base_turn else b"") + reply.history
+                self._history = (cached.content if cached and reply.base_turn else b"") + reply.history
                 listener.on_turn_admitted(self, self._history)
             elif isinstance(reply, TurnRejected):
                 self._closed = True
@@ -153,7 +153,8 @@
                 self.close(0)
                 listener.on_turn_rejected(SERVICE_UNAVAILABLE)
 
-        admission = self._admission(cached_turn, remaining_s + COMMIT_TIMEOUT_S)
+        cached_run = msgspec.UNSET if cached is None else cached.run_id
+        admission = self._admission(cached_turn, cached_run, remaining_s + COMMIT_TIMEOUT_S)
         self._calls.call(admission, min(remaining_s, self._admission_timeout_s), on_reply)
 
     def _lacks_earlier_events(self, reply: TurnAdmitted) -> bool:
@@ -182,12 +183,12 @@
             if not isinstance(reply, TurnFinished):
                 listener.on_commit_failed()
                 return
-            self._histories.put(self._session, self._request_id, self._history + content)
+            self._histories.put(self._session, self._request_id, self._run_id, self._history + content)
             listener.on_turn_committed()
 
         self._calls.call(self._finish(tokens, content), COMMIT_TIMEOUT_S, on_reply)
 
-    def _admission(self, cached_turn: str, duration_s: float) -> AdmitTurn:
+    def _admission(self, cached_turn: str, cached_run: str | msgspec.UnsetType, duration_s: float) -> AdmitTurn:
         return AdmitTurn(
             self._program,
             self._request_id,
@@ -202,6 +203,7 @@
             self._session if self._resumable else msgspec.UNSET,
             self._resume_after or msgspec.UNSET,
             duration_s if self._route.retained else msgspec.UNSET,
+            cached_run,
         )
 
     def _finish(self, tokens: int, content: bytes | None) -> FinishTurn:
--- a/tests/dataplane/test_resumed_turns.py
+++ b/tests/dataplane/test_resumed_turns.py
@@ -7,6 +7,8 @@
 import pytest
 
 from lab.tier.simulated_tier import default_configuration
+from lab.tier.world import World
+from lynxscale.controlplane.turn_admission import TurnAdmission
 from lynxscale.controlplane.turn_history import TURN_PREFIX, TurnRecord
 from lynxscale.coordination.messages import AdmitTurn, Call, FinishTurn, Message, Reply, TurnAdmitted, TurnEvents
 from lynxscale.dataplane.headers import REQUEST_ID
@@ -203,6 +205,33 @@
     assert stored_content(tier, "t1") == b"second " + words(b"t1", 1, EVENT_COUNT)
 
 
+def test_a_turn_that_ran_again_is_continued_as_it_is_stored_also_by_the_relay_of_its_first_run():
+    """Regression: that relay had the first run's history, and the primary knew a cached history by the turn's id alone.
+
+    The next turn's prompt then held what the client had never been given (turn_histories, seed 25, UNASKED).
+    """
+    tier = resumable_tier()
+    start_turn(tier, "t1", relay=0, body=b"first ")
+    tier.world.run(tier.world.time + 1.0)
+    assert run_turn(tier, "t1", relay=1, body=b"second ").complete
+    for relay in (0, 1):
+        request_id = f"next-{relay}"
+        assert run_turn(tier, request_id, relay=relay, body=b"", previous="t1").complete
+        assert executed_request(tier, request_id).body == b"second " + words(b"t1", 1, EVENT_COUNT)
+
+
+@pytest.mark.parametrize("cached_run", [msgspec.UNSET, "run", "other"])
+@pytest.mark.parametrize("stored_run", [msgspec.UNSET, "run"])
+def test_a_cached_history_is_used_only_if_its_run_is_the_stored_one(cached_run, stored_run):
+    """Programs before state no run: their caches are of turns that they stored, which have none either."""
+    record = TurnRecord(b"stored", "", 60.0, stored_run)
+    values = {TURN_PREFIX + "t1": msgspec.Raw(msgspec.json.encode(record))}
+    admission = TurnAdmission(values, World(1).machine("a:1").clock())
+    reply, _ = admission.admit(AdmitTurn("p", "t2", -1, 0, 60.0, True, "t1", "t1", cached_run=cached_run))
+    is_used = cached_run == stored_run
+    assert (reply.history, reply.base_turn) == ((b"", "t1") if is_used else (b"stored", ""))
+
+
 def test_a_repeated_end_is_acknowledged_by_another_primary_too():
     tier = resumable_tier()
     sent = messages_to_primary(tier, Call)
--- a/tests/lab/test_turn_histories.py
+++ b/tests/lab/test_turn_histories.py
@@ -7,6 +7,14 @@
 SEEDS = range(1, 6)
 
 
+CACHED_RUN_SEED = 25  # a turn runs again under its id through another relay, and is continued through the first one
+
+
+def test_a_history_in_which_a_turn_ran_again_under_its_id_breaks_no_rule():
+    """Regression (docs/incidents/history-of-another-run.md): UNASKED by a relay's cached history of the first run."""
+    assert play(CACHED_RUN_SEED).broken == []
+
+
 def test_a_few_drawn_histories_of_conversations_break_no_rule():
     """Guards against review cases 4 to 8: framing, resumed streams, numbers and hosts as written, pauses."""
     counts = Counter()
