A turn that another one continues is not replaced by a late run of it

What callers may see: a request that reaches its relay late (a machine that was frozen and cut off) after its client has another run's response and has gone on is admitted last, so that its end replaced what the next turns continue.

Change: a turn that a stored or a running one continues keeps its content; the relay of the late run gets 409 and aborts.

Evidence: test_a_turn_that_another_one_continues_is_never_replaced, two cases, both fail before.

--- a/lab/tier/data_plane_mutations/streams.py
+++ b/lab/tier/data_plane_mutations/streams.py
@@ -83,6 +83,13 @@
         "if turn == cached:",
         RESUMED + "test_a_turn_that_ran_again_is_continued_as_it_is_stored_also_by_the_relay_of_its_first_run",
     ),
+    SourceMutation(
+        "turn_that_another_one_continues_is_replaced",
+        HISTORY,
+        "if self._retention.has_children(key) or self._running.is_continued(request.request):",
+        "if False:",
+        RESUMED + "test_a_turn_that_another_one_continues_is_never_replaced",
+    ),
     SourceMutation(
         "turn_is_run_though_its_primary_has_no_earlier_events",
         TURNS,
--- a/lynxscale/controlplane/retention.py
+++ b/lynxscale/controlplane/retention.py
@@ -52,6 +52,10 @@
         if key in self._expires_at:
             self._expires_at[key] = max(self._expires_at[key], self._clock.now() + duration_s)
 
+    def has_children(self, key: str) -> bool:
+        """Whether any tracked key has this one as its parent."""
+        return self._child_counts[key] > 0
+
     def pop_expired(self) -> list[str]:
         """Return the expired keys, children before their parents, and stop tracking them."""
         now = self._clock.now()
--- a/lynxscale/controlplane/running_turns.py
+++ b/lynxscale/controlplane/running_turns.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from attrs import Factory, define, field, frozen
 
 from lynxscale.controlplane.exceptions import EventsUnknownError
@@ -36,6 +38,7 @@
 
     run_id: str
     request: str
+    previous: str
     place: TurnPlace | None  # None if its stream cannot be resumed
     expires_at: float
     events: list[StreamEvent] = Factory(list)
@@ -63,6 +66,7 @@
         self._runs: dict[str, Run] = {}  # by run id, in the order of admission
         self._places: dict[TurnPlace, list[Run]] = {}
         self._latest: dict[str, Run] = {}  # by request id
+        self._continuations: Counter[str] = Counter()  # number of runs by the turn that they continue
         self._event_bytes = 0
 
     def begin(self, request: AdmitTurn) -> tuple[StreamEvent, ...] | None:
@@ -82,8 +86,9 @@
         events = self._events_up_to(place, request.resume_after) if isinstance(request.resume_after, str) else []
         duration_s = request.duration_s if isinstance(request.duration_s, float) else 0.0
         expires_at = self._clock.now() + duration_s + RESUMPTION_WINDOW_S
-        run = Run(run_id, request.request, place, expires_at, events)
+        run = Run(run_id, request.request, request.previous, place, expires_at, events)
         self._runs[run_id] = run
+        self._continuations[run.previous] += 1
         self._latest[request.request] = run
         if place is not None:
             self._places.setdefault(place, []).append(run)
@@ -112,6 +117,10 @@
         run = self._latest.get(request)
         return run.run_id if run else None
 
+    def is_continued(self, turn: str) -> bool:
+        """Whether a run that was admitted lately continues a turn."""
+        return self._continuations[turn] > 0
+
     def remove_expired(self) -> None:
         """Forget the runs whose events nobody has asked for in time."""
         now = self._clock.now()
@@ -128,6 +137,9 @@
 
     def _remove(self, run: Run) -> None:
         del self._runs[run.run_id]
+        self._continuations[run.previous] -= 1
+        if not self._continuations[run.previous]:
+            del self._continuations[run.previous]
         self._event_bytes -= run.event_bytes
         if self._latest.get(run.request) is run:
             del self._latest[run.request]
--- a/lynxscale/controlplane/turn_history.py
+++ b/lynxscale/controlplane/turn_history.py
@@ -86,13 +86,15 @@
         """Raise SupersededRunError if the turn is retained with another content, or another run of it may be.
 
         A client has the response of the run that was admitted last. The end of an earlier one may arrive late, from a
-        relay that was frozen.
+        relay that was frozen. What another turn continues is never replaced: its client has that response.
         """
         stored = self._values.get(key)
         if stored is not None:
             retained = msgspec.json.decode(stored, type=TurnRecord)
             if (retained.content, retained.previous) == (request.content, request.previous):
                 return
+            if self._retention.has_children(key) or self._running.is_continued(request.request):
+                raise SupersededRunError(request.request)
         latest_run = self._running.latest_run(request.request)
         run_id = request.run_id if isinstance(request.run_id, str) else None
         if run_id != latest_run and (stored is not None or latest_run is not None):
--- a/tests/dataplane/test_resumed_turns.py
+++ b/tests/dataplane/test_resumed_turns.py
@@ -220,6 +220,18 @@
         assert executed_request(tier, request_id).body == b"second " + words(b"t1", 1, EVENT_COUNT)
 
 
+@pytest.mark.parametrize("child_ends", [False, True])
+def test_a_turn_that_another_one_continues_is_never_replaced(child_ends):
+    """Guards against a request that reaches its relay late: its client has another run's response, and went on."""
+    tier = resumable_tier()
+    assert run_turn(tier, "t1").complete
+    child, _ = start_turn(tier, "t2", relay=0, previous="t1")
+    tier.world.run(tier.world.time + (1.0 if child_ends else TWO_EVENTS_S))
+    assert child.complete == child_ends
+    assert not run_turn(tier, "t1", relay=2, body=b"late ").complete
+    assert stored_content(tier, "t1") == b"hello " + words(b"t1", 1, EVENT_COUNT)
+
+
 @pytest.mark.parametrize("cached_run", [msgspec.UNSET, "run", "other"])
 @pytest.mark.parametrize("stored_run", [msgspec.UNSET, "run"])
 def test_a_cached_history_is_used_only_if_its_run_is_the_stored_one(cached_run, stored_run):
