Events of a turn are reported only in the epoch that admitted it

Cause: a relay compared addresses alone. While a tier is rolled back, a process of the program before may become primary at the same address during a turn; it cannot read the message, and closes the connection, on which other calls are lost with it (they are repeated), once an event.

Change: PrimaryCalls knows the primary by its address and epoch.

Evidence: the new test of test_resumed_turns fails where addresses alone are compared.

--- a/lynxscale/coordination/primary_calls.py
+++ b/lynxscale/coordination/primary_calls.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from attrs import frozen
+
 from lynxscale.coordination.messages import (
     AdmitTurn,
     Call,
@@ -25,6 +27,14 @@
 """Called with the body of the reply, or None if no reply arrived in time."""
 
 
+@frozen
+class KnownPrimary:
+    """The primary that a node presumes: its address, empty if unknown, and its epoch."""
+
+    address: str
+    epoch: int
+
+
 @dataclass(slots=True)
 class PendingCall:
     """A call that waits for its reply. ``deadline``: monotonic time in seconds."""
@@ -44,7 +54,7 @@
 class PrimaryCalls:
     """The pending calls of one node.
 
-    ``primary()``: the address to try first, empty if unknown. ``contacts()``: addresses that are then tried in turn.
+    ``primary()``: the one to try first. ``contacts()``: addresses that are then tried in turn.
     """
 
     def __init__(
@@ -53,7 +63,7 @@
         clock: Clock,
         network: Network,
         random: Random,
-        primary: Callable[[], str],
+        primary: Callable[[], KnownPrimary],
         contacts: Callable[[], list[str]],
     ) -> None:
         self._address = address
@@ -75,16 +85,16 @@
         message = Call(self._last_number, self._address, self._incarnation, body)
         pending = PendingCall(message, self._clock.now() + timeout_s, on_reply)
         self._pending[message.number] = pending
-        self._send(pending, self._primary())
+        self._send(pending, self.primary.address)
 
     @property
-    def primary(self) -> str:
-        """The address of the presumed primary, empty if it is unknown."""
+    def primary(self) -> KnownPrimary:
+        """The presumed primary."""
         return self._primary()
 
     def notify(self, message: TurnEvents) -> None:
         """Send a message to the presumed primary once; it may be lost."""
-        self._network.send(self._primary(), message)
+        self._network.send(self.primary.address, message)
 
     def receive(self, message: Message) -> bool:
         """Handle a reply; False for messages of other types."""
@@ -101,7 +111,7 @@
         """Resend all pending calls immediately, because another primary is known."""
         for pending in list(self._pending.values()):
             pending.cancel_retry()
-            self._send(pending, self._primary())
+            self._send(pending, self.primary.address)
 
     def _send(self, pending: PendingCall, address: str) -> None:
         if not address:
@@ -118,4 +128,4 @@
             return
         pending.retries += 1
         # The primary may have failed: two of three retries go to a contact, which redirects to the new primary.
-        self._send(pending, "" if pending.retries % PRIMARY_RETRY_EVERY else self._primary())
+        self._send(pending, "" if pending.retries % PRIMARY_RETRY_EVERY else self.primary.address)
--- a/lynxscale/dataplane/run_events.py
+++ b/lynxscale/dataplane/run_events.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from lynxscale.coordination.messages import StreamEvent, TurnAdmitted, TurnEvents
-from lynxscale.coordination.primary_calls import PrimaryCalls
+from lynxscale.coordination.primary_calls import KnownPrimary, PrimaryCalls
 from lynxscale.dataplane.server_sent_events import Event
 
 
@@ -18,7 +18,7 @@
         self._calls = calls
         self._run_id = run_id
         self._count = 0
-        self._admitted_by = ""  # the primary that knows this run, empty if it need not know its events
+        self._admitted_by: KnownPrimary | None = None  # the one that knows this run, if it has to know its events
 
     def admitted(self, reply: TurnAdmitted) -> None:
         """Take over the events of earlier runs; from now on, report to the primary that admitted the turn."""
@@ -28,8 +28,12 @@
             self.earlier_output = b"".join(event.data + b"\n" for event in reply.earlier_events)
 
     def report(self, events: list[Event]) -> None:
-        """Report events to the primary that admitted the turn; another one would lack those before."""
-        if not events or not self._admitted_by or self._calls.primary != self._admitted_by:
+        """Report events to the primary that admitted the turn.
+
+        Another one would lack those before. So would one at the same address with another epoch, whose program may not
+        even know the message.
+        """
+        if not events or self._admitted_by is None or self._calls.primary != self._admitted_by:
             return
         sent = tuple(StreamEvent(event.id.decode("latin-1"), event.data) for event in events)
         self._calls.notify(TurnEvents(self._run_id, self._count + 1, sent))
--- a/tests/dataplane/test_resumed_turns.py
+++ b/tests/dataplane/test_resumed_turns.py
@@ -279,6 +279,19 @@
     assert endpoints_that_ran(tier, "t2") == []
 
 
+def test_events_are_reported_to_the_primary_that_admitted_the_turn_only():
+    """Guards against a message that the program before cannot read: its process may take over at the same address."""
+    tier = resumable_tier()
+    events = messages_to_primary(tier, TurnEvents)
+    response, _ = start_turn(tier, "t1")
+    tier.world.run(tier.world.time + TWO_EVENTS_S)
+    reported = len(events)
+    assert reported > 0
+    tier.relays[tier.relay_hosts[0]].tree.epoch += 1
+    assert tier.world.run_until(lambda: response.ended, 6.0) and response.complete
+    assert len(events) == reported
+
+
 def test_a_relay_that_does_not_state_its_runs_gets_no_reply_to_an_end_that_is_rejected():
     """Such a relay takes each reply for an acknowledgement; without one it aborts the response."""
     tier = resumable_tier()
