Soak: clients that pause for as long as their turns are stored; upgrades with a resumable route

The rolling upgrade has turns on a resumable route too, whose events relays report. A traceback in a log is printed whole. What the three kinds of clients share is ClientGroup.

--- a/lab/tier/changing_routes.py
+++ b/lab/tier/changing_routes.py
@@ -16,6 +16,8 @@
 OTHER_MODEL = "model-2"
 """A second service of model endpoints, to which routes are moved."""
 RESUMABLE_ROUTE = "held"
+SHORT_ROUTE, SHORT_RETENTION_S = "short", 1.0
+"""A route whose turns expire within a run."""
 MAX_ROUTES = 6
 RETENTION_S = 900.0  # longer than any run
 FIRST_RETAINED_SHARE = 0.6  # share of the added routes that retain turns at once; the others may begin to later
@@ -76,7 +78,7 @@
         self._random.choice(kinds)(now)
         configuration = default_configuration(base + self._random.randint(MIN_VERSION_STEP, MAX_VERSION_STEP))
         configuration["routes"] += [route.fields() for route in self._present]
-        configuration["routes"].append(resumable_route())
+        configuration["routes"] += [resumable_route(), short_route()]
         if self._other_service == OTHER_MODEL:
             configuration["services"].append(configuration["services"][0] | {"name": OTHER_MODEL})
         return configuration
@@ -114,6 +116,13 @@
     return common | named | {"retention-s": RETENTION_S}
 
 
+def short_route() -> dict:
+    """The route of turns that are retained for a short time only; it never changes."""
+    common = default_configuration()["routes"][0]
+    named = {"name": SHORT_ROUTE, "path-prefix": f"/{SHORT_ROUTE}/"}
+    return common | named | {"retention-s": SHORT_RETENTION_S}
+
+
 @dataclass(frozen=True)
 class JudgedTurn:
     """A turn on a changing route: what its client sent and received. ``status`` 0: no complete response."""
--- a/lab/tier/disturbances.py
+++ b/lab/tier/disturbances.py
@@ -68,11 +68,15 @@
 class Disturber:
     """Disturbs the processes of a tier. ``faults``: what no disturbance explains, such as a process that ended."""
 
-    def __init__(self, tier: LocalTier, random: Random, planned_only: bool) -> None:
+    def __init__(
+        self, tier: LocalTier, random: Random, planned_only: bool, control_share: float = CONTROL_SHARE
+    ) -> None:
+        """``control_share``: the share of the disturbances that hit control members."""
         self.log: list[Disturbance] = []
         self.faults: list[str] = []
         self._tier = tier
         self._random = random
+        self._control_share = control_share
         self._kinds = PLANNED if planned_only else (*PLANNED, *PLANNED, *UNPLANNED)
         self._held: set[str] = set()  # processes that a worker stops, kills or freezes
         self._may_end: set[str] = set()
@@ -98,7 +102,7 @@
     async def _work(self, end: float) -> None:
         while time.monotonic() < end:
             await asyncio.sleep(self._random.uniform(*PAUSE_RANGE_S))
-            control = self._random.random() < CONTROL_SHARE
+            control = self._random.random() < self._control_share
             if control and self._may_lose_voters and self._random.random() < VOTERS_SHARE:
                 await self._lose_voters()
                 continue
--- a/lab/tier/persistent_clients.py
+++ b/lab/tier/persistent_clients.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from lab.tier.client_group import ClientGroup
 from lab.tier.disturbances import RELAY_FREEZE_RANGE_S
 from lab.tier.judge_wait import is_set_within
 from lab.tier.local import LocalTier
@@ -75,28 +76,14 @@
         self.ended.set()
 
 
-class PersistentClients:
+class PersistentClients(ClientGroup):
     """Clients with persistent connections. ``requests``: those that ended; ``unanswered``: the others."""
 
     def __init__(self, tier: LocalTier, random: Random, clients: int) -> None:
+        super().__init__(tier, random, clients)
         self.requests: list[PersistentRequest] = []
-        self.unanswered: list[PersistentRequest] = []
-        self._tier = tier
-        self._random = random
-        self._clients = clients
-        self._serial = 0
-        self._tasks: list[asyncio.Task] = []
-
-    def begin(self, group: asyncio.TaskGroup) -> None:
-        """Start all clients as tasks of a group."""
-        self._tasks = [group.create_task(self._run()) for _ in range(self._clients)]
-
-    def cancel(self) -> None:
-        """Cancel the tasks of all clients."""
-        for task in self._tasks:
-            task.cancel()
-
-    async def _run(self) -> None:
+
+    async def _run(self, number: int) -> None:
         loop = asyncio.get_running_loop()
         dial = AsyncioDialer(loop, CONNECT_TIMEOUT_S)
         while True:
--- a/lab/tier/persistent_conversations.py
+++ b/lab/tier/persistent_conversations.py
@@ -12,6 +12,7 @@
 from random import Random
 
 from lab.tier.changing_routes import ChangingRoute, ChangingRoutes, JudgedTurn
+from lab.tier.client_group import ClientGroup
 from lab.tier.history_checker import MAX_TOKENS, ObservedTurn
 from lab.tier.judge_wait import is_set_within
 from lab.tier.local import LocalTier
@@ -57,29 +58,15 @@
         return ObservedTurn(self.request.request_id, self.program, self.previous, self.text, result, BUDGET)
 
 
-class PersistentConversations:
+class PersistentConversations(ClientGroup):
     """The clients of one run. ``turns``: all that they sent; ``unanswered``: the requests that did not end in time."""
 
     def __init__(self, tier: LocalTier, routes: ChangingRoutes, random: Random, clients: int) -> None:
+        super().__init__(tier, random, clients)
         self.turns: list[ConversationTurn] = []
-        self.unanswered: list[PersistentRequest] = []
-        self._tier = tier
         self._routes = routes
-        self._random = random
-        self._clients = clients
-        self._serial = 0
-        self._tasks: list[asyncio.Task] = []
 
-    def begin(self, group: asyncio.TaskGroup) -> None:
-        """Start all clients as tasks of a group."""
-        self._tasks = [group.create_task(self._run()) for _ in range(self._clients)]
-
-    def cancel(self) -> None:
-        """Cancel the tasks of all clients."""
-        for task in self._tasks:
-            task.cancel()
-
-    async def _run(self) -> None:
+    async def _run(self, number: int) -> None:
         connections: dict[str, ClientConnection] = {}
         try:
             while True:
--- a/lab/tier/resumable_turns.py
+++ b/lab/tier/resumable_turns.py
@@ -16,15 +16,18 @@
 BUDGET = 10_000_000
 
 
-def tag_events(endpoints: Iterable[FakeEndpoint], path_prefix: str, events: int) -> None:
-    """Let the events of the streams on a path name their run; ``events``: their number.
+def tag_events(endpoints: Iterable[FakeEndpoint], events: dict[str, int]) -> None:
+    """Let the events of some streams name their run; ``events``: their number, by the prefix of the path.
 
     Runs of one request have different names too.
     """
     run_numbers: dict[int, int] = {}  # by the identity of the request, which its endpoint keeps
 
+    def count_of(request: Request) -> int | None:
+        return next((count for prefix, count in events.items() if request.target.startswith(prefix)), None)
+
     def tag(request: Request) -> bytes:
-        if not request.target.startswith(path_prefix):
+        if count_of(request) is None:
             return b""
         number = run_numbers.setdefault(id(request), len(run_numbers))
         return b"-%b.%d" % (request.head.get(REQUEST_ID), number)
@@ -32,7 +35,7 @@
     for endpoint in endpoints:
 
         def count(request: Request, usual: int = endpoint.events) -> int:
-            return events if request.target.startswith(path_prefix) else usual
+            return usual if (number := count_of(request)) is None else number
 
         endpoint.event_tag, endpoint.event_count = tag, count
 
--- a/lab/tier/rolling_upgrade.py
+++ b/lab/tier/rolling_upgrade.py
@@ -28,7 +28,9 @@
 
 from lab.tier.disturbances import TOLERATED_MACHINES
 from lab.tier.judge_wait import wait_until
+from lab.tier.line_clients import RESTARTING, LineClients
 from lab.tier.local import CONTROL_COUNT, LocalTier, free_network
+from lab.tier.resumable_turns import tag_events
 from lab.tier.upgrade_load import BUDGET_SPENT_STATUS, LARGE_BUDGET, Conversation, Load
 from lab.tier.upgrade_rules import UNCERTAIN_STATUSES, failures, request_violations, stored_state_violations
 from lynxscale.coordination.membership_plan import voters_wanted
@@ -43,6 +45,7 @@
 APPLY_TIMEOUT_S = 5.0
 COMMAND_TIMEOUT_S = 30.0
 MIN_TURNS_PER_RELAY = 10  # complete turns through each relay before the next replacement
+LINE_CLIENTS = 3  # clients with turns on a resumable route
 MAX_PRINTED_REASONS = 20
 MAX_UNEXPLAINED_CHANGES = 10  # a busy machine can stall a primary for longer than its lease of 0.4 s
 EXCUSED_BEFORE_S, EXCUSED_AFTER_S = 3.0, 3.0  # around an unexplained change of primary or a stall
@@ -190,6 +193,7 @@
         self.old, self.new = old, new
         self.random = random
         self.load = Load(tier, Random(random.random()))  # a separate generator: its draws depend on timing
+        self.lines = LineClients(tier, Random(random.random()), LINE_CLIENTS, RESTARTING)
         self.steps: list[Step] = []
         self.reasons: list[str] = []
         self.pairs: Counter[str] = Counter()
@@ -207,10 +211,16 @@
         await self.tier.start()
         await self._healthy()
         step.end = time.monotonic()
+        tag_events(self.tier.endpoints, {RESTARTING.path_prefix: RESTARTING.events})
+        self._group = group
         self.load.begin(group)
-        self.load.resume()
+        self._resume_load()
         await self._serve(step)
 
+    def _resume_load(self) -> None:
+        self.load.resume()
+        self.lines.begin(self._group)
+
     async def replace_each(self, checkout: Checkout) -> None:
         """Replace one process after the other: a relay and a backup before the primary, so that the versions mix."""
         for name in await self._draw_order():
@@ -254,16 +264,19 @@
 
     async def check(self) -> None:
         """Pause the load, check everything that must hold, and resume the load."""
+        self.lines.cancel()
         await self.load.pause(PAUSE_TIMEOUT_S)
         await self._continue_conversations()
         await self._check_configuration()
         await self._check_stored()
         self.reasons += request_violations(self.tier.endpoints, self.load)
-        self.load.resume()
+        self._resume_load()
 
     def conclude(self) -> None:
         """After the end of all processes, check the faults of the load, the logs and the requests that failed."""
         self.reasons += self.load.faults + self._log_lines(FAULT_LOG_WORDS)
+        self.reasons += self.lines.violations(self.tier.endpoints)
+        self.reasons += [f"UNANSWERED {request.request_id} at {request.relay}" for request in self.lines.unanswered]
         self.reasons += failures(self.load, self.excused_windows)[1]
         changes = len(self._unexplained_changes())
         if changes > MAX_UNEXPLAINED_CHANGES:
@@ -441,6 +454,7 @@
         failed_by_kind = ", ".join(f"{failure}: {count}" for failure, count in sorted(within.items()))
         lines.append(f"failed within windows: {within.total()}" + (f" ({failed_by_kind})" if failed_by_kind else ""))
         lines.append(f"failed outside windows: {len(outside)}")
+        lines.append(f"turns on a resumable route: {self.lines.turns}")
         lines.append(f"stalls of the machine: {len(self.load.stalls)}")
         lines.append(
             f"conversations: {len(self.load.conversations)}, configuration changes: {len(self.load.changes) - 1}"
@@ -480,6 +494,7 @@
                 await play(upgrade, group)
             finally:
                 upgrade.load.cancel()
+                upgrade.lines.cancel()
     except* TimeoutError as timeouts:
         upgrade.reasons += [str(error) or "the tier did not start in time" for error in timeouts.exceptions]
     finally:
--- a/lab/tier/soak.py
+++ b/lab/tier/soak.py
@@ -4,7 +4,8 @@
 and freezes beside the planned work (with ``--controls 4`` or more also kills of several voters), all disturbances, and
 the changes of the routes. Clients keep their connections until the relay closes them, for calls and for conversations
 on the routes that change; the load of ``upgrade_load`` adds conversations on a route that stays, further calls and the
-operator; others resume streams that break off. Streams are framed by chunks, a length or the connection's end. The
+operator; others resume streams that break off. Streams are framed by chunks, a length or the connection's end. With
+``--pausing-clients N`` and ``--seconds`` of 75 or more, N clients pause for as long as their turns are stored. The
 processes run on disks of a fixed speed (``steady_disk``). A seed repeats what a run draws; when that
 happens depends on the machine. Exit code 1 if a rule was broken.
 """
@@ -25,11 +26,12 @@
 
 from lab.tier.changing_routes import ChangingRoutes, lost_turns
 from lab.tier.conditions import overload_endpoints, relieve_endpoints, vary_framing
-from lab.tier.disturbances import Disturber
+from lab.tier.disturbances import CONTROL_SHARE, Disturber
+from lab.tier.line_clients import PAUSING, RESUMING, LineClients
 from lab.tier.local import LocalTier, free_network
 from lab.tier.persistent_clients import PersistentClients
 from lab.tier.persistent_conversations import PersistentConversations
-from lab.tier.resuming_clients import ResumingClients
+from lab.tier.resumable_turns import tag_events
 from lab.tier.simulated_tier import TOOLS
 from lab.tier.soak_rules import SoakChecker
 from lab.tier.upgrade_load import Load
@@ -40,6 +42,12 @@
 CLIENTS, CONVERSATION_CLIENTS, RESUMING_CLIENTS = 16, 8, 6
 PAUSE_TIMEOUT_S = 25.0
 PLANNED_ONLY_SHARE = 0.5  # share of the seeds without kills and freezes
+EXPIRY_SHARE = 0.75  # share of the seeds with clients that pause in which turns expire, as explained below
+RARE_CHANGE_PAUSE_S = 20.0
+"""Turns are retained anew by a new primary, and for as long as any route says if the configuration changes meanwhile.
+
+In seeds in which they are to expire no control member is disturbed, and changes are that rare.
+"""
 MAX_PRINTED = 20
 FAULT_LOG_WORDS = ("Traceback", "bad_message", "configuration_unusable", "settings_unusable", "never retrieved")
 
@@ -54,6 +62,7 @@
     clients: int = CLIENTS
     conversation_clients: int = CONVERSATION_CLIENTS
     resuming_clients: int = RESUMING_CLIENTS
+    pausing_clients: int = 0
 
 
 @dataclass(frozen=True)
@@ -70,6 +79,8 @@
     routed_turns: Counter[int]
     resumable_turns: int
     resumed_turns: int
+    paused_turns: int
+    expired_turns: int
 
     def __str__(self) -> str:
         """A summary on one line."""
@@ -80,6 +91,7 @@
             f"seed {self.seed}: {len(self.violations)} violations; persistent connections {statuses};"
             f" turns on changing routes {routed}; {self.turns} other turns; {self.late_answers} late answers;"
             f" {self.resumable_turns} resumable turns, {self.resumed_turns} resumed;"
+            f" {self.paused_turns} turns of clients that pause, {self.expired_turns} times too long;"
             f" {disturbances}; {self.changes} changes"
         )
 
@@ -103,8 +115,13 @@
         talks = Random(f"conversations {seed}")
         self._conversations = PersistentConversations(self._tier, self._routes, talks, size.conversation_clients)
         self._clients = PersistentClients(self._tier, Random(f"clients {seed}"), size.clients)
-        self._resuming = ResumingClients(self._tier, Random(f"resuming {seed}"), size.resuming_clients)
-        self._disturber = Disturber(self._tier, Random(f"disturbances {seed}"), planned_only)
+        self._resuming = LineClients(self._tier, Random(f"resuming {seed}"), size.resuming_clients, RESUMING)
+        self._pausing = LineClients(self._tier, Random(f"pausing {seed}"), size.pausing_clients, PAUSING)
+        self._all_clients = (self._clients, self._conversations, self._resuming, self._pausing)
+        control_share = CONTROL_SHARE
+        if size.pausing_clients and self._random.random() < EXPIRY_SHARE:
+            control_share, self._load.max_change_pause_s = 0.0, RARE_CHANGE_PAUSE_S
+        self._disturber = Disturber(self._tier, Random(f"disturbances {seed}"), planned_only, control_share)
 
     async def run(self) -> SoakResult:
         """Play the run and check it. Raises TimeoutError if the tier does not become healthy."""
@@ -115,16 +132,14 @@
             async with asyncio.TaskGroup() as group:
                 self._load.begin(group)
                 self._load.resume()
-                self._clients.begin(group)
-                self._conversations.begin(group)
-                self._resuming.begin(group)
+                for clients in self._all_clients:
+                    clients.begin(group)
                 try:
                     await self._disturber.run(self._size.seconds)
                 except TimeoutError as error:
                     violations.append(str(error))
-                self._clients.cancel()
-                self._conversations.cancel()
-                self._resuming.cancel()
+                for clients in self._all_clients:
+                    clients.cancel()
                 relieve_endpoints(self._tier.endpoints)
                 await self._load.pause(PAUSE_TIMEOUT_S)
                 self._load.cancel()
@@ -144,11 +159,14 @@
             Counter(turn.status for turn in self._conversations.turns),
             self._resuming.turns,
             self._resuming.resumed,
+            self._pausing.turns,
+            self._pausing.expired,
         )
 
     def _overload(self) -> None:
         overload_endpoints(self._tier.endpoints, Random(f"crowd {self.seed}"))
         vary_framing(self._tier.endpoints, Random(f"framing {self.seed}"))
+        tag_events(self._tier.endpoints, {kind.path_prefix: kind.events for kind in (RESUMING, PAUSING)})
         self._streams_break_off = any(endpoint.ends_within_event for endpoint in self._tier.endpoints)
         for endpoint in self._tier.endpoints:
             endpoint.repeats_late = self._counted(endpoint.repeats_late)
@@ -171,23 +189,34 @@
             self._disturber.log,
             self._load.stalls,
         )
-        never_ended = [*self._clients.unanswered, *self._conversations.unanswered, *self._resuming.unanswered]
+        never_ended = [request for clients in self._all_clients for request in clients.unanswered]
         unanswered = [f"UNANSWERED {one.request_id} {one.path} at {one.relay}" for one in never_ended]
         conversations = self._conversations.turns
         lost = lost_turns(turn.judged() for turn in conversations if turn.request.ended_at)
         # Whether a 404 was allowed is judged above; the checker of histories knows no routes that come and go.
         self._load.turns += [turn.observed() for turn in conversations if turn.status not in (404, 410)]
         loads = request_violations(self._tier.endpoints, self._load) + self._load.faults
-        resumable = self._resuming.violations(self._tier.endpoints)
-        return [*self._disturber.faults, *checker.violations(), *lost, *unanswered, *loads, *resumable]
+        endpoints = self._tier.endpoints
+        lines = [*self._resuming.violations(endpoints), *self._pausing.violations(endpoints)]
+        return [*self._disturber.faults, *checker.violations(), *lost, *unanswered, *loads, *lines]
 
     def _log_lines(self) -> list[str]:
-        return [
-            f"{path.stem}: {line}"
-            for path in sorted(self._folder.glob("*.log"))
-            for line in path.read_text(errors="replace").splitlines()
-            if any(word in line for word in FAULT_LOG_WORDS)
-        ]
+        logs = sorted(self._folder.glob("*.log"))
+        return [f"{path.stem}: {fault}" for path in logs for fault in logged_faults(path.read_text(errors="replace"))]
+
+
+def logged_faults(text: str) -> list[str]:
+    """The lines of a log that tell of a fault; a traceback is one of them, with all of its lines."""
+    faults: list[str] = []
+    in_traceback = False
+    for line in text.splitlines():
+        if in_traceback:
+            faults[-1] += f"\n    {line}"
+            in_traceback = line.startswith(" ")
+        elif any(word in line for word in FAULT_LOG_WORDS):
+            faults.append(line)
+            in_traceback = "Traceback" in line
+    return faults
 
 
 def play(seed: int, size: SoakSize) -> SoakResult:
@@ -205,9 +234,16 @@
     parser.add_argument("--relays", type=int, default=DEFAULT_RELAYS)
     parser.add_argument("--controls", type=int, default=DEFAULT_CONTROLS)
     parser.add_argument("--clients", type=int, default=CLIENTS)
+    parser.add_argument("--pausing-clients", type=int, default=0)
     options = parser.parse_args()
     logging.disable(logging.CRITICAL)
-    size = SoakSize(options.seconds, options.relays, options.controls, options.clients)
+    size = SoakSize(
+        options.seconds,
+        options.relays,
+        options.controls,
+        options.clients,
+        pausing_clients=options.pausing_clients,
+    )
     broken = 0
     started_at = time.monotonic()
     for seed in range(options.first, options.last + 1):
--- a/lab/tier/turn_histories.py
+++ b/lab/tier/turn_histories.py
@@ -100,7 +100,7 @@
         self.broken: list[str] = []
         endpoints = self._tier.endpoints.values()
         vary_framing(endpoints, self._random)
-        tag_events(endpoints, "/", EVENTS)
+        tag_events(endpoints, {"/": EVENTS})
         for endpoint in endpoints:
             endpoint.event_end = self._random.choice(EVENT_ENDS)
         self._clients = [
--- a/lab/tier/upgrade_load.py
+++ b/lab/tier/upgrade_load.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from lab.tier.changing_routes import ChangingRoutes
+from lab.tier.changing_routes import ChangingRoutes, resumable_route
 from lab.tier.history_checker import MAX_TOKENS, ObservedChange, ObservedTurn
 from lab.tier.judge_wait import POLL_INTERVAL_S, lateness_s, wait_until
 from lab.tier.local import LocalTier
@@ -92,6 +92,7 @@
         self.tier = tier
         self.random = random
         self.routes = routes
+        self.max_change_pause_s = MAX_CHANGE_PAUSE_S
         self.conversations: list[Conversation] = []
         self.turns: list[ObservedTurn] = []
         self.calls: list[tuple[str, ClientResult]] = []
@@ -114,7 +115,7 @@
         workers = [self._watch_readiness(), self._watch_primary(), self._watch_stalls()]
         workers += [self._repeat(self._send_random_turn, MAX_PAUSE_S) for _ in range(CONVERSATION_CLIENTS)]
         workers += [self._repeat(self._call, MAX_PAUSE_S) for _ in range(CALL_CLIENTS)]
-        workers.append(self._repeat(self.change, MAX_CHANGE_PAUSE_S))
+        workers.append(self._repeat(self.change, self.max_change_pause_s))
         self._tasks = [group.create_task(worker) for worker in workers]
 
     def resume(self) -> None:
@@ -274,6 +275,7 @@
         base = self.in_force["generation"]
         if self.routes is None:
             table = default_configuration(base + self.random.randint(1, 3))
+            table["routes"].append(resumable_route())
         else:
             table = self.routes.next_configuration(base, time.monotonic())
         route = table["routes"][0]
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -1,12 +1,15 @@
 """Short soaks of real processes, and what their checker finds."""
 
+from random import Random
+
 import pytest
 
 from lab.tier.disturbances import VOTERS, Disturbance
 from lab.tier.history_checker import COMPLETE_STREAM
+from lab.tier.line_clients import PAUSING, LineClients
 from lab.tier.persistent_clients import PersistentRequest
 from lab.tier.resumable_turns import Line, unasked_prompts
-from lab.tier.soak import SoakSize, play
+from lab.tier.soak import SoakSize, logged_faults, play
 from lab.tier.soak_rules import SoakChecker
 from lynxscale.dataplane.headers import REQUEST_ID
 from lynxscale.runtime.http_client import ResponseFailure
@@ -96,6 +99,22 @@
     assert not list(lost.violations()) and len(list(twice.violations())) == 1
 
 
+def test_a_fault_in_a_log_is_told_with_its_traceback():
+    log = "event=started\nTraceback (most recent call last):\n  File a\n    b()\nValueError: c\nevent=bad_message\n"
+    traceback = "Traceback (most recent call last):\n      File a\n        b()\n    ValueError: c"
+    assert logged_faults(log) == [traceback, "event=bad_message"]
+
+
+@pytest.mark.parametrize(("age_s", "lost"), [(0.9, True), (1.1, False)])
+def test_a_turn_that_is_missing_within_its_retention_is_lost(age_s, lost):
+    """What clients that pause for as long as their turns are stored would report."""
+    clients = LineClients(None, Random(1), 0, PAUSING)
+    line = Line("line", "/short/stream", 100, resumes=False, previous="a", ended_at=100.0)
+    clients._on_missing(line, persistent_request("/short/stream", 404, ended_at=100.0 + age_s))
+    assert [text.split()[0] for text in line.broken] == ["LOST"] * lost
+    assert (line.previous, clients.expired) == ("", 1)
+
+
 def test_lines_of_resumable_turns_are_judged():
     """What the clients that resume streams would report."""
     line = Line("line", "/held/stream", 3, resumes=True)
