Both programs run by the same runner

Signal handling, network, dialer and their end were written twice, in the processes of both planes; ProcessContext has what a program runs with.

--- a/lynxscale/controlplane/process.py
+++ b/lynxscale/controlplane/process.py
@@ -8,19 +8,14 @@
 
 import asyncio
 import logging
-import signal
-from contextlib import aclosing
 from random import Random
 
 from lynxscale.controlplane.service import ControlService
 from lynxscale.runtime.clock import LoopClock
 from lynxscale.runtime.durable_files import DurableFiles
-from lynxscale.runtime.http_client import AsyncioDialer
 from lynxscale.runtime.http_server import ServerConnection, ServerLimits
-from lynxscale.runtime.peer_network import PeerNetwork
-from lynxscale.runtime.process import run
+from lynxscale.runtime.process import ProcessContext, run
 from lynxscale.runtime.reload_signal import reload_signal_handled
-from lynxscale.runtime.settings import Settings
 from lynxscale.runtime.settings_watcher import SettingsWatcher, watch_until
 from lynxscale.runtime.sockets import split_address
 
@@ -32,24 +27,13 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
 
-async def serve(settings: Settings) -> None:
+async def serve(context: ProcessContext) -> None:
     """Serve messages of other nodes and the operator's requests until SIGTERM, then leave the group."""
-    loop = asyncio.get_running_loop()
-    stopped = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    network = PeerNetwork(loop, settings.internal_address)
-    dialer = AsyncioDialer(loop, CONNECT_TIMEOUT_S)
-    async with aclosing(network), aclosing(dialer):
-        await serve_until(stopped, settings, network, dialer)
-    log.info("event=ended")
-
-
-async def serve_until(stopped: asyncio.Event, settings: Settings, network: PeerNetwork, dialer: AsyncioDialer) -> None:
-    """Serve until ``stopped`` is set, and leave the group."""
+    settings, network = context.settings, context.network
     loop = asyncio.get_running_loop()
     clock = LoopClock(loop)
     files = DurableFiles(settings.data_dir, network.flush)
-    service = ControlService(settings, clock, network, files, dialer, Random())
+    service = ControlService(settings, clock, network, files, context.dialer, Random())
     limits = ServerLimits(body_bytes=MAX_BODY_BYTES)
     connections: set[ServerConnection] = set()
     await network.listen(service.receive)
@@ -61,7 +45,7 @@
     log.info("event=started member=%s state=%s", service.member.member_id, service.member.role.value)
     watcher = SettingsWatcher(settings, service.settings_changed)
     with reload_signal_handled(loop, watcher.reload):
-        await watch_until(stopped, watcher)
+        await watch_until(context.stopped, watcher)
         await leave(service, settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
 
 
@@ -79,4 +63,4 @@
 
 def main() -> int:
     """Run a control process until SIGTERM and return its exit code: 2 if its settings are unusable."""
-    return run(serve)
+    return run(serve, CONNECT_TIMEOUT_S)
--- a/lynxscale/dataplane/process.py
+++ b/lynxscale/dataplane/process.py
@@ -7,18 +7,13 @@
 
 import asyncio
 import logging
-import signal
-from contextlib import aclosing
 from random import Random
 
 from lynxscale.dataplane.service import RelayService
 from lynxscale.runtime.clock import LoopClock
-from lynxscale.runtime.http_client import AsyncioDialer
 from lynxscale.runtime.http_server import ServerConnection
-from lynxscale.runtime.peer_network import PeerNetwork
-from lynxscale.runtime.process import run
+from lynxscale.runtime.process import ProcessContext, run
 from lynxscale.runtime.reload_signal import reload_signal_handled
-from lynxscale.runtime.settings import Settings
 from lynxscale.runtime.settings_watcher import SettingsWatcher, watch_until
 from lynxscale.runtime.sockets import split_address
 
@@ -31,23 +26,12 @@
 LISTEN_BACKLOG = 512
 
 
-async def serve(settings: Settings) -> None:
+async def serve(context: ProcessContext) -> None:
     """Serve until SIGTERM, then drain the requests in flight for at most the grace period, less a margin."""
-    loop = asyncio.get_running_loop()
-    stopped = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    network = PeerNetwork(loop, settings.internal_address)
-    dialer = AsyncioDialer(loop, CONNECT_TIMEOUT_S)
-    async with aclosing(network), aclosing(dialer):
-        await serve_until(stopped, settings, network, dialer)
-    log.info("event=ended")
-
-
-async def serve_until(stopped: asyncio.Event, settings: Settings, network: PeerNetwork, dialer: AsyncioDialer) -> None:
-    """Serve until ``stopped`` is set and the requests in flight have ended."""
+    settings, network = context.settings, context.network
     loop = asyncio.get_running_loop()
     clock = LoopClock(loop)
-    service = RelayService(settings, clock, network, dialer, Random())
+    service = RelayService(settings, clock, network, context.dialer, Random())
     clients: set[ServerConnection] = set()
     health_checks: set[ServerConnection] = set()
     await network.listen(service.receive)
@@ -65,7 +49,7 @@
     log.info("event=started")
     watcher = SettingsWatcher(settings, service.settings_changed)
     with reload_signal_handled(loop, watcher.reload):
-        await watch_until(stopped, watcher)
+        await watch_until(context.stopped, watcher)
         await drain(service, server, clients, loop.time() + settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
 
 
@@ -89,4 +73,4 @@
 
 def main() -> int:
     """Run a relay until SIGTERM and return its exit code: 2 if its settings are unusable."""
-    return run(serve)
+    return run(serve, CONNECT_TIMEOUT_S)
