What is stored of a configuration is read by the program before after a roll back

Cause: a configuration was stored as the operator wrote it and converted only when it was published. A primary of the program before publishes what is stored, so that after a roll back 2.0 in it, or a host in capitals, made a relay that was started then never ready, or answer 404. Found by reading.

Change: the record holds the published form, and the operator's own beside it if that differs; reads and updates go by the latter.

--- a/lynxscale/controlplane/configuration_endpoint.py
+++ b/lynxscale/controlplane/configuration_endpoint.py
@@ -29,7 +29,12 @@
     service_unavailable,
 )
 from lynxscale.controlplane.idempotency import ChangeKind, IdempotencyRecords, idempotency_key
-from lynxscale.controlplane.newest_configuration import CURRENT_KEY, CurrentConfiguration, NewestConfiguration
+from lynxscale.controlplane.newest_configuration import (
+    CURRENT_KEY,
+    CurrentConfiguration,
+    NewestConfiguration,
+    stored_configuration,
+)
 from lynxscale.coordination.member import ControlMember
 from lynxscale.coordination.messages import put_value
 from lynxscale.coordination.outcomes import CommitOutcome
@@ -122,12 +127,12 @@
     def _updated(self, update: ConfigurationUpdate) -> Result[Configuration, Findings]:
         current = self.current()
         in_force: Result[Configuration, Findings] = (
-            Success(EMPTY_CONFIGURATION) if current is None else check_configuration(bytes(current.body))
+            Success(EMPTY_CONFIGURATION) if current is None else check_configuration(current.as_written)
         )
         return in_force.bind(lambda configuration: apply_update(configuration, update))
 
     def _commit(self, generation: int, body: bytes, key: str, responder: Responder) -> None:
-        value = CurrentConfiguration(generation, msgspec.Raw(body))
+        value = stored_configuration(generation, body)
         puts = (put_value(CURRENT_KEY, value), *self._records.add(key, generation))
         response = json_response(HTTPStatus.OK, {"generation": generation})
         self._responses.send_after_commit(responder, puts, response, lambda: self._on_commit(value))
@@ -137,4 +142,4 @@
     """Return the response to a read; ``outcome`` is that of everything submitted before the read."""
     if not outcome.committed or configuration is None:
         return service_unavailable("no configuration yet")
-    return Response(HTTPStatus.OK, Head(JSON_CONTENT_TYPE), bytes(configuration.body))
+    return Response(HTTPStatus.OK, Head(JSON_CONTENT_TYPE), configuration.as_written)
--- a/lynxscale/controlplane/newest_configuration.py
+++ b/lynxscale/controlplane/newest_configuration.py
@@ -8,16 +8,26 @@
 from attrs import frozen
 from returns.result import Failure
 
-from lynxscale.configuration.document import read_configuration
+from lynxscale.configuration.document import published_form, read_configuration
 
 CURRENT_KEY = "config/current"
 
 
 class CurrentConfiguration(msgspec.Struct, frozen=True):
-    """The configuration in force: its version and its JSON. A replacement is stored byte for byte as it was sent."""
+    """The configuration in force: its version and its JSON, in a form that relays of all versions read.
+
+    ``written``: the JSON as the operator wrote it; unset if that is the same, and in records of programs that stored
+    nothing else. Such a program, after a roll back, finds in ``body`` what its relays can read.
+    """
 
     generation: int
     body: msgspec.Raw
+    written: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
+
+    @property
+    def as_written(self) -> bytes:
+        """The JSON as the operator wrote it; a replacement byte for byte as it was sent."""
+        return bytes(self.body if self.written is msgspec.UNSET else self.written)
 
     @property
     def error(self) -> str:
@@ -26,6 +36,13 @@
         return "; ".join(map(str, read.failure())) if isinstance(read, Failure) else ""
 
 
+def stored_configuration(generation: int, written: bytes) -> CurrentConfiguration:
+    """Return the record of an acknowledged configuration as the operator wrote it."""
+    body = published_form(written)
+    as_written = msgspec.UNSET if body == written else msgspec.Raw(written)
+    return CurrentConfiguration(generation, msgspec.Raw(body), as_written)
+
+
 @frozen
 class RouteMaxima:
     """The longest times in seconds that any route of a configuration states, 0 if none does."""
--- a/tests/controlplane/test_configuration_grammar.py
+++ b/tests/controlplane/test_configuration_grammar.py
@@ -17,6 +17,7 @@
 from lynxscale.configuration.model import ROUTE_TYPES
 from lynxscale.controlplane.configuration_check import check_configuration
 from lynxscale.controlplane.configuration_update import EMPTY_CONFIGURATION, apply_update, check_update
+from lynxscale.controlplane.newest_configuration import CURRENT_KEY
 from lynxscale.dataplane.routing import decode_route_table
 from tests import earlier_configuration
 from tests.simulated_tier import settled_tier
@@ -203,6 +204,25 @@
     assert [finding.path for finding in check_configuration(body).failure()] == [path]
 
 
+@pytest.mark.parametrize("operation", ["replace", "update"])
+def test_what_is_stored_is_read_by_a_program_before_after_a_roll_back(operation):
+    """It publishes the stored body as it is: with 2.0 in it, a relay that is started then would never be ready."""
+    tier = settled_tier()
+    changed = default_configuration(2)
+    changed["routes"][2] |= {"max-attempts": 2.0, "host": "Tier.Example:80"}
+    if operation == "replace":
+        assert tier.push(changed, 1).status == 200
+    else:
+        assert tier.update({"generation": 2, "upsert": {"routes": [changed["routes"][2]]}}, 1).status == 200
+    stored = msgspec.json.decode(tier.primary().member.store.values[CURRENT_KEY])
+    body = msgspec.json.encode(stored["body"])
+    assert earlier_configuration.is_readable(body) and b"Tier.Example" not in body
+    read = tier.operator_call("GET", "/config/read").body
+    assert b'"max-attempts":2.0' in read and b"Tier.Example:80" in read
+    assert tier.update({"generation": 3, "upsert": {"services": [{"name": "more"}]}}, 2).status == 200
+    assert b'"max-attempts":2.0' in tier.operator_call("GET", "/config/read").body
+
+
 @pytest.mark.parametrize("operation", ["replace", "update"])
 def test_a_change_that_writes_whole_numbers_with_a_fraction_comes_into_force(operation):
     """Regression (review case 6): it was acknowledged, and no relay took it up."""
--- a/tests/data/tier/generate.py
+++ b/tests/data/tier/generate.py
@@ -3,8 +3,9 @@
 ``v2`` holds only what has differed since records store their previous voters; it was written by the commit that added
 these, with ``python tests/data/tier/generate.py --second FOLDER``.
 
-``v3`` holds the messages and records of turns that state their runs and may be resumed; it was written by the commit
-that added the last of these, with ``python tests/data/tier/generate.py --third FOLDER``.
+``v3`` holds the messages and records of turns that state their runs and may be resumed, and the record of a
+configuration that is stored in two forms; it was written by the commit that added the last of these, with
+``python tests/data/tier/generate.py --third FOLDER``.
 
 Never regenerate ``v1``: files written by the renamed program do not show that it still reads those of the earlier one.
 If a format changes, add a folder for the new one beside ``v1``, and keep ``v1`` for as long as tiers with such files
@@ -164,7 +165,12 @@
     ("turn_events", [RUN, 13, EVENTS]),
     ("call", [9, golden.RELAY, 77, {"admit_turn": [*ADMISSION, "r0", "q0", 3, RUN, "agent-7/main", "12", 6.5, RUN]}]),
 ]
-THIRD_STRUCTS: list[tuple[str, list]] = [("turn", ["ask\x00answer", "r0", 3630.0, RUN]), ("stored_run", [RUN])]
+WRITTEN = '{"generation":3.0,"routes":[],"services":[]}'
+THIRD_STRUCTS: list[tuple[str, list]] = [
+    ("turn", ["ask\x00answer", "r0", 3630.0, RUN]),
+    ("stored_run", [RUN]),
+    ("current_configuration", [3, CONFIG, WRITTEN]),
+]
 
 
 def line(table: dict[str, type], name: str, fields: list) -> dict:
--- a/tests/golden.py
+++ b/tests/golden.py
@@ -31,7 +31,7 @@
 SECOND = DATA.parent / "v2"
 """What differs since records store their previous voters."""
 THIRD = DATA.parent / "v3"
-"""The messages and records of turns that state their runs and may be resumed."""
+"""The messages and records of turns that state their runs and may be resumed, and of a configuration in two forms."""
 SEED = 5
 CONTROL_COUNT = 4
 RELAY = "10.9.0.1:7000"
