--- a/lab/tier/rolling_upgrade.py
+++ b/lab/tier/rolling_upgrade.py
@@ -11,10 +11,8 @@
 import argparse
 import asyncio
 import math
-import os
 import shutil
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -26,27 +24,22 @@
 
 import msgspec
 
-from lab.tier.disturbances import TOLERATED_MACHINES
 from lab.tier.judge_wait import wait_until
 from lab.tier.line_clients import RESTARTING, LineClients
-from lab.tier.local import CONTROL_COUNT, LocalTier, free_network
+from lab.tier.local import CONTROL_COUNT, free_network
 from lab.tier.resumable_turns import tag_events
 from lab.tier.upgrade_load import BUDGET_SPENT_STATUS, LARGE_BUDGET, Conversation, Load
+from lab.tier.upgrade_report import report
 from lab.tier.upgrade_rules import UNCERTAIN_STATUSES, failures, request_violations, stored_state_violations
-from lynxscale.coordination.membership_plan import voters_wanted
+from lab.tier.upgrade_tier import THIS_CHECKOUT, Checkout, UpgradeTier, interpreter_of, program_folder, revision
 
-THIS_CHECKOUT = Path(__file__).resolve().parents[2]
-STEADY_DISK_SCRIPT = THIS_CHECKOUT / "lab/tier/steady_disk.py"  # also for checkouts that have none
 SEED_LIMIT = 1_000_000
-EXIT_TIMEOUT_S = 10.0  # longer than the setting grace-s, 8 s
 HEALTHY_TIMEOUT_S = 20.0
 SERVE_TIMEOUT_S = 20.0
 PAUSE_TIMEOUT_S = 25.0
 APPLY_TIMEOUT_S = 5.0
-COMMAND_TIMEOUT_S = 30.0
 MIN_TURNS_PER_RELAY = 10  # complete turns through each relay before the next replacement
 LINE_CLIENTS = 3  # clients with turns on a resumable route
-MAX_PRINTED_REASONS = 20
 MAX_UNEXPLAINED_CHANGES = 10  # a busy machine can stall a primary for longer than its lease of 0.4 s
 EXCUSED_BEFORE_S, EXCUSED_AFTER_S = 3.0, 3.0  # around an unexplained change of primary or a stall
 FAULT_LOG_WORDS = (
@@ -62,118 +55,6 @@
 )
 
 
-@dataclass(frozen=True)
-class Checkout:
-    """One version of the program, and the interpreter that runs it."""
-
-    label: str
-    path: Path
-    python: str
-
-    def environment(self, bytecode: Path, settings: Path | None = None) -> dict[str, str]:
-        """The environment of a process. Bytecode is cached outside the checkout."""
-        variables = {"PYTHONPATH": str(self.path), "PYTHONPYCACHEPREFIX": str(bytecode)}
-        return os.environ | variables | ({"LYNXSCALE_SETTINGS": str(settings)} if settings else {})
-
-
-class UpgradeTier(LocalTier):
-    """A local tier, each process of which runs from its own checkout."""
-
-    def __init__(
-        self,
-        folder: Path,
-        network: int,
-        checkout: Checkout,
-        controls: int = CONTROL_COUNT,
-        steady_disk: bool = False,
-    ) -> None:
-        super().__init__(folder, network, controls=controls, steady_disk=steady_disk)
-        self.checkouts = dict.fromkeys((*self.control_names, *self.relay_names), checkout)
-
-    def launch(self, name: str, bootstrap: bool = False) -> None:
-        """Start a process from its checkout."""
-        checkout = self.checkouts[name]
-        settings = self.folder / f"{name}.toml"
-        settings.write_text(self.settings_text(name, bootstrap))
-        module = "lynxscale.controlplane" if name.startswith("control") else "lynxscale.dataplane"
-        with (self.folder / f"{name}.log").open("ab") as log:
-            self.processes[name] = subprocess.Popen(
-                [checkout.python, *([str(STEADY_DISK_SCRIPT)] if self.steady_disk else ["-m"]), module],
-                cwd=checkout.path,
-                env=checkout.environment(self.folder / "bytecode", settings),
-                stdout=log,
-                stderr=log,
-            )
-
-    @property
-    def has_spare(self) -> bool:
-        """Whether there are more members than voters."""
-        return len(self.control_names) > voters_wanted(TOLERATED_MACHINES)
-
-    async def end(self, name: str) -> int:
-        """Send SIGTERM to a process and return its exit code. Raises TimeoutError if it does not end in time."""
-        process = self.processes[name]
-        process.send_signal(signal.SIGTERM)
-
-        async def ended() -> bool:
-            return process.poll() is not None
-
-        await wait_until(ended, EXIT_TIMEOUT_S, f"{name} ends after SIGTERM")
-        del self.processes[name]
-        return process.returncode
-
-    async def run(self, checkout: Checkout, module: str, *arguments: str) -> tuple[int, str]:
-        """Run a module of a checkout as a command. Returns its exit code and its output."""
-        process = await asyncio.create_subprocess_exec(
-            checkout.python,
-            *("-m", module, *arguments),
-            cwd=checkout.path,
-            env=checkout.environment(self.folder / "bytecode"),
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
-        )
-        try:
-            async with asyncio.timeout(COMMAND_TIMEOUT_S):
-                output, _ = await process.communicate()
-        finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-        return process.returncode, output.decode()
-
-    async def status(self, name: str) -> dict:
-        """The status report of a process; empty if it does not answer."""
-        address = self.control(name) if name.startswith("control") else self.readiness(name)
-        response = await self.call(address, "GET", "/status")
-        return msgspec.json.decode(response.body) if response.status == 200 else {}
-
-    async def in_sync_backups(self) -> list[str]:
-        """The names of the members other than the primary whose replicas are in sync."""
-        status = await self.status(await self.primary())
-        return sorted(replica["node"] for replica in status.get("replicas", []) if replica["in_sync"])
-
-    async def healthy(self) -> bool:
-        """Whether there is one primary, enough members are in sync, and all relays are ready and use that primary."""
-        controls = [name for name in self.control_names if name in self.processes]
-        statuses = {name: await self.status(name) for name in (*controls, *self.relay_names)}
-        if not all(statuses.values()):
-            return False
-        leading = [name for name in controls if statuses[name]["leads"]]
-        if len(leading) != 1:
-            return False
-        primary = statuses[leading[0]]
-        if any(statuses[name]["primary"] != primary["primary"] for name in controls):
-            return False
-        in_sync = {replica["node"] for replica in primary["replicas"] if replica["in_sync"]} | {leading[0]}
-        running = in_sync & set(self.processes)
-        relays = [statuses[name] for name in self.relay_names]
-        return (
-            len(running) == voters_wanted(TOLERATED_MACHINES)
-            and sorted(primary["relays"]) == sorted(relay["address"] for relay in relays)
-            and all(relay["ready"] and relay["primary"] == primary["primary"] for relay in relays)
-        )
-
-
 @dataclass
 class Step:
     """One replacement of one or several processes: its time window, and the turns that were served after it."""
@@ -278,7 +159,7 @@
         self.reasons += self.lines.violations(self.tier.endpoints)
         self.reasons += [f"UNANSWERED {request.request_id} at {request.relay}" for request in self.lines.unanswered]
         self.reasons += failures(self.load, self.excused_windows)[1]
-        changes = len(self._unexplained_changes())
+        changes = len(self.unexplained_changes())
         if changes > MAX_UNEXPLAINED_CHANGES:
             self.reasons.append(f"{changes} changes of primary that no step explains")
 
@@ -294,7 +175,7 @@
         A stall is detected by late timers in this process, or by a change of primary outside all steps. Requests may
         fail in these windows, but nothing may be lost or executed twice.
         """
-        changes = [(at - EXCUSED_BEFORE_S, at + EXCUSED_AFTER_S) for at in self._unexplained_changes()]
+        changes = [(at - EXCUSED_BEFORE_S, at + EXCUSED_AFTER_S) for at in self.unexplained_changes()]
         stalls = [(begin - EXCUSED_BEFORE_S, end + EXCUSED_AFTER_S) for begin, end in self.load.stalls]
         return [*self.windows, *changes, *stalls]
 
@@ -418,7 +299,7 @@
                 self.reasons.append(f"storage {command} of {name} by the {checkout.label} version: {output.strip()}")
         return output
 
-    def _unexplained_changes(self) -> list[float]:
+    def unexplained_changes(self) -> list[float]:
         """Times of the changes of primary outside all windows; an overloaded machine causes them."""
         changes = [at for at, _ in self.load.primaries[1:]]
         return [at for at in changes if not any(begin <= at <= end for begin, end in self.windows)]
@@ -437,37 +318,6 @@
                 if not self.pairs[f"{primary_label} primary, {other} {role}"]:
                     self.reasons.append(f"no {primary_label} primary served with a {other} {role}")
 
-    # Report ------------------------------------------------------------------------------------------
-
-    def report(self) -> str:
-        """A table of the steps and their mixes of versions, followed by counts and all faults."""
-        lines = [f"{'step':20} {'window':>8} {'failed':>7} {'served':>7}  {'primary':8} {'backups':8} relays"]
-        for step in self.steps:
-            window = [(step.begin, step.end or time.monotonic())]
-            failed = failures(self.load, window)[0].total()
-            length = f"{window[0][1] - window[0][0]:.1f} s"
-            lines.append(f"{step.description:20} {length:>8} {failed:>7} {step.served.total():>7}  {step.version_mix}")
-        lines += [f"turns with {pair}: {count}" for pair, count in sorted(self.pairs.items())]
-        within, outside = failures(self.load, self.excused_windows)
-        kinds = Counter(request.kind for request in self.load.sent)
-        lines.append("requests: " + ", ".join(f"{kind} {count}" for kind, count in sorted(kinds.items())))
-        failed_by_kind = ", ".join(f"{failure}: {count}" for failure, count in sorted(within.items()))
-        lines.append(f"failed within windows: {within.total()}" + (f" ({failed_by_kind})" if failed_by_kind else ""))
-        lines.append(f"failed outside windows: {len(outside)}")
-        lines.append(f"turns on a resumable route: {self.lines.turns}")
-        lines.append(f"stalls of the machine: {len(self.load.stalls)}")
-        lines.append(
-            f"conversations: {len(self.load.conversations)}, configuration changes: {len(self.load.changes) - 1}"
-        )
-        lines.append(
-            f"configuration changes sent again as undecided: {sum(request.undecided for request in self.load.sent)}"
-        )
-        lines.append(f"changes of primary that no step explains: {len(self._unexplained_changes())}")
-        lines += [f"WRONG: {reason}" for reason in self.reasons[:MAX_PRINTED_REASONS]]
-        if len(self.reasons) > MAX_PRINTED_REASONS:
-            lines.append(f"WRONG: and {len(self.reasons) - MAX_PRINTED_REASONS} more")
-        return "\n".join(lines)
-
 
 async def upgrade_and_back(upgrade: Upgrade, group: asyncio.TaskGroup) -> None:
     """Upgrade one by one and all at the same time, and downgrade in the same ways."""
@@ -503,34 +353,6 @@
     upgrade.conclude()
 
 
-def program_folder(checkout: Checkout, bytecode: Path) -> str:
-    """The folder from which the interpreter of a checkout imports the program."""
-    result = subprocess.run(
-        [checkout.python, "-c", "import lynxscale; print(lynxscale.__file__)"],
-        cwd=checkout.path,
-        env=checkout.environment(bytecode),
-        capture_output=True,
-        text=True,
-        check=True,
-        timeout=COMMAND_TIMEOUT_S,
-    )
-    return str(Path(result.stdout.strip()).resolve().parents[1])
-
-
-def revision(checkout: Checkout) -> str:
-    """The commit of a checkout, marked as dirty if files differ from it."""
-    result = subprocess.run(
-        ["git", "-C", str(checkout.path), "describe", "--always", "--dirty"], capture_output=True, text=True
-    )
-    return result.stdout.strip() or "unknown"
-
-
-def interpreter_of(path: Path) -> str:
-    """The interpreter of a checkout's virtual environment, or else the current interpreter."""
-    own = path / ".venv" / "bin" / "python"
-    return str(own) if own.exists() else sys.executable
-
-
 async def run_until_sigterm(work: Coroutine[None, None, None]) -> None:
     """Run a coroutine; SIGTERM cancels it, which ends all processes."""
     task = asyncio.ensure_future(work)
@@ -563,7 +385,7 @@
     network = free_network(Random()) if options.network is None else options.network
     upgrade = Upgrade(UpgradeTier(folder, network, old, options.controls), old, new, Random(seed))
     asyncio.run(run_until_sigterm(run(upgrade, upgrade_and_back)))
-    print(upgrade.report())
+    print(report(upgrade))
     if upgrade.reasons:
         print(f"logs and folders: {folder}")
         return 1
--- a/tests/test_rolling_upgrade.py
+++ b/tests/test_rolling_upgrade.py
@@ -5,9 +5,11 @@
 from random import Random
 
 from lab.tier.local import free_network
-from lab.tier.rolling_upgrade import THIS_CHECKOUT, Checkout, Upgrade, UpgradeTier, run
+from lab.tier.rolling_upgrade import Upgrade, run
 from lab.tier.upgrade_load import ClientResult, Load
+from lab.tier.upgrade_report import report
 from lab.tier.upgrade_rules import failures, request_violations, stored_state_violations
+from lab.tier.upgrade_tier import THIS_CHECKOUT, Checkout, UpgradeTier
 
 SEED = 1
 
@@ -26,7 +28,7 @@
     old, new = (Checkout(label, THIS_CHECKOUT, sys.executable) for label in ("old", "new"))
     upgrade = Upgrade(UpgradeTier(tmp_path, free_network(Random()), old, steady_disk=True), old, new, Random(SEED))
     asyncio.run(run(upgrade, replace_a_backup_and_a_relay))
-    print(upgrade.report())
+    print(report(upgrade))
     assert upgrade.reasons == []
     assert upgrade.pairs["old primary, new backup"] and upgrade.pairs["old primary, new relay"]
     assert not upgrade.tier.processes
