Events of a turn are reported to the process that admitted it

Cause: the primary that admitted a turn was taken to be the presumed one at the time of its reply. An epoch also changes without another primary (a change of voters is settled by a second one), after which events of running turns were lost.

Change: an admission names the address that takes the events, and they are reported only while the connection with it is the same.

Evidence: both tests of test_resumed_turns; the one with another presumed primary fails before.

--- a/lab/tier/machine.py
+++ b/lab/tier/machine.py
@@ -167,6 +167,10 @@
         self._machine = machine
         self._incarnation = machine.incarnation
 
+    def connection_id(self, address: str) -> int:
+        """The number of the process at an address, as a connection ends with it."""
+        return self._machine.world.machine(address).incarnation + 1
+
     def send(self, address: str, message: Message) -> None:
         """Send a message, unless the process has ended."""
         if self._machine.incarnation == self._incarnation:
--- a/lynxscale/controlplane/relay_requests.py
+++ b/lynxscale/controlplane/relay_requests.py
@@ -20,8 +20,10 @@
     Redirect,
     Reply,
     Suspicion,
+    TurnAdmitted,
     TurnEvents,
     TurnRejected,
+    address_of,
 )
 from lynxscale.coordination.outcomes import CommitOutcome
 from lynxscale.coordination.ports import Network
@@ -60,12 +62,18 @@
             self._redirect(call.caller)
         elif isinstance(call.body, AdmitTurn):
             answer, puts = self._admission.admit(call.body)
-            self._reply_when_durable(call, answer, puts)
+            self._reply_when_durable(call, self._with_own_address(answer), puts)
         elif isinstance(call.body, ReadConfigurationVersion):
             self._reply_when_durable(call, self._admission.configuration_version(), ())
         else:
             self._finish(self._admission, call, call.body)
 
+    def _with_own_address(self, answer: AdmissionReply) -> AdmissionReply:
+        """Add where the events of an admitted turn are reported to, if they are to be reported."""
+        if isinstance(answer, TurnAdmitted) and isinstance(answer.earlier_events, tuple):
+            return msgspec.structs.replace(answer, admitted_by=address_of(self._member.member_id))
+        return answer
+
     def _finish(self, admission: TurnAdmission, call: Call, request: FinishTurn) -> None:
         answer, puts = admission.finish(request)
         if isinstance(answer, TurnRejected) and request.run_id is msgspec.UNSET:
--- a/lynxscale/coordination/distribution_tree.py
+++ b/lynxscale/coordination/distribution_tree.py
@@ -27,7 +27,6 @@
 
 from lynxscale.coordination.messages import Attach, Message, Redirect, RosterEntry, TopicUpdate
 from lynxscale.coordination.ports import Clock, Network
-from lynxscale.coordination.primary_calls import KnownPrimary
 from lynxscale.coordination.relay_roster import ROSTER_TOPIC
 from lynxscale.coordination.topic_publisher import Publisher
 
@@ -97,11 +96,6 @@
         self._relay_count = 0
         clock.call_later(0.0, self._tick)
 
-    @property
-    def known_primary(self) -> KnownPrimary:
-        """The primary as of the newest epoch that this relay has heard of."""
-        return KnownPrimary(self.primary, self.epoch)
-
     @property
     def age_s(self) -> float:
         """An upper bound of the seconds since the primary last confirmed this relay's versions."""
--- a/lynxscale/coordination/messages/calls.py
+++ b/lynxscale/coordination/messages/calls.py
@@ -60,12 +60,14 @@
 
     ``earlier_events``: the events up to ``AdmitTurn.resume_after``, for a turn that is resumed; the sender may then
     send ``TurnEvents`` too. Unset if the turn has no session, and in replies of programs that do not know it: such a
-    primary has no events, so a turn that was to be resumed must not run.
+    primary has no events, so a turn that was to be resumed must not run. ``admitted_by``: the address of the primary
+    that takes ``TurnEvents``, unset if ``earlier_events`` is unset.
     """
 
     history: bytes = b""
     base_turn: str = msgspec.field(name="after", default="")
     earlier_events: tuple[StreamEvent, ...] | msgspec.UnsetType = msgspec.UNSET
+    admitted_by: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class TurnRejected(Message, frozen=True, tag="turn_refused"):
--- a/lynxscale/coordination/ports.py
+++ b/lynxscale/coordination/ports.py
@@ -40,6 +40,12 @@
     def send(self, address: str, message: Message) -> None:
         """Send to the node at ``address`` (``host:port`` of its internal listener)."""
 
+    def connection_id(self, address: str) -> int:
+        """Identify the connection on which messages to a node are sent now, 0 if there is none.
+
+        All messages that are sent while it is the same reach the same process of that node, if they arrive.
+        """
+
 
 class FileWriter(Protocol):
     """A file that is written in chunks."""
--- a/lynxscale/coordination/primary_calls.py
+++ b/lynxscale/coordination/primary_calls.py
@@ -6,8 +6,6 @@
 from dataclasses import dataclass
 from random import Random
 
-from attrs import frozen
-
 from lynxscale.coordination.messages import (
     AdmitTurn,
     Call,
@@ -27,14 +25,6 @@
 """Called with the body of the reply, or None if no reply arrived in time."""
 
 
-@frozen
-class KnownPrimary:
-    """The primary that a node presumes: its address, empty if unknown, and its epoch."""
-
-    address: str
-    epoch: int
-
-
 @dataclass(slots=True)
 class PendingCall:
     """A call that waits for its reply. ``deadline``: monotonic time in seconds."""
@@ -54,7 +44,7 @@
 class PrimaryCalls:
     """The pending calls of one node.
 
-    ``primary()``: the one to try first. ``contacts()``: addresses that are then tried in turn.
+    ``primary()``: the address to try first, empty if unknown. ``contacts()``: addresses that are then tried in turn.
     """
 
     def __init__(
@@ -63,7 +53,7 @@
         clock: Clock,
         network: Network,
         random: Random,
-        primary: Callable[[], KnownPrimary],
+        primary: Callable[[], str],
         contacts: Callable[[], list[str]],
     ) -> None:
         self._address = address
@@ -85,16 +75,15 @@
         message = Call(self._last_number, self._address, self._incarnation, body)
         pending = PendingCall(message, self._clock.now() + timeout_s, on_reply)
         self._pending[message.number] = pending
-        self._send(pending, self.primary.address)
+        self._send(pending, self._primary())
 
-    @property
-    def primary(self) -> KnownPrimary:
-        """The presumed primary."""
-        return self._primary()
+    def connection_id(self, member: str) -> int:
+        """Identify the connection with a control member, 0 if there is none."""
+        return self._network.connection_id(member)
 
-    def notify(self, message: TurnEvents) -> None:
-        """Send a message to the presumed primary once; it may be lost."""
-        self._network.send(self.primary.address, message)
+    def notify(self, member: str, message: TurnEvents) -> None:
+        """Send a message to a control member once; it may be lost."""
+        self._network.send(member, message)
 
     def receive(self, message: Message) -> bool:
         """Handle a reply; False for messages of other types."""
@@ -111,7 +100,7 @@
         """Resend all pending calls immediately, because another primary is known."""
         for pending in list(self._pending.values()):
             pending.cancel_retry()
-            self._send(pending, self.primary.address)
+            self._send(pending, self._primary())
 
     def _send(self, pending: PendingCall, address: str) -> None:
         if not address:
@@ -128,4 +117,4 @@
             return
         pending.retries += 1
         # The primary may have failed: two of three retries go to a contact, which redirects to the new primary.
-        self._send(pending, "" if pending.retries % PRIMARY_RETRY_EVERY else self.primary.address)
+        self._send(pending, "" if pending.retries % PRIMARY_RETRY_EVERY else self._primary())
--- a/lynxscale/dataplane/run_events.py
+++ b/lynxscale/dataplane/run_events.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from lynxscale.coordination.messages import StreamEvent, TurnAdmitted, TurnEvents
-from lynxscale.coordination.primary_calls import KnownPrimary, PrimaryCalls
+from lynxscale.coordination.primary_calls import PrimaryCalls
 from lynxscale.dataplane.server_sent_events import Event
 
 
@@ -18,23 +18,26 @@
         self._calls = calls
         self._run_id = run_id
         self._count = 0
-        self._admitted_by: KnownPrimary | None = None  # the one that knows this run, if it has to know its events
+        self._admitted_by = ""  # the primary that knows this run, empty if it need not know its events
+        self._connection_id = 0  # of the connection with that primary
 
     def admitted(self, reply: TurnAdmitted) -> None:
         """Take over the events of earlier runs; from now on, report to the primary that admitted the turn."""
-        if isinstance(reply.earlier_events, tuple):
-            self._admitted_by = self._calls.primary
+        if isinstance(reply.earlier_events, tuple) and isinstance(reply.admitted_by, str):
+            self._admitted_by = reply.admitted_by
+            self._connection_id = self._calls.connection_id(reply.admitted_by)
             self._count = len(reply.earlier_events)
             self.earlier_output = b"".join(event.data + b"\n" for event in reply.earlier_events)
 
     def report(self, events: list[Event]) -> None:
-        """Report events to the primary that admitted the turn.
+        """Report events to the process that admitted the turn.
 
-        Another one would lack those before. So would one at the same address with another epoch, whose program may not
-        even know the message.
+        Another one at its address lacks those before, and its program may not even know the message.
         """
-        if not events or self._admitted_by is None or self._calls.primary != self._admitted_by:
+        if not events or not self._connection_id:
+            return
+        if self._calls.connection_id(self._admitted_by) != self._connection_id:
             return
         sent = tuple(StreamEvent(event.id.decode("latin-1"), event.data) for event in events)
-        self._calls.notify(TurnEvents(self._run_id, self._count + 1, sent))
+        self._calls.notify(self._admitted_by, TurnEvents(self._run_id, self._count + 1, sent))
         self._count += len(events)
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -52,7 +52,7 @@
         self.tree = Subscriber(address, settings.zone, settings.contacts, clock, network, self._on_topics)
         self.ring = RingMember(address, settings.heartbeat_ms / 1000.0, clock, network)
         self.calls = PrimaryCalls(
-            address, clock, network, random, lambda: self.tree.known_primary, lambda: self.tree.contacts
+            address, clock, network, random, lambda: self.tree.primary, lambda: self.tree.contacts
         )
         self._seeds = settings.contacts
         self._members: tuple[str, ...] = ()
--- a/lynxscale/runtime/peer_network.py
+++ b/lynxscale/runtime/peer_network.py
@@ -63,11 +63,17 @@
         self._address = address
         self._attempts = attempts
         self._transport: asyncio.Transport | None = None
+        self._connection_count = 0
         self._connecting = False
         self._backoff_until = 0.0
         self._unsent: list[bytes] = []
         self._flush_scheduled = False
 
+    @property
+    def connection_id(self) -> int:
+        """The number of the current connection, 0 while there is none."""
+        return 0 if self._transport is None else self._connection_count
+
     def send(self, payload: bytes) -> None:
         """Queue a message for the next flush; messages of one event-loop iteration share a write."""
         if self._transport is None and not self._connecting:
@@ -94,6 +100,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Part of asyncio.Protocol."""
         self._transport = cast(asyncio.Transport, transport)
+        self._connection_count += 1
         configure_socket(transport)
         self.flush()
 
@@ -141,6 +148,11 @@
         for connection in self._connections.values():
             connection.flush()
 
+    def connection_id(self, address: str) -> int:
+        """Part of the Network port."""
+        connection = self._connections.get(address)
+        return 0 if connection is None else connection.connection_id
+
     def send(self, address: str, message: Message) -> None:
         """Send a message; a message to this node itself is received in the event loop's next iteration."""
         if not address:
--- a/tests/coordination/test_primary_calls.py
+++ b/tests/coordination/test_primary_calls.py
@@ -8,7 +8,7 @@
     Reply,
     TurnFinished,
 )
-from lynxscale.coordination.primary_calls import KnownPrimary, PrimaryCalls
+from lynxscale.coordination.primary_calls import PrimaryCalls
 
 
 def test_a_reply_to_an_earlier_process_is_ignored():
@@ -21,9 +21,8 @@
 
     answers: list[Message] = []
     body = FinishTurn("p", "r", 0, 60.0)
-    primary = KnownPrimary("b:1", 4)
     processes = [
-        PrimaryCalls("a:1", machine.clock(), Wire(), machine.world.random, lambda: primary, lambda: ["b:1"])
+        PrimaryCalls("a:1", machine.clock(), Wire(), machine.world.random, lambda: "b:1", lambda: ["b:1"])
         for _ in range(2)
     ]
     processes[0].call(body, 1.0, lambda answer: None)
--- a/tests/data/tier/generate.py
+++ b/tests/data/tier/generate.py
@@ -161,6 +161,7 @@
     ("call", [8, golden.RELAY, 77, {"admit_turn": [*ADMISSION, "r0", "q0", 3, RUN, "agent-7/main", "12", 6.5]}]),
     ("call", [7, golden.RELAY, 77, {"finish_turn": [*ENDING, "ask\x00answer", "r0", 3, RUN]}]),
     ("reply", [6, 77, {"turn_admitted": ["ask\x00answer", "q0", EVENTS]}]),
+    ("reply", [8, 77, {"turn_admitted": ["", "", EVENTS, "10.0.0.1:7000"]}]),
     ("reply", [7, 77, {"turn_refused": [409]}]),
     ("turn_events", [RUN, 13, EVENTS]),
     ("call", [9, golden.RELAY, 77, {"admit_turn": [*ADMISSION, "r0", "q0", 3, RUN, "agent-7/main", "12", 6.5, RUN]}]),
--- a/tests/dataplane/test_resumed_turns.py
+++ b/tests/dataplane/test_resumed_turns.py
@@ -6,7 +6,8 @@
 import msgspec
 import pytest
 
-from lab.tier.simulated_tier import default_configuration
+from lab.tier.machine import MachineNetwork
+from lab.tier.simulated_tier import INTERNAL_PORT, default_configuration
 from lab.tier.world import World
 from lynxscale.controlplane.turn_admission import TurnAdmission
 from lynxscale.controlplane.turn_history import TURN_PREFIX, TurnRecord
@@ -279,19 +280,40 @@
     assert endpoints_that_ran(tier, "t2") == []
 
 
-def test_events_are_reported_to_the_primary_that_admitted_the_turn_only():
-    """Guards against a message that the program before cannot read: its process may take over at the same address."""
+def test_events_are_reported_to_the_process_that_admitted_the_turn_only(monkeypatch):
+    """Guards against a message that the program before cannot read: its process may be at the same address by then."""
     tier = resumable_tier()
     events = messages_to_primary(tier, TurnEvents)
     response, _ = start_turn(tier, "t1")
     tier.world.run(tier.world.time + TWO_EVENTS_S)
     reported = len(events)
     assert reported > 0
-    tier.relays[tier.relay_hosts[0]].tree.epoch += 1
+    primary = tier.primary().publisher.address
+    current = MachineNetwork.connection_id
+    monkeypatch.setattr(MachineNetwork, "connection_id", lambda self, to: current(self, to) + (to == primary))
     assert tier.world.run_until(lambda: response.ended, 6.0) and response.complete
     assert len(events) == reported
 
 
+def test_events_are_reported_to_the_sender_of_the_admission_though_another_primary_is_presumed():
+    """Regression: they went to the presumed primary, which in an upgrade was a process that cannot read them."""
+    tier = resumable_tier()
+    targets, deliver = [], tier.world.deliver
+
+    def watch(source: str, target: str, message: Message) -> None:
+        if isinstance(message, TurnEvents):
+            targets.append(target)
+        if isinstance(message, Reply) and isinstance(message.body, TurnAdmitted):
+            tier.relays[tier.relay_hosts[0]].tree.primary = other
+        deliver(source, target, message)
+
+    primary = tier.primary().publisher.address
+    other = next(f"{host}:{INTERNAL_PORT}" for host in tier.control_hosts if not primary.startswith(host))
+    tier.world.deliver = watch
+    assert run_turn(tier, "t1", relay=0).complete
+    assert len(targets) == EVENT_COUNT and set(targets) == {primary}
+
+
 def test_a_relay_that_does_not_state_its_runs_gets_no_reply_to_an_end_that_is_rejected():
     """Such a relay takes each reply for an acknowledgement; without one it aborts the response."""
     tier = resumable_tier()
--- a/tests/runtime/test_peer_network.py
+++ b/tests/runtime/test_peer_network.py
@@ -36,3 +36,28 @@
 
     asyncio.run(send_during_write())
     assert DurableFiles(str(tmp_path)).read("a") == b"1"
+
+
+def test_a_connection_with_another_process_has_another_id():
+    async def connection_ids() -> list[int]:
+        loop = asyncio.get_running_loop()
+        sender = PeerNetwork(loop, "127.0.0.1:0")
+        ids = []
+        port = 0
+        for number in (1, 2):
+            received: list[Message] = []
+            receiver = PeerNetwork(loop, f"127.0.0.1:{port}")
+            await receiver.listen(received.append)
+            port = receiver._server.sockets[0].getsockname()[1]
+            address = f"127.0.0.1:{port}"
+            ids.append(sender.connection_id(address))
+            while not received:
+                sender.send(address, Heartbeat(str(number)))
+                await asyncio.sleep(0.01)
+            ids.append(sender.connection_id(address))
+            receiver._server.close()
+            sender._connections[address]._transport.abort()
+            await asyncio.sleep(0.01)
+        return ids
+
+    assert asyncio.run(connection_ids()) == [0, 1, 0, 2]
