--- a/Makefile
+++ b/Makefile
@@ -63,8 +63,8 @@
 
 # Checks the serving tier: small models in every order of events, a second failure at every step of a membership change,
 # 3,000 drawn plays of deaths amid a change of voters, ten thousand random histories of simulated tiers, 400 of route
-# changes, 400 of conversations, and the mutations that these checks must detect. Takes hours on eight cores; each command can also be run
-# alone.
+# changes, 400 of conversations, and the mutations that these checks must detect. Takes hours on eight cores; each
+# command can also be run alone.
 sim-tier: build
 	$(PYTHON) -m lab.tier.models
 	$(PYTHON) -m lab.tier.second_failure
@@ -75,8 +75,9 @@
 	$(PYTHON) -m lab.tier.mutations
 
 # Soaks real relays under signals and restarts, against endpoints that are full and repeat answers late: FIRST=1, LAST=50.
+# OPTIONS: those of lab.tier.soak, such as "--relays 100 --controls 5", or "--seconds 90 --pausing-clients 40".
 soak-tier: build
-	$(PYTHON) -m lab.tier.soak $(or $(FIRST),1) $(or $(LAST),50)
+	$(PYTHON) -m lab.tier.soak $(or $(FIRST),1) $(or $(LAST),50) $(OPTIONS)
 
 # Demo: a small tier of real processes on loopback serves programs while its primary is killed.
 demo-tier: build
