--- a/lynxscale/dataplane/server_sent_events.py
+++ b/lynxscale/dataplane/server_sent_events.py
@@ -4,16 +4,16 @@
 
 import re
 
-from attrs import frozen
+import msgspec
 
 LINE_END = re.compile(rb"\r\n|\n|\r")
-EVENT_END = re.compile(rb"(?>\r\n|\n|\r){2}")  # a blank line; atomic, so that CR LF is one line end
-LINE_END_BYTES = b"\r\n"
+EVENT_END = re.compile(rb"(?:\n|\r\n?+)(?:\n|\r\n?+)")  # a blank line; possessive, so that CR LF is one line end
+LINE_FEED, CARRIAGE_RETURN = b"\n", b"\r"
+BLANK_LINE = LINE_FEED + LINE_FEED  # the end of an event where all lines end with line feeds
 MAX_EVENT_END_BYTES = 4
 
 
-@frozen
-class Event:
+class Event(msgspec.Struct, frozen=True):
     """One event: its id, empty if it has none, and its data, whose lines are separated by line feeds."""
 
     id: bytes
@@ -50,34 +50,54 @@
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return the bytes of all events that it completes."""
         buffer = self._partial + chunk
+        search_from = max(0, self._searched - MAX_EVENT_END_BYTES)
+        if CARRIAGE_RETURN in buffer:
+            end = self._read_events(buffer, search_from)
+        else:
+            end = self._read_line_feed_events(buffer, search_from)
+        self._partial = buffer[end:]
+        self._searched = len(self._partial)
+        return buffer[:end]
+
+    def _read_events(self, buffer: bytes, search_from: int) -> int:
+        """Read all complete events and return where they end, behind the blank lines that follow them."""
         begin = 0
-        for end in EVENT_END.finditer(buffer, max(0, self._searched - MAX_EVENT_END_BYTES)):
-            self._read_event(buffer[begin : end.start()])
+        for end in EVENT_END.finditer(buffer, search_from):
+            self._read_event(LINE_END.split(buffer[begin : end.start()]))
             begin = end.end()
-        if not buffer[begin:].strip(LINE_END_BYTES):
-            begin = len(buffer)  # only blank lines are left, which end no further event
-        self._partial = buffer[begin:]
-        self._searched = len(self._partial)
-        return buffer[:begin]
+        rest = buffer[begin:].strip(LINE_FEED + CARRIAGE_RETURN)
+        return begin if rest else len(buffer)
+
+    def _read_line_feed_events(self, buffer: bytes, search_from: int) -> int:
+        """Do the same faster, where no line ends with a carriage return."""
+        end = buffer.rfind(BLANK_LINE, search_from)
+        if end < 0:
+            return len(buffer) if buffer == LINE_FEED else 0
+        for block in buffer[:end].split(BLANK_LINE):
+            self._read_event(block.split(LINE_FEED))
+        return end + len(BLANK_LINE)
 
     def content(self) -> bytes:
         """Return the data of all collected events, each followed by a line feed."""
         return b"".join(event.data + b"\n" for event in self._events)
 
-    def _read_event(self, block: bytes) -> None:
+    def _read_event(self, lines: list[bytes]) -> None:
         """Count the event in a block of lines; a block of comments is no event."""
-        lines = [line for line in LINE_END.split(block) if line and not line.startswith(b":")]
-        if not lines:
-            return
-        self.event_count += 1
+        is_event = False
         event_id, data = b"", []
         for line in lines:
             field, _, value = line.partition(b":")
+            if not field:
+                continue  # a blank line, or a comment
+            is_event = True
             value = value.removeprefix(b" ")
             if field == b"id":
                 event_id = value
             elif field == b"data" and self._keep_events:
                 data.append(value)
+        if not is_event:
+            return
+        self.event_count += 1
         self.last_event_id = event_id or self.last_event_id
         if self._keep_events:
             self._events.append(Event(event_id, b"\n".join(data)))
--- a/tests/dataplane/test_server_sent_events.py
+++ b/tests/dataplane/test_server_sent_events.py
@@ -1,5 +1,8 @@
 """The scanner for server-sent events."""
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from lynxscale.dataplane.server_sent_events import EventScanner
 
 
@@ -27,6 +30,25 @@
             assert (scanner.event_count, scanner.last_event_id, scanner.content()) == (2, b"2", b"a\nb\nc\n")
 
 
+PIECES = st.sampled_from([b"id: 1", b"data: a", b"data: b", b": comment", b"x", b"\n", b"\n\n", b"\r", b"\r\n"])
+
+
+@settings(max_examples=500, deadline=None, derandomize=True)
+@given(st.lists(PIECES, max_size=14), st.integers(1, 9))
+def test_a_stream_is_read_the_same_way_wherever_it_is_cut(pieces, size):
+    """The two ways to read, with and without carriage returns, and the search from where the last one ended."""
+    stream = b"".join(pieces)
+    whole, cut = EventScanner(keep_events=True), EventScanner(keep_events=True)
+    whole.feed(stream)
+    for offset in range(0, len(stream), size):
+        cut.feed(stream[offset : offset + size])
+    assert (whole.events, whole.last_event_id, whole.event_count) == (cut.events, cut.last_event_id, cut.event_count)
+    if b"\r" not in stream:
+        with_returns = EventScanner(keep_events=True)
+        with_returns.feed(stream.replace(b"\n", b"\r\n"))
+        assert with_returns.events == whole.events
+
+
 def test_a_line_end_within_an_event_does_not_end_it():
     scanner = EventScanner(keep_events=True)
     assert scanner.feed(b"id: 1\r") == scanner.feed(b"\ndata: a\r") == b""
