Laboratory: configurations drawn by their grammar, and some with a fault

Histories of conversations drew hosts and three numbers of a route; soak and route histories sent one notation only, and nothing sent a faulty configuration amid disturbances. ConfigurationGrammar writes one in other ways (numbers, hosts, a split to one service, members that no program knows), and puts one of six kinds of faults in. A change that is never acknowledged ends a route history as a breach, where it went on for ever. What is compared with what operators sent is what is read back, no longer the published form.

--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 		$(PYTHON) -m lab.cluster.explore {} $$(({} + 1249))'
 
 # Checks the serving tier: small models in every order of events, a second failure at every step of a membership change,
-# 3,000 drawn plays of deaths amid a change of voters, ten thousand random histories of simulated tiers, 400 of route
+# 3,000 drawn plays of deaths amid a change of voters, ten thousand random histories of simulated tiers, 600 of route
 # changes, 400 of conversations, and the mutations that these checks must detect. Takes hours on eight cores; each
 # command can also be run alone.
 sim-tier: build
@@ -71,6 +71,7 @@
 	$(PYTHON) -m lab.tier.interrupted_changes 1 3000
 	seq 1 1250 8751 | xargs -P 8 -I{} sh -c '$(PYTHON) -m lab.tier.histories {} $$(({} + 1249))'
 	$(PYTHON) -m lab.tier.route_histories 1 400
+	$(PYTHON) -m lab.tier.route_histories 401 600 --varied
 	$(PYTHON) -m lab.tier.turn_histories 1 400
 	$(PYTHON) -m lab.tier.mutations
 
--- a/lab/tier/history_checker.py
+++ b/lab/tier/history_checker.py
@@ -181,7 +181,7 @@
                 return
 
     def _check_changes(self) -> None:
-        current = msgspec.json.decode(self.tier.primary().operator_api.configuration.current().body)
+        current = msgspec.json.decode(self.tier.primary().operator_api.configuration.current().as_written)
         acknowledged = [change for change in self.observations.changes if change.acknowledged]
         if len({change.base for change in acknowledged}) < len(acknowledged):
             self.broken["two_on_one_base"] += 1
--- a/lab/tier/route_histories.py
+++ b/lab/tier/route_histories.py
@@ -3,7 +3,8 @@
 Clients keep their connections to relays, also to those that are not ready, and hold conversations on routes that an
 operator adds, moves, removes and begins to retain. Relays and their parents are frozen, cut off, cut off in one
 direction or restarted, and control members are frozen, in disturbances that overlap. A process that wakes reads its
-connections in a drawn order. A history is determined by its seed.
+connections in a drawn order. With ``--varied`` configurations are written in drawn ways, and some have a fault. A
+history is determined by its seed.
 """
 
 from __future__ import annotations
@@ -13,11 +14,13 @@
 import sys
 import time
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 import msgspec
 
 from lab.tier.changing_routes import OTHER_MODEL, ChangingRoute, ChangingRoutes, JudgedTurn, lost_turns
+from lab.tier.configuration_grammar import ConfigurationGrammar
 from lab.tier.fakes import CLIENT, ClientResponse, send_request
 from lab.tier.fault_injection import internal_address
 from lab.tier.history_checker import MAX_TOKENS, Observations, ObservedChange, ObservedTurn, check_history
@@ -43,6 +46,7 @@
 CUT_RANGE_S = (0.05, 5.0)
 DEADLINE_MS = 4000
 END_TIMEOUT_S = 6.0
+CHANGE_TIMEOUT_S = 60.0
 
 
 class KeptConnections:
@@ -132,7 +136,10 @@
 class RouteHistory:
     """One history: conversations on changing routes, changes and disturbances."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, varied: bool = False) -> None:
+        """``varied``: draw how configurations are written, and send some with a fault."""
+        self._grammar = ConfigurationGrammar(f"routes {seed}") if varied else None
+        self._faulty_changes: list[ClientResponse] = []
         self.world = World(seed, loss=LOSS_PROBABILITY)
         self.world.wake_random = Random(f"wake {seed}")
         self.random = Random(f"routes {seed}")
@@ -163,6 +170,8 @@
         self.world.run(self.world.time + RECOVERY_S)
         broken = self._check()
         broken["not_served_in_the_end"] += self._unserved_turns()
+        broken["change_not_acknowledged"] += self.changes[-1].base > 0 and not self.changes[-1].acknowledged
+        broken["faulty_change_acknowledged"] += sum(response.status == 200 for response in self._faulty_changes)
         return +broken
 
     # Clients and operator ----------------------------------------------------------------------------
@@ -205,30 +214,45 @@
         """Send the next change of the routes, or the last one again while it is not acknowledged."""
         change = self.changes[-1]
         if change.acknowledged or change.base == 0:
-            base = change.table["generation"]
-            change = ObservedChange(base, self.routes.next_configuration(base, self.world.time))
+            base = int(change.table["generation"])
+            table = self.routes.next_configuration(base, self.world.time)
+            if self._grammar is not None:
+                table = self._grammar.varied(table)
+                if self._grammar.draws_fault():
+                    self._send_faulty_change(base, self._grammar.spoiled(table))
+            change = ObservedChange(base, table)
             self.changes.append(change)
         self._send_change(change)
 
+    def _send_faulty_change(self, base: int, table: dict) -> None:
+        self._faulty_changes.append(self._request_change(base, table, None))
+
     def _send_change(self, change: ObservedChange) -> None:
-        primary = self.tier.primary()
-        host = primary.publisher.address.partition(":")[0] if primary else self.tier.control_hosts[0]
-        fields = ((b"host", b"c"), (b"lynxscale-base-version", b"%d" % change.base))
         newest = change is self.changes[-1]
 
         def on_end(response: ClientResponse) -> None:
             if response.status == 200 and newest:
                 self.routes.acknowledged(self.world.time)
 
-        sent = Request("POST", "/config/replace", Head(fields), msgspec.json.encode(change.table))
-        response, _ = send_request(self.world, self.tier.tcp, f"{host}:{CONTROL_PORT}", sent, on_end)
-        change.responses.append(response)
+        change.responses.append(self._request_change(change.base, change.table, on_end))
         change.sent_at.append(self.world.time)
 
+    def _request_change(
+        self, base: int, table: dict, on_end: Callable[[ClientResponse], None] | None
+    ) -> ClientResponse:
+        """Send a configuration to the primary, or to another member if there is none."""
+        primary = self.tier.primary()
+        host = primary.publisher.address.partition(":")[0] if primary else self.tier.control_hosts[0]
+        fields = ((b"host", b"c"), (b"lynxscale-base-version", b"%d" % base))
+        sent = Request("POST", "/config/replace", Head(fields), msgspec.json.encode(table))
+        response, _ = send_request(self.world, self.tier.tcp, f"{host}:{CONTROL_PORT}", sent, on_end)
+        return response
+
     def _finish_change(self) -> None:
-        """Send the last change until it is acknowledged."""
+        """Send the last change until it is acknowledged, or ``CHANGE_TIMEOUT_S`` have passed."""
         change = self.changes[-1]
-        while change.base and not change.acknowledged:
+        end = self.world.time + CHANGE_TIMEOUT_S
+        while change.base and not change.acknowledged and self.world.time < end:
             self.world.run(self.world.time + 0.5)
             self._send_change(change)
             self.world.run(self.world.time + 0.5)
@@ -281,13 +305,14 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("first", type=int)
     parser.add_argument("last", type=int)
+    parser.add_argument("--varied", action="store_true", help="configurations drawn by their grammar, some faulty")
     options = parser.parse_args()
     logging.disable(logging.CRITICAL)
     started_at = time.monotonic()
     totals: Counter[str] = Counter()
     broken = 0
     for seed in range(options.first, options.last + 1):
-        history = RouteHistory(seed)
+        history = RouteHistory(seed, options.varied)
         rules = history.play()
         totals.update(str(turn.response.status) for turn, _, _, _ in history.turns)
         if rules:
--- a/lab/tier/soak.py
+++ b/lab/tier/soak.py
@@ -1,13 +1,14 @@
 """``python -m lab.tier.soak``: real relays under signals, against endpoints that are full and repeat answers late.
 
 Each run draws from its seed: how full the endpoints are and how often they repeat an answer, whether there are kills
-and freezes beside the planned work (with ``--controls 4`` or more also kills of several voters), all disturbances, and
-the changes of the routes. Clients keep their connections until the relay closes them, for calls and for conversations
-on the routes that change; the load of ``upgrade_load`` adds conversations on a route that stays, further calls and the
-operator; others resume streams that break off. Streams are framed by chunks, a length or the connection's end. With
-``--pausing-clients N`` and ``--seconds`` of 75 or more, N clients pause for as long as their turns are stored. The
-processes run on disks of a fixed speed (``steady_disk``). A seed repeats what a run draws; when that
-happens depends on the machine. Exit code 1 if a rule was broken.
+and freezes beside the planned work (with ``--controls 4`` or more also kills of several voters), all disturbances,
+and the changes of the routes, which are written in drawn ways, and some sent with a fault before. Clients keep their
+connections until the relay closes them, for calls and for conversations on the routes that change; the load of
+``upgrade_load`` adds conversations on a route that stays, further calls and the operator; others resume streams that
+break off. Streams are framed by chunks, a length or the connection's end. With ``--pausing-clients N`` and
+``--seconds`` of 75 or more, N clients pause for as long as their turns are stored. The processes run on disks of a
+fixed speed (``steady_disk``). A seed repeats what a run draws; when that happens depends on the machine. Exit code 1
+if a rule was broken.
 """
 
 from __future__ import annotations
@@ -26,6 +27,7 @@
 
 from lab.tier.changing_routes import ChangingRoutes, lost_turns
 from lab.tier.conditions import overload_endpoints, relieve_endpoints, vary_framing
+from lab.tier.configuration_grammar import ConfigurationGrammar
 from lab.tier.disturbances import CONTROL_SHARE, Disturber
 from lab.tier.line_clients import PAUSING, RESUMING, LineClients
 from lab.tier.local import LocalTier, free_network
@@ -75,6 +77,7 @@
     disturbances: Counter[str]
     late_answers: int
     changes: int
+    faulty_changes: Counter[int]
     turns: int
     routed_turns: Counter[int]
     resumable_turns: int
@@ -92,7 +95,7 @@
             f" turns on changing routes {routed}; {self.turns} other turns; {self.late_answers} late answers;"
             f" {self.resumable_turns} resumable turns, {self.resumed_turns} resumed;"
             f" {self.paused_turns} turns of clients that pause, {self.expired_turns} times too long;"
-            f" {disturbances}; {self.changes} changes"
+            f" {disturbances}; {self.changes} changes, {self.faulty_changes.total()} more with a fault"
         )
 
 
@@ -111,7 +114,7 @@
         self._streams_break_off = False
         planned_only = self._random.random() < PLANNED_ONLY_SHARE
         self._routes = ChangingRoutes(Random(f"routes {seed}"), TOOLS)
-        self._load = Load(self._tier, Random(f"load {seed}"), self._routes)
+        self._load = Load(self._tier, Random(f"load {seed}"), self._routes, ConfigurationGrammar(f"soak {seed}"))
         talks = Random(f"conversations {seed}")
         self._conversations = PersistentConversations(self._tier, self._routes, talks, size.conversation_clients)
         self._clients = PersistentClients(self._tier, Random(f"clients {seed}"), size.clients)
@@ -155,6 +158,7 @@
             self._disturber.counts,
             self._late_answers,
             sum(change.acknowledged for change in self._load.changes),
+            self._load.faulty_changes,
             len(self._load.turns) - sum(turn.status not in (404, 410) for turn in self._conversations.turns),
             Counter(turn.status for turn in self._conversations.turns),
             self._resuming.turns,
--- a/lab/tier/turn_histories.py
+++ b/lab/tier/turn_histories.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from lab.tier.conditions import vary_framing
+from lab.tier.configuration_grammar import ConfigurationGrammar
 from lab.tier.fakes import ClientResponse
 from lab.tier.resumable_turns import Line, tag_events, unasked_prompts
 from lab.tier.simulated_tier import INTERNAL_PORT, SimulatedTier, default_configuration
@@ -46,6 +47,7 @@
 CUT_STREAM_SHARE = 0.1  # probability in each step
 SETTLE_S = 10.0
 CONFIG_APPLY_S = 2.0
+FAULTY_CHANGES = 5  # at the end of a history
 RESPONSE_SLACK_S = 5.0
 MIN_PATIENCE_S = 1.0  # shortest silence after which a client gives up a request
 RELAY_FREEZE_RANGE_S, MEMBER_FREEZE_RANGE_S = (0.2, 8.0), (0.1, 2.0)
@@ -87,6 +89,7 @@
 
     def __init__(self, seed: int) -> None:
         self._random = Random(f"turns {seed}")
+        self._grammar = ConfigurationGrammar(f"turns {seed}")
         self._tier = SimulatedTier(World(seed)).start_serving()
         self._world = self._tier.world
         self._retention_s = self._random.uniform(*RETENTION_RANGE_S)
@@ -135,6 +138,7 @@
         for relay in self._tier.relays.values():
             if relay.route_table is None or relay.route_table.generation != self._generation:
                 self.broken.append(f"CONFIG a relay does not use version {self._generation}")
+        self._send_faulty_changes()
         self.counts["turns"] = sum(client.line.turns for client in self._clients)
         self.counts["resumed"] = sum(client.line.resumed for client in self._clients)
 
@@ -296,6 +300,16 @@
                 self.broken.append(f"CONFIG a proper configuration gets 400: {msgspec.json.encode(configuration)!r}")
                 return
 
+    def _send_faulty_changes(self) -> None:
+        """Send configurations with a fault; none may be acknowledged."""
+        proper = self._draw_configuration(self._generation + 1)
+        for _ in range(FAULTY_CHANGES):
+            faulty = self._grammar.spoiled(self._grammar.varied(proper))
+            status = self._tier.push(faulty, self._generation).status
+            self.counts["faulty_change"] += 1
+            if status != 400:
+                self.broken.append(f"CONFIG a faulty configuration gets {status}: {msgspec.json.encode(faulty)!r}")
+
     def _draw_configuration(self, generation: int) -> dict:
         configuration = default_configuration(generation)
         kept = configuration["routes"][0] | {"timeout-ms": 1000 * self._timeout_s, "retention-s": self._retention_s}
--- a/lab/tier/upgrade_load.py
+++ b/lab/tier/upgrade_load.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from lab.tier.changing_routes import ChangingRoutes, resumable_route
+from lab.tier.configuration_grammar import ConfigurationGrammar
 from lab.tier.history_checker import MAX_TOKENS, ObservedChange, ObservedTurn
 from lab.tier.judge_wait import POLL_INTERVAL_S, lateness_s, wait_until
 from lab.tier.local import LocalTier
@@ -28,6 +29,7 @@
 LARGE_BUDGET, SMALL_BUDGET = 10_000_000, 5 * MAX_TOKENS
 BUDGET_SPENT_STATUS = 402
 UNDECIDED_STATUS = 503
+REFUSED_STATUSES = (400, 412)
 RETENTION_S = 900.0  # longer than any run
 BRANCH_PROBABILITY = 1 / 6  # probability that a turn continues a random earlier turn, not the last
 MAX_PAUSE_S = 0.2  # pause between two requests of a client; sets the rate of the load
@@ -87,11 +89,22 @@
 class Load:
     """The clients and the operator of one tier, with all their observations."""
 
-    def __init__(self, tier: LocalTier, random: Random, routes: ChangingRoutes | None = None) -> None:
-        """``routes``: if given, each change of the configuration is a change of these routes."""
+    def __init__(
+        self,
+        tier: LocalTier,
+        random: Random,
+        routes: ChangingRoutes | None = None,
+        grammar: ConfigurationGrammar | None = None,
+    ) -> None:
+        """``routes``: if given, each change of the configuration is a change of these routes.
+
+        ``grammar``: if given, it draws how configurations are written, and some with a fault are sent.
+        """
         self.tier = tier
         self.random = random
         self.routes = routes
+        self._grammar = grammar
+        self.faulty_changes: Counter[int] = Counter()  # by status
         self.max_change_pause_s = MAX_CHANGE_PAUSE_S
         self.conversations: list[Conversation] = []
         self.turns: list[ObservedTurn] = []
@@ -244,6 +257,8 @@
     async def change(self) -> None:
         """Send a replacement or an update of the configuration until it is acknowledged."""
         change = self._new_change()
+        if self._grammar is not None and self._grammar.draws_fault():
+            await self._send_faulty_change(change.base, self._grammar.spoiled(change.table))
         self.changes.append(change)
         path = "/config/update" if change.update else "/config/replace"
         body = msgspec.json.encode(change.update or change.table)
@@ -270,9 +285,19 @@
         if self.routes is not None:
             self.routes.acknowledged(time.monotonic())
 
+    async def _send_faulty_change(self, base: int, table: dict) -> None:
+        """Send a configuration with a fault once; it must not be acknowledged."""
+        member = self.random.choice(self.tier.control_names)
+        body = msgspec.json.encode(table)
+        fields = ((b"lynxscale-base-version", b"%d" % base),)
+        response = await self.tier.call(self.tier.control(member), "POST", "/config/replace", body, fields)
+        self.faulty_changes[response.status] += 1
+        if response.status not in (0, UNDECIDED_STATUS, *REFUSED_STATUSES):
+            self.faults.append(f"CONFIG a faulty change on version {base} gets {response.status}: {body.decode()}")
+
     def _new_change(self) -> ObservedChange:
         """The next change. Without ``routes``, all after the first, a replacement, differ only in their first route."""
-        base = self.in_force["generation"]
+        base = int(self.in_force["generation"])
         if self.routes is None:
             table = default_configuration(base + self.random.randint(1, 3))
             table["routes"].append(resumable_route())
@@ -281,6 +306,8 @@
         route = table["routes"][0]
         route["retention-s"] = RETENTION_S
         route["target-latency-ms"] = 200 + len(self.changes)
+        if self._grammar is not None:
+            table = self._grammar.varied(table)
         change = ObservedChange(base, table)
         if self.routes is None and len(self.changes) > 1 and len(self.changes) % 2:
             change.update = {"generation": table["generation"], "upsert": {"routes": [route]}}
--- a/tests/lab/test_route_histories.py
+++ b/tests/lab/test_route_histories.py
@@ -10,6 +10,7 @@
 from lab.tier.route_histories import RouteHistory
 
 SEEDS = (*range(1, 41), 132)
+VARIED_SEEDS = range(41, 51)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -18,6 +19,12 @@
     assert not RouteHistory(seed).play(), seed
 
 
+@pytest.mark.parametrize("seed", VARIED_SEEDS)
+def test_a_history_of_route_changes_that_are_written_in_drawn_ways_breaks_no_rule(seed):
+    """Guards against review cases 6 and 8, and faulty configurations that are acknowledged."""
+    assert not RouteHistory(seed, varied=True).play(), seed
+
+
 def test_a_history_is_determined_by_its_seed_for_every_hash_seed():
     play = (
         "from lab.tier.route_histories import RouteHistory; h = RouteHistory(3); h.play(); "
