--- a/lab/tier/changing_routes.py
+++ b/lab/tier/changing_routes.py
@@ -123,6 +123,12 @@
     return common | named | {"retention-s": SHORT_RETENTION_S}
 
 
+def idle_routes(count: int) -> list[dict]:
+    """Routes that no client uses, as a large configuration has them; their numbers are written like 2.0."""
+    common = default_configuration()["routes"][-1]
+    return [common | {"name": f"idle-{n}", "path-prefix": f"/idle-{n}/", "max-attempts": 1.0} for n in range(count)]
+
+
 @dataclass(frozen=True)
 class JudgedTurn:
     """A turn on a changing route: what its client sent and received. ``status`` 0: no complete response."""
--- a/lab/tier/soak.py
+++ b/lab/tier/soak.py
@@ -6,7 +6,8 @@
 connections until the relay closes them, for calls and for conversations on the routes that change; the load of
 ``upgrade_load`` adds conversations on a route that stays, further calls and the operator; others resume streams that
 break off. Streams are framed by chunks, a length or the connection's end. With ``--pausing-clients N`` and
-``--seconds`` of 75 or more, N clients pause for as long as their turns are stored. The processes run on disks of a
+``--seconds`` of 75 or more, N clients pause for as long as their turns are stored, and with ``--idle-routes N`` the
+configuration has N routes more. The processes run on disks of a
 fixed speed (``steady_disk``). A seed repeats what a run draws; when that happens depends on the machine. Exit code 1
 if a rule was broken.
 """
@@ -25,7 +26,7 @@
 from pathlib import Path
 from random import Random
 
-from lab.tier.changing_routes import ChangingRoutes, lost_turns
+from lab.tier.changing_routes import ChangingRoutes, idle_routes, lost_turns
 from lab.tier.conditions import overload_endpoints, relieve_endpoints, vary_framing
 from lab.tier.configuration_grammar import ConfigurationGrammar
 from lab.tier.disturbances import CONTROL_SHARE, Disturber
@@ -56,7 +57,10 @@
 
 @dataclass(frozen=True)
 class SoakSize:
-    """``seconds``: for how long a run disturbs; the others are numbers of processes and clients."""
+    """``seconds``: for how long a run disturbs; the others are numbers of processes, clients and routes.
+
+    ``idle_routes``: routes that no client uses, of some 190 bytes each.
+    """
 
     seconds: float = DEFAULT_SECONDS
     relays: int = DEFAULT_RELAYS
@@ -65,6 +69,7 @@
     conversation_clients: int = CONVERSATION_CLIENTS
     resuming_clients: int = RESUMING_CLIENTS
     pausing_clients: int = 0
+    idle_routes: int = 0
 
 
 @dataclass(frozen=True)
@@ -116,6 +121,7 @@
         self._routes = ChangingRoutes(Random(f"routes {seed}"), TOOLS)
         self._load = Load(self._tier, Random(f"load {seed}"), self._routes, ConfigurationGrammar(f"soak {seed}"))
         talks = Random(f"conversations {seed}")
+        self._load.idle_routes = idle_routes(size.idle_routes)
         self._conversations = PersistentConversations(self._tier, self._routes, talks, size.conversation_clients)
         self._clients = PersistentClients(self._tier, Random(f"clients {seed}"), size.clients)
         self._resuming = LineClients(self._tier, Random(f"resuming {seed}"), size.resuming_clients, RESUMING)
@@ -239,6 +245,7 @@
     parser.add_argument("--controls", type=int, default=DEFAULT_CONTROLS)
     parser.add_argument("--clients", type=int, default=CLIENTS)
     parser.add_argument("--pausing-clients", type=int, default=0)
+    parser.add_argument("--idle-routes", type=int, default=0, help="routes that no client uses, for a large body")
     options = parser.parse_args()
     logging.disable(logging.CRITICAL)
     size = SoakSize(
@@ -247,6 +254,7 @@
         options.controls,
         options.clients,
         pausing_clients=options.pausing_clients,
+        idle_routes=options.idle_routes,
     )
     broken = 0
     started_at = time.monotonic()
--- a/lab/tier/upgrade_load.py
+++ b/lab/tier/upgrade_load.py
@@ -105,6 +105,7 @@
         self.routes = routes
         self._grammar = grammar
         self.faulty_changes: Counter[int] = Counter()  # by status
+        self.idle_routes: list[dict] = []  # routes that all changes add, and that no client uses
         self.max_change_pause_s = MAX_CHANGE_PAUSE_S
         self.conversations: list[Conversation] = []
         self.turns: list[ObservedTurn] = []
@@ -258,7 +259,8 @@
         """Send a replacement or an update of the configuration until it is acknowledged."""
         change = self._new_change()
         if self._grammar is not None and self._grammar.draws_fault():
-            await self._send_faulty_change(change.base, self._grammar.spoiled(change.table))
+            await self._send_faulty_change(change.base, self._with_idle_routes(self._grammar.spoiled(change.table)))
+        change.table = self._with_idle_routes(change.table)
         self.changes.append(change)
         path = "/config/update" if change.update else "/config/replace"
         body = msgspec.json.encode(change.update or change.table)
@@ -285,6 +287,11 @@
         if self.routes is not None:
             self.routes.acknowledged(time.monotonic())
 
+    def _with_idle_routes(self, table: dict) -> dict:
+        if not self.idle_routes or "routes" not in table:
+            return table
+        return table | {"routes": table["routes"] + self.idle_routes}
+
     async def _send_faulty_change(self, base: int, table: dict) -> None:
         """Send a configuration with a fault once; it must not be acknowledged."""
         member = self.random.choice(self.tier.control_names)
