The test of ctrl-c ends also where SIGINT is ignored from the start

The process that gets ctrl-c now begins with the usual disposition, as one in a terminal has; what is asked of it is the same.

Started with SIGINT ignored: hangs before, 1 passed now.

--- a/tests/test_trace_tools.py
+++ b/tests/test_trace_tools.py
@@ -297,6 +297,11 @@
             assert (code, "Example:\n" in out) == (0, True), name
 
 
+def receive_ctrl_c():
+    """Let a process get SIGINT also where the tests run in the background of a shell, which ignores it."""
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 def test_a_reader_that_leaves_and_ctrl_c_are_quiet(tmp_path):
     files, _sizes = recorded(tmp_path, traces.frames(400))
     for words, code in (([], 0), (["--follow"], 130)):
@@ -304,6 +309,7 @@
             [sys.executable, "-m", "lynxscale", "trace", "dump", *words, str(files._path)],
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
+            preexec_fn=receive_ctrl_c,
         )
         with process.stdout, process.stderr:
             assert process.stdout.readline()
