Names of the laboratory's grammar and of the conversion of whole numbers

Cause: "spoiled", "share" and "places" stand for a fault, a probability and members of an object; "unless equal" compared identities; a rule counted as a list of whole numbers by an argument of any type.

Change: names, and the type is asked for.

--- a/lab/tier/configuration_grammar.py
+++ b/lab/tier/configuration_grammar.py
@@ -11,10 +11,10 @@
 from random import Random
 from typing import Any
 
-FLOAT_SHARE = 0.3  # share of the whole numbers that are written as 2.0
-SPLIT_SHARE = 0.3  # share of the routes that split their traffic, all of which goes to one service
-UNKNOWN_SHARE = 0.3  # share of the objects with a member that no program knows
-FAULT_SHARE = 0.3  # share of the changes before which an operator sends one with a fault
+FLOAT_PROBABILITY = 0.3  # that a whole number is written as 2.0
+SPLIT_PROBABILITY = 0.3  # that a route splits its traffic, all of which goes to one service
+UNKNOWN_PROBABILITY = 0.3  # that an object has a member that no program knows
+FAULT_PROBABILITY = 0.3  # that an operator sends one with a fault before a change
 UNKNOWN_NAMES = ("note", "gap_aim_ms", "x-limits")
 UNKNOWN_VALUES: tuple[Any, ...] = (None, 7.5, "a:b", [], {"a": {"a": [1, 2.0]}}, -1)
 PORT = 8080
@@ -44,20 +44,20 @@
 
     def draws_fault(self) -> bool:
         """Whether the operator sends a configuration with a fault before the next change."""
-        return self._random.random() < FAULT_SHARE
+        return self._random.random() < FAULT_PROBABILITY
 
-    def spoiled(self, configuration: dict) -> dict:
+    def with_fault(self, configuration: dict) -> dict:
         """A configuration with one fault, for which it must be refused."""
-        spoiled = deepcopy(configuration)
-        self._random.choice(self._faults)(spoiled)
-        return spoiled
+        faulty = deepcopy(configuration)
+        self._random.choice(self._faults)(faulty)
+        return faulty
 
     # Other ways to write it --------------------------------------------------------------------------
 
     def _vary_route(self, route: dict) -> None:
         host = route["host"].partition(":")[0]
         route["host"] = self._random.choice((host, host.upper(), host.title(), f"{host}:{PORT}"))
-        if "backend" in route and self._random.random() < SPLIT_SHARE:
+        if "backend" in route and self._random.random() < SPLIT_PROBABILITY:
             route["weighted-backends"] = [{"backend": route.pop("backend"), "weight": self._random.choice((1, 0.25))}]
 
     def _with_other_numbers(self, value: Any) -> Any:
@@ -65,10 +65,10 @@
             return [self._with_other_numbers(entry) for entry in value]
         if isinstance(value, dict):
             varied = {name: self._with_other_numbers(entry) for name, entry in value.items()}
-            if self._random.random() < UNKNOWN_SHARE:
+            if self._random.random() < UNKNOWN_PROBABILITY:
                 varied[self._random.choice(UNKNOWN_NAMES)] = self._random.choice(UNKNOWN_VALUES)
             return varied
-        if type(value) is int and self._random.random() < FLOAT_SHARE:
+        if type(value) is int and self._random.random() < FLOAT_PROBABILITY:
             return float(value)
         return value
 
@@ -93,14 +93,14 @@
         self._route(configuration)["timeout-ms"] = self._random.choice((0, 0.0, -1))
 
     def _leave_out(self, configuration: dict) -> None:
-        places = [(configuration, name) for name in ("generation", "routes", "services")]
-        places += [(self._route(configuration), name) for name in ("name", "host", "path-prefix", "route-type")]
-        parent, name = self._random.choice(places)
+        members = [(configuration, name) for name in ("generation", "routes", "services")]
+        members += [(self._route(configuration), name) for name in ("name", "host", "path-prefix", "route-type")]
+        parent, name = self._random.choice(members)
         del parent[name]
 
     def _put_wrong_value(self, configuration: dict) -> None:
         """Give a member that has a whole number at least 1 a value that is none."""
         route, service = self._route(configuration), self._random.choice(configuration["services"])
-        places = [(route, "max-attempts"), (service, "max-connections"), (configuration["limits"], "max-header-bytes")]
-        parent, name = self._random.choice(places)
+        members = [(route, "max-attempts"), (service, "max-connections"), (configuration["limits"], "max-header-bytes")]
+        parent, name = self._random.choice(members)
         parent[name] = self._random.choice(WRONG_VALUES)
--- a/lab/tier/route_histories.py
+++ b/lab/tier/route_histories.py
@@ -219,7 +219,7 @@
             if self._grammar is not None:
                 table = self._grammar.varied(table)
                 if self._grammar.draws_fault():
-                    self._send_faulty_change(base, self._grammar.spoiled(table))
+                    self._send_faulty_change(base, self._grammar.with_fault(table))
             change = ObservedChange(base, table)
             self.changes.append(change)
         self._send_change(change)
--- a/lab/tier/turn_histories.py
+++ b/lab/tier/turn_histories.py
@@ -304,7 +304,7 @@
         """Send configurations with a fault; none may be acknowledged."""
         proper = self._draw_configuration(self._generation + 1)
         for _ in range(FAULTY_CHANGES):
-            faulty = self._grammar.spoiled(self._grammar.varied(proper))
+            faulty = self._grammar.with_fault(self._grammar.varied(proper))
             status = self._tier.push(faulty, self._generation).status
             self.counts["faulty_change"] += 1
             if status != 400:
--- a/lab/tier/upgrade_load.py
+++ b/lab/tier/upgrade_load.py
@@ -259,7 +259,7 @@
         """Send a replacement or an update of the configuration until it is acknowledged."""
         change = self._new_change()
         if self._grammar is not None and self._grammar.draws_fault():
-            await self._send_faulty_change(change.base, self._with_idle_routes(self._grammar.spoiled(change.table)))
+            await self._send_faulty_change(change.base, self._with_idle_routes(self._grammar.with_fault(change.table)))
         change.table = self._with_idle_routes(change.table)
         self.changes.append(change)
         path = "/config/update" if change.update else "/config/replace"
--- a/lynxscale/configuration/field_rules.py
+++ b/lynxscale/configuration/field_rules.py
@@ -32,7 +32,7 @@
     @property
     def is_integer_list(self) -> bool:
         """Whether it holds a list of whole numbers."""
-        return int in get_args(self.kind)
+        return get_origin(self.kind) is tuple and int in get_args(self.kind)
 
 
 @cache
--- a/lynxscale/configuration/whole_numbers.py
+++ b/lynxscale/configuration/whole_numbers.py
@@ -46,11 +46,11 @@
     if not isinstance(value, list):
         return value
     if rule.entries is None:
-        return _unless_equal(value, [as_whole_number(item) for item in value])
-    return _unless_equal(value, [with_whole_numbers(item, rule.entries) for item in value])
+        return _original_if_unchanged(value, [as_whole_number(item) for item in value])
+    return _original_if_unchanged(value, [with_whole_numbers(item, rule.entries) for item in value])
 
 
-def _unless_equal(before: list[Any], after: list[Any]) -> list[Any]:
+def _original_if_unchanged(before: list[Any], after: list[Any]) -> list[Any]:
     """Return the list before if none of its items was replaced."""
     return before if all(map(is_, before, after)) else after
 
--- a/tests/lab/test_configuration_grammar.py
+++ b/tests/lab/test_configuration_grammar.py
@@ -37,12 +37,12 @@
     assert len(texts) == len(SEEDS)
 
 
-def test_a_spoiled_configuration_is_refused_also_if_it_is_varied():
+def test_a_configuration_with_a_fault_is_refused_also_if_it_is_varied():
     findings = set()
     for seed in SEEDS:
         grammar = ConfigurationGrammar(str(seed))
-        spoiled = grammar.spoiled(grammar.varied(default_configuration(2)))
-        checked = check_configuration(msgspec.json.encode(spoiled))
-        assert isinstance(checked, Failure), spoiled
+        faulty = grammar.with_fault(grammar.varied(default_configuration(2)))
+        checked = check_configuration(msgspec.json.encode(faulty))
+        assert isinstance(checked, Failure), faulty
         findings |= {finding.message for finding in checked.failure()}
     assert len(findings) > 10
