The form in which hosts are compared is the same when it is derived twice

Cause: hosts are published as they are compared, and relays compare them again; the function took off one more port each time.

Change: configuration/hosts.py reads a host by its syntax or not at all. Relays leave out routes with an invalid host and log them. Records of the program before, whose published form is derived by it, lack the new field `form`: relays are then sent what follows from the operator's text.

--- a/lynxscale/configuration/document.py
+++ b/lynxscale/configuration/document.py
@@ -63,12 +63,12 @@
 def published_form(body: bytes) -> bytes:
     """Return a configuration's JSON as relays of all versions read it.
 
-    It has no fractions where they want whole numbers, and hosts as they compare them. It is returned unchanged if that
-    is so already, or if it is no JSON object.
+    It has no fractions where they want whole numbers, and hosts as they compare them; an invalid host stays as it is.
+    It is returned unchanged if that is so already, or if it is no JSON object.
     """
     try:
         configuration = msgspec.json.decode(body, type=Configuration)
-        if all(route.host == normalized_host(route.host) for route in configuration.routes):
+        if all(normalized_host(route.host) in (route.host, None) for route in configuration.routes):
             return body
     except (msgspec.DecodeError, RecursionError):
         pass  # it may have fractions
@@ -85,9 +85,9 @@
 
 
 def _with_normalized_host(route: Any) -> Any:
-    if isinstance(route, dict) and isinstance(route.get("host"), str):
-        return route | {"host": normalized_host(route["host"])}
-    return route
+    host = route.get("host") if isinstance(route, dict) else None
+    normalized = normalized_host(host) if isinstance(host, str) else None
+    return route if normalized is None else route | {"host": normalized}
 
 
 def comparable_form(document: Document) -> Document:
--- a/lynxscale/controlplane/configuration_check.py
+++ b/lynxscale/controlplane/configuration_check.py
@@ -108,6 +108,7 @@
 
 
 def _match_of(route: Any) -> tuple[str, str] | None:
-    """Return the host and path prefix of a route as relays compare them, None if it lacks one."""
+    """Return the host and path prefix of a route as relays compare them, None if one of them is missing or invalid."""
     host, prefix = (route.get("host"), route.get("path-prefix")) if isinstance(route, dict) else (None, None)
-    return (normalized_host(host), prefix) if isinstance(host, str) and isinstance(prefix, str) else None
+    normalized = normalized_host(host) if isinstance(host, str) else None
+    return (normalized, prefix) if normalized is not None and isinstance(prefix, str) else None
--- a/lynxscale/controlplane/newest_configuration.py
+++ b/lynxscale/controlplane/newest_configuration.py
@@ -11,6 +11,7 @@
 from lynxscale.configuration.document import published_form, read_configuration
 
 CURRENT_KEY = "config/current"
+STABLE_HOSTS = 1  # hosts in ``body`` are in the form that ``configuration.hosts`` defines
 
 
 class CurrentConfiguration(msgspec.Struct, frozen=True):
@@ -18,17 +19,27 @@
 
     ``written``: the JSON as the operator wrote it; unset if that is the same, and in records of programs that stored
     nothing else. Such a program, after a roll back, finds in ``body`` what its relays can read.
+
+    ``form``: how ``body`` was derived from ``written``; unset without ``written``, and in records of programs before.
+    The ``body`` of these may contain another host in place of an invalid one, so relays are sent what follows from
+    ``written``.
     """
 
     generation: int
     body: msgspec.Raw
     written: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
+    form: int | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def as_written(self) -> bytes:
         """The JSON as the operator wrote it; a replacement byte for byte as it was sent."""
         return bytes(self.body if self.written is msgspec.UNSET else self.written)
 
+    @property
+    def published(self) -> bytes:
+        """The JSON that relays are sent."""
+        return bytes(self.body) if self.form == STABLE_HOSTS else published_form(self.as_written)
+
     @property
     def error(self) -> str:
         """Why relays cannot use it, empty if they can; a program before may have acknowledged what they cannot read."""
@@ -39,8 +50,9 @@
 def stored_configuration(generation: int, written: bytes) -> CurrentConfiguration:
     """Return the record of an acknowledged configuration as the operator wrote it."""
     body = published_form(written)
-    as_written = msgspec.UNSET if body == written else msgspec.Raw(written)
-    return CurrentConfiguration(generation, msgspec.Raw(body), as_written)
+    if body == written:
+        return CurrentConfiguration(generation, msgspec.Raw(body))
+    return CurrentConfiguration(generation, msgspec.Raw(body), msgspec.Raw(written), STABLE_HOSTS)
 
 
 @frozen
--- a/lynxscale/controlplane/topic_publication.py
+++ b/lynxscale/controlplane/topic_publication.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-from lynxscale.configuration.document import published_form
 from lynxscale.controlplane.newest_configuration import CurrentConfiguration
 from lynxscale.coordination.member import ControlMember
 from lynxscale.coordination.messages import Topic, Version, address_of
@@ -53,8 +52,7 @@
     def publish_configuration(self, current: CurrentConfiguration | None) -> None:
         """Publish the configuration in force, if there is one."""
         if current is not None:
-            body = published_form(bytes(current.body))
-            topic = Topic(Version(0, current.generation), msgspec.Raw(body))
+            topic = Topic(Version(0, current.generation), msgspec.Raw(current.published))
             self._publisher.update({CONFIGURATION_TOPIC: topic})
         self._push()
 
--- a/lynxscale/dataplane/routing.py
+++ b/lynxscale/dataplane/routing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 import msgspec
 from returns.result import Failure
 
@@ -10,9 +12,14 @@
 from lynxscale.configuration.model import Configuration, Engine, Route
 from lynxscale.dataplane.exceptions import UnusableConfigurationError
 
+log = logging.getLogger(__name__)
+
 
 class RouteTable:
-    """Finds routes and services of one configuration."""
+    """Finds routes and services of one configuration.
+
+    It lacks routes whose host is invalid, which a program before may have acknowledged: no request can match them.
+    """
 
     def __init__(self, configuration: Configuration) -> None:
         self.generation = configuration.generation
@@ -20,16 +27,19 @@
         self.services = {service.name: service for service in configuration.services}
         self.routes_by_host: dict[str, list[Route]] = {}  # the longest path prefix first
         for route in configuration.routes:
-            self.routes_by_host.setdefault(normalized_host(route.host), []).append(route)
+            host = normalized_host(route.host)
+            if host is None:
+                log.warning("event=route_unreachable route=%s host=%r", route.name, route.host)
+            else:
+                self.routes_by_host.setdefault(host, []).append(route)
         for routes in self.routes_by_host.values():
             routes.sort(key=lambda route: -len(route.path_prefix))
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest matching path prefix; the port and case of ``host`` are ignored."""
-        for route in self.routes_by_host.get(normalized_host(host), ()):
-            if path.startswith(route.path_prefix):
-                return route
-        return None
+        normalized = normalized_host(host)
+        routes = [] if normalized is None else self.routes_by_host.get(normalized, [])
+        return next((route for route in routes if path.startswith(route.path_prefix)), None)
 
     def tokens_per_event(self, service: str) -> int:
         """Return the number of tokens in each event of a service's streams."""
--- a/tests/dataplane/test_route_hosts.py
+++ b/tests/dataplane/test_route_hosts.py
@@ -2,12 +2,23 @@
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from lab.tier.simulated_tier import default_configuration
+from lab.tier.simulated_tier import HOST, default_configuration
+from lynxscale.configuration.document import published_form
 from lynxscale.configuration.hosts import normalized_host
 from lynxscale.controlplane.configuration_check import check_configuration
+from lynxscale.controlplane.newest_configuration import CurrentConfiguration
+from lynxscale.dataplane.routing import decode_route_table
 from tests.simulated_tier import settled_tier
 
+INVALID_HOSTS = (
+    "a b", "a.example/", "user@a.example", "a.example:abc", "a.example:80:90", ":80", "::1", "[::1", "[:::]",
+    "[fe80::1%25eth0]", "[v1.a]", "http://a.example", "a%zz.example", "m\u00fcnchen.example",
+    "\u212a.example", "a:\u0663",
+)  # fmt: skip
+
 
 @pytest.mark.parametrize(
     ("host", "compared"),
@@ -17,6 +28,10 @@
         ("h.example:", "h.example"),
         ("[2001:DB8::1]:80", "[2001:db8::1]"),
         ("[::1]", "[::1]"),
+        ("[0:0::0:1]:", "[::1]"),
+        ("10.0.0.1:80", "10.0.0.1"),
+        ("XN--MNCHEN-3YA.example", "xn--mnchen-3ya.example"),
+        ("a_b.example.", "a_b.example."),
         ("", ""),
     ],
 )
@@ -45,3 +60,41 @@
     configuration["routes"].append(configuration["routes"][0] | {"host": "TIER.example:80"})
     (finding,) = check_configuration(msgspec.json.encode(configuration)).failure()
     assert str(finding) == "routes[4]: host and path-prefix are those of routes[0]"
+
+
+@pytest.mark.parametrize("host", INVALID_HOSTS)
+def test_an_invalid_host_has_no_form(host):
+    assert normalized_host(host) is None
+
+
+@given(st.one_of(st.text(), st.text(alphabet="aA:.[]%0159 -", max_size=12), st.sampled_from(INVALID_HOSTS)))
+def test_the_form_of_a_form_is_the_form_itself(host):
+    """Regression: hosts are published as they are compared, and compared again by relays."""
+    form = normalized_host(host)
+    assert form is None or normalized_host(form) == form
+
+
+def configuration_with_taken_place() -> dict:
+    """A configuration as the program before acknowledged it: the last route has an invalid host."""
+    configuration = default_configuration(2)
+    taking = {"name": "taking", "host": f"{HOST}:80:90", "path-prefix": "/look/most/"}
+    configuration["routes"].append(configuration["routes"][2] | taking)
+    return configuration
+
+
+def test_a_route_with_an_invalid_host_takes_no_requests_of_another():
+    """Regression: ``tier.example:80:90`` was published as ``tier.example:80`` and found as ``tier.example``."""
+    body = msgspec.json.encode(configuration_with_taken_place())
+    table = decode_route_table(msgspec.Raw(published_form(body)))
+    assert table.find(HOST, "/look/most/1").name == "look"
+    assert table.find(f"{HOST}:80:90", "/look/most/1") is None
+
+
+def test_relays_are_not_sent_the_hosts_that_the_program_before_derived():
+    """It stored ``tier.example:80`` as what relays read, beside ``tier.example:80:90`` as it was written."""
+    written = configuration_with_taken_place()
+    derived = configuration_with_taken_place()
+    derived["routes"][-1]["host"] = f"{HOST}:80"
+    stored = CurrentConfiguration(2, *(msgspec.Raw(msgspec.json.encode(form)) for form in (derived, written)))
+    table = decode_route_table(msgspec.Raw(stored.published))
+    assert table.find(HOST, "/look/most/1").name == "look"
