Routes that no request can match are refused, with their place

Cause: the check went by the types of host and path-prefix alone.

The laboratory's grammar draws such configurations among those with a fault.

--- a/lab/tier/configuration_grammar.py
+++ b/lab/tier/configuration_grammar.py
@@ -1,7 +1,8 @@
 """Configurations drawn by their grammar: the same one written in another way, and one with a fault put in.
 
 JSON has one kind of number, hosts are compared in lower case and without their port, a route with one service may split
-its traffic, and members that no program knows are ignored. So a relay must do the same by each of the forms.
+its traffic, and members that no program knows are ignored. So a relay must do the same by each of the forms. A route
+that no request can match is a fault.
 """
 
 from __future__ import annotations
@@ -18,6 +19,17 @@
 UNKNOWN_NAMES = ("note", "gap_aim_ms", "x-limits")
 UNKNOWN_VALUES: tuple[Any, ...] = (None, 7.5, "a:b", [], {"a": {"a": [1, 2.0]}}, -1)
 PORT = 8080
+INVALID_HOSTS = (
+    "a b",
+    "tier.example/",
+    "user@tier.example",
+    "tier.example:80:90",
+    "*.example",
+    ":80",
+    "::1",
+    "t\u00fcr",
+)
+INVALID_PREFIXES = ("", "x", "x/", "/x", "/x/?y/", "/x#/", "/a b/", "/ni\u00f1o/")
 WRONG_VALUES: tuple[Any, ...] = (None, [], {}, [[]], True, "x", -1, 2.5)
 
 
@@ -33,6 +45,7 @@
             self._clear_timeout,
             self._leave_out,
             self._put_wrong_value,
+            self._make_unreachable,
         )
 
     def varied(self, configuration: dict) -> dict:
@@ -98,6 +111,10 @@
         parent, name = self._random.choice(members)
         del parent[name]
 
+    def _make_unreachable(self, configuration: dict) -> None:
+        name, values = self._random.choice((("host", INVALID_HOSTS), ("path-prefix", INVALID_PREFIXES)))
+        self._route(configuration)[name] = self._random.choice(values)
+
     def _put_wrong_value(self, configuration: dict) -> None:
         """Give a member that has a whole number at least 1 a value that is none."""
         route, service = self._route(configuration), self._random.choice(configuration["services"])
--- a/lynxscale/controlplane/configuration_check.py
+++ b/lynxscale/controlplane/configuration_check.py
@@ -20,10 +20,13 @@
 from lynxscale.configuration.hosts import normalized_host
 from lynxscale.configuration.model import ROUTE_TYPES, Route, Service, WeightedBackend
 from lynxscale.configuration.model import Configuration as TypedConfiguration
+from lynxscale.configuration.route_syntax import host_violation, path_prefix_violation
 from lynxscale.configuration.whole_numbers import as_whole_number
 from lynxscale.controlplane.configuration import Configuration
 
 ENTRY_LISTS = ("routes", "services")
+MATCH_VIOLATIONS = {"host": host_violation, "path-prefix": path_prefix_violation}
+"""The fields by which a route matches requests, each with the function that checks it."""
 
 
 def check_configuration(body: bytes) -> Result[Configuration, Findings]:
@@ -73,9 +76,10 @@
 
 
 def _route_findings(path: str, entry: Any, services: set[str], fields_are_valid: bool) -> Iterator[Finding]:
-    """Yield the findings on a route: on its fields, or, if these are right, on what they say together."""
+    """Yield the findings on a route: on its fields, and, if these are of the right types, on what they say together."""
     findings = [] if fields_are_valid else struct_findings(path, entry, Route)
     yield from findings
+    yield from _match_findings(path, entry)
     if findings:
         return
     route = msgspec.convert(entry, Route)
@@ -87,6 +91,15 @@
         yield Finding(f"{path}.backend", f"no service is called {route.backend!r}")
 
 
+def _match_findings(path: str, entry: Any) -> Iterator[Finding]:
+    """Yield a finding for each field because of which no request can match the route."""
+    for name, violation in MATCH_VIOLATIONS.items():
+        value = entry.get(name) if isinstance(entry, dict) else None
+        wanted = violation(value) if isinstance(value, str) else ""
+        if wanted:
+            yield Finding(f"{path}.{name}", f"want {wanted}")
+
+
 def _split_findings(path: str, split: tuple[WeightedBackend, ...], services: set[str]) -> Iterator[Finding]:
     for index, target in enumerate(split):
         if target.backend not in services:
