Requests in absolute form are served, with the host of their target

Cause: the server took the whole request target for the path. RFC 9112, 3.2.2: a server must accept this form, and takes the host from it.

Change: runtime/request_target.py converts such a request as it arrives, for clients, operator and health checks. Endpoints get the origin form with the path, query, method and body as sent (3.2.1) and the host of the target.

--- a/lab/tier/configuration_grammar.py
+++ b/lab/tier/configuration_grammar.py
@@ -65,6 +65,12 @@
         self._random.choice(self._faults)(faulty)
         return faulty
 
+    def with_repeated_match(self, configuration: dict) -> dict:
+        """A configuration two routes of which have the same host and path prefix."""
+        faulty = deepcopy(configuration)
+        self._repeat_match(faulty)
+        return faulty
+
     # Other ways to write it --------------------------------------------------------------------------
 
     def _vary_route(self, route: dict) -> None:
--- a/lab/tier/line_clients.py
+++ b/lab/tier/line_clients.py
@@ -17,6 +17,7 @@
 from lab.tier.judge_wait import is_set_within
 from lab.tier.local import LocalTier
 from lab.tier.persistent_clients import ANSWER_SLACK_S, CONNECT_TIMEOUT_S, PersistentRequest
+from lab.tier.request_grammar import varied_request
 from lab.tier.resumable_turns import Line, unasked_prompts
 from lynxscale.controlplane.turn_history import RETENTION_MARGIN_S
 from lynxscale.dataplane.headers import REQUEST_ID
@@ -35,6 +36,7 @@
 
     ``resumes``: whether clients resume streams that break off. ``long_pause_s``: the range of the pause before every
     second turn, None for short ones only; those turns then run for as long as their previous one takes to be removed.
+    ``varies_requests``: whether requests are written in drawn ways, not all of which programs before understand.
     """
 
     route: str
@@ -42,6 +44,7 @@
     resumes: bool
     retention_s: float
     long_pause_s: tuple[float, float] | None = None
+    varies_requests: bool = True
 
     @property
     def path_prefix(self) -> str:
@@ -56,7 +59,7 @@
 
 
 RESUMING = LineKind(RESUMABLE_ROUTE, 20, True, RETENTION_S)
-RESTARTING = LineKind(RESUMABLE_ROUTE, 20, False, RETENTION_S)
+RESTARTING = LineKind(RESUMABLE_ROUTE, 20, False, RETENTION_S, varies_requests=False)
 """The streams may be resumed, but clients begin anew, as programs before resume turns without their beginning."""
 EXPIRY_S = SHORT_RETENTION_S + RETENTION_MARGIN_S
 PAUSING = LineKind(SHORT_ROUTE, 100, False, SHORT_RETENTION_S, (EXPIRY_S - 3.0, EXPIRY_S + 6.0))
@@ -109,7 +112,8 @@
         head += [(name.replace("_", "-").encode(), value.encode()) for name, value in fields.items()]
         loop = asyncio.get_running_loop()
         connection = ClientConnection(self._tier.frontend(relay), LoopClock(loop), lambda idle: None)
-        connection.send(Request("POST", line.path, Head(tuple(head)), line.text), sent)
+        request = Request("POST", line.path, Head(tuple(head)), line.text)
+        connection.send(varied_request(request) if self._kind.varies_requests else request, sent)
         AsyncioDialer(loop, CONNECT_TIMEOUT_S)(connection.address, connection)
         try:
             if not await is_set_within(sent.ended, DEADLINE_MS / 1000.0 + ANSWER_SLACK_S):
--- a/lab/tier/persistent_clients.py
+++ b/lab/tier/persistent_clients.py
@@ -11,6 +11,7 @@
 from lab.tier.disturbances import RELAY_FREEZE_RANGE_S
 from lab.tier.judge_wait import is_set_within
 from lab.tier.local import LocalTier
+from lab.tier.request_grammar import varied_request
 from lynxscale.dataplane.headers import REQUEST_ID
 from lynxscale.runtime.clock import LoopClock
 from lynxscale.runtime.http_client import AsyncioDialer, ClientConnection, ClientState, ResponseFailure
@@ -120,7 +121,7 @@
             (REQUEST_ID, sent.request_id.encode()),
             (b"lynxscale-deadline-ms", b"%d" % DEADLINE_MS),
         )
-        connection.send(Request("POST", path, Head(fields)), sent)
+        connection.send(varied_request(Request("POST", path, Head(fields))), sent)
         return sent
 
     def _draw_pause_s(self) -> float:
--- a/lab/tier/persistent_conversations.py
+++ b/lab/tier/persistent_conversations.py
@@ -17,6 +17,7 @@
 from lab.tier.judge_wait import is_set_within
 from lab.tier.local import LocalTier
 from lab.tier.persistent_clients import ANSWER_SLACK_S, CONNECT_TIMEOUT_S, PersistentRequest
+from lab.tier.request_grammar import varied_request
 from lab.tier.upgrade_load import ClientResult
 from lynxscale.dataplane.headers import REQUEST_ID
 from lynxscale.runtime.clock import LoopClock
@@ -114,7 +115,7 @@
         ]
         if turn.previous:
             fields.append((b"previous", turn.previous.encode()))
-        request = Request("POST", turn.route.path, Head(tuple(fields)), turn.text)
+        request = varied_request(Request("POST", turn.route.path, Head(tuple(fields)), turn.text))
         relay = turn.request.relay
         connection = connections.get(relay)
         if connection is not None and connection.state is ClientState.IDLE:
--- a/lynxscale/runtime/exceptions.py
+++ b/lynxscale/runtime/exceptions.py
@@ -25,6 +25,14 @@
     """Base of errors of which the other side or the network is the cause."""
 
 
+class InvalidRequestError(RemoteError):
+    """A client's request cannot be handled; it is answered with ``status``."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
 class NoResponseError(RemoteError):
     """The server at ``address`` sent no complete response; the message is ``reason``."""
 
--- a/lynxscale/runtime/http_server.py
+++ b/lynxscale/runtime/http_server.py
@@ -16,7 +16,9 @@
 from attrs import define
 
 from lynxscale.coordination.ports import Clock, Timer
+from lynxscale.runtime.exceptions import InvalidRequestError
 from lynxscale.runtime.http_types import Head, Headers, Request, Response
+from lynxscale.runtime.request_target import in_origin_form
 from lynxscale.runtime.sockets import configure_socket, reset_on_close
 
 EMPTY_LENGTH: Headers = ((b"content-length", b"0"),)
@@ -273,10 +275,15 @@
     def _dispatch(self) -> None:
         head = self._head
         assert head is not None
-        request = Request(
+        received = Request(
             head.method.decode("latin-1"), head.target.decode("latin-1"), Head(tuple(head.headers)), bytes(self._body)
         )
         self._body.clear()
+        try:
+            request = in_origin_form(received)
+        except InvalidRequestError as error:
+            self._reject(error.status)
+            return
         self._set_state(ConnectionState.ANSWERING)
         self._responder = Responder(self)
         exchange = self._handler(request, self._responder)
--- a/lynxscale/runtime/http_types.py
+++ b/lynxscale/runtime/http_types.py
@@ -57,7 +57,7 @@
 
 @frozen
 class Request:
-    """A complete HTTP request."""
+    """A complete HTTP request; the server hands on requests whose ``target`` is not in absolute form."""
 
     method: str
     target: str
--- /dev/null
+++ b/lynxscale/runtime/request_target.py
@@ -0,0 +1,53 @@
+"""Request targets in absolute form, ``http://host/path?query`` (RFC 9112, section 3.2.2).
+
+Every server must accept them, and takes the host from the target in place of the ``Host`` field. So they are converted
+as they arrive: routes, endpoints and the operator API get the origin form, ``/path?query``, and a ``Host`` field.
+"""
+
+from __future__ import annotations
+
+import re
+from http import HTTPStatus
+
+import attrs
+
+from lynxscale.configuration.hosts import normalized_host
+from lynxscale.runtime.exceptions import InvalidRequestError
+from lynxscale.runtime.http_types import Head, Headers, Request
+
+ABSOLUTE_FORM = re.compile(r"(?P<scheme>[a-z][a-z0-9+.-]*)://(?P<authority>[^/?#]*)(?P<rest>.*)", re.IGNORECASE)
+SERVED_SCHEME = "http"  # https and others need a connection of another kind (RFC 9110, section 7.4)
+HOST = b"host"
+ORIGIN_FORM_START = "/"
+SERVER_WIDE_TARGET = "*"
+
+
+def in_origin_form(request: Request) -> Request:
+    """Return a request whose target is in absolute form with one in origin form, any other request unchanged.
+
+    Raises InvalidRequestError if the target is invalid.
+    """
+    absolute = None if request.target.startswith(ORIGIN_FORM_START) else ABSOLUTE_FORM.fullmatch(request.target)
+    if absolute is None:
+        return request
+    if absolute["scheme"].lower() != SERVED_SCHEME:
+        raise InvalidRequestError(HTTPStatus.MISDIRECTED_REQUEST, "unsupported scheme")
+    if not normalized_host(absolute["authority"]):
+        raise InvalidRequestError(HTTPStatus.BAD_REQUEST, "invalid host in the target")
+    target = _origin_target(request.method, absolute["rest"])
+    return attrs.evolve(request, target=target, head=_with_host(request.head, absolute["authority"].encode()))
+
+
+def _origin_target(method: str, rest: str) -> str:
+    """Return the target in origin form; ``rest``: what follows the authority in the absolute form."""
+    if rest.startswith("#"):
+        raise InvalidRequestError(HTTPStatus.BAD_REQUEST, "fragment in the target")
+    if not rest and method == "OPTIONS":
+        return SERVER_WIDE_TARGET  # RFC 9112, section 3.2.4
+    return rest if rest.startswith(ORIGIN_FORM_START) else ORIGIN_FORM_START + rest
+
+
+def _with_host(head: Head, host: bytes) -> Head:
+    """Return a head whose ``Host`` field, put first if there was none, is ``host``."""
+    fields: Headers = tuple((name, host if name == HOST else value) for name, value in head.fields)
+    return Head(fields if head.get(HOST) is not None else ((HOST, host), *fields))
--- a/tests/lab/test_route_histories.py
+++ b/tests/lab/test_route_histories.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lab.tier.changing_routes import ChangingRoute, JudgedTurn, lost_turns
+from lab.tier.configuration_grammar import ConfigurationGrammar
 from lab.tier.route_histories import RouteHistory
 from lynxscale.controlplane import configuration_check
 
@@ -29,6 +30,7 @@
 def test_a_faulty_change_that_is_acknowledged_is_reported(monkeypatch):
     """What the judge tells if the check lets a fault pass; such a history went on for ever before."""
     monkeypatch.setattr(configuration_check, "_duplicate_match_findings", lambda routes: iter(()))
+    monkeypatch.setattr(ConfigurationGrammar, "with_fault", ConfigurationGrammar.with_repeated_match)
     broken = RouteHistory(41, varied=True).play()
     assert broken["faulty_change_acknowledged"] and broken["change_not_acknowledged"], broken
 
