A number in a header field is finite, or it is none

What callers saw: a turn with Lynxscale-Deadline-Ms: nan, or Budget: nan or inf, lost its connection without an answer (real processes); Budget: many or -1 ran without a budget, a superscript two as a token count closed the connection (one process).

Cause: float() reads nan and inf, and a time that is not a number came into the heap of timers; -1 was the mark of a turn without a budget; str.isdigit accepts digits that int() does not.

Change: such numbers count as missing; a turn whose Budget is no number is answered 400 and not run, a negative one is 0.

--- a/lynxscale/dataplane/headers.py
+++ b/lynxscale/dataplane/headers.py
@@ -31,6 +31,7 @@
 REPLACED_UPSTREAM = frozenset((DEADLINE_MS, EXPECT_INSTANCE, LAST_EVENT_ID, PRIORITY, CONTENT_LENGTH))
 MIN_PRIORITY, MAX_PRIORITY = 0, 9
 MIN_DEADLINE_MS = 1
+MAX_BUDGET_TOKENS = 2**53  # the greatest number up to which every whole number is a float
 
 
 def upstream_fields(
@@ -69,18 +70,29 @@
 def prompt_tokens(head: Head) -> int:
     """Return the number of prompt tokens, 0 if the request does not state it."""
     prompt, _, _ = head.text(TOKEN_COUNT).partition(",")
-    return int(prompt) if prompt.strip().isdigit() else 0
+    return int(prompt) if prompt.strip().isdecimal() else 0
 
 
 def max_output_tokens(head: Head) -> int:
     """Return the maximum number of output tokens, 0 if the request does not state it."""
     _, _, max_output = head.text(TOKEN_COUNT).partition(",")
-    return int(max_output) if max_output.strip().isdigit() else 0
+    return int(max_output) if max_output.strip().isdecimal() else 0
+
+
+def has_invalid_budget(head: Head) -> bool:
+    """Return whether a request has a budget that is no number, so that nothing tells how much it may generate."""
+    return head.get(BUDGET) is not None and head.number(BUDGET) is None
+
+
+def budget_tokens(head: Head) -> int | None:
+    """Return the budget of a request's program in tokens, 0 for a negative one, None if the request has no budget."""
+    budget = head.number(BUDGET)
+    return None if budget is None else int(min(max(budget, 0.0), MAX_BUDGET_TOKENS))
 
 
 def server_load(head: Head) -> int | None:
     """Return the sum of running and waiting requests that the endpoint reports, None without a valid report."""
     counts = head.text(SERVER_LOAD).split(",")
-    if len(counts) < 2 or not all(count.strip().isdigit() for count in counts[:2]):
+    if len(counts) < 2 or not all(count.strip().isdecimal() for count in counts[:2]):
         return None
     return int(counts[0]) + int(counts[1])
--- a/lynxscale/dataplane/request_router.py
+++ b/lynxscale/dataplane/request_router.py
@@ -27,7 +27,7 @@
 from lynxscale.dataplane.load_balancer import LoadBalancer
 from lynxscale.dataplane.pending_until_configured import PendingUntilConfigured
 from lynxscale.dataplane.relay_configuration import RelayConfiguration, RouteMatch
-from lynxscale.dataplane.responses import NOT_FOUND, SERVICE_UNAVAILABLE, relay_response
+from lynxscale.dataplane.responses import BAD_REQUEST, NOT_FOUND, SERVICE_UNAVAILABLE, relay_response
 from lynxscale.dataplane.turns import TurnClient, is_admitted
 from lynxscale.runtime.http_server import Exchange, Responder
 from lynxscale.runtime.http_types import Request
@@ -134,7 +134,10 @@
 
     def _forward(
         self, request: Request, responder: Responder, route: Route, stated_version: int | None
-    ) -> ForwardedRequest:
+    ) -> Exchange | None:
+        if route.streaming and headers.has_invalid_budget(request.head):
+            responder.respond(relay_response(BAD_REQUEST))
+            return None
         table = self._configuration.table
         assert table is not None  # it contains the route
         exchange = ForwardedRequest(request, RouteMatch(route, table, stated_version), responder, self._context)
--- a/lynxscale/dataplane/responses.py
+++ b/lynxscale/dataplane/responses.py
@@ -5,7 +5,7 @@
 from lynxscale.dataplane.headers import CONTENT_LENGTH, RETRY_AFTER
 from lynxscale.runtime.http_types import Head, Headers, Response
 
-OK, NOT_FOUND = 200, 404
+OK, BAD_REQUEST, NOT_FOUND = 200, 400, 404
 FIRST_REDIRECT = 300  # a lower status is that of a success
 BAD_GATEWAY = 502  # the request may have been executed
 SERVICE_UNAVAILABLE = 503  # the request was not executed and may be sent again
--- a/lynxscale/dataplane/turns.py
+++ b/lynxscale/dataplane/turns.py
@@ -108,14 +108,14 @@
         run_id: str,
         admission_timeout_s: float,
     ) -> None:
-        budget = request.head.number(headers.BUDGET)
+        budget = headers.budget_tokens(request.head)
         self._calls = calls
         self._histories = histories
         self._route = match.route
         self._stated_version = msgspec.UNSET if match.stated_version is None else match.stated_version
         self._route_version = match.table.generation
         self._input = request.body
-        self._budget_tokens = NO_BUDGET if budget is None else int(budget)
+        self._budget_tokens = NO_BUDGET if budget is None else budget
         self._admission_timeout_s = admission_timeout_s
         self._program = request.head.text(headers.PROGRAM)
         self._session = f"{self._program}/{request.head.text(headers.SESSION)}"
--- a/lynxscale/runtime/http_client.py
+++ b/lynxscale/runtime/http_client.py
@@ -214,7 +214,7 @@
     """Return for how long an idle connection may be reused, by the ``Keep-Alive`` field (RFC 2068, section 19.7.1)."""
     for parameter in head.text(b"keep-alive").split(","):
         name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and value.isdecimal():
             return max(0.0, int(value) - KEEP_ALIVE_MARGIN_S)
     return DEFAULT_KEEP_ALIVE_S
 
--- a/lynxscale/runtime/http_types.py
+++ b/lynxscale/runtime/http_types.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import isfinite
+
 from attrs import field, frozen
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -42,12 +44,13 @@
         return default if value is None else value.decode("latin-1")
 
     def number(self, name: bytes) -> float | None:
-        """Return the field as a number, None if it is missing or not a number."""
+        """Return the field as a finite number, None if it is missing or none."""
         value = self.get(name)
         try:
-            return None if value is None else float(value)
+            number = None if value is None else float(value)
         except ValueError:
             return None
+        return number if number is not None and isfinite(number) else None
 
     def end_to_end(self) -> Headers:
         """Return the fields that an intermediary forwards: neither hop-by-hop nor named in ``Connection``."""
