Names of machines in the operator's paths are percent-decoded

Cause: the text of the path was taken for the name (RFC 3986, 2.1).

Evidence: the new test of test_retirement_endpoint.py fails before.

--- a/lynxscale/controlplane/operator_api.py
+++ b/lynxscale/controlplane/operator_api.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
+from urllib.parse import unquote
 
 from lynxscale.controlplane.configuration_endpoint import ConfigurationEndpoint
 from lynxscale.controlplane.http_responses import CommittedResponses, not_found, service_unavailable
@@ -67,7 +68,8 @@
         responder.respond(Response(HTTPStatus.TEMPORARY_REDIRECT, Head(((b"location", location.encode()),))))
 
     def _handle_retirement(self, request: Request, responder: Responder) -> None:
-        node, _, rest = request.path.removeprefix(RETIREMENT_PATH_PREFIX).partition("/")
+        encoded_node, _, rest = request.path.removeprefix(RETIREMENT_PATH_PREFIX).partition("/")
+        node = unquote(encoded_node)  # RFC 3986, section 2.1
         action = rest.partition("/")[0]
         if (request.method, action) == ("POST", "start"):
             self.retirement.start(node, responder)
--- a/tests/controlplane/test_retirement_endpoint.py
+++ b/tests/controlplane/test_retirement_endpoint.py
@@ -42,3 +42,15 @@
     tier.start_control(gone)
     tier.world.run(tier.world.time + 1)
     assert tier.operator_call("POST", f"/retire/node-{retired}/start", b"{}").status == 200
+
+
+def test_a_machine_is_the_same_however_its_name_is_encoded_in_the_path():
+    """Regression: the path's text was taken for the name, so a percent-encoded name was answered 404."""
+    tier = settled_tier(controls=4)
+    tier.world.run(tier.world.time + 3)
+    leaving = next(host for host in tier.control_hosts if tier.controls[host] is not tier.primary())
+    encoded = f"node-{leaving}".replace("-", "%2D").replace(".", "%2e")
+    assert tier.operator_call("POST", f"/retire/{encoded}/start", b"{}").status == 200
+    assert tier.operator_call("GET", f"/retire/node-{leaving}/read").status == 200
+    assert tier.operator_call("GET", f"/retire/{encoded}/read").status == 200
+    assert tier.operator_call("GET", "/retire/%ff/read").status == 404
