The relay in service takes requests in absolute form as well

What callers saw: POST http://host/... got 404, as the parser took the whole target for the path (the same cause as in the serving tier).

Change: the parser converts the target as the serving tier does; split_target serves both.

Evidence: the new test of test_clients.py fails on the program before.

--- a/lynxscale/relay/http_parser.py
+++ b/lynxscale/relay/http_parser.py
@@ -12,6 +12,8 @@
 from typing import Any
 
 from lynxscale.relay.exceptions import HttpParseError
+from lynxscale.runtime.exceptions import InvalidRequestError
+from lynxscale.runtime.request_target import split_target
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 64 * 1024
@@ -221,6 +223,10 @@
         length = _length(headers) or 0
         if length > MAX_SKIPPED_BYTES:
             raise HttpParseError(413, "the body is too long")  # too much to read only to discard it
+        try:
+            target, _ = split_target(method, target)
+        except InvalidRequestError as error:
+            raise HttpParseError(error.status, str(error)) from error
         message = Request(method, target, headers, _wants_close(version, headers))
         if length > MAX_BODY_BYTES:
             # Read to its end before the 413: closing with unread bytes would reset the connection and lose the 413.
--- a/lynxscale/runtime/request_target.py
+++ b/lynxscale/runtime/request_target.py
@@ -27,15 +27,25 @@
 
     Raises InvalidRequestError if the target is invalid.
     """
-    absolute = None if request.target.startswith(ORIGIN_FORM_START) else ABSOLUTE_FORM.fullmatch(request.target)
-    if absolute is None:
+    target, host = split_target(request.method, request.target)
+    if host is None:
         return request
+    return attrs.evolve(request, target=target, head=_with_host(request.head, host.encode()))
+
+
+def split_target(method: str, target: str) -> tuple[str, str | None]:
+    """Return a target in absolute form in origin form and its host; any other target unchanged, and None.
+
+    Raises InvalidRequestError if the target is invalid.
+    """
+    absolute = None if target.startswith(ORIGIN_FORM_START) else ABSOLUTE_FORM.fullmatch(target)
+    if absolute is None:
+        return target, None
     if absolute["scheme"].lower() != SERVED_SCHEME:
         raise InvalidRequestError(HTTPStatus.MISDIRECTED_REQUEST, "unsupported scheme")
     if not normalized_host(absolute["authority"]):
         raise InvalidRequestError(HTTPStatus.BAD_REQUEST, "invalid host in the target")
-    target = _origin_target(request.method, absolute["rest"])
-    return attrs.evolve(request, target=target, head=_with_host(request.head, absolute["authority"].encode()))
+    return _origin_target(method, absolute["rest"]), absolute["authority"]
 
 
 def _origin_target(method: str, rest: str) -> str:
--- a/tests/relay/test_clients.py
+++ b/tests/relay/test_clients.py
@@ -63,6 +63,14 @@
                 self.assertEqual(self.response_status(data, 3.0), status)
         self.assertEqual((self.counters().get("taken"), self.calls()), (None, []))
 
+    def test_a_message_in_absolute_form_is_taken(self):
+        """Regression: a relay answered 404 to a target in absolute form (RFC 9112, section 3.2.2)."""
+        self.start()
+        until(lambda: self.counters().get("group", {}).get("answers"), "the list")
+        self.assertEqual(self.response_status(message("m1").replace(b" /", b" http://desk.example:80/", 1), 3.0), 202)
+        self.assertEqual(self.response_status(message("m2").replace(b" /", b" http:///", 1), 3.0), 400)
+        self.assertEqual(self.response_status(message("m3").replace(b" /", b" https://desk.example/", 1), 3.0), 421)
+
     def test_request_hidden_in_a_body_is_not_parsed(self):
         self.start()
         client = self.client()
