A thread checks and encodes large changes, so that the primary keeps its lease

Cause: check, conversion and encoding took one turn of the event loop longer than a lease.

Change: configurations of more than 256 KiB go through the new port Worker, a thread; the version in force, and whether the order has been taken meanwhile, are looked at on the event loop afterwards. Smaller ones take the way they took. The check of hosts and path prefixes remembers hosts, which repeat.

--- a/lab/tier/machine.py
+++ b/lab/tier/machine.py
@@ -10,10 +10,12 @@
 
 from lab.tier.simulated_files import SimulatedFiles
 from lynxscale.coordination.messages import Message, decode
+from lynxscale.coordination.ports import Result
 
 if TYPE_CHECKING:
     from lab.tier.world import World
 
+COMPUTE_S = 0.3  # duration of a computation of the worker: nearly a lease
 QUOTA_MARGIN_S = 1e-6  # each period begins later by this: a postponed event is in the next period, in spite of rounding
 START_UNIX_TIME_S = 1_800_000_000.0
 """Unix time at the start of a simulation, in seconds."""
@@ -96,6 +98,10 @@
         """The clock of the machine's current process."""
         return MachineClock(self)
 
+    def worker(self) -> MachineWorker:
+        """The worker of the machine's current process."""
+        return MachineWorker(self)
+
     def network(self) -> MachineNetwork:
         """The network of the machine's current process."""
         return MachineNetwork(self)
@@ -160,6 +166,20 @@
         return machine.world.call_at(self.now() + max(0.0, delay), call_if_alive, machine)
 
 
+class MachineWorker:
+    """Implements the Worker port for one process of one machine: each computation takes ``COMPUTE_S``."""
+
+    def __init__(self, machine: Machine) -> None:
+        self._clock = machine.clock()
+        self._busy_until = 0.0
+
+    def run(self, compute: Callable[[], Result], on_result: Callable[[Result], None]) -> None:
+        """Part of Worker."""
+        self._busy_until = max(self._busy_until, self._clock.now()) + COMPUTE_S
+        result = compute()
+        self._clock.call_later(self._busy_until - self._clock.now(), lambda: on_result(result))
+
+
 class MachineNetwork:
     """Implements the Network port for one process of one machine."""
 
--- a/lab/tier/models/operators.py
+++ b/lab/tier/models/operators.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 
 import msgspec
@@ -60,6 +60,14 @@
         return self.table.entries
 
 
+class UnusedWorker:
+    """The Worker of an operator API whose configurations are small."""
+
+    def run(self, compute: Callable[[], object], on_result: Callable[[object], None]) -> None:
+        """Part of Worker."""
+        raise AssertionError("small configurations need no worker")
+
+
 class StubMember:
     """The part of ControlMember that OperatorApi uses, for the current primary."""
 
@@ -147,7 +155,7 @@
         for puts in self._committed:
             table.apply(puts)
         self.member = StubMember(table)
-        self.api = OperatorApi(self.member, 1, lambda configuration: None, lambda: None)
+        self.api = OperatorApi(self.member, 1, lambda configuration: None, lambda: None, UnusedWorker())
 
     def events(self) -> list[Event]:
         """Part of StateMachine."""
--- a/lab/tier/simulated_tier.py
+++ b/lab/tier/simulated_tier.py
@@ -113,6 +113,7 @@
             machine.files,
             self.tcp.dialer(address),
             Random(self.world.random.random()),
+            machine.worker(),
         )
         machine.receive = service.receive
         clock = machine.clock()
--- a/lynxscale/configuration/route_syntax.py
+++ b/lynxscale/configuration/route_syntax.py
@@ -6,16 +6,20 @@
 from __future__ import annotations
 
 import re
+from functools import lru_cache
 
 from lynxscale.configuration.hosts import normalized_host
 
 WILDCARD = "*"
-PATH_PREFIX = re.compile(r"/(?:[!-~]*/)?")
-"""A prefix of visible ASCII characters, as in a request target (RFC 9112, section 3.2.1)."""
-AFTER_PATH = frozenset("?#")
-"""Characters that end the path of a request target."""
+PATH_PREFIX = re.compile(r"""/(?:[!"$->@-~]*/)?""")
+"""A prefix of visible ASCII characters but ``#`` and ``?``, which end a path (RFC 9112, section 3.2.1)."""
+CACHED_HOSTS = 256  # the routes of a configuration have few hosts
 
+normalized_route_host = lru_cache(CACHED_HOSTS)(normalized_host)
+"""``normalized_host`` for hosts of routes, which repeat."""
 
+
+@lru_cache(CACHED_HOSTS)
 def host_violation(host: str) -> str:
     """Return what is wanted in place of a route's host, empty if it is right."""
     if not host.isascii():
@@ -29,8 +33,8 @@
 
 def path_prefix_violation(path_prefix: str) -> str:
     """Return what is wanted in place of a route's path prefix, empty if it is right."""
+    if PATH_PREFIX.fullmatch(path_prefix):
+        return ""
     if not (path_prefix.startswith("/") and path_prefix.endswith("/")):
         return "a path that begins and ends with a slash"
-    if not PATH_PREFIX.fullmatch(path_prefix) or not AFTER_PATH.isdisjoint(path_prefix):
-        return "a path without ? and #, and with spaces and characters that are not ASCII percent-encoded"
-    return ""
+    return "a path without ? and #, and with spaces and characters that are not ASCII percent-encoded"
--- a/lynxscale/controlplane/configuration_check.py
+++ b/lynxscale/controlplane/configuration_check.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, cast
 
 import msgspec
@@ -17,15 +17,14 @@
 from lynxscale.configuration.field_check import struct_findings, value_findings
 from lynxscale.configuration.field_rules import field_rules
 from lynxscale.configuration.finding import Finding, Findings
-from lynxscale.configuration.hosts import normalized_host
 from lynxscale.configuration.model import ROUTE_TYPES, Route, Service, WeightedBackend
 from lynxscale.configuration.model import Configuration as TypedConfiguration
-from lynxscale.configuration.route_syntax import host_violation, path_prefix_violation
+from lynxscale.configuration.route_syntax import host_violation, normalized_route_host, path_prefix_violation
 from lynxscale.configuration.whole_numbers import as_whole_number
 from lynxscale.controlplane.configuration import Configuration
 
 ENTRY_LISTS = ("routes", "services")
-MATCH_VIOLATIONS = {"host": host_violation, "path-prefix": path_prefix_violation}
+MATCH_VIOLATIONS: dict[str, Callable[[str], str]] = {"host": host_violation, "path-prefix": path_prefix_violation}
 """The fields by which a route matches requests, each with the function that checks it."""
 
 
@@ -93,10 +92,11 @@
 
 def _match_findings(path: str, entry: Any) -> Iterator[Finding]:
     """Yield a finding for each field because of which no request can match the route."""
+    if not isinstance(entry, dict):
+        return
     for name, violation in MATCH_VIOLATIONS.items():
-        value = entry.get(name) if isinstance(entry, dict) else None
-        wanted = violation(value) if isinstance(value, str) else ""
-        if wanted:
+        value = entry.get(name)
+        if isinstance(value, str) and (wanted := violation(value)):
             yield Finding(f"{path}.{name}", f"want {wanted}")
 
 
@@ -123,5 +123,5 @@
 def _match_of(route: Any) -> tuple[str, str] | None:
     """Return the host and path prefix of a route as relays compare them, None if one of them is missing or invalid."""
     host, prefix = (route.get("host"), route.get("path-prefix")) if isinstance(route, dict) else (None, None)
-    normalized = normalized_host(host) if isinstance(host, str) else None
+    normalized = normalized_route_host(host) if isinstance(host, str) else None
     return (normalized, prefix) if normalized is not None and isinstance(prefix, str) else None
--- a/lynxscale/controlplane/configuration_endpoint.py
+++ b/lynxscale/controlplane/configuration_endpoint.py
@@ -2,6 +2,9 @@
 
 A change names its base version and creates a later version. A repeated request is acknowledged again, even by another
 primary and after later changes; see ``lynxscale.controlplane.idempotency``.
+
+A large change is checked and encoded by a ``Worker``, as the primary would renew no lease meanwhile. What the commit
+relies on is looked at afterwards: other requests may have changed the configuration while the worker was busy.
 """
 
 from __future__ import annotations
@@ -10,6 +13,7 @@
 from http import HTTPStatus
 
 import msgspec
+from attrs import frozen
 from returns.result import Failure, Result, Success
 
 from lynxscale.configuration.finding import Finding, Findings
@@ -39,20 +43,40 @@
 from lynxscale.coordination.member import ControlMember
 from lynxscale.coordination.messages import put_value
 from lynxscale.coordination.outcomes import CommitOutcome
+from lynxscale.coordination.ports import Worker
 from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head, Request, Response
 
 BASE_HEADER = b"lynxscale-base-version"
+TAKEN_BEFORE = {"state": "taken before"}
+MAX_IMMEDIATE_BYTES = 256 * 1024  # larger configurations would take too much of the lease
+
+
+@frozen
+class PreparedChange:
+    """A change that has been checked and encoded. ``base``: its base version; ``key`` identifies the request."""
+
+    base: str
+    key: str
+    value: CurrentConfiguration
+
+
+Prepared = Result[PreparedChange, Findings]
 
 
 class ConfigurationEndpoint:
     """Handles the operator's requests on the configuration; used by the primary only."""
 
     def __init__(
-        self, member: ControlMember, responses: CommittedResponses, on_commit: Callable[[CurrentConfiguration], None]
+        self,
+        member: ControlMember,
+        responses: CommittedResponses,
+        on_commit: Callable[[CurrentConfiguration], None],
+        worker: Worker,
     ) -> None:
         """``on_commit(configuration)`` is called once a new configuration is committed."""
         self._member = member
+        self._worker = worker
         self._responses = responses
         self._on_commit = on_commit
         self._records = IdempotencyRecords(member)
@@ -74,7 +98,7 @@
         base = request.head.text(BASE_HEADER, "0").strip()
         key = idempotency_key(kind, base, request.body)
         if self._records.contains(key):
-            self._responses.send_after_barrier(responder, json_response(HTTPStatus.OK, {"state": "taken before"}))
+            self._responses.send_after_barrier(responder, json_response(HTTPStatus.OK, TAKEN_BEFORE))
             return
         if kind is ChangeKind.REPLACE:
             self._replace(base, key, request.body, responder)
@@ -82,22 +106,39 @@
             self._update(base, key, request.body, responder)
 
     def _replace(self, base: str, key: str, body: bytes, responder: Responder) -> None:
-        checked = check_configuration(body)
-        if isinstance(checked, Failure):
-            responder.respond(invalid_request(checked.failure()))
-            return
-        generation = int(checked.unwrap()["generation"])
-        if not self._rejects_version(base, generation, responder):
-            self._commit(generation, body, key, responder)
+        def on_prepared(prepared: Prepared) -> None:
+            if isinstance(prepared, Failure):
+                responder.respond(invalid_request(prepared.failure()))
+            else:
+                self._commit(prepared.unwrap(), responder)
+
+        self._prepare(len(body), lambda: prepare_replacement(base, key, body), on_prepared)
 
     def _update(self, base: str, key: str, body: bytes, responder: Responder) -> None:
         checked = check_update(body)
         if isinstance(checked, Failure):
             responder.respond(invalid_request(checked.failure()))
             return
-        update = checked.unwrap()
-        if not self._rejects_version(base, int(update["generation"]), responder):
-            self._commit_update(update, key, responder)
+        update, current = checked.unwrap(), self.current()
+        if self._rejects_version(base, int(update["generation"]), responder):
+            return
+
+        def on_prepared(prepared: Prepared) -> None:
+            if isinstance(prepared, Failure):
+                # The findings may rest on a configuration that is not committed yet.
+                self._responses.send_after_barrier(responder, invalid_request(prepared.failure()))
+            else:
+                self._commit(prepared.unwrap(), responder)
+
+        size = len(body) + (len(current.as_written) if current else 0)
+        self._prepare(size, lambda: prepare_update(base, key, update, current), on_prepared)
+
+    def _prepare(self, size: int, prepare: Callable[[], Prepared], on_prepared: Callable[[Prepared], None]) -> None:
+        """Prepare a change, whose configuration has some ``size`` in bytes, here or by the worker."""
+        if size <= MAX_IMMEDIATE_BYTES:
+            on_prepared(prepare())
+        else:
+            self._worker.run(prepare, on_prepared)
 
     def _rejects_version(self, base: str, generation: int, responder: Responder) -> bool:
         """Reject a change unless its base version is in force and its new version later; return whether it was."""
@@ -117,24 +158,34 @@
             return invalid_request((Finding("generation", f"want a version above {in_force}"),))
         return None
 
-    def _commit_update(self, update: ConfigurationUpdate, key: str, responder: Responder) -> None:
-        updated = self._updated(update)
-        if isinstance(updated, Failure):
-            # The findings may rest on a configuration that is not committed yet.
-            self._responses.send_after_barrier(responder, invalid_request(updated.failure()))
-            return
-        self._commit(int(update["generation"]), msgspec.json.encode(updated.unwrap()), key, responder)
-
-    def _updated(self, update: ConfigurationUpdate) -> Result[Configuration, Findings]:
-        current = self.current()
-        in_force = Success(EMPTY_CONFIGURATION) if current is None else decode_acknowledged(current)
-        return in_force.bind(lambda configuration: apply_update(configuration, update))
-
-    def _commit(self, generation: int, body: bytes, key: str, responder: Responder) -> None:
-        value = stored_configuration(generation, body)
-        puts = (put_value(CURRENT_KEY, value), *self._records.add(key, generation))
-        response = json_response(HTTPStatus.OK, {"generation": generation})
-        self._responses.send_after_commit(responder, puts, response, lambda: self._on_commit(value))
+    def _commit(self, change: PreparedChange, responder: Responder) -> None:
+        """Commit a change unless the same request, or another one on its base version, has been taken meanwhile."""
+        generation = change.value.generation
+        if self._records.contains(change.key):
+            self._responses.send_after_barrier(responder, json_response(HTTPStatus.OK, TAKEN_BEFORE))
+        elif not self._rejects_version(change.base, generation, responder):
+            puts = (put_value(CURRENT_KEY, change.value), *self._records.add(change.key, generation))
+            response = json_response(HTTPStatus.OK, {"generation": generation})
+            self._responses.send_after_commit(responder, puts, response, lambda: self._on_commit(change.value))
+
+
+def prepare_replacement(base: str, key: str, body: bytes) -> Prepared:
+    """Check and encode the configuration in a request's body."""
+    return check_configuration(body).map(
+        lambda configuration: PreparedChange(base, key, stored_configuration(int(configuration["generation"]), body))
+    )
+
+
+def prepare_update(base: str, key: str, update: ConfigurationUpdate, current: CurrentConfiguration | None) -> Prepared:
+    """Apply an update to the configuration in force, and check and encode the result."""
+    in_force: Result[Configuration, Findings] = (
+        Success(EMPTY_CONFIGURATION) if current is None else decode_acknowledged(current)
+    )
+    updated = in_force.bind(lambda configuration: apply_update(configuration, update))
+    generation = int(update["generation"])
+    return updated.map(
+        lambda result: PreparedChange(base, key, stored_configuration(generation, msgspec.json.encode(result)))
+    )
 
 
 def read_response(configuration: CurrentConfiguration | None, outcome: CommitOutcome) -> Response:
--- a/lynxscale/controlplane/operator_api.py
+++ b/lynxscale/controlplane/operator_api.py
@@ -21,6 +21,7 @@
 from lynxscale.controlplane.newest_configuration import CurrentConfiguration
 from lynxscale.controlplane.retirement_endpoint import RetirementEndpoint
 from lynxscale.coordination.member import ControlMember
+from lynxscale.coordination.ports import Worker
 from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head, Request, Response
 
@@ -38,10 +39,11 @@
         control_port: int,
         on_configuration: Callable[[CurrentConfiguration], None],
         on_retirement: Callable[[], None],
+        worker: Worker,
     ) -> None:
         """``on_configuration(configuration)`` and ``on_retirement()`` are called once such a change is committed."""
         responses = CommittedResponses(member)
-        self.configuration = ConfigurationEndpoint(member, responses, on_configuration)
+        self.configuration = ConfigurationEndpoint(member, responses, on_configuration, worker)
         self.retirement = RetirementEndpoint(member, responses, on_retirement)
         self._member = member
         self._control_port = control_port  # all members use the same port
--- a/lynxscale/controlplane/process.py
+++ b/lynxscale/controlplane/process.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from random import Random
 
@@ -18,6 +19,7 @@
 from lynxscale.runtime.reload_signal import reload_signal_handled
 from lynxscale.runtime.settings_watcher import SettingsWatcher, watch_until
 from lynxscale.runtime.sockets import split_address
+from lynxscale.runtime.worker_thread import WorkerThread
 
 log = logging.getLogger(__name__)
 
@@ -33,7 +35,8 @@
     loop = asyncio.get_running_loop()
     clock = LoopClock(loop)
     files = DurableFiles(settings.data_dir, network.flush)
-    service = ControlService(settings, clock, network, files, context.dialer, Random())
+    worker = WorkerThread(loop)
+    service = ControlService(settings, clock, network, files, context.dialer, Random(), worker)
     limits = ServerLimits(body_bytes=MAX_BODY_BYTES)
     connections: set[ServerConnection] = set()
     await network.listen(service.receive)
@@ -44,9 +47,10 @@
         )
     log.info("event=started member=%s state=%s", service.member.member_id, service.member.role.value)
     watcher = SettingsWatcher(settings, service.settings_changed)
-    with reload_signal_handled(loop, watcher.reload):
-        await watch_until(context.stopped, watcher)
-        await leave(service, settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
+    async with contextlib.aclosing(worker):
+        with reload_signal_handled(loop, watcher.reload):
+            await watch_until(context.stopped, watcher)
+            await leave(service, settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
 
 
 async def leave(service: ControlService, timeout_s: float) -> None:
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -24,7 +24,7 @@
 from lynxscale.coordination.member import ControlMember, MemberSettings
 from lynxscale.coordination.messages import Attach, Call, Message, Suspicion, TurnEvents
 from lynxscale.coordination.outcomes import CommitOutcome
-from lynxscale.coordination.ports import Clock, Files, Network
+from lynxscale.coordination.ports import Clock, Files, Network, Worker
 from lynxscale.coordination.topic_publisher import Publisher
 from lynxscale.discovery.endpoint_poller import EndpointPoller
 from lynxscale.runtime.http_client import Dial
@@ -44,7 +44,14 @@
     """Handles messages, operators' requests and ticks of one control process."""
 
     def __init__(
-        self, settings: Settings, clock: Clock, network: Network, files: Files, dial: Dial, random: Random
+        self,
+        settings: Settings,
+        clock: Clock,
+        network: Network,
+        files: Files,
+        dial: Dial,
+        random: Random,
+        worker: Worker,
     ) -> None:
         address = settings.internal_address
         identity = MemberIdentity(address, settings.bootstrap, settings.contacts)
@@ -52,7 +59,7 @@
         acceptor_state = AcceptorStateFile(identity, files, random)
         self.member = ControlMember(member_settings, acceptor_state, clock, network, files, random, self._on_lead)
         control_port = int(settings.listen.control.rpartition(":")[2] or 0)
-        self.operator_api = OperatorApi(self.member, control_port, self._publish, self._apply_retirements)
+        self.operator_api = OperatorApi(self.member, control_port, self._publish, self._apply_retirements, worker)
         self.publisher = Publisher(address, clock, network)
         self.publication = TopicPublication(self.member, self.publisher, clock)
         self._relay_requests = RelayRequestHandler(self.member, self.publisher, network)
--- a/lynxscale/coordination/ports.py
+++ b/lynxscale/coordination/ports.py
@@ -1,15 +1,17 @@
 """The interfaces (ports) through which a state machine accesses time, the network and durable files.
 
-``lynxscale.runtime`` implements them with sockets and files, ``lab.tier`` with a simulator.
+``lynxscale.runtime`` implements them with sockets, files and a thread, ``lab.tier`` with a simulator.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from lynxscale.coordination.messages import Message
 
+Result = TypeVar("Result")
+
 
 class Timer(Protocol):
     """A scheduled call."""
@@ -31,6 +33,13 @@
         """Call ``call`` once, ``delay`` seconds from now."""
 
 
+class Worker(Protocol):
+    """Long computations beside the state machine, one after the other."""
+
+    def run(self, compute: Callable[[], Result], on_result: Callable[[Result], None]) -> None:
+        """Call ``on_result(compute())`` later, on the state machine's thread; ``compute`` may run on another one."""
+
+
 class Network(Protocol):
     """Messages between nodes. A message arrives once and in order, or not at all.
 
--- /dev/null
+++ b/lynxscale/runtime/worker_thread.py
@@ -0,0 +1,27 @@
+"""A thread for long computations, so that the event loop goes on handling messages and timers meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import TypeVar
+
+Result = TypeVar("Result")
+
+
+class WorkerThread:
+    """Implements Worker with one thread, which is started by the first computation."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._executor = ThreadPoolExecutor(max_workers=1, thread_name_prefix="worker")
+
+    def run(self, compute: Callable[[], Result], on_result: Callable[[Result], None]) -> None:
+        """Part of Worker."""
+        future = self._loop.run_in_executor(self._executor, compute)
+        future.add_done_callback(lambda done: None if done.cancelled() else on_result(done.result()))
+
+    async def aclose(self) -> None:
+        """Wait for the computation under way, and drop the others."""
+        self._executor.shutdown(wait=True, cancel_futures=True)
