Model of writes that take time: their begin and their end are two steps

The election model, with the production classes, can begin and end each write in two steps, with restarts in between that keep or lose it.

--- a/lab/tier/models/election.py
+++ b/lab/tier/models/election.py
@@ -5,7 +5,8 @@
 Messages of one link arrive in order; a link may never deliver them, or drop those in flight. Rejections are left out,
 as a member may become candidate again at any time. Promises are stored in advance, and sent once the granted lease has
 ended. A member becomes candidate, is primary once its record is decided, requests its lease, and may restart at any
-step with its stored acceptor state. Time passes in steps shorter than a lease.
+step with its stored acceptor state. Time passes in steps shorter than a lease. With slow writes, each write begins and
+ends in two steps; a member that restarts in between may or may not have stored what it was writing.
 
 Invariants: no two records are accepted under one epoch; at most one member holds a lease; while a member holds a lease,
 no later epoch of another member is accepted by a majority.
@@ -14,11 +15,12 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Hashable, Mapping
+from collections.abc import Callable, Hashable, Mapping
 from dataclasses import dataclass
 from random import Random
 
 from lab.model_checker import Event, InvariantViolation, frozen
+from lab.tier.models.held_messages import HoldRule, Sent, WriteQueue
 from lab.tier.world import World
 from lynxscale.coordination.acceptor import Acceptor, DeferredPromise
 from lynxscale.coordination.acceptor_state import INCARNATION_BITS, AcceptorStateFile, MemberIdentity
@@ -64,6 +66,9 @@
     plans: int = 0
     """Rounds in which a primary replaces ``REPLACED`` by ``SPARE``, or settles that change."""
     initial_events: tuple[Event, ...] = ()  # applied before the search begins
+    slow_writes: HoldRule | None = None
+    """Writes that begin after the initial events take time; messages wait for them by this rule."""
+    slow_events: tuple[Event, ...] = ()  # applied after the initial events, while writes take time
 
 
 class Node:
@@ -71,7 +76,8 @@
 
     def __init__(self, world: World, address: str) -> None:
         machine = world.machine(address)
-        self.sent: list[tuple[str, Message]] = []
+        self.sent: Sent = []
+        self.writes: WriteQueue | None = None  # None while writes take no time
         self.primary = False
         identity = MemberIdentity(address, address in ADDRESSES, ADDRESSES)
         stored_state = AcceptorStateFile(identity, machine.files, Random(address))
@@ -82,6 +88,18 @@
             self.acceptor, machine.clock(), self, self._position, self._choose_record, self._on_decided, 0.0
         )
 
+    @property
+    def stored_record(self) -> EpochRecord:
+        """The record that is durable."""
+        return self.acceptor.record if self.writes is None else self.writes.stored_record
+
+    def run(self, handler: Callable[[], None]) -> None:
+        """Call a handler, whose messages wait for the writes that they depend on."""
+        if self.writes is None:
+            handler()
+        else:
+            self.writes.run(handler, self.sent)
+
     def send(self, address: str, message: Message) -> None:
         """Part of the Network port."""
         self.sent.append((address, message))
@@ -177,6 +195,7 @@
         self.world = World(1)
         addresses = (*ADDRESSES, SPARE) if bounds.plans else ADDRESSES
         self.nodes = {address: Node(self.world, address) for address in addresses}
+        self._rule: HoldRule | None = None
         self._plans = bounds.plans
         self._remaining_events = {
             "becomes candidate": list(bounds.candidacies),
@@ -190,6 +209,21 @@
         self._records: dict[str, EpochRecord] = {}
         for event in bounds.initial_events:
             self.apply(event)
+        self._rule = bounds.slow_writes
+        for address in addresses:
+            self._slow_down(address)
+        for event in bounds.slow_events:
+            self.apply(event)
+
+    def _slow_down(self, address: str) -> None:
+        """Let the writes of a member's process take time, if they do so in this model."""
+        node = self.nodes[address]
+        if self._rule is not None:
+            node.writes = WriteQueue(self.world.machine(address).files, node.acceptor, self._rule)
+
+    def _writing(self) -> list[str]:
+        """The members that are writing."""
+        return [address for address, node in self.nodes.items() if node.writes is not None and node.writes.pending]
 
     def events(self) -> list[Event]:
         """Part of StateMachine."""
@@ -202,6 +236,10 @@
                     possible_events.append((action, address))
         if self._plans:
             possible_events += [("plans", address) for address, node in self.nodes.items() if node.primary]
+        writing = self._writing()
+        possible_events += [("ends a write", address) for address in writing]
+        restarts = self._remaining_events["restarts"]
+        possible_events += [("restarts stored", address) for address in writing if restarts[ADDRESSES.index(address)]]
         possible_events += [("answers", address) for address, node in self.nodes.items() if node.may_answer_deferred]
         if self._steps:
             possible_events.append(("time passes", ""))
@@ -211,36 +249,55 @@
         """Part of StateMachine."""
         action, target = event
         if action == "receives":
-            self.nodes[target[1]].receive(self._links[target].popleft())
+            node, message = self.nodes[target[1]], self._links[target].popleft()
+            node.run(lambda: node.receive(message))
         elif action == "drops":
             self._partitions -= 1
             self._links.get(target, deque()).clear()
         elif action == "plans":
             self._plans -= 1
-            self.nodes[target].proposer.propose()
+            self._propose(self.nodes[target])
         elif action == "answers":
-            self.nodes[target].answer_deferred()
+            self.nodes[target].run(self.nodes[target].answer_deferred)
+        elif action == "ends a write":
+            self._end_write(self.nodes[target])
         elif action == "time passes":
             self._steps -= 1
             self.world.time += TIME_STEP_S
+        elif action in ("restarts", "restarts stored"):
+            self._remaining_events["restarts"][ADDRESSES.index(target)] -= 1
+            self._restart(target, stored=action == "restarts stored")
         else:
             self._remaining_events[action][ADDRESSES.index(target)] -= 1
-            if action == "becomes candidate":
-                self.nodes[target].become_candidate()
-            elif action == "requests its lease":
-                self.nodes[target].request_lease()
-            else:
-                self._links.pop((target, target), None)  # messages of a process to itself end with it
-                self.nodes[target] = Node(self.world, target)
+            node = self.nodes[target]
+            node.run(node.become_candidate if action == "becomes candidate" else node.request_lease)
         self._collect()
 
+    @staticmethod
+    def _propose(node: Node) -> None:
+        node.run(lambda: node.proposer.propose() and None)
+
+    @staticmethod
+    def _end_write(node: Node) -> None:
+        assert node.writes is not None
+        node.sent += node.writes.end_first()
+
+    def _restart(self, address: str, stored: bool) -> None:
+        """Start a new process; ``stored``: the disk has what the process before was writing."""
+        writes = self.nodes[address].writes
+        if writes is not None and not stored:
+            self.world.machine(address).files.restore(writes.stored_content)
+        self._links.pop((address, address), None)  # messages of a process to itself end with it
+        self.nodes[address] = Node(self.world, address)
+        self._slow_down(address)
+
     def _collect(self) -> None:
         for address, node in self.nodes.items():
             for target, message in node.sent:
                 if not isinstance(message, PrepareRejected):
                     self._links.setdefault((address, target), deque()).append(message)
             node.sent.clear()
-            record = node.acceptor.record
+            record = node.stored_record
             if record.epoch:
                 name = encode(Accept(record)).decode()
                 self._records[name] = record
@@ -263,6 +320,7 @@
                 node.proposer._highest_rejected,
                 node.proposer._open_epoch,
                 frozen(node.proposer._decided),
+                node.writes.key() if node.writes else None,
             )
             for node in self.nodes.values()
         )
@@ -364,6 +422,70 @@
     ("drops", ("a:1", "b:1")),
     ("drops", ("a:1", "c:1")),
 )
+ELECTED_BY_ALL = (  # b is primary of epoch 1, which all have accepted; its lease has ended
+    ("becomes candidate", "b:1"),
+    ("receives", ("b:1", "a:1")),
+    ("receives", ("b:1", "c:1")),
+    ("receives", ("a:1", "b:1")),
+    ("receives", ("b:1", "b:1")),
+    ("receives", ("b:1", "a:1")),
+    ("receives", ("b:1", "c:1")),
+    ("receives", ("b:1", "b:1")),
+    ("receives", ("a:1", "b:1")),
+    ("time passes", ""),
+    ("time passes", ""),
+)
+SUCCEEDED = (  # as ELECTED_BY_ALL; a and b have accepted epoch 2 of a, and c has promised it
+    *ELECTED_BY_ALL,
+    ("becomes candidate", "a:1"),
+    ("receives", ("a:1", "c:1")),
+    ("receives", ("c:1", "a:1")),
+    ("receives", ("a:1", "a:1")),
+    ("receives", ("a:1", "b:1")),
+    ("receives", ("a:1", "b:1")),
+    ("receives", ("a:1", "a:1")),
+    ("receives", ("b:1", "a:1")),
+    ("receives", ("b:1", "a:1")),
+)
+ACCEPT_BEING_WRITTEN = (  # c writes epoch 2 of a while a asks it for its lease
+    ("receives", ("a:1", "c:1")),
+    ("time passes", ""),
+    ("requests its lease", "a:1"),
+    ("receives", ("a:1", "c:1")),
+)
+PROMISE_LOST = (  # b restarts before it has stored its promise to a, and what it may have granted before has ended
+    ("becomes candidate", "a:1"),
+    ("ends a write", "a:1"),
+    ("receives", ("a:1", "b:1")),
+    ("restarts", "b:1"),
+    ("time passes", ""),
+    ("time passes", ""),
+)
+
+
+def slow_write_bounds(rule: HoldRule) -> tuple[ElectionBounds, ...]:
+    """Return the bounds of the model with writes that take time."""
+    return (
+        ElectionBounds(
+            candidacies=(1, 0, 1),
+            lease_requests=(0, 0, 0),
+            restarts=(0, 1, 0),
+            slow_writes=rule,
+            slow_events=PROMISE_LOST,
+        ),
+        ElectionBounds(
+            candidacies=(1, 2, 0),
+            lease_requests=(1, 0, 0),
+            restarts=(0, 0, 1),
+            time_steps=4,
+            initial_events=SUCCEEDED,
+            slow_writes=rule,
+            slow_events=ACCEPT_BEING_WRITTEN,
+        ),
+        ElectionBounds(candidacies=(1, 1, 0), lease_requests=(0, 0, 0), time_steps=0, slow_writes=rule),
+    )
+
+
 BOUNDS = (
     ElectionBounds(candidacies=(1, 1, 0), lease_requests=(0, 0, 0), time_steps=0),
     ElectionBounds(candidacies=(2, 0, 0), lease_requests=(0, 0, 0), restarts=(1, 0, 0), time_steps=0),
--- a/lab/tier/simulated_files.py
+++ b/lab/tier/simulated_files.py
@@ -62,6 +62,16 @@
         if name in self._files:
             self._unsynced_removals[name] = self._files.pop(name)
 
+    # Copies ------------------------------------------------------------------------------------------
+
+    def content(self) -> dict[str, bytes]:
+        """A copy of all files."""
+        return dict(self._files)
+
+    def restore(self, content: dict[str, bytes]) -> None:
+        """Replace all files."""
+        self._files = dict(content)
+
     # Faults ------------------------------------------------------------------------------------------
 
     def corrupt(self, name: str, random: Random) -> None:
