--- a/lab/tier/models/catalogue.py
+++ b/lab/tier/models/catalogue.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from lab.model_checker import StateMachine, explore
-from lab.tier.models import admission, calls, election, operators, transfer, voter_changes
+from lab.tier.models import admission, calls, election, election_bounds, operators, transfer, voter_changes
 from lab.tier.models.held_messages import HoldRule
 
 Search = Callable[[Any, int, bool], int]
@@ -45,8 +45,8 @@
 
 
 MODELS = (
-    Model("election", machine(election.Election), election.BOUNDS, (1, 5, 8, 9)),
-    Model("slow writes", machine(election.Election), election.slow_write_bounds(HoldRule.DEPENDENT), (0,)),
+    Model("election", machine(election.Election), election_bounds.BOUNDS, (1, 5, 8, 9)),
+    Model("slow writes", machine(election.Election), election_bounds.slow_write_bounds(HoldRule.DEPENDENT), (0,)),
     Model("voter changes", voter_changes.search_voter_changes, voter_changes.BOUNDS, (0,)),
     Model("admission", machine(admission.Admission), admission.BOUNDS, (0,)),
     Model("transfer", machine(transfer.SnapshotTransfer), transfer.BOUNDS, (0, 1, 3)),
--- a/tests/lab/test_models.py
+++ b/tests/lab/test_models.py
@@ -6,7 +6,8 @@
 
 from lab.model_checker import MAX_STATES, InvariantViolation, explore
 from lab.tier.models.catalogue import MODELS, Scope
-from lab.tier.models.election import Election, slow_write_bounds
+from lab.tier.models.election import Election
+from lab.tier.models.election_bounds import slow_write_bounds
 from lab.tier.models.held_messages import HoldRule
 
 PROMISE_USED = (  # a proposes its record by a promise that b had not stored when it restarted
