--- a/lab/bench_cluster.py
+++ b/lab/bench_cluster.py
@@ -20,7 +20,7 @@
 from lab.clients import LoadGenerator
 from lab.cluster.links import LinkConditions
 from lab.cluster.nodes import Cluster
-from lab.cluster.simulate import SECOND, World
+from lab.cluster.world import SECOND, World
 from lab.demo import DESTINATIONS
 from lab.traffic import fresh_folder, usage
 from lynxscale.relay.cluster.membership_table import State
--- a/tests/relay/cluster/test_failure_detector.py
+++ b/tests/relay/cluster/test_failure_detector.py
@@ -1,6 +1,6 @@
 """Failure detector: incarnations, generations and pauses."""
 
-from lab.cluster.simulate import SECOND, World
+from lab.cluster.world import SECOND, World
 from lynxscale.relay.cluster import frame
 from lynxscale.relay.cluster.failure_detector import FailureDetector
 from lynxscale.relay.cluster.frame import Message
--- a/tests/relay/cluster/test_simulated_histories.py
+++ b/tests/relay/cluster/test_simulated_histories.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lab.cluster import simulate
-from lab.cluster.simulate import SECOND, World
+from lab.cluster.world import SECOND, World
 from lynxscale.relay.cluster.agreement_state import ViewStatus
 
 
--- a/tests/relay/cluster/test_view_change.py
+++ b/tests/relay/cluster/test_view_change.py
@@ -1,6 +1,6 @@
 """View agreement: leases on a lossy network."""
 
-from lab.cluster.simulate import SECOND, World
+from lab.cluster.world import SECOND, World
 
 
 def test_on_a_lossy_network_members_keep_their_leases():
