Mutations and a test follow the two steps of a commit

_submit is a method of its own, without the checks; the tests and the mutations use it, and mean what they meant.

--- a/lab/tier/mutations/operator_changes.py
+++ b/lab/tier/mutations/operator_changes.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import attrs
 import msgspec
 
 from lab.tier.mutations.detectors import Patches
-from lynxscale.controlplane.configuration_endpoint import BASE_HEADER, ConfigurationEndpoint, read_response
+from lynxscale.controlplane.configuration_endpoint import (
+    BASE_HEADER,
+    ConfigurationEndpoint,
+    PreparedChange,
+    prepare_replacement,
+    prepare_update,
+    read_response,
+)
 from lynxscale.controlplane.http_responses import CommittedResponses, json_response
 from lynxscale.controlplane.idempotency import ChangeKind, idempotency_key
 from lynxscale.coordination.messages import TopicUpdate
@@ -31,9 +39,10 @@
     def change(self: ConfigurationEndpoint, kind: ChangeKind, request, responder) -> None:  # noqa: ANN001
         key = idempotency_key(kind, "", request.body)
         if kind is ChangeKind.UPDATE:
-            self._commit_update(msgspec.json.decode(request.body), key, responder)
+            prepared = prepare_update("", key, msgspec.json.decode(request.body), self.current())
         else:
-            self._commit(msgspec.json.decode(request.body)["generation"], request.body, key, responder)
+            prepared = prepare_replacement("", key, request.body)
+        self._submit(prepared.unwrap(), responder)
 
     return [(ConfigurationEndpoint, "change", change)]
 
@@ -69,11 +78,11 @@
 def retry_is_rejected() -> Patches:
     """A retry of a committed change is checked against the version in force, like a new change."""
 
-    def commit(self: ConfigurationEndpoint, generation: int, body: bytes, key: str, responder) -> None:  # noqa: ANN001
-        original(self, generation, body, key + "-", responder)
+    def submit(self: ConfigurationEndpoint, change: PreparedChange, responder: Responder) -> None:
+        original(self, attrs.evolve(change, key=change.key + "-"), responder)
 
-    original = ConfigurationEndpoint._commit
-    return [(ConfigurationEndpoint, "_commit", commit)]
+    original = ConfigurationEndpoint._submit
+    return [(ConfigurationEndpoint, "_submit", submit)]
 
 
 def rejection_precedes_the_commit() -> Patches:
--- a/lynxscale/controlplane/configuration_endpoint.py
+++ b/lynxscale/controlplane/configuration_endpoint.py
@@ -160,13 +160,16 @@
 
     def _commit(self, change: PreparedChange, responder: Responder) -> None:
         """Commit a change unless the same request, or another one on its base version, has been taken meanwhile."""
-        generation = change.value.generation
         if self._records.contains(change.key):
             self._responses.send_after_barrier(responder, json_response(HTTPStatus.OK, TAKEN_BEFORE))
-        elif not self._rejects_version(change.base, generation, responder):
-            puts = (put_value(CURRENT_KEY, change.value), *self._records.add(change.key, generation))
-            response = json_response(HTTPStatus.OK, {"generation": generation})
-            self._responses.send_after_commit(responder, puts, response, lambda: self._on_commit(change.value))
+        elif not self._rejects_version(change.base, change.value.generation, responder):
+            self._submit(change, responder)
+
+    def _submit(self, change: PreparedChange, responder: Responder) -> None:
+        generation = change.value.generation
+        puts = (put_value(CURRENT_KEY, change.value), *self._records.add(change.key, generation))
+        response = json_response(HTTPStatus.OK, {"generation": generation})
+        self._responses.send_after_commit(responder, puts, response, lambda: self._on_commit(change.value))
 
 
 def prepare_replacement(base: str, key: str, body: bytes) -> Prepared:
--- a/tests/dataplane/test_request_router.py
+++ b/tests/dataplane/test_request_router.py
@@ -9,6 +9,8 @@
 
 from lab.tier.fakes import ClientResponse
 from lab.tier.simulated_tier import INTERNAL_PORT, SimulatedTier, default_configuration
+from lynxscale.controlplane.configuration_endpoint import PreparedChange
+from lynxscale.controlplane.newest_configuration import stored_configuration
 from lynxscale.coordination.messages import AdmitTurn, Call, Message, ReadConfigurationVersion, TopicUpdate
 from lynxscale.dataplane.service import RelayService
 from lynxscale.dataplane.status import render
@@ -341,7 +343,8 @@
     unreadable = default_configuration(generation)
     unreadable["routes"][0]["max-attempts"] = None
     endpoint = tier.primary().operator_api.configuration
-    endpoint._commit(generation, msgspec.json.encode(unreadable), "an order of its own", Responder(None))
+    value = stored_configuration(generation, msgspec.json.encode(unreadable))
+    endpoint._submit(PreparedChange("", "an order of its own", value), Responder(None))
     relays = tier.relays.values()
     assert tier.world.run_until(lambda: all(r._configuration.received_version == generation for r in relays), 2.0)
 
