--- a/lynxscale/relay/http_parser.py
+++ b/lynxscale/relay/http_parser.py
@@ -13,7 +13,7 @@
 
 from lynxscale.relay.exceptions import HttpParseError
 from lynxscale.runtime.exceptions import InvalidRequestError
-from lynxscale.runtime.request_target import split_target
+from lynxscale.runtime.request_target import origin_target
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 64 * 1024
@@ -224,7 +224,7 @@
         if length > MAX_SKIPPED_BYTES:
             raise HttpParseError(413, "the body is too long")  # too much to read only to discard it
         try:
-            target, _ = split_target(method, target)
+            target = origin_target(method, target).target
         except InvalidRequestError as error:
             raise HttpParseError(error.status, str(error)) from error
         message = Request(method, target, headers, _wants_close(version, headers))
--- a/lynxscale/runtime/request_target.py
+++ b/lynxscale/runtime/request_target.py
@@ -22,33 +22,41 @@
 SERVER_WIDE_TARGET = "*"
 
 
+@attrs.frozen
+class OriginTarget:
+    """A target in origin form; ``host``: that of the absolute form that it was in, None for any other form."""
+
+    target: str
+    host: str | None
+
+
 def in_origin_form(request: Request) -> Request:
     """Return a request whose target is in absolute form with one in origin form, any other request unchanged.
 
     Raises InvalidRequestError if the target is invalid.
     """
-    target, host = split_target(request.method, request.target)
-    if host is None:
+    origin = origin_target(request.method, request.target)
+    if origin.host is None:
         return request
-    return attrs.evolve(request, target=target, head=_with_host(request.head, host.encode()))
+    return attrs.evolve(request, target=origin.target, head=_with_host(request.head, origin.host.encode()))
 
 
-def split_target(method: str, target: str) -> tuple[str, str | None]:
-    """Return a target in absolute form in origin form and its host; any other target unchanged, and None.
+def origin_target(method: str, target: str) -> OriginTarget:
+    """Return a target in absolute form in origin form, and any other target unchanged.
 
     Raises InvalidRequestError if the target is invalid.
     """
     absolute = None if target.startswith(ORIGIN_FORM_START) else ABSOLUTE_FORM.fullmatch(target)
     if absolute is None:
-        return target, None
+        return OriginTarget(target, None)
     if absolute["scheme"].lower() != SERVED_SCHEME:
         raise InvalidRequestError(HTTPStatus.MISDIRECTED_REQUEST, "unsupported scheme")
     if not normalized_host(absolute["authority"]):
         raise InvalidRequestError(HTTPStatus.BAD_REQUEST, "invalid host in the target")
-    return _origin_target(method, absolute["rest"]), absolute["authority"]
+    return OriginTarget(_path_and_query(method, absolute["rest"]), absolute["authority"])
 
 
-def _origin_target(method: str, rest: str) -> str:
+def _path_and_query(method: str, rest: str) -> str:
     """Return the target in origin form; ``rest``: what follows the authority in the absolute form."""
     if rest.startswith("#"):
         raise InvalidRequestError(HTTPStatus.BAD_REQUEST, "fragment in the target")
