--- a/tests/dataplane/test_route_hosts.py
+++ b/tests/dataplane/test_route_hosts.py
@@ -9,7 +9,7 @@
 from lynxscale.configuration.document import published_form
 from lynxscale.configuration.hosts import normalized_host
 from lynxscale.controlplane.configuration_check import check_configuration
-from lynxscale.controlplane.newest_configuration import CurrentConfiguration
+from lynxscale.controlplane.newest_configuration import CurrentConfiguration, stored_configuration
 from lynxscale.dataplane.routing import decode_route_table
 from tests.simulated_tier import settled_tier
 
@@ -98,3 +98,25 @@
     stored = CurrentConfiguration(2, *(msgspec.Raw(msgspec.json.encode(form)) for form in (derived, written)))
     table = decode_route_table(msgspec.Raw(stored.published))
     assert table.find(HOST, "/look/most/1").name == "look"
+
+
+class EarlierRecord(msgspec.Struct):
+    """The configuration in force as the program before stores and reads it."""
+
+    generation: int
+    body: msgspec.Raw
+    written: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
+
+
+def test_the_program_before_reads_what_is_stored_and_is_understood_in_turn():
+    """Amid an upgrade and after a roll back: it ignores ``form``, and what it stores has none."""
+    configuration = default_configuration(2)
+    configuration["routes"][2]["host"] = f"{HOST.upper()}:80"
+    written = msgspec.json.encode(configuration)
+    stored = stored_configuration(2, written)
+    record = msgspec.json.decode(msgspec.json.encode(stored), type=EarlierRecord)
+    assert (record.generation, bytes(record.written)) == (2, written)
+    assert bytes(record.body) == stored.published
+    read_again = msgspec.json.decode(msgspec.json.encode(record), type=CurrentConfiguration)
+    assert read_again.form is msgspec.UNSET
+    assert (read_again.as_written, read_again.published) == (written, stored.published)
