--- /dev/null
+++ b/tests/runtime/test_start_and_end.py
@@ -0,0 +1,72 @@
+"""What is passing is waited out at the start, what cannot be read is no end, and every end tells its reason."""
+
+import resource
+import signal
+import socket
+import time
+
+import pytest
+
+from tests.running_program import CONTROL_PORT, FRONTEND_PORT, INTERNAL_PORT, READINESS_PORT, RunningProgram, started
+
+HELD_S = 1.2
+POLL_S = 2.0  # between two readings of the settings file
+LISTENERS = [
+    ("dataplane", INTERNAL_PORT),
+    ("dataplane", READINESS_PORT),
+    ("dataplane", FRONTEND_PORT),
+    ("controlplane", INTERNAL_PORT),
+    ("controlplane", CONTROL_PORT),
+]
+UNREADABLE = [
+    pytest.param(b'node-name = "\xe9"\n', id="another encoding"),
+    pytest.param(b"a = " + b"[" * 5000, id="deeply nested"),
+]
+
+
+@pytest.mark.parametrize(("module", "port"), LISTENERS)
+def test_a_port_that_is_held_for_a_while_at_the_start_does_not_end_the_process(module, port, tmp_path):
+    program = RunningProgram(module, tmp_path)
+    try:
+        with socket.socket() as holder:
+            holder.bind((program.host, port))
+            holder.listen()
+            program.launch()
+            time.sleep(HELD_S)
+        program.wait_until_started()
+    finally:
+        program.stop()
+
+
+def test_a_disk_that_is_full_at_the_start_does_not_end_a_control_member(tmp_path):
+    program = RunningProgram("controlplane", tmp_path)
+    try:
+        program.launch(file_bytes=0)
+        time.sleep(HELD_S)
+        assert program.running
+        resource.prlimit(program.process.pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+        program.wait_until_started()
+    finally:
+        program.stop()
+
+
+@pytest.mark.parametrize("module", ["dataplane", "controlplane"])
+@pytest.mark.parametrize("content", UNREADABLE)
+def test_a_settings_file_that_becomes_unreadable_does_not_end_the_process(module, content, tmp_path):
+    with started(module, tmp_path) as program:
+        program.settings.write_bytes(content)
+        program.process.send_signal(signal.SIGHUP)
+        time.sleep(POLL_S + 0.5)
+        assert program.status_line().startswith(b"HTTP/1.1 200")
+        assert "event=settings_unusable" in program.log_text()
+        assert "Traceback" not in program.log_text()
+
+
+@pytest.mark.parametrize("module", ["dataplane", "controlplane"])
+@pytest.mark.parametrize("content", UNREADABLE)
+def test_unreadable_settings_at_the_start_end_the_process_with_2_and_one_line(module, content, tmp_path):
+    program = RunningProgram(module, tmp_path)
+    program.settings.write_bytes(content)
+    program.launch()
+    assert program.process.wait(10) == 2
+    assert "Traceback" not in program.log_text() and str(program.settings) in program.log_text()
