--- a/lynxscale/runtime/http_client.py
+++ b/lynxscale/runtime/http_client.py
@@ -17,7 +17,7 @@
 from lynxscale.coordination.ports import Clock, Timer
 from lynxscale.runtime.connect_tasks import ConnectTasks
 from lynxscale.runtime.http_types import Head, Headers, Request
-from lynxscale.runtime.sockets import configure_socket, split_address
+from lynxscale.runtime.sockets import CONNECT_ERRORS, configure_socket, split_address
 
 DEFAULT_KEEP_ALIVE_S = 4.0
 """How long an idle connection may be reused if the server sends no ``Keep-Alive: timeout``."""
@@ -236,11 +236,10 @@
         await self._attempts.aclose()
 
     async def _connect(self, address: str, connection: ClientConnection) -> None:
-        host, port = split_address(address)
         try:
             async with asyncio.timeout(self._timeout_s):
                 await self._loop.create_connection(lambda: connection, host, port)
-        except OSError:  # includes TimeoutError
+        except CONNECT_ERRORS:
             connection.on_connect_failed()
 
 
@@ -249,6 +248,7 @@
 
     def __init__(
         self,
+            host, port = split_address(address)
         address: str,
         request: Request,
         clock: Clock,
--- a/lynxscale/runtime/settings_watcher.py
+++ b/lynxscale/runtime/settings_watcher.py
@@ -33,7 +33,14 @@
         if settings != self._settings:
             log.info("event=settings_changed")
             self._settings = settings
+            self._apply(settings)
+
+    def _apply(self, settings: Settings) -> None:
+        """Apply a change; an error in it must not end a process that serves by the settings before."""
+        try:
             self._on_change(settings)
+        except Exception:
+            log.exception("event=settings_not_applied")
 
 
 async def watch_until(stopped: asyncio.Event, watcher: SettingsWatcher) -> None:
--- a/lynxscale/runtime/sockets.py
+++ b/lynxscale/runtime/sockets.py
@@ -10,6 +10,9 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 """The kernel closes a connection whose sent bytes stay unacknowledged for this long (``TCP_USER_TIMEOUT``)."""
 
+CONNECT_ERRORS = (OSError, ValueError, OverflowError)
+"""What an attempt to connect raises: OSError, which includes TimeoutError, or the others if the address is none."""
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Split ``host:port``. Raises ValueError if the port is not a number."""
