The limits of the settings bind: descriptors and memory; busy ports and disks are waited out

Callers saw processes that ended by themselves or answered nothing. max-fds and memory-mb were read and used nowhere, and any error of a start ended it:

- Descriptors. asyncio's server repeats an accept that fails backlog times an event, each with a traceback and a retry of its own, so 200 idle clients at 160 descriptors kept the processor busy, filled the log and left GET /status unanswered. runtime/listener.py accepts up to a share of max-fds, closes the connection idle for longest, refuses what is beyond (503, Retry-After), and pauses after a failure, which is one line in ten seconds.
Peers, operators, health checks, idle connections to endpoints and files have shares of their own.
Unfinished bodies, responses under way and partial messages of peers count against budgets of memory-mb (runtime/memory_budget.py): 503 before a request has run, 502 after.
What a client does not read pauses the endpoint's connection or the client's own further requests.
A port held for 1.2 s, or a full disk where a member has to write, ended the process with 1; both are waited out for a minute, with readiness false, then exit code 3 (runtime/startup.py).

The last line of a process tells why it ended, and the status its memory, descriptors and waiting bytes (absent: a program before).

--- a/lab/tier/simulated_tcp.py
+++ b/lab/tier/simulated_tcp.py
@@ -57,6 +57,12 @@
         """Part of asyncio.Transport: nothing is buffered."""
         return 0
 
+    def pause_reading(self) -> None:
+        """Part of asyncio.Transport: no effect, as nothing is buffered."""
+
+    def resume_reading(self) -> None:
+        """Part of asyncio.Transport: no effect, as nothing is buffered."""
+
     def disconnect(self, error: Exception | None) -> None:
         """The other end has closed the connection, or it is reset (``error``)."""
         if not self._closing:
--- a/lynxscale/controlplane/process.py
+++ b/lynxscale/controlplane/process.py
@@ -15,10 +15,12 @@
 from lynxscale.runtime.clock import LoopClock
 from lynxscale.runtime.durable_files import DurableFiles
 from lynxscale.runtime.http_server import ServerConnection, ServerLimits
+from lynxscale.runtime.listener import ConnectionSlot, Listener
 from lynxscale.runtime.process import ProcessContext, run
 from lynxscale.runtime.reload_signal import reload_signal_handled
+from lynxscale.runtime.resource_limits import member_limits
 from lynxscale.runtime.settings_watcher import SettingsWatcher, watch_until
-from lynxscale.runtime.sockets import split_address
+from lynxscale.runtime.startup import listen_once_free, retry_until_started
 from lynxscale.runtime.worker_thread import WorkerThread
 
 log = logging.getLogger(__name__)
@@ -31,20 +33,31 @@
 
 async def serve(context: ProcessContext) -> None:
     """Serve messages of other nodes and the operator's requests until SIGTERM, then leave the group."""
-    settings, network = context.settings, context.network
+    settings, network, stopped = context.settings, context.network, context.stopped
     loop = asyncio.get_running_loop()
     clock = LoopClock(loop)
-    files = DurableFiles(settings.data_dir, network.flush)
     worker = WorkerThread(loop)
-    service = ControlService(settings, clock, network, files, context.dialer, Random(), worker)
-    limits = ServerLimits(body_bytes=MAX_BODY_BYTES)
-    connections: set[ServerConnection] = set()
-    await network.listen(service.receive)
+    resources = context.resources
+
+    def create_service() -> ControlService:
+        files = DurableFiles(settings.data_dir, network.flush)
+        return ControlService(settings, clock, network, files, context.dialer, Random(), worker, resources)
+
+    internal = await listen_once_free(settings.internal_address, stopped)
+    service = await retry_until_started("disk", create_service, stopped)
+    network.listen(internal, service.receive)
     if settings.listen.control:
-        host, port = split_address(settings.listen.control)
-        await loop.create_server(
-            lambda: ServerConnection(service.handle_request, limits, clock, connections), host, port
+        limits = ServerLimits(
+            body_bytes=MAX_BODY_BYTES,
+            waiting_requests=resources.requests,
+            waiting_responses=resources.responses,
         )
+
+        def accept_operator(slot: ConnectionSlot) -> ServerConnection:
+            return ServerConnection(service.handle_request, limits, clock, set(), slot)
+
+        control = await listen_once_free(settings.listen.control, stopped)
+        Listener(loop, control, accept_operator, resources.clients)
     log.info("event=started member=%s state=%s", service.member.member_id, service.member.role.value)
     watcher = SettingsWatcher(settings, service.settings_changed)
     async with contextlib.aclosing(worker):
@@ -67,4 +80,4 @@
 
 def main() -> int:
     """Run a control process until SIGTERM and return its exit code: 2 if its settings are unusable."""
-    return run(serve, CONNECT_TIMEOUT_S)
+    return run(serve, CONNECT_TIMEOUT_S, member_limits)
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -30,6 +30,7 @@
 from lynxscale.runtime.http_client import Dial
 from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Request
+from lynxscale.runtime.resource_limits import ResourceLimits
 from lynxscale.runtime.settings import Settings
 
 log = logging.getLogger(__name__)
@@ -52,8 +53,11 @@
         dial: Dial,
         random: Random,
         worker: Worker,
+        resources: ResourceLimits | None = None,
     ) -> None:
+        """``resources``: the shares of the process's memory and descriptors. Raises OSError if the disk fails."""
         address = settings.internal_address
+        self._resources = resources
         identity = MemberIdentity(address, settings.bootstrap, settings.contacts)
         member_settings = MemberSettings(settings.node_name, settings.contacts, settings.fault_tolerance.machines)
         acceptor_state = AcceptorStateFile(identity, files, random)
@@ -118,6 +122,7 @@
             retiring=sorted(self.operator_api.retirement.retiring_nodes()),
             replicas=self._replicas() if leads else [],
             configuration_error=configuration_error or msgspec.UNSET,
+            resources=msgspec.UNSET if self._resources is None else self._resources.status(),
         )
 
     def _replicas(self) -> list[ReplicaStatus]:
--- a/lynxscale/controlplane/status.py
+++ b/lynxscale/controlplane/status.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from lynxscale.runtime.resource_limits import ResourceStatus
+
 
 class ReplicaStatus(msgspec.Struct, frozen=True):
     """The status of one member of the group, as the primary knows it from the member's messages."""
@@ -24,7 +26,7 @@
     ``leads``: whether it holds the lease. ``position``: epoch and index of the last stored batch. ``configuration``:
     the version in force. ``endpoints``, ``relays`` and ``replicas`` are reported by the primary only.
     ``configuration_error``: why relays cannot use that version; unset if they can, and in the status of programs that
-    do not report it.
+    do not report it. ``resources``: unset in the status of programs that do not report them.
     """
 
     node: str
@@ -40,6 +42,7 @@
     retiring: list[str]
     replicas: list[ReplicaStatus]
     configuration_error: str | msgspec.UnsetType = msgspec.UNSET
+    resources: ResourceStatus | msgspec.UnsetType = msgspec.UNSET
 
 
 def render(status: ControlStatus) -> str:
@@ -53,6 +56,8 @@
     ]
     if isinstance(status.configuration_error, str):
         lines.append(f"unusable       relays cannot use this configuration: {status.configuration_error}")
+    if isinstance(status.resources, ResourceStatus):
+        lines += status.resources.render()
     if status.leads:
         lines.append(f"endpoints      {status.endpoints}")
         lines.append(f"relays         {len(status.relays)}: {' '.join(status.relays)}")
--- a/lynxscale/coordination/netstring.py
+++ b/lynxscale/coordination/netstring.py
@@ -19,6 +19,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def partial_bytes(self) -> int:
+        """The bytes of the frame that is not complete yet."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[bytes]:
         """Return the payloads completed by ``data``. Raises NetstringError, after which the stream is unusable."""
         self._buffer += data
--- a/lynxscale/dataplane/attempt.py
+++ b/lynxscale/dataplane/attempt.py
@@ -147,6 +147,15 @@
         not_sent = failure is ResponseFailure.NOT_CONNECTED
         self._end(AttemptOutcome.NOT_EXECUTED if not_sent else AttemptOutcome.MAY_HAVE_EXECUTED)
 
+    def pause(self) -> None:
+        """Receive no more of the response until ``resume``."""
+        self._connection.pause_reading()
+
+    def resume(self) -> None:
+        """Receive the response again."""
+        if self._listener is not None:
+            self._connection.resume_reading()
+
     def cancel(self) -> None:
         """Abort the attempt by closing its connection, so that the endpoint stops too; no outcome is reported."""
         if self._listener is not None:
--- a/lynxscale/dataplane/endpoint_state.py
+++ b/lynxscale/dataplane/endpoint_state.py
@@ -5,7 +5,7 @@
 import math
 
 from lynxscale.coordination.ports import Clock
-from lynxscale.dataplane.connection_pool import ConnectionPool
+from lynxscale.dataplane.connection_pool import ConnectionPool, IdleConnections
 from lynxscale.dataplane.failure_rate import FailureRate
 from lynxscale.discovery.endpoint import Endpoint
 from lynxscale.runtime.http_client import Dial
@@ -37,7 +37,10 @@
 class EndpointState:
     """One endpoint, its idle connections, and the estimates from its recent attempts."""
 
-    def __init__(self, endpoint: Endpoint, clock: Clock, dial: Dial) -> None:
+    def __init__(
+        self, endpoint: Endpoint, clock: Clock, dial: Dial, idle_connections: IdleConnections | None = None
+    ) -> None:
+        """``idle_connections``: the limit of idle connections to all endpoints, if there is one."""
         self.endpoint = endpoint
         self.ready = endpoint.state == READY
         self.in_flight = 0
@@ -48,7 +51,8 @@
         self.restart_tokens = INITIAL_RESTART_TOKENS
         self.cooldown_until = -INF
         self.failure_rate = FailureRate(clock)
-        self.connections = ConnectionPool(endpoint.address, clock, dial, closed=not self.ready)
+        idle = idle_connections or IdleConnections()
+        self.connections = ConnectionPool(endpoint.address, clock, dial, closed=not self.ready, idle_connections=idle)
         self._consecutive_failures = 0
         self._clock = clock
         self._load_of_others = 0.0
--- a/lynxscale/dataplane/forwarding.py
+++ b/lynxscale/dataplane/forwarding.py
@@ -26,6 +26,7 @@
 from lynxscale.runtime.http_client import ClientConnection
 from lynxscale.runtime.http_server import Exchange, Responder
 from lynxscale.runtime.http_types import Head, Request, Response
+from lynxscale.runtime.memory_budget import MemoryBudget, Reservation
 
 RETRY_AFTER_S = 0.1
 
@@ -35,7 +36,7 @@
     """The objects that all requests of a relay share.
 
     ``route_by_version(request, responder, version)`` routes a request anew once the relay has a version of the
-    configuration, and returns its exchange.
+    configuration, and returns its exchange. ``responses``: the memory for responses that are kept until their end.
     """
 
     clock: Clock
@@ -43,6 +44,7 @@
     turns: TurnClient
     random: Random
     route_by_version: Callable[[Request, Responder, int], Exchange | None]
+    responses: MemoryBudget
 
 
 class ForwardedRequest:
@@ -71,7 +73,7 @@
         self._attempted: set[str] = set()  # ids of the endpoints that it was sent to
         self._carriers: set[ClientConnection] = set()  # the connections that it was sent on
         self._turn = context.turns.create_turn(request, match)
-        self._response = ResponseStream(responder, route)
+        self._response = ResponseStream(responder, route, Reservation(context.responses))
         self._queue_wait_timer: Timer | None = None
         self._deadline_timer: Timer = self._clock.call_later(timeout_s, self._deadline_expired)
 
@@ -225,6 +227,9 @@
 
     def on_response_data(self, attempt: Attempt, data: bytes) -> None:
         """Part of AttemptListener."""
+        if not self._response.reserve(data):
+            self._response_too_large(attempt)
+            return
         known = len(self._response.events.events)
         events = self._response.receive(data)
         if not events:
@@ -235,6 +240,23 @@
             self._transition(RequestState.STREAMING)
             self._response.start()
         self._response.send(events)
+        if self._responder.paused:
+            attempt.pause()
+            self._responder.when_writable(self._resume_attempt)
+
+    def _resume_attempt(self) -> None:
+        """Receive the response again, as the client has read what was sent of it."""
+        if self._attempt is not None:
+            self._attempt.resume()
+
+    def _response_too_large(self, attempt: Attempt) -> None:
+        """Give up a response that does not fit into the memory for responses: 502, as the endpoint has executed it."""
+        self._cancel_attempt(attempt)
+        self._executions += 1
+        if self.state is RequestState.STREAMING:
+            self._abort()
+        else:
+            self._respond(relay_response(BAD_GATEWAY))
 
     def _response_complete(self) -> None:
         if self._response.streams:
@@ -326,6 +348,7 @@
                 self._queue_wait_timer.cancel()
                 self._queue_wait_timer = None
         if state is RequestState.ENDED:
+            self._response.release()
             self._deadline_timer.cancel()
             self._close_turn()
         self.state = state
--- a/lynxscale/dataplane/load_balancer.py
+++ b/lynxscale/dataplane/load_balancer.py
@@ -11,10 +11,12 @@
 from attrs import frozen
 
 from lynxscale.coordination.ports import Clock
+from lynxscale.dataplane.connection_pool import IdleConnections
 from lynxscale.dataplane.endpoint_state import READY, EndpointState
 from lynxscale.dataplane.slot_queue import SlotQueue
 from lynxscale.discovery.endpoint import Endpoint
 from lynxscale.runtime.http_client import Dial
+from lynxscale.scheduling.restart_timeout import INF
 
 EJECTION_FAILURE_RATE = 0.25  # an endpoint at or above it is ejected as an outlier
 MAX_KV_CACHE_SHARE = 0.8  # share of an endpoint's KV cache that its requests may fill
@@ -45,8 +47,10 @@
 class LoadBalancer:
     """Chooses among the endpoints of each service; ``queue`` holds the requests that wait for a slot."""
 
-    def __init__(self, zone: str, clock: Clock, dial: Dial) -> None:
+    def __init__(self, zone: str, clock: Clock, dial: Dial, max_idle_connections: float = INF) -> None:
+        """``max_idle_connections``: to all endpoints together."""
         self.zone = zone
+        self._idle_connections = IdleConnections(max_idle_connections)
         self.has_endpoint_list = False
         self.states: dict[str, EndpointState] = {}  # by endpoint id
         self._by_service: dict[str, list[EndpointState]] = {}
@@ -77,7 +81,7 @@
         """
         known = self.states.get(endpoint.id)
         if known is None or (endpoint.state == READY and known.endpoint.state != READY):
-            self.states[endpoint.id] = EndpointState(endpoint, self._clock, self._dial)
+            self.states[endpoint.id] = EndpointState(endpoint, self._clock, self._dial, self._idle_connections)
         elif endpoint.state != READY:
             known.endpoint = endpoint
             known.mark_unavailable()
--- a/lynxscale/dataplane/process.py
+++ b/lynxscale/dataplane/process.py
@@ -12,10 +12,12 @@
 from lynxscale.dataplane.service import RelayService
 from lynxscale.runtime.clock import LoopClock
 from lynxscale.runtime.http_server import ServerConnection
+from lynxscale.runtime.listener import ConnectionSlot, Listener
 from lynxscale.runtime.process import ProcessContext, run
 from lynxscale.runtime.reload_signal import reload_signal_handled
+from lynxscale.runtime.resource_limits import relay_limits
 from lynxscale.runtime.settings_watcher import SettingsWatcher, watch_until
-from lynxscale.runtime.sockets import split_address
+from lynxscale.runtime.startup import listen_once_free
 
 log = logging.getLogger(__name__)
 
@@ -31,21 +33,23 @@
     settings, network = context.settings, context.network
     loop = asyncio.get_running_loop()
     clock = LoopClock(loop)
-    service = RelayService(settings, clock, network, context.dialer, Random())
+    resources, listen, stopped = context.resources, settings.listen, context.stopped
+    service = RelayService(settings, clock, network, context.dialer, Random(), resources)
+    service.accepting = False
     clients: set[ServerConnection] = set()
-    health_checks: set[ServerConnection] = set()
-    await network.listen(service.receive)
-    host, port = split_address(settings.listen.readiness)
-    await loop.create_server(
-        lambda: ServerConnection(service.handle_readiness, service.limits, clock, health_checks), host, port
-    )
-    host, port = split_address(settings.listen.frontend)
-    server = await loop.create_server(
-        lambda: ServerConnection(service.handle_request, service.limits, clock, clients),
-        host,
-        port,
-        backlog=LISTEN_BACKLOG,
-    )
+
+    def accept_client(slot: ConnectionSlot) -> ServerConnection:
+        return ServerConnection(service.handle_request, service.limits, clock, clients, slot)
+
+    def accept_health_check(slot: ConnectionSlot) -> ServerConnection:
+        return ServerConnection(service.handle_readiness, service.limits, clock, set(), slot)
+
+    network.listen(await listen_once_free(settings.internal_address, stopped), service.receive)
+    readiness = await listen_once_free(listen.readiness, stopped)
+    Listener(loop, readiness, accept_health_check, resources.health_checks)
+    frontend = await listen_once_free(listen.frontend, stopped, LISTEN_BACKLOG)
+    server = Listener(loop, frontend, accept_client, resources.clients)
+    service.accepting = True
     log.info("event=started")
     watcher = SettingsWatcher(settings, service.settings_changed)
     with reload_signal_handled(loop, watcher.reload):
@@ -53,7 +57,7 @@
         await drain(service, server, clients, loop.time() + settings.bounds.grace_s - SHUTDOWN_MARGIN_S)
 
 
-async def drain(service: RelayService, server: asyncio.Server, clients: set[ServerConnection], deadline: float) -> None:
+async def drain(service: RelayService, server: Listener, clients: set[ServerConnection], deadline: float) -> None:
     """Close the listener after ``NOT_READY_PERIOD_S``, then idle connections; wait for the requests in flight.
 
     ``deadline``: the loop time at which the wait ends.
@@ -73,4 +77,4 @@
 
 def main() -> int:
     """Run a relay until SIGTERM and return its exit code: 2 if its settings are unusable."""
-    return run(serve, CONNECT_TIMEOUT_S)
+    return run(serve, CONNECT_TIMEOUT_S, relay_limits)
--- a/lynxscale/dataplane/request_router.py
+++ b/lynxscale/dataplane/request_router.py
@@ -31,6 +31,7 @@
 from lynxscale.dataplane.turns import TurnClient, is_admitted
 from lynxscale.runtime.http_server import Exchange, Responder
 from lynxscale.runtime.http_types import Request
+from lynxscale.runtime.memory_budget import MemoryBudget
 
 log = logging.getLogger(__name__)
 
@@ -83,7 +84,9 @@
         balancer: LoadBalancer,
         clock: Clock,
         random: Random,
+        responses: MemoryBudget,
     ) -> None:
+        """``responses``: the memory for responses that are kept until their end."""
         self._configuration = configuration
         self._configured = configured
         self._tree = tree
@@ -91,7 +94,7 @@
         self._clock = clock
         self._requested_at = NEVER  # when newer topics were last requested
         self._turns = TurnClient(calls, lambda: tree.isolated, random)
-        self._context = ForwardingContext(clock, balancer, self._turns, random, self._route_by_version)
+        self._context = ForwardingContext(clock, balancer, self._turns, random, self._route_by_version, responses)
         self._until_configured = PendingUntilConfigured(clock, self._route)
         self._until_newer = PendingUntilConfigured(clock, self._route_by_proven_table)
 
--- a/lynxscale/dataplane/response_stream.py
+++ b/lynxscale/dataplane/response_stream.py
@@ -10,6 +10,7 @@
 from lynxscale.dataplane.server_sent_events import EventScanner
 from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head
+from lynxscale.runtime.memory_budget import Reservation
 
 NO_FIELDS = Head(())
 
@@ -20,10 +21,24 @@
     ``streams``: whether the current response is forwarded event by event; valid once its head was received.
     """
 
-    __slots__ = ("_body", "_head", "_held", "_held_count", "_responder", "_route", "events", "status", "streams")
-
-    def __init__(self, responder: Responder, route: Route) -> None:
+    __slots__ = (
+        "_body",
+        "_head",
+        "_held",
+        "_held_count",
+        "_kept_bytes",
+        "_memory",
+        "_responder",
+        "_route",
+        "events",
+        "status",
+        "streams",
+    )
+
+    def __init__(self, responder: Responder, route: Route, memory: Reservation) -> None:
         self.status = 0
+        self._memory = memory
+        self._kept_bytes = 0
         self.streams = False
         self.events = EventScanner(keep_events=route.retained)
         self._responder = responder
@@ -43,6 +58,8 @@
         self.status = 0
         self.streams = False
         self._head, self._body = NO_FIELDS, bytearray()
+        if not self._route.streaming:
+            self._kept_bytes = 0
         self.events.discard_partial()
 
     def set_head(self, status: int, head: Head) -> None:
@@ -58,6 +75,20 @@
         self._body += data
         return b""
 
+    def reserve(self, data: bytes) -> bool:
+        """Count a chunk that is about to be received; return False if there is no memory for it.
+
+        A stream that is not retained leaves with each of its events; the rest is kept until ``release``.
+        """
+        if self.streams and not self._route.retained:
+            return self._memory.resize(self.events.partial_bytes + len(data))
+        self._kept_bytes += len(data)
+        return self._memory.resize(self._kept_bytes)
+
+    def release(self) -> None:
+        """Give the memory back, as the response is sent or given up."""
+        self._memory.release()
+
     def start(self) -> None:
         """Send the endpoint's status and header fields to the client.
 
--- a/lynxscale/dataplane/server_sent_events.py
+++ b/lynxscale/dataplane/server_sent_events.py
@@ -43,6 +43,11 @@
         """Whether the stream is within an event."""
         return bool(self._partial)
 
+    @property
+    def partial_bytes(self) -> int:
+        """The bytes of the incomplete event."""
+        return len(self._partial)
+
     def discard_partial(self) -> None:
         """Drop an incomplete event, as another attempt continues after the last complete one."""
         self._partial, self._searched = b"", 0
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -33,6 +33,7 @@
 from lynxscale.runtime.http_client import Dial
 from lynxscale.runtime.http_server import Exchange, Responder, ServerLimits
 from lynxscale.runtime.http_types import Head, Request, Response
+from lynxscale.runtime.resource_limits import ResourceLimits
 from lynxscale.runtime.settings import Settings
 
 log = logging.getLogger(__name__)
@@ -45,10 +46,22 @@
 class RelayService:
     """Handles the messages and requests of one relay process."""
 
-    def __init__(self, settings: Settings, clock: Clock, network: Network, dial: Dial, random: Random) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        network: Network,
+        dial: Dial,
+        random: Random,
+        resources: ResourceLimits | None = None,
+    ) -> None:
+        """``resources``: the shares of the process's memory and descriptors; without them nothing is limited."""
         address = settings.internal_address
+        self.accepting = True  # whether the process listens for clients
         self.stopping = False
-        self.balancer = LoadBalancer(settings.zone, clock, dial)
+        self._resources = resources
+        shares = resources or ResourceLimits()
+        self.balancer = LoadBalancer(settings.zone, clock, dial, shares.idle_endpoint_connections)
         self.tree = Subscriber(address, settings.zone, settings.contacts, clock, network, self._on_topics)
         self.ring = RingMember(address, settings.heartbeat_ms / 1000.0, clock, network)
         self.calls = PrimaryCalls(
@@ -62,9 +75,20 @@
         self._platform_rate_per_s = max(1.0, settings.cloud.rate_per_s)
         clock.call_later(ISOLATION_CHECK_INTERVAL_S, self._check_isolation)
         self._configuration = RelayConfiguration(self.tree)
-        self.limits = ServerLimits(outdated=lambda: self._configuration.outdated)
+        self.limits = ServerLimits(
+            outdated=lambda: self._configuration.outdated,
+            waiting_requests=shares.requests,
+            waiting_responses=shares.responses,
+        )
         self._router = RequestRouter(
-            self._configuration, lambda: self._configured, self.tree, self.calls, self.balancer, clock, random
+            self._configuration,
+            lambda: self._configured,
+            self.tree,
+            self.calls,
+            self.balancer,
+            clock,
+            random,
+            shares.responses,
         )
 
     @property
@@ -74,8 +98,8 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the health check succeeds: the relay is configured, not stopping and not isolated."""
-        return self._configured and not self.stopping and not self.isolated
+        """Whether the health check succeeds: the relay is configured, accepts clients, and is not isolated."""
+        return self._configured and self.accepting and not self.stopping and not self.isolated
 
     @property
     def isolated(self) -> bool:
@@ -125,6 +149,7 @@
             primary=self.tree.primary,
             endpoints=[endpoint_status(name, state) for name, state in sorted(self.balancer.states.items())],
             configuration_error=self._configuration.error or msgspec.UNSET,
+            resources=msgspec.UNSET if self._resources is None else self._resources.status(),
         )
 
     # Isolation ---------------------------------------------------------------------------------------
--- a/lynxscale/dataplane/status.py
+++ b/lynxscale/dataplane/status.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lynxscale.dataplane.endpoint_state import EndpointState
+from lynxscale.runtime.resource_limits import ResourceStatus
 
 UNKNOWN_AGE_S = 1e6  # JSON has no infinity
 
@@ -32,7 +33,7 @@
     """The status of one relay. ``confirmed_age_s``: seconds since the primary confirmed the versions of its topics.
 
     ``configuration_error``: why the newest version received cannot be used; unset if it can, and in the status of
-    programs that do not report it.
+    programs that do not report it. ``resources``: unset in the status of programs that do not report them.
     """
 
     address: str
@@ -44,6 +45,7 @@
     primary: str
     endpoints: list[EndpointStatus]
     configuration_error: str | msgspec.UnsetType = msgspec.UNSET
+    resources: ResourceStatus | msgspec.UnsetType = msgspec.UNSET
 
 
 def endpoint_status(endpoint_id: str, state: EndpointState) -> EndpointStatus:
@@ -63,6 +65,8 @@
     ]
     if isinstance(status.configuration_error, str):
         lines.append(f"unusable       the newest configuration: {status.configuration_error}")
+    if isinstance(status.resources, ResourceStatus):
+        lines += status.resources.render()
     return "\n".join((*lines, *(_endpoint_line(endpoint) for endpoint in status.endpoints)))
 
 
--- a/lynxscale/runtime/exceptions.py
+++ b/lynxscale/runtime/exceptions.py
@@ -17,6 +17,14 @@
     """The settings cannot be used; the message has one finding per line, each with the file and the field."""
 
 
+class StartError(LocalError):
+    """A process cannot start: what it needs was not available in time. A later start may succeed."""
+
+
+class StartCancelledError(LocalError):
+    """SIGTERM has ended a start."""
+
+
 class ReadOnlyFolderError(LocalError, OSError):
     """A write to a folder that was opened for reading only."""
 
--- a/lynxscale/runtime/exit_codes.py
+++ b/lynxscale/runtime/exit_codes.py
@@ -13,3 +13,7 @@
     """The command ran and reports findings or a rejection."""
     UNUSABLE = 2
     """The command or program could not run: unusable settings, unreadable file, unreachable server."""
+    NOT_STARTED = 3
+    """The program could not start in time: a port is held, or the disk fails. A later start may succeed."""
+    FAILED = 4
+    """The program ended by an unexpected error, which its last lines of log describe."""
--- a/lynxscale/runtime/http_client.py
+++ b/lynxscale/runtime/http_client.py
@@ -99,6 +99,16 @@
         self._receiver = None
         self._set_state(ClientState.CLOSED)
 
+    def pause_reading(self) -> None:
+        """Receive nothing more for now, so that the server has to wait."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Receive again; no effect if reading is not paused."""
+        if self._transport is not None:
+            self._transport.resume_reading()
+
     def on_connect_failed(self) -> None:
         """Handle a failed or timed-out dial; meanwhile the connection may have come up and sent its request."""
         self._fail(ResponseFailure.CLOSED if self._written else ResponseFailure.NOT_CONNECTED)
@@ -187,6 +197,7 @@
         both_done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         if both_done and not self._http.trailing_data[0]:
             self._http.start_next_cycle()
+            self.resume_reading()
             self.used = True
             self.idle_until = self._clock.now() + self._keep_alive_s
             self._set_state(ClientState.IDLE)
@@ -237,6 +248,7 @@
 
     async def _connect(self, address: str, connection: ClientConnection) -> None:
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(self._timeout_s):
                 await self._loop.create_connection(lambda: connection, host, port)
         except CONNECT_ERRORS:
@@ -248,7 +260,6 @@
 
     def __init__(
         self,
-            host, port = split_address(address)
         address: str,
         request: Request,
         clock: Clock,
--- a/lynxscale/runtime/http_server.py
+++ b/lynxscale/runtime/http_server.py
@@ -3,6 +3,9 @@
 Its states are IDLE -> READING -> ANSWERING -> IDLE; CLOSED is reached from every state and is final. A complete
 request is passed to the ``Handler`` with a ``Responder``. A handler that responds later returns an ``Exchange``, which
 is called if the client disconnects before the end of the response.
+
+What waits in a connection is bounded: a body counts against a budget of all connections until its response ends, and
+nothing more is read from a client that does not read its responses, or sends further requests before they end.
 """
 
 from __future__ import annotations
@@ -13,19 +16,28 @@
 from typing import Protocol, cast
 
 import h11
-from attrs import define
+from attrs import Factory, define
 
 from lynxscale.coordination.ports import Clock, Timer
 from lynxscale.runtime.exceptions import InvalidRequestError
 from lynxscale.runtime.http_types import Head, Headers, Request, Response
+from lynxscale.runtime.listener import ConnectionSlot
+from lynxscale.runtime.memory_budget import MemoryBudget, Reservation
 from lynxscale.runtime.request_target import in_origin_form
 from lynxscale.runtime.sockets import configure_socket, reset_on_close
 
 EMPTY_LENGTH: Headers = ((b"content-length", b"0"),)
+CLOSE = (b"connection", b"close")
 REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
 HEADER_FIELDS_TOO_LARGE = 431
 SERVICE_UNAVAILABLE = 503
+RETRY_AFTER_OVERLOAD: Headers = ((b"retry-after", b"1"),)
+"""Seconds until a client that was refused for the want of descriptors or memory should come back."""
+LINGER_S = 1.0
+"""How long the rest of a refused body is read and discarded: a reset would reach the client before its response."""
+MAX_PIPELINED_BYTES = 65536
+"""A connection is not read from beyond this many bytes of further requests, until the response under way ends."""
 
 
 def never() -> bool:
@@ -38,6 +50,7 @@
     """Limits on the size and duration of requests; a new configuration changes them in place.
 
     ``outdated()``: whether newer limits may be in force; a request that exceeds these is then answered 503.
+    ``waiting_requests`` and ``waiting_responses`` bound the bytes in all connections together.
     """
 
     header_bytes: int = 16384
@@ -46,6 +59,8 @@
     idle_timeout_s: float = 60.0
     closing: bool = False  # if set, each response closes its connection, as in a graceful shutdown
     outdated: Callable[[], bool] = never
+    waiting_requests: MemoryBudget = Factory(MemoryBudget)
+    waiting_responses: MemoryBudget = Factory(MemoryBudget)
 
 
 class Exchange(Protocol):
@@ -59,6 +74,11 @@
 """``handler(request, responder)`` returns the pending exchange, or None if a disconnect needs no handling."""
 
 
+def refuse_overload(request: Request, responder: Responder) -> None:
+    """Refuse a request, as the process has too many connections; implements Handler."""
+    responder.respond(Response(SERVICE_UNAVAILABLE, Head(RETRY_AFTER_OVERLOAD)), close=True)
+
+
 class ConnectionState(Enum):
     """The state of a connection from a client."""
 
@@ -78,10 +98,12 @@
         """Ignore all further calls, as the connection is closed."""
         self._connection = None
 
-    def respond(self, response: Response) -> None:
-        """Send a complete response."""
+    def respond(self, response: Response, close: bool = False) -> None:
+        """Send a complete response; ``close``: whether the connection ends with it."""
         if self._connection is not None:
             fields = (*response.head.fields, (b"content-length", b"%d" % len(response.body)))
+            if close:
+                fields = (*fields, CLOSE)
             self._connection.send_head(response.status, fields)
             if response.body:
                 self._connection.send_data(response.body)
@@ -106,6 +128,16 @@
             self._connection.send_data(data)
             self._connection.flush()
 
+    @property
+    def paused(self) -> bool:
+        """Whether the client reads more slowly than the response is sent, so that no more of it should be sent now."""
+        return self._connection is not None and self._connection.write_paused
+
+    def when_writable(self, call: Callable[[], None]) -> None:
+        """Call ``call()`` once, when the client has read what was sent; not if it disconnects before."""
+        if self._connection is not None:
+            self._connection.when_writable(call)
+
     def end(self) -> None:
         """Complete the response."""
         if self._connection is not None:
@@ -124,7 +156,10 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """A connection from a client; it adds itself to ``open_connections`` while it is open."""
+    """A connection from a client; it adds itself to ``open_connections`` while it is open.
+
+    ``slot``: its place at the listener; requests on one that is beyond the listener's limit are refused.
+    """
 
     def __init__(
         self,
@@ -132,9 +167,12 @@
         limits: ServerLimits,
         clock: Clock,
         open_connections: set[ServerConnection],
+        slot: ConnectionSlot | None = None,
     ) -> None:
         self.state = ConnectionState.IDLE
-        self._handler = handler
+        self.write_paused = False  # whether the client does not read what was sent
+        self._slot = slot
+        self._handler = refuse_overload if slot is not None and slot.refused else handler
         self._limits = limits
         self._clock = clock
         self._open_connections = open_connections
@@ -147,6 +185,17 @@
         self._body = bytearray()
         self._unsent = bytearray()
         self._deadline: Timer | None = None
+        self._idle_since = clock.now()
+        self._pipelined_bytes = 0  # received during the response under way
+        self._on_writable: Callable[[], None] | None = None
+        self._request_memory = Reservation(limits.waiting_requests)
+        self._response_memory = Reservation(limits.waiting_responses)
+
+    @property
+    def idle_since(self) -> float | None:
+        """Part of AcceptedConnection."""
+        idle = self.state is ConnectionState.IDLE and not self.write_paused
+        return self._idle_since if idle else None
 
     @property
     def busy(self) -> bool:
@@ -158,11 +207,16 @@
         self._transport = cast(asyncio.Transport, transport)
         configure_socket(transport)
         self._open_connections.add(self)
+        if self._slot is not None:
+            self._slot.opened(self)
         self._set_deadline(self._limits.idle_timeout_s)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Part of asyncio.Protocol."""
         self._set_state(ConnectionState.CLOSED)
+        self._response_memory.release()
+        if self._slot is not None:
+            self._slot.lost()
 
     def eof_received(self) -> None:
         """Part of asyncio.Protocol. A client that closes its sending side counts as disconnected."""
@@ -171,12 +225,32 @@
         """Part of asyncio.Protocol."""
         if self.state is ConnectionState.CLOSED:
             return
+        if self.state is ConnectionState.ANSWERING or self.write_paused:
+            self._keep_for_later(data)
+            return
         if self.state is ConnectionState.IDLE:
             self._apply_header_limit()
             self._set_state(ConnectionState.READING)
         self._http.receive_data(data)
-        if self.state is ConnectionState.READING:
-            self._read()
+        self._read()
+
+    def pause_writing(self) -> None:
+        """Part of asyncio.Protocol: the client does not read what was sent."""
+        self.write_paused = True
+
+    def resume_writing(self) -> None:
+        """Part of asyncio.Protocol: the client has read most of what was sent."""
+        self.write_paused = False
+        self._count_unread()
+        call, self._on_writable = self._on_writable, None
+        if call is not None:
+            call()
+        if self.state is ConnectionState.IDLE:
+            self._read_pipelined()
+
+    def when_writable(self, call: Callable[[], None]) -> None:
+        """Call ``call()`` once, at the end of the current pause of writing."""
+        self._on_writable = call
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in flight."""
@@ -204,7 +278,7 @@
 
     def send_head(self, status: int, fields: Headers) -> None:
         """Queue the head of the response."""
-        extra = ((b"connection", b"close"),) if self._limits.closing else ()
+        extra = (CLOSE,) if self._limits.closing and CLOSE not in fields else ()
         self._queue(h11.Response(status_code=status, headers=[*fields, *extra]))
 
     def send_data(self, data: bytes) -> None:
@@ -222,6 +296,21 @@
             return
         self._http.start_next_cycle()
         self._set_state(ConnectionState.IDLE)
+        if not self.write_paused:
+            self._read_pipelined()
+
+    def _keep_for_later(self, data: bytes) -> None:
+        """Keep what belongs to further requests, and read no more of them once it is much."""
+        self._http.receive_data(data)
+        self._pipelined_bytes += len(data)
+        if self._pipelined_bytes > MAX_PIPELINED_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+
+    def _read_pipelined(self) -> None:
+        """Read the next request, if bytes of it have arrived already."""
+        if self._pipelined_bytes > MAX_PIPELINED_BYTES and self._transport is not None:
+            self._transport.resume_reading()
+        self._pipelined_bytes = 0
         if self._http.trailing_data[0]:
             self._set_state(ConnectionState.READING)
             self._clock.call_later(0.0, self._read)
@@ -230,8 +319,14 @@
         """Write all queued bytes to the transport."""
         if self._unsent and self._transport is not None and not self._transport.is_closing():
             self._transport.write(bytes(self._unsent))
+            self._count_unread()
         self._unsent.clear()
 
+    def _count_unread(self) -> None:
+        """Count the bytes that wait in the transport until the client reads."""
+        if self._transport is not None:
+            self._response_memory.hold(self._transport.get_write_buffer_size())
+
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._header_bytes)
 
@@ -266,6 +361,8 @@
             self._body += event.data
             if len(self._body) > self._limits.body_bytes:
                 self._reject(CONTENT_TOO_LARGE)
+            elif not self._request_memory.resize(len(self._body)):
+                self._reject(SERVICE_UNAVAILABLE)
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch()
         elif isinstance(event, h11.ConnectionClosed):
@@ -295,9 +392,21 @@
         if status in (CONTENT_TOO_LARGE, HEADER_FIELDS_TOO_LARGE) and self._limits.outdated():
             status = SERVICE_UNAVAILABLE
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self._queue(h11.Response(status_code=status, headers=[*EMPTY_LENGTH, (b"connection", b"close")]))
+            retry_after = RETRY_AFTER_OVERLOAD if status == SERVICE_UNAVAILABLE else ()
+            self._queue(h11.Response(status_code=status, headers=[*EMPTY_LENGTH, *retry_after, CLOSE]))
             self._queue(h11.EndOfMessage())
-        self.close()
+        if self._body:
+            self._close_after_linger()
+        else:
+            self.close()
+
+    def _close_after_linger(self) -> None:
+        """Send the response, and close the connection once its client has had the time to read it."""
+        transport = self._transport
+        self.flush()
+        self._set_state(ConnectionState.CLOSED)
+        if transport is not None:
+            self._clock.call_later(LINGER_S, transport.close)
 
     def _set_deadline(self, seconds: float) -> None:
         self._cancel_deadline()
@@ -320,6 +429,8 @@
             return
         self.state = state
         if state is ConnectionState.IDLE:
+            self._idle_since = self._clock.now()
+            self._request_memory.release()
             self._set_deadline(self._limits.idle_timeout_s)
         elif state is ConnectionState.READING:
             self._set_deadline(self._limits.header_timeout_s)
@@ -327,6 +438,8 @@
             self._cancel_deadline()
         if state is ConnectionState.CLOSED:
             self._open_connections.discard(self)
+            self._body.clear()
+            self._request_memory.release()
             self._detach_exchange()
 
     def _detach_exchange(self) -> None:
--- a/lynxscale/runtime/peer_network.py
+++ b/lynxscale/runtime/peer_network.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -17,7 +18,10 @@
 from lynxscale.coordination.netstring import Decoder
 from lynxscale.coordination.netstring import encode as encode_frame
 from lynxscale.runtime.connect_tasks import ConnectTasks
-from lynxscale.runtime.sockets import configure_socket, split_address
+from lynxscale.runtime.listener import ConnectionSlot, Listener
+from lynxscale.runtime.memory_budget import MemoryBudget, Reservation
+from lynxscale.runtime.resource_limits import UNLIMITED
+from lynxscale.runtime.sockets import CONNECT_ERRORS, configure_socket, split_address
 
 log = logging.getLogger(__name__)
 
@@ -25,31 +29,60 @@
 RECONNECT_BACKOFF_S = 0.1
 """How long messages are dropped after a failed connection attempt."""
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
-"""A connection whose write buffer exceeds this is aborted, as its peer reads too slowly."""
+"""A connection whose write buffer exceeds this is aborted, as its peer reads too slowly.
+
+As many bytes wait for a connection that is being established; if more are sent, those before are lost.
+"""
 
 
 class InboundConnection(asyncio.Protocol):
     """A connection on which another node sends messages to this one."""
 
-    def __init__(self, receive: Callable[[Message], None]) -> None:
+    def __init__(
+        self, receive: Callable[[Message], None], slot: ConnectionSlot, memory: MemoryBudget, clock: Callable[[], float]
+    ) -> None:
+        """``memory``: for the partial messages of all peers; ``clock()``: the event loop's time in seconds."""
         self._receive = receive
+        self._slot = slot
+        self._clock = clock
+        self._memory = Reservation(memory)
         self._decoder = Decoder()
         self._transport: asyncio.Transport | None = None
+        self.idle_since: float | None = clock()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Part of asyncio.Protocol."""
         self._transport = cast(asyncio.Transport, transport)
         configure_socket(transport)
+        self._slot.opened(self)
+        if self._slot.refused:
+            self.close()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Part of asyncio.Protocol."""
+        self._memory.release()
+        self._slot.lost()
+
+    def close(self) -> None:
+        """Abort the connection."""
+        if self._transport is not None:
+            self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        """Part of asyncio.Protocol. Bytes that are not messages abort the connection."""
+        """Part of asyncio.Protocol. Bytes that are not messages, or more than fit into memory, abort the connection."""
+        self.idle_since = self._clock()
         try:
             for payload in self._decoder.feed(data):
                 self._receive(decode(payload))
         except (NetstringError, msgspec.DecodeError) as error:
             log.warning("event=bad_message error=%s", error)
-            if self._transport is not None:
-                self._transport.abort()
+            self.close()
+            return
+        if not self._memory.resize(self._decoder.partial_bytes):
+            log.warning("event=message_refused bytes=%d", self._decoder.partial_bytes)
+            self._memory.release()
+            self._decoder = Decoder()
+            self.close()
 
 
 class OutboundConnection(asyncio.Protocol):
@@ -67,6 +100,7 @@
         self._connecting = False
         self._backoff_until = 0.0
         self._unsent: list[bytes] = []
+        self._unsent_bytes = 0
         self._flush_scheduled = False
 
     @property
@@ -81,19 +115,22 @@
                 return
             self._connecting = True
             self._attempts.start(self._connect)
+        if self._unsent_bytes + len(payload) > MAX_UNSENT_BYTES and self._transport is None:
+            self._drop_unsent()
         self._unsent.append(payload)
+        self._unsent_bytes += len(payload)
         if not self._flush_scheduled and self._transport is not None:
             self._flush_scheduled = True
             self._loop.call_soon(self.flush)
 
     async def _connect(self) -> None:
-        host, port = split_address(self._address)
         try:
+            host, port = split_address(self._address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self._loop.create_connection(lambda: self, host, port)
-        except OSError:  # includes TimeoutError
+        except CONNECT_ERRORS:
             self._backoff_until = self._loop.time() + RECONNECT_BACKOFF_S
-            self._unsent.clear()
+            self._drop_unsent()
         finally:
             self._connecting = False
 
@@ -107,7 +144,12 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Part of asyncio.Protocol."""
         self._transport = None
+        self._drop_unsent()
+
+    def _drop_unsent(self) -> None:
+        """Lose the messages that are not written yet."""
         self._unsent.clear()
+        self._unsent_bytes = 0
 
     def flush(self) -> None:
         """Write all unsent messages to the socket."""
@@ -115,7 +157,7 @@
         if self._transport is None or not self._unsent:
             return
         data = b"".join(map(encode_frame, self._unsent))
-        self._unsent.clear()
+        self._drop_unsent()
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self._transport.abort()
         else:
@@ -125,22 +167,37 @@
 class PeerNetwork:
     """Implements the Network port. ``address`` (``host:port``) is where this node listens."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: str) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: str,
+        max_connections: int = UNLIMITED,
+        messages: MemoryBudget | None = None,
+    ) -> None:
+        """``max_connections``: from peers. ``messages``: the memory for their partial messages."""
         self.address = address
+        self._max_connections = max_connections
+        self._messages = messages or MemoryBudget()
         self._loop = loop
         self._connections: dict[str, OutboundConnection] = {}
         self._attempts = ConnectTasks(loop)
         self._receive: Callable[[Message], None] = lambda message: None
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
 
-    async def listen(self, receive: Callable[[Message], None]) -> None:
-        """Pass each message received to ``receive`` from now on. Raises OSError if the port is in use."""
+    def listen(self, listening: socket.socket, receive: Callable[[Message], None]) -> Listener:
+        """Accept peers at a listening socket, and pass each of their messages to ``receive`` from now on."""
         self._receive = receive
-        host, port = split_address(self.address)
-        self._server = await self._loop.create_server(lambda: InboundConnection(receive), host, port)
+
+        def accept(slot: ConnectionSlot) -> InboundConnection:
+            return InboundConnection(receive, slot, self._messages, self._loop.time)
+
+        self._listener = Listener(self._loop, listening, accept, self._max_connections)
+        return self._listener
 
     async def aclose(self) -> None:
         """End the connection attempts that are under way, and begin no others; their messages are lost."""
+        if self._listener is not None:
+            self._listener.close()
         await self._attempts.aclose()
 
     def flush(self) -> None:
--- a/tests/runtime/test_exhausted_resources.py
+++ b/tests/runtime/test_exhausted_resources.py
@@ -36,7 +36,7 @@
 @pytest.mark.parametrize("module", PROGRAMS)
 def test_idle_clients_beyond_the_descriptors_leave_status_log_and_processor_alone(module, tmp_path):
     with (
-        started(module, tmp_path, f"max-fds = {DESCRIPTORS}", DESCRIPTORS) as program,
+        started(module, tmp_path, descriptors=DESCRIPTORS) as program,
         idle_clients(program, IDLE_CLIENTS),
     ):
         before_s = program.processor_time_s()
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -5,6 +5,7 @@
 from lab.tier.world import World
 from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
 from lynxscale.runtime.http_types import Request, Response
+from lynxscale.runtime.memory_budget import MemoryBudget
 
 
 class RecordingTransport:
@@ -12,6 +13,16 @@
 
     def __init__(self) -> None:
         self.written = b""
+        self.unread = 0
+        self.reading_paused = False
+
+    def pause_reading(self) -> None:
+        """Part of asyncio.Transport."""
+        self.reading_paused = True
+
+    def resume_reading(self) -> None:
+        """Part of asyncio.Transport."""
+        self.reading_paused = False
 
     def write(self, data: bytes) -> None:
         """Part of asyncio.Transport."""
@@ -27,6 +38,10 @@
     def get_extra_info(self, name: str) -> None:
         """Part of asyncio.Transport."""
 
+    def get_write_buffer_size(self) -> int:
+        """Part of asyncio.Transport."""
+        return self.unread
+
     def statuses(self) -> list[int]:
         """The statuses of the responses written so far."""
         return [int(part.split()[0]) for part in self.written.split(b"HTTP/1.1")[1:]]
@@ -64,3 +79,56 @@
         connection.connection_made(transport)
         send(connection, 8_000)
         assert transport.statuses() == [status]
+
+
+BODY_BYTES = 1000
+
+
+def post(size: int, sent: int) -> bytes:
+    """A request of which ``sent`` bytes of the body are sent."""
+    return b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % size + b"x" * sent
+
+
+def connect(limits: ServerLimits, handler=answer) -> tuple[ServerConnection, RecordingTransport]:
+    transport = RecordingTransport()
+    connection = ServerConnection(handler, limits, World(1).machine("a:1").clock(), set())
+    connection.connection_made(transport)
+    return connection, transport
+
+
+def test_unfinished_bodies_together_take_no_more_than_their_memory_and_the_next_is_told_to_come_back():
+    limits = ServerLimits(waiting_requests=MemoryBudget(2 * BODY_BYTES))
+    connections = [connect(limits) for _ in range(3)]
+    for connection, _ in connections:
+        connection.data_received(post(BODY_BYTES, BODY_BYTES - 1))
+    assert [transport.statuses() for _, transport in connections] == [[], [], [503]]
+    assert b"retry-after" in connections[2][1].written
+    assert limits.waiting_requests.used_bytes <= 2 * BODY_BYTES
+    connections[0][0].data_received(b"x")
+    connections[1][0].connection_lost(None)
+    assert connections[0][1].statuses() == [200]
+    assert limits.waiting_requests.used_bytes == 0
+
+
+def test_the_memory_of_a_request_is_taken_until_its_response():
+    responders = []
+    limits = ServerLimits(waiting_requests=MemoryBudget(BODY_BYTES))
+    connection, _ = connect(limits, lambda request, responder: responders.append(responder))
+    connection.data_received(post(BODY_BYTES, BODY_BYTES))
+    assert limits.waiting_requests.used_bytes == BODY_BYTES
+    responders[0].respond(Response(200))
+    assert limits.waiting_requests.used_bytes == 0
+
+
+def test_a_client_that_sends_requests_without_reading_answers_is_not_read_from():
+    connection, transport = connect(ServerLimits())
+    connection.data_received(post(1, 1))
+    connection.pause_writing()
+    transport.unread = 5
+    for _ in range(3):
+        connection.data_received(post(BODY_BYTES, BODY_BYTES) * 40)
+    assert transport.statuses() == [200] and transport.reading_paused
+    transport.unread = 0
+    connection.resume_writing()
+    connection._clock._machine.world.run(1.0)
+    assert transport.statuses() == [200] * 121 and not transport.reading_paused
--- a/tests/runtime/test_peer_network.py
+++ b/tests/runtime/test_peer_network.py
@@ -4,6 +4,7 @@
 
 from lynxscale.coordination.messages import Heartbeat, Message
 from lynxscale.runtime.durable_files import DurableFiles
+from lynxscale.runtime.listener import listening_socket
 from lynxscale.runtime.peer_network import PeerNetwork
 
 
@@ -14,8 +15,8 @@
         loop = asyncio.get_running_loop()
         sender, receiver = PeerNetwork(loop, "127.0.0.1:0"), PeerNetwork(loop, "127.0.0.1:0")
         received: list[Message] = []
-        await receiver.listen(received.append)
-        address = f"127.0.0.1:{receiver._server.sockets[0].getsockname()[1]}"
+        listener = receiver.listen(listening_socket("127.0.0.1:0"), received.append)
+        address = f"127.0.0.1:{listener.port}"
         sender.send(address, Heartbeat("first"))
         while not received:
             await asyncio.sleep(0)
@@ -31,7 +32,7 @@
         assert len(connection._unsent) == 1
         files.write("a", b"1")
         assert written == [0]
-        receiver._server.close()
+        listener.close()
         return received
 
     asyncio.run(send_during_write())
@@ -47,15 +48,15 @@
         for number in (1, 2):
             received: list[Message] = []
             receiver = PeerNetwork(loop, f"127.0.0.1:{port}")
-            await receiver.listen(received.append)
-            port = receiver._server.sockets[0].getsockname()[1]
+            listener = receiver.listen(listening_socket(f"127.0.0.1:{port}"), received.append)
+            port = listener.port
             address = f"127.0.0.1:{port}"
             ids.append(sender.connection_id(address))
             while not received:
                 sender.send(address, Heartbeat(str(number)))
                 await asyncio.sleep(0.01)
             ids.append(sender.connection_id(address))
-            receiver._server.close()
+            listener.close()
             sender._connections[address]._transport.abort()
             await asyncio.sleep(0.01)
         return ids
