--- a/lab/tier/data_plane_mutations/ends.py
+++ b/lab/tier/data_plane_mutations/ends.py
@@ -65,8 +65,8 @@
     SourceMutation(
         "stopping_relay_is_ready",
         SERVICE,
-        "return self._configured and not self.stopping and not self.isolated",
-        "return self._configured and not self.isolated",
+        "return self._configured and self.accepting and not self.stopping and not self.isolated",
+        "return self._configured and self.accepting and not self.isolated",
         RELAY + "test_the_readiness_address_tells_whether_the_relay_may_get_requests",
     ),
     SourceMutation(
--- a/lynxscale/runtime/http_client.py
+++ b/lynxscale/runtime/http_client.py
@@ -82,6 +82,7 @@
         self._request: Request | None = None
         self._receiver: ResponseReceiver | None = None
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
+        self._reading_paused = False
 
     @property
     def reusable(self) -> bool:
@@ -101,12 +102,14 @@
 
     def pause_reading(self) -> None:
         """Receive nothing more for now, so that the server has to wait."""
-        if self._transport is not None:
+        if self._transport is not None and not self._reading_paused:
+            self._reading_paused = True
             self._transport.pause_reading()
 
     def resume_reading(self) -> None:
         """Receive again; no effect if reading is not paused."""
-        if self._transport is not None:
+        if self._transport is not None and self._reading_paused:
+            self._reading_paused = False
             self._transport.resume_reading()
 
     def on_connect_failed(self) -> None:
