--- a/lab/tier/local.py
+++ b/lab/tier/local.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -42,7 +43,8 @@
     """The processes of a tier, by name. ``network``: second octet of all addresses; ``port``: first of four ports.
 
     ``controls`` and ``relays``: the numbers of processes. ``steady_disk``: whether syncs take the same time each,
-    whatever else writes to the disks of this machine.
+    whatever else writes to the disks of this machine. ``memory_mb``: as stated in the settings. ``descriptors``: how
+    many each process can open.
     """
 
     folder: Path
@@ -51,6 +53,8 @@
     controls: int = CONTROL_COUNT
     relays: int = RELAY_COUNT
     steady_disk: bool = False
+    memory_mb: int | None = None
+    descriptors: int | None = None
     processes: dict[str, subprocess.Popen] = field(default_factory=dict)
     endpoints: list[FakeEndpoint] = field(default_factory=list)
     platform: FakePlatform | None = None
@@ -130,6 +134,9 @@
                 stdout=log,
                 stderr=log,
             )
+        if self.descriptors is not None:
+            limit = (self.descriptors, self.descriptors)
+            resource.prlimit(self.processes[name].pid, resource.RLIMIT_NOFILE, limit)
 
     def settings_text(self, name: str, bootstrap: bool) -> str:
         """The content of the settings file of a process."""
@@ -153,6 +160,7 @@
                 "machines = 1",
                 "[listen]",
                 listen,
+                *([] if self.memory_mb is None else ["[limits]", f"memory-mb = {self.memory_mb}"]),
                 "[cloud]",
                 f'address = "127.{self.network}.3.1:{ENDPOINT_PORT}"',
                 "",
--- a/lab/tier/soak.py
+++ b/lab/tier/soak.py
@@ -7,8 +7,10 @@
 ``upgrade_load`` adds conversations on a route that stays, further calls and the operator; others resume streams that
 break off. Streams are framed by chunks, a length or the connection's end. With ``--pausing-clients N`` and
 ``--seconds`` of 75 or more, N clients pause for as long as their turns are stored, and with ``--idle-routes N`` the
-configuration has N routes more. The processes run on disks of a fixed speed (``steady_disk``). A seed repeats what a
-run draws; when that happens depends on the machine. Exit code 1 if a rule was broken.
+configuration has N routes more. With ``--crowding-clients N``, N clients use up descriptors and memory, which are
+limited then, and the peaks of the processes' memory are judged. The processes run on disks of a fixed speed
+(``steady_disk``). A seed repeats what a run draws; when that happens depends on the machine.
+Exit code 1 if a rule was broken.
 """
 
 from __future__ import annotations
@@ -28,6 +30,7 @@
 from lab.tier.changing_routes import ChangingRoutes, idle_routes, lost_turns
 from lab.tier.conditions import overload_endpoints, relieve_endpoints, vary_framing
 from lab.tier.configuration_grammar import ConfigurationGrammar
+from lab.tier.crowding_clients import CrowdingClients, MemoryWatch
 from lab.tier.disturbances import CONTROL_SHARE, Disturber
 from lab.tier.fakes import FakeEndpoint
 from lab.tier.line_clients import PAUSING, RESUMING, LineClients
@@ -52,6 +55,7 @@
 In seeds in which they are to expire no control member is disturbed, and changes are that rare.
 """
 MAX_PRINTED = 20
+CROWDED_MEMORY_MB, CROWDED_DESCRIPTORS = 160, 160  # memory: the least of all deployments
 FAULT_LOG_WORDS = ("Traceback", "bad_message", "configuration_unusable", "settings_unusable", "never retrieved")
 
 
@@ -70,6 +74,7 @@
     resuming_clients: int = RESUMING_CLIENTS
     pausing_clients: int = 0
     idle_routes: int = 0
+    crowding_clients: int = 0
 
 
 @dataclass(frozen=True)
@@ -89,6 +94,8 @@
     resumed_turns: int
     paused_turns: int
     expired_turns: int
+    crowds: int
+    peak_memory_mb: int
 
     def __str__(self) -> str:
         """A summary on one line."""
@@ -100,6 +107,7 @@
             f" turns on changing routes {routed}; {self.turns} other turns; {self.late_answers} late answers;"
             f" {self.resumable_turns} resumable turns, {self.resumed_turns} resumed;"
             f" {self.paused_turns} turns of clients that pause, {self.expired_turns} times too long;"
+            f" {self.crowds} crowds, peak of memory {self.peak_memory_mb} MB;"
             f" {disturbances}; {self.changes} changes, {self.faulty_changes.total()} more with a fault"
         )
 
@@ -113,8 +121,15 @@
         self._folder = folder
         self._random = Random(f"soak {seed}")
         self._tier = LocalTier(
-            folder, free_network(self._random), controls=size.controls, relays=size.relays, steady_disk=True
+            folder,
+            free_network(self._random),
+            controls=size.controls,
+            relays=size.relays,
+            steady_disk=True,
+            memory_mb=CROWDED_MEMORY_MB if size.crowding_clients else None,
+            descriptors=CROWDED_DESCRIPTORS if size.crowding_clients else None,
         )
+        self._memory = MemoryWatch(lambda: {name: one.pid for name, one in self._tier.processes.items()})
         self._late_answers = 0
         self._streams_break_off = False
         planned_only = self._random.random() < PLANNED_ONLY_SHARE
@@ -126,7 +141,8 @@
         self._clients = PersistentClients(self._tier, Random(f"clients {seed}"), size.clients)
         self._resuming = LineClients(self._tier, Random(f"resuming {seed}"), size.resuming_clients, RESUMING)
         self._pausing = LineClients(self._tier, Random(f"pausing {seed}"), size.pausing_clients, PAUSING)
-        self._all_clients = (self._clients, self._conversations, self._resuming, self._pausing)
+        self._crowds = CrowdingClients(self._tier, Random(f"crowds {seed}"), size.crowding_clients)
+        self._all_clients = (self._crowds, self._clients, self._conversations, self._resuming, self._pausing)
         control_share = CONTROL_SHARE
         if size.pausing_clients and self._random.random() < EXPIRY_SHARE:
             control_share, self._load.max_change_pause_s = 0.0, RARE_CHANGE_PAUSE_S
@@ -139,6 +155,7 @@
             await self._tier.start()
             self._overload()
             async with asyncio.TaskGroup() as group:
+                memory_watch = group.create_task(self._memory.run())
                 self._load.begin(group)
                 self._load.resume()
                 for clients in self._all_clients:
@@ -152,6 +169,7 @@
                 relieve_endpoints(self._tier.endpoints)
                 await self._load.pause(PAUSE_TIMEOUT_S)
                 self._load.cancel()
+                memory_watch.cancel()
             violations += self._violations()
         finally:
             self._tier.stop()
@@ -171,6 +189,8 @@
             self._resuming.resumed,
             self._pausing.turns,
             self._pausing.expired,
+            self._crowds.crowds,
+            max(self._memory.peaks_mb.values(), default=0),
         )
 
     def _overload(self) -> None:
@@ -209,7 +229,20 @@
         loads = request_violations(self._tier.endpoints, self._load) + self._load.faults
         endpoints = self._tier.endpoints
         lines = [*self._resuming.violations(endpoints), *self._pausing.violations(endpoints)]
-        return [*self._disturber.faults, *checker.violations(), *lost, *unanswered, *loads, *lines]
+        return [
+            *self._disturber.faults,
+            *self._exceeded_memory(),
+            *checker.violations(),
+            *lost,
+            *unanswered,
+            *loads,
+            *lines,
+        ]
+
+    def _exceeded_memory(self) -> list[str]:
+        limit_mb = self._tier.memory_mb
+        peaks = self._memory.peaks_mb.items()
+        return [f"MEMORY {name}: {peak} of {limit_mb} MB" for name, peak in peaks if limit_mb and peak > limit_mb]
 
     def _log_lines(self) -> list[str]:
         logs = sorted(self._folder.glob("*.log"))
@@ -253,6 +286,7 @@
     parser.add_argument("--controls", type=int, default=DEFAULT_CONTROLS)
     parser.add_argument("--clients", type=int, default=CLIENTS)
     parser.add_argument("--pausing-clients", type=int, default=0)
+    parser.add_argument("--crowding-clients", type=int, default=0)
     parser.add_argument("--idle-routes", type=int, default=0, help="routes that no client uses, for a large body")
     options = parser.parse_args()
     logging.disable(logging.CRITICAL)
@@ -263,6 +297,7 @@
         options.clients,
         pausing_clients=options.pausing_clients,
         idle_routes=options.idle_routes,
+        crowding_clients=options.crowding_clients,
     )
     broken = 0
     started_at = time.monotonic()
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -23,6 +23,7 @@
 
 SEEDS = (1, 2, 7)
 VOTER_SEEDS = (1, 4)
+CROWDED_SEEDS = (1, 2)
 
 
 def test_short_soaks_break_no_rule():
@@ -165,3 +166,11 @@
     assert [text.split()[0] for text in unasked_prompts([line], [endpoint])] == ["UNASKED"]
     assert line.on_response("c", 200, b"id: 2\ndata: y\n\n", True, 3.0)
     assert [text.split()[0] for text in line.broken] == ["ORDER"]
+
+
+def test_a_short_soak_with_clients_that_use_up_descriptors_and_memory_breaks_no_rule():
+    """Guards against processes that end or answer no more as their descriptors or memory run out."""
+    for seed in CROWDED_SEEDS:
+        result = play(seed, SoakSize(seconds=8.0, crowding_clients=4))
+        assert not result.violations, (str(result), result.violations)
+        assert result.crowds and result.statuses[200], str(result)
