--- a/lynxscale/controlplane/exceptions.py
+++ b/lynxscale/controlplane/exceptions.py
@@ -27,6 +27,12 @@
         self.turn = turn
 
 
+class StateTooLargeError(AdmissionError):
+    """The turns that are retained leave no memory for further ones, until some expire."""
+
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
 class EventsUnknownError(AdmissionError):
     """The events that the client of a resumed turn has are not known; the turn can be run from its start."""
 
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -17,6 +17,7 @@
 from lynxscale.controlplane.newest_configuration import CurrentConfiguration
 from lynxscale.controlplane.operator_api import OperatorApi
 from lynxscale.controlplane.relay_requests import RelayRequestHandler
+from lynxscale.controlplane.state_limit import StateLimit
 from lynxscale.controlplane.status import ControlStatus, ReplicaStatus
 from lynxscale.controlplane.topic_publication import TopicPublication
 from lynxscale.controlplane.turn_admission import TurnAdmission
@@ -143,7 +144,9 @@
             self._poller.stop()
 
     def _start_serving(self) -> None:
-        self._admission = TurnAdmission(self.member.store.values, self._clock)
+        limit_bytes = float("inf") if self._resources is None else self._resources.state_bytes
+        state_limit = StateLimit(limit_bytes, lambda: self.member.store.size_bytes)
+        self._admission = TurnAdmission(self.member.store.values, self._clock, state_limit)
         self._admission.restart_retention()
         self.publication.start()
         self._relay_requests.start_serving(self._admission, self.publication.roster)
--- a/lynxscale/controlplane/turn_admission.py
+++ b/lynxscale/controlplane/turn_admission.py
@@ -15,6 +15,7 @@
 from lynxscale.controlplane.program_state import PROGRAM_PREFIX, ProgramState
 from lynxscale.controlplane.retention import RetentionRecord, RetentionTracker
 from lynxscale.controlplane.running_turns import RunningTurns
+from lynxscale.controlplane.state_limit import StateLimit
 from lynxscale.controlplane.turn_history import TURN_PREFIX, TurnHistory, turn_key
 from lynxscale.coordination.messages import (
     AdmitTurn,
@@ -42,8 +43,10 @@
     ``values`` are the store's entries in memory. Methods return changes as puts and apply none.
     """
 
-    def __init__(self, values: dict[str, msgspec.Raw], clock: Clock) -> None:
+    def __init__(self, values: dict[str, msgspec.Raw], clock: Clock, state_limit: StateLimit | None = None) -> None:
+        """``state_limit``: how large the store may become; unlimited without it."""
         self._values = values
+        self._state_limit = state_limit or StateLimit()
         self._configuration = NewestConfiguration(values)
         self._retention = RetentionTracker(clock)
         self._programs = ProgramState(values, self._retention)
@@ -74,6 +77,8 @@
         if self._is_older(request.configuration) and not self._programs.holds_reservation(request):
             return ConfigurationOutdated(self._configuration.version), ()
         try:
+            if request.retained:
+                self._state_limit.check_admission()
             admitted = self._turns.compose(request.previous, request.cached, request.cached_run)
             puts = self._programs.reserve(request)
             earlier = self.running.begin(request)
@@ -107,6 +112,8 @@
             self.running.on_closed(request)
         settled = self._programs.settle(request)
         try:
+            if request.content is not None:
+                self._state_limit.check_storing(len(request.content))
             return TurnFinished(), settled + self._turns.record(request)
         except AdmissionError as error:
             log.warning("event=turn_not_retained error=%s", error)
--- a/lynxscale/coordination/key_value_table.py
+++ b/lynxscale/coordination/key_value_table.py
@@ -18,13 +18,14 @@
 class KeyValueTable:
     """Values by key. The ``checksum`` depends on the entries only, not on the order of the changes.
 
-    It is the exclusive or of the checksums of all entries. ``entries`` may be read directly but must be changed only by
-    ``apply``.
+    It is the exclusive or of the checksums of all entries. ``size_bytes`` is the size of all keys and values.
+    ``entries`` may be read directly but must be changed only by ``apply``.
     """
 
     def __init__(self) -> None:
         self.entries: dict[str, msgspec.Raw] = {}
         self.checksum = 0
+        self.size_bytes = 0
 
     def apply(self, puts: Iterable[Put]) -> None:
         """Apply puts in order; a put of null removes its key."""
@@ -32,6 +33,8 @@
             old_value = self.entries.pop(put.key, None)
             if old_value is not None:
                 self.checksum ^= entry_checksum(put.key, old_value)
+                self.size_bytes -= len(put.key) + len(bytes(old_value))
             if not put.removes:
                 self.entries[put.key] = put.value
                 self.checksum ^= entry_checksum(put.key, put.value)
+                self.size_bytes += len(put.key) + len(bytes(put.value))
--- a/lynxscale/coordination/store.py
+++ b/lynxscale/coordination/store.py
@@ -55,6 +55,11 @@
         """All JSON values by key; to be changed only by ``apply``."""
         return self._table.entries
 
+    @property
+    def size_bytes(self) -> int:
+        """The bytes of all keys and values."""
+        return self._table.size_bytes
+
     @property
     def durable_position(self) -> Position:
         """The position up to which this replica is durable; ``NO_POSITION`` while data is missing."""
--- a/lynxscale/dataplane/forwarding.py
+++ b/lynxscale/dataplane/forwarding.py
@@ -73,6 +73,7 @@
         self._attempted: set[str] = set()  # ids of the endpoints that it was sent to
         self._carriers: set[ClientConnection] = set()  # the connections that it was sent on
         self._turn = context.turns.create_turn(request, match)
+        self._history_memory = Reservation(context.responses)
         self._response = ResponseStream(responder, route, Reservation(context.responses))
         self._queue_wait_timer: Timer | None = None
         self._deadline_timer: Timer = self._clock.call_later(timeout_s, self._deadline_expired)
@@ -96,6 +97,10 @@
         if self.state is not RequestState.ADMITTING:
             turn.close(0)
             return
+        if history and not self._history_memory.resize(len(history)):
+            turn.close(0)
+            self._respond(relay_response(SERVICE_UNAVAILABLE, RETRY_AFTER_S))
+            return
         if history:
             self._request = attrs.evolve(self._request, body=history + self._request.body)
         self._dispatch()
@@ -349,6 +354,7 @@
                 self._queue_wait_timer = None
         if state is RequestState.ENDED:
             self._response.release()
+            self._history_memory.release()
             self._deadline_timer.cancel()
             self._close_turn()
         self.state = state
--- a/lynxscale/runtime/resource_limits.py
+++ b/lynxscale/runtime/resource_limits.py
@@ -36,6 +36,8 @@
 RESPONSE_SHARE = 1 / 8
 OPERATOR_REQUEST_SHARE = 1 / 8
 PEER_MESSAGE_SHARE = 1 / 8
+STATE_SHARE = 3 / 8  # batches, snapshots and messages hold parts of the state once more
+STATE_DISK_SHARE = 1 / 3  # snapshots before and now, and the batches after each
 MIN_PEER_MESSAGE_BYTES = 16 * MEBIBYTE  # a snapshot or a configuration must fit
 
 
@@ -68,7 +70,7 @@
 class ResourceLimits:
     """The shares of one process, which are unlimited by default, as in the simulator.
 
-    Connections are counts, budgets are bytes.
+    Connections are counts, budgets are bytes. ``state_bytes``: how large the replicated state may become.
     """
 
     limits: Limits = Factory(Limits)
@@ -76,6 +78,7 @@
     idle_endpoint_connections: int = UNLIMITED
     peers: int = UNLIMITED
     health_checks: int = UNLIMITED
+    state_bytes: float = float("inf")
     requests: MemoryBudget = field(factory=MemoryBudget)
     responses: MemoryBudget = field(factory=MemoryBudget)
     peer_messages: MemoryBudget = field(factory=MemoryBudget)
@@ -115,6 +118,7 @@
         limits,
         clients=_share(connections, OPERATOR_SHARE),
         peers=_share(connections, MEMBER_PEER_SHARE),
+        state_bytes=_state_share(limits),
         requests=_memory_share(limits, OPERATOR_REQUEST_SHARE),
         responses=_memory_share(limits, RESPONSE_SHARE),
         peer_messages=_peer_message_share(limits),
@@ -158,5 +162,11 @@
     return MemoryBudget(limits.memory_mb * MEBIBYTE * share)
 
 
+def _state_share(limits: Limits) -> float:
+    memory_bytes = limits.memory_mb * MEBIBYTE * STATE_SHARE
+    disk_bytes = limits.disk_mb * MEBIBYTE * STATE_DISK_SHARE
+    return min(memory_bytes, disk_bytes) if limits.disk_mb > 0 else memory_bytes
+
+
 def _peer_message_share(limits: Limits) -> MemoryBudget:
     return MemoryBudget(max(MIN_PEER_MESSAGE_BYTES, limits.memory_mb * MEBIBYTE * PEER_MESSAGE_SHARE))
