--- a/lab/tier/data_plane_mutations/admission.py
+++ b/lab/tier/data_plane_mutations/admission.py
@@ -40,10 +40,17 @@
     SourceMutation(
         "turn_whose_client_left_during_admission_is_never_closed",
         FORWARDING,
-        "            turn.close(0)\n",
-        "            pass\n",
+        "            turn.close(0)\n            return\n",
+        "            return\n",
         FAULTS + "test_a_client_that_leaves_during_admission_leaves_no_reservation",
     ),
+    SourceMutation(
+        "history_without_memory_keeps_its_reservation",
+        FORWARDING,
+        "            turn.close(0)\n            self._respond(",
+        "            self._respond(",
+        "tests/dataplane/test_slow_readers.py::test_a_history_without_memory_is_refused_and_its_reservation_released",
+    ),
     SourceMutation(
         "admission_without_reply_keeps_its_reservation",
         TURNS,
--- a/tests/dataplane/test_slow_readers.py
+++ b/tests/dataplane/test_slow_readers.py
@@ -77,3 +77,15 @@
     assert budget.used_bytes == 0 and budget.refusals
     budget.limit_bytes = float("inf")
     assert tier.request("/look/1", request_id="later").status == 200
+
+
+def test_a_history_without_memory_is_refused_and_its_reservation_released():
+    tier = settled_tier()
+    assert tier.turn("p", 1000, request_id="t1", body=b"hello ").complete
+    for relay in tier.relays.values():
+        relay.limits.waiting_responses.limit_bytes = 3
+    assert tier.turn("p", 1000, max_tokens=900, request_id="t2", body=b"more", previous="t1").status == 503
+    for relay in tier.relays.values():
+        relay.limits.waiting_responses.limit_bytes = float("inf")
+    tier.world.run(tier.world.time + 1.0)
+    assert tier.turn("p", 1000, max_tokens=900, request_id="t3", body=b"more", previous="t1").status == 200
