--- a/lynxscale/controlplane/process.py
+++ b/lynxscale/controlplane/process.py
@@ -39,11 +39,13 @@
     worker = WorkerThread(loop)
     resources = context.resources
 
+    # The port comes first: while an earlier process has it, that one may still write to the folder.
+    internal = await listen_once_free(settings.internal_address, stopped)
+    files = await retry_until_started("disk", lambda: DurableFiles(settings.data_dir, network.flush), stopped)
+
     def create_service() -> ControlService:
-        files = DurableFiles(settings.data_dir, network.flush)
         return ControlService(settings, clock, network, files, context.dialer, Random(), worker, resources)
 
-    internal = await listen_once_free(settings.internal_address, stopped)
     service = await retry_until_started("disk", create_service, stopped)
     network.listen(internal, service.receive)
     if settings.listen.control:
--- a/lynxscale/runtime/durable_files.py
+++ b/lynxscale/runtime/durable_files.py
@@ -24,12 +24,13 @@
     """
 
     def __init__(self, folder: str, before_sync: Callable[[], None] = lambda: None) -> None:
+        """Create the folder if it is missing, and remove files that were not finished. Raises OSError."""
         self._before_sync = before_sync
         self._folder = Path(folder)
         self._folder.mkdir(parents=True, exist_ok=True)
-        self._descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
         for unfinished in self._folder.glob(f"*{TEMPORARY_SUFFIX}"):
             unfinished.unlink()
+        self._descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
 
     def write(self, name: str, content: bytes) -> None:
         """Write a file. Raises OSError; a file of that name is then unchanged."""
--- a/lynxscale/runtime/peer_network.py
+++ b/lynxscale/runtime/peer_network.py
@@ -182,22 +182,21 @@
         self._connections: dict[str, OutboundConnection] = {}
         self._attempts = ConnectTasks(loop)
         self._receive: Callable[[Message], None] = lambda message: None
-        self._listener: Listener | None = None
 
     def listen(self, listening: socket.socket, receive: Callable[[Message], None]) -> Listener:
-        """Accept peers at a listening socket, and pass each of their messages to ``receive`` from now on."""
+        """Accept peers at a listening socket, and pass each of their messages to ``receive`` from now on.
+
+        The socket is open until the process ends, as the next process of this machine takes it for the end.
+        """
         self._receive = receive
 
         def accept(slot: ConnectionSlot) -> InboundConnection:
             return InboundConnection(receive, slot, self._messages, self._loop.time)
 
-        self._listener = Listener(self._loop, listening, accept, self._max_connections)
-        return self._listener
+        return Listener(self._loop, listening, accept, self._max_connections)
 
     async def aclose(self) -> None:
         """End the connection attempts that are under way, and begin no others; their messages are lost."""
-        if self._listener is not None:
-            self._listener.close()
         await self._attempts.aclose()
 
     def flush(self) -> None:
--- a/tests/running_program.py
+++ b/tests/running_program.py
@@ -86,6 +86,15 @@
             assert time.monotonic() < deadline, self.log_text()[-2000:]
             time.sleep(0.05)
 
+    @property
+    def data(self) -> Path:
+        """The folder of a control member."""
+        return self._data
+
+    def descriptors(self) -> int:
+        """The number of open descriptors."""
+        return len(list(Path(f"/proc/{self.process.pid}/fd").iterdir()))
+
     @property
     def running(self) -> bool:
         """Whether the process has not ended."""
--- a/tests/runtime/test_start_and_end.py
+++ b/tests/runtime/test_start_and_end.py
@@ -43,13 +43,33 @@
     try:
         program.launch(file_bytes=0)
         time.sleep(HELD_S)
-        assert program.running
+        descriptors = program.descriptors()
+        time.sleep(HELD_S)
+        assert program.running and program.descriptors() == descriptors
         resource.prlimit(program.process.pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
         program.wait_until_started()
     finally:
         program.stop()
 
 
+def test_a_process_of_a_member_leaves_the_disk_alone_while_an_earlier_one_still_runs(tmp_path):
+    with started("controlplane", tmp_path) as earlier:
+        first = earlier.process
+        unfinished = earlier.data / "batch.aside"
+        unfinished.touch()
+        earlier.launch()
+        second, earlier.process = earlier.process, first
+        try:
+            time.sleep(HELD_S)
+            assert second.poll() is None and unfinished.exists()
+            earlier.stop()
+            earlier.process = second
+            earlier.wait_until_started()
+            assert not unfinished.exists()
+        finally:
+            earlier.process = second
+
+
 @pytest.mark.parametrize("module", ["dataplane", "controlplane"])
 @pytest.mark.parametrize("content", UNREADABLE)
 def test_a_settings_file_that_becomes_unreadable_does_not_end_the_process(module, content, tmp_path):
