All listeners have a queue of 512 connections

Its queue held 100: while the process was not scheduled, connections beyond these were dropped by the system, and sent again a second and three seconds later.

--- a/lynxscale/runtime/listener.py
+++ b/lynxscale/runtime/listener.py
@@ -17,7 +17,7 @@
 
 log = logging.getLogger(__name__)
 
-DEFAULT_BACKLOG = 100
+DEFAULT_BACKLOG = 512
 ACCEPTS_PER_EVENT = 100
 ACCEPT_RETRY_S = 0.1
 """How long nothing is accepted after a failure, and the least time between two looks at a queue that has to wait."""
--- a/tests/runtime/test_exhausted_resources.py
+++ b/tests/runtime/test_exhausted_resources.py
@@ -1,7 +1,9 @@
 """Processes whose descriptors or memory are used up go on answering, within the limits of their settings."""
 
 import contextlib
+import signal
 import socket
+import threading
 import time
 
 import pytest
@@ -18,10 +20,11 @@
 UNFINISHED_CLIENTS = 80
 RELAY_BODY_BYTES, CONTROL_BODY_BYTES = 4 * 1024 * 1024, 8 * 1024 * 1024
 SETTLE_S = 1.0
+PAUSE_S = 1.2
 
 
 @contextlib.contextmanager
-def idle_clients(program: RunningProgram, count: int):
+def idle_clients(program: RunningProgram, count: int, settle_s: float = SETTLE_S):
     """Connections that send nothing."""
     with contextlib.ExitStack() as stack:
         for _ in range(count):
@@ -29,7 +32,7 @@
             connection.setblocking(False)
             with contextlib.suppress(BlockingIOError):
                 connection.connect((program.host, program.client_port))
-        time.sleep(SETTLE_S)
+        time.sleep(settle_s)
         yield
 
 
@@ -48,6 +51,16 @@
         assert len(program.log_text().splitlines()) < MAX_LOG_LINES
 
 
+def test_clients_that_connect_while_a_process_pauses_do_not_keep_others_waiting(tmp_path):
+    with started("controlplane", tmp_path, descriptors=DESCRIPTORS) as program:
+        program.process.send_signal(signal.SIGSTOP)
+        with idle_clients(program, IDLE_CLIENTS, settle_s=0.0):
+            resumed = threading.Timer(PAUSE_S, program.process.send_signal, [signal.SIGCONT])
+            resumed.start()
+            assert program.status_line().startswith(b"HTTP/1.1 200")
+            resumed.join()
+
+
 def send_all_but_the_end(connection: socket.socket, path: bytes, size: int) -> None:
     """Send a request whose body lacks its last bytes; it may be answered, and its connection closed, before."""
     head = b"POST %b HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % (path, size)
