--- a/lynxscale/controlplane/process.py
+++ b/lynxscale/controlplane/process.py
@@ -18,7 +18,7 @@
 from lynxscale.runtime.listener import ConnectionSlot, Listener
 from lynxscale.runtime.process import ProcessContext, run
 from lynxscale.runtime.reload_signal import reload_signal_handled
-from lynxscale.runtime.resource_limits import member_limits
+from lynxscale.runtime.resource_limits import MEMBER_QUOTAS
 from lynxscale.runtime.settings_watcher import SettingsWatcher, watch_until
 from lynxscale.runtime.startup import listen_once_free, retry_until_started
 from lynxscale.runtime.worker_thread import WorkerThread
@@ -82,4 +82,4 @@
 
 def main() -> int:
     """Run a control process until SIGTERM and return its exit code: 2 if its settings are unusable."""
-    return run(serve, CONNECT_TIMEOUT_S, member_limits)
+    return run(serve, CONNECT_TIMEOUT_S, MEMBER_QUOTAS)
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -56,7 +56,7 @@
         worker: Worker,
         resources: ResourceLimits | None = None,
     ) -> None:
-        """``resources``: the shares of the process's memory and descriptors. Raises OSError if the disk fails."""
+        """``resources``: the quotas of memory and descriptors. Raises OSError if the disk fails."""
         address = settings.internal_address
         self._resources = resources
         identity = MemberIdentity(address, settings.bootstrap, settings.contacts)
--- a/lynxscale/controlplane/state_limit.py
+++ b/lynxscale/controlplane/state_limit.py
@@ -8,7 +8,7 @@
 
 from lynxscale.controlplane.exceptions import StateTooLargeError
 
-ADMISSION_SHARE = 0.85  # the rest is for the turns under way
+ADMISSION_LEVEL = 0.85  # the rest is for the turns under way
 
 
 def nothing_stored() -> int:
@@ -25,7 +25,7 @@
 
     def check_admission(self) -> None:
         """Check that a further turn may be retained at its end. Raises StateTooLargeError."""
-        if self.size_bytes() > ADMISSION_SHARE * self.limit_bytes:
+        if self.size_bytes() > ADMISSION_LEVEL * self.limit_bytes:
             raise StateTooLargeError("too many turns are retained")
 
     def check_storing(self, content_bytes: int) -> None:
--- a/lynxscale/dataplane/process.py
+++ b/lynxscale/dataplane/process.py
@@ -15,7 +15,7 @@
 from lynxscale.runtime.listener import ConnectionSlot, Listener
 from lynxscale.runtime.process import ProcessContext, run
 from lynxscale.runtime.reload_signal import reload_signal_handled
-from lynxscale.runtime.resource_limits import relay_limits
+from lynxscale.runtime.resource_limits import RELAY_QUOTAS
 from lynxscale.runtime.settings_watcher import SettingsWatcher, watch_until
 from lynxscale.runtime.startup import listen_once_free
 
@@ -77,4 +77,4 @@
 
 def main() -> int:
     """Run a relay until SIGTERM and return its exit code: 2 if its settings are unusable."""
-    return run(serve, CONNECT_TIMEOUT_S, relay_limits)
+    return run(serve, CONNECT_TIMEOUT_S, RELAY_QUOTAS)
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -55,13 +55,13 @@
         random: Random,
         resources: ResourceLimits | None = None,
     ) -> None:
-        """``resources``: the shares of the process's memory and descriptors; without them nothing is limited."""
+        """``resources``: the quotas of memory and descriptors; without them nothing is limited."""
         address = settings.internal_address
         self.accepting = True  # whether the process listens for clients
         self.stopping = False
         self._resources = resources
-        shares = resources or ResourceLimits()
-        self.balancer = LoadBalancer(settings.zone, clock, dial, shares.idle_endpoint_connections)
+        quotas = resources or ResourceLimits()
+        self.balancer = LoadBalancer(settings.zone, clock, dial, quotas.idle_endpoint_connections)
         self.tree = Subscriber(address, settings.zone, settings.contacts, clock, network, self._on_topics)
         self.ring = RingMember(address, settings.heartbeat_ms / 1000.0, clock, network)
         self.calls = PrimaryCalls(
@@ -77,8 +77,8 @@
         self._configuration = RelayConfiguration(self.tree)
         self.limits = ServerLimits(
             outdated=lambda: self._configuration.outdated,
-            waiting_requests=shares.requests,
-            waiting_responses=shares.responses,
+            waiting_requests=quotas.requests,
+            waiting_responses=quotas.responses,
         )
         self._router = RequestRouter(
             self._configuration,
@@ -88,7 +88,7 @@
             self.balancer,
             clock,
             random,
-            shares.responses,
+            quotas.responses,
         )
 
     @property
--- a/lynxscale/runtime/listener.py
+++ b/lynxscale/runtime/listener.py
@@ -1,4 +1,4 @@
-"""A listening TCP socket that accepts no more connections than its share of the descriptors.
+"""A listening TCP socket that accepts no more connections than its quota.
 
 At its limit it closes the connection that has been idle for longest, as nginx does with ``worker_connections``. If none
 is idle, a few more are accepted to be refused by their protocol, and beyond these the others wait in the queue of the
@@ -22,7 +22,7 @@
 ACCEPT_RETRY_S = 0.1
 """How long nothing is accepted after a failure, and the least time between two looks at a queue that has to wait."""
 LOG_INTERVAL_S = 10.0
-REFUSED_SHARE = 1 / 8  # connections beyond the limit that are accepted to be refused, as a share of the limit
+REFUSED_FRACTION = 1 / 8  # connections beyond the limit that are accepted to be refused, by the limit
 MIN_REFUSED = 4
 
 
@@ -76,7 +76,7 @@
         self._socket = listening
         self._factory = factory
         self._limit = limit
-        self._max_open = limit + max(MIN_REFUSED, int(limit * REFUSED_SHARE))
+        self._max_open = limit + max(MIN_REFUSED, int(limit * REFUSED_FRACTION))
         self._open = 0  # accepted, and not known to have ended
         self._tasks: set[asyncio.Task[object]] = set()
         self._accepting = False
--- a/lynxscale/runtime/process.py
+++ b/lynxscale/runtime/process.py
@@ -26,8 +26,8 @@
 from lynxscale.runtime.http_client import AsyncioDialer
 from lynxscale.runtime.peer_network import PeerNetwork
 from lynxscale.runtime.reload_signal import signal_handled
-from lynxscale.runtime.resource_limits import ResourceLimits
-from lynxscale.runtime.settings import Limits, Settings
+from lynxscale.runtime.resource_limits import Quotas, ResourceLimits, resource_limits
+from lynxscale.runtime.settings import Settings
 from lynxscale.runtime.settings_reader import load_settings
 
 log = logging.getLogger(__name__)
@@ -47,11 +47,11 @@
 Serve = Callable[[ProcessContext], Coroutine[Any, Any, None]]
 
 
-def run(serve: Serve, connect_timeout_s: float, divide: Callable[[Limits], ResourceLimits]) -> int:
+def run(serve: Serve, connect_timeout_s: float, quotas: Quotas) -> int:
     """Run ``serve(context)`` until it returns; return the exit code.
 
-    ``connect_timeout_s``: the timeout for connections to endpoints, the platform and operators. ``divide(limits)``: the
-    shares of the process's memory and descriptors.
+    ``connect_timeout_s``: the timeout for connections to endpoints, the platform and operators. ``quotas``: how the
+    memory and descriptors of the settings are divided.
     """
     logs.configure()
     try:
@@ -61,7 +61,7 @@
         return ExitCode.UNUSABLE
     try:
         with contextlib.suppress(KeyboardInterrupt, StartCancelledError):
-            asyncio.run(_run_in_loop(serve, settings, connect_timeout_s, divide(settings.limits)))
+            asyncio.run(_run_in_loop(serve, settings, connect_timeout_s, resource_limits(settings.limits, quotas)))
     except StartError as error:
         log.error("event=ended reason=not_started error=%s", error)
         return ExitCode.NOT_STARTED
--- a/lynxscale/runtime/resource_limits.py
+++ b/lynxscale/runtime/resource_limits.py
@@ -1,17 +1,18 @@
 """How a process divides the memory and the descriptors that its settings allow, and what it uses of them.
 
-Each purpose has a share of its own, so that one that is used up leaves the others: clients cannot take the descriptors
+Each purpose has a quota, so that one that is used up leaves the others: clients cannot take the descriptors
 of peers, health checks, operators and files, and unfinished requests cannot take the memory of responses under way.
 """
 
 from __future__ import annotations
 
+import math
 import os
 import resource
 from pathlib import Path
 
 import msgspec
-from attrs import Factory, define, field
+from attrs import Factory, define, field, frozen
 
 from lynxscale.runtime.memory_budget import MemoryBudget
 from lynxscale.runtime.settings import Limits
@@ -19,33 +20,46 @@
 MEBIBYTE = 1024 * 1024
 RESERVED_FILES = 200
 """Descriptors of ``max-fds`` that the platform keeps for files outside of the data folder; at most half of them."""
-OWN_DESCRIPTORS = 24
+BASE_DESCRIPTORS = 24
 """Descriptors that a process needs beside its connections: standard streams, event loop, listeners and data files."""
 MIN_CONNECTIONS = 16
+MIN_QUOTA = 4  # connections
 UNLIMITED = 1_000_000_000
 
-# Shares of the connections; the connections in use to endpoints are at most as many as those of clients.
-CLIENT_SHARE = 3 / 8
-IDLE_ENDPOINT_SHARE = 1 / 8
-PEER_SHARE = 1 / 16
-HEALTH_CHECK_SHARE = 1 / 32
-OPERATOR_SHARE, MEMBER_PEER_SHARE = 1 / 4, 1 / 4  # of a control member, which has many peers and no clients
-
-# Shares of the memory. Waiting data exists twice for a while, and the rest holds the state.
-REQUEST_SHARE = 1 / 6
-RESPONSE_SHARE = 1 / 8
-OPERATOR_REQUEST_SHARE = 1 / 8
-PEER_MESSAGE_SHARE = 1 / 8
-STATE_SHARE = 3 / 8  # batches, snapshots and messages hold parts of the state once more
-STATE_DISK_SHARE = 1 / 3  # snapshots before and now, and the batches after each
+RESPONSE_QUOTA = 1 / 8
+PEER_MESSAGE_QUOTA = 1 / 8
 MIN_PEER_MESSAGE_BYTES = 16 * MEBIBYTE  # a snapshot or a configuration must fit
+STATE_QUOTA = 3 / 8  # batches, snapshots and messages hold parts of the state once more
+STATE_DISK_QUOTA = 1 / 3  # snapshots before and now, and the batches after each
+
+
+@frozen
+class Quotas:
+    """What one kind of process assigns to each purpose, as fractions.
+
+    ``requests`` is a fraction of the memory, which waiting data takes twice for a while; the others are fractions of
+    the connections. The connections in use to endpoints are at most as many as those of clients.
+    """
+
+    clients: float
+    peers: float
+    requests: float
+    idle_endpoint_connections: float = 0.0
+    health_checks: float = 0.0
+
+
+RELAY_QUOTAS = Quotas(
+    clients=3 / 8, peers=1 / 16, requests=1 / 6, idle_endpoint_connections=1 / 8, health_checks=1 / 32
+)
+MEMBER_QUOTAS = Quotas(clients=1 / 4, peers=1 / 4, requests=1 / 8)
+"""Those of a control member: its clients are operators, and it has many peers."""
 
 
 class ResourceStatus(msgspec.Struct, frozen=True):
     """The resources of a process: what it uses, and what its settings allow.
 
     Memory is in megabytes, and unknown (None) where the system does not tell. ``waiting``: bytes of unfinished
-    requests, responses and messages; ``refusals``: how often one of them was refused as their share was used up.
+    requests, responses and messages; ``refusals``: how often one of them was refused as their quota was used up.
     """
 
     memory_mb: float | None
@@ -68,7 +82,7 @@
 
 @define
 class ResourceLimits:
-    """The shares of one process, which are unlimited by default, as in the simulator.
+    """The quotas of one process, in numbers; unlimited by default, as in the simulator.
 
     Connections are counts, budgets are bytes. ``state_bytes``: how large the replicated state may become.
     """
@@ -96,33 +110,26 @@
         )
 
 
-def relay_limits(limits: Limits) -> ResourceLimits:
-    """Return the shares of a relay."""
+def resource_limits(limits: Limits, quotas: Quotas) -> ResourceLimits:
+    """Divide the limits of the settings."""
     connections = connection_limit(limits)
+    memory_bytes = limits.memory_mb * MEBIBYTE if limits.memory_mb > 0 else math.inf
+    disk_bytes = limits.disk_mb * MEBIBYTE if limits.disk_mb > 0 else math.inf
     return ResourceLimits(
         limits,
-        clients=_share(connections, CLIENT_SHARE),
-        idle_endpoint_connections=_share(connections, IDLE_ENDPOINT_SHARE),
-        peers=_share(connections, PEER_SHARE),
-        health_checks=_share(connections, HEALTH_CHECK_SHARE),
-        requests=_memory_share(limits, REQUEST_SHARE),
-        responses=_memory_share(limits, RESPONSE_SHARE),
-        peer_messages=_peer_message_share(limits),
+        clients=_connections(connections, quotas.clients),
+        idle_endpoint_connections=_connections(connections, quotas.idle_endpoint_connections),
+        peers=_connections(connections, quotas.peers),
+        health_checks=_connections(connections, quotas.health_checks),
+        state_bytes=min(memory_bytes * STATE_QUOTA, disk_bytes * STATE_DISK_QUOTA),
+        requests=MemoryBudget(memory_bytes * quotas.requests),
+        responses=MemoryBudget(memory_bytes * RESPONSE_QUOTA),
+        peer_messages=MemoryBudget(max(MIN_PEER_MESSAGE_BYTES, memory_bytes * PEER_MESSAGE_QUOTA)),
     )
 
 
-def member_limits(limits: Limits) -> ResourceLimits:
-    """Return the shares of a control member, whose clients are operators."""
-    connections = connection_limit(limits)
-    return ResourceLimits(
-        limits,
-        clients=_share(connections, OPERATOR_SHARE),
-        peers=_share(connections, MEMBER_PEER_SHARE),
-        state_bytes=_state_share(limits),
-        requests=_memory_share(limits, OPERATOR_REQUEST_SHARE),
-        responses=_memory_share(limits, RESPONSE_SHARE),
-        peer_messages=_peer_message_share(limits),
-    )
+def _connections(limit: int, quota: float) -> int:
+    return max(MIN_QUOTA, int(limit * quota))
 
 
 def descriptor_limit(limits: Limits) -> int:
@@ -134,7 +141,7 @@
 def connection_limit(limits: Limits) -> int:
     """Return the number of connections that leave the descriptors which are reserved for files."""
     reserved = min(RESERVED_FILES, limits.max_fds // 2)
-    return max(MIN_CONNECTIONS, min(limits.max_fds - reserved, descriptor_limit(limits) - OWN_DESCRIPTORS))
+    return max(MIN_CONNECTIONS, min(limits.max_fds - reserved, descriptor_limit(limits) - BASE_DESCRIPTORS))
 
 
 def resident_memory_mb() -> float | None:
@@ -152,21 +159,3 @@
         return len(os.listdir("/proc/self/fd"))
     except OSError:
         return None
-
-
-def _share(connections: int, share: float) -> int:
-    return max(4, int(connections * share))
-
-
-def _memory_share(limits: Limits, share: float) -> MemoryBudget:
-    return MemoryBudget(limits.memory_mb * MEBIBYTE * share)
-
-
-def _state_share(limits: Limits) -> float:
-    memory_bytes = limits.memory_mb * MEBIBYTE * STATE_SHARE
-    disk_bytes = limits.disk_mb * MEBIBYTE * STATE_DISK_SHARE
-    return min(memory_bytes, disk_bytes) if limits.disk_mb > 0 else memory_bytes
-
-
-def _peer_message_share(limits: Limits) -> MemoryBudget:
-    return MemoryBudget(max(MIN_PEER_MESSAGE_BYTES, limits.memory_mb * MEBIBYTE * PEER_MESSAGE_SHARE))
--- a/lynxscale/runtime/startup.py
+++ b/lynxscale/runtime/startup.py
@@ -23,8 +23,8 @@
 Started = TypeVar("Started")
 
 
-async def retry_until_started(what: str, start: Callable[[], Started], stopped: asyncio.Event) -> Started:
-    """Return ``start()``, repeated while it raises OSError.
+async def retry_until_started(resource: str, start: Callable[[], Started], stopped: asyncio.Event) -> Started:
+    """Return ``start()``, repeated while it raises OSError. ``resource``: what it needs, for the log.
 
     Raises StartError if it still does after ``START_TIMEOUT_S``, and StartCancelledError once ``stopped`` is set.
     """
@@ -36,13 +36,13 @@
             return start()
         except OSError as error:
             if loop.time() >= deadline:
-                raise StartError(f"{what}: {error}") from error
+                raise StartError(f"{resource}: {error}") from error
             if not logged:
-                log.warning("event=waiting for=%s error=%s", what, error)
+                log.warning("event=waiting for=%s error=%s", resource, error)
                 logged = True
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(stopped.wait(), RETRY_INTERVAL_S)
-            raise StartCancelledError(f"stopped while waiting for {what}")
+            raise StartCancelledError(f"stopped while waiting for {resource}")
 
 
 async def listen_once_free(address: str, stopped: asyncio.Event, backlog: int = DEFAULT_BACKLOG) -> socket.socket:
