--- a/tests/coordination/test_key_value_table.py
+++ b/tests/coordination/test_key_value_table.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from lynxscale.coordination.key_value_table import KeyValueTable
-from lynxscale.coordination.messages import Put, put_value
+from lynxscale.coordination.messages import Put, Topic, Version, put_value
+from lynxscale.coordination.topic_publisher import Publisher
 
 LARGE_BYTES = 1_000_000
 MESSAGES = 30
@@ -37,3 +38,20 @@
     assert table.size_bytes == sum(len(key) + len(bytes(value)) for key, value in table.entries.items())
     table.apply((put_value("large", None), put_value("absent", None)))
     assert table.size_bytes == sum(len(key) + len(bytes(value)) for key, value in table.entries.items()) < 100
+
+
+def test_small_topics_do_not_keep_the_messages_alive_in_which_large_ones_came():
+    publisher = Publisher("a:1", None, None)
+    tracemalloc.start()
+    try:
+        for number in range(MESSAGES):
+            large = Topic(Version(0, number), msgspec.Raw(msgspec.json.encode("x" * LARGE_BYTES)))
+            small = Topic(Version(0, number), msgspec.Raw(b"1"))
+            sent = msgspec.json.encode({"large": large, f"small/{number}": small})
+            publisher.update(msgspec.json.decode(sent, type=dict[str, Topic]))
+            del large, small, sent
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert len(publisher.topics) == MESSAGES + 1
+    assert kept_bytes < 3 * LARGE_BYTES
--- a/tests/dataplane/test_connection_pool.py
+++ b/tests/dataplane/test_connection_pool.py
@@ -1,7 +1,7 @@
 """The pool of idle connections to an endpoint."""
 
 from lab.tier.world import World
-from lynxscale.dataplane.connection_pool import MAX_IDLE_CONNECTIONS, ConnectionPool
+from lynxscale.dataplane.connection_pool import MAX_IDLE_CONNECTIONS, ConnectionPool, IdleConnections
 from lynxscale.runtime.http_client import ClientConnection, ClientState
 
 
@@ -55,3 +55,29 @@
     assert pool.acquire(excluded={second}) is first
     assert pool.acquire(excluded={first, second}) not in (first, second)
     assert pool.acquire() is second
+
+
+def test_the_idle_connections_of_all_pools_are_limited_together():
+    world = World(1)
+    shared = IdleConnections(limit=2)
+    pools = [
+        ConnectionPool(f"10.0.0.{number}:1", world.machine("a:1").clock(), lambda *call: None, False, shared)
+        for number in (1, 2)
+    ]
+    connections = [pool.acquire() for pool in pools for _ in range(2)]
+    for connection in connections:
+        connection.state = ClientState.IDLE
+        connection.idle_until = world.time + 1.0
+    pools[0]._release(connections[0])
+    pools[0]._release(connections[1])
+    pools[1]._release(connections[2])
+    world.run(world.time + 0.01)
+    assert shared.count == 2 and connections[2].state is ClientState.CLOSED
+    connections[0].idle_until = world.time  # it cannot carry a request any more, and makes room in its pool
+    extra = connections[3]
+    extra.address = connections[0].address
+    pools[0]._release(extra)
+    assert shared.count == 2 and extra.state is ClientState.IDLE
+    for pool in pools:
+        pool.close()
+    assert shared.count == 0
--- a/tests/runtime/test_peer_network.py
+++ b/tests/runtime/test_peer_network.py
@@ -1,11 +1,13 @@
 """Messages between nodes over sockets."""
 
 import asyncio
+import contextlib
 
 from lynxscale.coordination.messages import Heartbeat, Message
 from lynxscale.runtime.durable_files import DurableFiles
 from lynxscale.runtime.listener import listening_socket
-from lynxscale.runtime.peer_network import PeerNetwork
+from lynxscale.runtime.memory_budget import MemoryBudget
+from lynxscale.runtime.peer_network import MAX_UNSENT_BYTES, OutboundConnection, PeerNetwork
 
 
 def test_unsent_messages_are_written_before_a_write_blocks_on_the_disk(tmp_path):
@@ -62,3 +64,40 @@
         return ids
 
     assert asyncio.run(connection_ids()) == [0, 1, 0, 2]
+
+
+def test_a_message_that_does_not_fit_into_memory_ends_its_connection_and_gives_its_memory_back(caplog):
+    async def send_partial_messages() -> int:
+        loop = asyncio.get_running_loop()
+        budget = MemoryBudget(200_000)
+        receiver = PeerNetwork(loop, "127.0.0.1:0", messages=budget)
+        listener = receiver.listen(listening_socket("127.0.0.1:0"), lambda message: None)
+        kept = await asyncio.open_connection("127.0.0.1", listener.port)
+        kept[1].write(b"9000000:" + b"x" * 100_000)
+        refused = await asyncio.open_connection("127.0.0.1", listener.port)
+        refused[1].write(b"9000000:" + b"x" * 150_000)
+        with contextlib.suppress(ConnectionResetError):
+            assert await asyncio.wait_for(refused[0].read(), 5.0) == b""
+        used_bytes = budget.used_bytes
+        kept[1].close()
+        listener.close()
+        await asyncio.sleep(0.05)
+        assert budget.used_bytes == 0
+        return used_bytes
+
+    assert asyncio.run(send_partial_messages()) == 100_008
+    assert "event=message_refused" in caplog.text
+
+
+def test_messages_that_wait_for_a_connection_are_bounded():
+    class Attempts:
+        def start(self, connect) -> None:
+            """The connection is never established."""
+
+    async def waiting_bytes() -> int:
+        connection = OutboundConnection(asyncio.get_running_loop(), "127.0.0.1:1", Attempts())
+        for _ in range(9):
+            connection.send(b"x" * (MAX_UNSENT_BYTES // 4))
+        return sum(map(len, connection._unsent))
+
+    assert 0 < asyncio.run(waiting_bytes()) <= MAX_UNSENT_BYTES
--- a/tests/runtime/test_settings_reader.py
+++ b/tests/runtime/test_settings_reader.py
@@ -51,3 +51,31 @@
 def test_a_count_with_a_fraction_is_a_finding():
     with pytest.raises(SettingsError, match="s.toml: limits"):
         parse_settings(SETTINGS.replace("max-fds = 4100.0", "max-fds = 4100.5"), "s.toml")
+
+
+ADDRESSES = 'node-name = "n"\nip = "a"\nzone = "a"\ninternal-ports = [1, 2]\nseeds = ["a:1"]'
+
+
+@pytest.mark.parametrize(
+    ("addition", "finding"),
+    [
+        ('[listen]\ncontrol = "127.0.0.1"', "listen.control: want HOST:PORT"),
+        ('[listen]\nfrontend = "127.0.0.1:70000"', "listen.frontend: want HOST:PORT"),
+        ('[listen]\nreadiness = "127.0.0.1:http"', "listen.readiness: want HOST:PORT"),
+    ],
+)
+def test_an_address_to_listen_on_whose_port_is_none_is_a_finding(addition, finding):
+    with pytest.raises(SettingsError, match=finding):
+        parse_settings(f"{ADDRESSES}\n{addition}\n", "s.toml")
+    parse_settings(f'{ADDRESSES}\n[listen]\ncontrol = "127.0.0.1:1"\nfrontend = ""\n', "s.toml")
+
+
+def test_internal_ports_beyond_the_greatest_are_a_finding():
+    with pytest.raises(SettingsError, match="internal-ports: want ports up to 65535"):
+        parse_settings(ADDRESSES.replace("[1, 2]", "[1, 70000]"), "s.toml")
+
+
+@pytest.mark.parametrize("text", ["a = " + "[" * 5000, "a = " + "9" * 5000])
+def test_what_the_parser_cannot_read_is_a_finding(text):
+    with pytest.raises(SettingsError, match="s.toml"):
+        parse_settings(text, "s.toml")
--- a/tests/runtime/test_settings_watcher.py
+++ b/tests/runtime/test_settings_watcher.py
@@ -20,3 +20,13 @@
     watcher.reload()
     watcher.reload()
     assert [settings.zone for settings in applied] == ["b"]
+
+
+def test_an_error_in_the_application_of_a_change_does_not_end_the_process(tmp_path, monkeypatch, caplog):
+    path = tmp_path / "s.toml"
+    path.write_text(TEXT)
+    monkeypatch.setenv("LYNXSCALE_SETTINGS", str(path))
+    watcher = SettingsWatcher(load_settings(), lambda settings: 1 / 0)
+    path.write_text(TEXT.replace('"a"', '"b"'))
+    watcher.reload()
+    assert "event=settings_not_applied" in caplog.text
