Test: a topic that is kept is compared by version and value

The topics of the test now have different values, so that version and value tell which one is held: an older value under a newer version, which the comparison by identity alone caught, still fails.

--- a/tests/coordination/test_topic_publisher.py
+++ b/tests/coordination/test_topic_publisher.py
@@ -16,10 +16,11 @@
 def test_a_topic_never_goes_back_to_an_older_version():
     machine = World(1).machine("a:1")
     publisher = Publisher("a:1", machine.clock(), machine.network())
-    newer, older = (Topic(Version(2, number), msgspec.Raw(b"1")) for number in (5, 4))
+    newer, older = (Topic(Version(2, number), msgspec.Raw(str(number).encode())) for number in (5, 4))
     assert publisher.update({"config": newer}) == ["config"]
     assert publisher.update({"config": older}) == []
-    assert publisher.topics["config"] is newer
+    kept = publisher.topics["config"]
+    assert (kept.version, bytes(kept.value)) == (Version(2, 5), b"5")
 
 
 def test_versions_in_quick_succession_do_not_queue_up_on_a_slow_link():
