--- a/lab/tier/changing_routes.py
+++ b/lab/tier/changing_routes.py
@@ -59,10 +59,20 @@
 
 
 class ChangingRoutes:
-    """All routes of a run, and the next change of them. ``other_service``: the service that routes are moved to."""
+    """All routes of a run, and the next change of them.
 
-    def __init__(self, random: Random, other_service: str = OTHER_MODEL) -> None:
+    ``other_service``: the service that routes are moved to. ``max_body_bytes``: the limit that the configurations set
+    for request bodies, None for that of the default configuration.
+    """
+
+    def __init__(
+        self,
+        random: Random,
+        other_service: str = OTHER_MODEL,
+        max_body_bytes: int | None = None,
+    ) -> None:
         self._other_service = other_service
+        self._max_body_bytes = max_body_bytes
         self.all: list[ChangingRoute] = []
         self._random = random
         self._present: list[ChangingRoute] = []
@@ -81,6 +91,8 @@
         configuration["routes"] += [resumable_route(), short_route()]
         if self._other_service == OTHER_MODEL:
             configuration["services"].append(configuration["services"][0] | {"name": OTHER_MODEL})
+        if self._max_body_bytes is not None:
+            configuration["limits"] = configuration["limits"] | {"max-body-bytes": self._max_body_bytes}
         return configuration
 
     def acknowledged(self, now: float) -> None:
--- a/lab/tier/crowding_clients.py
+++ b/lab/tier/crowding_clients.py
@@ -5,8 +5,6 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
-from pathlib import Path
 
 from lab.tier.client_group import ClientGroup
 from lynxscale.runtime.sockets import split_address
@@ -20,8 +18,6 @@
 PAUSE_RANGE_S = (0.0, 1.0)
 SEND_TIMEOUT_S = 2.0
 CONTROL_SHARE = 0.3  # share of the crowds that come to a control member
-WATCH_INTERVAL_S = 0.2
-KIB_PER_MB = 1024
 
 
 class CrowdingClients(ClientGroup):
@@ -67,28 +63,3 @@
         async with asyncio.timeout(SEND_TIMEOUT_S):
             await loop.sock_connect(connection, split_address(address))
             await loop.sock_sendall(connection, data)
-
-
-class MemoryWatch:
-    """Watches the peaks of the resident memory of processes. ``peaks_mb``: by name, in megabytes."""
-
-    def __init__(self, pids: Callable[[], dict[str, int]]) -> None:
-        """``pids()``: the ids of the processes that run now, by name."""
-        self.peaks_mb: dict[str, int] = {}
-        self._pids = pids
-
-    async def run(self) -> None:
-        """Watch until it is cancelled."""
-        while True:
-            for name, pid in self._pids().items():
-                self.peaks_mb[name] = max(self.peaks_mb.get(name, 0), _peak_mb(pid))
-            await asyncio.sleep(WATCH_INTERVAL_S)
-
-
-def _peak_mb(pid: int) -> int:
-    """The peak of the resident memory of a process so far, 0 if it has ended."""
-    try:
-        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
-    except OSError:
-        return 0
-    return next((int(line.split()[1]) // KIB_PER_MB for line in lines if line.startswith("VmHWM:")), 0)
--- a/lab/tier/soak.py
+++ b/lab/tier/soak.py
@@ -30,11 +30,12 @@
 from lab.tier.changing_routes import ChangingRoutes, idle_routes, lost_turns
 from lab.tier.conditions import overload_endpoints, relieve_endpoints, vary_framing
 from lab.tier.configuration_grammar import ConfigurationGrammar
-from lab.tier.crowding_clients import CrowdingClients, MemoryWatch
+from lab.tier.crowding_clients import BODY_BYTES, CrowdingClients
 from lab.tier.disturbances import CONTROL_SHARE, Disturber
 from lab.tier.fakes import FakeEndpoint
 from lab.tier.line_clients import PAUSING, RESUMING, LineClients
 from lab.tier.local import LocalTier, free_network
+from lab.tier.memory_watch import MemoryWatch
 from lab.tier.persistent_clients import PersistentClients
 from lab.tier.persistent_conversations import PersistentConversations
 from lab.tier.resumable_turns import tag_events
@@ -133,7 +134,8 @@
         self._late_answers = 0
         self._streams_break_off = False
         planned_only = self._random.random() < PLANNED_ONLY_SHARE
-        self._routes = ChangingRoutes(Random(f"routes {seed}"), TOOLS)
+        max_body_bytes = BODY_BYTES if size.crowding_clients else None
+        self._routes = ChangingRoutes(Random(f"routes {seed}"), TOOLS, max_body_bytes)
         self._load = Load(self._tier, Random(f"load {seed}"), self._routes, ConfigurationGrammar(f"soak {seed}"))
         talks = Random(f"conversations {seed}")
         self._load.idle_routes = idle_routes(size.idle_routes)
--- a/tests/running_program.py
+++ b/tests/running_program.py
@@ -13,12 +13,12 @@
 from random import Random
 
 from lab.tier.local import free_network
+from lab.tier.memory_watch import peak_memory_mb
 
 INTERNAL_PORT, CONTROL_PORT, FRONTEND_PORT, READINESS_PORT = 7300, 7301, 7302, 7303
 START_TIMEOUT_S = 15.0
 ANSWER_TIMEOUT_S = 2.0
 STOP_TIMEOUT_S = 10.0
-MEBIBYTE_KIB = 1024
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -117,10 +117,9 @@
         """What the process has logged."""
         return self.log.read_text(errors="replace")
 
-    def peak_memory_mb(self) -> float:
+    def peak_memory_mb(self) -> int:
         """The peak of the resident memory so far."""
-        lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
-        return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM:")) / MEBIBYTE_KIB
+        return peak_memory_mb(self.process.pid)
 
     def processor_time_s(self) -> float:
         """The processor time used so far."""
--- a/tests/tier/test_retained_memory.py
+++ b/tests/tier/test_retained_memory.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from lab.tier.changing_routes import idle_routes
-from lab.tier.crowding_clients import MemoryWatch
 from lab.tier.local import LocalTier, free_network
+from lab.tier.memory_watch import MemoryWatch
 from lab.tier.simulated_tier import default_configuration
 
 MEMORY_MB = 160
