Files are read back past the page cache, without waiting for all processors

Callers saw: a control member answers nothing, neither status nor heartbeats, for seconds on a machine whose processors are in use by others.

Meanwhile the member neither runs nor waits for a processor (schedstat): it is in state D within posix_fadvise(POSIX_FADV_DONTNEED), at __flush_work or __lru_add_drain_all, while kworkers of mm_percpu_wq are runnable for up to 21 s.

Cause: the scrub reads a file back four times a second in the event loop, and dropped its pages from the page cache before. If a page cannot be dropped at once, Linux drains the lists of all processors and waits until a kernel thread has run on each.

Fix: the scrub reads with O_DIRECT, which takes what is on the disk and leaves the page cache alone; a file system without direct reads is read in the ordinary way.

The soak did not find it as its stand-in for the disk replaces the call.

--- a/lab/tier/steady_disk.py
+++ b/lab/tier/steady_disk.py
@@ -28,7 +28,7 @@
 
 
 def keep_in_page_cache(descriptor: int, offset: int, length: int, advice: int) -> None:
-    """Take the place of ``os.posix_fadvise``. Raises OSError if the descriptor is not open."""
+    """Take the place of ``os.posix_fadvise``, which other versions call. Raises OSError if the file is not open."""
     os.fstat(descriptor)
 
 
@@ -44,6 +44,7 @@
 def main() -> None:
     """Run the module named by the first argument; the other arguments are its own."""
     os.fsync = os.fdatasync = wait_for_sync
+    os.O_DIRECT = 0
     os.posix_fadvise = keep_in_page_cache
     os.rename = rename_and_keep_replaced
     module = sys.argv.pop(1)
--- a/lynxscale/runtime/durable_files.py
+++ b/lynxscale/runtime/durable_files.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from lynxscale.runtime.direct_read import read_from_disk
 from lynxscale.runtime.exceptions import ReadOnlyFolderError
 
 TEMPORARY_SUFFIX = ".aside"
@@ -68,7 +69,7 @@
 
     def read_chunk(self, name: str, offset: int, size: int) -> bytes | None:
         """Return at most ``size`` bytes from an offset, read from the disk, not from the page cache. Raises OSError."""
-        return read_chunk_from_disk(self._folder / name, offset, size)
+        return read_from_disk(self._folder / name, offset, size)
 
     def names(self) -> list[str]:
         """Return the names of all complete files, sorted."""
@@ -79,22 +80,6 @@
         (self._folder / name).unlink(missing_ok=True)
 
 
-def read_chunk_from_disk(path: Path, offset: int, size: int) -> bytes | None:
-    """Return at most ``size`` bytes of a file from an offset, None if it does not exist. Raises OSError.
-
-    The pages are dropped from the page cache first, as cached pages would hide damage on the disk.
-    """
-    try:
-        descriptor = os.open(path, os.O_RDONLY)
-    except FileNotFoundError:
-        return None
-    try:
-        os.posix_fadvise(descriptor, offset, size, os.POSIX_FADV_DONTNEED)
-        return os.pread(descriptor, size, offset)
-    finally:
-        os.close(descriptor)
-
-
 class AtomicFileWriter:
     """Implements the FileWriter port: writes under a temporary name and renames once the content is durable."""
 
@@ -175,7 +160,7 @@
 
     def read_chunk(self, name: str, offset: int, size: int) -> bytes | None:
         """Return at most ``size`` bytes from an offset. Raises OSError."""
-        return read_chunk_from_disk(self._folder / name, offset, size)
+        return read_from_disk(self._folder / name, offset, size)
 
     def names(self) -> list[str]:
         """Return the names of all complete files, sorted."""
