Tests of a process's last line restore the signals that are blocked

Evidence: SIGTERM is pending and blocked in the relay, and blocked in the worker of the tests that started it (SigBlk, ShdPnd of /proc/PID/status).

Cause: test_startup.py runs the frame of a program within the worker. A program blocks SIGTERM as it ends, and whatever the worker starts afterwards inherits that. Which tests meet it depends on the worker that they are given. The mask is restored now; the new test fails without it.

--- a/tests/runtime/test_startup.py
+++ b/tests/runtime/test_startup.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import signal
 
 import pytest
 
@@ -50,6 +51,14 @@
         asyncio.run(wait_for(Busy(1000), stop=True))
 
 
+@pytest.fixture
+def signal_mask():
+    """Restores the signals that this process blocks: a program blocks SIGTERM as it ends, and children inherit it."""
+    blocked = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+    yield
+    signal.pthread_sigmask(signal.SIG_SETMASK, blocked)
+
+
 async def return_at_once(context: process.ProcessContext) -> None:
     pass
 
@@ -71,6 +80,7 @@
         (raiser(MemoryError()), ExitCode.FAILED, "event=ended reason=error error=MemoryError()"),
     ],
 )
+@pytest.mark.usefixtures("signal_mask")
 def test_the_last_line_of_a_process_tells_why_it_ended(serve, code, last_line, tmp_path, monkeypatch, caplog):
     caplog.set_level(logging.INFO)
     path = tmp_path / "settings.toml"
@@ -78,3 +88,7 @@
     monkeypatch.setenv("LYNXSCALE_SETTINGS", str(path))
     assert process.run(serve, 1.0, RELAY_QUOTAS) == code
     assert caplog.records[-1].getMessage() == last_line
+
+
+def test_programs_started_after_these_tests_can_be_ended_by_sigterm():
+    assert signal.SIGTERM not in signal.pthread_sigmask(signal.SIG_BLOCK, ())
