A process ends its listeners before its event loop, so that its last line tells the reason

Cause: only the listener for clients was closed, by the drain. Those for peers, health checks and operators went on accepting while asyncio.run ended its loop: it cancels the tasks that exist, runs the loop a few turns more, and closes it. A connection that arrived in these turns left a task of connect_accepted_socket, whose transport then called the closed loop.

Evidence: three threads that connect until the process is gone, SIGTERM.

Fix: the listeners of a process belong to it and end with it, as its connection attempts do: they accept nothing more, and cancel what is being set up while the loop still runs. Their sockets stay open, as the next process of the machine takes a free port for the end of this one. The soak looks for "Task was destroyed" as well.

--- a/lab/tier/soak.py
+++ b/lab/tier/soak.py
@@ -57,7 +57,14 @@
 """
 MAX_PRINTED = 20
 CROWDED_MEMORY_MB, CROWDED_DESCRIPTORS = 160, 160  # memory: the least of all deployments
-FAULT_LOG_WORDS = ("Traceback", "bad_message", "configuration_unusable", "settings_unusable", "never retrieved")
+FAULT_LOG_WORDS = (
+    "Traceback",
+    "Task was destroyed",
+    "bad_message",
+    "configuration_unusable",
+    "settings_unusable",
+    "never retrieved",
+)
 
 
 @dataclass(frozen=True)
--- a/lynxscale/controlplane/process.py
+++ b/lynxscale/controlplane/process.py
@@ -15,7 +15,7 @@
 from lynxscale.runtime.clock import LoopClock
 from lynxscale.runtime.durable_files import DurableFiles
 from lynxscale.runtime.http_server import ServerConnection, ServerLimits
-from lynxscale.runtime.listener import ConnectionSlot, Listener
+from lynxscale.runtime.listener import ConnectionSlot
 from lynxscale.runtime.process import ProcessContext, run
 from lynxscale.runtime.reload_signal import reload_signal_handled
 from lynxscale.runtime.resource_limits import MEMBER_QUOTAS
@@ -59,7 +59,7 @@
             return ServerConnection(service.handle_request, limits, clock, set(), slot)
 
         control = await listen_once_free(settings.listen.control, stopped)
-        Listener(loop, control, accept_operator, resources.clients)
+        context.listeners.listen(control, accept_operator, resources.clients)
     log.info("event=started member=%s state=%s", service.member.member_id, service.member.role.value)
     watcher = SettingsWatcher(settings, service.settings_changed)
     async with contextlib.aclosing(worker):
--- a/lynxscale/dataplane/process.py
+++ b/lynxscale/dataplane/process.py
@@ -46,9 +46,9 @@
 
     network.listen(await listen_once_free(settings.internal_address, stopped), service.receive)
     readiness = await listen_once_free(listen.readiness, stopped)
-    Listener(loop, readiness, accept_health_check, resources.health_checks)
+    context.listeners.listen(readiness, accept_health_check, resources.health_checks)
     frontend = await listen_once_free(listen.frontend, stopped, LISTEN_BACKLOG)
-    server = Listener(loop, frontend, accept_client, resources.clients)
+    server = context.listeners.listen(frontend, accept_client, resources.clients)
     service.accepting = True
     log.info("event=started")
     watcher = SettingsWatcher(settings, service.settings_changed)
--- a/lynxscale/runtime/listener.py
+++ b/lynxscale/runtime/listener.py
@@ -62,7 +62,10 @@
 
 
 class Listener:
-    """Accepts connections at one address until it is closed. ``limit``: how many may be open."""
+    """Accepts connections at one address until it is closed. ``limit``: how many may be open.
+
+    It has to be closed by ``aclose`` before its event loop, which would leave the connections that are being set up.
+    """
 
     def __init__(
         self,
@@ -93,10 +96,16 @@
 
     def close(self) -> None:
         """Stop listening; open connections stay open."""
-        if not self._closed:
-            self._closed = True
-            self._pause()
-            self._socket.close()
+        self._end_accepting()
+        self._socket.close()
+
+    async def aclose(self) -> None:
+        """Accept no more connections, and drop those that are being set up; the port is held until the process ends."""
+        self._end_accepting()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def on_lost(self) -> None:
         """Handle the end of a connection."""
@@ -109,6 +118,12 @@
             self._accepting = True
             self._loop.add_reader(self._socket.fileno(), self._accept_waiting)
 
+    def _end_accepting(self) -> None:
+        self._closed = True
+        self._pause()
+        if self._retry is not None:
+            self._retry.cancel()
+
     def _pause(self) -> None:
         if self._accepting:
             self._accepting = False
@@ -170,6 +185,25 @@
             self._logged_at, self._failures = now, 0
 
 
+class Listeners:
+    """The listeners of a process, which end together."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._listeners: list[Listener] = []
+
+    def listen(self, listening: socket.socket, factory: ProtocolFactory, limit: int) -> Listener:
+        """Accept connections at a listening socket from now on; ``limit``: how many may be open."""
+        listener = Listener(self._loop, listening, factory, limit)
+        self._listeners.append(listener)
+        return listener
+
+    async def aclose(self) -> None:
+        """Accept no more connections at any of them."""
+        for listener in self._listeners:
+            await listener.aclose()
+
+
 def listening_socket(address: str, backlog: int = DEFAULT_BACKLOG) -> socket.socket:
     """Return a socket that listens on ``host:port``. Raises OSError if the address is in use or not there."""
     listening = socket.create_server(split_address(address), backlog=backlog)
--- a/lynxscale/runtime/peer_network.py
+++ b/lynxscale/runtime/peer_network.py
@@ -18,7 +18,7 @@
 from lynxscale.coordination.netstring import Decoder
 from lynxscale.coordination.netstring import encode as encode_frame
 from lynxscale.runtime.connect_tasks import ConnectTasks
-from lynxscale.runtime.listener import ConnectionSlot, Listener
+from lynxscale.runtime.listener import ConnectionSlot, Listener, Listeners
 from lynxscale.runtime.memory_budget import MemoryBudget, Reservation
 from lynxscale.runtime.resource_limits import UNLIMITED
 from lynxscale.runtime.sockets import CONNECT_ERRORS, configure_socket, split_address
@@ -181,6 +181,7 @@
         self._loop = loop
         self._connections: dict[str, OutboundConnection] = {}
         self._attempts = ConnectTasks(loop)
+        self._listeners = Listeners(loop)
         self._receive: Callable[[Message], None] = lambda message: None
 
     def listen(self, listening: socket.socket, receive: Callable[[Message], None]) -> Listener:
@@ -193,10 +194,11 @@
         def accept(slot: ConnectionSlot) -> InboundConnection:
             return InboundConnection(receive, slot, self._messages, self._loop.time)
 
-        return Listener(self._loop, listening, accept, self._max_connections)
+        return self._listeners.listen(listening, accept, self._max_connections)
 
     async def aclose(self) -> None:
-        """End the connection attempts that are under way, and begin no others; their messages are lost."""
+        """End the connection attempts of both directions, and begin no others; their messages are lost."""
+        await self._listeners.aclose()
         await self._attempts.aclose()
 
     def flush(self) -> None:
--- a/lynxscale/runtime/process.py
+++ b/lynxscale/runtime/process.py
@@ -24,6 +24,7 @@
 from lynxscale.runtime.exceptions import SettingsError, StartCancelledError, StartError
 from lynxscale.runtime.exit_codes import ExitCode
 from lynxscale.runtime.http_client import AsyncioDialer
+from lynxscale.runtime.listener import Listeners
 from lynxscale.runtime.peer_network import PeerNetwork
 from lynxscale.runtime.reload_signal import signal_handled
 from lynxscale.runtime.resource_limits import Quotas, ResourceLimits, resource_limits
@@ -42,6 +43,8 @@
     network: PeerNetwork
     dialer: AsyncioDialer
     resources: ResourceLimits
+    listeners: Listeners
+    """For all but the internal address, which ``network`` listens at."""
 
 
 Serve = Callable[[ProcessContext], Coroutine[Any, Any, None]]
@@ -78,6 +81,7 @@
     stopped = asyncio.Event()
     network = PeerNetwork(loop, settings.internal_address, resources.peers, resources.peer_messages)
     dialer = AsyncioDialer(loop, connect_timeout_s)
+    listeners = Listeners(loop)
     with signal_handled(loop, signal.SIGTERM, stopped.set):
-        async with contextlib.aclosing(network), contextlib.aclosing(dialer):
-            await serve(ProcessContext(settings, stopped, network, dialer, resources))
+        async with contextlib.aclosing(network), contextlib.aclosing(dialer), contextlib.aclosing(listeners):
+            await serve(ProcessContext(settings, stopped, network, dialer, resources, listeners))
--- a/tests/runtime/test_listener.py
+++ b/tests/runtime/test_listener.py
@@ -1,14 +1,19 @@
-"""A listener at its limit, and one whose accepts fail."""
+"""A listener at its limit, one whose accepts fail, and listeners at the end of a process."""
 
 import asyncio
 import errno
+import gc
+import socket
+import sys
+from contextlib import aclosing
 
 import pytest
 
 from lynxscale.runtime.clock import LoopClock
 from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
 from lynxscale.runtime.http_types import Request, Response
-from lynxscale.runtime.listener import ACCEPT_RETRY_S, Listener, listening_socket
+from lynxscale.runtime.listener import ACCEPT_RETRY_S, Listener, Listeners, listening_socket
+from lynxscale.runtime.peer_network import PeerNetwork
 
 LIMIT = 8
 REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -124,3 +129,59 @@
 
     asyncio.run(play())
     assert len(caplog.records) == 1
+
+
+def listening_for_clients(loop):
+    """The listeners of a process for one address, and its port."""
+    listeners = Listeners(loop)
+    limits, clock = ServerLimits(), LoopClock(loop)
+    listener = listeners.listen(
+        listening_socket("127.0.0.1:0"),
+        lambda slot: ServerConnection(lambda request, responder: None, limits, clock, set(), slot),
+        LIMIT,
+    )
+    return listeners, listener.port
+
+
+def listening_for_peers(loop):
+    """A network that peers can connect to, and its port."""
+    network = PeerNetwork(loop, "127.0.0.1:0")
+    return network, network.listen(listening_socket("127.0.0.1:0"), lambda message: None).port
+
+
+@pytest.mark.parametrize("listens", [listening_for_clients, listening_for_peers])
+def test_connections_that_arrive_while_the_process_ends_leave_no_traceback(listens, caplog, monkeypatch):
+    """Regression: "Event loop is closed" as the last lines of a relay that ended while peers connected to it."""
+    unraisable = []
+    monkeypatch.setattr(sys, "unraisablehook", lambda error: unraisable.append(error.exc_value))
+    clients = []
+
+    async def serve():
+        loop = asyncio.get_running_loop()
+        closable, port = listens(loop)
+
+        def connect_again():
+            clients.append(socket.create_connection(("127.0.0.1", port)))
+            loop.call_soon(connect_again)
+
+        async with aclosing(closable):
+            connect_again()
+            await asyncio.sleep(0.02)
+
+    asyncio.run(serve())
+    gc.collect()
+    for client in clients:
+        client.close()
+    assert unraisable == []
+    assert "Task was destroyed" not in caplog.text
+
+
+def test_a_listener_that_has_ended_holds_its_port():
+    async def play():
+        server = Server()
+        port = server.listener.port
+        await server.listener.aclose()
+        with pytest.raises(OSError, match="in use"):
+            listening_socket(f"127.0.0.1:{port}")
+
+    asyncio.run(play())
--- a/tests/runtime/test_start_and_end.py
+++ b/tests/runtime/test_start_and_end.py
@@ -1,8 +1,10 @@
 """What is passing is waited out at the start, what cannot be read is no end, and every end tells its reason."""
 
+import contextlib
 import resource
 import signal
 import socket
+import threading
 import time
 
 import pytest
@@ -10,6 +12,7 @@
 from tests.running_program import CONTROL_PORT, FRONTEND_PORT, INTERNAL_PORT, READINESS_PORT, RunningProgram, started
 
 HELD_S = 1.2
+CONNECTING_THREADS = 3
 POLL_S = 2.0  # between two readings of the settings file
 LISTENERS = [
     ("dataplane", INTERNAL_PORT),
@@ -90,3 +93,35 @@
     program.launch()
     assert program.process.wait(10) == 2
     assert "Traceback" not in program.log_text() and str(program.settings) in program.log_text()
+
+
+@pytest.mark.parametrize("module", ["dataplane", "controlplane"])
+def test_the_last_line_tells_the_reason_although_others_connect_until_the_process_is_gone(module, tmp_path):
+    with started(module, tmp_path) as program:
+        with connecting_again_and_again(program.host, (INTERNAL_PORT, program.status_port)):
+            program.stop()
+        assert program.process.returncode == 0
+        assert program.log_text().splitlines()[-1].endswith("event=ended reason=stopped")
+
+
+@contextlib.contextmanager
+def connecting_again_and_again(host, ports):
+    """Connections to all of the ports, begun and closed one after the other until the end of the block."""
+    ended = threading.Event()
+
+    def connect():
+        while not ended.is_set():
+            for port in ports:
+                with socket.socket() as client:
+                    client.setblocking(False)
+                    client.connect_ex((host, port))
+
+    threads = [threading.Thread(target=connect) for _ in range(CONNECTING_THREADS)]
+    for thread in threads:
+        thread.start()
+    try:
+        yield
+    finally:
+        ended.set()
+        for thread in threads:
+            thread.join()
