HEAD is answered without a body, and a response that is not valid raises nothing

Seen: every HEAD request that a process answers itself with a body (GET's /status at a relay, any error of a control member's operator API) left a traceback, "AttributeError: 'NoneType' object has no attribute 'finish'", and ended its connection.

Cause: the parser refuses a body after HEAD, as it refuses more bytes than the stated length. The connection closes then and detaches the responder, which went on with the connection that it no longer had. A request for a tunnel (CONNECT) was handled as any other and got 200, though the server has no tunnels.

Evidence: HEAD /status at a relay and HEAD /x at a control member, real processes: a traceback each, before; none after, and the connection serves the next request.

Fix: the response to HEAD keeps its length and has no body (RFC 9110, 9.3.2); a responder works with the connection it began with, whose methods bear that it is closed; CONNECT is refused with 501.

--- a/lynxscale/runtime/http_server.py
+++ b/lynxscale/runtime/http_server.py
@@ -28,9 +28,12 @@
 
 EMPTY_LENGTH: Headers = ((b"content-length", b"0"),)
 CLOSE = (b"connection", b"close")
+CONNECT = b"CONNECT"
+HEAD = b"HEAD"
 REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
 HEADER_FIELDS_TOO_LARGE = 431
+NOT_IMPLEMENTED = 501
 SERVICE_UNAVAILABLE = 503
 RETRY_AFTER_OVERLOAD: Headers = ((b"retry-after", b"1"),)
 """Seconds until a client that was refused for the want of descriptors or memory should come back."""
@@ -100,14 +103,16 @@
 
     def respond(self, response: Response, close: bool = False) -> None:
         """Send a complete response; ``close``: whether the connection ends with it."""
-        if self._connection is not None:
-            fields = (*response.head.fields, (b"content-length", b"%d" % len(response.body)))
-            if close:
-                fields = (*fields, CLOSE)
-            self._connection.send_head(response.status, fields)
-            if response.body:
-                self._connection.send_data(response.body)
-            self._connection.finish()
+        connection = self._connection
+        if connection is None:
+            return
+        fields = (*response.head.fields, (b"content-length", b"%d" % len(response.body)))
+        if close:
+            fields = (*fields, CLOSE)
+        connection.send_head(response.status, fields)
+        if response.body:
+            connection.send_data(response.body)
+        connection.finish()
 
     @property
     def end_is_explicit(self) -> bool:
@@ -124,9 +129,10 @@
 
     def data(self, data: bytes) -> None:
         """Send a chunk of the body without buffering."""
-        if self._connection is not None:
-            self._connection.send_data(data)
-            self._connection.flush()
+        connection = self._connection
+        if connection is not None:
+            connection.send_data(data)
+            connection.flush()
 
     @property
     def paused(self) -> bool:
@@ -282,8 +288,9 @@
         self._queue(h11.Response(status_code=status, headers=[*fields, *extra]))
 
     def send_data(self, data: bytes) -> None:
-        """Queue a chunk of the body."""
-        self._queue(h11.Data(data=data))
+        """Queue a chunk of the body; the response to HEAD has none (RFC 9110, section 9.3.2)."""
+        if self._head is None or self._head.method != HEAD:
+            self._queue(h11.Data(data=data))
 
     def finish(self) -> None:
         """Complete the response and read the next request."""
@@ -372,6 +379,9 @@
     def _dispatch(self) -> None:
         head = self._head
         assert head is not None
+        if head.method == CONNECT:
+            self._reject(NOT_IMPLEMENTED)
+            return
         received = Request(
             head.method.decode("latin-1"), head.target.decode("latin-1"), Head(tuple(head.headers)), bytes(self._body)
         )
