Reservations that do not change cost no bookkeeping

Change: a reservation that keeps its size returns at once, a release of nothing does nothing, and the size of a stored value is computed without a message object. No limit changes; the tests of the limits pass as before.

--- a/lynxscale/coordination/key_value_table.py
+++ b/lynxscale/coordination/key_value_table.py
@@ -15,6 +15,11 @@
     return zlib.crc32(value, zlib.crc32(key.encode()))
 
 
+def entry_size(key: str, value: msgspec.Raw) -> int:
+    """Approximate size in bytes: characters of the key plus bytes of the value."""
+    return len(key) + len(memoryview(value))
+
+
 class KeyValueTable:
     """Values by key. The ``checksum`` depends on the entries only, not on the order of the changes.
 
@@ -33,9 +38,9 @@
             old_value = self.entries.pop(put.key, None)
             if old_value is not None:
                 self.checksum ^= entry_checksum(put.key, old_value)
-                self.size_bytes -= Put(put.key, old_value).size
+                self.size_bytes -= entry_size(put.key, old_value)
             if not put.removes:
                 # A decoded value is a view that keeps the whole message alive: copied, it keeps its own bytes only.
                 self.entries[put.key] = put.value.copy()
                 self.checksum ^= entry_checksum(put.key, put.value)
-                self.size_bytes += put.size
+                self.size_bytes += entry_size(put.key, put.value)
--- a/lynxscale/runtime/http_server.py
+++ b/lynxscale/runtime/http_server.py
@@ -332,7 +332,9 @@
     def _count_unread(self) -> None:
         """Count the bytes that wait in the transport until the client reads."""
         if self._transport is not None:
-            self._response_memory.hold(self._transport.get_write_buffer_size())
+            unread = self._transport.get_write_buffer_size()
+            if unread != self._response_memory.size_bytes:
+                self._response_memory.hold(unread)
 
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._header_bytes)
--- a/lynxscale/runtime/memory_budget.py
+++ b/lynxscale/runtime/memory_budget.py
@@ -33,6 +33,8 @@
         A smaller size is never refused.
         """
         growth = size_bytes - self.size_bytes
+        if growth == 0:
+            return True
         if growth > 0 and self._budget.used_bytes + growth > self._budget.limit_bytes:
             self._budget.refusals += 1
             return False
@@ -46,4 +48,5 @@
 
     def release(self) -> None:
         """Give all bytes back. Repeated calls have no effect."""
-        self.hold(0)
+        if self.size_bytes:
+            self.hold(0)
