The relay in service answers HEAD without a body

Seen: HEAD on a path or a method that the relay in service does not serve got a body after the head (404 "no such thing here"). A client on a kept connection takes it for the beginning of its next response.

Cause: responses were written without regard to the request's method. The admin server ends its connections with each response, so that its bodies confuse none; it is left as it is.

Fix: a response to HEAD has the fields and no body (RFC 9110, section 9.3.2). The test failed before: body b'no such thing here\n'.

--- a/lynxscale/relay/http_parser.py
+++ b/lynxscale/relay/http_parser.py
@@ -348,8 +348,12 @@
     content_type: str = "text/plain",
     close: bool = False,
     retry_after_ms: float = 0.0,
+    to_head: bool = False,
 ) -> bytes:
-    """Serialize a response to a client; ``content_type`` is sent only with a body."""
+    """Serialize a response to a client; ``content_type`` is sent only with a body.
+
+    ``to_head``: whether it answers a HEAD request, so that it has the fields, but no body (RFC 9110, section 9.3.2).
+    """
     lines = [f"HTTP/1.1 {status} {REASON_PHRASES.get(status, 'Unknown')}", f"Content-Length: {len(body)}"]
     if body:
         lines.append(f"Content-Type: {content_type}")
@@ -357,7 +361,7 @@
         lines.append(f"Retry-After: {retry_after_ms / 1000:.3f}")
     if close:
         lines.append("Connection: close")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + (b"" if to_head else body)
 
 
 def request_bytes(
--- a/lynxscale/relay/net/client_connection.py
+++ b/lynxscale/relay/net/client_connection.py
@@ -161,6 +161,7 @@
                 content_type=content_type,
                 close=close,
                 retry_after_ms=retry_after_ms,
+                to_head=request.method == "HEAD",
             )
         )
         if close:
--- a/tests/relay/test_clients.py
+++ b/tests/relay/test_clients.py
@@ -71,6 +71,17 @@
         self.assertEqual(self.response_status(message("m2").replace(b" /", b" http:///", 1), 3.0), 400)
         self.assertEqual(self.response_status(message("m3").replace(b" /", b" https://desk.example/", 1), 3.0), 421)
 
+    def test_head_is_answered_without_a_body(self):
+        """Regression: the client took the body of a response to HEAD for the beginning of its next response."""
+        self.start()
+        with socket.create_connection(("127.0.0.1", self.port), timeout=3.0) as client:
+            client.sendall(b"HEAD /nothing-here HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            with client.makefile("rb") as reader:
+                head, _, body = reader.read().partition(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 404 "))
+        self.assertIn(b"Content-Length: 19", head)
+        self.assertEqual(body, b"")
+
     def test_request_hidden_in_a_body_is_not_parsed(self):
         self.start()
         client = self.client()
