--- a/lab/bench_journal.py
+++ b/lab/bench_journal.py
@@ -5,9 +5,12 @@
 import importlib.util
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
+from types import ModuleType
 
 import click
+from attrs import frozen
 
 from lab.traffic import fresh_folder
 from lynxscale.relay.exceptions import JournalFullError
@@ -16,76 +19,111 @@
 from lynxscale.relay.journal.storage import FolderStorage
 
 BODY = bytes(200)
+COMPLETION_BYTES = 29  # of the record that a message is complete
+MESSAGE_BYTES = 330  # of the record of a message, where cleaning hides its size
+FILL_LEVELS = (0.3, 0.6, 0.9)  # fractions of the live bytes that the budget allows
 
+EntryClass = Callable[..., Entry]
+"""The class of the entries, of this journal or of an older one."""
 
-def load_older_journal(checkout: str):
+
+def load_older_journal(checkout: str) -> ModuleType:
     """Load the journal module of an older checkout, in which it is a single file."""
     path = Path(checkout, "lynxscale", "journal.py")
     if not path.is_file():
         raise click.ClickException(f"{path}: no such file; --other needs a checkout whose journal is a single module")
     spec = importlib.util.spec_from_file_location("journal_before", path)
+    assert spec is not None and spec.loader is not None
     module = importlib.util.module_from_spec(spec)
     sys.modules["journal_before"] = module
     spec.loader.exec_module(module)
     return module
 
 
-def entry(kind, number: int):
-    return kind(f"{number:016x}", "pago-premio", "club-oviedo", f"{number:032x}", 7, 1 << 50, BODY)
+def entry(entry_class: EntryClass, number: int) -> Entry:
+    """Return the entry of one message."""
+    return entry_class(f"{number:016x}", "pago-premio", "club-oviedo", f"{number:032x}", 7, 1 << 50, BODY)
 
 
 def open_new(folder: Path, budget: int) -> Journal:
+    """Open a journal in an empty folder; ``budget``: its bytes on the disk."""
     journal = Journal(FolderStorage(folder), budget, lambda: time.time_ns() // 1000)
     journal.assign_numbers(dict(enumerate(journal.open())))
     return journal
 
 
-def time_messages(accept, record_attempt, complete, kind, held: int, count: int, turn) -> tuple[float, float]:
-    """Mean time (µs) to accept, attempt and complete a message while ``held`` others are pending, and the longest such
-    step in ms."""
-    for number in range(held):
-        accept(number, entry(kind, number))
-        turn()
+@frozen
+class JournalCalls:
+    """The calls of a journal for one message; ``maintain()`` runs after each message."""
+
+    accept: Callable[[int, Entry], object]
+    record_attempt: Callable[[int, int], object]
+    complete: Callable[[int], object]
+    maintain: Callable[[], object]
+    entry_class: EntryClass
+
+
+@frozen
+class MessageTimes:
+    """The mean time of a message in microseconds, and the longest one in milliseconds."""
+
+    mean_us: float
+    longest_ms: float
+
+
+def time_messages(calls: JournalCalls, pending: int, count: int) -> MessageTimes:
+    """Return the times to accept, attempt and complete a message while ``pending`` others are not complete."""
+    for number in range(pending):
+        calls.accept(number, entry(calls.entry_class, number))
+        calls.maintain()
     longest, begun = 0, time.perf_counter_ns()
     last = begun
-    for number in range(held, held + count):
-        accept(number, entry(kind, number))
-        record_attempt(number, number)
-        complete(number - held)
-        turn()
+    for number in range(pending, pending + count):
+        calls.accept(number, entry(calls.entry_class, number))
+        calls.record_attempt(number, number)
+        calls.complete(number - pending)
+        calls.maintain()
         now = time.perf_counter_ns()
         longest, last = max(longest, now - last), now
-    return (last - begun) / count / 1000, longest / 1e6
+    return MessageTimes((last - begun) / count / 1000, longest / 1e6)
 
 
-def measure_messages(folder: Path, other: str | None, held: int, count: int) -> None:
-    budget = max(3_000_000, held * 1600)
+def measure_messages(folder: Path, other: str | None, pending: int, count: int) -> None:
+    """Print the times of messages and of the recovery; ``other``: an older checkout to compare with."""
+    budget = max(3_000_000, pending * 1600)
     cells = []
     (folder / "new").mkdir()
     journal = open_new(folder / "new", budget)
-    calls = (journal.accept, journal.record_attempt, journal.complete)
-    spent, longest = time_messages(*calls, Entry, held, count, journal.maintain)
-    cells.append(f"{spent:.1f} us a message, longest turn {longest:.1f} ms")
+    calls = JournalCalls(journal.accept, journal.record_attempt, journal.complete, journal.maintain, Entry)
+    times = time_messages(calls, pending, count)
+    cells.append(f"{times.mean_us:.1f} us a message, longest turn {times.longest_ms:.1f} ms")
     journal.close()
     begun = time.perf_counter()
-    again = reopened(folder / "new", budget)
-    cells.append(f"recovery {(time.perf_counter() - begun) * 1000:.0f} ms of {again[1] / 1e6:.1f} MB")
+    read_bytes = reopen(folder / "new", budget)
+    cells.append(f"recovery {(time.perf_counter() - begun) * 1000:.0f} ms of {read_bytes / 1e6:.1f} MB")
     if other:
-        module = load_older_journal(other)
-        (folder / "old").mkdir()
-        old = module.Journal(folder / "old", budget)
-        old.open()
-        old.begin({})
-        spent, longest = time_messages(old.take, old.tried, old.end, module.Entry, held, count, lambda: None)
-        cells.append(f"the one before: {spent:.1f} us, longest {longest:.1f} ms")
-        old.close()
-    click.echo(f"{held} held: {'; '.join(cells)}")
-
-
-def reopened(folder: Path, budget: int) -> tuple[list[Entry], int]:
-    """Reopen the journal; its entries, and the bytes that were read."""
+        times = time_older_messages(load_older_journal(other), folder / "old", budget, pending, count)
+        cells.append(f"the one before: {times.mean_us:.1f} us, longest {times.longest_ms:.1f} ms")
+    click.echo(f"{pending} held: {'; '.join(cells)}")
+
+
+def time_older_messages(module: ModuleType, folder: Path, budget: int, pending: int, count: int) -> MessageTimes:
+    """Return the times of messages with an older journal, which has other names for its calls."""
+    folder.mkdir()
+    journal = module.Journal(folder, budget)
+    journal.open()
+    journal.begin({})
+    calls = JournalCalls(journal.take, journal.tried, journal.end, lambda: None, module.Entry)
+    times = time_messages(calls, pending, count)
+    journal.close()
+    return times
+
+
+def reopen(folder: Path, budget: int) -> int:
+    """Open the journal once more, and return the bytes that were read."""
     size = sum(path.stat().st_size for path in folder.iterdir())
-    return Journal(FolderStorage(folder), budget, lambda: 1).open(), size
+    Journal(FolderStorage(folder), budget, lambda: 1).open()
+    return size
 
 
 class CountingStorage(FolderStorage):
@@ -94,26 +132,28 @@
     written = 0
 
     def write(self, handle: int, data: bytes) -> int:
+        """Write as FolderStorage does."""
         self.written += len(data)
         return super().write(handle, data)
 
 
-def amplification(folder: Path, budget: int, share: float, count: int) -> None:
-    """Print the bytes written per byte of records, with the live bytes at this share of their limit."""
+def amplification(folder: Path, budget: int, fill_level: float, count: int) -> None:
+    """Print the bytes written per byte of records, with the live bytes at a fraction of their limit."""
     storage = CountingStorage(folder)
     journal = Journal(storage, budget, lambda: 1)
     journal.assign_numbers(dict(enumerate(journal.open())))
     number, first, record_bytes, peak_bytes = 0, 0, 0, 0
     refused = 0
     while number < count:
-        while journal.plan.live > share * journal.plan.max_live:
+        while journal.plan.live > fill_level * journal.plan.max_live:
             journal.complete(first)
-            record_bytes += 29
+            record_bytes += COMPLETION_BYTES
             first += 1
         try:
             live_before = journal.plan.live
             journal.accept(number, entry(Entry, number))
-            record_bytes += journal.plan.live - live_before if journal.plan.live > live_before else 330
+            growth = journal.plan.live - live_before
+            record_bytes += growth if growth > 0 else MESSAGE_BYTES
             number += 1
         except JournalFullError:
             refused += 1
@@ -124,7 +164,7 @@
             peak_bytes = max(peak_bytes, sum(allocated_size(path.stat().st_size) for path in folder.iterdir()))
     journal.close()
     click.echo(
-        f"filled to {share:.0%} of what may be live: {storage.written / record_bytes:.2f} bytes written "
+        f"filled to {fill_level:.0%} of what may be live: {storage.written / record_bytes:.2f} bytes written "
         f"a byte of records; "
         f"at most {peak_bytes / budget:.2f} of the budget on disk; {refused} refused"
     )
@@ -139,9 +179,9 @@
     for text in held.split(","):
         with fresh_folder() as name:
             measure_messages(Path(name), other, int(text), count)
-    for share in (0.3, 0.6, 0.9):
+    for fill_level in FILL_LEVELS:
         with fresh_folder() as name:
-            amplification(Path(name), 3_000_000, share, 30_000)
+            amplification(Path(name), 3_000_000, fill_level, 30_000)
 
 
 if __name__ == "__main__":
