Test: traces are recorded on a clock that stands still, as a slow write drops frames

A write that takes more than 250 ms is handled as a failing disk: the file is closed and frames are dropped for a second, as the module says. With one write delayed by 300 ms it fails at the same line each time; with a clock that stands still it does not.

What the recorder does after a slow write had no test; it has one now.

--- a/tests/test_trace_format.py
+++ b/tests/test_trace_format.py
@@ -140,8 +140,11 @@
 
 
 def recorded(folder: Path, written: list[Frame], **changes) -> tuple[rotation.Files, list[int]]:
-    """Write the frames one by one as the daemon does; return the files, still open, and the size after each frame."""
-    files = rotation.Files(TraceConf(folder=str(folder), **changes), "a", lambda *_a, **_k: None)
+    """Write the frames one by one as the daemon does; return the files, still open, and the size after each frame.
+
+    The clock stands still, as a write of more than ``SLOW_WRITE_US`` closes the file and drops frames.
+    """
+    files = rotation.Files(TraceConf(folder=str(folder), **changes), "a", lambda *_a, **_k: None, clock=lambda: 0)
     sizes = []
     for frame in written:
         assert files.put([frame])
@@ -149,6 +152,26 @@
     return files, sizes
 
 
+def test_a_write_that_takes_long_is_kept_and_pauses_the_recording(tmp_path, monkeypatch):
+    now, events, write = 0, [], os.pwrite
+    files = rotation.Files(
+        TraceConf(folder=str(tmp_path)), "a", lambda name, **_fields: events.append(name), clock=lambda: now
+    )
+
+    def write_slowly(fd, data, at):
+        nonlocal now
+        now += rotation.SLOW_WRITE_US + 1
+        return write(fd, data, at)
+
+    monkeypatch.setattr(os, "pwrite", write_slowly)
+    first, second, third = traces.frames(3)[:3]
+    assert files.put([first]) and events == ["trace_slow"]
+    assert not files.put([second]) and files.dropped.records == len(second.records)
+    monkeypatch.setattr(os, "pwrite", write)
+    now += rotation.MIN_PAUSE_US
+    assert files.put([third])
+
+
 def test_an_open_block_cut_at_every_byte(tmp_path):
     written = traces.frames(8)
     files, sizes = recorded(tmp_path / "live", written)
