Tests: programs that run at once in several workers have addresses of their own

RunningProgram chose a loopback network by free_network, which looks at the addresses of a whole tier (127.N.1.1 and 127.N.3.1), while the program listens at 127.N.5.1. Two workers could take the same one of 121 networks, and the later process waited for ports that the other test's process held.

This can produce "gave no status in time" of a control member, as was seen once each at load in test_start_and_end.py, and the failure once today of test_a_process_of_a_member_leaves_the_disk_alone_while_an_earlier_one_still_runs (tests/runtime and tests/coordination in six workers); that it did is not shown, as their logs are gone. An address is reserved now by a bound socket for as long as the program may use it. The new test failed before: both programs at 127.220.5.1.

--- a/tests/running_program.py
+++ b/tests/running_program.py
@@ -8,20 +8,37 @@
 import subprocess
 import sys
 import time
+import weakref
 from collections.abc import Iterator
 from pathlib import Path
 from random import Random
 
-from lab.tier.local import free_network
+from lab.tier.local import FIRST_NETWORK, LAST_NETWORK, is_free
 from lab.tier.memory_watch import peak_memory_mb
 
 INTERNAL_PORT, CONTROL_PORT, FRONTEND_PORT, READINESS_PORT = 7300, 7301, 7302, 7303
+RESERVATION_PORT = 7299  # bound for as long as a program of the tests may use an address
 START_TIMEOUT_S = 15.0
 ANSWER_TIMEOUT_S = 2.0
 STOP_TIMEOUT_S = 10.0
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
+def reserve_address(random: Random) -> socket.socket:
+    """Return a socket bound to a loopback address that no other program of the tests uses. Raises OSError."""
+    networks = list(range(FIRST_NETWORK, LAST_NETWORK + 1))
+    random.shuffle(networks)
+    for network in networks:
+        host = f"127.{network}.5.1"
+        reservation = socket.socket()
+        with contextlib.suppress(OSError):
+            reservation.bind((host, RESERVATION_PORT))
+            if all(is_free(host, port) for port in (INTERNAL_PORT, CONTROL_PORT, FRONTEND_PORT, READINESS_PORT)):
+                return reservation
+        reservation.close()
+    raise OSError("no free loopback address")
+
+
 class RunningProgram:
     """A relay (``dataplane``) or a control member (``controlplane``) that runs alone, with its settings in a folder.
 
@@ -29,7 +46,9 @@
     """
 
     def __init__(self, module: str, folder: Path, limits: str = "", descriptors: int | None = None) -> None:
-        self.host = f"127.{free_network(Random())}.5.1"
+        reservation = reserve_address(Random())
+        weakref.finalize(self, reservation.close)
+        self.host: str = reservation.getsockname()[0]
         self.settings = folder / "settings.toml"
         self.log = folder / "log"
         self._module = module
--- a/tests/runtime/test_start_and_end.py
+++ b/tests/runtime/test_start_and_end.py
@@ -6,9 +6,11 @@
 import socket
 import threading
 import time
+from random import Random
 
 import pytest
 
+from tests import running_program
 from tests.running_program import CONTROL_PORT, FRONTEND_PORT, INTERNAL_PORT, READINESS_PORT, RunningProgram, started
 
 HELD_S = 1.2
@@ -27,6 +29,13 @@
 ]
 
 
+def test_programs_of_tests_that_run_at_once_do_not_share_an_address(tmp_path, monkeypatch):
+    """Guards against tests that fail as another one's process holds their ports."""
+    monkeypatch.setattr(running_program, "Random", lambda: Random(1))
+    programs = [RunningProgram("dataplane", tmp_path) for _ in range(2)]
+    assert programs[0].host != programs[1].host
+
+
 @pytest.mark.parametrize(("module", "port"), LISTENERS)
 def test_a_port_that_is_held_for_a_while_at_the_start_does_not_end_the_process(module, port, tmp_path):
     program = RunningProgram(module, tmp_path)
