A turn of the event loop does a bounded amount of work for connections

Callers saw: while clients sent requests ahead, or bodies in small chunks, status, health checks and ordinary requests got no answer for as long as these lasted and long after they had left; one such client took a primary's lease.

Cause: a connection parsed and answered all that it had received within one call: thousands of requests, or 40,000 chunks of a byte in a read of 256 KiB. With N connections a turn of the loop took N times that.

Change: work is counted in units, not in time. A connection does one request or one slice of events a turn, all connections of a listener 512 units, and what is left waits for a later turn, behind those that have not used up a slice. Each listener has turns of its own, so that health checks do not wait for clients. Nothing more is received while a connection waits.

Tests that need the machine for themselves are marked, and `make test` runs them one at a time after the others.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 	touch $@
 
 test: build
-	$(PYTHON) -m pytest -q -p no:cacheprovider -n 4 --dist worksteal
+	$(PYTHON) -m pytest -q -p no:cacheprovider -n 4 --dist worksteal -m "not alone"
+	$(PYTHON) -m pytest -q -p no:cacheprovider -m alone
 	$(PYTHON) -m behave --no-capture --format progress features
 
 lint: build
--- a/lynxscale/controlplane/process.py
+++ b/lynxscale/controlplane/process.py
@@ -16,6 +16,7 @@
 from lynxscale.runtime.durable_files import DurableFiles
 from lynxscale.runtime.http_server import ServerConnection, ServerLimits
 from lynxscale.runtime.listener import ConnectionSlot
+from lynxscale.runtime.loop_turns import TURN_UNITS, LoopTurns
 from lynxscale.runtime.process import ProcessContext, run
 from lynxscale.runtime.reload_signal import reload_signal_handled
 from lynxscale.runtime.resource_limits import MEMBER_QUOTAS
@@ -55,8 +56,10 @@
             waiting_responses=resources.responses,
         )
 
+        turns = LoopTurns(TURN_UNITS)
+
         def accept_operator(slot: ConnectionSlot) -> ServerConnection:
-            return ServerConnection(service.handle_request, limits, clock, set(), slot)
+            return ServerConnection(service.handle_request, limits, clock, set(), slot, turns)
 
         control = await listen_once_free(settings.listen.control, stopped)
         context.listeners.listen(control, accept_operator, resources.clients)
--- a/lynxscale/dataplane/process.py
+++ b/lynxscale/dataplane/process.py
@@ -13,6 +13,7 @@
 from lynxscale.runtime.clock import LoopClock
 from lynxscale.runtime.http_server import ServerConnection
 from lynxscale.runtime.listener import ConnectionSlot, Listener
+from lynxscale.runtime.loop_turns import TURN_UNITS, LoopTurns
 from lynxscale.runtime.process import ProcessContext, run
 from lynxscale.runtime.reload_signal import reload_signal_handled
 from lynxscale.runtime.resource_limits import RELAY_QUOTAS
@@ -37,12 +38,13 @@
     service = RelayService(settings, clock, network, context.dialer, Random(), resources)
     service.accepting = False
     clients: set[ServerConnection] = set()
+    client_turns, health_check_turns = LoopTurns(TURN_UNITS), LoopTurns(TURN_UNITS)
 
     def accept_client(slot: ConnectionSlot) -> ServerConnection:
-        return ServerConnection(service.handle_request, service.limits, clock, clients, slot)
+        return ServerConnection(service.handle_request, service.limits, clock, clients, slot, client_turns)
 
     def accept_health_check(slot: ConnectionSlot) -> ServerConnection:
-        return ServerConnection(service.handle_readiness, service.limits, clock, set(), slot)
+        return ServerConnection(service.handle_readiness, service.limits, clock, set(), slot, health_check_turns)
 
     network.listen(await listen_once_free(settings.internal_address, stopped), service.receive)
     readiness = await listen_once_free(listen.readiness, stopped)
--- a/lynxscale/runtime/http_server.py
+++ b/lynxscale/runtime/http_server.py
@@ -5,7 +5,8 @@
 is called if the client disconnects before the end of the response.
 
 What waits in a connection is bounded: a body counts against a budget of all connections until its response ends, and
-nothing more is read from a client that does not read its responses, or sends further requests before they end.
+nothing more is read from a client that does not read its responses, or sends further requests before they end. The work
+that a connection does in one turn of the event loop is bounded by ``LoopTurns``.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 from lynxscale.runtime.exceptions import InvalidRequestError
 from lynxscale.runtime.http_types import Head, Headers, Request, Response
 from lynxscale.runtime.listener import ConnectionSlot
+from lynxscale.runtime.loop_turns import BODY_BYTES_PER_UNIT, EVENT_UNITS, REQUEST_UNITS, SLICE_UNITS, LoopTurns
 from lynxscale.runtime.memory_budget import MemoryBudget, Reservation
 from lynxscale.runtime.request_target import in_origin_form
 from lynxscale.runtime.sockets import configure_socket, reset_on_close
@@ -164,7 +166,8 @@
 class ServerConnection(asyncio.Protocol):
     """A connection from a client; it adds itself to ``open_connections`` while it is open.
 
-    ``slot``: its place at the listener; requests on one that is beyond the listener's limit are refused.
+    ``slot``: its place at the listener; requests on one that is beyond the listener's limit are refused. ``turns``:
+    shared with the other connections of the listener.
     """
 
     def __init__(
@@ -174,12 +177,14 @@
         clock: Clock,
         open_connections: set[ServerConnection],
         slot: ConnectionSlot | None = None,
+        turns: LoopTurns | None = None,
     ) -> None:
         self.state = ConnectionState.IDLE
         self.write_paused = False  # whether the client does not read what was sent
         self._slot = slot
         self._handler = refuse_overload if slot is not None and slot.refused else handler
         self._limits = limits
+        self._turns = LoopTurns() if turns is None else turns
         self._clock = clock
         self._open_connections = open_connections
         self._header_bytes = limits.header_bytes
@@ -192,7 +197,8 @@
         self._unsent = bytearray()
         self._deadline: Timer | None = None
         self._idle_since = clock.now()
-        self._pipelined_bytes = 0  # received during the response under way
+        self._pipelined_bytes = 0  # received during the response under way, or while waiting for a turn
+        self._waits_for_turn = False
         self._on_writable: Callable[[], None] | None = None
         self._request_memory = Reservation(limits.waiting_requests)
         self._response_memory = Reservation(limits.waiting_responses)
@@ -231,7 +237,7 @@
         """Part of asyncio.Protocol."""
         if self.state is ConnectionState.CLOSED:
             return
-        if self.state is ConnectionState.ANSWERING or self.write_paused:
+        if self.state is ConnectionState.ANSWERING or self.write_paused or self._waits_for_turn:
             self._keep_for_later(data)
             return
         if self.state is ConnectionState.IDLE:
@@ -314,13 +320,27 @@
             self._transport.pause_reading()
 
     def _read_pipelined(self) -> None:
-        """Read the next request, if bytes of it have arrived already."""
+        """Read the next request in a later turn, if bytes of it have arrived already."""
+        if self._http.trailing_data[0]:
+            self._set_state(ConnectionState.READING)
+            self._wait_for_turn(slice_used=True)
+        else:
+            self._receive_again()
+
+    def _receive_again(self) -> None:
         if self._pipelined_bytes > MAX_PIPELINED_BYTES and self._transport is not None:
             self._transport.resume_reading()
         self._pipelined_bytes = 0
-        if self._http.trailing_data[0]:
-            self._set_state(ConnectionState.READING)
-            self._clock.call_later(0.0, self._read)
+
+    def _wait_for_turn(self, slice_used: bool) -> None:
+        if not self._waits_for_turn:
+            self._waits_for_turn = True
+            self._turns.wait(self._clock, self._take_turn, slice_used)
+
+    def _take_turn(self) -> None:
+        self._waits_for_turn = False
+        if self.state is ConnectionState.READING:
+            self._read()
 
     def flush(self) -> None:
         """Write all queued bytes to the transport."""
@@ -352,14 +372,28 @@
             self.close()
 
     def _read(self) -> None:
+        """Parse what was received, up to the end of one request or of the slice; the rest waits for its turn."""
+        if not self._turns.available:
+            self._wait_for_turn(slice_used=False)
+            return
         try:
-            while self.state is ConnectionState.READING and self._next():
-                pass
+            if self._read_slice():
+                self._wait_for_turn(slice_used=True)
+            elif self.state is ConnectionState.READING and not self._waits_for_turn:
+                self._receive_again()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
 
+    def _read_slice(self) -> bool:
+        """Handle events of one request; return whether there may be more of them than fit into the slice."""
+        for _ in range(SLICE_UNITS // EVENT_UNITS):
+            self._turns.spend(EVENT_UNITS)
+            if not self._next() or self.state is not ConnectionState.READING:
+                return False
+        return True
+
     def _next(self) -> bool:
-        """Handle the next h11 event; return False if h11 needs more bytes."""
+        """Handle the next h11 event; return False if h11 needs more bytes, or the request is complete."""
         event = self._http.next_event()
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return False
@@ -373,7 +407,9 @@
             elif not self._request_memory.resize(len(self._body)):
                 self._reject(SERVICE_UNAVAILABLE)
         elif isinstance(event, h11.EndOfMessage):
+            self._turns.spend(REQUEST_UNITS + len(self._body) // BODY_BYTES_PER_UNIT)
             self._dispatch()
+            return False
         elif isinstance(event, h11.ConnectionClosed):
             self.close()
         return True
--- a/lynxscale/runtime/listener.py
+++ b/lynxscale/runtime/listener.py
@@ -37,7 +37,7 @@
         """Close the connection."""
 
 
-ProtocolFactory = Callable[["ConnectionSlot"], asyncio.Protocol]
+ProtocolFactory = Callable[["ConnectionSlot"], asyncio.BaseProtocol]
 """Creates the protocol of a connection, which tells the slot when it begins and when it has ended."""
 
 
--- a/tests/running_program.py
+++ b/tests/running_program.py
@@ -123,10 +123,10 @@
         """The first bytes of the answer to ``GET /status`` on a new connection; empty if none comes in time."""
         return self.answer(self.status_port, b"GET /status HTTP/1.1\r\nhost: a\r\n\r\n")
 
-    def answer(self, port: int, request: bytes) -> bytes:
+    def answer(self, port: int, request: bytes, timeout_s: float = ANSWER_TIMEOUT_S) -> bytes:
         """The first bytes of the answer to a request on a new connection; empty if none comes in time."""
         try:
-            with socket.create_connection((self.host, port), ANSWER_TIMEOUT_S) as connection:
+            with socket.create_connection((self.host, port), timeout_s) as connection:
                 connection.sendall(request)
                 return connection.recv(65536)
         except OSError:
