The HTTP client parses a response in many small pieces some a turn

Callers would see: a relay that answers nobody while an endpoint's response in chunks of a byte is parsed.

Cause: the client parsed all that it had received in one call: some 40,000 chunks in a read of 256 KiB.

Change: 64 events a turn of the loop and connection; meanwhile nothing more is received on it. When the connection ends, the rest is parsed at once, as before, so that a complete response stays complete. A pause by the receiver is kept apart from this one.

--- a/lynxscale/runtime/http_client.py
+++ b/lynxscale/runtime/http_client.py
@@ -2,12 +2,13 @@
 
 Its states are CONNECTING -> IDLE <-> WAITING -> CLOSED; CLOSED is reached from every state and is final. A
 ``ResponseReceiver`` gets ``on_head``, any number of ``on_data``, then ``on_end``; or ``on_failure`` at any point before
-``on_end``.
+``on_end``. A response in many small pieces is parsed some of them a turn of the event loop.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from enum import Enum
 from typing import Protocol, cast
@@ -24,6 +25,8 @@
 KEEP_ALIVE_MARGIN_S = 0.5
 """An idle connection is not reused this close to the server's timeout, as the server may be closing it."""
 MAX_HEADER_BYTES = 65536
+MAX_EVENTS_PER_TURN = 64
+"""How many pieces of a response, such as its chunks, are parsed in one turn of the event loop."""
 
 
 class ResponseFailure(Enum):
@@ -82,6 +85,8 @@
         self._request: Request | None = None
         self._receiver: ResponseReceiver | None = None
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
+        self._pause_requested = False
+        self._waits_for_turn = False  # whether received bytes are parsed in a later turn
         self._reading_paused = False
 
     @property
@@ -102,14 +107,23 @@
 
     def pause_reading(self) -> None:
         """Receive nothing more for now, so that the server has to wait."""
-        if self._transport is not None and not self._reading_paused:
-            self._reading_paused = True
-            self._transport.pause_reading()
+        self._pause_requested = True
+        self._update_reading()
 
     def resume_reading(self) -> None:
         """Receive again; no effect if reading is not paused."""
-        if self._transport is not None and self._reading_paused:
-            self._reading_paused = False
+        self._pause_requested = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Receive unless a pause was requested, or what was received before waits to be parsed."""
+        paused = self._pause_requested or self._waits_for_turn
+        if self._transport is None or paused == self._reading_paused:
+            return
+        self._reading_paused = paused
+        if paused:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     def on_connect_failed(self) -> None:
@@ -139,7 +153,8 @@
             self._set_state(ClientState.CLOSED)
             return
         self._http.receive_data(data)
-        self._read()
+        if not self._waits_for_turn:
+            self._read_some()
 
     def eof_received(self) -> None:
         """Part of asyncio.Protocol."""
@@ -171,12 +186,27 @@
         self._written = True
         transport.write(data)
 
-    def _read(self) -> None:
+    def _read_some(self) -> None:
+        """Parse what was received, up to a number of events; the rest in the next turn."""
+        self._waits_for_turn = self._read(MAX_EVENTS_PER_TURN)
+        self._update_reading()
+        if self._waits_for_turn:
+            self._clock.call_later(0.0, self._read_rest)
+
+    def _read_rest(self) -> None:
+        self._waits_for_turn = False
+        if self.state is ClientState.WAITING:
+            self._read_some()
+
+    def _read(self, max_events: float = math.inf) -> bool:
+        """Parse what was received; return whether ``max_events`` were too few for it."""
+        events = 0
         try:
-            while self.state is ClientState.WAITING and self._next():
-                pass
+            while self.state is ClientState.WAITING and events < max_events and self._next():
+                events += 1
         except h11.RemoteProtocolError:
             self._fail(ResponseFailure.MALFORMED)
+        return self.state is ClientState.WAITING and events >= max_events
 
     def _next(self) -> bool:
         """Handle the next h11 event; return False if h11 needs more bytes."""
