Soak: crowds send thousands of requests ahead, and bodies in chunks of a byte

Now up to 30 clients send up to 20,000 requests each, to the status too, or up to 300,000 chunks. The bounds of the soak stay.

--- a/lab/tier/crowding_clients.py
+++ b/lab/tier/crowding_clients.py
@@ -1,4 +1,7 @@
-"""Clients that use up a process: idle ones in hundreds, bodies that stop before their end, answers nobody reads."""
+"""Clients that use up a process: idle ones in hundreds, bodies that stop before their end, answers nobody reads.
+
+Some send thousands of requests ahead, or bodies in chunks of a byte.
+"""
 
 from __future__ import annotations
 
@@ -13,7 +16,10 @@
 MAX_UNFINISHED = 30
 BODY_BYTES = 3_900_000
 SENT_SHARE = 0.97  # of such a body
-MAX_PIPELINED = 400
+MAX_PIPELINED = 20_000
+MAX_READING_NOTHING = 30
+SMALL_CHUNKS = 300_000
+PATHS = ("/nowhere", "/look/1", "/book/1", "/status")
 HOLD_RANGE_S = (0.1, 4.0)
 PAUSE_RANGE_S = (0.0, 1.0)
 SEND_TIMEOUT_S = 2.0
@@ -26,7 +32,7 @@
     crowds = 0
 
     async def _run(self, number: int) -> None:
-        kinds = (self._come_idle, self._stop_within_bodies, self._read_nothing)
+        kinds = (self._come_idle, self._stop_within_bodies, self._read_nothing, self._send_small_chunks)
         while True:
             await asyncio.sleep(self._random.uniform(*PAUSE_RANGE_S))
             with contextlib.ExitStack() as connections:
@@ -50,8 +56,16 @@
         await asyncio.gather(*(_send(address, head + body, connections) for _ in range(count)))
 
     async def _read_nothing(self, address: str, connections: contextlib.ExitStack) -> None:
-        request = b"GET /nowhere HTTP/1.1\r\nhost: tier.example\r\n\r\n"
-        await _send(address, request * self._random.randint(1, MAX_PIPELINED), connections)
+        request = f"GET {self._random.choice(PATHS)} HTTP/1.1\r\nhost: tier.example\r\n\r\n".encode()
+        requests = request * self._random.randint(1, MAX_PIPELINED)
+        count = self._random.randint(1, MAX_READING_NOTHING)
+        await asyncio.gather(*(_send(address, requests, connections) for _ in range(count)))
+
+    async def _send_small_chunks(self, address: str, connections: contextlib.ExitStack) -> None:
+        head = b"POST /look/1 HTTP/1.1\r\nhost: tier.example\r\ntransfer-encoding: chunked\r\n\r\n"
+        chunks = b"1\r\nx\r\n" * self._random.randint(1, SMALL_CHUNKS)
+        count = self._random.randint(1, MAX_UNFINISHED)
+        await asyncio.gather(*(_send(address, head + chunks, connections) for _ in range(count)))
 
 
 async def _send(address: str, data: bytes, connections: contextlib.ExitStack) -> None:
