Every byte of a client counts, and the one that uses it least gives way

Callers saw: a process that ran out of memory while clients sent requests ahead and did not read the answers; ordinary requests refused with 503 because others held the memory.

Cause: the budget of requests began with a body. Further requests (up to 320 KiB a connection), heads, bytes received and not parsed and the system's buffers of connections that are not read from were counted nowhere; what clients had not read was counted without any consequence; connections followed from descriptors alone. Who asked last was refused.

Change: reads of 16 KiB into one buffer of the listener; all that was received counts from its arrival to the end of the response; a client is read from up to 2 KiB beyond the request under way, and the system's buffer for it, bounded to 64 KiB by SO_RCVBUF, counts then. Where the budget is used up, the holder that has stood still for a second, or else the one that holds most, is answered 503 (it has not run) or, with answers unread or requests ahead, cut off. A request that is being answered never gives way. Quotas are shares of the memory beside what an empty process takes, and connections have a share; for a relay all bounds together are under memory-mb, by a test over settings from 160 MB on.

A connection that waits for its turn takes it when it is called, even if others have spent the turn.

--- a/lynxscale/controlplane/process.py
+++ b/lynxscale/controlplane/process.py
@@ -21,6 +21,7 @@
 from lynxscale.runtime.reload_signal import reload_signal_handled
 from lynxscale.runtime.resource_limits import MEMBER_QUOTAS
 from lynxscale.runtime.settings_watcher import SettingsWatcher, watch_until
+from lynxscale.runtime.sockets import limit_socket_buffers
 from lynxscale.runtime.startup import listen_once_free, retry_until_started
 from lynxscale.runtime.worker_thread import WorkerThread
 
@@ -62,6 +63,7 @@
             return ServerConnection(service.handle_request, limits, clock, set(), slot, turns)
 
         control = await listen_once_free(settings.listen.control, stopped)
+        limit_socket_buffers(control)
         context.listeners.listen(control, accept_operator, resources.clients)
     log.info("event=started member=%s state=%s", service.member.member_id, service.member.role.value)
     watcher = SettingsWatcher(settings, service.settings_changed)
--- a/lynxscale/dataplane/process.py
+++ b/lynxscale/dataplane/process.py
@@ -18,6 +18,7 @@
 from lynxscale.runtime.reload_signal import reload_signal_handled
 from lynxscale.runtime.resource_limits import RELAY_QUOTAS
 from lynxscale.runtime.settings_watcher import SettingsWatcher, watch_until
+from lynxscale.runtime.sockets import limit_socket_buffers
 from lynxscale.runtime.startup import listen_once_free
 
 log = logging.getLogger(__name__)
@@ -50,6 +51,8 @@
     readiness = await listen_once_free(listen.readiness, stopped)
     context.listeners.listen(readiness, accept_health_check, resources.health_checks)
     frontend = await listen_once_free(listen.frontend, stopped, LISTEN_BACKLOG)
+    limit_socket_buffers(readiness)
+    limit_socket_buffers(frontend)
     server = context.listeners.listen(frontend, accept_client, resources.clients)
     service.accepting = True
     log.info("event=started")
--- a/lynxscale/runtime/http_server.py
+++ b/lynxscale/runtime/http_server.py
@@ -4,9 +4,10 @@
 request is passed to the ``Handler`` with a ``Responder``. A handler that responds later returns an ``Exchange``, which
 is called if the client disconnects before the end of the response.
 
-What waits in a connection is bounded: a body counts against a budget of all connections until its response ends, and
-nothing more is read from a client that does not read its responses, or sends further requests before they end. The work
-that a connection does in one turn of the event loop is bounded by ``LoopTurns``.
+What waits in a connection is bounded: every byte that was received counts against a budget of all connections until
+its response ends, and nothing more is read from a client that does not read its responses, or sends further requests
+before they end. Where the budget is used up, the connections that are stalled or hold most give way. The work that a
+connection does in one turn of the event loop is bounded by ``LoopTurns``.
 """
 
 from __future__ import annotations
@@ -26,7 +27,7 @@
 from lynxscale.runtime.loop_turns import BODY_BYTES_PER_UNIT, EVENT_UNITS, REQUEST_UNITS, SLICE_UNITS, LoopTurns
 from lynxscale.runtime.memory_budget import MemoryBudget, Reservation
 from lynxscale.runtime.request_target import in_origin_form
-from lynxscale.runtime.sockets import configure_socket, reset_on_close
+from lynxscale.runtime.sockets import SOCKET_BUFFER_BYTES, configure_socket, reset_on_close
 
 EMPTY_LENGTH: Headers = ((b"content-length", b"0"),)
 CLOSE = (b"connection", b"close")
@@ -41,8 +42,10 @@
 """Seconds until a client that was refused for the want of descriptors or memory should come back."""
 LINGER_S = 1.0
 """How long the rest of a refused body is read and discarded: a reset would reach the client before its response."""
-MAX_PIPELINED_BYTES = 65536
+MAX_PIPELINED_BYTES = 2048
 """A connection is not read from beyond this many bytes of further requests, until the response under way ends."""
+READ_BYTES = 16384
+"""The bytes that are received from a connection at once."""
 
 
 def never() -> bool:
@@ -56,6 +59,7 @@
 
     ``outdated()``: whether newer limits may be in force; a request that exceeds these is then answered 503.
     ``waiting_requests`` and ``waiting_responses`` bound the bytes in all connections together.
+    ``receive_buffer``: what one connection after the other receives into.
     """
 
     header_bytes: int = 16384
@@ -66,6 +70,7 @@
     outdated: Callable[[], bool] = never
     waiting_requests: MemoryBudget = Factory(MemoryBudget)
     waiting_responses: MemoryBudget = Factory(MemoryBudget)
+    receive_buffer: memoryview = Factory(lambda: memoryview(bytearray(READ_BYTES)))
 
 
 class Exchange(Protocol):
@@ -163,7 +168,7 @@
                 self._connection.reset()
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """A connection from a client; it adds itself to ``open_connections`` while it is open.
 
     ``slot``: its place at the listener; requests on one that is beyond the listener's limit are refused. ``turns``:
@@ -197,11 +202,15 @@
         self._unsent = bytearray()
         self._deadline: Timer | None = None
         self._idle_since = clock.now()
-        self._pipelined_bytes = 0  # received during the response under way, or while waiting for a turn
+        self._unparsed_bytes = 0  # received and not parsed
+        self._request_bytes = 0  # the body of the request that is being received or answered
+        self._reading_paused = False
         self._waits_for_turn = False
+        self._progress_at = clock.now()  # when bytes were last received or parsed
+        self._unread_at = clock.now()  # when the client last read some of what was sent
         self._on_writable: Callable[[], None] | None = None
-        self._request_memory = Reservation(limits.waiting_requests)
-        self._response_memory = Reservation(limits.waiting_responses)
+        self._request_memory = Reservation(limits.waiting_requests, UnfinishedRequest(self))
+        self._response_memory = Reservation(limits.waiting_responses, UnreadResponse(self))
 
     @property
     def idle_since(self) -> float | None:
@@ -233,18 +242,28 @@
     def eof_received(self) -> None:
         """Part of asyncio.Protocol. A client that closes its sending side counts as disconnected."""
 
+    def get_buffer(self, size_hint: int) -> memoryview:
+        """Part of asyncio.BufferedProtocol."""
+        return self._limits.receive_buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Part of asyncio.BufferedProtocol."""
+        self.data_received(bytes(self._limits.receive_buffer[:size]))
+
     def data_received(self, data: bytes) -> None:
-        """Part of asyncio.Protocol."""
+        """Handle bytes of the client, or keep them while an earlier request is answered."""
         if self.state is ConnectionState.CLOSED:
             return
-        if self.state is ConnectionState.ANSWERING or self.write_paused or self._waits_for_turn:
-            self._keep_for_later(data)
-            return
-        if self.state is ConnectionState.IDLE:
+        self._progress_at = self._clock.now()
+        if self.state is ConnectionState.IDLE and not self.write_paused:
             self._apply_header_limit()
             self._set_state(ConnectionState.READING)
         self._http.receive_data(data)
-        self._read()
+        self._unparsed_bytes += len(data)
+        if self.state is ConnectionState.READING and not self._waits_for_turn:
+            self._read()
+        else:
+            self._bound_unparsed()
 
     def pause_writing(self) -> None:
         """Part of asyncio.Protocol: the client does not read what was sent."""
@@ -260,6 +279,30 @@
         if self.state is ConnectionState.IDLE:
             self._read_pipelined()
 
+    @property
+    def unfinished_since(self) -> float | None:
+        """The time of the last progress of a request that may be refused, or of one that waits behind another."""
+        may_give_way = self.state is ConnectionState.READING or self._reading_paused
+        return self._progress_at if may_give_way else None
+
+    @property
+    def unread_since(self) -> float | None:
+        """The time since which the client has read nothing of what waits for it, None if nothing does."""
+        if self._transport is None:
+            return None
+        unread = self._transport.get_write_buffer_size()
+        if unread < self._response_memory.size_bytes:
+            self._unread_at = self._clock.now()
+            self._response_memory.hold(unread)
+        return self._unread_at if unread else None
+
+    def refuse(self) -> None:
+        """Give back the memory of what was received: by 503 if no request is answered, else by a reset."""
+        if self.state is ConnectionState.READING:
+            self._reject(SERVICE_UNAVAILABLE)
+        else:
+            self.reset()
+
     def when_writable(self, call: Callable[[], None]) -> None:
         """Call ``call()`` once, at the end of the current pause of writing."""
         self._on_writable = call
@@ -281,6 +324,7 @@
         if self._transport is not None:
             reset_on_close(self._transport)
             self._transport.abort()
+        self._response_memory.release()  # the transport has dropped what was not sent
         self._set_state(ConnectionState.CLOSED)
 
     @property
@@ -309,28 +353,15 @@
             return
         self._http.start_next_cycle()
         self._set_state(ConnectionState.IDLE)
-        if not self.write_paused:
-            self._read_pipelined()
-
-    def _keep_for_later(self, data: bytes) -> None:
-        """Keep what belongs to further requests, and read no more of them once it is much."""
-        self._http.receive_data(data)
-        self._pipelined_bytes += len(data)
-        if self._pipelined_bytes > MAX_PIPELINED_BYTES and self._transport is not None:
-            self._transport.pause_reading()
+        self._unparsed_bytes = len(self._http.trailing_data[0])
+        self._read_pipelined()
 
     def _read_pipelined(self) -> None:
-        """Read the next request in a later turn, if bytes of it have arrived already."""
-        if self._http.trailing_data[0]:
+        """Read the next request in a later turn, if bytes of it have arrived and the client reads its responses."""
+        if self._unparsed_bytes and not self.write_paused:
             self._set_state(ConnectionState.READING)
             self._wait_for_turn(slice_used=True)
-        else:
-            self._receive_again()
-
-    def _receive_again(self) -> None:
-        if self._pipelined_bytes > MAX_PIPELINED_BYTES and self._transport is not None:
-            self._transport.resume_reading()
-        self._pipelined_bytes = 0
+        self._bound_unparsed()
 
     def _wait_for_turn(self, slice_used: bool) -> None:
         if not self._waits_for_turn:
@@ -340,7 +371,27 @@
     def _take_turn(self) -> None:
         self._waits_for_turn = False
         if self.state is ConnectionState.READING:
-            self._read()
+            self._read_now()
+
+    def _bound_unparsed(self) -> None:
+        """Count what was received, and read no more while much of it has to wait."""
+        waits = self.state is not ConnectionState.READING or self._waits_for_turn or self.write_paused
+        self._set_reading_paused(waits and self._unparsed_bytes > MAX_PIPELINED_BYTES)
+        kept = self._request_bytes + self._unparsed_bytes + (SOCKET_BUFFER_BYTES if self._reading_paused else 0)
+        if self.state is not ConnectionState.READING:
+            if kept > self._request_memory.size_bytes:
+                self._request_memory.hold(kept, self._clock.now())
+        elif not self._request_memory.resize(kept, self._clock.now()):
+            self._reject(SERVICE_UNAVAILABLE)
+
+    def _set_reading_paused(self, paused: bool) -> None:
+        if self._transport is None or paused == self._reading_paused:
+            return
+        self._reading_paused = paused
+        if paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def flush(self) -> None:
         """Write all queued bytes to the transport."""
@@ -353,8 +404,11 @@
         """Count the bytes that wait in the transport until the client reads."""
         if self._transport is not None:
             unread = self._transport.get_write_buffer_size()
-            if unread != self._response_memory.size_bytes:
-                self._response_memory.hold(unread)
+            counted = self._response_memory.size_bytes
+            if not counted or unread < counted:
+                self._unread_at = self._clock.now()
+            if unread != counted:
+                self._response_memory.hold(unread, self._clock.now())
 
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._header_bytes)
@@ -372,17 +426,27 @@
             self.close()
 
     def _read(self) -> None:
-        """Parse what was received, up to the end of one request or of the slice; the rest waits for its turn."""
-        if not self._turns.available:
+        """Parse what was received, now or in a later turn."""
+        if self._turns.available:
+            self._read_now()
+        else:
             self._wait_for_turn(slice_used=False)
-            return
+            self._bound_unparsed()
+
+    def _read_now(self) -> None:
+        """Parse what was received, up to the end of one request or of the slice; the rest waits for its turn."""
+        self._progress_at = self._clock.now()
         try:
-            if self._read_slice():
-                self._wait_for_turn(slice_used=True)
-            elif self.state is ConnectionState.READING and not self._waits_for_turn:
-                self._receive_again()
+            more = self._read_slice()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
+            return
+        if self.state is ConnectionState.CLOSED:
+            return
+        self._unparsed_bytes = len(self._http.trailing_data[0])
+        if more:
+            self._wait_for_turn(slice_used=True)
+        self._bound_unparsed()
 
     def _read_slice(self) -> bool:
         """Handle events of one request; return whether there may be more of them than fit into the slice."""
@@ -402,13 +466,15 @@
             self._body.clear()
         elif isinstance(event, h11.Data):
             self._body += event.data
+            self._request_bytes = len(self._body)
             if len(self._body) > self._limits.body_bytes:
                 self._reject(CONTENT_TOO_LARGE)
-            elif not self._request_memory.resize(len(self._body)):
-                self._reject(SERVICE_UNAVAILABLE)
         elif isinstance(event, h11.EndOfMessage):
             self._turns.spend(REQUEST_UNITS + len(self._body) // BODY_BYTES_PER_UNIT)
-            self._dispatch()
+            if self._request_memory.resize(self._request_bytes, self._clock.now()):
+                self._dispatch()
+            else:
+                self._reject(SERVICE_UNAVAILABLE)
             return False
         elif isinstance(event, h11.ConnectionClosed):
             self.close()
@@ -452,6 +518,7 @@
         """Send the response, and close the connection once its client has had the time to read it."""
         transport = self._transport
         self.flush()
+        self._set_reading_paused(False)
         self._set_state(ConnectionState.CLOSED)
         if transport is not None:
             self._clock.call_later(LINGER_S, transport.close)
@@ -468,6 +535,8 @@
     def _on_deadline(self) -> None:
         if self.state is ConnectionState.READING:
             self._reject(REQUEST_TIMEOUT)
+        elif self.write_paused:
+            self.reset()  # what was sent would wait until the client reads it
         else:
             self.close()
 
@@ -478,6 +547,7 @@
         self.state = state
         if state is ConnectionState.IDLE:
             self._idle_since = self._clock.now()
+            self._request_bytes = 0
             self._request_memory.release()
             self._set_deadline(self._limits.idle_timeout_s)
         elif state is ConnectionState.READING:
@@ -497,3 +567,35 @@
             responder.detach()
         if exchange is not None:
             exchange.on_client_disconnected()
+
+
+@define(eq=False)
+class UnfinishedRequest:
+    """The received bytes of a connection, as a Holder of memory."""
+
+    _connection: ServerConnection
+
+    @property
+    def stalled_since(self) -> float | None:
+        """Part of Holder."""
+        return self._connection.unfinished_since
+
+    def give_way(self) -> None:
+        """Part of Holder."""
+        self._connection.refuse()
+
+
+@define(eq=False)
+class UnreadResponse:
+    """The bytes that a client has not read, as a Holder of memory."""
+
+    _connection: ServerConnection
+
+    @property
+    def stalled_since(self) -> float | None:
+        """Part of Holder."""
+        return self._connection.unread_since
+
+    def give_way(self) -> None:
+        """Part of Holder."""
+        self._connection.reset()
--- a/lynxscale/runtime/resource_limits.py
+++ b/lynxscale/runtime/resource_limits.py
@@ -24,6 +24,12 @@
 """Descriptors that a process needs beside its connections: standard streams, event loop, listeners and data files."""
 MIN_CONNECTIONS = 16
 MIN_QUOTA = 4  # connections
+BASE_MEMORY_BYTES = 32 * MEBIBYTE
+"""The memory of a process that has no connections."""
+MAX_BASE_MEMORY_SHARE = 1 / 2
+CONNECTION_BYTES = 16 * 1024
+"""The memory that a client's connection takes beside what its request and response hold."""
+CONNECTION_MEMORY_QUOTA = 1 / 8
 UNLIMITED = 1_000_000_000
 
 RESPONSE_QUOTA = 1 / 8
@@ -37,21 +43,31 @@
 class Quotas:
     """What one kind of process assigns to each purpose, as fractions.
 
-    ``requests`` is a fraction of the memory, which waiting data takes twice for a while; the others are fractions of
-    the connections. The connections in use to endpoints are at most as many as those of clients.
+    ``requests`` is a fraction of the memory beside the base, which waiting data takes twice for a while; the others
+    are fractions of the connections. The connections in use to endpoints are at most as many as those of clients.
+    ``min_request_bytes``: what one request has to find room for, however small the memory.
     """
 
     clients: float
     peers: float
     requests: float
+    min_request_bytes: int
     idle_endpoint_connections: float = 0.0
     health_checks: float = 0.0
 
 
+REQUEST_OVERHEAD_BYTES = 128 * 1024  # of a request beside its body, with what was received and not parsed yet
 RELAY_QUOTAS = Quotas(
-    clients=3 / 8, peers=1 / 16, requests=1 / 6, idle_endpoint_connections=1 / 8, health_checks=1 / 32
+    clients=3 / 8,
+    peers=1 / 16,
+    requests=1 / 6,
+    min_request_bytes=4 * MEBIBYTE + REQUEST_OVERHEAD_BYTES,
+    idle_endpoint_connections=1 / 8,
+    health_checks=1 / 32,
+)
+MEMBER_QUOTAS = Quotas(
+    clients=1 / 4, peers=1 / 4, requests=1 / 8, min_request_bytes=8 * MEBIBYTE + REQUEST_OVERHEAD_BYTES
 )
-MEMBER_QUOTAS = Quotas(clients=1 / 4, peers=1 / 4, requests=1 / 8)
 """Those of a control member: its clients are operators, and it has many peers."""
 
 
@@ -114,17 +130,18 @@
     """Divide the limits of the settings."""
     connections = connection_limit(limits)
     memory_bytes = limits.memory_mb * MEBIBYTE if limits.memory_mb > 0 else math.inf
+    waiting_bytes = memory_bytes - min(BASE_MEMORY_BYTES, memory_bytes * MAX_BASE_MEMORY_SHARE)
     disk_bytes = limits.disk_mb * MEBIBYTE if limits.disk_mb > 0 else math.inf
     return ResourceLimits(
         limits,
-        clients=_connections(connections, quotas.clients),
+        clients=min(_connections(connections, quotas.clients), _connections_within(waiting_bytes)),
         idle_endpoint_connections=_connections(connections, quotas.idle_endpoint_connections),
         peers=_connections(connections, quotas.peers),
         health_checks=_connections(connections, quotas.health_checks),
         state_bytes=min(memory_bytes * STATE_QUOTA, disk_bytes * STATE_DISK_QUOTA),
-        requests=MemoryBudget(memory_bytes * quotas.requests),
-        responses=MemoryBudget(memory_bytes * RESPONSE_QUOTA),
-        peer_messages=MemoryBudget(max(MIN_PEER_MESSAGE_BYTES, memory_bytes * PEER_MESSAGE_QUOTA)),
+        requests=MemoryBudget(max(quotas.min_request_bytes, waiting_bytes * quotas.requests)),
+        responses=MemoryBudget(waiting_bytes * RESPONSE_QUOTA),
+        peer_messages=MemoryBudget(max(MIN_PEER_MESSAGE_BYTES, waiting_bytes * PEER_MESSAGE_QUOTA)),
     )
 
 
@@ -132,6 +149,12 @@
     return max(MIN_QUOTA, int(limit * quota))
 
 
+def _connections_within(memory_bytes: float) -> int:
+    """Return how many connections of clients fit into their part of the memory."""
+    connections = memory_bytes * CONNECTION_MEMORY_QUOTA / CONNECTION_BYTES
+    return UNLIMITED if math.isinf(connections) else max(MIN_CONNECTIONS, int(connections))
+
+
 def descriptor_limit(limits: Limits) -> int:
     """Return the number of descriptors that the process may open: the settings' or the system's, if that is lower."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/lynxscale/runtime/sockets.py
+++ b/lynxscale/runtime/sockets.py
@@ -10,6 +10,9 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 """The kernel closes a connection whose sent bytes stay unacknowledged for this long (``TCP_USER_TIMEOUT``)."""
 
+SOCKET_BUFFER_BYTES = 65536
+"""What the system keeps for an accepted connection in each direction; it takes up to twice as much for bookkeeping."""
+
 CONNECT_ERRORS = (OSError, ValueError, OverflowError)
 """What an attempt to connect raises: OSError, which includes TimeoutError, or the others if the address is none."""
 
@@ -35,3 +38,10 @@
     if connection is not None:
         with contextlib.suppress(OSError):
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+def limit_socket_buffers(listening: socket.socket) -> None:
+    """Bound what the system keeps for each connection that a socket accepts, which is not in this process's memory."""
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        with contextlib.suppress(OSError):
+            listening.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -15,6 +15,11 @@
         self.written = b""
         self.unread = 0
         self.reading_paused = False
+        self.aborted = False
+
+    def abort(self) -> None:
+        """Part of asyncio.Transport."""
+        self.aborted = True
 
     def pause_reading(self) -> None:
         """Part of asyncio.Transport."""
@@ -132,3 +137,82 @@
     connection.resume_writing()
     connection._clock._machine.world.run(1.0)
     assert transport.statuses() == [200] * 121 and not transport.reading_paused
+
+
+def test_further_requests_count_and_are_received_no_more_than_a_little():
+    limits = ServerLimits(waiting_requests=MemoryBudget(1_000_000))
+    connection, transport = connect(limits, lambda request, responder: None)
+    connection.data_received(post(1, 1) * 100)
+    sent = 99 * len(post(1, 1))
+    assert transport.reading_paused and limits.waiting_requests.used_bytes >= sent
+    connection.connection_lost(None)
+    assert limits.waiting_requests.used_bytes == 0
+
+
+def test_a_head_that_does_not_end_counts():
+    limits = ServerLimits(waiting_requests=MemoryBudget(10_000))
+    connection, transport = connect(limits)
+    connection.data_received(b"GET / HTTP/1.1\r\nfiller: " + b"x" * 8_000)
+    assert limits.waiting_requests.used_bytes > 8_000
+    connection.data_received(b"x" * 8_000)
+    assert transport.statuses() == [503] and limits.waiting_requests.used_bytes == 0
+
+
+def test_an_ordinary_request_is_served_and_the_largest_unfinished_one_is_refused():
+    limits = ServerLimits(waiting_requests=MemoryBudget(3 * BODY_BYTES))
+    unfinished = [connect(limits) for _ in range(2)]
+    for (connection, _), size in zip(unfinished, (BODY_BYTES, 2 * BODY_BYTES - 500), strict=True):
+        connection.data_received(post(2 * BODY_BYTES, size))
+    ordinary, transport = connect(limits)
+    ordinary.data_received(post(BODY_BYTES, BODY_BYTES))
+    assert transport.statuses() == [200]
+    assert [one.statuses() for _, one in unfinished] == [[], [503]]
+    assert limits.waiting_requests.refusals == 1
+
+
+def test_a_larger_request_is_served_before_smaller_ones_that_stand_still():
+    limits = ServerLimits(waiting_requests=MemoryBudget(3 * BODY_BYTES))
+    clock = World(1).machine("a:1").clock()
+    still, still_transport = connect(limits)
+    still.data_received(post(BODY_BYTES, BODY_BYTES - 1))
+    still._progress_at = clock.now() - 2.0
+    ordinary, transport = connect(limits)
+    ordinary.data_received(post(int(2.5 * BODY_BYTES), int(2.5 * BODY_BYTES)))
+    assert transport.statuses() == [200] and still_transport.statuses() == [503]
+
+
+def test_a_request_that_is_answered_does_not_give_way():
+    limits = ServerLimits(waiting_requests=MemoryBudget(3 * BODY_BYTES))
+    answered, _ = connect(limits, lambda request, responder: None)
+    answered.data_received(post(2 * BODY_BYTES, 2 * BODY_BYTES))
+    later, transport = connect(limits)
+    later.data_received(post(2 * BODY_BYTES, 2 * BODY_BYTES))
+    assert transport.statuses() == [503] and answered.busy
+
+
+def test_a_client_that_does_not_read_gives_way_to_responses_of_others():
+    limits = ServerLimits(waiting_responses=MemoryBudget(1_000))
+    silent, silent_transport = connect(limits)
+    silent.pause_writing()
+    silent_transport.unread = 900
+    silent._count_unread()
+    silent._unread_at -= 2.0
+    ordinary, transport = connect(limits)
+    transport.unread = 500
+    ordinary.data_received(post(1, 1))
+    assert silent_transport.aborted and not transport.aborted
+    assert limits.waiting_responses.used_bytes == 500
+
+
+def test_a_slow_reader_that_reads_does_not_give_way():
+    limits = ServerLimits(waiting_responses=MemoryBudget(1_000))
+    slow, slow_transport = connect(limits)
+    slow.pause_writing()
+    slow_transport.unread = 900
+    slow._count_unread()
+    slow._unread_at -= 2.0
+    slow_transport.unread = 400
+    ordinary, transport = connect(limits)
+    transport.unread = 500
+    ordinary.data_received(post(1, 1))
+    assert not slow_transport.aborted and not transport.aborted
--- a/tests/runtime/test_loop_turns.py
+++ b/tests/runtime/test_loop_turns.py
@@ -79,6 +79,19 @@
     assert served == [0, 1, 2]
 
 
+def test_a_long_body_is_received_however_many_others_come():
+    connections = Connections()
+    long, _ = connections.connect()
+    long.data_received(CHUNKED + b"1\r\nx\r\n" * CHUNKS + b"0\r\n\r\n")
+    for _ in range(CHUNKS):
+        if b"x" * CHUNKS in connections.answered:
+            return
+        for _ in range(TURN_UNITS // SLICE_UNITS + 1):
+            connections.connect()[0].data_received(CHUNKED + b"1\r\nx\r\n" * SLICE_UNITS)
+        connections.world.run(1e-6)
+    raise AssertionError("the long body is not received")
+
+
 def test_a_connection_that_is_closed_while_it_waits_for_its_turn_is_left_alone():
     connections = Connections()
     connection, transport = connections.connect()
--- a/tests/runtime/test_resource_limits.py
+++ b/tests/runtime/test_resource_limits.py
@@ -8,6 +8,8 @@
 from lynxscale.runtime import resource_limits as limits_module
 from lynxscale.runtime.memory_budget import MemoryBudget, Reservation
 from lynxscale.runtime.resource_limits import (
+    BASE_MEMORY_BYTES,
+    CONNECTION_BYTES,
     MEBIBYTE,
     MEMBER_QUOTAS,
     RELAY_QUOTAS,
@@ -50,6 +52,27 @@
     assert 2 * waiting < 160 * MEBIBYTE
 
 
+@pytest.mark.parametrize("memory_mb", [160, 200, 256, 300, 512, 4096])
+@pytest.mark.parametrize("max_fds", [64, 1024, 4100, 100_000])
+def test_all_that_callers_of_a_relay_can_take_is_within_the_memory_of_any_settings(system_limit, memory_mb, max_fds):
+    divided = resource_limits(Limits(memory_mb=memory_mb, max_fds=max_fds), RELAY_QUOTAS)
+    most = BASE_MEMORY_BYTES + divided.clients * CONNECTION_BYTES
+    most += 2 * (divided.requests.limit_bytes + divided.responses.limit_bytes) + divided.peer_messages.limit_bytes
+    assert most <= memory_mb * MEBIBYTE
+
+
+@pytest.mark.parametrize(("quotas", "body_mb"), [(RELAY_QUOTAS, 4), (MEMBER_QUOTAS, 8)])
+def test_a_single_request_of_the_largest_size_fits_into_a_small_memory(system_limit, quotas, body_mb):
+    divided = resource_limits(Limits(memory_mb=64), quotas)
+    assert Reservation(divided.requests).resize(body_mb * MEBIBYTE + 65536)
+
+
+def test_the_connections_of_clients_fit_into_a_small_memory(system_limit):
+    divided = resource_limits(Limits(memory_mb=64, max_fds=4100), RELAY_QUOTAS)
+    assert divided.clients == 256
+    assert resource_limits(Limits(memory_mb=200, max_fds=4100), RELAY_QUOTAS).clients == 1344
+
+
 def test_the_disk_limits_the_state_where_it_is_stated():
     assert resource_limits(Limits(memory_mb=320), MEMBER_QUOTAS).state_bytes == 120 * MEBIBYTE
     assert resource_limits(Limits(memory_mb=320, disk_mb=30), MEMBER_QUOTAS).state_bytes == 10 * MEBIBYTE
