A connection whose request has arrived is not closed as idle

Cause: at its limit a listener closes the connection that is idle for longest, and counts those as idle whose request has arrived and was not received yet: a new one is received from two turns of the event loop after it was accepted, and with a crowd that connects at the same moment the next accepts come before that.

Change: a connection with unread bytes is passed over. Why this works: what is closed has sent nothing, so that no request of it is lost.

Evidence: test_a_client_whose_request_has_arrived_does_not_give_its_place_to_a_new_one in tests/runtime/test_listener.py fails before.

--- a/lynxscale/runtime/http_server.py
+++ b/lynxscale/runtime/http_server.py
@@ -27,7 +27,7 @@
 from lynxscale.runtime.loop_turns import BODY_BYTES_PER_UNIT, EVENT_UNITS, REQUEST_UNITS, SLICE_UNITS, LoopTurns
 from lynxscale.runtime.memory_budget import MemoryBudget, Reservation
 from lynxscale.runtime.request_target import in_origin_form
-from lynxscale.runtime.sockets import SOCKET_BUFFER_BYTES, configure_socket, reset_on_close
+from lynxscale.runtime.sockets import SOCKET_BUFFER_BYTES, configure_socket, has_unread_bytes, reset_on_close
 
 EMPTY_LENGTH: Headers = ((b"content-length", b"0"),)
 CLOSE = (b"connection", b"close")
@@ -218,6 +218,11 @@
         idle = self.state is ConnectionState.IDLE and not self.write_paused
         return self._idle_since if idle else None
 
+    @property
+    def has_unread(self) -> bool:
+        """Part of AcceptedConnection."""
+        return has_unread_bytes(self._transport)
+
     @property
     def busy(self) -> bool:
         """Whether a request is being read, or its response is not complete."""
--- a/lynxscale/runtime/listener.py
+++ b/lynxscale/runtime/listener.py
@@ -33,6 +33,10 @@
     def idle_since(self) -> float | None:
         """The time (as by ``Clock.now``) since which it is idle, None while it may not be closed."""
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that were not received yet; they may be a request."""
+
     def close(self) -> None:
         """Close the connection."""
 
@@ -168,12 +172,14 @@
         return sum(connection.idle_since is None for connection in self.connections)
 
     def _close_longest_idle(self) -> None:
-        """Close the connection that has been idle for longest, if any is idle."""
+        """Close the connection that has been idle for longest, if any is idle and has sent nothing meanwhile."""
         idle = [(since, connection) for connection in self.connections if (since := connection.idle_since) is not None]
-        if idle:
-            _, longest_idle = min(idle, key=lambda entry: entry[0])
-            self.connections.discard(longest_idle)
-            longest_idle.close()
+        idle.sort(key=lambda entry: entry[0])
+        for _, connection in idle:
+            if not connection.has_unread:
+                self.connections.discard(connection)
+                connection.close()
+                return
 
     def _on_failure(self, error: OSError) -> None:
         """Handle a failed accept: the process or the system has no descriptor or no memory left."""
--- a/lynxscale/runtime/peer_network.py
+++ b/lynxscale/runtime/peer_network.py
@@ -21,7 +21,7 @@
 from lynxscale.runtime.listener import ConnectionSlot, Listener, Listeners
 from lynxscale.runtime.memory_budget import MemoryBudget, Reservation
 from lynxscale.runtime.resource_limits import UNLIMITED
-from lynxscale.runtime.sockets import CONNECT_ERRORS, configure_socket, split_address
+from lynxscale.runtime.sockets import CONNECT_ERRORS, configure_socket, has_unread_bytes, split_address
 
 log = logging.getLogger(__name__)
 
@@ -50,6 +50,11 @@
         self._transport: asyncio.Transport | None = None
         self.idle_since: float | None = clock()
 
+    @property
+    def has_unread(self) -> bool:
+        """Part of AcceptedConnection."""
+        return has_unread_bytes(self._transport)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Part of asyncio.Protocol."""
         self._transport = cast(asyncio.Transport, transport)
--- a/lynxscale/runtime/sockets.py
+++ b/lynxscale/runtime/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 
@@ -32,6 +33,16 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
 
 
+def has_unread_bytes(transport: asyncio.BaseTransport | None) -> bool:
+    """Whether bytes or the end of a connection have arrived that were not received yet."""
+    connection = None if transport is None else transport.get_extra_info("socket")
+    if connection is None or connection.fileno() < 0:
+        return False
+    waiting = select.poll()
+    waiting.register(connection.fileno(), select.POLLIN)
+    return bool(waiting.poll(0))
+
+
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
     """Make the kernel end the connection with a reset, which discards unsent bytes (``SO_LINGER`` with no time)."""
     connection = transport.get_extra_info("socket")
--- a/tests/runtime/test_listener.py
+++ b/tests/runtime/test_listener.py
@@ -65,6 +65,22 @@
     asyncio.run(play())
 
 
+def test_a_client_whose_request_has_arrived_does_not_give_its_place_to_a_new_one():
+    async def play():
+        server = Server()
+        connections = [await server.connect() for _ in range(LIMIT)]
+        assert [await status(connection) for connection in connections] == [200] * LIMIT
+        connections[0][1].write(REQUEST)  # and the event loop has no time to receive it
+        with socket.create_connection(("127.0.0.1", server.listener.port)):
+            server.listener._accept_waiting()
+            line = await asyncio.wait_for(connections[0][0].readuntil(b"\r\n\r\n"), TIMEOUT_S)
+            assert line.endswith(b"\r\n\r\n")
+            assert await status(connections[0], b"") == 200
+        server.listener.close()
+
+    asyncio.run(play())
+
+
 def test_clients_beyond_the_limit_are_told_to_come_back_while_all_others_are_served():
     async def play():
         server = Server()
