--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -185,6 +185,7 @@
     limits = ServerLimits(waiting_requests=MemoryBudget(3 * BODY_BYTES))
     answered, _ = connect(limits, lambda request, responder: None)
     answered.data_received(post(2 * BODY_BYTES, 2 * BODY_BYTES))
+    answered._progress_at -= 2.0
     later, transport = connect(limits)
     later.data_received(post(2 * BODY_BYTES, 2 * BODY_BYTES))
     assert transport.statuses() == [503] and answered.busy
@@ -204,15 +205,15 @@
     assert limits.waiting_responses.used_bytes == 500
 
 
-def test_a_slow_reader_that_reads_does_not_give_way():
+def test_a_slow_reader_that_reads_does_not_give_way_to_a_larger_response():
     limits = ServerLimits(waiting_responses=MemoryBudget(1_000))
     slow, slow_transport = connect(limits)
     slow.pause_writing()
     slow_transport.unread = 900
     slow._count_unread()
     slow._unread_at -= 2.0
-    slow_transport.unread = 400
-    ordinary, transport = connect(limits)
-    transport.unread = 500
-    ordinary.data_received(post(1, 1))
-    assert not slow_transport.aborted and not transport.aborted
+    slow_transport.unread = 600
+    larger, transport = connect(limits)
+    transport.unread = 700
+    larger.data_received(post(1, 1))
+    assert not slow_transport.aborted and transport.aborted
--- a/tests/runtime/test_loop_turns.py
+++ b/tests/runtime/test_loop_turns.py
@@ -9,6 +9,7 @@
 GET = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 CHUNKED = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
 CHUNKS = 5000
+MOST_TURNS = 100
 
 
 class Connections:
@@ -65,11 +66,12 @@
 def test_what_has_used_up_a_slice_gets_a_turn_however_many_others_come():
     world, turns = World(1), LoopTurns(TURN_UNITS)
     clock = world.machine("a:1").clock()
-    served = []
+    served, came = [], []
 
     def come_again() -> None:
+        came.append(len(served))
         turns.spend(TURN_UNITS)
-        if len(served) < 3:
+        if len(came) < MOST_TURNS:
             turns.wait(clock, come_again, slice_used=False)
 
     turns.wait(clock, come_again, slice_used=False)
@@ -77,6 +79,7 @@
         turns.wait(clock, lambda number=number: served.append(number), slice_used=True)
     world.run(1.0)
     assert served == [0, 1, 2]
+    assert came[4] == 3
 
 
 def test_a_long_body_is_received_however_many_others_come():
