Tests: whole bodies at once, and single large requests in calm

The test of large bodies has a name for the three kinds; its crowds, bounds and assertions are as they were.

--- a/tests/runtime/test_misbehaving_clients.py
+++ b/tests/runtime/test_misbehaving_clients.py
@@ -4,8 +4,11 @@
 request is answered once the crowd has left. They run one at a time.
 """
 
+import time
+
 import pytest
 
+from lynxscale.controlplane.process import MAX_BODY_BYTES
 from tests.crowd import crowd, pieces
 from tests.running_program import RunningProgram, started
 
@@ -34,6 +37,11 @@
     return pieces(head, b"x", size - size // 40)
 
 
+def whole_body(size: int) -> list[bytes]:
+    """A request with all of its body."""
+    return pieces(b"POST /config/replace HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % size, b"x", size)
+
+
 def chunk_that_stops_short(size: int) -> list[bytes]:
     """A request whose only chunk lacks its last fortieth."""
     return pieces(CHUNKED + b"%x\r\n" % size, b"x", size - size // 40)
@@ -72,13 +80,23 @@
 
 
 @pytest.mark.parametrize(("size", "clients"), [(4 * MEBIBYTE, 60), (MEBIBYTE, 180)], ids=["4-mb", "1-mb"])
-@pytest.mark.parametrize("message", [body_that_stops_short, chunk_that_stops_short])
+@pytest.mark.parametrize("message", [body_that_stops_short, chunk_that_stops_short, whole_body])
 @pytest.mark.parametrize("module", PROGRAMS)
-def test_bodies_that_stop_short_leave_memory_to_others(module, message, size, clients, tmp_path):
+def test_large_bodies_leave_memory_to_others(module, message, size, clients, tmp_path):
     with started(module, tmp_path, LIMITS) as program:
         check_bears(program, program.client_port, clients, message(size))
 
 
+def test_a_single_change_of_the_largest_size_is_read_in_calm(tmp_path):
+    with started("controlplane", tmp_path, LIMITS) as program:
+        deadline = time.monotonic() + ANSWER_TIMEOUT_S
+        while program.answer(program.client_port, ORDINARY).startswith(b"HTTP/1.1 503"):  # no primary yet
+            assert time.monotonic() < deadline
+        request = b"".join(whole_body(MAX_BODY_BYTES))
+        answer = program.answer(program.client_port, request, ANSWER_TIMEOUT_S)
+        assert answer.startswith(b"HTTP/1.1 400"), answer  # it is no JSON
+
+
 @pytest.mark.parametrize("module", PROGRAMS)
 def test_heads_that_never_end_leave_memory_to_others(module, tmp_path):
     with started(module, tmp_path, LIMITS) as program:
