Soak: a lost request tells when its connection was established

Its time counts from before the client connects, so that it does not tell whether the relay had the request for longer than the slack. The text of the violation tells it now; what is a violation is as it was.

--- a/lab/tier/persistent_clients.py
+++ b/lab/tier/persistent_clients.py
@@ -32,8 +32,8 @@
 class PersistentRequest:
     """One request on a persistent connection, as its client observed it. Implements ResponseReceiver; times in seconds.
 
-    ``number_on_connection``: how many requests the connection carried before. ``failure``: why there is no complete
-    response.
+    ``number_on_connection``: how many requests the connection carried before; the first one waits until it is
+    established, at ``connected_at``. ``failure``: why there is no complete response.
     """
 
     request_id: str
@@ -48,10 +48,11 @@
     complete: bool = False
     failure: ResponseFailure | None = None
     ended: asyncio.Event = field(default_factory=asyncio.Event)
+    connected_at: float = 0.0
 
     @property
     def elapsed_s(self) -> float:
-        """From the sending to the end."""
+        """From the sending, for the first one the beginning of the connection, to the end."""
         return self.ended_at - self.sent_at
 
     def on_head(self, status: int, head: Head) -> None:
@@ -77,6 +78,17 @@
         self.ended.set()
 
 
+class ObservedConnection(ClientConnection):
+    """A connection that tells when it was established. ``connected_at``: 0 before."""
+
+    connected_at = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Part of asyncio.Protocol."""
+        self.connected_at = time.monotonic()
+        super().connection_made(transport)
+
+
 class PersistentClients(ClientGroup):
     """Clients with persistent connections. ``requests``: those that ended; ``unanswered``: the others."""
 
@@ -89,7 +101,7 @@
         dial = AsyncioDialer(loop, CONNECT_TIMEOUT_S)
         while True:
             relay = self._random.choice(self._tier.relay_names)
-            connection = ClientConnection(self._tier.frontend(relay), LoopClock(loop), lambda idle: None)
+            connection = ObservedConnection(self._tier.frontend(relay), LoopClock(loop), lambda idle: None)
             first = self._send(connection, relay, 0)
             dial(connection.address, connection)
             try:
@@ -98,13 +110,14 @@
                 connection.close()
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
-    async def _use(self, connection: ClientConnection, relay: str, request: PersistentRequest) -> None:
+    async def _use(self, connection: ObservedConnection, relay: str, request: PersistentRequest) -> None:
         """Wait for the end of a request and send the next one, until the connection is closed."""
         while True:
             if not await is_set_within(request.ended, DEADLINE_MS / 1000.0 + ANSWER_SLACK_S):
                 request.ended_at = time.monotonic()
                 self.unanswered.append(request)
                 return
+            request.connected_at = connection.connected_at
             if request.failure is not ResponseFailure.NOT_CONNECTED:
                 self.requests.append(request)
             await asyncio.sleep(self._draw_pause_s())
--- a/lab/tier/soak_rules.py
+++ b/lab/tier/soak_rules.py
@@ -51,7 +51,9 @@
             if request.complete:
                 yield from self._wrong_answer(request, runs, told)
             elif self._lost(request, runs):
-                yield f"LOST {told}, {request.elapsed_s:.3f} s, request {request.number_on_connection} there"
+                connected_s = request.connected_at - request.sent_at
+                told += f", {request.elapsed_s:.3f} s, connected after {connected_s:.3f} s"
+                yield f"LOST {told}, request {request.number_on_connection} there"
 
     def _wrong_answer(self, request: PersistentRequest, runs: int, told: str) -> Iterator[str]:
         if request.status == 200 and (not runs or request.answered_id != request.request_id):
