A listener at its limit does a bounded amount of work at once

Callers saw: 900 clients with bodies of 1 MB that stop short, at a control member with memory-mb = 100: the primary lost its lease in three of six plays by hand (load 13 to 15, two of them in asyncio's debug mode).

Cause: the listener accepted up to 100 connections in one call, and at its limit each accept looked at all connections, twice; since it also asked the system about each idle one that had sent something. asyncio's debug mode shows calls of _accept_waiting of 0.11 to 0.21 s.

Change: at the limit 8 accepts a call, the others in the next turn, and at most 16 idle connections are asked for one that may be closed. Why this works: the work of a call no longer grows with the number of waiting clients.

Evidence: test_a_listener_at_its_limit_does_a_bounded_amount_of_work_at_once fails before.

--- a/lynxscale/runtime/listener.py
+++ b/lynxscale/runtime/listener.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import logging
 import socket
 from collections.abc import Callable
@@ -19,6 +20,8 @@
 
 DEFAULT_BACKLOG = 512
 ACCEPTS_PER_EVENT = 100
+ACCEPTS_AT_LIMIT = 8  # each of these looks at all connections
+MAX_UNREAD_CHECKS = 16  # idle connections that are asked for one that may be closed
 ACCEPT_RETRY_S = 0.1
 """How long nothing is accepted after a failure, and the least time between two looks at a queue that has to wait."""
 LOG_INTERVAL_S = 10.0
@@ -148,7 +151,11 @@
             self._close_longest_idle()
             self._pause_for_a_while()
             return
+        at_limit = 0
         for _ in range(min(ACCEPTS_PER_EVENT, self._max_open - self._open)):
+            at_limit += self._open >= self._limit
+            if at_limit > ACCEPTS_AT_LIMIT:
+                return  # the others are accepted in the next turn
             try:
                 accepted, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -172,10 +179,12 @@
         return sum(connection.idle_since is None for connection in self.connections)
 
     def _close_longest_idle(self) -> None:
-        """Close the connection that has been idle for longest, if any is idle and has sent nothing meanwhile."""
+        """Close the connection that has been idle for longest and has sent nothing meanwhile, if there is one.
+
+        Only the first few are asked.
+        """
         idle = [(since, connection) for connection in self.connections if (since := connection.idle_since) is not None]
-        idle.sort(key=lambda entry: entry[0])
-        for _, connection in idle:
+        for _, connection in heapq.nsmallest(MAX_UNREAD_CHECKS, idle, key=lambda entry: entry[0]):
             if not connection.has_unread:
                 self.connections.discard(connection)
                 connection.close()
--- a/tests/runtime/test_listener.py
+++ b/tests/runtime/test_listener.py
@@ -5,17 +5,25 @@
 import gc
 import socket
 import sys
-from contextlib import aclosing
+from contextlib import ExitStack, aclosing
 
 import pytest
 
 from lynxscale.runtime.clock import LoopClock
 from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
 from lynxscale.runtime.http_types import Request, Response
-from lynxscale.runtime.listener import ACCEPT_RETRY_S, Listener, Listeners, listening_socket
+from lynxscale.runtime.listener import (
+    ACCEPT_RETRY_S,
+    ACCEPTS_AT_LIMIT,
+    MAX_UNREAD_CHECKS,
+    Listener,
+    Listeners,
+    listening_socket,
+)
 from lynxscale.runtime.peer_network import PeerNetwork
 
 LIMIT = 8
+MANY = 400
 REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 TIMEOUT_S = 5.0
 
@@ -81,6 +89,36 @@
     asyncio.run(play())
 
 
+class IdleConnection:
+    """A connection that is idle and has sent something. Implements AcceptedConnection."""
+
+    looks = 0
+    idle_since = 0.0
+
+    @property
+    def has_unread(self) -> bool:
+        """Part of AcceptedConnection."""
+        IdleConnection.looks += 1
+        return True
+
+
+def test_a_listener_at_its_limit_does_a_bounded_amount_of_work_at_once():
+    async def play():
+        loop = asyncio.get_running_loop()
+        listener = Listener(loop, listening_socket("127.0.0.1:0"), lambda slot: asyncio.Protocol(), MANY)
+        listener.connections.update(IdleConnection() for _ in range(MANY))
+        listener._open = MANY
+        with ExitStack() as stack:
+            for _ in range(MANY // 10):
+                stack.enter_context(socket.create_connection(("127.0.0.1", listener.port)))
+            listener._accept_waiting()
+            assert 0 < listener._open - MANY <= ACCEPTS_AT_LIMIT
+            assert IdleConnection.looks <= ACCEPTS_AT_LIMIT * MAX_UNREAD_CHECKS
+            await listener.aclose()
+
+    asyncio.run(play())
+
+
 def test_clients_beyond_the_limit_are_told_to_come_back_while_all_others_are_served():
     async def play():
         server = Server()
