The HTTP server in parts: limits, responder, connection

The limits and what a handler responds with have modules of their own now, and a holder of memory is a pair of two callables in place of two classes of the same shape.

--- a/lab/tier/fakes.py
+++ b/lab/tier/fakes.py
@@ -14,8 +14,10 @@
 from lynxscale.dataplane import headers
 from lynxscale.discovery.endpoint import Endpoint
 from lynxscale.runtime.http_client import ClientConnection, ResponseFailure
-from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
+from lynxscale.runtime.http_server import ServerConnection
 from lynxscale.runtime.http_types import Head, Headers, Request, Response
+from lynxscale.runtime.responder import Responder
+from lynxscale.runtime.server_limits import ServerLimits
 
 Listen = Callable[[str, Callable[[], ServerConnection]], None]
 PLATFORM = "10.200.0.100:80"
--- a/lab/tier/late_answers.py
+++ b/lab/tier/late_answers.py
@@ -7,7 +7,9 @@
 from typing import Any, cast
 
 from lynxscale.coordination.ports import Clock
-from lynxscale.runtime.http_server import ConnectionState, Handler, ServerConnection, ServerLimits
+from lynxscale.runtime.http_server import ConnectionState, ServerConnection
+from lynxscale.runtime.responder import Handler
+from lynxscale.runtime.server_limits import ServerLimits
 
 
 class RecordingTransport:
--- a/lab/tier/mutations/operator_changes.py
+++ b/lab/tier/mutations/operator_changes.py
@@ -19,8 +19,8 @@
 from lynxscale.coordination.messages import TopicUpdate
 from lynxscale.coordination.outcomes import CommitOutcome
 from lynxscale.coordination.topic_publisher import Publisher
-from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head, Request
+from lynxscale.runtime.responder import Responder
 
 
 def versions_may_decrease() -> Patches:
--- a/lab/tier/simulated_tier.py
+++ b/lab/tier/simulated_tier.py
@@ -15,8 +15,9 @@
 from lynxscale.dataplane.service import RelayService
 from lynxscale.discovery.endpoint import Endpoint
 from lynxscale.runtime.http_client import ClientConnection
-from lynxscale.runtime.http_server import ServerConnection, ServerLimits
+from lynxscale.runtime.http_server import ServerConnection
 from lynxscale.runtime.http_types import Head, Request
+from lynxscale.runtime.server_limits import ServerLimits
 from lynxscale.runtime.settings import Cloud, FaultTolerance, Limits, Listen, Settings
 
 INTERNAL_PORT, CONTROL_PORT, FRONTEND_PORT, READINESS_PORT = 7000, 8000, 8080, 8081
--- a/lynxscale/controlplane/configuration_endpoint.py
+++ b/lynxscale/controlplane/configuration_endpoint.py
@@ -44,8 +44,8 @@
 from lynxscale.coordination.messages import put_value
 from lynxscale.coordination.outcomes import CommitOutcome
 from lynxscale.coordination.ports import Worker
-from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head, Request, Response
+from lynxscale.runtime.responder import Responder
 
 BASE_HEADER = b"lynxscale-base-version"
 TAKEN_BEFORE = {"state": "taken before"}
--- a/lynxscale/controlplane/http_responses.py
+++ b/lynxscale/controlplane/http_responses.py
@@ -11,8 +11,8 @@
 from lynxscale.coordination.member import ControlMember
 from lynxscale.coordination.messages import Put
 from lynxscale.coordination.outcomes import CommitOutcome
-from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head, Response
+from lynxscale.runtime.responder import Responder
 
 JSON_CONTENT_TYPE = ((b"content-type", b"application/json"),)
 RETRY_AFTER = ((b"retry-after", b"0.2"),)  # in seconds
--- a/lynxscale/controlplane/operator_api.py
+++ b/lynxscale/controlplane/operator_api.py
@@ -22,8 +22,8 @@
 from lynxscale.controlplane.retirement_endpoint import RetirementEndpoint
 from lynxscale.coordination.member import ControlMember
 from lynxscale.coordination.ports import Worker
-from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head, Request, Response
+from lynxscale.runtime.responder import Responder
 
 REPLACE_PATH, UPDATE_PATH, READ_PATH = "/config/replace", "/config/update", "/config/read"
 CHANGE_KINDS = {REPLACE_PATH: ChangeKind.REPLACE, UPDATE_PATH: ChangeKind.UPDATE}
--- a/lynxscale/controlplane/process.py
+++ b/lynxscale/controlplane/process.py
@@ -14,12 +14,13 @@
 from lynxscale.controlplane.service import ControlService
 from lynxscale.runtime.clock import LoopClock
 from lynxscale.runtime.durable_files import DurableFiles
-from lynxscale.runtime.http_server import ServerConnection, ServerLimits
+from lynxscale.runtime.http_server import ServerConnection
 from lynxscale.runtime.listener import ConnectionSlot
 from lynxscale.runtime.loop_turns import TURN_UNITS, LoopTurns
 from lynxscale.runtime.process import ProcessContext, run
 from lynxscale.runtime.reload_signal import reload_signal_handled
 from lynxscale.runtime.resource_limits import MEMBER_QUOTAS
+from lynxscale.runtime.server_limits import ServerLimits
 from lynxscale.runtime.settings_watcher import SettingsWatcher, watch_until
 from lynxscale.runtime.sockets import limit_socket_buffers
 from lynxscale.runtime.startup import listen_once_free, retry_until_started
--- a/lynxscale/controlplane/retirement_endpoint.py
+++ b/lynxscale/controlplane/retirement_endpoint.py
@@ -10,8 +10,8 @@
 from lynxscale.coordination.member import ControlMember
 from lynxscale.coordination.messages import put_value
 from lynxscale.coordination.outcomes import CommitOutcome
-from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Response
+from lynxscale.runtime.responder import Responder
 
 RETIREMENT_PREFIX = "retire/"
 
--- a/lynxscale/controlplane/service.py
+++ b/lynxscale/controlplane/service.py
@@ -29,9 +29,9 @@
 from lynxscale.coordination.topic_publisher import Publisher
 from lynxscale.discovery.endpoint_poller import EndpointPoller
 from lynxscale.runtime.http_client import Dial
-from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Request
 from lynxscale.runtime.resource_limits import ResourceLimits
+from lynxscale.runtime.responder import Responder
 from lynxscale.runtime.settings import Settings
 
 log = logging.getLogger(__name__)
--- a/lynxscale/dataplane/forwarding.py
+++ b/lynxscale/dataplane/forwarding.py
@@ -24,9 +24,9 @@
 from lynxscale.dataplane.responses import BAD_GATEWAY, GATEWAY_TIMEOUT, SERVICE_UNAVAILABLE, relay_response
 from lynxscale.dataplane.turns import Turn, TurnClient
 from lynxscale.runtime.http_client import ClientConnection
-from lynxscale.runtime.http_server import Exchange, Responder
 from lynxscale.runtime.http_types import Head, Request, Response
 from lynxscale.runtime.memory_budget import MemoryBudget, Reservation
+from lynxscale.runtime.responder import Exchange, Responder
 
 RETRY_AFTER_S = 0.1
 
--- a/lynxscale/dataplane/pending_until_configured.py
+++ b/lynxscale/dataplane/pending_until_configured.py
@@ -7,8 +7,8 @@
 from lynxscale.coordination.ports import Clock
 from lynxscale.dataplane.headers import DEADLINE_MS, after_wait
 from lynxscale.dataplane.responses import SERVICE_UNAVAILABLE, relay_response
-from lynxscale.runtime.http_server import Exchange, Responder
 from lynxscale.runtime.http_types import Request
+from lynxscale.runtime.responder import Exchange, Responder
 
 MAX_PENDING = 500
 MAX_WAIT_S = 1.2
--- a/lynxscale/dataplane/request_router.py
+++ b/lynxscale/dataplane/request_router.py
@@ -29,9 +29,9 @@
 from lynxscale.dataplane.relay_configuration import RelayConfiguration, RouteMatch
 from lynxscale.dataplane.responses import BAD_REQUEST, NOT_FOUND, SERVICE_UNAVAILABLE, relay_response
 from lynxscale.dataplane.turns import TurnClient, is_admitted
-from lynxscale.runtime.http_server import Exchange, Responder
 from lynxscale.runtime.http_types import Request
 from lynxscale.runtime.memory_budget import MemoryBudget
+from lynxscale.runtime.responder import Exchange, Responder
 
 log = logging.getLogger(__name__)
 
--- a/lynxscale/dataplane/response_stream.py
+++ b/lynxscale/dataplane/response_stream.py
@@ -8,9 +8,9 @@
 from lynxscale.configuration.model import Route
 from lynxscale.dataplane.responses import FIRST_REDIRECT, OK, forwarded_response, without_length
 from lynxscale.dataplane.server_sent_events import EventScanner
-from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head
 from lynxscale.runtime.memory_budget import Reservation
+from lynxscale.runtime.responder import Responder
 
 NO_FIELDS = Head(())
 
--- a/lynxscale/dataplane/service.py
+++ b/lynxscale/dataplane/service.py
@@ -31,9 +31,10 @@
     shard_topic,
 )
 from lynxscale.runtime.http_client import Dial
-from lynxscale.runtime.http_server import Exchange, Responder, ServerLimits
 from lynxscale.runtime.http_types import Head, Request, Response
 from lynxscale.runtime.resource_limits import ResourceLimits
+from lynxscale.runtime.responder import Exchange, Responder
+from lynxscale.runtime.server_limits import ServerLimits
 from lynxscale.runtime.settings import Settings
 
 log = logging.getLogger(__name__)
--- a/lynxscale/runtime/http_server.py
+++ b/lynxscale/runtime/http_server.py
@@ -15,78 +15,40 @@
 import asyncio
 from collections.abc import Callable
 from enum import Enum
-from typing import Protocol, cast
+from typing import cast
 
 import h11
-from attrs import Factory, define
 
 from lynxscale.coordination.ports import Clock, Timer
 from lynxscale.runtime.exceptions import InvalidRequestError
-from lynxscale.runtime.http_types import Head, Headers, Request, Response
+from lynxscale.runtime.http_types import Head, Headers, Request
 from lynxscale.runtime.listener import ConnectionSlot
 from lynxscale.runtime.loop_turns import BODY_BYTES_PER_UNIT, EVENT_UNITS, REQUEST_UNITS, SLICE_UNITS, LoopTurns
-from lynxscale.runtime.memory_budget import MemoryBudget, Reservation
+from lynxscale.runtime.memory_budget import Holder, Reservation
 from lynxscale.runtime.request_target import in_origin_form
+from lynxscale.runtime.responder import (
+    CLOSE,
+    RETRY_AFTER_OVERLOAD,
+    SERVICE_UNAVAILABLE,
+    Exchange,
+    Handler,
+    Responder,
+    refuse_overload,
+)
+from lynxscale.runtime.server_limits import ServerLimits
 from lynxscale.runtime.sockets import SOCKET_BUFFER_BYTES, configure_socket, has_unread_bytes, reset_on_close
 
 EMPTY_LENGTH: Headers = ((b"content-length", b"0"),)
-CLOSE = (b"connection", b"close")
 CONNECT = b"CONNECT"
 HEAD = b"HEAD"
 REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
 HEADER_FIELDS_TOO_LARGE = 431
 NOT_IMPLEMENTED = 501
-SERVICE_UNAVAILABLE = 503
-RETRY_AFTER_OVERLOAD: Headers = ((b"retry-after", b"1"),)
-"""Seconds until a client that was refused for the want of descriptors or memory should come back."""
 LINGER_S = 1.0
 """How long the rest of a refused body is read and discarded: a reset would reach the client before its response."""
 MAX_PIPELINED_BYTES = 2048
 """A connection is not read from beyond this many bytes of further requests, until the response under way ends."""
-READ_BYTES = 16384
-"""The bytes that are received from a connection at once."""
-
-
-def never() -> bool:
-    """Return False."""
-    return False
-
-
-@define
-class ServerLimits:
-    """Limits on the size and duration of requests; a new configuration changes them in place.
-
-    ``outdated()``: whether newer limits may be in force; a request that exceeds these is then answered 503.
-    ``waiting_requests`` and ``waiting_responses`` bound the bytes in all connections together.
-    ``receive_buffer``: what one connection after the other receives into.
-    """
-
-    header_bytes: int = 16384
-    body_bytes: int = 4 * 1024 * 1024
-    header_timeout_s: float = 5.0
-    idle_timeout_s: float = 60.0
-    closing: bool = False  # if set, each response closes its connection, as in a graceful shutdown
-    outdated: Callable[[], bool] = never
-    waiting_requests: MemoryBudget = Factory(MemoryBudget)
-    waiting_responses: MemoryBudget = Factory(MemoryBudget)
-    receive_buffer: memoryview = Factory(lambda: memoryview(bytearray(READ_BYTES)))
-
-
-class Exchange(Protocol):
-    """A request that its handler has not answered yet."""
-
-    def on_client_disconnected(self) -> None:
-        """Called if the client disconnects before the end of the response."""
-
-
-Handler = Callable[[Request, "Responder"], Exchange | None]
-"""``handler(request, responder)`` returns the pending exchange, or None if a disconnect needs no handling."""
-
-
-def refuse_overload(request: Request, responder: Responder) -> None:
-    """Refuse a request, as the process has too many connections; implements Handler."""
-    responder.respond(Response(SERVICE_UNAVAILABLE, Head(RETRY_AFTER_OVERLOAD)), close=True)
 
 
 class ConnectionState(Enum):
@@ -98,76 +60,6 @@
     CLOSED = "closed"
 
 
-class Responder:
-    """Sends the response to one request. Calls after the client has disconnected do nothing."""
-
-    def __init__(self, connection: ServerConnection) -> None:
-        self._connection: ServerConnection | None = connection
-
-    def detach(self) -> None:
-        """Ignore all further calls, as the connection is closed."""
-        self._connection = None
-
-    def respond(self, response: Response, close: bool = False) -> None:
-        """Send a complete response; ``close``: whether the connection ends with it."""
-        connection = self._connection
-        if connection is None:
-            return
-        fields = (*response.head.fields, (b"content-length", b"%d" % len(response.body)))
-        if close:
-            fields = (*fields, CLOSE)
-        connection.send_head(response.status, fields)
-        if response.body:
-            connection.send_data(response.body)
-        connection.finish()
-
-    @property
-    def end_is_explicit(self) -> bool:
-        """Whether the client can tell the end of a response without a length from a lost connection.
-
-        False for HTTP/1.0, which has no chunks: such a response ends with its connection.
-        """
-        return self._connection is None or self._connection.chunks_supported
-
-    def start(self, status: int, fields: Headers) -> None:
-        """Start a response whose body follows; without a ``Content-Length`` among the fields it is sent in chunks."""
-        if self._connection is not None:
-            self._connection.send_head(status, fields)
-
-    def data(self, data: bytes) -> None:
-        """Send a chunk of the body without buffering."""
-        connection = self._connection
-        if connection is not None:
-            connection.send_data(data)
-            connection.flush()
-
-    @property
-    def paused(self) -> bool:
-        """Whether the client reads more slowly than the response is sent, so that no more of it should be sent now."""
-        return self._connection is not None and self._connection.write_paused
-
-    def when_writable(self, call: Callable[[], None]) -> None:
-        """Call ``call()`` once, when the client has read what was sent; not if it disconnects before."""
-        if self._connection is not None:
-            self._connection.when_writable(call)
-
-    def end(self) -> None:
-        """Complete the response."""
-        if self._connection is not None:
-            self._connection.finish()
-
-    def abort(self) -> None:
-        """Close the connection without completing the response.
-
-        Where the end of the connection would look like the end of the response, it is reset.
-        """
-        if self._connection is not None:
-            if self.end_is_explicit:
-                self._connection.close()
-            else:
-                self._connection.reset()
-
-
 class ServerConnection(asyncio.BufferedProtocol):
     """A connection from a client; it adds itself to ``open_connections`` while it is open.
 
@@ -209,8 +101,8 @@
         self._progress_at = clock.now()  # when bytes were last received or parsed
         self._unread_at = clock.now()  # when the client last read some of what was sent
         self._on_writable: Callable[[], None] | None = None
-        self._request_memory = Reservation(limits.waiting_requests, UnfinishedRequest(self))
-        self._response_memory = Reservation(limits.waiting_responses, UnreadResponse(self))
+        self._request_memory = Reservation(limits.waiting_requests, Holder(lambda: self.unfinished_since, self.refuse))
+        self._response_memory = Reservation(limits.waiting_responses, Holder(lambda: self.unread_since, self.reset))
 
     @property
     def idle_since(self) -> float | None:
@@ -572,35 +464,3 @@
             responder.detach()
         if exchange is not None:
             exchange.on_client_disconnected()
-
-
-@define(eq=False)
-class UnfinishedRequest:
-    """The received bytes of a connection, as a Holder of memory."""
-
-    _connection: ServerConnection
-
-    @property
-    def stalled_since(self) -> float | None:
-        """Part of Holder."""
-        return self._connection.unfinished_since
-
-    def give_way(self) -> None:
-        """Part of Holder."""
-        self._connection.refuse()
-
-
-@define(eq=False)
-class UnreadResponse:
-    """The bytes that a client has not read, as a Holder of memory."""
-
-    _connection: ServerConnection
-
-    @property
-    def stalled_since(self) -> float | None:
-        """Part of Holder."""
-        return self._connection.unread_since
-
-    def give_way(self) -> None:
-        """Part of Holder."""
-        self._connection.reset()
--- a/lynxscale/runtime/memory_budget.py
+++ b/lynxscale/runtime/memory_budget.py
@@ -7,23 +7,24 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 STALLED_S = 1.0
 """A holder that has made no progress for this long gives way to all that have."""
 
 
-class Holder(Protocol):
-    """Something that holds bytes of a budget and can give them back before its end; a connection of a client."""
+@frozen
+class Holder:
+    """Something that holds bytes of a budget and can give them back before its end, such as a client's connection.
 
-    @property
-    def stalled_since(self) -> float | None:
-        """The time (as by ``Clock.now``) of its last progress, None while its bytes must not be taken."""
+    ``stalled_since()``: the time (as by ``Clock.now``) of its last progress, None while its bytes must not be taken.
+    ``give_way()`` gives back all bytes at once, by refusing or closing what they belong to.
+    """
 
-    def give_way(self) -> None:
-        """Give back all bytes at once, by refusing or closing what they belong to."""
+    stalled_since: Callable[[], float | None]
+    give_way: Callable[[], None]
 
 
 @define
@@ -72,7 +73,7 @@
     @property
     def stalled_since(self) -> float | None:
         """The time of its holder's last progress, None while the holder must not give way."""
-        return None if self._holder is None else self._holder.stalled_since
+        return None if self._holder is None else self._holder.stalled_since()
 
     def give_way(self) -> None:
         """Have the holder give its bytes back."""
--- a/tests/dataplane/test_pending_until_configured.py
+++ b/tests/dataplane/test_pending_until_configured.py
@@ -12,8 +12,8 @@
     PendingRequest,
     PendingUntilConfigured,
 )
-from lynxscale.runtime.http_server import Responder
 from lynxscale.runtime.http_types import Head, Request, Response
+from lynxscale.runtime.responder import Responder
 from tests.simulated_tier import executed_request
 
 
--- a/tests/dataplane/test_request_router.py
+++ b/tests/dataplane/test_request_router.py
@@ -14,7 +14,7 @@
 from lynxscale.coordination.messages import AdmitTurn, Call, Message, ReadConfigurationVersion, TopicUpdate
 from lynxscale.dataplane.service import RelayService
 from lynxscale.dataplane.status import render
-from lynxscale.runtime.http_server import Responder
+from lynxscale.runtime.responder import Responder
 from tests.simulated_tier import OUTPUT, endpoints_that_ran, executed_request, settled_tier
 
 # Duration of a freeze, and when the change comes. The relay is isolated after 1.6 s; its parent drops it after 2 s.
--- a/tests/discovery/test_endpoint_poller.py
+++ b/tests/discovery/test_endpoint_poller.py
@@ -6,8 +6,10 @@
 from lab.tier.simulated_tier import SimulatedTier
 from lynxscale.discovery.endpoint import Endpoint
 from lynxscale.discovery.endpoint_poller import MAX_PAGES, EndpointPoller
-from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
+from lynxscale.runtime.http_server import ServerConnection
 from lynxscale.runtime.http_types import Head, Request, Response
+from lynxscale.runtime.responder import Responder
+from lynxscale.runtime.server_limits import ServerLimits
 from tests.simulated_tier import settled_tier
 
 
--- a/tests/runtime/test_head_requests.py
+++ b/tests/runtime/test_head_requests.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from lynxscale.runtime.http_server import ServerLimits
 from lynxscale.runtime.http_types import Head, Response
+from lynxscale.runtime.server_limits import ServerLimits
 from tests.running_program import started
 from tests.runtime.test_http_server import connect
 from tests.simulated_tier import executed_request, settled_tier
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -3,9 +3,11 @@
 import pytest
 
 from lab.tier.world import World
-from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
+from lynxscale.runtime.http_server import ServerConnection
 from lynxscale.runtime.http_types import Request, Response
 from lynxscale.runtime.memory_budget import MemoryBudget
+from lynxscale.runtime.responder import Responder
+from lynxscale.runtime.server_limits import ServerLimits
 
 
 class RecordingTransport:
--- a/tests/runtime/test_listener.py
+++ b/tests/runtime/test_listener.py
@@ -10,7 +10,7 @@
 import pytest
 
 from lynxscale.runtime.clock import LoopClock
-from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
+from lynxscale.runtime.http_server import ServerConnection
 from lynxscale.runtime.http_types import Request, Response
 from lynxscale.runtime.listener import (
     ACCEPT_RETRY_S,
@@ -21,6 +21,8 @@
     listening_socket,
 )
 from lynxscale.runtime.peer_network import PeerNetwork
+from lynxscale.runtime.responder import Responder
+from lynxscale.runtime.server_limits import ServerLimits
 
 LIMIT = 8
 MANY = 400
--- a/tests/runtime/test_loop_turns.py
+++ b/tests/runtime/test_loop_turns.py
@@ -1,9 +1,11 @@
 """How the work of connections is divided among turns of the event loop."""
 
 from lab.tier.world import World
-from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
+from lynxscale.runtime.http_server import ServerConnection
 from lynxscale.runtime.http_types import Request, Response
 from lynxscale.runtime.loop_turns import SLICE_UNITS, TURN_UNITS, LoopTurns
+from lynxscale.runtime.responder import Responder
+from lynxscale.runtime.server_limits import ServerLimits
 from tests.runtime.test_http_server import RecordingTransport
 
 GET = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
--- a/tests/runtime/test_operator_client.py
+++ b/tests/runtime/test_operator_client.py
@@ -3,9 +3,11 @@
 import asyncio
 
 from lynxscale.runtime.clock import LoopClock
-from lynxscale.runtime.http_server import Responder, ServerConnection, ServerLimits
+from lynxscale.runtime.http_server import ServerConnection
 from lynxscale.runtime.http_types import Head, Request, Response
 from lynxscale.runtime.operator_client import send_request
+from lynxscale.runtime.responder import Responder
+from lynxscale.runtime.server_limits import ServerLimits
 
 
 def test_a_redirect_keeps_the_query():
--- a/tests/runtime/test_request_target.py
+++ b/tests/runtime/test_request_target.py
@@ -6,9 +6,10 @@
 from lab.tier.world import World
 from lynxscale.dataplane.headers import REQUEST_ID
 from lynxscale.runtime.exceptions import InvalidRequestError
-from lynxscale.runtime.http_server import ServerConnection, ServerLimits
+from lynxscale.runtime.http_server import ServerConnection
 from lynxscale.runtime.http_types import Head, Request
 from lynxscale.runtime.request_target import in_origin_form
+from lynxscale.runtime.server_limits import ServerLimits
 from tests.runtime.test_http_server import RecordingTransport, answer
 from tests.simulated_tier import executed_request, settled_tier
 
