--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -193,13 +193,19 @@
     assert transport.statuses() == [503] and answered.busy
 
 
+def connect_reader(limits: ServerLimits, unread: int) -> RecordingTransport:
+    """A client that has read nothing for two seconds, of which so many bytes wait."""
+    connection, transport = connect(limits)
+    connection.pause_writing()
+    transport.unread = unread
+    connection._count_unread()
+    connection._unread_at -= 2.0
+    return transport
+
+
 def test_a_client_that_does_not_read_gives_way_to_responses_of_others():
     limits = ServerLimits(waiting_responses=MemoryBudget(1_000))
-    silent, silent_transport = connect(limits)
-    silent.pause_writing()
-    silent_transport.unread = 900
-    silent._count_unread()
-    silent._unread_at -= 2.0
+    silent_transport = connect_reader(limits, unread=900)
     ordinary, transport = connect(limits)
     transport.unread = 500
     ordinary.data_received(post(1, 1))
@@ -209,11 +215,7 @@
 
 def test_a_slow_reader_that_reads_does_not_give_way_to_a_larger_response():
     limits = ServerLimits(waiting_responses=MemoryBudget(1_000))
-    slow, slow_transport = connect(limits)
-    slow.pause_writing()
-    slow_transport.unread = 900
-    slow._count_unread()
-    slow._unread_at -= 2.0
+    slow_transport = connect_reader(limits, unread=900)
     slow_transport.unread = 600
     larger, transport = connect(limits)
     transport.unread = 700
